--- /dev/null
+++ b/daemons/entry/main.cc
@@ -0,0 +1,355 @@
+#include <memory>
+
+#include "absl/strings/str_cat.h"
+#include "absl/time/clock.h"
+#include "adapters/caller_json.h"
+#include "entry/action_service.h"
+#include "entry/query_service.h"
+#include "hosting/control_plane.h"
+#include "hosting/program.h"
+#include "kernel/registry.h"
+#include "nlohmann/json.hpp"
+#include "routing/merger.h"
+#include "telemetry/log.h"
+
+namespace cherrydyke {
+namespace {
+
+constexpr absl::Duration kBorrowCheckPeriod = absl::Milliseconds(20);
+constexpr absl::Duration kDrainStep = absl::Milliseconds(20);
+constexpr absl::Duration kNotReadyRetryAfter = absl::Seconds(1);
+constexpr size_t kMaxSpans = 20'000;
+constexpr size_t kMaxNotices = 16;
+/// Connections beyond the requests run at once, for refusals and operators.
+constexpr int kSpareThreads = 128;
+
+/// Wires the parts of an entry together and serves callers.
+class EntryDaemon {
+ public:
+  explicit EntryDaemon(const DaemonSettings& settings)
+      : settings_(settings),
+        incarnation_(NewIncarnation()),
+        spans_(kMaxSpans),
+        connector_(std::make_unique<TcpConnector>(settings.address), cuts_),
+        platform_(MakeHttpPlatform(settings.platform, settings.address)),
+        directory_(settings.failure_domain, clock_),
+        desk_({settings.host_id, settings.admission.max_concurrent,
+               settings.admission.owner_reserve},
+              clock_),
+        links_({settings.host_id, incarnation_}, settings.ports.gate_link,
+               connector_, directory_, clock_, metrics_),
+        queries_(settings.routing,
+                 {clock_, directory_, links_, desk_, spans_, metrics_,
+                  [this] { return NextAttempt(); },
+                  [this] { control_->AnnounceWidely(); }}),
+        picker_(Registry<ReplicaPicker>::Get().Create(
+            settings.routing.replica_picker)),
+        actions_(directory_, links_, desk_, *picker_),
+        http_({settings.admission.max_concurrent + kSpareThreads, 1 << 20}) {}
+
+  int Run();
+
+ private:
+  Status Start();
+  ControlPlane::Listeners MakeListeners();
+  void OnPeerMessage(const Message& message);
+  void AskForUnits();
+  void UpdateMembers();
+  void AddRoutes();
+  HttpResponse OnQuery(const HttpRequest& request);
+  HttpResponse OnTicket(const HttpRequest& request);
+  HttpResponse OnAction(const HttpRequest& request);
+  std::optional<Refusal> NotServing();
+  HttpResponse Refuse(const std::string& request_id, const Refusal& refusal);
+  HttpResponse Answer(std::string body) const;
+  std::string StatusJson();
+  void Shutdown();
+  AttemptId NextAttempt() { return {incarnation_, ++last_attempt_}; }
+  std::string RequestId(const HttpRequest& request);
+  bool InService() const {
+    return !control_->catalogue()->IsOut(settings_.failure_domain);
+  }
+
+  const DaemonSettings settings_;
+  const Incarnation incarnation_;
+  std::atomic<uint64_t> last_attempt_{0};
+  std::atomic<uint64_t> last_request_{0};
+  BootClock clock_;
+  Metrics metrics_;
+  SpanStore spans_;
+  CutSet cuts_;
+  CutConnector connector_;
+  std::unique_ptr<Platform> platform_;
+  TargetDirectory directory_;
+  AdmissionDesk desk_;
+  GateLinks links_;
+  std::unique_ptr<ControlPlane> control_;
+  QueryService queries_;
+  std::unique_ptr<ReplicaPicker> picker_;
+  ActionService actions_;
+  std::atomic<bool> stopping_{false};
+  HttpServer http_;
+};
+
+ControlPlane::Listeners EntryDaemon::MakeListeners() {
+  ControlPlane::Listeners listeners;
+  listeners.on_catalogue = [this](const Catalogue& catalogue) {
+    directory_.OnCatalogue(catalogue);
+    desk_.OnCatalogue(catalogue);
+    UpdateMembers();
+  };
+  listeners.on_hosts = [this](const HostList& hosts) {
+    directory_.OnHosts(hosts);
+    links_.OnHosts(hosts);
+    UpdateMembers();
+  };
+  listeners.on_heartbeat = [this](const Heartbeat& heartbeat, absl::Time) {
+    if (desk_.OnQuarantineNotices(heartbeat.quarantines)) {
+      control_->AnnounceWidely();
+    }
+  };
+  listeners.on_message = [this](const Message& message, const std::string&) {
+    OnPeerMessage(message);
+  };
+  listeners.complete_heartbeat = [this](Heartbeat& heartbeat) {
+    heartbeat.quarantines = desk_.QuarantineNotices(kMaxNotices);
+  };
+  return listeners;
+}
+
+void EntryDaemon::OnPeerMessage(const Message& message) {
+  if (const auto* request = std::get_if<LendRequest>(&message)) {
+    if (const auto grant = desk_.OnLendRequest(*request)) {
+      control_->SendDatagram({request->borrower, DaemonKind::kEntry}, *grant);
+    }
+  } else if (const auto* grant = std::get_if<LendGrant>(&message)) {
+    desk_.OnLendGrant(*grant);
+  }
+}
+
+void EntryDaemon::AskForUnits() {
+  for (const LendRequest& request : desk_.TakeLendRequests()) {
+    for (const DaemonId& peer :
+         control_->SampleLivePeers(DaemonKind::kEntry, 1)) {
+      control_->SendDatagram(peer, request);
+    }
+  }
+}
+
+void EntryDaemon::UpdateMembers() {
+  const std::shared_ptr<const Catalogue> catalogue = control_->catalogue();
+  const std::shared_ptr<const HostList> hosts = control_->hosts();
+  std::vector<HostId> members;
+  for (const Host& host : hosts->hosts) {
+    const bool shares = host.kind == HostKind::kEntry &&
+                        host.state == HostState::kLive &&
+                        !catalogue->IsOut(host.failure_domain);
+    if (shares) members.push_back(host.id);
+  }
+  desk_.OnMembers(std::move(members));
+}
+
+Status EntryDaemon::Start() {
+  const Ports& ports = settings_.ports;
+  auto gossip = UdpTransport::Open(settings_.address, ports.entry_gossip);
+  if (const Error* error = GetError(gossip)) return *error;
+  auto sync = Listener::Open(settings_.address, ports.entry_gossip);
+  if (const Error* error = GetError(sync)) return *error;
+  control_ = std::make_unique<ControlPlane>(
+      settings_, ControlPlane::Self{DaemonKind::kEntry, incarnation_}, clock_,
+      *platform_,
+      Transports{connector_,
+                 std::make_unique<CutDatagramTransport>(
+                     GetValue(std::move(gossip)), cuts_),
+                 GetValue(std::move(sync))},
+      metrics_, MakeListeners());
+  control_->thread().Every(kBorrowCheckPeriod, [this] { AskForUnits(); });
+  control_->Start();
+  AddRoutes();
+  const Result<int> port = http_.Start(settings_.address, ports.entry_http);
+  if (const Error* error = GetError(port)) return *error;
+  return OkStatus();
+}
+
+void EntryDaemon::AddRoutes() {
+  AddOperatorRoutes(http_, {metrics_, spans_, cuts_, settings_.allow_faults,
+                            [this] { return !stopping_ && !NotServing(); },
+                            [this] { return StatusJson(); }, RequestStop});
+  http_.Post("/v1/query", [this](const HttpRequest& r) { return OnQuery(r); });
+  http_.Post("/v1/tickets",
+             [this](const HttpRequest& r) { return OnTicket(r); });
+  http_.Post("/v1/actions",
+             [this](const HttpRequest& r) { return OnAction(r); });
+  metrics_.Gauge("cherrydyke_in_flight", [this] { return desk_.in_flight(); });
+  metrics_.Gauge("cherrydyke_live_peers",
+                 [this] { return control_->live_peers(); });
+}
+
+std::string EntryDaemon::RequestId(const HttpRequest& request) {
+  const std::string given = request.Header("x-request-id");
+  return given.empty() ? ToHex(incarnation_) + "-" + ToHex(++last_request_)
+                       : given;
+}
+
+// While stopping, requests are still served: the balancer goes on sending for
+// some seconds after the host says that it is not ready.
+std::optional<Refusal> EntryDaemon::NotServing() {
+  if (!control_->synced() || !desk_.ready()) {
+    return Refusal::NotRun(NotRunProof::NothingSent(), 503, "not_ready",
+                           "this host has no configuration or shares of limits yet",
+                           kNotReadyRetryAfter);
+  }
+  if (!InService()) {
+    return Refusal::NotRun(NotRunProof::NothingSent(), 503, "out_of_service",
+                           absl::StrCat("failure domain ",
+                                        settings_.failure_domain,
+                                        " is out of service"),
+                           kNotReadyRetryAfter);
+  }
+  return std::nullopt;
+}
+
+HttpResponse EntryDaemon::Answer(std::string body) const {
+  HttpResponse response;
+  response.body = std::move(body);
+  if (stopping_) response.headers["Connection"] = "close";
+  return response;
+}
+
+HttpResponse EntryDaemon::Refuse(const std::string& request_id,
+                                 const Refusal& refusal) {
+  metrics_
+      .counter("cherrydyke_refusals_total",
+               absl::StrCat("reason=\"", refusal.reason(), "\""))
+      .Add();
+  HttpResponse response = Answer(
+      FormatRefusal(request_id, refusal.outcome(), refusal.reason(),
+                    refusal.message(), refusal.retry_after()));
+  response.status = refusal.status();
+  const int64_t seconds = absl::ToInt64Seconds(
+      refusal.retry_after() + absl::Seconds(1) - absl::Nanoseconds(1));
+  response.headers["Retry-After"] = absl::StrCat(seconds);
+  return response;
+}
+
+HttpResponse EntryDaemon::OnQuery(const HttpRequest& request) {
+  const std::string id = RequestId(request);
+  if (const auto refusal = NotServing()) return Refuse(id, *refusal);
+  const Result<QueryCall> call = ParseQueryCall(request.body);
+  if (const Error* error = GetError(call)) {
+    return Refuse(id, Refusal::NotRun(NotRunProof::Malformed(), 400,
+                                      "malformed", error->message));
+  }
+  SpanTimer span(spans_, "entry.query", id,
+                 ParseTraceparent(request.Header("traceparent")));
+  const auto outcome = queries_.Run(GetValue(call), *control_->catalogue(),
+                                    {id, span.context()});
+  if (const auto* refusal = std::get_if<Refusal>(&outcome)) {
+    span.Set({"refusal", refusal->reason()});
+    return Refuse(id, *refusal);
+  }
+  const auto& result = std::get<QueryResult>(outcome);
+  span.Set({"coverage", result.coverage.fraction});
+  span.Set({"attempts", result.attempts});
+  return Answer(FormatQueryAnswer(id, result));
+}
+
+HttpResponse EntryDaemon::OnTicket(const HttpRequest& request) {
+  const std::string id = RequestId(request);
+  if (const auto refusal = NotServing()) return Refuse(id, *refusal);
+  const Result<TicketCall> call = ParseTicketCall(request.body);
+  if (const Error* error = GetError(call)) {
+    return Refuse(id, Refusal::NotRun(NotRunProof::Malformed(), 400,
+                                      "malformed", error->message));
+  }
+  const auto outcome =
+      actions_.IssueTicket(GetValue(call), *control_->catalogue());
+  if (const auto* refusal = std::get_if<Refusal>(&outcome)) {
+    return Refuse(id, *refusal);
+  }
+  const auto& issued = std::get<ActionService::IssuedTicket>(outcome);
+  return Answer(FormatTicket(issued.ticket, issued.expires_in_ms));
+}
+
+HttpResponse EntryDaemon::OnAction(const HttpRequest& request) {
+  const std::string id = RequestId(request);
+  const Result<ActionCall> call = ParseActionCall(request.body);
+  if (const Error* error = GetError(call)) {
+    return Refuse(id, Refusal::NotRun(NotRunProof::Malformed(), 400,
+                                      "malformed", error->message));
+  }
+  if (const auto refusal = NotServing()) {
+    // The same ticket may be running through another entry.
+    return Refuse(id, Refusal::Unknown(refusal->status(), refusal->reason(),
+                                       refusal->message(),
+                                       refusal->retry_after()));
+  }
+  SpanTimer span(spans_, "entry.action", id,
+                 ParseTraceparent(request.Header("traceparent")));
+  const auto outcome = actions_.Run(GetValue(call), *control_->catalogue(), id,
+                                    span.context());
+  if (const auto* refusal = std::get_if<Refusal>(&outcome)) {
+    span.Set({"refusal", refusal->reason()});
+    return Refuse(id, *refusal);
+  }
+  return Answer(FormatActionDone(id, std::get<std::string>(outcome)));
+}
+
+std::string EntryDaemon::StatusJson() {
+  nlohmann::ordered_json status = {
+      {"program", "cherrydyke-entry"},
+      {"host", settings_.host_id},
+      {"failure_domain", settings_.failure_domain},
+      {"incarnation", ToHex(incarnation_)},
+      {"in_service", InService()},
+      {"draining", stopping_.load()},
+      {"catalogue_revision", control_->catalogue()->revision},
+      {"catalogue_age_ms",
+       absl::ToInt64Milliseconds(control_->catalogue_age())},
+      {"hosts_revision", control_->hosts()->revision},
+      {"peers", control_->live_peers()},
+      {"gates_connected", links_.connected()},
+      {"in_flight", desk_.in_flight()}};
+  nlohmann::ordered_json limits = nlohmann::ordered_json::object();
+  for (const auto& [entry, units] : desk_.Units()) {
+    limits[entry] = {{"usable", units.first}, {"in_use", units.second}};
+  }
+  status["limits"] = std::move(limits);
+  return status.dump();
+}
+
+void EntryDaemon::Shutdown() {
+  LogInfo("stopping gracefully");
+  stopping_ = true;
+  absl::SleepFor(absl::Seconds(settings_.drain_lag_s));
+  while (desk_.in_flight() > 0) absl::SleepFor(kDrainStep);
+  http_.Stop();
+  links_.Stop();
+  control_->Stop();
+}
+
+int EntryDaemon::Run() {
+  if (const Status started = Start(); GetError(started) != nullptr) {
+    LogError("cannot start", {{"reason", GetError(started)->message}});
+    return 1;
+  }
+  PrintReady(
+      {{"http", MakeEndpoint(settings_.address, settings_.ports.entry_http)}});
+  WaitForStopSignal();
+  Shutdown();
+  return 0;
+}
+
+}  // namespace
+}  // namespace cherrydyke
+
+int main(int argc, char** argv) {
+  cherrydyke::RegisterReplicaPickers();
+  cherrydyke::RegisterMergers();
+  return cherrydyke::RunDaemonMain(
+      argc, argv, "cherrydyke-entry",
+      "Serves callers: fans a query out over its shards and merges the answers",
+      [](const cherrydyke::DaemonSettings& settings) {
+        return cherrydyke::EntryDaemon(settings).Run();
+      });
+}
--- /dev/null
+++ b/daemons/gate/main.cc
@@ -0,0 +1,283 @@
+#include <memory>
+
+#include "absl/time/clock.h"
+#include "gate/gate_service.h"
+#include "hosting/control_plane.h"
+#include "hosting/program.h"
+#include "kernel/registry.h"
+#include "nlohmann/json.hpp"
+#include "telemetry/log.h"
+
+namespace cherrydyke {
+namespace {
+
+constexpr absl::Duration kReportPeriod = absl::Milliseconds(100);
+constexpr absl::Duration kHoldingsPeriod = absl::Milliseconds(50);
+constexpr absl::Duration kPeerCheckPeriod = absl::Milliseconds(500);
+constexpr absl::Duration kPeerDialTimeout = absl::Milliseconds(200);
+constexpr absl::Duration kDrainStep = absl::Milliseconds(20);
+constexpr absl::Duration kDrainLimit = absl::Seconds(10);
+constexpr size_t kMaxSpans = 50'000;
+constexpr size_t kMaxNotices = 16;
+
+/// Wires the parts of a gate together.
+class GateDaemon {
+ public:
+  explicit GateDaemon(const DaemonSettings& settings)
+      : settings_(settings),
+        incarnation_(NewIncarnation()),
+        spans_(kMaxSpans),
+        connector_(std::make_unique<TcpConnector>(settings.address), cuts_),
+        platform_(MakeHttpPlatform(settings.platform, settings.address)),
+        protocol_(Registry<TargetProtocol>::Get().Create(
+            settings.target_protocol)),
+        holdings_(settings.host_id, settings.failure_domain, clock_),
+        http_({}) {}
+
+  int Run();
+
+ private:
+  Status Start();
+  Status StartControl();
+  ControlPlane::Listeners MakeListeners();
+  void UpdateHoldings();
+  void CheckSilentPeers();
+  void AddRoutes();
+  std::string StatusJson();
+  void Shutdown();
+
+  const DaemonSettings settings_;
+  const Incarnation incarnation_;
+  BootClock clock_;
+  Metrics metrics_;
+  SpanStore spans_;
+  CutSet cuts_;
+  CutConnector connector_;
+  std::unique_ptr<Platform> platform_;
+  std::unique_ptr<TargetProtocol> protocol_;
+  HoldingsGuard holdings_;
+  std::unique_ptr<ControlPlane> control_;
+  std::unique_ptr<GateService> service_;
+  std::unique_ptr<LinkServer> links_;
+  std::thread peer_checker_;
+  std::atomic<bool> stopping_{false};
+  HttpServer http_;
+};
+
+ControlPlane::Listeners GateDaemon::MakeListeners() {
+  ControlPlane::Listeners listeners;
+  listeners.on_catalogue = [this](const Catalogue& catalogue) {
+    service_->OnCatalogue(catalogue);
+  };
+  listeners.on_hosts = [this](const HostList& hosts) {
+    holdings_.Update([&](TargetHoldings& holdings, absl::Time now) {
+      holdings.OnHostList(hosts, now);
+    });
+    service_->OnHosts(hosts);
+  };
+  listeners.on_heartbeat = [this](const Heartbeat& heartbeat,
+                                  absl::Time evidence) {
+    service_->OnQuarantineNotices(heartbeat.quarantines);
+    const bool fellow = heartbeat.kind == DaemonKind::kGate &&
+                        heartbeat.host != settings_.host_id &&
+                        heartbeat.failure_domain == settings_.failure_domain;
+    if (!fellow) return;
+    service_->OnTaken(
+        holdings_.Update([&](TargetHoldings& holdings, absl::Time now) {
+          holdings.OnPeer(heartbeat.host, heartbeat.incarnation,
+                          heartbeat.hosts_revision, heartbeat.settled_revision,
+                          evidence, now);
+        }));
+  };
+  listeners.on_platform_contact = [this](absl::Time evidence) {
+    holdings_.Update([&](TargetHoldings& holdings, absl::Time /*now*/) {
+      holdings.OnPlatformContact(evidence);
+    });
+  };
+  listeners.complete_heartbeat = [this](Heartbeat& heartbeat) {
+    heartbeat.settled_revision = holdings_.settled_revision();
+    heartbeat.quarantines = service_->QuarantineNotices(kMaxNotices);
+  };
+  return listeners;
+}
+
+Status GateDaemon::StartControl() {
+  const Ports& ports = settings_.ports;
+  auto gossip = UdpTransport::Open(settings_.address, ports.gate_gossip);
+  if (const Error* error = GetError(gossip)) return *error;
+  auto sync = Listener::Open(settings_.address, ports.gate_gossip);
+  if (const Error* error = GetError(sync)) return *error;
+  auto link = Listener::Open(settings_.address, ports.gate_link);
+  if (const Error* error = GetError(link)) return *error;
+  control_ = std::make_unique<ControlPlane>(
+      settings_, ControlPlane::Self{DaemonKind::kGate, incarnation_}, clock_,
+      *platform_,
+      Transports{connector_,
+                 std::make_unique<CutDatagramTransport>(
+                     GetValue(std::move(gossip)), cuts_),
+                 GetValue(std::move(sync))},
+      metrics_, MakeListeners());
+  service_ = std::make_unique<GateService>(
+      GateService::Self{settings_.host_id, settings_.failure_domain,
+                        settings_.address, incarnation_},
+      GateService::Environment{
+          clock_, *protocol_, holdings_, spans_, metrics_,
+          [this](absl::Duration delay, std::function<void()> task) {
+            control_->thread().PostAfter(delay, std::move(task));
+          },
+          [this] { control_->AnnounceWidely(); }});
+  links_ = std::make_unique<LinkServer>(
+      GetValue(std::move(link)), connector_,
+      [this](const std::shared_ptr<Link>& from, Message message) {
+        service_->OnLinkMessage(from, std::move(message));
+      },
+      [this](const Error& error) {
+        metrics_.counter("cherrydyke_link_faults_total").Add();
+        LogWarning("closed a faulty link", {{"reason", error.message}});
+      });
+  return OkStatus();
+}
+
+Status GateDaemon::Start() {
+  if (const Status started = StartControl(); GetError(started) != nullptr) {
+    return started;
+  }
+  control_->thread().Every(kHoldingsPeriod, [this] { UpdateHoldings(); });
+  control_->thread().Every(kReportPeriod,
+                           [this] { links_->Broadcast(service_->Reports()); });
+  control_->Start();
+  peer_checker_ = std::thread([this] { CheckSilentPeers(); });
+  AddRoutes();
+  const Result<int> port =
+      http_.Start(settings_.address, settings_.ports.gate_http);
+  if (const Error* error = GetError(port)) return *error;
+  return OkStatus();
+}
+
+void GateDaemon::UpdateHoldings() {
+  service_->OnTaken(holdings_.Update([](TargetHoldings&, absl::Time) {}));
+}
+
+// Dials the gates of the failure domain that are listed but not heard. A
+// refused connection proves that the peer's process is gone, because a gate's
+// port is open for as long as it may send to targets.
+void GateDaemon::CheckSilentPeers() {
+  while (!stopping_) {
+    absl::SleepFor(kPeerCheckPeriod);
+    const std::shared_ptr<const HostList> hosts = control_->hosts();
+    for (const Host& host : hosts->hosts) {
+      const bool fellow = host.kind == HostKind::kEntry &&
+                          host.failure_domain == settings_.failure_domain &&
+                          host.id != settings_.host_id;
+      if (!fellow || stopping_) continue;
+      bool live = false;
+      control_->thread().RunAndWait([&] {
+        live = control_->IsLive({host.id, DaemonKind::kGate});
+      });
+      if (live) continue;
+      const auto dialled = connector_.Connect(
+          MakeEndpoint(host.address, settings_.ports.gate_link),
+          kPeerDialTimeout);
+      const auto* failure = std::get_if<ConnectFailure>(&dialled);
+      if (failure == nullptr || *failure != ConnectFailure::kRefused) continue;
+      holdings_.Update([&](TargetHoldings& holdings, absl::Time now) {
+        holdings.OnPeerDead(host.id, now);
+      });
+    }
+  }
+}
+
+void GateDaemon::AddRoutes() {
+  AddOperatorRoutes(http_, {metrics_, spans_, cuts_, settings_.allow_faults,
+                            [this] {
+                              return control_->synced() && !stopping_ &&
+                                     service_->in_service();
+                            },
+                            [this] { return StatusJson(); }, RequestStop});
+  metrics_.Gauge("cherrydyke_gate_in_flight",
+                 [this] { return service_->InFlight(); });
+  metrics_.Gauge("cherrydyke_live_peers",
+                 [this] { return control_->live_peers(); });
+}
+
+std::string GateDaemon::StatusJson() {
+  nlohmann::ordered_json status = {
+      {"program", "cherrydyke-gate"},
+      {"host", settings_.host_id},
+      {"failure_domain", settings_.failure_domain},
+      {"incarnation", ToHex(incarnation_)},
+      {"in_service", service_->in_service()},
+      {"draining", stopping_.load()},
+      {"catalogue_revision", control_->catalogue()->revision},
+      {"catalogue_age_ms",
+       absl::ToInt64Milliseconds(control_->catalogue_age())},
+      {"hosts_revision", control_->hosts()->revision},
+      {"settled_revision", holdings_.settled_revision()},
+      {"fenced", holdings_.Fenced()},
+      {"peers", control_->live_peers()},
+      {"in_flight", service_->InFlight()}};
+  nlohmann::ordered_json targets = nlohmann::ordered_json::array();
+  for (const TargetReport& report : service_->Reports().reports) {
+    targets.push_back({{"target", report.target},
+                       {"state", ToString(report.phase)},
+                       {"limit", report.limit},
+                       {"in_flight", report.in_flight},
+                       {"queued", report.queued},
+                       {"latency_us", report.latency_us},
+                       {"index_versions", report.versions}});
+  }
+  status["targets"] = std::move(targets);
+  nlohmann::ordered_json refused = nlohmann::ordered_json::array();
+  for (const RefusedChange& change : control_->refused_changes()) {
+    refused.push_back({{"key", change.change.key},
+                       {"revision", change.change.revision},
+                       {"reason", change.reason}});
+  }
+  status["refused_changes"] = std::move(refused);
+  return status.dump();
+}
+
+// New work is refused first, so that entries go elsewhere; what runs is
+// finished; the port closes last, because a closed port tells other gates that
+// nothing of this one runs any more.
+void GateDaemon::Shutdown() {
+  LogInfo("stopping gracefully");
+  stopping_ = true;
+  service_->BeginDrain();
+  links_->Broadcast(service_->Reports());
+  const absl::Time limit = clock_.Now() + kDrainLimit;
+  while (service_->InFlight() > 0 && clock_.Now() < limit) {
+    absl::SleepFor(kDrainStep);
+  }
+  peer_checker_.join();
+  control_->Stop();
+  service_->Stop();
+  links_->Stop();
+  http_.Stop();
+}
+
+int GateDaemon::Run() {
+  if (const Status started = Start(); GetError(started) != nullptr) {
+    LogError("cannot start", {{"reason", GetError(started)->message}});
+    return 1;
+  }
+  PrintReady(
+      {{"http", MakeEndpoint(settings_.address, settings_.ports.gate_http)},
+       {"link", MakeEndpoint(settings_.address, settings_.ports.gate_link)}});
+  WaitForStopSignal();
+  Shutdown();
+  return 0;
+}
+
+}  // namespace
+}  // namespace cherrydyke
+
+int main(int argc, char** argv) {
+  cherrydyke::RegisterHttpTargetProtocol();
+  return cherrydyke::RunDaemonMain(
+      argc, argv, "cherrydyke-gate",
+      "Owns a part of its failure domain's targets and runs sub-requests there",
+      [](const cherrydyke::DaemonSettings& settings) {
+        return cherrydyke::GateDaemon(settings).Run();
+      });
+}
--- /dev/null
+++ b/fakes/platform/platform_model.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <atomic>
+#include <deque>
+#include <map>
+#include <string>
+
+#include "absl/base/thread_annotations.h"
+#include "absl/synchronization/mutex.h"
+#include "absl/time/time.h"
+#include "adapters/http_server.h"
+#include "base/ids.h"
+#include "nlohmann/json.hpp"
+
+namespace cherrydyke {
+
+/// The platform's configuration service and host list, with faults.
+class PlatformModel {
+ public:
+  HttpResponse GetConfig(const HttpRequest& request);
+  HttpResponse GetHosts(const HttpRequest& request);
+
+  /// Publishes changes, `{"KEY": VALUE | null, ...}`, each under a revision of
+  /// its own.
+  HttpResponse PublishConfig(const HttpRequest& request);
+  /// Publishes a whole host list, `{"hosts": [...]}`.
+  HttpResponse PublishHosts(const HttpRequest& request);
+  /// Sets faults: `down`, `stale` and `delay_ms`.
+  HttpResponse SetFaults(const HttpRequest& request);
+  HttpResponse Stats();
+
+  /// Ends waiting watches.
+  void Stop();
+
+ private:
+  using Json = nlohmann::json;
+
+  struct State {
+    Revision revision = 0;
+    /// By key: `{"key", "revision", "value"}`.
+    std::map<std::string, Json> values;
+    Revision hosts_revision = 0;
+    Json hosts = Json::array();
+  };
+
+  const State& Visible() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_) {
+    return stale_ ? frozen_ : state_;
+  }
+  void CountCall() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  /// Counts the call and applies faults. @return false if the call is dropped.
+  bool Enter();
+  void Publish(const Json& changes) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+
+  absl::Mutex mutex_;
+  absl::CondVar changed_;
+  State state_ ABSL_GUARDED_BY(mutex_);
+  State frozen_ ABSL_GUARDED_BY(mutex_);
+  bool stale_ ABSL_GUARDED_BY(mutex_) = false;
+  bool stopping_ ABSL_GUARDED_BY(mutex_) = false;
+  std::atomic<bool> down_{false};
+  std::atomic<int> delay_ms_{0};
+  uint64_t calls_ ABSL_GUARDED_BY(mutex_) = 0;
+  size_t max_calls_per_s_ ABSL_GUARDED_BY(mutex_) = 0;
+  std::deque<absl::Time> last_second_ ABSL_GUARDED_BY(mutex_);
+};
+
+}  // namespace cherrydyke
--- /dev/null
+++ b/fakes/target/target_model.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "absl/base/thread_annotations.h"
+#include "absl/synchronization/mutex.h"
+#include "absl/time/time.h"
+#include "adapters/http_server.h"
+#include "base/ids.h"
+#include "base/key_range.h"
+#include "fakes/documents.h"
+#include "nlohmann/json.hpp"
+
+namespace cherrydyke {
+
+/// A searcher that holds made-up documents, with limits that it watches and
+/// faults that can be set while it runs.
+class TargetModel {
+ public:
+  /// @param settings `slots`, `cold_concurrency`, `cold_successes`,
+  /// `service_ms`, `jitter_ms`, `documents`, and `shards` as an array of
+  /// `{"shard", "range", "index_versions"}`.
+  TargetModel(std::string id, const nlohmann::json& settings);
+
+  HttpResponse Search(const HttpRequest& request);
+  HttpResponse Act(const HttpRequest& request);
+  HttpResponse Cancel(const HttpRequest& request);
+  HttpResponse Health(const HttpRequest& request);
+  /// Sets faults; see docs/operations/stand-ins.md for each.
+  HttpResponse SetFaults(const HttpRequest& request);
+  HttpResponse Stats();
+  void Stop();
+
+ private:
+  using Json = nlohmann::json;
+
+  struct HeldShard {
+    KeyRange range;
+    std::vector<IndexVersion> versions;
+  };
+
+  struct Faults {
+    double straggle_ms = 0;
+    bool shed = false;
+    bool drain = false;
+    bool truncate = false;
+    bool wrong_attempt_id = false;
+    double late_ms = 0;
+    std::string crash_on;
+    std::string drop_on;
+    std::string health_lie;
+  };
+
+  /// How a request that got a slot ended.
+  enum class Ending { kServed, kCancelled, kExpired };
+
+  void ReadShards(const Json& shards) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  Json ShardsJson() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  int Bears() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  void TurnCold() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  /// @return a refusal, or nothing if the request got a slot.
+  std::optional<HttpResponse> Admit() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  std::optional<HttpResponse> CheckShard(const HttpRequest& request)
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  void MaybeCrash(const std::string& body);
+  bool IsSilent(const std::string& peer);
+  void StaySilent();
+  Ending Serve(const HttpRequest& request, absl::Time arrived);
+  absl::Duration ServiceTime() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  Json SearchBody(const HttpRequest& request);
+
+  const std::string id_;
+  std::string incarnation_;
+  int slots_;
+  int cold_concurrency_;
+  int cold_successes_;
+  double service_ms_;
+  double jitter_ms_;
+  int documents_;
+
+  absl::Mutex mutex_;
+  absl::CondVar changed_;
+  std::mt19937_64 random_ ABSL_GUARDED_BY(mutex_);
+  std::map<ShardId, HeldShard> shards_ ABSL_GUARDED_BY(mutex_);
+  Faults faults_ ABSL_GUARDED_BY(mutex_);
+  bool stopping_ ABSL_GUARDED_BY(mutex_) = false;
+  bool cold_ ABSL_GUARDED_BY(mutex_) = true;
+  int successes_ ABSL_GUARDED_BY(mutex_) = 0;
+  int in_flight_ ABSL_GUARDED_BY(mutex_) = 0;
+  std::set<std::string> cancelled_ ABSL_GUARDED_BY(mutex_);
+  std::set<std::string> peers_seen_ ABSL_GUARDED_BY(mutex_);
+  std::set<std::string> silent_peers_ ABSL_GUARDED_BY(mutex_);
+
+  int64_t arrived_ ABSL_GUARDED_BY(mutex_) = 0;
+  int64_t served_ ABSL_GUARDED_BY(mutex_) = 0;
+  int64_t over_cold_ ABSL_GUARDED_BY(mutex_) = 0;
+  int64_t over_slots_ ABSL_GUARDED_BY(mutex_) = 0;
+  int64_t while_draining_ ABSL_GUARDED_BY(mutex_) = 0;
+  int64_t cancels_ ABSL_GUARDED_BY(mutex_) = 0;
+  int64_t turned_cold_ ABSL_GUARDED_BY(mutex_) = 0;
+  double cold_for_ms_ ABSL_GUARDED_BY(mutex_) = 0;
+  absl::Time cold_since_ ABSL_GUARDED_BY(mutex_);
+  absl::Time last_arrival_ ABSL_GUARDED_BY(mutex_);
+  std::map<std::string, int> acts_by_ticket_ ABSL_GUARDED_BY(mutex_);
+  std::map<std::string, int> acts_by_payload_ ABSL_GUARDED_BY(mutex_);
+};
+
+}  // namespace cherrydyke
--- /dev/null
+++ b/libs/actions/src/ticket_book.cc
@@ -0,0 +1,110 @@
+#include "actions/ticket_book.h"
+
+#include <cstdlib>
+#include <vector>
+
+#include "absl/strings/str_split.h"
+#include "absl/strings/string_view.h"
+#include "base/invariant.h"
+
+namespace cherrydyke {
+namespace {
+
+constexpr size_t kHexDigits = 16;
+
+bool ParseHex(const std::string& text, uint64_t& value) {
+  if (text.size() != kHexDigits ||
+      text.find_first_not_of("0123456789abcdef") != std::string::npos) {
+    return false;
+  }
+  value = std::strtoull(text.c_str(), nullptr, 16);
+  return true;
+}
+
+}  // namespace
+
+std::string Ticket::ToString() const {
+  return gate + "." + ToHex(executor) + "." + ToHex(sequence);
+}
+
+Result<Ticket> Ticket::Parse(const std::string& text) {
+  const Error error{ErrorCode::kInvalidInput,
+                    "ticket: expected HOST.INCARNATION.SEQUENCE"};
+  const size_t second = text.rfind('.');
+  if (second == std::string::npos || second == 0) return error;
+  const size_t first = text.rfind('.', second - 1);
+  if (first == std::string::npos || first == 0) return error;
+  Ticket ticket;
+  ticket.gate = text.substr(0, first);
+  if (!ParseHex(text.substr(first + 1, second - first - 1), ticket.executor) ||
+      !ParseHex(text.substr(second + 1), ticket.sequence)) {
+    return error;
+  }
+  return ticket;
+}
+
+std::optional<Ticket> TicketBook::Issue(Terms terms, absl::Time now) {
+  Forget(now);
+  if (records_.size() >= options_.capacity) return std::nullopt;
+  const uint64_t sequence = ++last_sequence_;
+  Record& record = records_[sequence];
+  record.terms = std::move(terms);
+  record.issued = now;
+  return Ticket{gate_, executor_, sequence};
+}
+
+TicketBook::Admission TicketBook::Begin(const Ticket& ticket,
+                                        const EntryName& entry,
+                                        const std::string& key,
+                                        absl::Time now) {
+  Forget(now);
+  // The ticket may have been run by another incarnation, or by this one and
+  // been forgotten: nothing may be claimed about it.
+  const Ended unknown{AttemptOutcome::kUnknownTicket, false, ""};
+  if (ticket.executor != executor_) return unknown;
+  const auto found = records_.find(ticket.sequence);
+  if (found == records_.end()) return unknown;
+  Record& record = found->second;
+  if (record.terms.entry != entry || record.terms.key != key) return unknown;
+  if (record.state == State::kRunning) return Running{};
+  if (record.state == State::kEnded) return record.ended;
+  if (now - record.issued > options_.use_within) {
+    record.state = State::kEnded;
+    record.ended = {AttemptOutcome::kTicketExpired, true, ""};
+    return record.ended;
+  }
+  record.state = State::kRunning;
+  ++record.runs;
+  CHERRYDYKE_INVARIANT(record.runs == 1, "a ticket runs at most once");
+  return Run{record.terms};
+}
+
+void TicketBook::End(const Ticket& ticket, Ended ended) {
+  const auto found = records_.find(ticket.sequence);
+  if (found == records_.end()) return;
+  Record& record = found->second;
+  CHERRYDYKE_INVARIANT(record.state == State::kRunning,
+                       "only a running ticket ends");
+  record.state = State::kEnded;
+  record.ended = std::move(ended);
+}
+
+std::optional<TicketBook::Ended> TicketBook::Outcome(
+    const Ticket& ticket) const {
+  const auto found = records_.find(ticket.sequence);
+  if (found == records_.end() || found->second.state != State::kEnded) {
+    return std::nullopt;
+  }
+  return found->second.ended;
+}
+
+void TicketBook::Forget(absl::Time now) {
+  while (!records_.empty()) {
+    const auto oldest = records_.begin();
+    const bool over = now - oldest->second.issued > options_.remember;
+    if (!over || oldest->second.state == State::kRunning) return;
+    records_.erase(oldest);
+  }
+}
+
+}  // namespace cherrydyke
--- /dev/null
+++ b/libs/adapters/src/http_server.cc
@@ -0,0 +1,138 @@
+#include "adapters/http_server.h"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cctype>
+#include <thread>
+
+#include "absl/strings/ascii.h"
+#include "absl/strings/str_cat.h"
+#include "httplib.h"
+
+namespace cherrydyke {
+namespace {
+
+constexpr int kListenBacklog = 1024;
+constexpr time_t kIdleSeconds = 30;
+constexpr size_t kRequestsPerConnection = 1'000'000;
+
+HttpRequest FromLibrary(const httplib::Request& from) {
+  HttpRequest request;
+  request.method = from.method;
+  request.path = from.path;
+  request.body = from.body;
+  request.peer = absl::StrCat(from.remote_addr, ":", from.remote_port);
+  for (const auto& [name, value] : from.headers) {
+    request.headers[absl::AsciiStrToLower(name)] = value;
+  }
+  for (const auto& [name, value] : from.params) {
+    request.parameters[name] = value;
+  }
+  return request;
+}
+
+void ToLibrary(const HttpResponse& from, httplib::Response& to) {
+  to.status = from.status;
+  for (const auto& [name, value] : from.headers) to.set_header(name, value);
+  if (from.drop_connection) {
+    // A provider that fails ends the connection inside the answer.
+    to.set_content_provider(
+        1, "text/plain",
+        [](size_t, size_t, httplib::DataSink&) { return false; });
+    return;
+  }
+  to.set_content(from.body, from.content_type);
+}
+
+httplib::Server::Handler Wrap(HttpServer::Handler handler) {
+  return [handler = std::move(handler)](const httplib::Request& request,
+                                        httplib::Response& response) {
+    ToLibrary(handler(FromLibrary(request)), response);
+  };
+}
+
+}  // namespace
+
+std::string HttpRequest::Header(const std::string& lower_case_name) const {
+  const auto found = headers.find(lower_case_name);
+  return found == headers.end() ? "" : found->second;
+}
+
+std::string HttpRequest::Parameter(const std::string& name,
+                                   const std::string& fallback) const {
+  const auto found = parameters.find(name);
+  return found == parameters.end() ? fallback : found->second;
+}
+
+struct HttpServer::Impl {
+  httplib::Server server;
+  int listen_fd = -1;
+  std::thread thread;
+};
+
+HttpServer::HttpServer(Options options) : impl_(std::make_unique<Impl>()) {
+  httplib::Server& server = impl_->server;
+  const auto threads = static_cast<size_t>(options.threads);
+  server.new_task_queue = [threads] {
+    return new httplib::ThreadPool(threads);  // The server deletes it.
+  };
+  server.set_tcp_nodelay(true);
+  server.set_keep_alive_max_count(kRequestsPerConnection);
+  server.set_keep_alive_timeout(kIdleSeconds);
+  server.set_payload_max_length(options.max_body);
+  server.set_socket_options([this](socket_t fd) {
+    const int on = 1;
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    impl_->listen_fd = fd;
+  });
+  server.set_error_handler(
+      [](const httplib::Request& request, httplib::Response& response) {
+        if (!response.body.empty()) return;
+        const char* reason = response.status == 413   ? "body_too_large"
+                             : response.status == 404 ? "unknown_path"
+                                                      : "malformed_request";
+        response.set_content(
+            absl::StrCat(R"({"outcome":"not_run","reason":")", reason,
+                         R"(","message":")", request.method, " ",
+                         reason, R"("})"),
+            "application/json");
+      });
+}
+
+HttpServer::~HttpServer() { Stop(); }
+
+void HttpServer::Get(const std::string& path, Handler handler) {
+  impl_->server.Get(path, Wrap(std::move(handler)));
+}
+
+void HttpServer::Post(const std::string& path, Handler handler) {
+  impl_->server.Post(path, Wrap(std::move(handler)));
+}
+
+Result<int> HttpServer::Start(const std::string& address, int port) {
+  httplib::Server& server = impl_->server;
+  int bound = port;
+  if (port == 0) {
+    bound = server.bind_to_any_port(address);
+  } else if (!server.bind_to_port(address, port)) {
+    bound = -1;
+  }
+  if (bound <= 0) {
+    return Error{ErrorCode::kUnavailable,
+                 absl::StrCat("cannot listen on ", address, ":", port)};
+  }
+  // The library's own backlog is 5, too short for a burst of callers.
+  listen(impl_->listen_fd, kListenBacklog);
+  impl_->thread = std::thread([&server] { server.listen_after_bind(); });
+  while (!server.is_running()) std::this_thread::yield();
+  return bound;
+}
+
+void HttpServer::Stop() {
+  if (!impl_->thread.joinable()) return;
+  impl_->server.stop();
+  impl_->thread.join();
+}
+
+}  // namespace cherrydyke
--- /dev/null
+++ b/libs/admission/src/owner_limiter.cc
@@ -0,0 +1,31 @@
+#include "admission/owner_limiter.h"
+
+#include <algorithm>
+
+#include "base/invariant.h"
+
+namespace cherrydyke {
+
+bool OwnerLimiter::TryAcquire(const OwnerName& owner) {
+  AddOwner(owner);
+  const auto owners = static_cast<int>(in_use_.size());
+  const int reserve =
+      static_cast<int>(capacity_ * reserve_fraction_ / std::max(owners, 1));
+  int kept_free = 0;
+  for (const auto& [other, used] : in_use_) {
+    if (other != owner) kept_free += std::max(0, reserve - used);
+  }
+  if (total_ + kept_free >= capacity_) return false;
+  ++total_;
+  ++in_use_[owner];
+  return true;
+}
+
+void OwnerLimiter::Release(const OwnerName& owner) {
+  int& used = in_use_[owner];
+  CHERRYDYKE_INVARIANT(used > 0 && total_ > 0, "a slot is released once");
+  --used;
+  --total_;
+}
+
+}  // namespace cherrydyke
--- /dev/null
+++ b/libs/entry/src/admission_desk.cc
@@ -0,0 +1,155 @@
+#include "entry/admission_desk.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cherrydyke {
+namespace {
+
+constexpr absl::Duration kQuarantineTime = absl::Seconds(60);
+constexpr size_t kQuarantineCapacity = 10'000;
+constexpr absl::Duration kBorrowPeriod = absl::Milliseconds(50);
+/// Below this part of free units a daemon begins to borrow.
+constexpr int kLowUnitsDivisor = 4;
+constexpr absl::Duration kLimitRetryAfter = absl::Milliseconds(100);
+constexpr absl::Duration kOverloadRetryAfter = absl::Milliseconds(250);
+
+}  // namespace
+
+AdmissionDesk::AdmissionDesk(Options options, const Clock& clock)
+    : clock_(clock),
+      shares_(std::move(options.self), {}),
+      owners_(options.max_concurrent, options.owner_reserve),
+      quarantine_(kQuarantineTime, kQuarantineCapacity) {}
+
+void AdmissionDesk::OnCatalogue(const Catalogue& catalogue) {
+  const absl::MutexLock lock(&mutex_);
+  entries_.clear();
+  for (const auto& [name, entry] : catalogue.entries) {
+    shares_.Configure(name, entry.limits, clock_.Now());
+    owners_.AddOwner(entry.owner);
+    entries_.push_back(name);
+  }
+}
+
+void AdmissionDesk::OnMembers(std::vector<HostId> members) {
+  const absl::MutexLock lock(&mutex_);
+  shares_.SetMembers(std::move(members), clock_.Now());
+}
+
+std::optional<LendGrant> AdmissionDesk::OnLendRequest(
+    const LendRequest& request) {
+  const absl::MutexLock lock(&mutex_);
+  return shares_.OnLendRequest(request, clock_.Now());
+}
+
+void AdmissionDesk::OnLendGrant(const LendGrant& grant) {
+  const absl::MutexLock lock(&mutex_);
+  shares_.OnLendGrant(grant, clock_.Now());
+}
+
+bool AdmissionDesk::OnQuarantineNotices(
+    const std::vector<QuarantineNotice>& notices) {
+  const absl::MutexLock lock(&mutex_);
+  bool news = false;
+  for (const QuarantineNotice& notice : notices) {
+    news = quarantine_.OnNotice(notice, clock_.Now()) || news;
+  }
+  return news;
+}
+
+std::vector<QuarantineNotice> AdmissionDesk::QuarantineNotices(size_t limit) {
+  const absl::MutexLock lock(&mutex_);
+  return quarantine_.Notices(limit, clock_.Now());
+}
+
+std::vector<LendRequest> AdmissionDesk::TakeLendRequests() {
+  const absl::MutexLock lock(&mutex_);
+  std::vector<LendRequest> requests;
+  for (const EntryName& entry : std::exchange(short_of_units_, {})) {
+    if (auto request = shares_.MakeLendRequest(entry, clock_.Now())) {
+      requests.push_back(std::move(*request));
+    }
+  }
+  return requests;
+}
+
+std::variant<AdmissionDesk::Admitted, AdmissionDesk::Denied>
+AdmissionDesk::Admit(const Entry& entry, absl::Duration hard_deadline) {
+  const absl::MutexLock lock(&mutex_);
+  const absl::Time now = clock_.Now();
+  if (!owners_.TryAcquire(entry.owner)) {
+    return Denied{503, "overloaded",
+                  "this host runs as many requests as it can for the owner",
+                  kOverloadRetryAfter};
+  }
+  const auto taken = shares_.TryAcquire(entry.name, hard_deadline, now);
+  const int usable = shares_.UsableUnits(entry.name, now);
+  const int free = usable - shares_.InUse(entry.name);
+  const auto* refusal = std::get_if<LimitShares::Refusal>(&taken);
+  const bool is_short = refusal != nullptr || free * kLowUnitsDivisor < usable;
+  absl::Time& asked = borrow_asked_[entry.name];
+  if (is_short && now - asked >= kBorrowPeriod) {
+    asked = now;
+    short_of_units_.push_back(entry.name);
+  }
+  if (refusal == nullptr) {
+    return Admitted(*this, entry, std::get<LimitShares::Unit>(taken));
+  }
+  owners_.Release(entry.owner);
+  const bool rate = *refusal == LimitShares::Refusal::kRate;
+  return Denied{429, rate ? "rate_limit" : "concurrency_limit",
+                rate ? "the entry's rate limit is reached"
+                     : "the entry's concurrency limit is reached",
+                kLimitRetryAfter};
+}
+
+void AdmissionDesk::Release(const EntryName& entry, const OwnerName& owner,
+                            LimitShares::Unit unit) {
+  const absl::MutexLock lock(&mutex_);
+  owners_.Release(owner);
+  shares_.Release(entry, unit);
+}
+
+AdmissionDesk::Admitted::Admitted(Admitted&& other) noexcept
+    : desk_(std::exchange(other.desk_, nullptr)),
+      entry_(std::move(other.entry_)),
+      owner_(std::move(other.owner_)),
+      unit_(other.unit_) {}
+
+AdmissionDesk::Admitted::~Admitted() {
+  if (desk_ != nullptr) desk_->Release(entry_, owner_, unit_);
+}
+
+absl::Duration AdmissionDesk::QuarantineLeft(uint64_t fingerprint) {
+  const absl::MutexLock lock(&mutex_);
+  return quarantine_.Remaining(fingerprint, clock_.Now());
+}
+
+bool AdmissionDesk::AddQuarantine(uint64_t fingerprint) {
+  const absl::MutexLock lock(&mutex_);
+  return quarantine_.Add(fingerprint, clock_.Now());
+}
+
+bool AdmissionDesk::ready() {
+  const absl::MutexLock lock(&mutex_);
+  ready_ = ready_ || shares_.InForce(clock_.Now());
+  return ready_;
+}
+
+int AdmissionDesk::in_flight() const {
+  const absl::MutexLock lock(&mutex_);
+  return owners_.in_use();
+}
+
+std::map<EntryName, std::pair<int, int>> AdmissionDesk::Units() {
+  const absl::MutexLock lock(&mutex_);
+  std::map<EntryName, std::pair<int, int>> units;
+  for (const EntryName& entry : entries_) {
+    units[entry] = {shares_.UsableUnits(entry, clock_.Now()),
+                    shares_.InUse(entry)};
+  }
+  return units;
+}
+
+}  // namespace cherrydyke
--- /dev/null
+++ b/libs/entry/src/query_service.cc
@@ -0,0 +1,303 @@
+#include "entry/query_service.h"
+
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+#include "kernel/registry.h"
+#include "routing/merger.h"
+#include "telemetry/log.h"
+
+namespace cherrydyke {
+namespace {
+
+/// Extra sub-requests that may be saved up for a burst.
+constexpr double kHedgeBurst = 10;
+constexpr double kRetryBurst = 100;
+constexpr size_t kKnownGoodCapacity = 20'000;
+constexpr int kHedgeWindow = 500;
+constexpr absl::Duration kInitialHedgeDelay = absl::Milliseconds(30);
+constexpr absl::Duration kMinHedgeDelay = absl::Milliseconds(2);
+constexpr absl::Duration kRetryAfter = absl::Milliseconds(200);
+/// A query restarted on another version needs at least this much time.
+constexpr absl::Duration kMinRestartTime = absl::Milliseconds(10);
+/// Time kept for merging and for the answer's way back.
+constexpr absl::Duration kAnswerReserve = absl::Milliseconds(2);
+
+const char* MergerName(MergeKind merge) {
+  return merge == MergeKind::kConcat ? "concat" : "top_score";
+}
+
+std::string MostCommonReason(const Coverage& coverage) {
+  std::map<std::string, int> counts;
+  for (const MissingRange& missing : coverage.missing) ++counts[missing.reason];
+  const auto most = std::max_element(
+      counts.begin(), counts.end(),
+      [](const auto& a, const auto& b) { return a.second < b.second; });
+  return most == counts.end() ? "deadline" : most->first;
+}
+
+Refusal QuarantineRefusal(absl::Duration left) {
+  return Refusal::Unknown(
+      422, "quarantined",
+      "this request ended targets that ran it and is not run again for a time",
+      left);
+}
+
+Refusal NothingAnswered(const QueryResult& result) {
+  const std::string reason = MostCommonReason(result.coverage);
+  const int status = reason == "deadline" ? 504 : 503;
+  const std::string message =
+      absl::StrCat("no shard answered; most often: ", reason);
+  if (result.attempts == 0) {
+    return Refusal::NotRun(NotRunProof::NothingSent(), status, reason, message,
+                           kRetryAfter);
+  }
+  if (result.proved_not_run) {
+    return Refusal::NotRun(NotRunProof::EveryAttemptRefused(), status, reason,
+                           message, kRetryAfter);
+  }
+  return Refusal::Unknown(status, reason, message, kRetryAfter);
+}
+
+}  // namespace
+
+bool KnownGoodQueries::Contains(uint64_t fingerprint) const {
+  const absl::MutexLock lock(&mutex_);
+  return known_.contains(fingerprint);
+}
+
+void KnownGoodQueries::Add(uint64_t fingerprint) {
+  const absl::MutexLock lock(&mutex_);
+  // Forgetting all at once is rare and costs no more than some canaries.
+  if (known_.size() >= capacity_) known_.clear();
+  known_[fingerprint] = true;
+}
+
+void KnownGoodQueries::Remove(uint64_t fingerprint) {
+  const absl::MutexLock lock(&mutex_);
+  known_.erase(fingerprint);
+}
+
+/// What one run over one snapshot needs.
+struct QueryService::Attempt {
+  const QueryCall& call;
+  const Entry& entry;
+  const Service& service;
+  Snapshot snapshot;
+  uint64_t fingerprint;
+  CanaryMode canary;
+  absl::Time soft_deadline;
+  absl::Time hard_deadline;
+  std::string request_id;
+  std::string traceparent;
+};
+
+QueryService::QueryService(const RoutingSettings& settings,
+                           Environment environment)
+    : settings_(settings),
+      environment_(std::move(environment)),
+      picker_(Registry<ReplicaPicker>::Get().Create(settings.replica_picker)),
+      hedge_budget_(settings.hedge_ratio,
+                    settings.hedge_ratio > 0 ? kHedgeBurst : 0),
+      retry_budget_(settings.retry_ratio, kRetryBurst),
+      known_good_(kKnownGoodCapacity),
+      seed_(NewIncarnation()) {}
+
+QueryService::~QueryService() = default;
+
+std::variant<Entry, Refusal> FindEntry(const Catalogue& catalogue,
+                                       const EntryName& name, EntryKind kind) {
+  const auto found = catalogue.entries.find(name);
+  if (found == catalogue.entries.end()) {
+    const bool retired = catalogue.retired_entries.count(name) > 0;
+    return Refusal::NotRun(NotRunProof::NothingSent(), retired ? 410 : 404,
+                           retired ? "retired_entry" : "unknown_entry",
+                           absl::StrCat("entry: ", name,
+                                        retired ? " is retired"
+                                                : " is not in the catalogue"));
+  }
+  if (found->second.kind != kind) {
+    return Refusal::NotRun(
+        NotRunProof::NothingSent(), 400, "wrong_entry_kind",
+        absl::StrCat("entry: ", name, " is not for ",
+                     kind == EntryKind::kQuery ? "queries" : "actions"));
+  }
+  return found->second;
+}
+
+std::variant<QueryResult, Refusal> QueryService::Run(const QueryCall& call,
+                                                     const Catalogue& catalogue,
+                                                     const Context& context) {
+  const auto found = FindEntry(catalogue, call.entry, EntryKind::kQuery);
+  if (const auto* refusal = std::get_if<Refusal>(&found)) return *refusal;
+  const Entry& entry = std::get<Entry>(found);
+  const auto service = catalogue.services.find(entry.service);
+  if (service == catalogue.services.end()) {
+    return Refusal::NotRun(
+        NotRunProof::NothingSent(), 503, "unknown_service",
+        absl::StrCat("service: ", entry.service, " is not in the catalogue"),
+        kRetryAfter);
+  }
+  const uint64_t fingerprint = StableHash(call.entry + "|" + call.query_json);
+  const absl::Duration quarantined =
+      environment_.desk.QuarantineLeft(fingerprint);
+  if (quarantined > absl::ZeroDuration()) return QuarantineRefusal(quarantined);
+  const auto admitted = environment_.desk.Admit(entry, entry.hard_deadline);
+  if (const auto* denied = std::get_if<AdmissionDesk::Denied>(&admitted)) {
+    return Refusal::NotRun(NotRunProof::NothingSent(), denied->status,
+                           denied->reason, denied->message,
+                           denied->retry_after);
+  }
+  return RunAdmitted(call, entry, service->second, fingerprint, context);
+}
+
+std::variant<QueryResult, Refusal> QueryService::RunAdmitted(
+    const QueryCall& call, const Entry& entry, const Service& service,
+    uint64_t fingerprint, const Context& context) {
+  const absl::Time start = environment_.clock.Now();
+  absl::Duration limit = entry.hard_deadline;
+  if (call.timeout > absl::ZeroDuration()) {
+    limit = std::min(limit, call.timeout - kAnswerReserve);
+  }
+  const bool trusted =
+      entry.canary == CanaryMode::kNever || known_good_.Contains(fingerprint);
+  Attempt attempt{call,
+                  entry,
+                  service,
+                  ChooseSnapshot(service, environment_.directory),
+                  fingerprint,
+                  trusted ? CanaryMode::kNever : CanaryMode::kAlways,
+                  start + std::min(entry.soft_deadline, limit),
+                  start + limit,
+                  context.request_id,
+                  context.parent.ToTraceparent()};
+  QueryResult result = RunOnce(attempt);
+  const absl::Time now = environment_.clock.Now();
+  if (result.version_gone && now + kMinRestartTime < attempt.soft_deadline) {
+    const Snapshot newer = ChooseSnapshot(service, environment_.directory,
+                                          {attempt.snapshot.index_version});
+    if (newer != attempt.snapshot) {
+      environment_.metrics.counter("cherrydyke_query_restarts_total").Add();
+      attempt.snapshot = newer;
+      QueryResult restarted = RunOnce(attempt);
+      restarted.attempts += result.attempts;
+      restarted.proved_not_run =
+          restarted.proved_not_run && result.proved_not_run;
+      restarted.quarantined = restarted.quarantined || result.quarantined;
+      const bool better =
+          restarted.coverage.fraction >= result.coverage.fraction;
+      if (better) result = std::move(restarted);
+    }
+  }
+  Record(entry, result, environment_.clock.Now() - start);
+  if (result.quarantined) {
+    known_good_.Remove(fingerprint);
+    if (environment_.desk.AddQuarantine(fingerprint)) {
+      environment_.on_quarantine();
+    }
+    return QuarantineRefusal(environment_.desk.QuarantineLeft(fingerprint));
+  }
+  if (result.coverage.answered == 0 && result.hits.empty()) {
+    return NothingAnswered(result);
+  }
+  if (result.coverage.complete) known_good_.Add(fingerprint);
+  Registry<Merger>::Get().Create(MergerName(entry.merge))->Merge(result.hits);
+  return result;
+}
+
+LatencyEstimator& QueryService::HedgeLatency(const ServiceName& service) {
+  const absl::MutexLock lock(&mutex_);
+  auto& estimator = hedge_latency_[service];
+  if (estimator == nullptr) {
+    estimator = std::make_unique<LatencyEstimator>(
+        settings_.hedge_quantile, kHedgeWindow, kInitialHedgeDelay);
+  }
+  return *estimator;
+}
+
+QueryResult QueryService::RunOnce(const Attempt& attempt) {
+  LatencyEstimator& latency = HedgeLatency(attempt.service.name);
+  const absl::Duration hedge_delay =
+      settings_.hedge_ratio > 0 ? std::max(kMinHedgeDelay, latency.Estimate())
+                                : absl::InfiniteDuration();
+  QueryPlan plan{attempt.snapshot,       attempt.service.shard_map,
+                 attempt.entry.entry_class, attempt.canary,
+                 attempt.soft_deadline,  attempt.hard_deadline};
+  QueryRun run(std::move(plan),
+               {environment_.directory, *picker_, hedge_budget_, retry_budget_,
+                hedge_delay, environment_.next_attempt},
+               seed_.fetch_add(1));
+  const auto box = std::make_shared<AnswerBox>();
+  absl::flat_hash_map<AttemptId, absl::Time> sent_at;
+  const auto perform = [&](const QueryActions& actions, absl::Time now) {
+    for (const Dispatch& dispatch : actions.send) {
+      sent_at[dispatch.attempt] = now;
+      if (dispatch.hedge) {
+        environment_.metrics.counter("cherrydyke_hedges_total").Add();
+      }
+    }
+    Perform(actions, attempt, box, now);
+  };
+  absl::Time now = environment_.clock.Now();
+  perform(run.Start(now), now);
+  while (!run.done()) {
+    SubAnswer answer;
+    const bool arrived =
+        box->Take(answer, run.NextTimer(), environment_.clock);
+    now = environment_.clock.Now();
+    if (arrived) {
+      if (answer.outcome == AttemptOutcome::kDone) {
+        latency.Observe(now - sent_at[answer.attempt]);
+      }
+      perform(run.OnAnswer(answer, now), now);
+    }
+    if (now >= run.NextTimer()) perform(run.OnTimer(now), now);
+  }
+  return run.TakeResult();
+}
+
+void QueryService::Perform(const QueryActions& actions, const Attempt& attempt,
+                           const std::shared_ptr<AnswerBox>& box,
+                           absl::Time now) {
+  const absl::Time deadline = attempt.entry.entry_class == EntryClass::kLatency
+                                  ? attempt.soft_deadline
+                                  : attempt.hard_deadline;
+  std::map<HostId, SubRequestBatch> batches;
+  for (const Dispatch& dispatch : actions.send) {
+    const Shard& shard =
+        attempt.service.shard_map.shards[dispatch.shard_index];
+    SubRequestBatch& batch =
+        batches[environment_.directory.HomeGate(dispatch.target)];
+    batch.sub_requests.push_back({dispatch.attempt, dispatch.target, shard.id,
+                                  shard.range, attempt.snapshot.shard_map,
+                                  attempt.snapshot.index_version});
+  }
+  for (auto& [gate, batch] : batches) {
+    batch.request_id = attempt.request_id;
+    batch.traceparent = attempt.traceparent;
+    batch.service = attempt.service.name;
+    batch.fingerprint = attempt.fingerprint;
+    batch.timeout_us = absl::ToInt64Microseconds(deadline - now);
+    batch.query_json = attempt.call.query_json;
+    environment_.links.Send(gate, batch, box);
+  }
+  if (!actions.cancel.empty()) environment_.links.Cancel(actions.cancel);
+}
+
+void QueryService::Record(const Entry& entry, const QueryResult& result,
+                          absl::Duration latency) {
+  const std::string labels = absl::StrCat("entry=\"", entry.name, "\"");
+  Metrics& metrics = environment_.metrics;
+  metrics.summary("cherrydyke_query_seconds", labels)
+      .Observe(absl::ToDoubleSeconds(latency));
+  metrics.summary("cherrydyke_query_coverage", labels)
+      .Observe(result.coverage.fraction);
+  metrics.counter("cherrydyke_queries_total", labels).Add();
+  metrics.counter("cherrydyke_needed_sub_requests_total", labels)
+      .Add(static_cast<uint64_t>(result.coverage.shards));
+  if (!result.coverage.complete) {
+    metrics.counter("cherrydyke_partial_answers_total", labels).Add();
+  }
+}
+
+}  // namespace cherrydyke
--- /dev/null
+++ b/libs/gate/include/gate/gate_service.h
@@ -0,0 +1,126 @@
+#pragma once
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "absl/base/thread_annotations.h"
+#include "absl/synchronization/mutex.h"
+#include "actions/ticket_book.h"
+#include "admission/quarantine.h"
+#include "catalogue/config_store.h"
+#include "catalogue/host_list.h"
+#include "gate/target_runner.h"
+#include "wire/link.h"
+
+namespace cherrydyke {
+
+/// What a gate does for entries: runs sub-requests at the targets it holds,
+/// reports on them, issues tickets and runs actions.
+class GateService {
+ public:
+  struct Self {
+    HostId host;
+    FailureDomainName failure_domain;
+    std::string address;
+    Incarnation incarnation = 0;
+  };
+
+  struct Environment {
+    const Clock& clock;
+    TargetProtocol& protocol;
+    HoldingsGuard& holdings;
+    SpanStore& spans;
+    Metrics& metrics;
+    /// Runs a task on the control thread after a delay.
+    std::function<void(absl::Duration, std::function<void()>)> run_later;
+    /// Told when a fingerprint was quarantined here.
+    std::function<void()> on_quarantine;
+  };
+
+  GateService(Self self, Environment environment);
+  ~GateService();
+  GateService(const GateService&) = delete;
+  GateService& operator=(const GateService&) = delete;
+
+  // Control thread.
+  void OnCatalogue(const Catalogue& catalogue);
+  void OnHosts(const HostList& hosts);
+  /// Makes runners for new home targets.
+  void UpdateRunners();
+  /// Treats newly held targets as cold.
+  void OnTaken(const std::vector<TargetId>& targets);
+  void OnQuarantineNotices(const std::vector<QuarantineNotice>& notices);
+  std::vector<QuarantineNotice> QuarantineNotices(size_t limit);
+
+  // Link threads.
+  void OnLinkMessage(const std::shared_ptr<Link>& link, Message message);
+
+  /// @return reports of the targets held here.
+  TargetReports Reports();
+
+  /// @return whether the own failure domain is in service.
+  bool in_service() const { return in_service_; }
+  /// Refuses new work from now on.
+  void BeginDrain() { draining_ = true; }
+  /// @return requests queued or running.
+  int InFlight() const { return in_flight_; }
+
+  void Stop();
+
+ private:
+  using RunnerPtr = std::shared_ptr<TargetRunner>;
+
+  void OnBatch(const std::shared_ptr<Link>& link, SubRequestBatch batch);
+  void OnCancel(const CancelAttempts& cancel);
+  void OnTicketRequest(const std::shared_ptr<Link>& link,
+                       const TicketRequest& request);
+  void OnActionRequest(const std::shared_ptr<Link>& link,
+                       ActionRequest request);
+  void RunAction(const ActionRequest& request, const Ticket& ticket,
+                 const TicketBook::Terms& terms, absl::Time deadline);
+  void OnActionReply(const ActionRequest& request, const Ticket& ticket,
+                     const TicketBook::Terms& terms, absl::Time deadline,
+                     const TargetReply& reply);
+  void EndAction(const Ticket& ticket, TicketBook::Ended ended);
+  AttemptOutcome RefusalFor(const TargetId& target, uint64_t fingerprint);
+  void OnCrash(uint64_t fingerprint);
+  RunnerPtr FindRunner(const TargetId& target);
+  TargetLimits LimitsOf(const TargetId& target) const;
+  AttemptId NextAttempt() { return {self_.incarnation, ++last_attempt_}; }
+  void ProbeLoop();
+  void CancelLoop();
+
+  const Self self_;
+  const Environment environment_;
+  std::atomic<uint64_t> last_attempt_{0};
+  std::atomic<bool> in_service_{true};
+  std::atomic<bool> draining_{false};
+  std::atomic<bool> stopping_{false};
+  std::atomic<int> in_flight_{0};
+
+  mutable absl::Mutex mutex_;
+  std::map<TargetId, RunnerPtr> runners_ ABSL_GUARDED_BY(mutex_);
+  std::map<TargetId, TargetLimits> limits_ ABSL_GUARDED_BY(mutex_);
+  std::map<TargetId, Host> targets_ ABSL_GUARDED_BY(mutex_);
+  Quarantine quarantine_ ABSL_GUARDED_BY(mutex_);
+  /// Crashes seen here by fingerprint, before quarantine.
+  std::map<uint64_t, int> crashes_ ABSL_GUARDED_BY(mutex_);
+  std::vector<CancelAttempts> cancels_ ABSL_GUARDED_BY(mutex_);
+  absl::CondVar cancels_changed_;
+
+  absl::Mutex actions_mutex_;
+  TicketBook tickets_ ABSL_GUARDED_BY(actions_mutex_);
+  using Waiter = std::function<void(const TicketBook::Ended&)>;
+  std::map<uint64_t, std::vector<Waiter>> waiters_
+      ABSL_GUARDED_BY(actions_mutex_);
+
+  std::thread prober_;
+  std::thread canceller_;
+};
+
+}  // namespace cherrydyke
--- /dev/null
+++ b/libs/gate/include/gate/holdings_guard.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <vector>
+
+#include "absl/base/thread_annotations.h"
+#include "absl/synchronization/mutex.h"
+#include "base/clock.h"
+#include "shares/target_holdings.h"
+
+namespace cherrydyke {
+
+/// `TargetHoldings` for use by several threads: control state is fed in by the
+/// control thread, and traffic threads check it at the point of sending.
+class HoldingsGuard {
+ public:
+  HoldingsGuard(HostId self, FailureDomainName failure_domain,
+                const Clock& clock)
+      : clock_(clock),
+        holdings_(std::move(self), std::move(failure_domain), {},
+                  clock.Now()) {}
+
+  /// Applies `change` to the holdings.
+  /// @return targets newly held.
+  template <typename Change>
+  std::vector<TargetId> Update(const Change& change) {
+    const absl::MutexLock lock(&mutex_);
+    const absl::Time now = clock_.Now();
+    change(holdings_, now);
+    return holdings_.Advance(now);
+  }
+
+  bool TryBegin(const TargetId& target) {
+    const absl::MutexLock lock(&mutex_);
+    return holdings_.TryBegin(target, clock_.Now());
+  }
+
+  void End(const TargetId& target) {
+    const absl::MutexLock lock(&mutex_);
+    holdings_.End(target);
+  }
+
+  bool Holds(const TargetId& target) const {
+    const absl::MutexLock lock(&mutex_);
+    return holdings_.Holds(target, clock_.Now());
+  }
+
+  bool Fenced() const {
+    const absl::MutexLock lock(&mutex_);
+    return holdings_.Fenced(clock_.Now());
+  }
+
+  Revision settled_revision() const {
+    const absl::MutexLock lock(&mutex_);
+    return holdings_.settled_revision();
+  }
+
+  std::vector<TargetId> HomeTargets() const {
+    const absl::MutexLock lock(&mutex_);
+    return holdings_.HomeTargets();
+  }
+
+ private:
+  const Clock& clock_;
+  mutable absl::Mutex mutex_;
+  TargetHoldings holdings_ ABSL_GUARDED_BY(mutex_);
+};
+
+}  // namespace cherrydyke
--- /dev/null
+++ b/libs/gate/src/gate_service.cc
@@ -0,0 +1,441 @@
+#include "gate/gate_service.h"
+
+#include <algorithm>
+#include <set>
+
+#include "absl/time/clock.h"
+#include "telemetry/log.h"
+
+namespace cherrydyke {
+namespace {
+
+constexpr absl::Duration kQuarantineTime = absl::Seconds(60);
+constexpr size_t kQuarantineCapacity = 10'000;
+/// Crashes of targets here after which a request is refused.
+constexpr int kMaxCrashes = 2;
+constexpr size_t kMaxCrashRecords = 10'000;
+/// Longest time that one request may run at a target; the holdings of targets
+/// are handed over on the strength of it.
+const absl::Duration kMaxAttempt = TargetHoldings::Options().max_attempt;
+constexpr absl::Duration kProbePeriod = absl::Seconds(1);
+constexpr absl::Duration kProbeStep = absl::Milliseconds(50);
+/// Pause before an action is tried again that is proved not to have run.
+constexpr absl::Duration kActionRetryPause = absl::Milliseconds(10);
+
+bool IsWorthRetry(AttemptOutcome outcome) {
+  return outcome == AttemptOutcome::kShed || outcome == AttemptOutcome::kCold ||
+         outcome == AttemptOutcome::kUnreachable;
+}
+
+SubAnswer ToSubAnswer(const AttemptId& attempt, TargetReply reply) {
+  SubAnswer answer;
+  answer.attempt = attempt;
+  answer.outcome = reply.outcome;
+  answer.not_run = reply.not_run;
+  answer.shard = std::move(reply.shard);
+  answer.index_version = reply.index_version;
+  answer.complete = reply.complete;
+  answer.hits = std::move(reply.hits);
+  answer.versions = std::move(reply.versions);
+  answer.retry_after_ms = reply.retry_after_ms;
+  return answer;
+}
+
+ActionReply ToActionReply(uint64_t call_id, const TicketBook::Ended& ended) {
+  return {call_id, ended.outcome, ended.not_run, ended.result_json};
+}
+
+}  // namespace
+
+GateService::GateService(Self self, Environment environment)
+    : self_(std::move(self)),
+      environment_(std::move(environment)),
+      quarantine_(kQuarantineTime, kQuarantineCapacity),
+      tickets_(self_.host, self_.incarnation, {}),
+      prober_([this] { ProbeLoop(); }),
+      canceller_([this] { CancelLoop(); }) {}
+
+GateService::~GateService() { Stop(); }
+
+void GateService::Stop() {
+  if (stopping_.exchange(true)) return;
+  std::map<TargetId, RunnerPtr> runners;
+  {
+    const absl::MutexLock lock(&mutex_);
+    runners = runners_;
+    cancels_changed_.SignalAll();
+  }
+  prober_.join();
+  canceller_.join();
+  for (const auto& [target, runner] : runners) runner->Stop();
+}
+
+void GateService::OnCatalogue(const Catalogue& catalogue) {
+  const bool in_service = !catalogue.IsOut(self_.failure_domain);
+  const bool returned = in_service && !in_service_;
+  in_service_ = in_service;
+  {
+    const absl::MutexLock lock(&mutex_);
+    limits_.clear();
+    for (const auto& [name, service] : catalogue.services) {
+      const TargetLimits limits{service.slots, service.cold.concurrency,
+                                service.cold.successes};
+      for (const Shard& shard : service.shard_map.shards) {
+        for (const TargetId& target : shard.replicas) limits_[target] = limits;
+      }
+    }
+    for (const auto& [target, runner] : runners_) {
+      runner->SetLimits(LimitsOf(target));
+      if (returned) runner->TurnCold();
+    }
+  }
+  UpdateRunners();
+}
+
+void GateService::OnHosts(const HostList& hosts) {
+  {
+    const absl::MutexLock lock(&mutex_);
+    targets_.clear();
+    for (const Host& host : hosts.hosts) {
+      if (host.kind == HostKind::kTarget) targets_[host.id] = host;
+    }
+    for (const auto& [target, runner] : runners_) {
+      const auto found = targets_.find(target);
+      runner->SetLeaving(found == targets_.end() ||
+                         found->second.state == HostState::kLeaving);
+    }
+  }
+  UpdateRunners();
+}
+
+TargetLimits GateService::LimitsOf(const TargetId& target) const {
+  const auto found = limits_.find(target);
+  return found == limits_.end() ? TargetLimits{} : found->second;
+}
+
+void GateService::UpdateRunners() {
+  const std::vector<TargetId> home = environment_.holdings.HomeTargets();
+  const std::set<TargetId> home_set(home.begin(), home.end());
+  std::vector<RunnerPtr> replaced;
+  {
+    const absl::MutexLock lock(&mutex_);
+    for (const TargetId& target : home) {
+      const auto host = targets_.find(target);
+      if (host == targets_.end()) continue;
+      RunnerPtr& runner = runners_[target];
+      if (runner != nullptr && runner->endpoint() == host->second.address) {
+        continue;
+      }
+      if (runner != nullptr) replaced.push_back(runner);
+      runner = std::make_shared<TargetRunner>(
+          target, host->second.address, LimitsOf(target),
+          TargetRunner::Environment{environment_.clock, environment_.protocol,
+                                    environment_.holdings, environment_.spans,
+                                    environment_.metrics,
+                                    [this] { return NextAttempt(); },
+                                    self_.address});
+      runner->SetLeaving(host->second.state == HostState::kLeaving);
+    }
+  }
+  for (const RunnerPtr& runner : replaced) runner->Stop();
+}
+
+void GateService::OnTaken(const std::vector<TargetId>& targets) {
+  for (const TargetId& target : targets) {
+    LogInfo("target taken", {{"target", target}});
+    if (const RunnerPtr runner = FindRunner(target)) runner->TurnCold();
+  }
+}
+
+void GateService::OnQuarantineNotices(
+    const std::vector<QuarantineNotice>& notices) {
+  bool news = false;
+  {
+    const absl::MutexLock lock(&mutex_);
+    const absl::Time now = environment_.clock.Now();
+    for (const QuarantineNotice& notice : notices) {
+      news = quarantine_.OnNotice(notice, now) || news;
+    }
+  }
+  if (news) environment_.on_quarantine();
+}
+
+std::vector<QuarantineNotice> GateService::QuarantineNotices(size_t limit) {
+  const absl::MutexLock lock(&mutex_);
+  return quarantine_.Notices(limit, environment_.clock.Now());
+}
+
+GateService::RunnerPtr GateService::FindRunner(const TargetId& target) {
+  const absl::MutexLock lock(&mutex_);
+  const auto found = runners_.find(target);
+  return found == runners_.end() ? nullptr : found->second;
+}
+
+void GateService::OnLinkMessage(const std::shared_ptr<Link>& link,
+                                Message message) {
+  if (auto* batch = std::get_if<SubRequestBatch>(&message)) {
+    OnBatch(link, std::move(*batch));
+  } else if (auto* cancel = std::get_if<CancelAttempts>(&message)) {
+    const absl::MutexLock lock(&mutex_);
+    cancels_.push_back(std::move(*cancel));
+    cancels_changed_.Signal();
+  } else if (auto* ticket = std::get_if<TicketRequest>(&message)) {
+    OnTicketRequest(link, *ticket);
+  } else if (auto* action = std::get_if<ActionRequest>(&message)) {
+    OnActionRequest(link, std::move(*action));
+  } else if (std::holds_alternative<Hello>(message)) {
+    link->Send(Reports());
+  }
+}
+
+AttemptOutcome GateService::RefusalFor(const TargetId& target,
+                                       uint64_t fingerprint) {
+  if (draining_) return AttemptOutcome::kDraining;
+  if (!in_service_) return AttemptOutcome::kOutOfService;
+  const bool held = environment_.holdings.Holds(target);
+  if (!held && !environment_.holdings.Fenced()) return AttemptOutcome::kNotHeld;
+  const absl::MutexLock lock(&mutex_);
+  const bool quarantined =
+      quarantine_.Remaining(fingerprint, environment_.clock.Now()) >
+      absl::ZeroDuration();
+  return quarantined ? AttemptOutcome::kQuarantined : AttemptOutcome::kDone;
+}
+
+void GateService::OnBatch(const std::shared_ptr<Link>& link,
+                          SubRequestBatch batch) {
+  const absl::Time now = environment_.clock.Now();
+  const absl::Duration timeout =
+      std::min(kMaxAttempt, absl::Microseconds(batch.timeout_us));
+  const SpanContext parent = ParseTraceparent(batch.traceparent);
+  for (const SubRequest& sub : batch.sub_requests) {
+    const AttemptOutcome refusal = RefusalFor(sub.target, batch.fingerprint);
+    const RunnerPtr runner = FindRunner(sub.target);
+    if (refusal != AttemptOutcome::kDone || runner == nullptr) {
+      TargetReply reply;
+      reply.outcome = refusal == AttemptOutcome::kDone ? AttemptOutcome::kNotHeld
+                                                       : refusal;
+      reply.not_run = true;
+      link->Send(ToSubAnswer(sub.attempt, std::move(reply)));
+      continue;
+    }
+    TargetJob job;
+    job.call.shard = sub.shard;
+    job.call.range = sub.range;
+    job.call.shard_map = sub.shard_map;
+    job.call.index_version = sub.index_version;
+    job.call.body_json = batch.query_json;
+    job.request_id = batch.request_id;
+    job.link_attempt = sub.attempt;
+    job.deadline = now + timeout;
+    // Shared with the callback, which ends it and must be copyable.
+    const auto span = std::make_shared<SpanTimer>(
+        environment_.spans, "gate.sub_request", batch.request_id, parent);
+    span->Set({"shard", sub.shard});
+    job.parent = span->context();
+    ++in_flight_;
+    job.done = [this, link, span, attempt = sub.attempt,
+                fingerprint = batch.fingerprint](TargetReply reply) {
+      span->Set({"outcome", ToString(reply.outcome)});
+      span->End();
+      if (reply.outcome == AttemptOutcome::kConnectionLost) {
+        OnCrash(fingerprint);
+      }
+      link->Send(ToSubAnswer(attempt, std::move(reply)));
+      --in_flight_;
+    };
+    runner->Submit(std::move(job));
+  }
+}
+
+void GateService::OnCrash(uint64_t fingerprint) {
+  bool news = false;
+  {
+    const absl::MutexLock lock(&mutex_);
+    if (crashes_.size() > kMaxCrashRecords) crashes_.clear();
+    if (++crashes_[fingerprint] >= kMaxCrashes) {
+      crashes_.erase(fingerprint);
+      news = quarantine_.Add(fingerprint, environment_.clock.Now());
+    }
+  }
+  if (news) environment_.on_quarantine();
+}
+
+void GateService::OnCancel(const CancelAttempts& cancel) {
+  std::vector<RunnerPtr> runners;
+  {
+    const absl::MutexLock lock(&mutex_);
+    for (const auto& [target, runner] : runners_) runners.push_back(runner);
+  }
+  for (const AttemptId& attempt : cancel.attempts) {
+    for (const RunnerPtr& runner : runners) runner->Cancel(attempt);
+  }
+}
+
+void GateService::CancelLoop() {
+  while (true) {
+    CancelAttempts cancel;
+    {
+      const absl::MutexLock lock(&mutex_);
+      while (cancels_.empty() && !stopping_) cancels_changed_.Wait(&mutex_);
+      if (stopping_) return;
+      cancel = std::move(cancels_.front());
+      cancels_.erase(cancels_.begin());
+    }
+    OnCancel(cancel);
+  }
+}
+
+void GateService::ProbeLoop() {
+  absl::Time next = environment_.clock.Now();
+  while (!stopping_) {
+    if (environment_.clock.Now() < next) {
+      absl::SleepFor(kProbeStep);
+      continue;
+    }
+    next = environment_.clock.Now() + kProbePeriod;
+    std::vector<std::pair<TargetId, RunnerPtr>> runners;
+    {
+      const absl::MutexLock lock(&mutex_);
+      runners.assign(runners_.begin(), runners_.end());
+    }
+    for (const auto& [target, runner] : runners) {
+      if (!stopping_ && environment_.holdings.Holds(target)) runner->Probe();
+    }
+  }
+}
+
+TargetReports GateService::Reports() {
+  std::vector<std::pair<TargetId, RunnerPtr>> runners;
+  {
+    const absl::MutexLock lock(&mutex_);
+    runners.assign(runners_.begin(), runners_.end());
+  }
+  TargetReports reports;
+  for (const auto& [target, runner] : runners) {
+    TargetReport report = runner->Report();
+    if (!environment_.holdings.Holds(target) || draining_ || !in_service_) {
+      report.phase = TargetPhase::kGone;
+    }
+    reports.reports.push_back(std::move(report));
+  }
+  return reports;
+}
+
+void GateService::OnTicketRequest(const std::shared_ptr<Link>& link,
+                                  const TicketRequest& request) {
+  TicketReply reply;
+  reply.call_id = request.call_id;
+  reply.outcome = RefusalFor(request.target, 0);
+  if (reply.outcome == AttemptOutcome::kDone) {
+    const absl::MutexLock lock(&actions_mutex_);
+    const std::optional<Ticket> ticket = tickets_.Issue(
+        {request.entry, request.key, request.target, request.shard},
+        environment_.clock.Now());
+    if (ticket) {
+      reply.ticket = ticket->ToString();
+      reply.expires_in_ms = absl::ToInt64Milliseconds(tickets_.use_within());
+    } else {
+      reply.outcome = AttemptOutcome::kOverloaded;
+    }
+  }
+  link->Send(reply);
+}
+
+void GateService::OnActionRequest(const std::shared_ptr<Link>& link,
+                                  ActionRequest request) {
+  const Result<Ticket> parsed = Ticket::Parse(request.ticket);
+  if (GetError(parsed) != nullptr) {
+    link->Send(ActionReply{request.call_id, AttemptOutcome::kUnknownTicket,
+                           false, ""});
+    return;
+  }
+  const Ticket& ticket = GetValue(parsed);
+  const absl::Time now = environment_.clock.Now();
+  TicketBook::Admission admission;
+  {
+    const absl::MutexLock lock(&actions_mutex_);
+    admission = tickets_.Begin(ticket, request.entry, request.key, now);
+    if (!std::holds_alternative<TicketBook::Ended>(admission)) {
+      waiters_[ticket.sequence].push_back(
+          [link, call_id = request.call_id](const TicketBook::Ended& ended) {
+            link->Send(ToActionReply(call_id, ended));
+          });
+    }
+  }
+  if (const auto* ended = std::get_if<TicketBook::Ended>(&admission)) {
+    link->Send(ToActionReply(request.call_id, *ended));
+  } else if (const auto* run = std::get_if<TicketBook::Run>(&admission)) {
+    ++in_flight_;
+    const absl::Duration timeout =
+        std::min(kMaxAttempt, absl::Microseconds(request.timeout_us));
+    RunAction(request, ticket, run->terms, now + timeout);
+  }
+}
+
+void GateService::RunAction(const ActionRequest& request, const Ticket& ticket,
+                            const TicketBook::Terms& terms,
+                            absl::Time deadline) {
+  const AttemptOutcome refusal = RefusalFor(terms.target, 0);
+  const RunnerPtr runner = FindRunner(terms.target);
+  if (refusal != AttemptOutcome::kDone || runner == nullptr) {
+    // Only this incarnation may run the ticket, and it ends it here: the action
+    // has not run and never will.
+    EndAction(ticket, {refusal == AttemptOutcome::kDone
+                           ? AttemptOutcome::kNotHeld
+                           : refusal,
+                       true, ""});
+    return;
+  }
+  TargetJob job;
+  job.kind = TargetJob::Kind::kAct;
+  job.call.shard = terms.shard;
+  job.call.body_json = request.payload_json;
+  job.call.ticket = request.ticket;
+  job.request_id = request.request_id;
+  job.link_attempt = NextAttempt();
+  job.deadline = deadline;
+  job.parent = ParseTraceparent(request.traceparent);
+  job.done = [this, request, ticket, terms, deadline](TargetReply reply) {
+    OnActionReply(request, ticket, terms, deadline, reply);
+  };
+  runner->Submit(std::move(job));
+}
+
+void GateService::OnActionReply(const ActionRequest& request,
+                                const Ticket& ticket,
+                                const TicketBook::Terms& terms,
+                                absl::Time deadline, const TargetReply& reply) {
+  const bool may_retry =
+      reply.not_run && IsWorthRetry(reply.outcome) && !draining_ &&
+      environment_.clock.Now() + kActionRetryPause < deadline;
+  if (may_retry) {
+    environment_.run_later(kActionRetryPause,
+                           [this, request, ticket, terms, deadline] {
+                             RunAction(request, ticket, terms, deadline);
+                           });
+    return;
+  }
+  TicketBook::Ended ended;
+  if (reply.outcome == AttemptOutcome::kDone) {
+    ended = {AttemptOutcome::kDone, false, reply.result_json};
+  } else if (reply.not_run) {
+    ended = {reply.outcome, true, ""};
+  } else {
+    ended = {AttemptOutcome::kOutcomeUnknown, false, ""};
+  }
+  EndAction(ticket, std::move(ended));
+}
+
+void GateService::EndAction(const Ticket& ticket, TicketBook::Ended ended) {
+  std::vector<Waiter> waiters;
+  {
+    const absl::MutexLock lock(&actions_mutex_);
+    tickets_.End(ticket, ended);
+    waiters.swap(waiters_[ticket.sequence]);
+    waiters_.erase(ticket.sequence);
+  }
+  for (const Waiter& waiter : waiters) waiter(ended);
+  --in_flight_;
+}
+
+}  // namespace cherrydyke
--- /dev/null
+++ b/libs/gate/src/target_runner.cc
@@ -0,0 +1,349 @@
+#include "gate/target_runner.h"
+
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+#include "absl/time/clock.h"
+#include "telemetry/log.h"
+
+namespace cherrydyke {
+namespace {
+
+constexpr size_t kMaxQueue = 512;
+/// Idle connections are dropped after this time, because something between the
+/// two ends may have lost track of them.
+constexpr absl::Duration kIdleLife = absl::Seconds(2);
+constexpr absl::Duration kProbeTimeout = absl::Milliseconds(300);
+constexpr absl::Duration kCancelTimeout = absl::Milliseconds(100);
+/// A target that said that it drains is asked again after this time at most.
+constexpr absl::Duration kDrainMemory = absl::Seconds(5);
+/// Step of waiting for a slot that only time can free.
+constexpr absl::Duration kSlotStep = absl::Milliseconds(2);
+/// A reused connection counts as silent after this multiple of the learned
+/// 99th percentile, and no sooner than the floor.
+constexpr double kSilenceFactor = 3;
+constexpr absl::Duration kSilenceFloor = absl::Milliseconds(60);
+constexpr double kSilenceQuantile = 0.99;
+constexpr int kSilenceWindow = 200;
+constexpr absl::Duration kInitialSilence = absl::Milliseconds(60);
+/// Answers wait this much longer than the deadline told to the target.
+constexpr absl::Duration kAnswerSlack = absl::Milliseconds(5);
+
+TargetReply NotRun(AttemptOutcome outcome) {
+  TargetReply reply;
+  reply.outcome = outcome;
+  reply.not_run = true;
+  return reply;
+}
+
+}  // namespace
+
+TargetRunner::TargetRunner(TargetId target, Endpoint endpoint,
+                           TargetLimits limits, Environment environment)
+    : target_(std::move(target)),
+      endpoint_(std::move(endpoint)),
+      environment_(std::move(environment)),
+      silence_(kSilenceQuantile, kSilenceWindow, kInitialSilence),
+      slots_(limits.slots),
+      state_(limits, environment_.clock.Now()) {
+  const absl::MutexLock lock(&mutex_);
+  EnsureWorkers();
+}
+
+TargetRunner::~TargetRunner() { Stop(); }
+
+void TargetRunner::EnsureWorkers() {
+  while (static_cast<int>(workers_.size()) < slots_) {
+    workers_.emplace_back([this] { Work(); });
+  }
+}
+
+void TargetRunner::Reject(TargetJob& job, AttemptOutcome outcome) {
+  environment_.metrics
+      .counter("cherrydyke_gate_refusals_total",
+               absl::StrCat("reason=\"", ToString(outcome), "\""))
+      .Add();
+  job.done(NotRun(outcome));
+}
+
+void TargetRunner::Submit(TargetJob job) {
+  AttemptOutcome refusal = AttemptOutcome::kDone;
+  {
+    const absl::MutexLock lock(&mutex_);
+    const absl::Time now = environment_.clock.Now();
+    const int limit = std::max(state_.Limit(), 1);
+    const double rounds = static_cast<double>(queue_.size()) / limit;
+    const bool too_long = now + state_.latency(now) * rounds > job.deadline;
+    if (stopping_ || leaving_ || state_.phase() == TargetPhase::kDraining) {
+      refusal = AttemptOutcome::kDraining;
+    } else if (too_long || queue_.size() >= kMaxQueue) {
+      refusal = AttemptOutcome::kOverloaded;
+    } else {
+      queue_.push_back(std::move(job));
+      changed_.Signal();
+    }
+  }
+  if (refusal != AttemptOutcome::kDone) Reject(job, refusal);
+}
+
+void TargetRunner::Cancel(const AttemptId& link_attempt) {
+  AttemptId at_target;
+  TargetJob waiting;
+  {
+    const absl::MutexLock lock(&mutex_);
+    const auto queued = std::find_if(
+        queue_.begin(), queue_.end(), [&](const TargetJob& job) {
+          return job.link_attempt == link_attempt;
+        });
+    if (queued != queue_.end()) {
+      waiting = std::move(*queued);
+      queue_.erase(queued);
+    } else if (const auto found = running_.find(link_attempt);
+               found != running_.end()) {
+      at_target = found->second;
+    }
+  }
+  if (waiting.done) {
+    waiting.done(NotRun(AttemptOutcome::kCancelled));
+  } else if (at_target.incarnation != 0) {
+    environment_.protocol.Open(endpoint_, environment_.source_address)
+        ->Cancel(at_target, kCancelTimeout);
+  }
+}
+
+void TargetRunner::Work() {
+  TargetJob job;
+  while (NextJob(job)) Run(std::move(job));
+}
+
+bool TargetRunner::ExpireFront(absl::Time now,
+                               std::vector<TargetJob>& expired) {
+  if (queue_.empty() || queue_.front().deadline > now) return false;
+  expired.push_back(std::move(queue_.front()));
+  queue_.pop_front();
+  return true;
+}
+
+bool TargetRunner::NextJob(TargetJob& job) {
+  std::vector<TargetJob> expired;
+  bool found = false;
+  {
+    const absl::MutexLock lock(&mutex_);
+    while (!found && expired.empty()) {
+      if (queue_.empty()) {
+        if (stopping_) return false;
+        changed_.Wait(&mutex_);
+        continue;
+      }
+      const absl::Time now = environment_.clock.Now();
+      if (ExpireFront(now, expired)) continue;
+      if (!state_.TryStart(now)) {
+        changed_.WaitWithTimeout(&mutex_, kSlotStep);
+        continue;
+      }
+      if (!environment_.holdings.TryBegin(target_)) {
+        // Either a newer host list is on its way here, which takes
+        // milliseconds, or the target belongs to another gate.
+        state_.Abandon();
+        changed_.WaitWithTimeout(&mutex_, kSlotStep);
+        continue;
+      }
+      job = std::move(queue_.front());
+      queue_.pop_front();
+      found = true;
+    }
+  }
+  for (TargetJob& late : expired) Reject(late, AttemptOutcome::kExpired);
+  return found || NextJob(job);
+}
+
+std::unique_ptr<TargetConnection> TargetRunner::TakeConnection(bool fresh,
+                                                               bool& reused) {
+  {
+    const absl::MutexLock lock(&mutex_);
+    const absl::Time oldest = environment_.clock.Now() - kIdleLife;
+    idle_.erase(std::remove_if(idle_.begin(), idle_.end(),
+                               [oldest](const IdleConnection& idle) {
+                                 return idle.since < oldest;
+                               }),
+                idle_.end());
+    if (!fresh && !idle_.empty()) {
+      std::unique_ptr<TargetConnection> connection =
+          std::move(idle_.back().connection);
+      idle_.pop_back();
+      reused = true;
+      return connection;
+    }
+  }
+  reused = false;
+  return environment_.protocol.Open(endpoint_, environment_.source_address);
+}
+
+TargetReply TargetRunner::Exchange(const TargetJob& job, TargetCall& call,
+                                   absl::Duration left, bool& reused) {
+  const bool is_action = job.kind == TargetJob::Kind::kAct;
+  std::unique_ptr<TargetConnection> connection =
+      TakeConnection(job.fresh_connection || is_action, reused);
+  absl::Duration wait = left + kAnswerSlack;
+  if (reused) {
+    wait = std::min(
+        wait, std::max(kSilenceFloor, silence_.Estimate() * kSilenceFactor));
+  }
+  TargetReply reply = is_action ? connection->Act(call, wait)
+                                : connection->Search(call, wait);
+  const bool usable = reply.outcome != AttemptOutcome::kSilent &&
+                      reply.outcome != AttemptOutcome::kConnectionLost &&
+                      reply.outcome != AttemptOutcome::kUnreachable &&
+                      reply.outcome != AttemptOutcome::kInvalidAnswer;
+  const absl::MutexLock lock(&mutex_);
+  if (usable) {
+    idle_.push_back({std::move(connection), environment_.clock.Now()});
+  } else {
+    // What silenced or broke this connection has likely done so to the others.
+    idle_.clear();
+  }
+  return reply;
+}
+
+void TargetRunner::Run(TargetJob job) {
+  TargetCall call = job.call;
+  call.attempt = environment_.next_attempt();
+  SpanTimer span(environment_.spans, "target.attempt", job.request_id,
+                 job.parent);
+  call.traceparent = span.context().ToTraceparent();
+  const absl::Time start = environment_.clock.Now();
+  {
+    const absl::MutexLock lock(&mutex_);
+    running_[job.link_attempt] = call.attempt;
+  }
+  const absl::Duration left = job.deadline - start;
+  call.time_left = left;
+  bool reused = false;
+  TargetReply reply = Exchange(job, call, left, reused);
+  const absl::Duration latency = environment_.clock.Now() - start;
+  span.Set({"target", target_});
+  span.Set({"attempt", call.attempt.ToString()});
+  span.Set({"outcome", ToString(reply.outcome)});
+  span.Set({"reused_connection", reused});
+  span.End();
+  FinishRun(job, reply, latency, reused);
+  environment_.holdings.End(target_);
+  environment_.metrics
+      .counter("cherrydyke_target_attempts_total",
+               absl::StrCat("outcome=\"", ToString(reply.outcome), "\""))
+      .Add();
+  // A silent reused connection says nothing of the target: the query is tried
+  // once more on a new one. The first attempt keeps its slot meanwhile.
+  const bool try_again = reply.outcome == AttemptOutcome::kSilent && reused &&
+                         job.kind == TargetJob::Kind::kSearch &&
+                         environment_.clock.Now() < job.deadline;
+  if (!try_again) {
+    job.done(std::move(reply));
+    return;
+  }
+  environment_.metrics.counter("cherrydyke_silent_connections_total").Add();
+  job.fresh_connection = true;
+  Submit(std::move(job));
+}
+
+void TargetRunner::FinishRun(const TargetJob& job, const TargetReply& reply,
+                             absl::Duration latency, bool reused) {
+  const absl::Time now = environment_.clock.Now();
+  const absl::MutexLock lock(&mutex_);
+  running_.erase(job.link_attempt);
+  state_.Finish(reply.outcome, latency, job.deadline, now);
+  switch (reply.outcome) {
+    case AttemptOutcome::kDone:
+      ++successes_;
+      silence_.Observe(latency);
+      break;
+    case AttemptOutcome::kDraining:
+      drain_answer_at_ = now;
+      state_.SetDraining(true);
+      break;
+    case AttemptOutcome::kWrongVersion:
+      if (!reply.versions.empty()) versions_ = reply.versions;
+      break;
+    case AttemptOutcome::kSilent:
+      if (reused) silence_.Observe(latency);
+      break;
+    default:
+      break;
+  }
+  changed_.SignalAll();
+}
+
+void TargetRunner::Probe() {
+  if (probe_connection_ == nullptr) {
+    probe_connection_ =
+        environment_.protocol.Open(endpoint_, environment_.source_address);
+  }
+  const std::optional<TargetHealth> health =
+      probe_connection_->Health(kProbeTimeout);
+  if (!health) {
+    probe_connection_ = nullptr;
+    return;
+  }
+  const absl::MutexLock lock(&mutex_);
+  state_.OnIncarnation(health->incarnation);
+  versions_ = health->versions;
+  // Health lags and may be wrong, so it only decides while real requests do
+  // not: a target that serves is not made cold by what it says of itself.
+  const bool served = successes_ != successes_at_probe_;
+  successes_at_probe_ = successes_;
+  if (health->state == "cold" && !served) state_.TurnCold();
+  const bool drain_forgotten =
+      environment_.clock.Now() - drain_answer_at_ > kDrainMemory;
+  if (health->state == "serving" && drain_forgotten && !leaving_) {
+    state_.SetDraining(false);
+  }
+}
+
+void TargetRunner::SetLimits(const TargetLimits& limits) {
+  const absl::MutexLock lock(&mutex_);
+  slots_ = limits.slots;
+  state_.SetLimits(limits);
+  EnsureWorkers();
+}
+
+void TargetRunner::SetLeaving(bool leaving) {
+  const absl::MutexLock lock(&mutex_);
+  if (leaving_ == leaving) return;
+  leaving_ = leaving;
+  state_.SetDraining(leaving);
+}
+
+void TargetRunner::TurnCold() {
+  const absl::MutexLock lock(&mutex_);
+  state_.TurnCold();
+}
+
+TargetReport TargetRunner::Report() {
+  const absl::MutexLock lock(&mutex_);
+  const absl::Time now = environment_.clock.Now();
+  TargetReport report;
+  report.target = target_;
+  report.phase = state_.phase();
+  report.limit = state_.Limit();
+  report.in_flight = state_.InFlight(now);
+  report.queued = static_cast<int>(queue_.size());
+  report.latency_us = absl::ToInt64Microseconds(state_.latency(now));
+  report.versions = versions_;
+  return report;
+}
+
+void TargetRunner::Stop() {
+  std::deque<TargetJob> waiting;
+  std::vector<std::thread> workers;
+  {
+    const absl::MutexLock lock(&mutex_);
+    stopping_ = true;
+    waiting.swap(queue_);
+    workers.swap(workers_);
+    changed_.SignalAll();
+  }
+  for (TargetJob& job : waiting) Reject(job, AttemptOutcome::kDraining);
+  for (std::thread& worker : workers) worker.join();
+}
+
+}  // namespace cherrydyke
--- /dev/null
+++ b/libs/hosting/include/hosting/program.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "adapters/http_server.h"
+#include "hosting/settings.h"
+#include "telemetry/metrics.h"
+#include "telemetry/span.h"
+#include "wire/cut.h"
+
+namespace cherrydyke {
+
+/// Blocks the signals that stop a program; call before any thread starts.
+void BlockStopSignals();
+
+/// Waits for SIGTERM or SIGINT.
+void WaitForStopSignal();
+
+/// Prints the line that tells that a program is listening.
+/// @param addresses names and `IP:PORT` of what it listens on.
+void PrintReady(
+    const std::vector<std::pair<std::string, std::string>>& addresses);
+
+/// Runs a daemon's `main`: reads the command line (`--config`, `--check`,
+/// `--version`, `--help`), checks the settings and calls `run`.
+/// @return the exit code; 2 for faults in the command line or settings.
+int RunDaemonMain(int argc, char** argv, const std::string& name,
+                  const std::string& description,
+                  const std::function<int(const DaemonSettings&)>& run);
+
+/// What the HTTP faces of all daemons have in common.
+struct OperatorFace {
+  Metrics& metrics;
+  SpanStore& spans;
+  CutSet& cuts;
+  bool allow_faults = false;
+  std::function<bool()> is_ready;
+  /// @return the body of `/v1/status`.
+  std::function<std::string()> status;
+  /// Asks the daemon to stop gracefully.
+  std::function<void()> drain;
+};
+
+/// Adds `/livez`, `/readyz`, `/metrics`, `/v1/status`, `/v1/spans`,
+/// `/v1/log_level` and `/v1/drain`, and `/debug/cut` where faults are allowed.
+void AddOperatorRoutes(HttpServer& server, const OperatorFace& face);
+
+/// Tells the process itself to stop, as SIGTERM does.
+void RequestStop();
+
+}  // namespace cherrydyke
--- /dev/null
+++ b/libs/hosting/src/control_plane.cc
@@ -0,0 +1,384 @@
+#include "hosting/control_plane.h"
+
+#include <algorithm>
+
+#include "absl/time/clock.h"
+#include "telemetry/log.h"
+
+namespace cherrydyke {
+namespace {
+
+constexpr absl::Duration kHeartbeatPeriod = absl::Milliseconds(400);
+/// Peers told at once of urgent news; at today's size all of them.
+constexpr size_t kWideFanout = 64;
+constexpr absl::Duration kRolePeriod = absl::Milliseconds(200);
+/// How long the platform may hold a watch.
+constexpr absl::Duration kWatchWait = absl::Seconds(5);
+/// The same for a daemon without live peers, which needs news of the platform
+/// to know that it is not cut off.
+constexpr absl::Duration kIsolatedWatchWait = absl::Milliseconds(500);
+constexpr absl::Duration kIdlePause = absl::Milliseconds(100);
+constexpr absl::Duration kFirstErrorPause = absl::Milliseconds(200);
+constexpr absl::Duration kMaxErrorPause = absl::Seconds(2);
+constexpr int kMaxErrorDoublings = 5;
+/// Host lists are long and lag anyway, so they are read no faster than this.
+constexpr absl::Duration kMinHostsPeriod = absl::Milliseconds(200);
+constexpr absl::Duration kReceiveStep = absl::Milliseconds(200);
+constexpr absl::Duration kSyncTimeout = absl::Milliseconds(800);
+/// A new daemon waits this long for peers before it trusts the platform alone.
+constexpr absl::Duration kPeerWait = absl::Milliseconds(1000);
+
+}  // namespace
+
+ControlPlane::ControlPlane(const DaemonSettings& settings, Self self,
+                           const Clock& clock, Platform& platform,
+                           Transports transports, Metrics& metrics,
+                           Listeners listeners)
+    : settings_(settings),
+      self_(self),
+      clock_(clock),
+      platform_(platform),
+      transports_(std::move(transports)),
+      metrics_(metrics),
+      listeners_(std::move(listeners)),
+      control_(clock),
+      peers_({settings.host_id, self.kind}, settings.failure_domain, {}),
+      random_(self.incarnation),
+      started_(clock.Now()),
+      config_changed_at_(clock.Now()),
+      catalogue_(std::make_shared<Catalogue>()),
+      hosts_(std::make_shared<HostList>()) {}
+
+ControlPlane::~ControlPlane() { Stop(); }
+
+void ControlPlane::Start() {
+  sync_server_ = std::make_unique<LinkServer>(
+      std::move(transports_.sync_listener), transports_.connector,
+      [this](const std::shared_ptr<Link>& link, Message message) {
+        const auto* request = std::get_if<SyncRequest>(&message);
+        if (request != nullptr) link->Send(AnswerSync(*request));
+      },
+      [this](const Error& error) {
+        metrics_.counter("cherrydyke_sync_faults_total").Add();
+        LogWarning("refused a peer's sync link", {{"reason", error.message}});
+      });
+  threads_.emplace_back([this] { WatchConfig(); });
+  threads_.emplace_back([this] { WatchHosts(); });
+  threads_.emplace_back([this] { ReceiveDatagrams(); });
+  threads_.emplace_back([this] { PullFromPeers(); });
+  control_.Every(kHeartbeatPeriod, [this] { SendHeartbeats(); });
+  control_.Every(kRolePeriod, [this] { UpdateRole(); });
+}
+
+void ControlPlane::Stop() {
+  if (stopping_.exchange(true)) return;
+  {
+    const absl::MutexLock lock(&mutex_);
+    pulls_changed_.SignalAll();
+  }
+  for (std::thread& thread : threads_) thread.join();
+  if (sync_server_ != nullptr) sync_server_->Stop();
+  control_.Stop();
+}
+
+std::shared_ptr<const Catalogue> ControlPlane::catalogue() const {
+  const absl::MutexLock lock(&mutex_);
+  return catalogue_;
+}
+
+std::shared_ptr<const HostList> ControlPlane::hosts() const {
+  const absl::MutexLock lock(&mutex_);
+  return hosts_;
+}
+
+absl::Duration ControlPlane::catalogue_age() const {
+  absl::Duration age;
+  const_cast<ControlThread&>(control_).RunAndWait(
+      [&] { age = clock_.Now() - config_changed_at_; });
+  return age;
+}
+
+std::vector<RefusedChange> ControlPlane::refused_changes() const {
+  std::vector<RefusedChange> refused;
+  const_cast<ControlThread&>(control_).RunAndWait(
+      [&] { refused = config_.Refused(); });
+  return refused;
+}
+
+int ControlPlane::GossipPort(DaemonKind kind) const {
+  return kind == DaemonKind::kEntry ? settings_.ports.entry_gossip
+                                    : settings_.ports.gate_gossip;
+}
+
+absl::Duration ControlPlane::WatchWait() const {
+  return isolated_ ? kIsolatedWatchWait : kWatchWait;
+}
+
+void ControlPlane::PauseAfterError(int& errors) {
+  const int doublings = std::min(errors++, kMaxErrorDoublings);
+  const absl::Duration pause =
+      std::min(kMaxErrorPause, kFirstErrorPause * (1 << doublings));
+  thread_local std::mt19937_64 random{std::random_device{}()};
+  const double jitter = 0.5 + static_cast<double>(random() % 1000) / 2000;
+  const absl::Time until = clock_.Now() + pause * jitter;
+  while (!stopping_ && clock_.Now() < until) absl::SleepFor(kIdlePause / 2);
+}
+
+void ControlPlane::WatchConfig() {
+  int errors = 0;
+  bool first = true;
+  while (!stopping_) {
+    if (!watching_ && !first) {
+      absl::SleepFor(kIdlePause);
+      continue;
+    }
+    const absl::Time asked = clock_.Now();
+    const Revision since = config_revision_;
+    metrics_.counter("cherrydyke_platform_calls_total", R"(call="config")")
+        .Add();
+    Result<PlatformConfig> read = platform_.ReadConfig(
+        since, first ? absl::ZeroDuration() : WatchWait());
+    first = false;
+    const bool failed = GetError(read) != nullptr;
+    control_.Post([this, asked, failed, read = std::move(read)] {
+      config_asked_ = true;
+      if (failed) return;
+      if (listeners_.on_platform_contact) listeners_.on_platform_contact(asked);
+      const PlatformConfig& config = GetValue(read);
+      ApplyConfig(config.changes, config.since, config.revision);
+    });
+    if (failed) {
+      metrics_.counter("cherrydyke_platform_errors_total").Add();
+      PauseAfterError(errors);
+      continue;
+    }
+    errors = 0;
+    // The next watch has to name the revision that this one brought.
+    control_.RunAndWait([] {});
+  }
+}
+
+void ControlPlane::WatchHosts() {
+  int errors = 0;
+  bool first = true;
+  while (!stopping_) {
+    if (!watching_ && !first) {
+      absl::SleepFor(kIdlePause);
+      continue;
+    }
+    metrics_.counter("cherrydyke_platform_calls_total", R"(call="hosts")")
+        .Add();
+    const Result<HostList> read = platform_.ReadHosts(
+        hosts_revision_, first ? absl::ZeroDuration() : WatchWait());
+    first = false;
+    const bool failed = GetError(read) != nullptr;
+    control_.RunAndWait([&] {
+      hosts_asked_ = true;
+      if (!failed && host_store_.ApplyWhole(GetValue(read))) PublishHosts();
+    });
+    if (failed) {
+      PauseAfterError(errors);
+    } else {
+      errors = 0;
+      absl::SleepFor(kMinHostsPeriod);
+    }
+  }
+}
+
+void ControlPlane::ApplyConfig(const std::vector<ConfigChange>& changes,
+                               Revision since, Revision upto) {
+  const Revision before = config_.revision();
+  for (const RefusedChange& refused : config_.Apply(changes, since, upto)) {
+    metrics_.counter("cherrydyke_config_refused_total").Add();
+    LogWarning("refused a configuration change",
+               {{"key", refused.change.key},
+                {"revision", refused.change.revision},
+                {"reason", refused.reason}});
+  }
+  if (config_.revision() == before) return;
+  config_changed_at_ = clock_.Now();
+  config_revision_ = config_.revision();
+  {
+    const absl::MutexLock lock(&mutex_);
+    catalogue_ = config_.catalogue();
+  }
+  LogInfo("configuration in force", {{"revision", config_.revision()}});
+  if (listeners_.on_catalogue) listeners_.on_catalogue(*config_.catalogue());
+  SendHeartbeats();
+}
+
+void ControlPlane::PublishHosts() {
+  hosts_revision_ = host_store_.revision();
+  const std::shared_ptr<const HostList> list = host_store_.list();
+  peers_.OnHostList(*list);
+  {
+    const absl::MutexLock lock(&mutex_);
+    hosts_ = list;
+  }
+  if (listeners_.on_hosts) listeners_.on_hosts(*list);
+  SendHeartbeats();
+}
+
+void ControlPlane::ReceiveDatagrams() {
+  while (!stopping_) {
+    Datagram datagram;
+    if (!transports_.gossip->Receive(datagram, kReceiveStep)) continue;
+    control_.Post([this, datagram = std::move(datagram)] {
+      OnDatagram(datagram);
+    });
+  }
+}
+
+void ControlPlane::OnDatagram(const Datagram& datagram) {
+  const Result<Message> decoded = DecodeFrame(datagram.payload);
+  if (GetError(decoded) != nullptr) {
+    metrics_.counter("cherrydyke_gossip_faults_total").Add();
+    return;
+  }
+  const Message& message = GetValue(decoded);
+  if (const auto* heartbeat = std::get_if<Heartbeat>(&message)) {
+    OnHeartbeat(*heartbeat, datagram.sender_address);
+  } else if (listeners_.on_message) {
+    listeners_.on_message(message, datagram.sender_address);
+  }
+}
+
+void ControlPlane::OnHeartbeat(const Heartbeat& heartbeat,
+                               const std::string& address) {
+  const absl::Time now = clock_.Now();
+  peers_.OnHeartbeat(heartbeat, now);
+  // An echo from the future was meant for an earlier user of this address.
+  const absl::Time echoed = absl::FromUnixMicros(heartbeat.echo_us);
+  const bool usable = heartbeat.echo_us != 0 && echoed <= now;
+  const absl::Time evidence = usable ? echoed : absl::InfinitePast();
+  if (listeners_.on_heartbeat) listeners_.on_heartbeat(heartbeat, evidence);
+  if (heartbeat.config_revision > config_.revision() ||
+      heartbeat.hosts_revision > host_store_.revision()) {
+    QueuePull(address, heartbeat.kind);
+  }
+  if (heartbeat.reply_wanted) {
+    SendHeartbeat(MakeEndpoint(address, GossipPort(heartbeat.kind)), false,
+                  heartbeat.sent_at_us);
+  }
+}
+
+void ControlPlane::SendHeartbeats() {
+  SendHeartbeatsTo(peers_.HeartbeatTargets(random_));
+}
+
+void ControlPlane::SendHeartbeatsTo(const std::vector<DaemonId>& peers) {
+  const std::shared_ptr<const HostList> list = host_store_.list();
+  for (const DaemonId& peer : peers) {
+    const Host* host = list->Find(peer.host);
+    if (host == nullptr) continue;
+    SendHeartbeat(MakeEndpoint(host->address, GossipPort(peer.kind)), true, 0);
+  }
+}
+
+void ControlPlane::SendHeartbeat(const Endpoint& to, bool reply_wanted,
+                                 int64_t echo_us) {
+  Heartbeat heartbeat;
+  heartbeat.host = settings_.host_id;
+  heartbeat.kind = self_.kind;
+  heartbeat.incarnation = self_.incarnation;
+  heartbeat.failure_domain = settings_.failure_domain;
+  heartbeat.config_revision = config_.revision();
+  heartbeat.hosts_revision = host_store_.revision();
+  heartbeat.reply_wanted = reply_wanted;
+  heartbeat.sent_at_us = absl::ToUnixMicros(clock_.Now());
+  heartbeat.echo_us = echo_us;
+  if (listeners_.complete_heartbeat) listeners_.complete_heartbeat(heartbeat);
+  const std::string frame = EncodeFrame(heartbeat);
+  metrics_.counter("cherrydyke_gossip_sent_total").Add();
+  metrics_.counter("cherrydyke_gossip_sent_bytes_total").Add(frame.size());
+  transports_.gossip->Send(to, frame);
+}
+
+std::vector<DaemonId> ControlPlane::SampleLivePeers(DaemonKind kind,
+                                                    size_t limit) {
+  const std::vector<DaemonId> live = peers_.LivePeers(kind, clock_.Now());
+  std::vector<DaemonId> sample;
+  std::sample(live.begin(), live.end(), std::back_inserter(sample), limit,
+              random_);
+  return sample;
+}
+
+void ControlPlane::SendDatagram(const DaemonId& to, const Message& message) {
+  const Host* host = host_store_.list()->Find(to.host);
+  if (host == nullptr) return;
+  transports_.gossip->Send(MakeEndpoint(host->address, GossipPort(to.kind)),
+                           EncodeFrame(message));
+}
+
+void ControlPlane::AnnounceWidely() {
+  control_.Post([this] {
+    SendHeartbeatsTo(peers_.SamplePeers(kWideFanout, random_));
+  });
+}
+
+void ControlPlane::UpdateRole() {
+  const absl::Time now = clock_.Now();
+  const std::vector<DaemonId> live = peers_.LiveDomainPeers(now);
+  live_peers_ = live.size();
+  // Entries and gates of the own host fail together with it.
+  isolated_ = std::all_of(live.begin(), live.end(), [&](const DaemonId& peer) {
+    return peer.host == settings_.host_id;
+  });
+  watching_ = peers_.ShouldWatch(now);
+  const bool peers_asked = !live.empty() || now - started_ > kPeerWait;
+  const bool asked = hosts_asked_ && config_asked_ && peers_asked;
+  if (asked && config_.revision() > 0) synced_ = true;
+}
+
+void ControlPlane::QueuePull(const std::string& address, DaemonKind kind) {
+  const absl::MutexLock lock(&mutex_);
+  for (const Pull& pull : pulls_) {
+    if (pull.address == address) return;
+  }
+  pulls_.push_back({address, GossipPort(kind)});
+  pulls_changed_.Signal();
+}
+
+void ControlPlane::PullFromPeers() {
+  while (!stopping_) {
+    Pull pull;
+    {
+      const absl::MutexLock lock(&mutex_);
+      while (pulls_.empty() && !stopping_) pulls_changed_.Wait(&mutex_);
+      if (stopping_) return;
+      pull = pulls_.front();
+      pulls_.erase(pulls_.begin());
+    }
+    auto connected = transports_.connector.Connect(
+        MakeEndpoint(pull.address, pull.port), kSyncTimeout);
+    auto* stream = std::get_if<std::unique_ptr<Stream>>(&connected);
+    if (stream == nullptr) continue;
+    Link link(std::move(*stream));
+    if (!link.Send(SyncRequest{config_revision_, hosts_revision_})) continue;
+    Result<Message> answer = ReadFrame(link.stream(), kSyncTimeout);
+    link.Close();
+    if (GetError(answer) != nullptr) continue;
+    const Message message = GetValue(std::move(answer));
+    if (const auto* reply = std::get_if<SyncReply>(&message)) {
+      control_.RunAndWait([&] { OnSyncReply(*reply); });
+    }
+  }
+}
+
+void ControlPlane::OnSyncReply(const SyncReply& reply) {
+  if (host_store_.ApplyDelta(reply.hosts)) PublishHosts();
+  ApplyConfig(reply.changes, reply.config_since, reply.config_upto);
+}
+
+Message ControlPlane::AnswerSync(const SyncRequest& request) {
+  SyncReply reply;
+  control_.RunAndWait([&] {
+    reply.config_since = request.config_since;
+    reply.config_upto = config_.revision();
+    reply.changes = config_.ChangesSince(request.config_since);
+    reply.hosts = host_store_.DeltaSince(request.hosts_since);
+  });
+  return reply;
+}
+
+}  // namespace cherrydyke
--- /dev/null
+++ b/libs/kernel/include/kernel/control_thread.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <thread>
+#include <vector>
+
+#include "absl/base/thread_annotations.h"
+#include "absl/synchronization/mutex.h"
+#include "absl/time/time.h"
+#include "base/clock.h"
+
+namespace cherrydyke {
+
+/// Runs every task that touches control state on one thread, in order.
+///
+///     ControlThread control(clock);
+///     control.Post([&] { store.Apply(changes); });
+///     control.Every(absl::Seconds(1), [&] { SendHeartbeats(); });
+class ControlThread {
+ public:
+  using Task = std::function<void()>;
+
+  explicit ControlThread(const Clock& clock);
+  ~ControlThread();
+  ControlThread(const ControlThread&) = delete;
+  ControlThread& operator=(const ControlThread&) = delete;
+
+  /// Runs `task` as soon as earlier ones have finished.
+  void Post(Task task) { PostAfter(absl::ZeroDuration(), std::move(task)); }
+
+  /// Runs `task` no earlier than `delay` from now.
+  void PostAfter(absl::Duration delay, Task task);
+
+  /// Runs `task` repeatedly, `period` after its previous end, until the stop.
+  void Every(absl::Duration period, Task task);
+
+  /// Runs `task` and waits for it; calls it directly after the stop.
+  void RunAndWait(const Task& task);
+
+  /// Drops tasks not yet due and joins the thread. Idempotent.
+  void Stop();
+
+ private:
+  void Run();
+  bool DueLocked(absl::Time now) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+
+  const Clock& clock_;
+  absl::Mutex mutex_;
+  std::multimap<absl::Time, Task> tasks_ ABSL_GUARDED_BY(mutex_);
+  bool stopping_ ABSL_GUARDED_BY(mutex_) = false;
+  absl::CondVar changed_;
+  std::thread thread_;
+};
+
+}  // namespace cherrydyke
--- /dev/null
+++ b/libs/membership/include/membership/rendezvous.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "base/ids.h"
+
+namespace cherrydyke {
+
+/// Orders candidates for a resource by rendezvous hashing (highest random
+/// weight): every process that knows the same candidates computes the same
+/// order, and adding or removing one moves only its own share.
+///
+/// @return the candidates, best first; ties by name.
+std::vector<HostId> RankByRendezvous(const std::string& resource,
+                                     std::vector<HostId> candidates);
+
+/// @return the best candidate, or "" if there is none.
+HostId RendezvousWinner(const std::string& resource,
+                        const std::vector<HostId>& candidates);
+
+}  // namespace cherrydyke
--- /dev/null
+++ b/libs/routing/src/coverage.cc
@@ -0,0 +1,62 @@
+#include "routing/coverage.h"
+
+#include <algorithm>
+
+#include "base/invariant.h"
+
+namespace cherrydyke {
+namespace {
+
+/// Largest fraction stated for an answer that is not complete.
+constexpr double kMaxPartialFraction = 0.999999;
+
+}  // namespace
+
+CoverageTally::CoverageTally(const ShardMap& shard_map) {
+  shards_.reserve(shard_map.shards.size());
+  for (const Shard& shard : shard_map.shards) {
+    shards_.push_back({shard.id, shard.range, false, "deadline"});
+  }
+}
+
+void CoverageTally::Answered(size_t shard_index) {
+  shards_[shard_index].answered = true;
+}
+
+void CoverageTally::Missing(size_t shard_index, std::string reason) {
+  shards_[shard_index].reason = std::move(reason);
+}
+
+Coverage CoverageTally::Compute() const {
+  Coverage coverage;
+  coverage.shards = static_cast<int>(shards_.size());
+  RangeSet answered;
+  for (const ShardTally& shard : shards_) {
+    if (shard.answered) {
+      ++coverage.answered;
+      answered.Add(shard.range);
+    } else {
+      coverage.missing.push_back({shard.id, shard.range, shard.reason});
+    }
+  }
+  const std::vector<KeyRange> gaps = answered.Missing({"", ""});
+  // A key space may begin at "00": nothing lies before it.
+  const bool covers = std::all_of(gaps.begin(), gaps.end(), [](const auto& gap) {
+    return KeySpan(gap) == 0 && !gap.end.empty();
+  });
+  coverage.complete = covers && coverage.missing.empty();
+  for (const KeyRange& range : answered.ranges()) {
+    coverage.fraction += KeySpan(range);
+  }
+  coverage.fraction = std::min(coverage.fraction, 1.0);
+  if (coverage.complete) coverage.fraction = 1;
+  if (!coverage.complete) {
+    coverage.fraction = std::min(coverage.fraction, kMaxPartialFraction);
+  }
+  CHERRYDYKE_INVARIANT(
+      !coverage.complete || coverage.answered == coverage.shards,
+      "an answer is complete only if every shard was answered");
+  return coverage;
+}
+
+}  // namespace cherrydyke
--- /dev/null
+++ b/libs/routing/src/query_run.cc
@@ -0,0 +1,301 @@
+#include "routing/query_run.h"
+
+#include <algorithm>
+#include <iterator>
+
+#include "base/invariant.h"
+
+namespace cherrydyke {
+namespace {
+
+/// Targets that one request may crash before it is given up.
+constexpr int kMaxCrashes = 2;
+/// Part of the time to the deadline after which a silent canary is not waited
+/// for any longer.
+constexpr double kCanaryPatience = 0.25;
+constexpr absl::Duration kFirstBackoff = absl::Milliseconds(5);
+constexpr absl::Duration kMaxBackoff = absl::Milliseconds(80);
+constexpr int kMaxBackoffDoublings = 4;
+
+/// Whether asking the same replica for the same snapshot again is useless.
+bool IsLasting(AttemptOutcome outcome) {
+  return outcome == AttemptOutcome::kWrongVersion ||
+         outcome == AttemptOutcome::kWrongShard;
+}
+
+bool IsCrash(AttemptOutcome outcome) {
+  return outcome == AttemptOutcome::kConnectionLost;
+}
+
+absl::Duration Backoff(int rounds, std::mt19937_64& random) {
+  const int doublings = std::min(rounds, kMaxBackoffDoublings);
+  const absl::Duration full =
+      std::min(kMaxBackoff, kFirstBackoff * (1 << doublings));
+  // Half fixed and half random, so that queries refused together return apart.
+  const double jitter = static_cast<double>(random() % 1000) / 1000;
+  return full * 0.5 + full * 0.5 * jitter;
+}
+
+}  // namespace
+
+QueryRun::QueryRun(QueryPlan plan, QueryEnvironment environment, uint64_t seed)
+    : plan_(std::move(plan)),
+      environment_(std::move(environment)),
+      random_(seed),
+      shards_(plan_.shard_map.shards.size()),
+      tally_(plan_.shard_map),
+      unsettled_(shards_.size()) {}
+
+QueryActions QueryRun::Start(absl::Time now) {
+  QueryActions actions;
+  if (plan_.canary == CanaryMode::kAlways && shards_.size() > kMaxCrashes) {
+    canary_running_ = true;
+    canary_until_ = now + (plan_.deadline() - now) * kCanaryPatience;
+    StartShard(random_() % shards_.size(), now, actions);
+  } else {
+    StartRemaining(now, actions);
+  }
+  FinishIfSettled(actions);
+  return actions;
+}
+
+void QueryRun::StartRemaining(absl::Time now, QueryActions& actions) {
+  canary_running_ = false;
+  canary_until_ = absl::InfiniteFuture();
+  for (size_t i = 0; i < shards_.size(); ++i) {
+    if (!shards_[i].started) StartShard(i, now, actions);
+  }
+}
+
+void QueryRun::StartShard(size_t index, absl::Time now, QueryActions& actions) {
+  shards_[index].started = true;
+  environment_.hedge_budget.OnPrimary();
+  environment_.retry_budget.OnPrimary();
+  if (Send(index, false, now, actions)) return;
+  tally_.Missing(index, "no_replica");
+  shards_[index].retry_at = now + Backoff(0, random_);
+}
+
+std::vector<ReplicaView> QueryRun::Candidates(size_t index) const {
+  std::vector<ReplicaView> candidates;
+  for (const TargetId& target : plan_.shard_map.shards[index].replicas) {
+    if (shards_[index].tried.count(target) > 0) continue;
+    ReplicaView view = environment_.directory.View(target);
+    if (view.reachable) candidates.push_back(std::move(view));
+  }
+  return candidates;
+}
+
+bool QueryRun::Send(size_t index, bool hedge, absl::Time now,
+                    QueryActions& actions) {
+  const std::vector<ReplicaView> candidates = Candidates(index);
+  if (candidates.empty()) return false;
+  const TargetId& target =
+      candidates[environment_.picker.Pick(candidates, random_)].target;
+  ShardRun& shard = shards_[index];
+  const AttemptId attempt = environment_.next_attempt();
+  shard.tried.insert(target);
+  shard.running[attempt] = target;
+  shard.hedge_at = now + environment_.hedge_delay;
+  shard.retry_at = absl::InfiniteFuture();
+  attempts_[attempt] = index;
+  ++sent_;
+  actions.send.push_back({attempt, index, target, hedge});
+  return true;
+}
+
+QueryActions QueryRun::OnAnswer(const SubAnswer& answer, absl::Time now) {
+  QueryActions actions;
+  const auto found = attempts_.find(answer.attempt);
+  if (done_ || found == attempts_.end()) {
+    ++dropped_;
+    return actions;
+  }
+  const size_t index = found->second;
+  attempts_.erase(found);
+  shards_[index].running.erase(answer.attempt);
+  if (answer.not_run) ++proved_not_run_;
+  if (shards_[index].answered) return actions;
+  const AttemptOutcome outcome = Verify(answer, index);
+  if (outcome != AttemptOutcome::kDone) {
+    OnFailure(outcome, index, now, actions);
+  } else if (answer.complete) {
+    OnSuccess(answer, index, now, actions);
+  } else {
+    OnTruncated(answer, index, now, actions);
+  }
+  FinishIfSettled(actions);
+  return actions;
+}
+
+// An answer counts only if it is for this shard, of this snapshot, and holds
+// no key outside the range: a moved range shows itself in foreign keys.
+AttemptOutcome QueryRun::Verify(const SubAnswer& answer, size_t index) const {
+  if (answer.outcome != AttemptOutcome::kDone) return answer.outcome;
+  const Shard& shard = plan_.shard_map.shards[index];
+  if (answer.shard != shard.id) return AttemptOutcome::kWrongShard;
+  if (answer.index_version != plan_.snapshot.index_version) {
+    return AttemptOutcome::kWrongVersion;
+  }
+  const bool inside =
+      std::all_of(answer.hits.begin(), answer.hits.end(),
+                  [&](const SearchHit& hit) {
+                    return shard.range.Contains(hit.key);
+                  });
+  return inside ? AttemptOutcome::kDone : AttemptOutcome::kWrongShard;
+}
+
+void QueryRun::OnSuccess(const SubAnswer& answer, size_t index, absl::Time now,
+                         QueryActions& actions) {
+  ShardRun& shard = shards_[index];
+  CHERRYDYKE_INVARIANT(
+      answer.index_version == plan_.snapshot.index_version,
+      "every part of an answer is of the one index version it names");
+  shard.answered = true;
+  shard.hedge_at = absl::InfiniteFuture();
+  shard.retry_at = absl::InfiniteFuture();
+  tally_.Answered(index);
+  hits_.insert(hits_.end(), answer.hits.begin(), answer.hits.end());
+  for (const auto& [attempt, target] : shard.running) {
+    actions.cancel.push_back(attempt);
+    attempts_.erase(attempt);
+  }
+  shard.running.clear();
+  --unsettled_;
+  if (IsCanaryPhase()) StartRemaining(now, actions);
+}
+
+void QueryRun::OnTruncated(const SubAnswer& answer, size_t index,
+                           absl::Time now, QueryActions& actions) {
+  if (answer.hits.size() > shards_[index].truncated_hits.size()) {
+    shards_[index].truncated_hits = answer.hits;
+  }
+  tally_.Missing(index, "truncated");
+  ++shards_[index].lasting_failures;
+  Retry(index, now, actions);
+  if (IsCanaryPhase()) StartRemaining(now, actions);
+}
+
+void QueryRun::OnFailure(AttemptOutcome outcome, size_t index, absl::Time now,
+                         QueryActions& actions) {
+  ShardRun& shard = shards_[index];
+  if (shard.truncated_hits.empty()) tally_.Missing(index, ToString(outcome));
+  if (outcome == AttemptOutcome::kWrongVersion) version_gone_ = true;
+  if (outcome == AttemptOutcome::kQuarantined && IsCanaryPhase()) {
+    quarantined_ = true;
+    Finish(actions);
+    return;
+  }
+  if (IsCrash(outcome) && ++shard.crashes >= kMaxCrashes) {
+    tally_.Missing(index, "quarantined");
+    quarantined_ = quarantined_ || IsCanaryPhase();
+    if (quarantined_) {
+      Finish(actions);
+      return;
+    }
+    if (shard.running.empty()) GiveUp(index);
+    return;
+  }
+  if (IsLasting(outcome)) ++shard.lasting_failures;
+  Retry(index, now, actions);
+}
+
+void QueryRun::Retry(size_t index, absl::Time now, QueryActions& actions) {
+  ShardRun& shard = shards_[index];
+  if (!shard.running.empty()) return;
+  shard.hedge_at = absl::InfiniteFuture();
+  const bool another = !Candidates(index).empty();
+  if (another && environment_.retry_budget.TryTake() &&
+      Send(index, false, now, actions)) {
+    return;
+  }
+  if (shard.lasting_failures >= plan_.shard_map.shards[index].replicas.size()) {
+    GiveUp(index);
+    return;
+  }
+  // Every replica was tried, or the budget is spent: begin a new round later.
+  if (!another) shard.tried.clear();
+  shard.retry_at = now + Backoff(shard.rounds++, random_);
+}
+
+void QueryRun::HedgeDue(absl::Time now, QueryActions& actions) {
+  for (size_t i = 0; i < shards_.size(); ++i) {
+    ShardRun& shard = shards_[i];
+    if (shard.answered || shard.given_up) continue;
+    if (now >= shard.retry_at) {
+      shard.retry_at = absl::InfiniteFuture();
+      const bool sent =
+          environment_.retry_budget.TryTake() && Send(i, false, now, actions);
+      if (!sent) shard.retry_at = now + Backoff(shard.rounds++, random_);
+    }
+    if (now < shard.hedge_at) continue;
+    shard.hedge_at = absl::InfiniteFuture();
+    const bool may_hedge = shard.running.size() == 1 && shard.crashes == 0;
+    if (may_hedge && !Candidates(i).empty() &&
+        environment_.hedge_budget.TryTake()) {
+      Send(i, true, now, actions);
+      shard.hedge_at = absl::InfiniteFuture();
+    }
+  }
+}
+
+void QueryRun::GiveUp(size_t index) {
+  ShardRun& shard = shards_[index];
+  shard.given_up = true;
+  shard.hedge_at = absl::InfiniteFuture();
+  shard.retry_at = absl::InfiniteFuture();
+  --unsettled_;
+}
+
+QueryActions QueryRun::OnTimer(absl::Time now) {
+  QueryActions actions;
+  if (done_) return actions;
+  if (now >= plan_.deadline()) {
+    Finish(actions);
+    return actions;
+  }
+  HedgeDue(now, actions);
+  if (IsCanaryPhase() && now >= canary_until_) StartRemaining(now, actions);
+  FinishIfSettled(actions);
+  return actions;
+}
+
+absl::Time QueryRun::NextTimer() const {
+  absl::Time next = std::min(plan_.deadline(), canary_until_);
+  for (const ShardRun& shard : shards_) {
+    if (shard.answered || shard.given_up) continue;
+    next = std::min({next, shard.hedge_at, shard.retry_at});
+  }
+  return next;
+}
+
+void QueryRun::FinishIfSettled(QueryActions& actions) {
+  if (!done_ && unsettled_ == 0) Finish(actions);
+}
+
+void QueryRun::Finish(QueryActions& actions) {
+  done_ = true;
+  for (const auto& [attempt, index] : attempts_) {
+    actions.cancel.push_back(attempt);
+  }
+  attempts_.clear();
+}
+
+QueryResult QueryRun::TakeResult() {
+  QueryResult result;
+  result.snapshot = plan_.snapshot;
+  result.coverage = tally_.Compute();
+  result.hits = std::move(hits_);
+  for (ShardRun& shard : shards_) {
+    if (shard.answered) continue;
+    std::move(shard.truncated_hits.begin(), shard.truncated_hits.end(),
+              std::back_inserter(result.hits));
+  }
+  result.quarantined = quarantined_;
+  result.version_gone = version_gone_ && !result.coverage.complete;
+  result.attempts = sent_;
+  result.proved_not_run = proved_not_run_ == sent_;
+  return result;
+}
+
+}  // namespace cherrydyke
--- /dev/null
+++ b/libs/routing/src/replica_picker.cc
@@ -0,0 +1,73 @@
+#include "routing/replica_picker.h"
+
+#include <algorithm>
+
+#include "kernel/registry.h"
+
+namespace cherrydyke {
+namespace {
+
+/// Added to replicas elsewhere, where each hop costs about this much more.
+constexpr absl::Duration kRemotePenalty = absl::Milliseconds(2);
+constexpr absl::Duration kUnknownLatency = absl::Milliseconds(5);
+
+class RandomPicker : public ReplicaPicker {
+ public:
+  size_t Pick(const std::vector<ReplicaView>& candidates,
+              std::mt19937_64& random) const override {
+    return random() % candidates.size();
+  }
+};
+
+class LeastExpectedPicker : public ReplicaPicker {
+ public:
+  size_t Pick(const std::vector<ReplicaView>& candidates,
+              std::mt19937_64& /*random*/) const override {
+    const auto best =
+        std::min_element(candidates.begin(), candidates.end(),
+                         [](const ReplicaView& a, const ReplicaView& b) {
+                           return ExpectedLatency(a) < ExpectedLatency(b);
+                         });
+    return static_cast<size_t>(best - candidates.begin());
+  }
+};
+
+// The better of two random replicas: nearly as good as the best by stale
+// reports, without the herd that follows the best.
+class PickOfTwo : public ReplicaPicker {
+ public:
+  size_t Pick(const std::vector<ReplicaView>& candidates,
+              std::mt19937_64& random) const override {
+    const size_t first = random() % candidates.size();
+    if (candidates.size() == 1) return first;
+    size_t second = random() % (candidates.size() - 1);
+    if (second >= first) ++second;
+    return ExpectedLatency(candidates[second]) <
+                   ExpectedLatency(candidates[first])
+               ? second
+               : first;
+  }
+};
+
+}  // namespace
+
+absl::Duration ExpectedLatency(const ReplicaView& replica) {
+  const absl::Duration latency =
+      std::max(replica.latency, absl::ZeroDuration());
+  const absl::Duration base =
+      latency == absl::ZeroDuration() ? kUnknownLatency : latency;
+  const double rounds =
+      1.0 + static_cast<double>(replica.load) / std::max(replica.limit, 1);
+  const absl::Duration remote =
+      replica.same_domain ? absl::ZeroDuration() : kRemotePenalty;
+  return base * rounds + remote;
+}
+
+void RegisterReplicaPickers() {
+  static const Registration<ReplicaPicker, RandomPicker> random("random");
+  static const Registration<ReplicaPicker, LeastExpectedPicker> least(
+      "least_expected");
+  static const Registration<ReplicaPicker, PickOfTwo> two("pick_of_two");
+}
+
+}  // namespace cherrydyke
--- /dev/null
+++ b/libs/shares/src/limit_shares.cc
@@ -0,0 +1,194 @@
+#include "shares/limit_shares.h"
+
+#include <algorithm>
+
+#include "base/invariant.h"
+#include "membership/rendezvous.h"
+
+namespace cherrydyke {
+namespace {
+
+// Every host computes the same division: equal parts, and one unit more for
+// the first of the hosts in the entry's own rendezvous order.
+int HomeUnits(const HostId& self, const EntryName& entry, int units,
+              const std::vector<HostId>& members) {
+  const std::vector<HostId> ranked = RankByRendezvous(entry, members);
+  const auto found = std::find(ranked.begin(), ranked.end(), self);
+  if (found == ranked.end()) return 0;
+  const auto rank = static_cast<int>(found - ranked.begin());
+  const auto count = static_cast<int>(ranked.size());
+  return units / count + (rank < units % count ? 1 : 0);
+}
+
+}  // namespace
+
+void LimitShares::SetMembers(std::vector<HostId> members, absl::Time now) {
+  std::sort(members.begin(), members.end());
+  if (members == members_) return;
+  members_ = std::move(members);
+  members_since_ = now;
+  for (auto& [entry, share] : shares_) Divide(entry, share, now);
+}
+
+void LimitShares::Configure(const EntryName& entry, const EntryLimits& limits,
+                            absl::Time now) {
+  const auto [found, added] = shares_.try_emplace(entry);
+  Share& share = found->second;
+  if (added) share.tokens_at = now;
+  if (!added && share.limits == limits) return;
+  share.limits = limits;
+  Divide(entry, share, now);
+}
+
+void LimitShares::Divide(const EntryName& entry, Share& share, absl::Time now) {
+  Refresh(share, now);
+  share.pending_units =
+      HomeUnits(self_, entry, share.limits.concurrency, members_);
+  share.own_units = std::min(share.own_units, share.pending_units);
+  share.pending_from = members_since_ + options_.raise_delay;
+  Refresh(share, now);
+}
+
+void LimitShares::Refresh(Share& share, absl::Time now) {
+  if (now >= share.pending_from) {
+    share.own_units = share.pending_units;
+    share.pending_from = absl::InfiniteFuture();
+  }
+  share.lent.erase(
+      std::remove_if(share.lent.begin(), share.lent.end(),
+                     [now](const Loan& loan) { return loan.ends <= now; }),
+      share.lent.end());
+  for (auto it = share.borrowed.begin(); it != share.borrowed.end();) {
+    const bool over = it->second.ends <= now && it->second.in_use == 0;
+    it = over ? share.borrowed.erase(it) : std::next(it);
+  }
+  for (auto it = share.requests_sent.begin();
+       it != share.requests_sent.end();) {
+    const bool over = it->second + options_.lease <= now;
+    it = over ? share.requests_sent.erase(it) : std::next(it);
+  }
+}
+
+int LimitShares::Lent(const Share& share) const {
+  int units = 0;
+  for (const Loan& loan : share.lent) units += loan.units;
+  return units;
+}
+
+bool LimitShares::TakeToken(Share& share, absl::Time now) {
+  int units = share.own_units - Lent(share);
+  for (const auto& [id, loan] : share.borrowed) {
+    if (loan.ends > now) units += loan.units;
+  }
+  const double rate = share.limits.rate_per_s * std::max(units, 0) /
+                      std::max(share.limits.concurrency, 1);
+  const double depth =
+      std::max(1.0, rate * absl::ToDoubleSeconds(options_.burst));
+  const double gained = rate * absl::ToDoubleSeconds(now - share.tokens_at);
+  share.tokens = std::min(depth, share.tokens + gained);
+  share.tokens_at = now;
+  if (share.tokens < 1) return false;
+  share.tokens -= 1;
+  return true;
+}
+
+std::variant<LimitShares::Unit, LimitShares::Refusal> LimitShares::TryAcquire(
+    const EntryName& entry, absl::Duration hard_deadline, absl::Time now) {
+  const auto found = shares_.find(entry);
+  if (found == shares_.end()) return Refusal::kUnknownEntry;
+  Share& share = found->second;
+  Refresh(share, now);
+  const bool own_free = share.own_in_use < share.own_units - Lent(share);
+  uint64_t loan_id = 0;
+  if (!own_free) {
+    for (const auto& [id, loan] : share.borrowed) {
+      const bool outlasts = now + hard_deadline <= loan.ends;
+      if (outlasts && loan.in_use < loan.units) loan_id = id;
+    }
+    if (loan_id == 0) return Refusal::kConcurrency;
+  }
+  if (!TakeToken(share, now)) return Refusal::kRate;
+  if (loan_id == 0) {
+    ++share.own_in_use;
+  } else {
+    ++share.borrowed[loan_id].in_use;
+  }
+  return Unit{loan_id};
+}
+
+void LimitShares::Release(const EntryName& entry, Unit unit) {
+  const auto found = shares_.find(entry);
+  CHERRYDYKE_INVARIANT(found != shares_.end(), "a unit of a known entry");
+  Share& share = found->second;
+  if (unit.loan == 0) {
+    CHERRYDYKE_INVARIANT(share.own_in_use > 0, "a unit is released once");
+    --share.own_in_use;
+    return;
+  }
+  const auto loan = share.borrowed.find(unit.loan);
+  if (loan != share.borrowed.end()) --loan->second.in_use;
+}
+
+std::optional<LendRequest> LimitShares::MakeLendRequest(const EntryName& entry,
+                                                        absl::Time now) {
+  const auto found = shares_.find(entry);
+  if (found == shares_.end()) return std::nullopt;
+  Share& share = found->second;
+  Refresh(share, now);
+  const uint64_t request = ++last_request_;
+  share.requests_sent[request] = now;
+  const int wanted = std::max(1, share.limits.concurrency / 8);
+  return LendRequest{self_, request, entry, wanted};
+}
+
+std::optional<LendGrant> LimitShares::OnLendRequest(const LendRequest& request,
+                                                    absl::Time now) {
+  const auto found = shares_.find(request.entry);
+  if (found == shares_.end()) return std::nullopt;
+  Share& share = found->second;
+  Refresh(share, now);
+  const int spare = share.own_units - Lent(share) - share.own_in_use;
+  // Half of what is spare stays, so that two daemons do not take each other's
+  // last units in turn; a single spare unit is lent.
+  const int units = std::min(request.units, (spare + 1) / 2);
+  if (units <= 0) return std::nullopt;
+  share.lent.push_back({units, 0, now + options_.lease + options_.margin});
+  CHERRYDYKE_INVARIANT(share.own_in_use + Lent(share) <= share.own_units,
+                       "units in use and lent stay within the own share");
+  return LendGrant{request.request, request.entry, units,
+                   absl::ToInt64Microseconds(options_.lease)};
+}
+
+void LimitShares::OnLendGrant(const LendGrant& grant, absl::Time now) {
+  const auto found = shares_.find(grant.entry);
+  if (found == shares_.end()) return;
+  Share& share = found->second;
+  Refresh(share, now);
+  const auto sent = share.requests_sent.find(grant.request);
+  if (sent == share.requests_sent.end()) return;
+  const absl::Time ends = sent->second + absl::Microseconds(grant.lease_us);
+  share.requests_sent.erase(sent);
+  if (ends > now) share.borrowed[grant.request] = {grant.units, 0, ends};
+}
+
+int LimitShares::UsableUnits(const EntryName& entry, absl::Time now) {
+  const auto found = shares_.find(entry);
+  if (found == shares_.end()) return 0;
+  Share& share = found->second;
+  Refresh(share, now);
+  int units = share.own_units - Lent(share);
+  for (const auto& [id, loan] : share.borrowed) {
+    if (loan.ends > now) units += loan.units;
+  }
+  return units;
+}
+
+int LimitShares::InUse(const EntryName& entry) const {
+  const auto found = shares_.find(entry);
+  if (found == shares_.end()) return 0;
+  int in_use = found->second.own_in_use;
+  for (const auto& [id, loan] : found->second.borrowed) in_use += loan.in_use;
+  return in_use;
+}
+
+}  // namespace cherrydyke
--- /dev/null
+++ b/libs/shares/src/target_holdings.cc
@@ -0,0 +1,149 @@
+#include "shares/target_holdings.h"
+
+#include <algorithm>
+
+#include "base/invariant.h"
+#include "membership/rendezvous.h"
+
+namespace cherrydyke {
+
+TargetHoldings::TargetHoldings(HostId self, FailureDomainName failure_domain,
+                               Options options, absl::Time now)
+    : self_(std::move(self)),
+      failure_domain_(std::move(failure_domain)),
+      options_(options),
+      last_contact_(now),
+      settled_since_(absl::InfiniteFuture()) {}
+
+void TargetHoldings::OnHostList(const HostList& list, absl::Time now) {
+  if (list.revision <= revision_) return;
+  revision_ = list.revision;
+  newest_seen_ = std::max(newest_seen_, revision_);
+  const std::set<HostId> gates_before = std::move(gates_);
+  gates_.clear();
+  std::vector<TargetId> targets;
+  for (const Host& host : list.hosts) {
+    if (host.failure_domain != failure_domain_) continue;
+    if (host.kind == HostKind::kTarget) targets.push_back(host.id);
+    if (host.kind == HostKind::kEntry && host.state == HostState::kLive) {
+      gates_.insert(host.id);
+    }
+  }
+  home_.clear();
+  const std::vector<HostId> candidates(gates_.begin(), gates_.end());
+  for (const TargetId& target : targets) {
+    if (RendezvousWinner(target, candidates) == self_) home_.insert(target);
+  }
+  for (auto it = held_.begin(); it != held_.end();) {
+    it = IsHome(*it) ? std::next(it) : held_.erase(it);
+  }
+  const bool dropped = !std::includes(gates_.begin(), gates_.end(),
+                                      gates_before.begin(), gates_before.end());
+  drop_pending_ = drop_pending_ || dropped;
+  settled_since_ = absl::InfiniteFuture();
+  UpdateSettled(now);
+}
+
+void TargetHoldings::OnPeer(const HostId& peer, Incarnation incarnation,
+                            Revision hosts_revision, Revision settled_revision,
+                            absl::Time evidence, absl::Time now) {
+  if (gates_.count(peer) > 0) {
+    last_contact_ = std::max(last_contact_, evidence);
+  }
+  newest_seen_ = std::max(newest_seen_, hosts_revision);
+  Peer& known = peers_[peer];
+  if (known.incarnation != incarnation) {
+    known = {incarnation, hosts_revision, settled_revision, false};
+  } else {
+    known.hosts_revision = std::max(known.hosts_revision, hosts_revision);
+    known.settled_revision = std::max(known.settled_revision, settled_revision);
+    known.dead = false;
+  }
+  UpdateSettled(now);
+}
+
+void TargetHoldings::OnPeerDead(const HostId& peer, absl::Time now) {
+  peers_[peer].dead = true;
+  UpdateSettled(now);
+}
+
+void TargetHoldings::OnPlatformContact(absl::Time evidence) {
+  last_contact_ = std::max(last_contact_, evidence);
+}
+
+void TargetHoldings::UpdateSettled(absl::Time now) {
+  if (!AllSettled()) {
+    settled_since_ = absl::InfiniteFuture();
+  } else if (settled_since_ == absl::InfiniteFuture()) {
+    settled_since_ = now;
+  }
+}
+
+bool TargetHoldings::AllSettled() const {
+  if (revision_ == 0) return false;
+  return std::all_of(gates_.begin(), gates_.end(), [this](const HostId& gate) {
+    if (gate == self_) return true;
+    const auto found = peers_.find(gate);
+    if (found == peers_.end()) return false;
+    return found->second.dead || found->second.settled_revision >= revision_;
+  });
+}
+
+bool TargetHoldings::AllOthersDead() const {
+  return std::all_of(gates_.begin(), gates_.end(), [this](const HostId& gate) {
+    if (gate == self_) return true;
+    const auto found = peers_.find(gate);
+    return found != peers_.end() && found->second.dead;
+  });
+}
+
+bool TargetHoldings::Fenced(absl::Time now) const {
+  if (newest_seen_ > revision_) return true;
+  if (now - last_contact_ < options_.validity) return false;
+  return !AllOthersDead();
+}
+
+std::vector<TargetId> TargetHoldings::Advance(absl::Time now) {
+  std::vector<TargetId> taken;
+  if (settled_since_ == absl::InfiniteFuture() || Fenced(now)) return taken;
+  if (drop_pending_ && now - settled_since_ < options_.takeover_wait()) {
+    return taken;
+  }
+  drop_pending_ = false;
+  for (const TargetId& target : home_) {
+    if (held_.insert(target).second) taken.push_back(target);
+  }
+  return taken;
+}
+
+bool TargetHoldings::Holds(const TargetId& target, absl::Time now) const {
+  return held_.count(target) > 0 && !Fenced(now);
+}
+
+bool TargetHoldings::TryBegin(const TargetId& target, absl::Time now) {
+  if (!Holds(target, now)) return false;
+  CHERRYDYKE_INVARIANT(IsHome(target),
+                       "a gate sends only to targets of which it is the home");
+  ++running_[target];
+  return true;
+}
+
+void TargetHoldings::End(const TargetId& target) {
+  const auto found = running_.find(target);
+  CHERRYDYKE_INVARIANT(found != running_.end(),
+                       "a request ends only after it began");
+  if (--found->second == 0) running_.erase(found);
+}
+
+std::vector<TargetId> TargetHoldings::HomeTargets() const {
+  return {home_.begin(), home_.end()};
+}
+
+Revision TargetHoldings::settled_revision() const {
+  const bool all_home =
+      std::all_of(running_.begin(), running_.end(),
+                  [this](const auto& entry) { return IsHome(entry.first); });
+  return all_home ? revision_ : 0;
+}
+
+}  // namespace cherrydyke
--- /dev/null
+++ b/libs/targets/src/target_state.cc
@@ -0,0 +1,164 @@
+#include "targets/target_state.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "base/invariant.h"
+
+namespace cherrydyke {
+namespace {
+
+/// Weight of a new sample in the smoothed latency.
+constexpr double kLatencyWeight = 0.1;
+/// Without use, the smoothed latency holds for a while and then halves again
+/// and again.
+constexpr absl::Duration kLatencyHold = absl::Seconds(1);
+constexpr absl::Duration kLatencyHalfLife = absl::Seconds(2);
+/// Successes this many times slower than usual, so many in a row, are a sign of
+/// a cold target.
+constexpr double kFarOffFactor = 10;
+constexpr int kFarOffInARow = 5;
+constexpr absl::Duration kFarOffFloor = absl::Milliseconds(50);
+
+/// Whether the request may still run at the target after this outcome.
+bool MayStillRun(AttemptOutcome outcome) {
+  switch (outcome) {
+    case AttemptOutcome::kSilent:
+    case AttemptOutcome::kExpired:
+    case AttemptOutcome::kCancelled:
+    case AttemptOutcome::kConnectionLost:
+      return true;
+    default:
+      return false;
+  }
+}
+
+}  // namespace
+
+TargetState::TargetState(TargetLimits limits, absl::Time now)
+    : limits_(limits), limit_(limits.cold_concurrency), latency_at_(now) {}
+
+void TargetState::SetLimits(TargetLimits limits) {
+  limits_ = limits;
+  limit_ = std::min(limit_, limits_.slots);
+  if (cold_) limit_ = limits_.cold_concurrency;
+}
+
+int TargetState::Limit() const {
+  if (draining_) return 0;
+  return cold_ ? limits_.cold_concurrency : limit_;
+}
+
+TargetPhase TargetState::phase() const {
+  if (draining_) return TargetPhase::kDraining;
+  if (cold_) return TargetPhase::kCold;
+  return limit_ < limits_.slots ? TargetPhase::kWarming : TargetPhase::kWarm;
+}
+
+void TargetState::DropEndedGhosts(absl::Time now) {
+  ghosts_.erase(std::remove_if(ghosts_.begin(), ghosts_.end(),
+                               [now](absl::Time end) { return end <= now; }),
+                ghosts_.end());
+}
+
+int TargetState::InFlight(absl::Time now) {
+  DropEndedGhosts(now);
+  return running_ + static_cast<int>(ghosts_.size());
+}
+
+bool TargetState::TryStart(absl::Time now) {
+  if (InFlight(now) >= Limit()) return false;
+  ++running_;
+  CHERRYDYKE_INVARIANT(InFlight(now) <= Limit() && Limit() <= limits_.slots,
+                       "a target gets no more than its limit");
+  CHERRYDYKE_INVARIANT(!cold_ || InFlight(now) <= limits_.cold_concurrency,
+                       "a cold target gets no more than its allowance");
+  return true;
+}
+
+void TargetState::Abandon() {
+  CHERRYDYKE_INVARIANT(running_ > 0, "a request is abandoned after its start");
+  --running_;
+}
+
+void TargetState::Finish(AttemptOutcome outcome, absl::Duration latency,
+                         absl::Time deadline, absl::Time now) {
+  CHERRYDYKE_INVARIANT(running_ > 0, "a request finishes only after its start");
+  --running_;
+  if (MayStillRun(outcome) && deadline > now) ghosts_.push_back(deadline);
+  switch (outcome) {
+    case AttemptOutcome::kDone:
+      OnSuccess(latency);
+      ObserveLatency(latency, now);
+      break;
+    case AttemptOutcome::kSilent:
+    case AttemptOutcome::kExpired:
+    case AttemptOutcome::kCancelled:
+      // The answer would have taken longer still.
+      if (latency > latency_) ObserveLatency(latency, now);
+      break;
+    case AttemptOutcome::kCold:
+    case AttemptOutcome::kConnectionLost:
+    case AttemptOutcome::kUnreachable:
+      TurnCold();
+      break;
+    case AttemptOutcome::kShed:
+      StepBack();
+      break;
+    default:
+      break;
+  }
+}
+
+void TargetState::OnSuccess(absl::Duration latency) {
+  const absl::Duration far_off =
+      std::max(latency_ * kFarOffFactor, kFarOffFloor);
+  const bool slow = latency_ > absl::ZeroDuration() && latency > far_off;
+  slow_in_a_row_ = slow ? slow_in_a_row_ + 1 : 0;
+  if (slow_in_a_row_ >= kFarOffInARow) {
+    TurnCold();
+    return;
+  }
+  ++successes_;
+  if (cold_ && successes_ >= limits_.cold_successes) {
+    cold_ = false;
+    successes_ = 0;
+    limit_ = std::min(limits_.cold_concurrency + 1, limits_.slots);
+  } else if (!cold_ && limit_ < limits_.slots && successes_ >= limit_) {
+    ++limit_;
+    successes_ = 0;
+  }
+}
+
+void TargetState::ObserveLatency(absl::Duration latency, absl::Time now) {
+  const absl::Duration faded = this->latency(now);
+  latency_ = faded == absl::ZeroDuration()
+                 ? latency
+                 : faded * (1 - kLatencyWeight) + latency * kLatencyWeight;
+  latency_at_ = now;
+}
+
+absl::Duration TargetState::latency(absl::Time now) const {
+  const absl::Duration unused = now - latency_at_ - kLatencyHold;
+  if (unused <= absl::ZeroDuration()) return latency_;
+  return latency_ * std::exp2(-absl::FDivDuration(unused, kLatencyHalfLife));
+}
+
+void TargetState::StepBack() {
+  limit_ = std::max(limits_.cold_concurrency, limit_ - 1);
+  successes_ = 0;
+}
+
+void TargetState::TurnCold() {
+  cold_ = true;
+  limit_ = limits_.cold_concurrency;
+  successes_ = 0;
+  slow_in_a_row_ = 0;
+}
+
+void TargetState::OnIncarnation(const std::string& incarnation) {
+  if (incarnation_ != incarnation && !incarnation_.empty()) TurnCold();
+  incarnation_ = incarnation;
+}
+
+}  // namespace cherrydyke
--- /dev/null
+++ b/libs/telemetry/include/telemetry/metrics.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "absl/base/thread_annotations.h"
+#include "absl/synchronization/mutex.h"
+
+namespace cherrydyke {
+
+/// A count that only grows.
+class Counter {
+ public:
+  void Add(uint64_t amount = 1) {
+    value_.fetch_add(amount, std::memory_order_relaxed);
+  }
+  uint64_t value() const { return value_.load(std::memory_order_relaxed); }
+
+ private:
+  std::atomic<uint64_t> value_{0};
+};
+
+/// Quantiles, count and sum of a stream of values.
+class Summary {
+ public:
+  Summary();
+  ~Summary();
+
+  void Observe(double value);
+
+  struct Snapshot {
+    uint64_t count = 0;
+    double sum = 0;
+    double p50 = 0;
+    double p90 = 0;
+    double p99 = 0;
+  };
+  Snapshot snapshot() const;
+
+ private:
+  struct Accumulators;
+  mutable absl::Mutex mutex_;
+  std::unique_ptr<Accumulators> accumulators_ ABSL_GUARDED_BY(mutex_);
+};
+
+/// All metrics of a process, rendered in the Prometheus text format.
+///
+///     metrics.counter("cherrydyke_refusals_total", R"(reason="shed")").Add();
+class Metrics {
+ public:
+  /// @param labels label pairs in Prometheus syntax, or empty.
+  /// @return the counter, made at first use and valid as long as this object.
+  Counter& counter(const std::string& name, const std::string& labels = "");
+  Summary& summary(const std::string& name, const std::string& labels = "");
+
+  /// Registers a value read at each rendering.
+  void Gauge(const std::string& name, std::function<double()> read);
+
+  std::string Render() const;
+
+ private:
+  using Key = std::pair<std::string, std::string>;
+  mutable absl::Mutex mutex_;
+  std::map<Key, std::unique_ptr<Counter>> counters_ ABSL_GUARDED_BY(mutex_);
+  std::map<Key, std::unique_ptr<Summary>> summaries_ ABSL_GUARDED_BY(mutex_);
+  std::map<std::string, std::function<double()>> gauges_
+      ABSL_GUARDED_BY(mutex_);
+};
+
+}  // namespace cherrydyke
--- /dev/null
+++ b/libs/wire/include/wire/cut.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <memory>
+#include <set>
+#include <string>
+
+#include "absl/base/thread_annotations.h"
+#include "absl/synchronization/mutex.h"
+#include "wire/socket.h"
+
+namespace cherrydyke {
+
+/// Addresses that this process is cut off from. Only tests ever fill it.
+class CutSet {
+ public:
+  void Replace(std::set<std::string> addresses);
+  bool Contains(const std::string& address) const;
+
+ private:
+  mutable absl::Mutex mutex_;
+  std::set<std::string> addresses_ ABSL_GUARDED_BY(mutex_);
+};
+
+/// Makes streams to cut addresses go silent, as a network partition does:
+/// nothing is refused, nothing arrives, and a stream that lost bytes stays
+/// silent after the partition heals.
+class CutConnector : public Connector {
+ public:
+  CutConnector(std::unique_ptr<Connector> inner, const CutSet& cuts)
+      : inner_(std::move(inner)), cuts_(cuts) {}
+
+  std::variant<std::unique_ptr<Stream>, ConnectFailure> Connect(
+      const Endpoint& endpoint, absl::Duration timeout) override;
+  std::unique_ptr<Stream> Adopt(std::unique_ptr<Stream> accepted) override;
+
+ private:
+  std::unique_ptr<Connector> inner_;
+  const CutSet& cuts_;
+};
+
+/// Drops datagrams to and from cut addresses.
+class CutDatagramTransport : public DatagramTransport {
+ public:
+  CutDatagramTransport(std::unique_ptr<DatagramTransport> inner,
+                       const CutSet& cuts)
+      : inner_(std::move(inner)), cuts_(cuts) {}
+
+  void Send(const Endpoint& to, const std::string& payload) override;
+  bool Receive(Datagram& datagram, absl::Duration timeout) override;
+
+ private:
+  std::unique_ptr<DatagramTransport> inner_;
+  const CutSet& cuts_;
+};
+
+}  // namespace cherrydyke
--- /dev/null
+++ b/libs/wire/src/frame.cc
@@ -0,0 +1,174 @@
+#include "wire/frame.h"
+
+#include <arpa/inet.h>
+
+#include <array>
+#include <cstring>
+#include <exception>
+#include <sstream>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "boost/crc.hpp"
+#include "cereal/archives/portable_binary.hpp"
+#include "cereal/types/string.hpp"
+#include "cereal/types/vector.hpp"
+
+namespace cherrydyke {
+namespace {
+
+constexpr uint32_t kMagic = 0x43444b31;  // "CDK1"
+constexpr size_t kHeaderSize = 16;
+/// Time for the rest of a frame after its first bytes.
+constexpr absl::Duration kBodyTimeout = absl::Seconds(2);
+
+struct FrameHeader {
+  uint32_t magic = kMagic;
+  uint16_t version = kProtocolVersion;
+  uint16_t type = 0;
+  uint32_t length = 0;
+  uint32_t checksum = 0;
+};
+
+// The checksum covers version and type too, so that a damaged header cannot
+// hand a payload to the wrong decoder.
+uint32_t Checksum(const FrameHeader& header, const char* payload, size_t size) {
+  boost::crc_32_type crc;
+  crc.process_bytes(&header.version, sizeof(header.version));
+  crc.process_bytes(&header.type, sizeof(header.type));
+  crc.process_bytes(payload, size);
+  return crc.checksum();
+}
+
+void PutHeader(const FrameHeader& header, char* out) {
+  const uint32_t magic = htonl(header.magic);
+  const uint16_t version = htons(header.version);
+  const uint16_t type = htons(header.type);
+  const uint32_t length = htonl(header.length);
+  const uint32_t checksum = htonl(header.checksum);
+  std::memcpy(out, &magic, 4);
+  std::memcpy(out + 4, &version, 2);
+  std::memcpy(out + 6, &type, 2);
+  std::memcpy(out + 8, &length, 4);
+  std::memcpy(out + 12, &checksum, 4);
+}
+
+FrameHeader GetHeader(const char* in) {
+  FrameHeader header;
+  std::memcpy(&header.magic, in, 4);
+  std::memcpy(&header.version, in + 4, 2);
+  std::memcpy(&header.type, in + 6, 2);
+  std::memcpy(&header.length, in + 8, 4);
+  std::memcpy(&header.checksum, in + 12, 4);
+  header.magic = ntohl(header.magic);
+  header.version = ntohs(header.version);
+  header.type = ntohs(header.type);
+  header.length = ntohl(header.length);
+  header.checksum = ntohl(header.checksum);
+  return header;
+}
+
+Status CheckHeader(const FrameHeader& header) {
+  if (header.magic != kMagic) {
+    return Error{ErrorCode::kInvalidInput, "not a frame of this protocol"};
+  }
+  if (header.version != kProtocolVersion) {
+    return Error{ErrorCode::kVersionMismatch,
+                 absl::StrCat("peer speaks protocol version ", header.version,
+                              ", expected ", kProtocolVersion)};
+  }
+  if (header.length > kMaxFramePayload) {
+    return Error{ErrorCode::kInvalidInput,
+                 absl::StrCat("frame of ", header.length,
+                              " bytes, expected at most ", kMaxFramePayload)};
+  }
+  if (header.type >= std::variant_size_v<Message>) {
+    return Error{ErrorCode::kInvalidInput,
+                 absl::StrCat("unknown message type ", header.type)};
+  }
+  return OkStatus();
+}
+
+template <size_t... Index>
+Message EmptyMessage(size_t type, std::index_sequence<Index...> /*types*/) {
+  Message message;
+  ((type == Index ? static_cast<void>(message.emplace<Index>()) : void()), ...);
+  return message;
+}
+
+Result<Message> DecodePayload(const FrameHeader& header,
+                              const std::string& payload) {
+  if (Checksum(header, payload.data(), payload.size()) != header.checksum) {
+    return Error{ErrorCode::kInvalidInput, "frame checksum does not match"};
+  }
+  Message message = EmptyMessage(
+      header.type,
+      std::make_index_sequence<std::variant_size_v<Message>>());
+  // cereal reports malformed input by exception; it ends here.
+  try {
+    std::istringstream input(payload);
+    cereal::PortableBinaryInputArchive archive(input);
+    std::visit([&](auto& body) { archive(body); }, message);
+  } catch (const std::exception& error) {
+    return Error{ErrorCode::kInvalidInput,
+                 absl::StrCat("malformed message: ", error.what())};
+  }
+  return message;
+}
+
+}  // namespace
+
+std::string EncodeFrame(const Message& message) {
+  std::ostringstream output;
+  output.write(std::string(kHeaderSize, '\0').data(), kHeaderSize);
+  {
+    cereal::PortableBinaryOutputArchive archive(output);
+    std::visit([&](const auto& body) { archive(body); }, message);
+  }
+  std::string frame = output.str();
+  FrameHeader header;
+  header.type = static_cast<uint16_t>(message.index());
+  header.length = static_cast<uint32_t>(frame.size() - kHeaderSize);
+  header.checksum =
+      Checksum(header, frame.data() + kHeaderSize, header.length);
+  PutHeader(header, frame.data());
+  return frame;
+}
+
+Result<Message> DecodeFrame(const std::string& frame) {
+  if (frame.size() < kHeaderSize) {
+    return Error{ErrorCode::kInvalidInput, "shorter than a frame header"};
+  }
+  const FrameHeader header = GetHeader(frame.data());
+  if (const Status status = CheckHeader(header); GetError(status) != nullptr) {
+    return *GetError(status);
+  }
+  if (frame.size() != kHeaderSize + header.length) {
+    return Error{ErrorCode::kInvalidInput, "frame length does not match"};
+  }
+  return DecodePayload(header, frame.substr(kHeaderSize));
+}
+
+Result<Message> ReadFrame(Stream& stream, absl::Duration timeout) {
+  std::array<char, kHeaderSize> head{};
+  const StreamState state = stream.Read(head.data(), head.size(), timeout);
+  if (state == StreamState::kTimedOut) {
+    return Error{ErrorCode::kTimeout, "no frame in time"};
+  }
+  if (state == StreamState::kClosed) {
+    return Error{ErrorCode::kUnavailable, "peer closed the stream"};
+  }
+  const FrameHeader header = GetHeader(head.data());
+  if (const Status status = CheckHeader(header); GetError(status) != nullptr) {
+    return *GetError(status);
+  }
+  std::string payload(header.length, '\0');
+  if (header.length > 0 &&
+      stream.Read(payload.data(), payload.size(), kBodyTimeout) !=
+          StreamState::kOpen) {
+    return Error{ErrorCode::kUnavailable, "stream ended inside a frame"};
+  }
+  return DecodePayload(header, payload);
+}
+
+}  // namespace cherrydyke
--- /dev/null
+++ b/tests/support/process.cc
@@ -0,0 +1,87 @@
+#include "support/process.h"
+
+#include <fcntl.h>
+#include <poll.h>
+#include <signal.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <array>
+
+#include "absl/time/clock.h"
+
+extern char** environ;
+
+namespace cherrydyke {
+namespace {
+
+constexpr int kReadyTimeoutMs = 20'000;
+constexpr absl::Duration kWaitStep = absl::Milliseconds(10);
+
+}  // namespace
+
+Process::Process(const std::string& program, const std::string& config_file,
+                 const std::string& log_file) {
+  const std::string path = std::string(CHERRYDYKE_BIN_DIR) + "/" + program;
+  std::array<int, 2> output{};
+  if (pipe2(output.data(), O_CLOEXEC) != 0) return;
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  posix_spawn_file_actions_adddup2(&actions, output[1], STDOUT_FILENO);
+  posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, log_file.c_str(),
+                                   O_WRONLY | O_CREAT | O_APPEND, 0644);
+  std::string config_flag = "--config";
+  std::string path_argument = path;
+  std::string config = config_file;
+  std::array<char*, 4> arguments = {path_argument.data(), config_flag.data(),
+                                    config.data(), nullptr};
+  if (posix_spawn(&pid_, path.c_str(), &actions, nullptr, arguments.data(),
+                  environ) != 0) {
+    pid_ = -1;
+    ended_ = true;
+  }
+  posix_spawn_file_actions_destroy(&actions);
+  close(output[1]);
+  WaitReady(output[0]);
+  close(output[0]);
+}
+
+void Process::WaitReady(int fd) {
+  pollfd descriptor{fd, POLLIN, 0};
+  if (poll(&descriptor, 1, kReadyTimeoutMs) <= 0) return;
+  std::array<char, 512> line{};
+  ready_ = read(fd, line.data(), line.size()) > 0;
+}
+
+Process::~Process() { Kill(); }
+
+void Process::Signal(int signal) const {
+  if (!ended_) kill(pid_, signal);
+}
+
+void Process::Freeze() const { Signal(SIGSTOP); }
+void Process::Resume() const { Signal(SIGCONT); }
+
+void Process::Kill() {
+  if (ended_) return;
+  kill(pid_, SIGKILL);
+  waitpid(pid_, &status_, 0);
+  ended_ = true;
+}
+
+bool Process::Alive() {
+  if (ended_) return false;
+  ended_ = waitpid(pid_, &status_, WNOHANG) == pid_;
+  return !ended_;
+}
+
+std::optional<int> Process::Stop(absl::Duration limit) {
+  Signal(SIGTERM);
+  const absl::Time until = absl::Now() + limit;
+  while (Alive() && absl::Now() < until) absl::SleepFor(kWaitStep);
+  if (!ended_ || !WIFEXITED(status_)) return std::nullopt;
+  return WEXITSTATUS(status_);
+}
+
+}  // namespace cherrydyke
