Prove coverage, actions and configuration on the whole path

Real processes under kills, freezes, cuts, stale and absent platform, racing operators, vanishing versions and moved ranges; every answer is checked against what the stand-ins hold, and runs of actions are counted at the targets.

Cause: each attempt of an action opened a connection of its own and then kept it idle, until the stand-in's 48 connections were used up. Ruled out: too little time left at the last attempt (a least time to start was added, the failure stayed). Mended by dropping an idle connection for each new one, with the invariant that a target has no more connections from its gate than slots.

--- a/libs/catalogue/src/checks.cc
+++ b/libs/catalogue/src/checks.cc
@@ -20,6 +20,9 @@
 constexpr double kMaxRatePerS = 10'000'000;
 constexpr int64_t kMaxSlots = 1024;
 constexpr int64_t kMaxConnections = 100'000;
+/// Connections that a gate needs at a target beyond one for each slot: one to
+/// read the health and one to cancel.
+constexpr int64_t kOwnConnections = 2;
 constexpr int64_t kMaxColdSuccesses = 1'000'000;
 constexpr char kEntryPrefix[] = "entries/";
 constexpr char kServicePrefix[] = "services/";
@@ -171,8 +174,9 @@
   }
   std::sort(service.index_versions.begin(), service.index_versions.end());
   service.slots = static_cast<int>(fields.Integer("slots", 1, 1, kMaxSlots));
-  service.connections = static_cast<int>(
-      fields.Integer("connections", service.slots, 1, kMaxConnections));
+  const int64_t least_connections = service.slots + kOwnConnections;
+  service.connections = static_cast<int>(fields.Integer(
+      "connections", least_connections, least_connections, kMaxConnections));
   if (const json* cold = fields.Object("cold", false)) {
     JsonFields cold_fields(fields.PathOf("cold"), *cold, faults);
     service.cold.concurrency = static_cast<int>(
--- a/libs/gate/include/gate/target_runner.h
+++ b/libs/gate/include/gate/target_runner.h
@@ -91,6 +91,8 @@
   TargetReply Exchange(const TargetJob& job, TargetCall& call,
                        absl::Duration left, bool& reused);
   std::unique_ptr<TargetConnection> TakeConnection(bool fresh, bool& reused);
+  /// Closes idle connections beyond what the slots leave.
+  void TrimIdle() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   void FinishRun(const TargetJob& job, const TargetReply& reply,
                  absl::Duration latency, bool reused);
   void EnsureWorkers() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
@@ -110,6 +112,7 @@
   std::deque<TargetJob> queue_ ABSL_GUARDED_BY(mutex_);
   /// Running attempts: the entry's id to the id that the target knows.
   std::map<AttemptId, AttemptId> running_ ABSL_GUARDED_BY(mutex_);
+  int busy_connections_ ABSL_GUARDED_BY(mutex_) = 0;
   std::vector<IdleConnection> idle_ ABSL_GUARDED_BY(mutex_);
   std::vector<IndexVersion> versions_ ABSL_GUARDED_BY(mutex_);
   absl::Time drain_answer_at_ ABSL_GUARDED_BY(mutex_) = absl::InfinitePast();
--- a/libs/gate/src/target_runner.cc
+++ b/libs/gate/src/target_runner.cc
@@ -4,6 +4,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
+#include "base/invariant.h"
 #include "telemetry/log.h"
 
 namespace cherrydyke {
@@ -26,6 +27,10 @@
 constexpr double kSilenceQuantile = 0.99;
 constexpr int kSilenceWindow = 200;
 constexpr absl::Duration kInitialSilence = absl::Milliseconds(60);
+/// A request is not started with less time left than this: it would likely end
+/// without an answer, which for an action means an unknown outcome.
+constexpr absl::Duration kLeastTimeToSearch = absl::Milliseconds(1);
+constexpr absl::Duration kLeastTimeToAct = absl::Milliseconds(50);
 /// Answers wait this much longer than the deadline told to the target.
 constexpr absl::Duration kAnswerSlack = absl::Milliseconds(5);
 
@@ -117,7 +122,12 @@
 
 bool TargetRunner::ExpireFront(absl::Time now,
                                std::vector<TargetJob>& expired) {
-  if (queue_.empty() || queue_.front().deadline > now) return false;
+  if (queue_.empty()) return false;
+  const TargetJob& front = queue_.front();
+  const absl::Duration least = front.kind == TargetJob::Kind::kAct
+                                   ? kLeastTimeToAct
+                                   : kLeastTimeToSearch;
+  if (front.deadline - now >= least) return false;
   expired.push_back(std::move(queue_.front()));
   queue_.pop_front();
   return true;
@@ -166,6 +176,7 @@
                                  return idle.since < oldest;
                                }),
                 idle_.end());
+    ++busy_connections_;
     if (!fresh && !idle_.empty()) {
       std::unique_ptr<TargetConnection> connection =
           std::move(idle_.back().connection);
@@ -175,6 +186,12 @@
     }
   }
   reused = false;
+  {
+    // A new connection takes the place of an idle one, so that the target never
+    // has more of them from here than it has slots.
+    const absl::MutexLock lock(&mutex_);
+    TrimIdle();
+  }
   return environment_.protocol.Open(endpoint_, environment_.source_address);
 }
 
@@ -195,8 +212,10 @@
                       reply.outcome != AttemptOutcome::kUnreachable &&
                       reply.outcome != AttemptOutcome::kInvalidAnswer;
   const absl::MutexLock lock(&mutex_);
+  --busy_connections_;
   if (usable) {
     idle_.push_back({std::move(connection), environment_.clock.Now()});
+    TrimIdle();
   } else {
     // What silenced or broke this connection has likely done so to the others.
     idle_.clear();
@@ -204,6 +223,17 @@
   return reply;
 }
 
+void TargetRunner::TrimIdle() {
+  while (!idle_.empty() &&
+         busy_connections_ + static_cast<int>(idle_.size()) > slots_) {
+    idle_.erase(idle_.begin());
+  }
+  CHERRYDYKE_INVARIANT(
+      busy_connections_ + static_cast<int>(idle_.size()) <=
+          std::max(slots_, static_cast<int>(workers_.size())),
+      "a target has no more connections from its gate than slots");
+}
+
 void TargetRunner::Run(TargetJob job) {
   TargetCall call = job.call;
   call.attempt = environment_.next_attempt();
--- /dev/null
+++ b/tests/whole_path/actions_test.cc
@@ -0,0 +1,205 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <atomic>
+#include <thread>
+
+#include "absl/strings/str_cat.h"
+#include "absl/time/clock.h"
+#include "support/whole_path.h"
+
+namespace cherrydyke {
+namespace {
+
+using nlohmann::json;
+
+constexpr absl::Duration kCallTimeout = absl::Seconds(8);
+
+struct IssuedTicket {
+  std::string text;
+  HostId gate;
+};
+
+}  // namespace
+
+// Promises 6 and 7: "not run" is true, and an action runs at most once.
+class ActionsWholePathTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ActionsWholePathTest);
+  CPPUNIT_TEST(ResendThroughAnotherEntryRunsOnce);
+  CPPUNIT_TEST(GateKilledBeforeDuringAndAfterTheRun);
+  CPPUNIT_TEST(GateFrozenWhileTheCallerSendsAgain);
+  CPPUNIT_TEST(LostAnswerIsUnknownAndStaysSo);
+  CPPUNIT_TEST(NotRunIsTrueUnderShedding);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void ResendThroughAnotherEntryRunsOnce() {
+    const auto cluster = StartCluster(DeskSpec());
+    const IssuedTicket ticket = Ticket(*cluster, "a0");
+    std::vector<std::thread> callers;
+    std::atomic<int> done{0};
+    for (const HostId& host : cluster->hosts()) {
+      callers.emplace_back([&, host] {
+        for (int i = 0; i < 3; ++i) {
+          if (Act(*cluster, host, ticket, "a0") == "done") ++done;
+        }
+      });
+    }
+    for (std::thread& caller : callers) caller.join();
+    CPPUNIT_ASSERT_EQUAL(18, done.load());
+    CPPUNIT_ASSERT_EQUAL(int64_t{1}, cluster->SumStats("actions"));
+    CPPUNIT_ASSERT(MostRuns(*cluster) <= 1);
+  }
+
+  void GateKilledBeforeDuringAndAfterTheRun() {
+    const auto cluster = StartCluster(DeskSpec());
+    for (const TargetId& target : cluster->targets("desk")) {
+      cluster->Fault(target, {{"straggle_ms", 150}});
+    }
+    // The kill comes before the action, while it runs, and after its end.
+    for (const int delay_ms : {-1, 60, 400}) {
+      const std::string key = "a0";
+      const IssuedTicket ticket = Ticket(*cluster, key);
+      if (delay_ms < 0) cluster->gate(ticket.gate).Kill();
+      std::string outcome;
+      std::thread caller([&] {
+        outcome = Act(*cluster, OtherHost(*cluster, ticket.gate), ticket, key);
+      });
+      if (delay_ms >= 0) {
+        absl::SleepFor(absl::Milliseconds(delay_ms));
+        cluster->gate(ticket.gate).Kill();
+      }
+      caller.join();
+      cluster->StartGate(ticket.gate);
+      WaitForGates(*cluster);
+      for (const HostId& host : cluster->hosts()) {
+        const std::string again = Act(*cluster, host, ticket, key);
+        // The new incarnation knows nothing of the ticket and never runs it.
+        CPPUNIT_ASSERT_EQUAL(std::string("unknown"), again);
+      }
+      if (delay_ms < 0) CPPUNIT_ASSERT_EQUAL(std::string("unknown"), outcome);
+      if (delay_ms == 400) CPPUNIT_ASSERT_EQUAL(std::string("done"), outcome);
+      CPPUNIT_ASSERT(MostRuns(*cluster) <= 1);
+    }
+  }
+
+  void GateFrozenWhileTheCallerSendsAgain() {
+    const auto cluster = StartCluster(DeskSpec());
+    const IssuedTicket ticket = Ticket(*cluster, "a0");
+    cluster->gate(ticket.gate).Freeze();
+    const HostId other = OtherHost(*cluster, ticket.gate);
+    for (int i = 0; i < 3; ++i) {
+      CPPUNIT_ASSERT_EQUAL(std::string("unknown"),
+                           Act(*cluster, other, ticket, "a0"));
+    }
+    // What the gate reads on waking is old; it runs it at most once.
+    cluster->gate(ticket.gate).Resume();
+    WaitForGates(*cluster);
+    std::string outcome;
+    CPPUNIT_ASSERT(WaitUntil([&] {
+      outcome = Act(*cluster, other, ticket, "a0");
+      return outcome != "unknown";
+    }));
+    const int64_t runs = cluster->SumStats("actions");
+    CPPUNIT_ASSERT_EQUAL(outcome == "done" ? int64_t{1} : int64_t{0}, runs);
+    CPPUNIT_ASSERT(MostRuns(*cluster) <= 1);
+  }
+
+  void LostAnswerIsUnknownAndStaysSo() {
+    const auto cluster = StartCluster(DeskSpec());
+    for (const TargetId& target : cluster->targets("desk")) {
+      cluster->Fault(target, {{"drop_on", "lose-me"}});
+    }
+    const IssuedTicket ticket = Ticket(*cluster, "a0");
+    for (const HostId& host : cluster->hosts()) {
+      CPPUNIT_ASSERT_EQUAL(std::string("unknown"),
+                           Act(*cluster, host, ticket, "a0", "lose-me"));
+    }
+    CPPUNIT_ASSERT_EQUAL(int64_t{1}, cluster->SumStats("actions"));
+  }
+
+  void NotRunIsTrueUnderShedding() {
+    const auto cluster = StartCluster(DeskSpec());
+    for (const TargetId& target : cluster->targets("desk")) {
+      cluster->Fault(target, {{"shed", true}});
+    }
+    std::vector<std::string> voided;
+    for (int i = 0; i < 3; ++i) {
+      const IssuedTicket ticket = Ticket(*cluster, "a0");
+      CPPUNIT_ASSERT_EQUAL(std::string("not_run"),
+                           Act(*cluster, "sofia-1", ticket, "a0"));
+      voided.push_back(ticket.text);
+    }
+    for (const TargetId& target : cluster->targets("desk")) {
+      cluster->Fault(target, {{"shed", false}});
+    }
+    // What was said stays true: a voided ticket runs nothing later either.
+    for (const std::string& text : voided) {
+      CPPUNIT_ASSERT_EQUAL(std::string("not_run"),
+                           Act(*cluster, "varna-1", {text, ""}, "a0"));
+    }
+    CPPUNIT_ASSERT_EQUAL(int64_t{0}, cluster->SumStats("actions"));
+  }
+
+ private:
+  static IssuedTicket Ticket(Cluster& cluster, const std::string& key) {
+    IssuedTicket issued;
+    CPPUNIT_ASSERT(WaitUntil([&] {
+      const JsonAnswer answer =
+          cluster.Post(cluster.EntryHttp("sofia-1"), "/v1/tickets",
+                       {{"entry", "refund"}, {"key", key}});
+      issued.text = answer.body.value("ticket", "");
+      return answer.status == 200;
+    }));
+    issued.gate = issued.text.substr(0, issued.text.find('.'));
+    return issued;
+  }
+
+  static std::string Act(Cluster& cluster, const HostId& host,
+                         const IssuedTicket& ticket, const std::string& key,
+                         const std::string& note = "") {
+    const JsonAnswer answer =
+        cluster.Post(cluster.EntryHttp(host), "/v1/actions",
+                     {{"ticket", ticket.text},
+                      {"entry", "refund"},
+                      {"key", key},
+                      {"payload", {{"note", note}}}},
+                     kCallTimeout);
+    return answer.body.is_object() ? answer.body.value("outcome", "") : "";
+  }
+
+  static HostId OtherHost(const Cluster& cluster, const HostId& host) {
+    for (const HostId& other : cluster.hosts()) {
+      if (other != host) return other;
+    }
+    return "";
+  }
+
+  static void WaitForGates(Cluster& cluster) {
+    CPPUNIT_ASSERT(WaitUntil([&] {
+      for (const HostId& host : cluster.hosts()) {
+        const JsonAnswer status =
+            cluster.Get(cluster.EntryHttp(host), "/v1/status");
+        if (status.body.value("gates_connected", size_t{0}) !=
+            cluster.hosts().size()) {
+          return false;
+        }
+      }
+      return true;
+    }));
+  }
+
+  static int64_t MostRuns(Cluster& cluster) {
+    int64_t most = 0;
+    for (const TargetId& target : cluster.targets("desk")) {
+      const JsonAnswer stats =
+          cluster.Get(cluster.TargetHttp(target), "/stats");
+      most =
+          std::max(most, stats.body.value("most_runs_of_a_ticket", int64_t{0}));
+    }
+    return most;
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ActionsWholePathTest);
+
+}  // namespace cherrydyke
--- /dev/null
+++ b/tests/whole_path/config_test.cc
@@ -0,0 +1,202 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <atomic>
+#include <thread>
+
+#include "absl/time/clock.h"
+#include "support/whole_path.h"
+
+namespace cherrydyke {
+namespace {
+
+using nlohmann::json;
+
+/// Stated by the users: a change is in force everywhere within this time.
+constexpr absl::Duration kInForce = absl::Seconds(12);
+
+}  // namespace
+
+// Promise 9: an accepted configuration is in force everywhere within seconds
+// and never reverts.
+class ConfigWholePathTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ConfigWholePathTest);
+  CPPUNIT_TEST(ChangesReachEveryDaemonAndNeverRevert);
+  CPPUNIT_TEST(CutDomainAndStalePlatformDoNotRevert);
+  CPPUNIT_TEST(InvalidChangeRetireAndRecreate);
+  CPPUNIT_TEST(FreshDaemonDuringOutageTakesThePeersRevision);
+  CPPUNIT_TEST(PlatformCallsDoNotGrowWithDaemons);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void ChangesReachEveryDaemonAndNeverRevert() {
+    const auto cluster = StartCluster(DeskSpec());
+    std::atomic<bool> stop{false};
+    std::string reverted;
+    std::thread watcher([&] { reverted = WatchForReverts(*cluster, stop); });
+    // Two operators race; restarts go on meanwhile.
+    std::thread one([&] { Publish(*cluster, "one", 8); });
+    std::thread two([&] { Publish(*cluster, "two", 8); });
+    cluster->gate("sofia-1").Kill();
+    cluster->StartGate("sofia-1");
+    cluster->entry("varna-2").Kill();
+    cluster->StartEntry("varna-2");
+    one.join();
+    two.join();
+    const Revision last = PublishEntry(*cluster, "last", 77);
+    CPPUNIT_ASSERT(
+        WaitUntil([&] { return InForce(*cluster, last); }, kInForce));
+    stop = true;
+    watcher.join();
+    CPPUNIT_ASSERT_EQUAL(std::string(), reverted);
+  }
+
+  void CutDomainAndStalePlatformDoNotRevert() {
+    const auto cluster = StartCluster(DeskSpec());
+    std::atomic<bool> stop{false};
+    std::string reverted;
+    std::thread watcher([&] { reverted = WatchForReverts(*cluster, stop); });
+    cluster->PlatformFault({{"stale", true}});
+    const Revision hidden = PublishEntry(*cluster, "hidden", 5);
+    cluster->Cut({"varna-1", "varna-2"},
+                 {"sofia-1", "sofia-2", "plovdiv-1", "plovdiv-2"});
+    cluster->PlatformFault({{"stale", false}});
+    CPPUNIT_ASSERT(
+        WaitUntil([&] { return InForce(*cluster, hidden); }, kInForce));
+    // The platform goes back to what it showed before; nobody follows it.
+    cluster->PlatformFault({{"stale", true}});
+    cluster->gate("sofia-2").Kill();
+    cluster->StartGate("sofia-2");
+    cluster->Cut({}, {});
+    CPPUNIT_ASSERT(
+        WaitUntil([&] { return InForce(*cluster, hidden); }, kInForce));
+    stop = true;
+    watcher.join();
+    CPPUNIT_ASSERT_EQUAL(std::string(), reverted);
+  }
+
+  void InvalidChangeRetireAndRecreate() {
+    const auto cluster = StartCluster(DeskSpec());
+    PublishEntry(*cluster, "fair", 10);
+    json invalid = cluster->catalogue()["entries/desk"];
+    invalid["class"] = "quick";
+    const Revision refused =
+        cluster->PublishCatalogue({{"entries/fair", invalid}});
+    CPPUNIT_ASSERT(
+        WaitUntil([&] { return InForce(*cluster, refused); }, kInForce));
+    for (const HostId& host : cluster->hosts()) {
+      const JsonAnswer status =
+          cluster->Get(cluster->GateHttp(host), "/v1/status");
+      CPPUNIT_ASSERT_EQUAL(size_t{1}, status.body["refused_changes"].size());
+      CPPUNIT_ASSERT_EQUAL(
+          200, cluster->Query(host, "fair", {{"term", "a"}}).status);
+    }
+    const Revision retired =
+        cluster->PublishCatalogue({{"entries/fair", nullptr}});
+    CPPUNIT_ASSERT(
+        WaitUntil([&] { return InForce(*cluster, retired); }, kInForce));
+    CPPUNIT_ASSERT_EQUAL(
+        410, cluster->Query("sofia-1", "fair", {{"term", "a"}}).status);
+    CPPUNIT_ASSERT_EQUAL(
+        404, cluster->Query("sofia-1", "never", {{"term", "a"}}).status);
+    const Revision again = PublishEntry(*cluster, "fair", 10);
+    CPPUNIT_ASSERT(
+        WaitUntil([&] { return InForce(*cluster, again); }, kInForce));
+    CPPUNIT_ASSERT_EQUAL(
+        200, cluster->Query("sofia-1", "fair", {{"term", "a"}}).status);
+  }
+
+  void FreshDaemonDuringOutageTakesThePeersRevision() {
+    const auto cluster = StartCluster(DeskSpec());
+    const Revision last = PublishEntry(*cluster, "last", 7);
+    CPPUNIT_ASSERT(
+        WaitUntil([&] { return InForce(*cluster, last); }, kInForce));
+    cluster->PlatformFault({{"down", true}});
+    cluster->entry("plovdiv-1").Kill();
+    cluster->StartEntry("plovdiv-1");
+    CPPUNIT_ASSERT(WaitUntil([&] {
+      return cluster->Get(cluster->EntryHttp("plovdiv-1"), "/readyz").status ==
+             200;
+    }));
+    CPPUNIT_ASSERT(IsWhole(
+        cluster->Query("plovdiv-1", "last", {{"term", "a"}, {"every", 16}}),
+        {"a", 16}));
+  }
+
+  void PlatformCallsDoNotGrowWithDaemons() {
+    int64_t calls[2] = {0, 0};
+    for (const int hosts : {2, 6}) {
+      ClusterSpec spec = DeskSpec();
+      spec.domains = {"Sofia"};
+      spec.hosts_per_domain = hosts;
+      const auto cluster = StartCluster(spec);
+      const int64_t before = Calls(*cluster);
+      Publish(*cluster, "many", 20);
+      calls[hosts == 6] = Calls(*cluster) - before;
+    }
+    // Two watchers a failure domain, one call for each change they see.
+    CPPUNIT_ASSERT(calls[0] > 0 && calls[1] > 0);
+    CPPUNIT_ASSERT(calls[0] <= 2 * 20 + 12);
+    CPPUNIT_ASSERT(calls[1] <= 2 * 20 + 12);
+  }
+
+ private:
+  static Revision PublishEntry(Cluster& cluster, const std::string& name,
+                               int concurrency) {
+    json entry = cluster.catalogue()["entries/desk"];
+    entry["limits"]["concurrency"] = concurrency;
+    return cluster.PublishCatalogue({{"entries/" + name, entry}});
+  }
+
+  static void Publish(Cluster& cluster, const std::string& name, int changes) {
+    for (int i = 0; i < changes; ++i) {
+      PublishEntry(cluster, name, 10 + i);
+      absl::SleepFor(absl::Milliseconds(100));
+    }
+  }
+
+  static int64_t Calls(Cluster& cluster) {
+    return cluster.Get(cluster.PlatformHttp(), "/stats")
+        .body.value("calls", int64_t{0});
+  }
+
+  static Revision RevisionAt(Cluster& cluster, const Endpoint& http) {
+    const JsonAnswer status = cluster.Get(http, "/v1/status");
+    return status.status == 200
+               ? status.body.value("catalogue_revision", Revision{0})
+               : 0;
+  }
+
+  static bool InForce(Cluster& cluster, Revision revision) {
+    for (const HostId& host : cluster.hosts()) {
+      if (RevisionAt(cluster, cluster.EntryHttp(host)) < revision) return false;
+      if (RevisionAt(cluster, cluster.GateHttp(host)) < revision) return false;
+    }
+    return true;
+  }
+
+  // Reads revisions until told to stop. A daemon may answer 0 only while it is
+  // down or has just started, when it is not ready and serves nothing.
+  static std::string WatchForReverts(Cluster& cluster,
+                                     const std::atomic<bool>& stop) {
+    std::map<Endpoint, Revision> highest;
+    std::string found;
+    while (!stop) {
+      for (const HostId& host : cluster.hosts()) {
+        for (const Endpoint& http :
+             {cluster.EntryHttp(host), cluster.GateHttp(host)}) {
+          const bool ready = cluster.Get(http, "/readyz").status == 200;
+          const Revision revision = RevisionAt(cluster, http);
+          if (!ready || revision == 0) continue;
+          if (revision < highest[http]) found = host + " reverted";
+          highest[http] = std::max(highest[http], revision);
+        }
+      }
+      absl::SleepFor(absl::Milliseconds(20));
+    }
+    return found;
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ConfigWholePathTest);
+
+}  // namespace cherrydyke
--- /dev/null
+++ b/tests/whole_path/coverage_test.cc
@@ -0,0 +1,147 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "absl/time/clock.h"
+#include "support/whole_path.h"
+
+namespace cherrydyke {
+namespace {
+
+using nlohmann::json;
+
+// The shards of one target as `/fault` takes them, in other versions or ranges.
+json ShardsOf(const json& shard_map, const TargetId& target,
+              const std::vector<int>& versions) {
+  json shards = json::array();
+  for (const json& shard : shard_map["shards"]) {
+    for (const json& replica : shard["replicas"]) {
+      if (replica != target) continue;
+      shards.push_back({{"shard", shard["shard"]},
+                        {"range", shard["range"]},
+                        {"index_versions", versions}});
+    }
+  }
+  return shards;
+}
+
+}  // namespace
+
+// Promises 1, 2 and 5: one snapshot, true coverage, the whole answer to its own
+// request.
+class CoverageWholePathTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(CoverageWholePathTest);
+  CPPUNIT_TEST(LostShardIsNamed);
+  CPPUNIT_TEST(LyingAndLateTargetsNeverMakeFalseComplete);
+  CPPUNIT_TEST(VersionsChangeUnderQueries);
+  CPPUNIT_TEST(RepartitionUnderQueriesWithALostReplica);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void LostShardIsNamed() {
+    const auto cluster = StartCluster(DeskSpec());
+    CPPUNIT_ASSERT(IsWhole(Ask(*cluster, "a"), {"a", 16}));
+    const json shard = Map(*cluster)["shards"][1];
+    for (const json& replica : shard["replicas"]) {
+      cluster->target(replica.get<TargetId>()).Kill();
+    }
+    const JsonAnswer answer = Ask(*cluster, "b");
+    CPPUNIT_ASSERT_EQUAL(200, answer.status);
+    CPPUNIT_ASSERT_EQUAL(std::string(), CheckAnswer(answer.text, {"b", 16}));
+    const json& missing = answer.body["coverage"]["missing"];
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, missing.size());
+    CPPUNIT_ASSERT(missing[0]["shard"] == shard["shard"]);
+    CPPUNIT_ASSERT(missing[0]["range"] == shard["range"]);
+    CPPUNIT_ASSERT(missing[0]["reason"] == "unreachable");
+  }
+
+  void LyingAndLateTargetsNeverMakeFalseComplete() {
+    const auto cluster = StartCluster(DeskSpec());
+    CPPUNIT_ASSERT(cluster->WarmUp("desk", "desk"));
+    const std::vector<json> faults = {
+        {{"truncate", true}},
+        {{"truncate", false}, {"wrong_attempt_id", true}},
+        {{"wrong_attempt_id", false}, {"late_ms", 900}},
+        {{"late_ms", 0}, {"health_lie", "draining"}, {"straggle_ms", 60}}};
+    const TargetId first = cluster->targets("desk").front();
+    BackgroundLoad load(*cluster, PlanOf("desk", 40, 6));
+    for (const json& fault : faults) {
+      absl::SleepFor(absl::Seconds(1));
+      cluster->Fault(first, fault);
+    }
+    const LoadReport report = load.Join();
+    CPPUNIT_ASSERT_EQUAL(std::string(), FirstFault(report));
+    CPPUNIT_ASSERT(report.all.complete > 0);
+    CPPUNIT_ASSERT_EQUAL(int64_t{0}, report.all.cut);
+  }
+
+  void VersionsChangeUnderQueries() {
+    const auto cluster = StartCluster(DeskSpec());
+    CPPUNIT_ASSERT(cluster->WarmUp("desk", "desk"));
+    BackgroundLoad load(*cluster, PlanOf("desk", 40, 8));
+    for (int version = 42; version <= 44; ++version) {
+      // Targets move one by one; the old version vanishes at once.
+      for (const TargetId& target : cluster->targets("desk")) {
+        cluster->Fault(
+            target, {{"shards", ShardsOf(Map(*cluster), target, {version})}});
+        absl::SleepFor(absl::Milliseconds(150));
+      }
+      json service = cluster->catalogue()["services/desk"];
+      service["index_versions"] = {version};
+      cluster->PublishCatalogue({{"services/desk", service}});
+      absl::SleepFor(absl::Milliseconds(800));
+    }
+    const LoadReport report = load.Join();
+    CPPUNIT_ASSERT_EQUAL(std::string(), FirstFault(report));
+    CPPUNIT_ASSERT(WaitUntil([&] {
+      const JsonAnswer answer = Ask(*cluster, "end");
+      return IsWhole(answer, {"end", 16}) &&
+             answer.body["snapshot"]["index_version"] == 44;
+    }));
+  }
+
+  void RepartitionUnderQueriesWithALostReplica() {
+    const auto cluster = StartCluster(DeskSpec());
+    CPPUNIT_ASSERT(cluster->WarmUp("desk", "desk"));
+    BackgroundLoad load(*cluster, PlanOf("desk", 40, 8));
+    absl::SleepFor(absl::Seconds(1));
+    json service = cluster->catalogue()["services/desk"];
+    json& shards = service["shard_map"]["shards"];
+    const TargetId lost = shards[2]["replicas"][0].get<TargetId>();
+    cluster->target(lost).Kill();
+    // The border between the first two shards moves twice.
+    for (const char* border : {"3000", "6000"}) {
+      service["shard_map"]["version"] =
+          service["shard_map"]["version"].get<int>() + 1;
+      shards[0]["range"][1] = border;
+      shards[1]["range"][0] = border;
+      for (const TargetId& target : cluster->targets("desk")) {
+        if (target == lost) continue;
+        cluster->Fault(
+            target, {{"shards", ShardsOf(service["shard_map"], target, {41})}});
+        absl::SleepFor(absl::Milliseconds(100));
+      }
+      cluster->PublishCatalogue({{"services/desk", service}});
+      absl::SleepFor(absl::Seconds(1));
+    }
+    const LoadReport report = load.Join();
+    CPPUNIT_ASSERT_EQUAL(std::string(), FirstFault(report));
+    CPPUNIT_ASSERT(WaitUntil([&] {
+      const JsonAnswer answer = Ask(*cluster, "end");
+      return IsWhole(answer, {"end", 16}) &&
+             answer.body["snapshot"]["shard_map"] ==
+                 service["shard_map"]["version"];
+    }));
+  }
+
+ private:
+  static JsonAnswer Ask(Cluster& cluster, const std::string& term) {
+    return cluster.Query("sofia-1", "desk", {{"term", term}, {"every", 16}});
+  }
+
+  static const json& Map(Cluster& cluster) {
+    return cluster.catalogue()["services/desk"]["shard_map"];
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CoverageWholePathTest);
+
+}  // namespace cherrydyke
