--- a/daemons/entry/main.cc
+++ b/daemons/entry/main.cc
@@ -34,7 +34,9 @@
         incarnation_(NewIncarnation()),
         spans_(kMaxSpans),
         connector_(std::make_unique<TcpConnector>(settings.address), cuts_),
-        platform_(MakeHttpPlatform(settings.platform, settings.address)),
+        platform_(MakeCutPlatform(
+            MakeHttpPlatform(settings.platform, settings.address),
+            settings.platform, cuts_)),
         directory_(settings.failure_domain, clock_),
         desk_({settings.host_id, settings.admission.max_concurrent,
                settings.admission.owner_reserve},
--- a/daemons/gate/main.cc
+++ b/daemons/gate/main.cc
@@ -28,7 +28,9 @@
         incarnation_(NewIncarnation()),
         spans_(kMaxSpans),
         connector_(std::make_unique<TcpConnector>(settings.address), cuts_),
-        platform_(MakeHttpPlatform(settings.platform, settings.address)),
+        platform_(MakeCutPlatform(
+            MakeHttpPlatform(settings.platform, settings.address),
+            settings.platform, cuts_)),
         protocol_(
             Registry<TargetProtocol>::Get().Create(settings.target_protocol)),
         holdings_(settings.host_id, settings.failure_domain, clock_),
--- a/fakes/target/target_model.cc
+++ b/fakes/target/target_model.cc
@@ -97,6 +97,7 @@
     return Refuse(cold_ ? "cold" : "shed", cold_ ? 503 : 429);
   }
   ++in_flight_;
+  max_in_flight_ = std::max(max_in_flight_, in_flight_);
   return std::nullopt;
 }
 
@@ -322,6 +323,7 @@
                     {"arrived", arrived_},
                     {"served", served_},
                     {"in_flight", in_flight_},
+                    {"max_in_flight", max_in_flight_},
                     {"over_cold", over_cold_},
                     {"over_slots", over_slots_},
                     {"while_draining", while_draining_},
--- a/fakes/target/target_model.h
+++ b/fakes/target/target_model.h
@@ -92,6 +92,7 @@
   bool cold_ ABSL_GUARDED_BY(mutex_) = true;
   int successes_ ABSL_GUARDED_BY(mutex_) = 0;
   int in_flight_ ABSL_GUARDED_BY(mutex_) = 0;
+  int max_in_flight_ ABSL_GUARDED_BY(mutex_) = 0;
   std::set<std::string> cancelled_ ABSL_GUARDED_BY(mutex_);
   std::set<std::string> peers_seen_ ABSL_GUARDED_BY(mutex_);
   std::set<std::string> silent_peers_ ABSL_GUARDED_BY(mutex_);
--- a/libs/adapters/include/adapters/http_client.h
+++ b/libs/adapters/include/adapters/http_client.h
@@ -41,6 +41,9 @@
   Outcome Post(const std::string& path, const std::string& body,
                const Headers& headers, absl::Duration timeout);
 
+  /// @return whether the connection is open and the peer has not ended it.
+  bool IsOpen() const;
+
   /// Closes the connection; the next request makes a new one.
   void Close();
 
--- a/libs/adapters/include/adapters/platform.h
+++ b/libs/adapters/include/adapters/platform.h
@@ -8,6 +8,7 @@
 #include "base/result.h"
 #include "catalogue/config_store.h"
 #include "catalogue/host_list.h"
+#include "wire/cut.h"
 
 namespace cherrydyke {
 
@@ -33,4 +34,9 @@
 std::unique_ptr<Platform> MakeHttpPlatform(const Endpoint& endpoint,
                                            const std::string& source);
 
+/// Makes the platform unreachable while its address is cut off; for tests.
+std::unique_ptr<Platform> MakeCutPlatform(std::unique_ptr<Platform> inner,
+                                          const Endpoint& endpoint,
+                                          const CutSet& cuts);
+
 }  // namespace cherrydyke
--- a/libs/adapters/include/adapters/target_protocol.h
+++ b/libs/adapters/include/adapters/target_protocol.h
@@ -62,6 +62,9 @@
   virtual TargetReply Act(const TargetCall& call, absl::Duration wait) = 0;
   virtual std::optional<TargetHealth> Health(absl::Duration wait) = 0;
   virtual void Cancel(const AttemptId& attempt, absl::Duration wait) = 0;
+  /// @return whether the connection was used and the target has not ended it
+  /// since: a target that restarted ends all of its connections.
+  virtual bool IsOpen() const = 0;
 };
 
 /// A protocol that targets speak; the narrow interface to the back ends.
--- a/libs/adapters/src/http_client.cc
+++ b/libs/adapters/src/http_client.cc
@@ -1,6 +1,9 @@
 #include "adapters/http_client.h"
 
+#include <sys/socket.h>
+
 #include <algorithm>
+#include <cerrno>
 
 #include "absl/strings/ascii.h"
 #include "absl/time/clock.h"
@@ -91,6 +94,14 @@
   return FromLibrary(result, absl::Now() - start, timeout);
 }
 
+bool HttpClient::IsOpen() const {
+  if (impl_->client.is_socket_open() == 0) return false;
+  char byte = 0;
+  const ssize_t peeked =
+      recv(impl_->client.socket(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return peeked > 0 || (peeked < 0 && (errno == EAGAIN || errno == EINTR));
+}
+
 void HttpClient::Close() { impl_->client.stop(); }
 
 }  // namespace cherrydyke
--- a/libs/adapters/src/http_platform.cc
+++ b/libs/adapters/src/http_platform.cc
@@ -2,6 +2,7 @@
 #include "adapters/http_client.h"
 #include "adapters/platform.h"
 #include "nlohmann/json.hpp"
+#include "wire/socket.h"
 
 namespace cherrydyke {
 namespace {
@@ -95,8 +96,46 @@
   HttpClient hosts_client_;
 };
 
+class CutPlatform : public Platform {
+ public:
+  CutPlatform(std::unique_ptr<Platform> inner, std::string address,
+              const CutSet& cuts)
+      : inner_(std::move(inner)), address_(std::move(address)), cuts_(cuts) {}
+
+  Result<PlatformConfig> ReadConfig(Revision since,
+                                    absl::Duration wait) override {
+    if (cuts_.Contains(address_)) return Unreachable();
+    Result<PlatformConfig> read = inner_->ReadConfig(since, wait);
+    if (cuts_.Contains(address_)) return Unreachable();
+    return read;
+  }
+
+  Result<HostList> ReadHosts(Revision since, absl::Duration wait) override {
+    if (cuts_.Contains(address_)) return Unreachable();
+    Result<HostList> read = inner_->ReadHosts(since, wait);
+    if (cuts_.Contains(address_)) return Unreachable();
+    return read;
+  }
+
+ private:
+  static Error Unreachable() {
+    return {ErrorCode::kUnavailable, "the platform is cut off"};
+  }
+
+  std::unique_ptr<Platform> inner_;
+  const std::string address_;
+  const CutSet& cuts_;
+};
+
 }  // namespace
 
+std::unique_ptr<Platform> MakeCutPlatform(std::unique_ptr<Platform> inner,
+                                          const Endpoint& endpoint,
+                                          const CutSet& cuts) {
+  return std::make_unique<CutPlatform>(std::move(inner), AddressOf(endpoint),
+                                       cuts);
+}
+
 std::unique_ptr<Platform> MakeHttpPlatform(const Endpoint& endpoint,
                                            const std::string& source) {
   return std::make_unique<HttpPlatform>(endpoint, source);
--- a/libs/adapters/src/http_server.cc
+++ b/libs/adapters/src/http_server.cc
@@ -1,9 +1,13 @@
 #include "adapters/http_server.h"
 
+#include <netinet/in.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <atomic>
 #include <cctype>
+#include <chrono>
 #include <thread>
 
 #include "absl/strings/ascii.h"
@@ -15,6 +19,7 @@
 
 constexpr int kListenBacklog = 1024;
 constexpr time_t kIdleSeconds = 30;
+constexpr std::chrono::milliseconds kCloseStep(50);
 constexpr size_t kRequestsPerConnection = 1'000'000;
 
 HttpRequest FromLibrary(const httplib::Request& from) {
@@ -45,6 +50,26 @@
   to.set_content(from.body, from.content_type);
 }
 
+bool IsLocalPort(int fd, int port) {
+  sockaddr_in local{};
+  socklen_t length = sizeof(local);
+  const int got = getsockname(fd, reinterpret_cast<sockaddr*>(&local), &length);
+  return got == 0 && local.sin_family == AF_INET &&
+         ntohs(local.sin_port) == port;
+}
+
+// The library waits for idle keep-alive connections until their timeout and
+// offers no way to end them. Closing the reading side of every accepted socket
+// ends the idle ones; answers under way are still written.
+void EndIdleConnections(int port) {
+  rlimit files{};
+  getrlimit(RLIMIT_NOFILE, &files);
+  const int limit = static_cast<int>(std::min<rlim_t>(files.rlim_cur, 65'536));
+  for (int fd = 0; fd < limit; ++fd) {
+    if (IsLocalPort(fd, port)) shutdown(fd, SHUT_RD);
+  }
+}
+
 httplib::Server::Handler Wrap(HttpServer::Handler handler) {
   return [handler = std::move(handler)](const httplib::Request& request,
                                         httplib::Response& response) {
@@ -68,6 +93,7 @@
 struct HttpServer::Impl {
   httplib::Server server;
   int listen_fd = -1;
+  int port = 0;
   std::thread thread;
 };
 
@@ -121,6 +147,7 @@
     return Error{ErrorCode::kUnavailable,
                  absl::StrCat("cannot listen on ", address, ":", port)};
   }
+  impl_->port = bound;
   // The library's own backlog is 5, too short for a burst of callers.
   listen(impl_->listen_fd, kListenBacklog);
   impl_->thread = std::thread([&server] { server.listen_after_bind(); });
@@ -131,7 +158,16 @@
 void HttpServer::Stop() {
   if (!impl_->thread.joinable()) return;
   impl_->server.stop();
+  std::atomic<bool> ended{false};
+  std::thread closer([this, &ended] {
+    while (!ended) {
+      EndIdleConnections(impl_->port);
+      std::this_thread::sleep_for(kCloseStep);
+    }
+  });
   impl_->thread.join();
+  ended = true;
+  closer.join();
 }
 
 }  // namespace cherrydyke
--- a/libs/adapters/src/http_target.cc
+++ b/libs/adapters/src/http_target.cc
@@ -177,6 +177,8 @@
     }
   }
 
+  bool IsOpen() const override { return client_.IsOpen(); }
+
   void Cancel(const AttemptId& attempt, absl::Duration wait) override {
     client_.Post("/cancel", R"({"attempt_id":")" + attempt.ToString() + R"("})",
                  {}, wait);
--- a/libs/gate/include/gate/target_runner.h
+++ b/libs/gate/include/gate/target_runner.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -82,9 +83,15 @@
     absl::Time since;
   };
 
+  /// @param broken set if the probing connection was found ended.
+  std::optional<TargetHealth> ReadHealth(bool& broken)
+      ABSL_LOCKS_EXCLUDED(probe_mutex_);
   void Work();
   /// Waits for a job that may start now; takes a slot for it.
   bool NextJob(TargetJob& job);
+  /// Treats the target as cold if a connection that it should have kept is
+  /// found ended: it may have started again.
+  void CheckContinuity() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   bool ExpireFront(absl::Time now, std::vector<TargetJob>& expired)
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   void Run(TargetJob job);
@@ -119,7 +126,9 @@
   uint64_t successes_ ABSL_GUARDED_BY(mutex_) = 0;
   uint64_t successes_at_probe_ ABSL_GUARDED_BY(mutex_) = 0;
   std::vector<std::thread> workers_ ABSL_GUARDED_BY(mutex_);
-  std::unique_ptr<TargetConnection> probe_connection_;
+  absl::Mutex probe_mutex_;
+  std::unique_ptr<TargetConnection> probe_connection_
+      ABSL_GUARDED_BY(probe_mutex_);
 };
 
 }  // namespace cherrydyke
--- a/libs/gate/src/target_runner.cc
+++ b/libs/gate/src/target_runner.cc
@@ -146,6 +146,7 @@
       }
       const absl::Time now = environment_.clock.Now();
       if (ExpireFront(now, expired)) continue;
+      CheckContinuity();
       if (!state_.TryStart(now)) {
         changed_.WaitWithTimeout(&mutex_, kSlotStep);
         continue;
@@ -166,16 +167,35 @@
   return found || NextJob(job);
 }
 
+void TargetRunner::CheckContinuity() {
+  const absl::Time oldest = environment_.clock.Now() - kIdleLife;
+  idle_.erase(std::remove_if(idle_.begin(), idle_.end(),
+                             [oldest](const IdleConnection& idle) {
+                               return idle.since < oldest;
+                             }),
+              idle_.end());
+  const size_t young = idle_.size();
+  idle_.erase(std::remove_if(idle_.begin(), idle_.end(),
+                             [](const IdleConnection& idle) {
+                               return !idle.connection->IsOpen();
+                             }),
+              idle_.end());
+  bool broken = idle_.size() < young;
+  // The prober's connection speaks for a target that is seldom asked. While the
+  // prober itself uses it, it finds out what this would.
+  if (probe_mutex_.TryLock()) {
+    broken = broken ||
+             (probe_connection_ != nullptr && !probe_connection_->IsOpen());
+    if (broken) probe_connection_ = nullptr;
+    probe_mutex_.Unlock();
+  }
+  if (broken) state_.TurnCold();
+}
+
 std::unique_ptr<TargetConnection> TargetRunner::TakeConnection(bool fresh,
                                                                bool& reused) {
   {
     const absl::MutexLock lock(&mutex_);
-    const absl::Time oldest = environment_.clock.Now() - kIdleLife;
-    idle_.erase(std::remove_if(idle_.begin(), idle_.end(),
-                               [oldest](const IdleConnection& idle) {
-                                 return idle.since < oldest;
-                               }),
-                idle_.end());
     ++busy_connections_;
     if (!fresh && !idle_.empty()) {
       std::unique_ptr<TargetConnection> connection =
@@ -302,17 +322,24 @@
   changed_.SignalAll();
 }
 
-void TargetRunner::Probe() {
+std::optional<TargetHealth> TargetRunner::ReadHealth(bool& broken) {
+  const absl::MutexLock lock(&probe_mutex_);
   if (probe_connection_ == nullptr) {
     probe_connection_ =
         environment_.protocol.Open(endpoint_, environment_.source_address);
+  } else {
+    broken = !probe_connection_->IsOpen();
   }
-  const std::optional<TargetHealth> health =
-      probe_connection_->Health(kProbeTimeout);
-  if (!health) {
-    probe_connection_ = nullptr;
-    return;
-  }
+  std::optional<TargetHealth> health = probe_connection_->Health(kProbeTimeout);
+  if (!health) probe_connection_ = nullptr;
+  return health;
+}
+
+void TargetRunner::Probe() {
+  bool broken = false;
+  const std::optional<TargetHealth> health = ReadHealth(broken);
+  if (broken) TurnCold();
+  if (!health) return;
   const absl::MutexLock lock(&mutex_);
   state_.OnIncarnation(health->incarnation);
   versions_ = health->versions;
--- a/tests/support/cluster.cc
+++ b/tests/support/cluster.cc
@@ -378,6 +378,14 @@
   }
 }
 
+void Cluster::CutPlatform(const std::vector<HostId>& hosts) {
+  const json body = {{"addresses", {AddressOf(platform_endpoint_)}}};
+  for (const HostId& host : hosts) {
+    Post(EntryHttp(host), "/debug/cut", body);
+    Post(GateHttp(host), "/debug/cut", body);
+  }
+}
+
 int64_t Cluster::SumStats(const std::string& name) {
   int64_t sum = 0;
   for (const auto& [id, process] : targets_) {
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -117,6 +117,9 @@
   /// empty lists heal everything.
   void Cut(const std::vector<HostId>& a, const std::vector<HostId>& b);
 
+  /// Cuts the daemons of the hosts off from the platform, beside nothing else.
+  void CutPlatform(const std::vector<HostId>& hosts);
+
   /// Sum of one counter of `/stats` over all targets that answer.
   int64_t SumStats(const std::string& name);
 
--- /dev/null
+++ b/tests/whole_path/input_test.cc
@@ -0,0 +1,141 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <fstream>
+#include <random>
+
+#include "absl/strings/str_cat.h"
+#include "support/whole_path.h"
+#include "wire/frame.h"
+
+namespace cherrydyke {
+namespace {
+
+constexpr int kGarbageRounds = 300;
+constexpr int64_t kMaxGrowthKb = 20'000;
+
+int64_t ResidentKb(pid_t pid) {
+  std::ifstream status(absl::StrCat("/proc/", pid, "/status"));
+  std::string word;
+  int64_t value = 0;
+  while (status >> word) {
+    if (word == "VmRSS:") status >> value;
+  }
+  return value;
+}
+
+std::string Garbage(std::mt19937_64& random) {
+  std::string bytes(random() % 600, '\0');
+  for (char& byte : bytes) byte = static_cast<char>(random());
+  return bytes;
+}
+
+// A frame with some bytes changed, its checksum as it was.
+std::string DamagedFrame(std::mt19937_64& random) {
+  std::string frame = EncodeFrame(Hello{"stranger", 1});
+  frame[random() % frame.size()] = static_cast<char>(random());
+  return frame;
+}
+
+}  // namespace
+
+// Bad input gets a clear error or a counted drop, never a crash or a leak.
+class InputWholePathTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(InputWholePathTest);
+  CPPUNIT_TEST(GarbageOnEveryPort);
+  CPPUNIT_TEST(BadRequestsAreNamed);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void GarbageOnEveryPort() {
+    const auto cluster = StartCluster(OneHost());
+    const std::string address = cluster->AddressOfHost("sofia-1");
+    std::mt19937_64 random(20261204);
+    TcpConnector connector("127.0.0.1");
+    const auto gossip = GetValue(UdpTransport::Open("127.0.0.1", 0));
+    std::string other_version = EncodeFrame(Hello{"stranger", 1});
+    other_version[5] = static_cast<char>(kProtocolVersion + 1);
+    const pid_t gate = cluster->gate("sofia-1").pid();
+    const pid_t entry = cluster->entry("sofia-1").pid();
+    const int64_t before = ResidentKb(gate) + ResidentKb(entry);
+    for (int round = 0; round < kGarbageRounds; ++round) {
+      const std::string bytes = round % 3 == 0   ? Garbage(random)
+                                : round % 3 == 1 ? DamagedFrame(random)
+                                                 : other_version;
+      for (int port = cluster->gate_link_port();
+           port <= cluster->entry_gossip_port() + 1; ++port) {
+        const Endpoint to = MakeEndpoint(address, port);
+        gossip->Send(to, bytes);
+        auto connected = connector.Connect(to, absl::Seconds(1));
+        auto* stream = std::get_if<std::unique_ptr<Stream>>(&connected);
+        CPPUNIT_ASSERT(stream != nullptr);
+        (*stream)->Write(bytes.data(), bytes.size());
+      }
+    }
+    CPPUNIT_ASSERT(cluster->gate("sofia-1").Alive());
+    CPPUNIT_ASSERT(cluster->entry("sofia-1").Alive());
+    CPPUNIT_ASSERT(IsWhole(Ask(*cluster), {"a", 16}));
+    const int64_t after = ResidentKb(gate) + ResidentKb(entry);
+    CPPUNIT_ASSERT(after - before < kMaxGrowthKb);
+    CPPUNIT_ASSERT(WaitUntil([&] {
+      const std::string metrics =
+          cluster->Get(cluster->GateHttp("sofia-1"), "/metrics").text;
+      return metrics.find("cherrydyke_link_faults_total") !=
+                 std::string::npos &&
+             metrics.find("cherrydyke_gossip_faults_total") !=
+                 std::string::npos;
+    }));
+  }
+
+  void BadRequestsAreNamed() {
+    const auto cluster = StartCluster(OneHost());
+    const Endpoint http = cluster->EntryHttp("sofia-1");
+    struct Case {
+      std::string path;
+      std::string body;
+      int status;
+      std::string reason;
+    };
+    const std::vector<Case> cases = {
+        {"/v1/query", "{", 400, "malformed"},
+        {"/v1/query", R"({"entry":"desk"})", 400, "malformed"},
+        {"/v1/query", R"({"entry":"none","query":{}})", 404, "unknown_entry"},
+        {"/v1/query", R"({"entry":"refund","query":{}})", 400,
+         "wrong_entry_kind"},
+        {"/v1/query", std::string(2 << 20, ' '), 413, "body_too_large"},
+        {"/v1/query", std::string(100'000, '['), 400, "malformed"},
+        {"/v1/tickets", R"({"entry":"desk","key":"a0"})", 400,
+         "wrong_entry_kind"},
+        {"/v1/actions", R"({"entry":"refund","key":"a0","ticket":"x"})", 400,
+         "malformed_ticket"},
+        {"/v1/actions",
+         R"({"entry":"refund","key":"a0","ticket":"sofia-1.0000000000000001.0000000000000001"})",
+         409, "unknown_ticket"},
+        {"/v1/nothing", "{}", 404, "unknown_path"}};
+    for (const Case& bad : cases) {
+      const HttpClient::Outcome outcome =
+          HttpClient(http).Post(bad.path, bad.body, {}, absl::Seconds(5));
+      const auto* reply = std::get_if<HttpReply>(&outcome);
+      CPPUNIT_ASSERT(reply != nullptr);
+      CPPUNIT_ASSERT_EQUAL(bad.status, reply->status);
+      CPPUNIT_ASSERT(reply->body.find("\"" + bad.reason + "\"") !=
+                     std::string::npos);
+    }
+    CPPUNIT_ASSERT(IsWhole(Ask(*cluster), {"a", 16}));
+  }
+
+ private:
+  static ClusterSpec OneHost() {
+    ClusterSpec spec = DeskSpec();
+    spec.domains = {"Sofia"};
+    spec.hosts_per_domain = 1;
+    return spec;
+  }
+
+  static JsonAnswer Ask(Cluster& cluster) {
+    return cluster.Query("sofia-1", "desk", {{"term", "a"}, {"every", 16}});
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(InputWholePathTest);
+
+}  // namespace cherrydyke
--- /dev/null
+++ b/tests/whole_path/limits_test.cc
@@ -0,0 +1,114 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "absl/time/clock.h"
+#include "support/whole_path.h"
+
+namespace cherrydyke {
+namespace {
+
+constexpr int kConcurrency = 6;
+constexpr double kRate = 40;
+
+// One shard on one target with room, so that what runs there at once is what
+// all entries together let in.
+ClusterSpec LimitedSpec() {
+  ClusterSpec spec;
+  ServiceSpec service;
+  service.name = "narrow";
+  service.targets = 1;
+  service.shards = 1;
+  service.replicas = 1;
+  service.slots = 32;
+  service.cold_concurrency = 32;
+  service.cold_successes = 1;
+  service.service_ms = 100;
+  spec.services = {service};
+  EntrySpec narrow;
+  narrow.name = "narrow";
+  narrow.service = "narrow";
+  narrow.concurrency = kConcurrency;
+  narrow.canary = "never";
+  EntrySpec rated = narrow;
+  rated.name = "rated";
+  rated.concurrency = 60;
+  rated.rate_per_s = kRate;
+  EntrySpec other = narrow;
+  other.name = "other";
+  other.owner = "retornos";
+  other.concurrency = 60;
+  spec.entries = {narrow, rated, other};
+  spec.extra_settings = "[routing]\nhedge_ratio = 0\n";
+  return spec;
+}
+
+int64_t MaxInFlight(Cluster& cluster) {
+  return cluster.Get(cluster.TargetHttp("narrow-t0"), "/stats")
+      .body.value("max_in_flight", int64_t{0});
+}
+
+}  // namespace
+
+// Promise 10: limits hold across daemons; one owner's overload does not harm
+// the other's.
+class LimitsWholePathTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(LimitsWholePathTest);
+  CPPUNIT_TEST(ConcurrencyHoldsOverTheFleet);
+  CPPUNIT_TEST(BusyEntryBorrowsFromIdleOnes);
+  CPPUNIT_TEST(RateHoldsOverTheFleet);
+  CPPUNIT_TEST(OneOwnersOverloadLeavesTheOthersRequests);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void ConcurrencyHoldsOverTheFleet() {
+    const auto cluster = StartCluster(LimitedSpec());
+    BackgroundLoad load(*cluster, PlanOf("narrow", 300, 8));
+    absl::SleepFor(absl::Seconds(2));
+    cluster->entry("sofia-1").Kill();
+    cluster->StartEntry("sofia-1");
+    cluster->entry("varna-1").Freeze();
+    absl::SleepFor(absl::Seconds(3));
+    cluster->entry("varna-1").Resume();
+    const LoadReport report = load.Join();
+    CPPUNIT_ASSERT(report.all.answered > 0);
+    CPPUNIT_ASSERT(MaxInFlight(*cluster) <= kConcurrency);
+  }
+
+  void BusyEntryBorrowsFromIdleOnes() {
+    const auto cluster = StartCluster(LimitedSpec());
+    LoadPlan plan = PlanOf("narrow", 100, 6);
+    plan.entries = {cluster->EntryHttp("sofia-1")};
+    const LoadReport report = MakeReport(RunLoad(plan));
+    CPPUNIT_ASSERT(MaxInFlight(*cluster) <= kConcurrency);
+    // Its own share is one unit of six, good for ten requests a second.
+    CPPUNIT_ASSERT(report.answered_per_s > 20);
+  }
+
+  void RateHoldsOverTheFleet() {
+    const auto cluster = StartCluster(LimitedSpec());
+    constexpr double kSeconds = 8;
+    BackgroundLoad load(*cluster, PlanOf("rated", 200, kSeconds));
+    const LoadReport report = load.Join();
+    // Each of the six hosts may add a burst of at least one request.
+    CPPUNIT_ASSERT(report.all.answered <= kRate * kSeconds + kRate / 4 + 12);
+    CPPUNIT_ASSERT(report.all.answered >= kRate * kSeconds / 2);
+    CPPUNIT_ASSERT(report.all.refusals.count("rate_limit") > 0);
+  }
+
+  void OneOwnersOverloadLeavesTheOthersRequests() {
+    ClusterSpec spec = LimitedSpec();
+    spec.services[0].service_ms = 30;
+    spec.extra_settings += "[admission]\nmax_concurrent = 8\n";
+    const auto cluster = StartCluster(spec);
+    BackgroundLoad flood(*cluster, PlanOf("narrow", 400, 6));
+    absl::SleepFor(absl::Seconds(1));
+    BackgroundLoad quiet(*cluster, PlanOf("other", 10, 4));
+    const LoadReport report = quiet.Join();
+    flood.Join();
+    CPPUNIT_ASSERT(report.all.requests > 0);
+    CPPUNIT_ASSERT_EQUAL(report.all.requests, report.all.complete);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LimitsWholePathTest);
+
+}  // namespace cherrydyke
