Share the frame of both daemons and of both stand-ins; hedge at the 99th percentile

(a) Hedging at the learned 95th percentile asks for hedges of 5% of sub-requests when nothing is wrong, which uses up the budget of 4% and leaves none for a straggler. (b) A cancelled loser kept its slot until its deadline although the target had answered. (c) A reused connection counted as silent after 60 ms, which a straggler reaches, so its connections were thrown away. Changed: the 99th percentile, a budget that saves up 30, no ghost after an answer, and 150 ms before a connection counts as silent.

Also: runners of targets that belong to other gates are stopped (their threads were kept for ever), retired entries leave the shares, and the daemons' and stand-ins' mains lost what stood twice.

--- a/daemons/entry/main.cc
+++ b/daemons/entry/main.cc
@@ -5,7 +5,7 @@
 #include "adapters/caller_json.h"
 #include "entry/action_service.h"
 #include "entry/query_service.h"
-#include "hosting/control_plane.h"
+#include "hosting/daemon.h"
 #include "hosting/program.h"
 #include "kernel/registry.h"
 #include "nlohmann/json.hpp"
@@ -27,16 +27,10 @@
 constexpr int kSpareThreads = 128;
 
 /// Wires the parts of an entry together and serves callers.
-class EntryDaemon {
+class EntryDaemon : public Daemon {
  public:
   explicit EntryDaemon(const DaemonSettings& settings)
-      : settings_(settings),
-        incarnation_(NewIncarnation()),
-        spans_(kMaxSpans),
-        connector_(std::make_unique<TcpConnector>(settings.address), cuts_),
-        platform_(MakeCutPlatform(
-            MakeHttpPlatform(settings.platform, settings.address),
-            settings.platform, cuts_)),
+      : Daemon(settings, DaemonKind::kEntry, kMaxSpans),
         directory_(settings.failure_domain, clock_),
         desk_({settings.host_id, settings.admission.max_concurrent,
                settings.admission.owner_reserve},
@@ -51,10 +45,9 @@
         actions_(directory_, links_, desk_, *picker_),
         http_({settings.admission.max_concurrent + kSpareThreads, 1 << 20}) {}
 
-  int Run();
-
  private:
-  Status Start();
+  Status Start() override;
+  Addresses Listening() const override;
   ControlPlane::Listeners MakeListeners();
   void OnPeerMessage(const Message& message);
   void AskForUnits();
@@ -67,7 +60,7 @@
   HttpResponse Refuse(const std::string& request_id, const Refusal& refusal);
   HttpResponse Answer(std::string body) const;
   std::string StatusJson();
-  void Shutdown();
+  void Shutdown() override;
   AttemptId NextAttempt() { return {incarnation_, ++last_attempt_}; }
   std::string RequestId(const HttpRequest& request);
   bool InService() const {
@@ -75,18 +68,10 @@
   }
   bool OutForLong() const;
 
-  const DaemonSettings settings_;
-  const Incarnation incarnation_;
   std::atomic<uint64_t> last_attempt_{0};
   std::atomic<uint64_t> last_request_{0};
   /// When the failure domain was last seen to go out of service.
   std::atomic<int64_t> out_since_us_{0};
-  BootClock clock_;
-  Metrics metrics_;
-  SpanStore spans_;
-  CutSet cuts_;
-  CutConnector connector_;
-  std::unique_ptr<Platform> platform_;
   TargetDirectory directory_;
   AdmissionDesk desk_;
   GateLinks links_;
@@ -169,18 +154,9 @@
 
 Status EntryDaemon::Start() {
   const Ports& ports = settings_.ports;
-  auto gossip = UdpTransport::Open(settings_.address, ports.entry_gossip);
-  if (const Error* error = GetError(gossip)) return *error;
-  auto sync = Listener::Open(settings_.address, ports.entry_gossip);
-  if (const Error* error = GetError(sync)) return *error;
-  control_ = std::make_unique<ControlPlane>(
-      settings_, ControlPlane::Self{DaemonKind::kEntry, incarnation_}, clock_,
-      *platform_,
-      Transports{connector_,
-                 std::make_unique<CutDatagramTransport>(
-                     GetValue(std::move(gossip)), cuts_),
-                 GetValue(std::move(sync))},
-      metrics_, MakeListeners());
+  auto control = MakeControl(MakeListeners());
+  if (const Error* error = GetError(control)) return *error;
+  control_ = GetValue(std::move(control));
   control_->thread().Every(kBorrowCheckPeriod, [this] { AskForUnits(); });
   control_->Start();
   AddRoutes();
@@ -348,7 +324,6 @@
 }
 
 void EntryDaemon::Shutdown() {
-  LogInfo("stopping gracefully");
   stopping_ = true;
   absl::SleepFor(absl::Seconds(settings_.drain_lag_s));
   while (desk_.in_flight() > 0) absl::SleepFor(kDrainStep);
@@ -357,16 +332,9 @@
   control_->Stop();
 }
 
-int EntryDaemon::Run() {
-  if (const Status started = Start(); GetError(started) != nullptr) {
-    LogError("cannot start", {{"reason", GetError(started)->message}});
-    return 1;
-  }
-  PrintReady(
-      {{"http", MakeEndpoint(settings_.address, settings_.ports.entry_http)}});
-  WaitForStopSignal();
-  Shutdown();
-  return 0;
+Daemon::Addresses EntryDaemon::Listening() const {
+  return {
+      {"http", MakeEndpoint(settings_.address, settings_.ports.entry_http)}};
 }
 
 }  // namespace
--- a/daemons/gate/main.cc
+++ b/daemons/gate/main.cc
@@ -2,7 +2,7 @@
 
 #include "absl/time/clock.h"
 #include "gate/gate_service.h"
-#include "hosting/control_plane.h"
+#include "hosting/daemon.h"
 #include "hosting/program.h"
 #include "kernel/registry.h"
 #include "nlohmann/json.hpp"
@@ -21,41 +21,26 @@
 constexpr size_t kMaxNotices = 16;
 
 /// Wires the parts of a gate together.
-class GateDaemon {
+class GateDaemon : public Daemon {
  public:
   explicit GateDaemon(const DaemonSettings& settings)
-      : settings_(settings),
-        incarnation_(NewIncarnation()),
-        spans_(kMaxSpans),
-        connector_(std::make_unique<TcpConnector>(settings.address), cuts_),
-        platform_(MakeCutPlatform(
-            MakeHttpPlatform(settings.platform, settings.address),
-            settings.platform, cuts_)),
+      : Daemon(settings, DaemonKind::kGate, kMaxSpans),
         protocol_(
             Registry<TargetProtocol>::Get().Create(settings.target_protocol)),
         holdings_(settings.host_id, settings.failure_domain, clock_),
         http_({}) {}
 
-  int Run();
-
  private:
-  Status Start();
+  Status Start() override;
+  Addresses Listening() const override;
   Status StartControl();
   ControlPlane::Listeners MakeListeners();
   void UpdateHoldings();
   void CheckSilentPeers();
   void AddRoutes();
   std::string StatusJson();
-  void Shutdown();
+  void Shutdown() override;
 
-  const DaemonSettings settings_;
-  const Incarnation incarnation_;
-  BootClock clock_;
-  Metrics metrics_;
-  SpanStore spans_;
-  CutSet cuts_;
-  CutConnector connector_;
-  std::unique_ptr<Platform> platform_;
   std::unique_ptr<TargetProtocol> protocol_;
   HoldingsGuard holdings_;
   std::unique_ptr<ControlPlane> control_;
@@ -105,20 +90,11 @@
 
 Status GateDaemon::StartControl() {
   const Ports& ports = settings_.ports;
-  auto gossip = UdpTransport::Open(settings_.address, ports.gate_gossip);
-  if (const Error* error = GetError(gossip)) return *error;
-  auto sync = Listener::Open(settings_.address, ports.gate_gossip);
-  if (const Error* error = GetError(sync)) return *error;
+  auto control = MakeControl(MakeListeners());
+  if (const Error* error = GetError(control)) return *error;
+  control_ = GetValue(std::move(control));
   auto link = Listener::Open(settings_.address, ports.gate_link);
   if (const Error* error = GetError(link)) return *error;
-  control_ = std::make_unique<ControlPlane>(
-      settings_, ControlPlane::Self{DaemonKind::kGate, incarnation_}, clock_,
-      *platform_,
-      Transports{connector_,
-                 std::make_unique<CutDatagramTransport>(
-                     GetValue(std::move(gossip)), cuts_),
-                 GetValue(std::move(sync))},
-      metrics_, MakeListeners());
   service_ = std::make_unique<GateService>(
       GateService::Self{settings_.host_id, settings_.failure_domain,
                         settings_.address, incarnation_},
@@ -243,7 +219,6 @@
 // finished; the port closes last, because a closed port tells other gates that
 // nothing of this one runs any more.
 void GateDaemon::Shutdown() {
-  LogInfo("stopping gracefully");
   stopping_ = true;
   service_->BeginDrain();
   links_->Broadcast(service_->Reports());
@@ -258,17 +233,10 @@
   http_.Stop();
 }
 
-int GateDaemon::Run() {
-  if (const Status started = Start(); GetError(started) != nullptr) {
-    LogError("cannot start", {{"reason", GetError(started)->message}});
-    return 1;
-  }
-  PrintReady(
-      {{"http", MakeEndpoint(settings_.address, settings_.ports.gate_http)},
-       {"link", MakeEndpoint(settings_.address, settings_.ports.gate_link)}});
-  WaitForStopSignal();
-  Shutdown();
-  return 0;
+Daemon::Addresses GateDaemon::Listening() const {
+  const std::string& address = settings_.address;
+  return {{"http", MakeEndpoint(address, settings_.ports.gate_http)},
+          {"link", MakeEndpoint(address, settings_.ports.gate_link)}};
 }
 
 }  // namespace
--- a/fakes/support/include/fakes/fake_program.h
+++ b/fakes/support/include/fakes/fake_program.h
@@ -24,6 +24,14 @@
 int RunFakeMain(int argc, char** argv, const std::string& name,
                 const std::function<int(const FakeSettings&)>& run);
 
+/// Serves a stand-in until the stop signal.
+/// @param routes adds the routes.
+/// @param stop ends requests that wait inside the model.
+/// @return the exit code.
+int ServeFake(const FakeSettings& settings, HttpServer::Options options,
+              const std::function<void(HttpServer&)>& routes,
+              const std::function<void()>& stop);
+
 /// @return a JSON response.
 HttpResponse JsonReply(const nlohmann::json& body, int status = 200);
 
--- a/fakes/support/src/fake_program.cc
+++ b/fakes/support/src/fake_program.cc
@@ -5,6 +5,7 @@
 #include "CLI/CLI.hpp"
 #include "hosting/program.h"
 #include "telemetry/log.h"
+#include "wire/socket.h"
 #define TOML_EXCEPTIONS 0
 #include "toml++/toml.h"
 
@@ -52,6 +53,23 @@
   return run(settings);
 }
 
+int ServeFake(const FakeSettings& settings, HttpServer::Options options,
+              const std::function<void(HttpServer&)>& routes,
+              const std::function<void()>& stop) {
+  HttpServer server(options);
+  routes(server);
+  const Result<int> port = server.Start(settings.address, settings.port);
+  if (const Error* error = GetError(port)) {
+    std::cerr << error->message << "\n";
+    return 1;
+  }
+  PrintReady({{"http", MakeEndpoint(settings.address, GetValue(port))}});
+  WaitForStopSignal();
+  stop();
+  server.Stop();
+  return 0;
+}
+
 HttpResponse JsonReply(const nlohmann::json& body, int status) {
   HttpResponse response;
   response.status = status;
--- a/libs/entry/include/entry/admission_desk.h
+++ b/libs/entry/include/entry/admission_desk.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -95,7 +96,7 @@
   std::map<EntryName, absl::Time> borrow_asked_ ABSL_GUARDED_BY(mutex_);
   std::vector<EntryName> short_of_units_ ABSL_GUARDED_BY(mutex_);
   bool ready_ ABSL_GUARDED_BY(mutex_) = false;
-  std::vector<EntryName> entries_ ABSL_GUARDED_BY(mutex_);
+  std::set<EntryName> entries_ ABSL_GUARDED_BY(mutex_);
 };
 
 }  // namespace cherrydyke
--- a/libs/entry/src/admission_desk.cc
+++ b/libs/entry/src/admission_desk.cc
@@ -29,8 +29,9 @@
   for (const auto& [name, entry] : catalogue.entries) {
     shares_.Configure(name, entry.limits, clock_.Now());
     owners_.AddOwner(entry.owner);
-    entries_.push_back(name);
+    entries_.insert(name);
   }
+  shares_.Retain(entries_, clock_.Now());
 }
 
 void AdmissionDesk::OnMembers(std::vector<HostId> members) {
--- a/libs/entry/src/query_service.cc
+++ b/libs/entry/src/query_service.cc
@@ -11,7 +11,7 @@
 namespace {
 
 /// Extra sub-requests that may be saved up for a burst.
-constexpr double kHedgeBurst = 10;
+constexpr double kHedgeBurst = 30;
 constexpr double kRetryBurst = 100;
 constexpr size_t kKnownGoodCapacity = 20'000;
 constexpr int kHedgeWindow = 500;
--- a/libs/gate/include/gate/gate_service.h
+++ b/libs/gate/include/gate/gate_service.h
@@ -50,7 +50,7 @@
   // Control thread.
   void OnCatalogue(const Catalogue& catalogue);
   void OnHosts(const HostList& hosts);
-  /// Makes runners for new home targets.
+  /// Makes runners for new home targets and retires those of others.
   void UpdateRunners();
   /// Treats newly held targets as cold.
   void OnTaken(const std::vector<TargetId>& targets);
@@ -93,6 +93,8 @@
   TargetLimits LimitsOf(const TargetId& target) const;
   AttemptId NextAttempt() { return {self_.incarnation, ++last_attempt_}; }
   void ProbeLoop();
+  /// Stops runners of targets that belong to other gates or are gone.
+  void StopRetiredRunners();
   void CancelLoop();
 
   const Self self_;
@@ -105,6 +107,7 @@
 
   mutable absl::Mutex mutex_;
   std::map<TargetId, RunnerPtr> runners_ ABSL_GUARDED_BY(mutex_);
+  std::vector<RunnerPtr> retired_runners_ ABSL_GUARDED_BY(mutex_);
   std::map<TargetId, TargetLimits> limits_ ABSL_GUARDED_BY(mutex_);
   std::map<TargetId, Host> targets_ ABSL_GUARDED_BY(mutex_);
   Quarantine quarantine_ ABSL_GUARDED_BY(mutex_);
--- a/libs/gate/src/gate_service.cc
+++ b/libs/gate/src/gate_service.cc
@@ -67,6 +67,7 @@
   }
   prober_.join();
   canceller_.join();
+  StopRetiredRunners();
   for (const auto& [target, runner] : runners) runner->Stop();
 }
 
@@ -116,27 +117,35 @@
 void GateService::UpdateRunners() {
   const std::vector<TargetId> home = environment_.holdings.HomeTargets();
   const std::set<TargetId> home_set(home.begin(), home.end());
-  std::vector<RunnerPtr> replaced;
+  const absl::MutexLock lock(&mutex_);
+  for (auto it = runners_.begin(); it != runners_.end();) {
+    const auto host = targets_.find(it->first);
+    const bool keep = home_set.count(it->first) > 0 && host != targets_.end() &&
+                      host->second.address == it->second->endpoint();
+    if (!keep) retired_runners_.push_back(it->second);
+    it = keep ? std::next(it) : runners_.erase(it);
+  }
+  for (const TargetId& target : home) {
+    const auto host = targets_.find(target);
+    if (host == targets_.end() || runners_.count(target) > 0) continue;
+    RunnerPtr& runner = runners_[target];
+    runner = std::make_shared<TargetRunner>(
+        target, host->second.address, LimitsOf(target),
+        TargetRunner::Environment{
+            environment_.clock, environment_.protocol, environment_.holdings,
+            environment_.spans, environment_.metrics,
+            [this] { return NextAttempt(); }, self_.address});
+    runner->SetLeaving(host->second.state == HostState::kLeaving);
+  }
+}
+
+void GateService::StopRetiredRunners() {
+  std::vector<RunnerPtr> retired;
   {
     const absl::MutexLock lock(&mutex_);
-    for (const TargetId& target : home) {
-      const auto host = targets_.find(target);
-      if (host == targets_.end()) continue;
-      RunnerPtr& runner = runners_[target];
-      if (runner != nullptr && runner->endpoint() == host->second.address) {
-        continue;
-      }
-      if (runner != nullptr) replaced.push_back(runner);
-      runner = std::make_shared<TargetRunner>(
-          target, host->second.address, LimitsOf(target),
-          TargetRunner::Environment{
-              environment_.clock, environment_.protocol, environment_.holdings,
-              environment_.spans, environment_.metrics,
-              [this] { return NextAttempt(); }, self_.address});
-      runner->SetLeaving(host->second.state == HostState::kLeaving);
-    }
+    retired.swap(retired_runners_);
   }
-  for (const RunnerPtr& runner : replaced) runner->Stop();
+  for (const RunnerPtr& runner : retired) runner->Stop();
 }
 
 void GateService::OnTaken(const std::vector<TargetId>& targets) {
@@ -292,6 +301,7 @@
       continue;
     }
     next = environment_.clock.Now() + kProbePeriod;
+    StopRetiredRunners();
     std::vector<std::pair<TargetId, RunnerPtr>> runners;
     {
       const absl::MutexLock lock(&mutex_);
--- a/libs/gate/src/target_runner.cc
+++ b/libs/gate/src/target_runner.cc
@@ -23,10 +23,10 @@
 /// A reused connection counts as silent after this multiple of the learned
 /// 99th percentile, and no sooner than the floor.
 constexpr double kSilenceFactor = 3;
-constexpr absl::Duration kSilenceFloor = absl::Milliseconds(60);
+constexpr absl::Duration kSilenceFloor = absl::Milliseconds(150);
 constexpr double kSilenceQuantile = 0.99;
 constexpr int kSilenceWindow = 200;
-constexpr absl::Duration kInitialSilence = absl::Milliseconds(60);
+constexpr absl::Duration kInitialSilence = absl::Milliseconds(50);
 /// A request is not started with less time left than this: it would likely end
 /// without an answer, which for an action means an unknown outcome.
 constexpr absl::Duration kLeastTimeToSearch = absl::Milliseconds(1);
--- a/libs/hosting/include/hosting/settings.h
+++ b/libs/hosting/include/hosting/settings.h
@@ -25,7 +25,7 @@
   /// Retries allowed for each primary sub-request.
   double retry_ratio = 0.1;
   /// Quantile of sub-request latency after which a hedge is sent.
-  double hedge_quantile = 0.95;
+  double hedge_quantile = 0.99;
 };
 
 struct AdmissionSettings {
--- a/libs/shares/include/shares/limit_shares.h
+++ b/libs/shares/include/shares/limit_shares.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -47,6 +48,10 @@
   void Configure(const EntryName& entry, const EntryLimits& limits,
                  absl::Time now);
 
+  /// Forgets entries that are not in `entries`, once nothing of them is in use,
+  /// lent or borrowed.
+  void Retain(const std::set<EntryName>& entries, absl::Time now);
+
   /// Which unit a request uses, for its release.
   struct Unit {
     /// 0 for an own unit, else the loan it belongs to.
--- a/libs/shares/src/limit_shares.cc
+++ b/libs/shares/src/limit_shares.cc
@@ -49,6 +49,17 @@
   Refresh(share, now);
 }
 
+void LimitShares::Retain(const std::set<EntryName>& entries, absl::Time now) {
+  for (auto it = shares_.begin(); it != shares_.end();) {
+    Share& share = it->second;
+    Refresh(share, now);
+    const bool idle =
+        share.own_in_use == 0 && share.lent.empty() && share.borrowed.empty();
+    const bool keep = entries.count(it->first) > 0 || !idle;
+    it = keep ? std::next(it) : shares_.erase(it);
+  }
+}
+
 void LimitShares::Refresh(Share& share, absl::Time now) {
   if (now >= share.pending_from) {
     share.own_units = share.pending_units;
--- a/libs/shares/tests/limit_shares_test.cc
+++ b/libs/shares/tests/limit_shares_test.cc
@@ -146,6 +146,7 @@
   CPPUNIT_TEST(RiseWaitsAndFallDoesNot);
   CPPUNIT_TEST(ChangedLimitIsInForceAtOnce);
   CPPUNIT_TEST(RateFollowsUnits);
+  CPPUNIT_TEST(RetiredEntryIsForgottenOnceIdle);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -211,6 +212,19 @@
     CPPUNIT_ASSERT_EQUAL(20, shares.UsableUnits("desk", later));
   }
 
+  void RetiredEntryIsForgottenOnceIdle() {
+    const absl::Time now = absl::UnixEpoch() + absl::Hours(1);
+    LimitShares shares("a", {});
+    shares.SetMembers({"a"}, now - absl::Minutes(1));
+    shares.Configure("desk", {10, 10}, now - absl::Seconds(1));
+    const auto taken = shares.TryAcquire("desk", absl::Seconds(1), now);
+    shares.Retain({}, now);
+    CPPUNIT_ASSERT_EQUAL(1, shares.InUse("desk"));
+    shares.Release("desk", std::get<LimitShares::Unit>(taken));
+    shares.Retain({}, now);
+    CPPUNIT_ASSERT_EQUAL(0, shares.UsableUnits("desk", now));
+  }
+
   void RateFollowsUnits() {
     absl::Time now = absl::UnixEpoch() + absl::Hours(1);
     LimitShares shares("a", {});
--- a/libs/targets/src/target_state.cc
+++ b/libs/targets/src/target_state.cc
@@ -20,17 +20,11 @@
 constexpr int kFarOffInARow = 5;
 constexpr absl::Duration kFarOffFloor = absl::Milliseconds(50);
 
-/// Whether the request may still run at the target after this outcome.
+/// Whether the request may still run at the target after this outcome. Any
+/// answer of the target, a refusal included, ends it.
 bool MayStillRun(AttemptOutcome outcome) {
-  switch (outcome) {
-    case AttemptOutcome::kSilent:
-    case AttemptOutcome::kExpired:
-    case AttemptOutcome::kCancelled:
-    case AttemptOutcome::kConnectionLost:
-      return true;
-    default:
-      return false;
-  }
+  return outcome == AttemptOutcome::kSilent ||
+         outcome == AttemptOutcome::kConnectionLost;
 }
 
 }  // namespace
