Hedge after twice the learned 90th percentile

Cause: with the 99th percentile p99 was 81 ms with stragglers against 48 ms without (ratio 1.7), the same as without hedging. The few stragglers that are met are more than 1% of a window of samples, so the learned percentile rises to their own latency and the hedge comes too late. Ruled out: a spent budget (extra load was 2.4 to 2.8% of 4%). Changed: twice the 90th percentile, which they do not move.

Also: one case of a test binary can be run by name.

--- a/bench/include/bench/experiments.h
+++ b/bench/include/bench/experiments.h
@@ -9,6 +9,9 @@
 /// Costs of the control and query logic alone, against their sizes.
 std::vector<Table> MeasureMicro();
 
+/// Processor time of entries and gates for each sub-request.
+Table MeasureDataPath();
+
 /// The tier's own added time: one shard, through the tier and straight to the
 /// target.
 Table MeasureAddedTime();
--- a/bench/main.cc
+++ b/bench/main.cc
@@ -22,6 +22,9 @@
 int Main(int argc, char** argv) {
   const std::map<std::string, std::pair<std::string, Experiment>> experiments =
       {{"micro", {"Costs of the logic alone against its sizes", MeasureMicro}},
+       {"data-path",
+        {"Processor time of the data path for each sub-request",
+         One(MeasureDataPath)}},
        {"added-time",
         {"The tier's own added time on an idle machine",
          One(MeasureAddedTime)}},
--- a/libs/entry/src/query_service.cc
+++ b/libs/entry/src/query_service.cc
@@ -16,6 +16,10 @@
 constexpr size_t kKnownGoodCapacity = 20'000;
 constexpr int kHedgeWindow = 500;
 constexpr absl::Duration kInitialHedgeDelay = absl::Milliseconds(30);
+/// A high quantile would be raised to the stragglers' own latency by the few of
+/// them that are met; twice a lower one is not, and is seldom passed without
+/// them.
+constexpr double kHedgeFactor = 2;
 constexpr absl::Duration kMinHedgeDelay = absl::Milliseconds(2);
 constexpr absl::Duration kRetryAfter = absl::Milliseconds(200);
 /// A query restarted on another version needs at least this much time.
@@ -218,8 +222,9 @@
 QueryResult QueryService::RunOnce(const Attempt& attempt) {
   LatencyEstimator& latency = HedgeLatency(attempt.service.name);
   const absl::Duration hedge_delay =
-      settings_.hedge_ratio > 0 ? std::max(kMinHedgeDelay, latency.Estimate())
-                                : absl::InfiniteDuration();
+      settings_.hedge_ratio > 0
+          ? std::max(kMinHedgeDelay, latency.Estimate() * kHedgeFactor)
+          : absl::InfiniteDuration();
   QueryPlan plan{attempt.snapshot,          attempt.service.shard_map,
                  attempt.entry.entry_class, attempt.canary,
                  attempt.soft_deadline,     attempt.hard_deadline};
--- a/libs/hosting/include/hosting/settings.h
+++ b/libs/hosting/include/hosting/settings.h
@@ -24,8 +24,8 @@
   double hedge_ratio = 0.04;
   /// Retries allowed for each primary sub-request.
   double retry_ratio = 0.1;
-  /// Quantile of sub-request latency after which a hedge is sent.
-  double hedge_quantile = 0.99;
+  /// A hedge is sent after twice this quantile of sub-request latency.
+  double hedge_quantile = 0.9;
 };
 
 struct AdmissionSettings {
--- a/libs/routing/include/routing/query_run.h
+++ b/libs/routing/include/routing/query_run.h
@@ -139,7 +139,8 @@
   void GiveUp(size_t index);
   void FinishIfSettled(QueryActions& actions);
   void Finish(QueryActions& actions);
-  void HedgeDue(absl::Time now, QueryActions& actions);
+  /// Sends the retries and hedges whose time has come.
+  void SendDueAttempts(absl::Time now, QueryActions& actions);
   bool IsCanaryPhase() const { return canary_running_; }
 
   const QueryPlan plan_;
--- a/libs/routing/src/query_run.cc
+++ b/libs/routing/src/query_run.cc
@@ -216,7 +216,7 @@
   shard.retry_at = now + Backoff(shard.rounds++, random_);
 }
 
-void QueryRun::HedgeDue(absl::Time now, QueryActions& actions) {
+void QueryRun::SendDueAttempts(absl::Time now, QueryActions& actions) {
   for (size_t i = 0; i < shards_.size(); ++i) {
     ShardRun& shard = shards_[i];
     if (shard.answered || shard.given_up) continue;
@@ -252,7 +252,7 @@
     Finish(actions);
     return actions;
   }
-  HedgeDue(now, actions);
+  SendDueAttempts(now, actions);
   if (IsCanaryPhase() && now >= canary_until_) StartRemaining(now, actions);
   FinishIfSettled(actions);
   return actions;
