Let cold replicas get their part, and halve the heartbeats

With two replicas the better of two is always the same one, so a cold target whose latency is not known loses to its warm fellow at every pick and never warms up. Ruled out: signs of a new start taken wrongly (a lone gate's targets become warm and stay so). Changed: of two replicas each gets a chance by the fourth power of the other's expected latency; a test states that a cold replica gets a part and a straggler hardly any.

Also: log lines carry request, trace and span ids.

--- a/daemons/entry/main.cc
+++ b/daemons/entry/main.cc
@@ -26,6 +26,17 @@
 /// Connections beyond the requests run at once, for refusals and operators.
 constexpr int kSpareThreads = 128;
 
+// A request that ended targets is worth a line always, other refusals when
+// asked for.
+void LogRefusal(const SpanTimer& span, const Refusal& refusal) {
+  const LogLevel level =
+      refusal.reason() == "quarantined" ? LogLevel::kWarning : LogLevel::kDebug;
+  if (!IsLogged(level)) return;
+  Fields fields = span.LogFields();
+  fields.emplace_back("reason", refusal.reason());
+  Log(level, "request refused", fields);
+}
+
 /// Wires the parts of an entry together and serves callers.
 class EntryDaemon : public Daemon {
  public:
@@ -251,9 +262,15 @@
                                     {id, span.context()});
   if (const auto* refusal = std::get_if<Refusal>(&outcome)) {
     span.Set({"refusal", refusal->reason()});
+    LogRefusal(span, *refusal);
     return Refuse(id, *refusal);
   }
   const auto& result = std::get<QueryResult>(outcome);
+  if (IsLogged(LogLevel::kDebug)) {
+    Fields fields = span.LogFields();
+    fields.emplace_back("coverage", result.coverage.fraction);
+    LogDebug("query answered", fields);
+  }
   span.Set({"coverage", result.coverage.fraction});
   span.Set({"attempts", result.attempts});
   return Answer(FormatQueryAnswer(id, result));
@@ -295,6 +312,7 @@
       actions_.Run(GetValue(call), *control_->catalogue(), id, span.context());
   if (const auto* refusal = std::get_if<Refusal>(&outcome)) {
     span.Set({"refusal", refusal->reason()});
+    LogRefusal(span, *refusal);
     return Refuse(id, *refusal);
   }
   return Answer(FormatActionDone(id, std::get<std::string>(outcome)));
--- a/libs/gate/src/target_runner.cc
+++ b/libs/gate/src/target_runner.cc
@@ -274,6 +274,12 @@
   span.Set({"attempt", call.attempt.ToString()});
   span.Set({"outcome", ToString(reply.outcome)});
   span.Set({"reused_connection", reused});
+  if (reply.outcome != AttemptOutcome::kDone && IsLogged(LogLevel::kDebug)) {
+    Fields fields = span.LogFields();
+    fields.emplace_back("target", target_);
+    fields.emplace_back("outcome", ToString(reply.outcome));
+    LogDebug("attempt failed", fields);
+  }
   span.End();
   FinishRun(job, reply, latency, reused);
   environment_.holdings.End(target_);
--- a/libs/membership/include/membership/peer_table.h
+++ b/libs/membership/include/membership/peer_table.h
@@ -33,7 +33,7 @@
     /// A peer not heard for this long counts as silent.
     absl::Duration silence_limit = absl::Milliseconds(1500);
     /// Peers of the own failure domain that each round of heartbeats reaches.
-    size_t domain_fanout = 16;
+    size_t domain_fanout = 8;
     /// Peers of other failure domains that each round reaches.
     size_t remote_fanout = 2;
     /// Daemons of a failure domain that read the platform.
--- a/libs/routing/src/replica_picker.cc
+++ b/libs/routing/src/replica_picker.cc
@@ -1,6 +1,7 @@
 #include "routing/replica_picker.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "kernel/registry.h"
 
@@ -9,6 +10,7 @@
 
 /// Added to replicas elsewhere, where each hop costs about this much more.
 constexpr absl::Duration kRemotePenalty = absl::Milliseconds(2);
+constexpr double kLatencyPower = 4;
 constexpr absl::Duration kUnknownLatency = absl::Milliseconds(5);
 
 class RandomPicker : public ReplicaPicker {
@@ -32,8 +34,11 @@
   }
 };
 
-// The better of two random replicas: nearly as good as the best by stale
-// reports, without the herd that follows the best.
+// Takes two random replicas and gives each a chance by the fourth power of the
+// other's expected latency. Always taking the better would send everything to
+// one of two nearly equal replicas and nothing to a cold one, which would then
+// never warm up; the power keeps a straggler ten times slower to one request in
+// ten thousand.
 class PickOfTwo : public ReplicaPicker {
  public:
   size_t Pick(const std::vector<ReplicaView>& candidates,
@@ -42,10 +47,12 @@
     if (candidates.size() == 1) return first;
     size_t second = random() % (candidates.size() - 1);
     if (second >= first) ++second;
-    return ExpectedLatency(candidates[second]) <
-                   ExpectedLatency(candidates[first])
-               ? second
-               : first;
+    const double ratio =
+        absl::FDivDuration(ExpectedLatency(candidates[first]),
+                           ExpectedLatency(candidates[second]));
+    const double first_chance = 1 / (1 + std::pow(ratio, kLatencyPower));
+    const double draw = std::uniform_real_distribution<double>(0, 1)(random);
+    return draw < first_chance ? first : second;
   }
 };
 
--- a/libs/routing/tests/query_run_test.cc
+++ b/libs/routing/tests/query_run_test.cc
@@ -110,6 +110,7 @@
   CPPUNIT_TEST(TruncatedByAllIsGivenUp);
   CPPUNIT_TEST(ExtraLoadIsBoundedWhenAllIsSlow);
   CPPUNIT_TEST(NotRunNeedsAProofForEachAttempt);
+  CPPUNIT_TEST(ColdReplicaGetsSomeAndStragglerHardlyAny);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -321,6 +322,29 @@
     }
   }
 
+  void ColdReplicaGetsSomeAndStragglerHardlyAny() {
+    RegisterReplicaPickers();
+    const auto picker = Registry<ReplicaPicker>::Get().Create("pick_of_two");
+    ReplicaView warm;
+    warm.latency = absl::Milliseconds(3);
+    warm.limit = 4;
+    warm.same_domain = true;
+    ReplicaView cold = warm;
+    cold.latency = absl::ZeroDuration();
+    cold.limit = 1;
+    ReplicaView straggler = warm;
+    straggler.latency = absl::Milliseconds(60);
+    std::mt19937_64 random(1);
+    int to_cold = 0;
+    int to_straggler = 0;
+    for (int i = 0; i < 10'000; ++i) {
+      to_cold += static_cast<int>(picker->Pick({warm, cold}, random));
+      to_straggler += static_cast<int>(picker->Pick({warm, straggler}, random));
+    }
+    CPPUNIT_ASSERT(to_cold > 500);
+    CPPUNIT_ASSERT(to_straggler < 10);
+  }
+
  private:
   static void FinishByTime(Bench& bench) {
     for (int i = 0; i < 1000 && !bench.run.done(); ++i) {
--- a/libs/telemetry/include/telemetry/log.h
+++ b/libs/telemetry/include/telemetry/log.h
@@ -46,6 +46,10 @@
 /// @return false if `level` is not debug, info, warning or error.
 bool SetLogLevel(const std::string& level);
 
+/// @return whether lines of the level are written; ask before building costly
+/// fields.
+bool IsLogged(LogLevel level);
+
 /// Writes one JSON line with the message and its fields.
 void Log(LogLevel level, const std::string& message, const Fields& fields = {});
 
--- a/libs/telemetry/include/telemetry/span.h
+++ b/libs/telemetry/include/telemetry/span.h
@@ -69,6 +69,8 @@
             const SpanContext& parent);
 
   const SpanContext& context() const { return span_.context; }
+  /// @return request, trace and span ids, for log lines inside the span.
+  Fields LogFields() const;
   void Set(Field field) { span_.attributes.push_back(std::move(field)); }
   /// Records the span; further calls do nothing.
   void End();
--- a/libs/telemetry/src/log.cc
+++ b/libs/telemetry/src/log.cc
@@ -81,9 +81,10 @@
   return false;
 }
 
+bool IsLogged(LogLevel level) { return spdlog::should_log(ToSpdlog(level)); }
+
 void Log(LogLevel level, const std::string& message, const Fields& fields) {
-  const spdlog::level::level_enum spdlog_level = ToSpdlog(level);
-  if (!spdlog::should_log(spdlog_level)) return;
+  if (!IsLogged(level)) return;
   Fields all = {{"level", LevelName(level)},
                 {"program", Identity().program},
                 {"host", Identity().host},
@@ -91,7 +92,7 @@
   all.insert(all.end(), fields.begin(), fields.end());
   const std::string line = Dump(ToJson(all));
   // The pattern opens and closes the object, so only its inside is passed on.
-  spdlog::log(spdlog_level, "{}", line.substr(1, line.size() - 2));
+  spdlog::log(ToSpdlog(level), "{}", line.substr(1, line.size() - 2));
 }
 
 std::string FieldsToJson(const Fields& fields) { return Dump(ToJson(fields)); }
--- a/libs/telemetry/src/span.cc
+++ b/libs/telemetry/src/span.cc
@@ -84,6 +84,12 @@
   span_.start_unix_us = absl::ToUnixMicros(start_);
 }
 
+Fields SpanTimer::LogFields() const {
+  return {{"request_id", span_.request_id},
+          {"trace_id", span_.context.trace_id},
+          {"span_id", span_.context.span_id}};
+}
+
 void SpanTimer::End() {
   if (ended_) return;
   ended_ = true;
