Split actions out of the gate's service; hedge and forget later

Cause: an unused straggler's latency halves every 2 s after 1 s, and its seven shards are then tried again together. Changed: halves every 5 s after 2 s, and hedges follow after 1.5 times the 90th percentile.

--- a/libs/entry/src/query_service.cc
+++ b/libs/entry/src/query_service.cc
@@ -17,9 +17,9 @@
 constexpr int kHedgeWindow = 500;
 constexpr absl::Duration kInitialHedgeDelay = absl::Milliseconds(30);
 /// A high quantile would be raised to the stragglers' own latency by the few of
-/// them that are met; twice a lower one is not, and is seldom passed without
-/// them.
-constexpr double kHedgeFactor = 2;
+/// them that are met; half more than a lower one is not, and is seldom passed
+/// without them.
+constexpr double kHedgeFactor = 1.5;
 constexpr absl::Duration kMinHedgeDelay = absl::Milliseconds(2);
 constexpr absl::Duration kRetryAfter = absl::Milliseconds(200);
 /// A query restarted on another version needs at least this much time.
--- /dev/null
+++ b/libs/gate/include/gate/action_executor.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "absl/base/thread_annotations.h"
+#include "absl/synchronization/mutex.h"
+#include "actions/ticket_book.h"
+#include "base/clock.h"
+#include "gate/target_runner.h"
+#include "wire/link.h"
+
+namespace cherrydyke {
+
+/// Issues the tickets of one gate incarnation and runs their actions, each at
+/// most once. Thread-safe.
+class ActionExecutor {
+ public:
+  struct Environment {
+    const Clock& clock;
+    /// @return why nothing may be sent to the target now, or `kDone`.
+    std::function<AttemptOutcome(const TargetId&)> refusal_for;
+    /// @return the target's runner, or null.
+    std::function<std::shared_ptr<TargetRunner>(const TargetId&)> find_runner;
+    std::function<AttemptId()> next_attempt;
+    /// Runs a task on the control thread after a delay.
+    std::function<void(absl::Duration, std::function<void()>)> run_later;
+  };
+
+  /// @param max_attempt longest time that an action may run at a target.
+  ActionExecutor(HostId gate, Incarnation incarnation, Environment environment,
+                 absl::Duration max_attempt);
+
+  void OnTicketRequest(const std::shared_ptr<Link>& link,
+                       const TicketRequest& request);
+
+  /// Runs the action, or answers with what came of its earlier run; a resend
+  /// while it runs waits for the same outcome.
+  void OnActionRequest(const std::shared_ptr<Link>& link,
+                       const ActionRequest& request);
+
+  /// Ends actions that wait to be tried again, from now on.
+  void BeginDrain() { draining_ = true; }
+  /// @return actions begun and not ended.
+  int InFlight() const { return in_flight_; }
+
+ private:
+  using Waiter = std::function<void(const TicketBook::Ended&)>;
+
+  void RunAction(const ActionRequest& request, const Ticket& ticket,
+                 const TicketBook::Terms& terms, absl::Time deadline);
+  void OnActionReply(const ActionRequest& request, const Ticket& ticket,
+                     const TicketBook::Terms& terms, absl::Time deadline,
+                     const TargetReply& reply);
+  void EndAction(const Ticket& ticket, const TicketBook::Ended& ended);
+
+  const Environment environment_;
+  const absl::Duration max_attempt_;
+  std::atomic<bool> draining_{false};
+  std::atomic<int> in_flight_{0};
+  absl::Mutex mutex_;
+  TicketBook tickets_ ABSL_GUARDED_BY(mutex_);
+  std::map<uint64_t, std::vector<Waiter>> waiters_ ABSL_GUARDED_BY(mutex_);
+};
+
+}  // namespace cherrydyke
--- a/libs/gate/include/gate/gate_service.h
+++ b/libs/gate/include/gate/gate_service.h
@@ -10,10 +10,10 @@
 
 #include "absl/base/thread_annotations.h"
 #include "absl/synchronization/mutex.h"
-#include "actions/ticket_book.h"
 #include "admission/quarantine.h"
 #include "catalogue/config_store.h"
 #include "catalogue/host_list.h"
+#include "gate/action_executor.h"
 #include "gate/target_runner.h"
 #include "wire/link.h"
 
@@ -66,9 +66,12 @@
   /// @return whether the own failure domain is in service.
   bool in_service() const { return in_service_; }
   /// Refuses new work from now on.
-  void BeginDrain() { draining_ = true; }
+  void BeginDrain() {
+    draining_ = true;
+    actions_.BeginDrain();
+  }
   /// @return requests queued or running.
-  int InFlight() const { return in_flight_; }
+  int InFlight() const { return in_flight_ + actions_.InFlight(); }
 
   void Stop();
 
@@ -77,16 +80,6 @@
 
   void OnBatch(const std::shared_ptr<Link>& link, const SubRequestBatch& batch);
   void OnCancel(const CancelAttempts& cancel);
-  void OnTicketRequest(const std::shared_ptr<Link>& link,
-                       const TicketRequest& request);
-  void OnActionRequest(const std::shared_ptr<Link>& link,
-                       const ActionRequest& request);
-  void RunAction(const ActionRequest& request, const Ticket& ticket,
-                 const TicketBook::Terms& terms, absl::Time deadline);
-  void OnActionReply(const ActionRequest& request, const Ticket& ticket,
-                     const TicketBook::Terms& terms, absl::Time deadline,
-                     const TargetReply& reply);
-  void EndAction(const Ticket& ticket, const TicketBook::Ended& ended);
   AttemptOutcome RefusalFor(const TargetId& target, uint64_t fingerprint);
   void OnCrash(uint64_t fingerprint);
   RunnerPtr FindRunner(const TargetId& target);
@@ -116,11 +109,7 @@
   std::vector<CancelAttempts> cancels_ ABSL_GUARDED_BY(mutex_);
   absl::CondVar cancels_changed_;
 
-  absl::Mutex actions_mutex_;
-  TicketBook tickets_ ABSL_GUARDED_BY(actions_mutex_);
-  using Waiter = std::function<void(const TicketBook::Ended&)>;
-  std::map<uint64_t, std::vector<Waiter>> waiters_
-      ABSL_GUARDED_BY(actions_mutex_);
+  ActionExecutor actions_;
 
   std::thread prober_;
   std::thread canceller_;
--- a/libs/gate/src/gate_service.cc
+++ b/libs/gate/src/gate_service.cc
@@ -19,13 +19,6 @@
 const absl::Duration kMaxAttempt = TargetHoldings::Options().max_attempt;
 constexpr absl::Duration kProbePeriod = absl::Seconds(1);
 constexpr absl::Duration kProbeStep = absl::Milliseconds(50);
-/// Pause before an action is tried again that is proved not to have run.
-constexpr absl::Duration kActionRetryPause = absl::Milliseconds(10);
-
-bool IsWorthRetry(AttemptOutcome outcome) {
-  return outcome == AttemptOutcome::kShed || outcome == AttemptOutcome::kCold ||
-         outcome == AttemptOutcome::kUnreachable;
-}
 
 SubAnswer ToSubAnswer(const AttemptId& attempt, TargetReply reply) {
   SubAnswer answer;
@@ -41,17 +34,19 @@
   return answer;
 }
 
-ActionReply ToActionReply(uint64_t call_id, const TicketBook::Ended& ended) {
-  return {call_id, ended.outcome, ended.not_run, ended.result_json};
-}
-
 }  // namespace
 
 GateService::GateService(Self self, Environment environment)
     : self_(std::move(self)),
       environment_(std::move(environment)),
       quarantine_(kQuarantineTime, kQuarantineCapacity),
-      tickets_(self_.host, self_.incarnation, {}),
+      actions_(
+          self_.host, self_.incarnation,
+          {environment_.clock,
+           [this](const TargetId& target) { return RefusalFor(target, 0); },
+           [this](const TargetId& target) { return FindRunner(target); },
+           [this] { return NextAttempt(); }, environment_.run_later},
+          kMaxAttempt),
       prober_([this] { ProbeLoop(); }),
       canceller_([this] { CancelLoop(); }) {}
 
@@ -188,9 +183,9 @@
     cancels_.push_back(std::move(*cancel));
     cancels_changed_.Signal();
   } else if (const auto* ticket = std::get_if<TicketRequest>(&message)) {
-    OnTicketRequest(link, *ticket);
+    actions_.OnTicketRequest(link, *ticket);
   } else if (const auto* action = std::get_if<ActionRequest>(&message)) {
-    OnActionRequest(link, *action);
+    actions_.OnActionRequest(link, *action);
   } else if (std::holds_alternative<Hello>(message)) {
     link->Send(Reports());
   }
@@ -330,123 +325,4 @@
   return reports;
 }
 
-void GateService::OnTicketRequest(const std::shared_ptr<Link>& link,
-                                  const TicketRequest& request) {
-  TicketReply reply;
-  reply.call_id = request.call_id;
-  reply.outcome = RefusalFor(request.target, 0);
-  if (reply.outcome == AttemptOutcome::kDone) {
-    const absl::MutexLock lock(&actions_mutex_);
-    const std::optional<Ticket> ticket = tickets_.Issue(
-        {request.entry, request.key, request.target, request.shard},
-        environment_.clock.Now());
-    if (ticket) {
-      reply.ticket = ticket->ToString();
-      reply.expires_in_ms = absl::ToInt64Milliseconds(tickets_.use_within());
-    } else {
-      reply.outcome = AttemptOutcome::kOverloaded;
-    }
-  }
-  link->Send(reply);
-}
-
-void GateService::OnActionRequest(const std::shared_ptr<Link>& link,
-                                  const ActionRequest& request) {
-  const Result<Ticket> parsed = Ticket::Parse(request.ticket);
-  if (GetError(parsed) != nullptr) {
-    link->Send(ActionReply{request.call_id, AttemptOutcome::kUnknownTicket,
-                           false, ""});
-    return;
-  }
-  const Ticket& ticket = GetValue(parsed);
-  const absl::Time now = environment_.clock.Now();
-  TicketBook::Admission admission;
-  {
-    const absl::MutexLock lock(&actions_mutex_);
-    admission = tickets_.Begin(ticket, request.entry, request.key, now);
-    if (!std::holds_alternative<TicketBook::Ended>(admission)) {
-      waiters_[ticket.sequence].push_back(
-          [link, call_id = request.call_id](const TicketBook::Ended& ended) {
-            link->Send(ToActionReply(call_id, ended));
-          });
-    }
-  }
-  if (const auto* ended = std::get_if<TicketBook::Ended>(&admission)) {
-    link->Send(ToActionReply(request.call_id, *ended));
-  } else if (const auto* run = std::get_if<TicketBook::Run>(&admission)) {
-    ++in_flight_;
-    const absl::Duration timeout =
-        std::min(kMaxAttempt, absl::Microseconds(request.timeout_us));
-    RunAction(request, ticket, run->terms, now + timeout);
-  }
-}
-
-void GateService::RunAction(const ActionRequest& request, const Ticket& ticket,
-                            const TicketBook::Terms& terms,
-                            absl::Time deadline) {
-  const AttemptOutcome refusal = RefusalFor(terms.target, 0);
-  const RunnerPtr runner = FindRunner(terms.target);
-  if (refusal != AttemptOutcome::kDone || runner == nullptr) {
-    // Only this incarnation may run the ticket, and it ends it here: the action
-    // has not run and never will.
-    EndAction(
-        ticket,
-        {refusal == AttemptOutcome::kDone ? AttemptOutcome::kNotHeld : refusal,
-         true, ""});
-    return;
-  }
-  TargetJob job;
-  job.kind = TargetJob::Kind::kAct;
-  job.call.shard = terms.shard;
-  job.call.body_json = request.payload_json;
-  job.call.ticket = request.ticket;
-  job.request_id = request.request_id;
-  job.link_attempt = NextAttempt();
-  job.deadline = deadline;
-  job.parent = ParseTraceparent(request.traceparent);
-  job.done = [this, request, ticket, terms,
-              deadline](const TargetReply& reply) {
-    OnActionReply(request, ticket, terms, deadline, reply);
-  };
-  runner->Submit(std::move(job));
-}
-
-void GateService::OnActionReply(const ActionRequest& request,
-                                const Ticket& ticket,
-                                const TicketBook::Terms& terms,
-                                absl::Time deadline, const TargetReply& reply) {
-  const bool may_retry =
-      reply.not_run && IsWorthRetry(reply.outcome) && !draining_ &&
-      environment_.clock.Now() + kActionRetryPause < deadline;
-  if (may_retry) {
-    environment_.run_later(kActionRetryPause,
-                           [this, request, ticket, terms, deadline] {
-                             RunAction(request, ticket, terms, deadline);
-                           });
-    return;
-  }
-  TicketBook::Ended ended;
-  if (reply.outcome == AttemptOutcome::kDone) {
-    ended = {AttemptOutcome::kDone, false, reply.result_json};
-  } else if (reply.not_run) {
-    ended = {reply.outcome, true, ""};
-  } else {
-    ended = {AttemptOutcome::kOutcomeUnknown, false, ""};
-  }
-  EndAction(ticket, ended);
-}
-
-void GateService::EndAction(const Ticket& ticket,
-                            const TicketBook::Ended& ended) {
-  std::vector<Waiter> waiters;
-  {
-    const absl::MutexLock lock(&actions_mutex_);
-    tickets_.End(ticket, ended);
-    waiters.swap(waiters_[ticket.sequence]);
-    waiters_.erase(ticket.sequence);
-  }
-  for (const Waiter& waiter : waiters) waiter(ended);
-  --in_flight_;
-}
-
 }  // namespace cherrydyke
--- a/libs/hosting/include/hosting/settings.h
+++ b/libs/hosting/include/hosting/settings.h
@@ -24,7 +24,7 @@
   double hedge_ratio = 0.04;
   /// Retries allowed for each primary sub-request.
   double retry_ratio = 0.1;
-  /// A hedge is sent after twice this quantile of sub-request latency.
+  /// A hedge is sent after 1.5 times this quantile of sub-request latency.
   double hedge_quantile = 0.9;
 };
 
--- a/libs/targets/src/target_state.cc
+++ b/libs/targets/src/target_state.cc
@@ -12,8 +12,8 @@
 constexpr double kLatencyWeight = 0.1;
 /// Without use, the smoothed latency holds for a while and then halves again
 /// and again.
-constexpr absl::Duration kLatencyHold = absl::Seconds(1);
-constexpr absl::Duration kLatencyHalfLife = absl::Seconds(2);
+constexpr absl::Duration kLatencyHold = absl::Seconds(2);
+constexpr absl::Duration kLatencyHalfLife = absl::Seconds(5);
 /// Successes this many times slower than usual, so many in a row, are a sign of
 /// a cold target.
 constexpr double kFarOffFactor = 10;
