Count a lost race as slower than its time

Cause: a straggler loses to its hedge each time and is cancelled after some 20 ms, so it looks only three times slower than its fellow and gets one request in 120. Changed: an attempt that ended without an answer counts as three times the time it had.

--- a/libs/targets/src/target_state.cc
+++ b/libs/targets/src/target_state.cc
@@ -10,6 +10,9 @@
 
 /// Weight of a new sample in the smoothed latency.
 constexpr double kLatencyWeight = 0.1;
+/// What an attempt that ended without an answer counts as, in multiples of the
+/// time it had.
+constexpr double kUnansweredFactor = 3;
 /// Without use, the smoothed latency holds for a while and then halves again
 /// and again.
 constexpr absl::Duration kLatencyHold = absl::Seconds(2);
@@ -88,8 +91,10 @@
     case AttemptOutcome::kSilent:
     case AttemptOutcome::kExpired:
     case AttemptOutcome::kCancelled:
-      // The answer would have taken longer still.
-      if (latency > latency_) ObserveLatency(latency, now);
+      // The answer would have taken longer still, and how much is not known: a
+      // straggler that always loses to its hedge must not look only as slow as
+      // the hedge allows.
+      if (latency > latency_) ObserveLatency(latency * kUnansweredFactor, now);
       break;
     case AttemptOutcome::kCold:
     case AttemptOutcome::kConnectionLost:
