Make two proofs stricter and record what was seen without the mechanisms

Two switches were not noticed, because the cases were weak: the executor check of tickets (the new incarnation had issued none, so the old number was unknown to it) and the owners' reserve (the flood was held back by its own limit).

--- a/tests/whole_path/actions_test.cc
+++ b/tests/whole_path/actions_test.cc
@@ -71,6 +71,9 @@
       caller.join();
       cluster->StartGate(ticket.gate);
       WaitForGates(*cluster);
+      // Tickets of the new incarnation count from one again.
+      CPPUNIT_ASSERT(
+          WaitUntil([&] { return Ticket(*cluster, key).gate == ticket.gate; }));
       for (const HostId& host : cluster->hosts()) {
         const std::string again = Act(*cluster, host, ticket, key);
         // The new incarnation knows nothing of the ticket and never runs it.
--- a/tests/whole_path/limits_test.cc
+++ b/tests/whole_path/limits_test.cc
@@ -36,7 +36,10 @@
   other.name = "other";
   other.owner = "retornos";
   other.concurrency = 60;
-  spec.entries = {narrow, rated, other};
+  EntrySpec flood = narrow;
+  flood.name = "flood";
+  flood.concurrency = 600;
+  spec.entries = {narrow, rated, other, flood};
   spec.extra_settings = "[routing]\nhedge_ratio = 0\n";
   return spec;
 }
@@ -99,7 +102,7 @@
     spec.services[0].service_ms = 30;
     spec.extra_settings += "[admission]\nmax_concurrent = 8\n";
     const auto cluster = StartCluster(spec);
-    BackgroundLoad flood(*cluster, PlanOf("narrow", 400, 6));
+    BackgroundLoad flood(*cluster, PlanOf("flood", 600, 6));
     absl::SleepFor(absl::Seconds(1));
     BackgroundLoad quiet(*cluster, PlanOf("other", 10, 4));
     const LoadReport report = quiet.Join();
