Let daemons at the same revision find out that their values differ

Heartbeats now carry a digest of the values in force; at the same revision and another digest everything is fetched.

--- a/libs/catalogue/include/catalogue/config_store.h
+++ b/libs/catalogue/include/catalogue/config_store.h
@@ -79,6 +79,11 @@
   /// @return the revision up to which this store has seen everything.
   Revision revision() const { return revision_; }
 
+  /// @return a digest of which value of each key is in force. Stores at the
+  /// same revision can differ in it: one of them may have read the platform
+  /// after an invalid value had replaced a good one.
+  uint64_t digest() const { return digest_; }
+
   std::shared_ptr<const Catalogue> catalogue() const { return catalogue_; }
 
   /// @return refused changes that are newer than the value in force.
@@ -96,6 +101,7 @@
   void RebuildCatalogue();
 
   Revision revision_ = 0;
+  uint64_t digest_ = 0;
   std::map<std::string, KeyState> keys_;
   std::shared_ptr<const Catalogue> catalogue_;
 };
--- a/libs/catalogue/src/config_store.cc
+++ b/libs/catalogue/src/config_store.cc
@@ -96,8 +96,10 @@
 void ConfigStore::RebuildCatalogue() {
   auto next = std::make_shared<Catalogue>();
   next->revision = revision_;
+  digest_ = 0;
   for (const auto& [key, state] : keys_) {
     if (state.good.revision == 0) continue;
+    digest_ += StableHash(key + "|" + std::to_string(state.good.revision));
     if (state.good.retired()) {
       AddRetired(*next, state.good);
       continue;
--- a/libs/catalogue/tests/config_store_test.cc
+++ b/libs/catalogue/tests/config_store_test.cc
@@ -133,7 +133,11 @@
     // The platform holds only the newest value, which is not valid.
     fresh.Apply({Domain("a", 2, false, false)}, 0, 2);
     CPPUNIT_ASSERT(!fresh.catalogue()->IsOut("a"));
+    // At the same revision only the digest tells that something is missing.
+    CPPUNIT_ASSERT_EQUAL(peer.revision(), fresh.revision());
+    CPPUNIT_ASSERT(peer.digest() != fresh.digest());
     fresh.Apply(peer.ChangesSince(0), 0, 2);
+    CPPUNIT_ASSERT_EQUAL(peer.digest(), fresh.digest());
     CPPUNIT_ASSERT(fresh.catalogue()->IsOut("a"));
   }
 
--- a/libs/hosting/include/hosting/control_plane.h
+++ b/libs/hosting/include/hosting/control_plane.h
@@ -98,6 +98,8 @@
   struct Pull {
     std::string address;
     int port = 0;
+    /// Whether to fetch all values, not only those after the own revision.
+    bool everything = false;
   };
 
   void WatchConfig();
@@ -114,7 +116,7 @@
   void SendHeartbeats();
   void SendHeartbeatsTo(const std::vector<DaemonId>& peers);
   void SendHeartbeat(const Endpoint& to, bool reply_wanted, int64_t echo_us);
-  void QueuePull(const std::string& address, DaemonKind kind);
+  void QueuePull(const std::string& address, DaemonKind kind, bool everything);
   void UpdateRole();
   Message AnswerSync(const SyncRequest& request);
   int GossipPort(DaemonKind kind) const;
--- a/libs/hosting/src/control_plane.cc
+++ b/libs/hosting/src/control_plane.cc
@@ -188,6 +188,7 @@
 void ControlPlane::ApplyConfig(const std::vector<ConfigChange>& changes,
                                Revision since, Revision upto) {
   const Revision before = config_.revision();
+  const uint64_t digest_before = config_.digest();
   for (const RefusedChange& refused : config_.Apply(changes, since, upto)) {
     metrics_.counter("cherrydyke_config_refused_total").Add();
     LogWarning("refused a configuration change",
@@ -195,7 +196,9 @@
                 {"revision", refused.change.revision},
                 {"reason", refused.reason}});
   }
-  if (config_.revision() == before) return;
+  const bool unchanged =
+      config_.revision() == before && config_.digest() == digest_before;
+  if (unchanged) return;
   config_changed_at_ = clock_.Now();
   config_revision_ = config_.revision();
   {
@@ -253,7 +256,11 @@
   if (listeners_.on_heartbeat) listeners_.on_heartbeat(heartbeat, evidence);
   if (heartbeat.config_revision > config_.revision() ||
       heartbeat.hosts_revision > host_store_.revision()) {
-    QueuePull(address, heartbeat.kind);
+    QueuePull(address, heartbeat.kind, false);
+  } else if (heartbeat.config_revision == config_.revision() &&
+             heartbeat.config_digest != config_.digest()) {
+    // One of the two never saw a value that an invalid one has replaced.
+    QueuePull(address, heartbeat.kind, true);
   }
   if (heartbeat.reply_wanted) {
     SendHeartbeat(MakeEndpoint(address, GossipPort(heartbeat.kind)), false,
@@ -282,6 +289,7 @@
   heartbeat.incarnation = self_.incarnation;
   heartbeat.failure_domain = settings_.failure_domain;
   heartbeat.config_revision = config_.revision();
+  heartbeat.config_digest = config_.digest();
   heartbeat.hosts_revision = host_store_.revision();
   heartbeat.reply_wanted = reply_wanted;
   heartbeat.sent_at_us = absl::ToUnixMicros(clock_.Now());
@@ -328,12 +336,13 @@
   if (asked && config_.revision() > 0) synced_ = true;
 }
 
-void ControlPlane::QueuePull(const std::string& address, DaemonKind kind) {
+void ControlPlane::QueuePull(const std::string& address, DaemonKind kind,
+                             bool everything) {
   const absl::MutexLock lock(&mutex_);
   for (const Pull& pull : pulls_) {
     if (pull.address == address) return;
   }
-  pulls_.push_back({address, GossipPort(kind)});
+  pulls_.push_back({address, GossipPort(kind), everything});
   pulls_changed_.Signal();
 }
 
@@ -352,7 +361,8 @@
     auto* stream = std::get_if<std::unique_ptr<Stream>>(&connected);
     if (stream == nullptr) continue;
     Link link(std::move(*stream));
-    if (!link.Send(SyncRequest{config_revision_, hosts_revision_})) continue;
+    const Revision since = pull.everything ? 0 : config_revision_.load();
+    if (!link.Send(SyncRequest{since, hosts_revision_})) continue;
     Result<Message> answer = ReadFrame(link.stream(), kSyncTimeout);
     link.Close();
     if (GetError(answer) != nullptr) continue;
--- a/libs/wire/include/wire/messages.h
+++ b/libs/wire/include/wire/messages.h
@@ -285,6 +285,8 @@
   Incarnation incarnation = 0;
   FailureDomainName failure_domain;
   Revision config_revision = 0;
+  /// Digest of the values in force; see `ConfigStore::digest`.
+  uint64_t config_digest = 0;
   Revision hosts_revision = 0;
   /// Newest host list under which this gate has let go of every target that
   /// the list gives to others.
@@ -301,8 +303,8 @@
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(host, kind, incarnation, failure_domain, config_revision,
-            hosts_revision, settled_revision, reply_wanted, sent_at_us, echo_us,
-            quarantines);
+            config_digest, hosts_revision, settled_revision, reply_wanted,
+            sent_at_us, echo_us, quarantines);
   }
 };
 
