Remove what stood twice and what nothing used

- Five mains parsed their command line with the same lines: ParseCommandLine in hosting/program serves all.
- Three places collected the HTTP address of every entry: Cluster::EveryEntryHttp.
- Nothing used TicketBook::Outcome, RangeSet::Covers, PeerTable::LastHeartbeat, PeerTable::listed_peers and the result of PeerTable::OnHeartbeat; the table keeps when a peer was heard, not its whole heartbeat.
- A worker of a busy target looked at the target's connections every 2 ms while it waited for a slot; it now looks when a slot is free, right before the start.

Looked at and left: PlanOf of the bench and of the tests differ in their number of workers; the pairs by shape alone are declarations of different types.

--- a/bench/main.cc
+++ b/bench/main.cc
@@ -5,6 +5,7 @@
 
 #include "CLI/CLI.hpp"
 #include "bench/experiments.h"
+#include "hosting/program.h"
 
 namespace cherrydyke {
 namespace {
@@ -50,11 +51,7 @@
   for (const auto& [name, experiment] : experiments) {
     app.add_subcommand(name, experiment.first);
   }
-  try {
-    app.parse(argc, argv);
-  } catch (const CLI::ParseError& error) {
-    return app.exit(error) == 0 ? 0 : 2;
-  }
+  if (const auto code = ParseCommandLine(app, argc, argv)) return *code;
   std::string json = "[";
   const std::string chosen = app.get_subcommands().front()->get_name();
   for (const Table& table : experiments.at(chosen).second()) {
--- a/bench/src/tier.cc
+++ b/bench/src/tier.cc
@@ -31,9 +31,7 @@
 }
 
 LoadReport Load(const Cluster& cluster, LoadPlan plan) {
-  for (const HostId& host : cluster.hosts()) {
-    plan.entries.push_back(cluster.EntryHttp(host));
-  }
+  plan.entries = cluster.EveryEntryHttp();
   return MakeReport(RunLoad(plan));
 }
 
--- a/demo/main.cc
+++ b/demo/main.cc
@@ -143,9 +143,7 @@
 void ShowDomainOut(Cluster& cluster) {
   Heading("Failure domain Varna taken out and brought back under load");
   LoadPlan plan;
-  for (const HostId& host : cluster.hosts()) {
-    plan.entries.push_back(cluster.EntryHttp(host));
-  }
+  plan.entries = cluster.EveryEntryHttp();
   plan.mix = {{"desk", 3}, {"ledger", 1}};
   plan.rate_per_s = 60;
   plan.duration = absl::Seconds(9);
--- a/fakes/support/src/fake_program.cc
+++ b/fakes/support/src/fake_program.cc
@@ -27,11 +27,7 @@
   app.add_option("--config", file, "Settings file (TOML)")->required();
   app.add_flag("--check", check, "Check the settings and exit");
   app.set_version_flag("--version", name + " " + CHERRYDYKE_VERSION);
-  try {
-    app.parse(argc, argv);
-  } catch (const CLI::ParseError& error) {
-    return app.exit(error) == 0 ? 0 : 2;
-  }
+  if (const auto code = ParseCommandLine(app, argc, argv)) return *code;
   const toml::parse_result parsed = toml::parse_file(file);
   if (!parsed) {
     return Fail(file, std::to_string(parsed.error().source().begin.line) +
--- a/libs/actions/include/actions/ticket_book.h
+++ b/libs/actions/include/actions/ticket_book.h
@@ -82,9 +82,6 @@
   /// Records the final outcome of a run.
   void End(const Ticket& ticket, Ended ended);
 
-  /// @return the final outcome, if there is one.
-  std::optional<Ended> Outcome(const Ticket& ticket) const;
-
   absl::Duration use_within() const { return options_.use_within; }
 
  private:
--- a/libs/actions/src/ticket_book.cc
+++ b/libs/actions/src/ticket_book.cc
@@ -89,15 +89,6 @@
   record.ended = std::move(ended);
 }
 
-std::optional<TicketBook::Ended> TicketBook::Outcome(
-    const Ticket& ticket) const {
-  const auto found = records_.find(ticket.sequence);
-  if (found == records_.end() || found->second.state != State::kEnded) {
-    return std::nullopt;
-  }
-  return found->second.ended;
-}
-
 void TicketBook::Forget(absl::Time now) {
   while (!records_.empty()) {
     const auto oldest = records_.begin();
--- a/libs/base/include/base/key_range.h
+++ b/libs/base/include/base/key_range.h
@@ -55,9 +55,6 @@
   /// @return the parts of `whole` that the set lacks, in key order.
   std::vector<KeyRange> Missing(const KeyRange& whole) const;
 
-  /// @return whether the set holds every key of `whole`.
-  bool Covers(const KeyRange& whole) const { return Missing(whole).empty(); }
-
   const std::vector<KeyRange>& ranges() const { return ranges_; }
 
  private:
--- a/libs/gate/src/target_runner.cc
+++ b/libs/gate/src/target_runner.cc
@@ -146,8 +146,11 @@
       }
       const absl::Time now = environment_.clock.Now();
       if (ExpireFront(now, expired)) continue;
-      CheckContinuity();
-      if (!state_.TryStart(now)) {
+      // The connections are looked at only when a slot is free: a worker that
+      // waits for one comes by here every few milliseconds.
+      const bool slot_free = state_.InFlight(now) < state_.Limit();
+      if (slot_free) CheckContinuity();
+      if (!slot_free || !state_.TryStart(now)) {
         changed_.WaitWithTimeout(&mutex_, kSlotStep);
         continue;
       }
--- a/libs/hosting/include/hosting/program.h
+++ b/libs/hosting/include/hosting/program.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -10,8 +11,17 @@
 #include "telemetry/span.h"
 #include "wire/cut.h"
 
+namespace CLI {
+class App;
+}  // namespace CLI
+
 namespace cherrydyke {
 
+/// Parses a program's command line; prints help, version or the fault.
+/// @return the exit code if the program is to end here: 0 after help or
+/// version, 2 for a fault.
+std::optional<int> ParseCommandLine(CLI::App& app, int argc, char** argv);
+
 /// Blocks the signals that stop a program; call before any thread starts.
 void BlockStopSignals();
 
--- a/libs/hosting/src/program.cc
+++ b/libs/hosting/src/program.cc
@@ -46,6 +46,15 @@
 
 }  // namespace
 
+std::optional<int> ParseCommandLine(CLI::App& app, int argc, char** argv) {
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& error) {
+    return app.exit(error) == 0 ? 0 : 2;
+  }
+  return std::nullopt;
+}
+
 void BlockStopSignals() {
   const sigset_t signals = StopSignals();
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
@@ -79,12 +88,7 @@
                "Check the settings, print each fault with file, line and key, "
                "and exit with 2 if there is one");
   app.set_version_flag("--version", name + " " + CHERRYDYKE_VERSION);
-  try {
-    app.parse(argc, argv);
-  } catch (const CLI::ParseError& error) {
-    const int code = app.exit(error);
-    return code == 0 ? 0 : 2;
-  }
+  if (const auto code = ParseCommandLine(app, argc, argv)) return *code;
   const auto settings = ReadSettings(config);
   if (const auto* faults = std::get_if<SettingsFaults>(&settings)) {
     for (const std::string& fault : *faults) std::cerr << fault << "\n";
--- a/libs/membership/include/membership/peer_table.h
+++ b/libs/membership/include/membership/peer_table.h
@@ -47,9 +47,7 @@
 
   void OnHostList(const HostList& list);
 
-  /// @return whether the heartbeat is news: a peer unknown so far, another
-  /// incarnation, or higher revisions than its last.
-  bool OnHeartbeat(const Heartbeat& heartbeat, absl::Time now);
+  void OnHeartbeat(const Heartbeat& heartbeat, absl::Time now);
 
   /// @return whether this daemon should read the platform: it is among the
   /// first of the live daemons in its failure domain.
@@ -73,25 +71,14 @@
   /// @return peers of one kind, anywhere, heard within the silence limit.
   std::vector<DaemonId> LivePeers(DaemonKind kind, absl::Time now) const;
 
-  /// @return the last heartbeat of the peer, or null.
-  const Heartbeat* LastHeartbeat(const DaemonId& peer) const;
-
-  size_t listed_peers() const {
-    return domain_peers_.size() + remote_peers_.size();
-  }
-
  private:
-  struct Heard {
-    Heartbeat heartbeat;
-    absl::Time at;
-  };
-
   const DaemonId self_;
   const FailureDomainName failure_domain_;
   const Options options_;
   std::vector<DaemonId> domain_peers_;
   std::vector<DaemonId> remote_peers_;
-  std::map<DaemonId, Heard> heard_;
+  /// When each peer was heard last.
+  std::map<DaemonId, absl::Time> heard_;
 };
 
 }  // namespace cherrydyke
--- a/libs/membership/src/peer_table.cc
+++ b/libs/membership/src/peer_table.cc
@@ -37,22 +37,13 @@
   }
 }
 
-bool PeerTable::OnHeartbeat(const Heartbeat& heartbeat, absl::Time now) {
-  Heard& heard = heard_[{heartbeat.host, heartbeat.kind}];
-  const Heartbeat& last = heard.heartbeat;
-  const bool news = last.incarnation != heartbeat.incarnation ||
-                    last.config_revision < heartbeat.config_revision ||
-                    last.hosts_revision < heartbeat.hosts_revision ||
-                    last.settled_revision < heartbeat.settled_revision;
-  heard.heartbeat = heartbeat;
-  heard.at = now;
-  return news;
+void PeerTable::OnHeartbeat(const Heartbeat& heartbeat, absl::Time now) {
+  heard_[{heartbeat.host, heartbeat.kind}] = now;
 }
 
 bool PeerTable::IsLive(const DaemonId& peer, absl::Time now) const {
   const auto found = heard_.find(peer);
-  return found != heard_.end() &&
-         now - found->second.at < options_.silence_limit;
+  return found != heard_.end() && now - found->second < options_.silence_limit;
 }
 
 std::vector<DaemonId> PeerTable::LiveDomainPeers(absl::Time now) const {
@@ -115,9 +106,4 @@
   return sample;
 }
 
-const Heartbeat* PeerTable::LastHeartbeat(const DaemonId& peer) const {
-  const auto found = heard_.find(peer);
-  return found == heard_.end() ? nullptr : &found->second.heartbeat;
-}
-
 }  // namespace cherrydyke
--- a/tests/support/cluster.cc
+++ b/tests/support/cluster.cc
@@ -307,6 +307,12 @@
   return MakeEndpoint(AddressOfHost(host), base_port_);
 }
 
+std::vector<Endpoint> Cluster::EveryEntryHttp() const {
+  std::vector<Endpoint> endpoints;
+  for (const HostId& host : hosts()) endpoints.push_back(EntryHttp(host));
+  return endpoints;
+}
+
 Endpoint Cluster::GateHttp(const HostId& host) const {
   return MakeEndpoint(AddressOfHost(host), base_port_ + 1);
 }
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -90,6 +90,8 @@
   void StartTarget(const TargetId& id);
 
   Endpoint EntryHttp(const HostId& host) const;
+  /// @return `EntryHttp` of every host.
+  std::vector<Endpoint> EveryEntryHttp() const;
   Endpoint GateHttp(const HostId& host) const;
   Endpoint TargetHttp(const TargetId& id) const;
   const Endpoint& PlatformHttp() const { return platform_endpoint_; }
--- a/tests/support/whole_path.h
+++ b/tests/support/whole_path.h
@@ -53,9 +53,7 @@
  public:
   BackgroundLoad(const Cluster& cluster, LoadPlan plan)
       : plan_(std::move(plan)) {
-    for (const HostId& host : cluster.hosts()) {
-      plan_.entries.push_back(cluster.EntryHttp(host));
-    }
+    plan_.entries = cluster.EveryEntryHttp();
     thread_ = std::thread([this] { result_ = RunLoad(plan_); });
   }
   ~BackgroundLoad() {
--- a/tools/ctl/main.cc
+++ b/tools/ctl/main.cc
@@ -148,11 +148,7 @@
       ->check(CLI::IsMember({"entry", "gate", "both"}))
       ->capture_default_str();
   AddFleetOptions(*drain, options);
-  try {
-    app.parse(argc, argv);
-  } catch (const CLI::ParseError& error) {
-    return app.exit(error) == 0 ? 0 : 2;
-  }
+  if (const auto code = ParseCommandLine(app, argc, argv)) return *code;
   if (*check) return CheckFile(options);
   if (*revisions) return ShowRevisions(options);
   if (*targets) return ShowTargets(options);
--- a/tools/load/main.cc
+++ b/tools/load/main.cc
@@ -147,11 +147,7 @@
       app.add_subcommand("plot", "Draw the timeline of a JSON report as SVG");
   plot->add_option("report", report)->required();
   plot->add_option("output", output)->required();
-  try {
-    app.parse(argc, argv);
-  } catch (const CLI::ParseError& error) {
-    return app.exit(error) == 0 ? 0 : 2;
-  }
+  if (const auto code = ParseCommandLine(app, argc, argv)) return *code;
   if (*run) return Run(options);
   if (*compare) return Compare(first, second);
   return Plot(report, output);
