--- a/cmake/CherrydykeTargets.cmake
+++ b/cmake/CherrydykeTargets.cmake
@@ -16,6 +16,9 @@
 # Declares one CppUnit test binary and registers it with CTest.
 function(cherrydyke_test name)
   cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
+  if(CHERRYDYKE_ONLY_TIER)
+    return()
+  endif()
   add_executable(${name} ${ARG_SOURCES}
                  ${PROJECT_SOURCE_DIR}/tests/support/test_main.cc)
   target_include_directories(${name} PRIVATE ${PROJECT_SOURCE_DIR}/tests)
--- /dev/null
+++ b/daemons/tier/main.cc
@@ -0,0 +1,124 @@
+#include <fcntl.h>
+#include <signal.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <cstdlib>
+#include <iostream>
+#include <memory>
+#include <string>
+
+#include "CLI/CLI.hpp"
+#include "base/clock.h"
+#include "engine/event_loop.h"
+#include "platform/http_face.h"
+#include "platform/published_decoder.h"
+#include "platform/settings.h"
+#include "platform/store_client.h"
+#include "telemetry/log.h"
+#include "tier/tier_node.h"
+
+namespace cherrydyke {
+namespace {
+
+/// How often the settings file is looked at: it may change without a signal.
+constexpr absl::Duration kSettingsCheckPeriod = absl::Seconds(1);
+constexpr int kFaultExitCode = 2;
+
+void PrintFaults(const platform::SettingsFaults& faults) {
+  for (const std::string& fault : faults) std::cerr << fault << "\n";
+}
+
+// Re-reads the settings file when it has changed or a signal says so.
+class SettingsWatcher {
+ public:
+  SettingsWatcher(std::string path, TierNode& node)
+      : path_(std::move(path)), node_(node), seen_(Stamp()) {}
+
+  void Check() {
+    if (Stamp() != seen_) Reload();
+  }
+
+  void Reload() {
+    seen_ = Stamp();
+    const auto read = platform::ReadSettings(path_);
+    if (const auto* faults = std::get_if<platform::SettingsFaults>(&read)) {
+      LogError("changed settings refused; the old ones stay",
+               {{"fault", faults->front()}, {"faults", faults->size()}});
+      return;
+    }
+    const auto& settings = std::get<platform::Settings>(read);
+    node_.SetSeeds(settings.tier.seeds);
+    LogInfo("settings read again", {{"seeds", settings.tier.seeds.size()}});
+  }
+
+ private:
+  /// @return what tells two versions of the file apart.
+  std::pair<int64_t, int64_t> Stamp() const {
+    struct stat status = {};
+    if (stat(path_.c_str(), &status) != 0) return {0, 0};
+    return {status.st_mtim.tv_sec * 1'000'000'000 + status.st_mtim.tv_nsec,
+            status.st_size};
+  }
+
+  const std::string path_;
+  TierNode& node_;
+  std::pair<int64_t, int64_t> seen_;
+};
+
+int Serve(const std::string& path, const platform::Settings& settings) {
+  // A reader of the log that has stopped reading must not stop the daemon.
+  fcntl(STDOUT_FILENO, F_SETFL, fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
+  StartLogging("cherrydyke-tier", settings.node_name,
+               LogOutput::kStandardOutput);
+  const BootClock clock;
+  engine::EventLoop loop(clock);
+  const platform::HttpFace face;
+  const platform::JsonDecoder decoder;
+  platform::StoreClient store(loop, settings.store_endpoint);
+  TierNode node(loop, settings.tier, {face, decoder, store});
+  if (const Status started = node.Start(); GetError(started) != nullptr) {
+    LogError("not started", {{"error", GetError(started)->message}});
+    return 1;
+  }
+  LogInfo("started", {{"version", CHERRYDYKE_VERSION},
+                      {"callers", settings.tier.caller_endpoint},
+                      {"store", settings.store_endpoint}});
+  SettingsWatcher watcher(path, node);
+  loop.OnSignal(SIGTERM, [&] { node.BeginStop(); });
+  loop.OnSignal(SIGINT, [&] { node.BeginStop(); });
+  loop.OnSignal(SIGHUP, [&] { watcher.Reload(); });
+  loop.Every(kSettingsCheckPeriod, [&] { watcher.Check(); });
+  loop.Run();
+  return 0;
+}
+
+int Main(int argc, char** argv) {
+  const char* const from_environment = std::getenv(platform::kSettingsVariable);
+  std::string path = from_environment == nullptr ? "" : from_environment;
+  bool check = false;
+  CLI::App app("Serves callers on the users' platform", "cherrydyke-tier");
+  app.add_option("--config", path,
+                 "settings file of the platform; by default the one that the "
+                 "environment names");
+  app.add_flag("--check", check, "check the settings and exit");
+  app.set_version_flag("--version", CHERRYDYKE_VERSION);
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& error) {
+    const int code = app.exit(error);
+    return code == 0 ? 0 : kFaultExitCode;
+  }
+  const auto read = platform::ReadSettings(path);
+  if (const auto* faults = std::get_if<platform::SettingsFaults>(&read)) {
+    PrintFaults(*faults);
+    return kFaultExitCode;
+  }
+  if (check) return 0;
+  return Serve(path, std::get<platform::Settings>(read));
+}
+
+}  // namespace
+}  // namespace cherrydyke
+
+int main(int argc, char** argv) { return cherrydyke::Main(argc, argv); }
--- /dev/null
+++ b/libs/dispatch/include/dispatch/extra_budget.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/time/time.h"
+#include "dispatch/sliding_count.h"
+#include "dispatch/types.h"
+
+namespace cherrydyke {
+
+/// How much an extra send matters to its request.
+enum class ExtraUse {
+  /// Without it the request cannot be answered.
+  kNeeded,
+  /// It would make a sufficient answer faster or more complete.
+  kHelpful,
+};
+
+/// This host's part of the fleet-wide limit on extra arrivals at a service:
+/// hedges, retries and every other send beyond a request's first.
+///
+/// In any window the fleet may send `ratio` x requests + `slack`. A host uses
+/// the ratio of its own requests and the slack divided by the hosts that may
+/// share it, so the parts never add up to more than the whole. Pure.
+class ExtraBudget {
+ public:
+  explicit ExtraBudget(FleetBounds bounds) : bounds_(bounds) {}
+
+  /// @param hosts the most hosts that may share the slack, at least 1.
+  void SetHosts(int hosts) { hosts_ = hosts; }
+
+  /// Counts a request for the service and its free first arrival.
+  void OnRequest(const ServiceName& service, absl::Time now);
+
+  /// Takes one extra send. Needed ones may use the whole budget, helpful ones
+  /// leave a part of it, so that hedges do not starve retries.
+  /// @return whether it may be sent.
+  bool TryTake(const ServiceName& service, ExtraUse use, absl::Time now);
+
+  /// @return extra sends left for needed uses.
+  double Left(const ServiceName& service, absl::Time now);
+
+ private:
+  struct Use {
+    SlidingCount requests;
+    SlidingCount extras;
+  };
+  Use& UseOf(const ServiceName& service);
+  double Allowance(Use& use, absl::Time now) const;
+
+  const FleetBounds bounds_;
+  int hosts_ = 1;
+  absl::flat_hash_map<ServiceName, Use> uses_;
+};
+
+}  // namespace cherrydyke
--- /dev/null
+++ b/libs/dispatch/include/dispatch/placement.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <optional>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "base/ids.h"
+#include "dispatch/extra_budget.h"
+#include "dispatch/types.h"
+
+namespace cherrydyke {
+
+/// A target chosen for one send.
+struct Placed {
+  TargetId target;
+  /// When the send counts as overdue.
+  absl::Duration overdue_after;
+  /// Expected time until the answer.
+  absl::Duration expected;
+};
+
+/// What a send needs of its target.
+struct PlacementNeed {
+  ServiceName service;
+  /// Targets that are not to be used again.
+  const std::vector<TargetId>* exclude = nullptr;
+  /// Regions whose targets may be used; null or empty for all.
+  const std::vector<RegionName>* allowed_regions = nullptr;
+  /// Set if the send is beyond the free first one.
+  std::optional<ExtraUse> extra;
+  /// An extra send is pointless if its answer is expected after this time.
+  absl::Time useful_until = absl::InfiniteFuture();
+};
+
+/// Chooses targets and takes what a send costs from the limits that hold for
+/// it. A choice returned is a send counted.
+class Placement {
+ public:
+  virtual ~Placement() = default;
+  /// @return a target, or nothing if none may be sent to now.
+  virtual std::optional<Placed> Place(const PlacementNeed& need,
+                                      absl::Time now) = 0;
+};
+
+}  // namespace cherrydyke
--- /dev/null
+++ b/libs/dispatch/include/dispatch/target_health.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <cstdint>
+
+#include "absl/time/time.h"
+
+namespace cherrydyke {
+
+/// How the exchange with a target went, as far as its health is concerned.
+enum class TargetSign {
+  kAnswered,
+  /// It said that it did not run the request.
+  kRejected,
+  /// It answered with a failure of its own.
+  kFailed,
+  /// The connection ended without an answer, or the answer was malformed.
+  kLost,
+  /// No connection could be made.
+  kUnreachable,
+};
+
+/// What a target said of its own load.
+struct TargetLoad {
+  int running = 0;
+  int waiting = 0;
+  int slots = 0;
+
+  friend bool operator==(const TargetLoad& a, const TargetLoad& b) {
+    return a.running == b.running && a.waiting == b.waiting &&
+           a.slots == b.slots;
+  }
+};
+
+/// Learns from one target's answers, on one host, how soon and how surely it
+/// answers next. Pure: time is an argument.
+class TargetHealth {
+ public:
+  /// @param prior latency assumed before the first answer.
+  explicit TargetHealth(absl::Duration prior) : prior_(prior) {}
+
+  void SetPrior(absl::Duration prior) { prior_ = prior; }
+  void OnSent() { ++outstanding_; }
+  /// An exchange ended with a sign.
+  void OnEnded(TargetSign sign, absl::Duration latency, absl::Time now);
+  /// An exchange was given up; it says nothing more.
+  void OnAbandoned() { outstanding_ = outstanding_ > 0 ? outstanding_ - 1 : 0; }
+  /// A request has run longer than `OverdueAfter`: a pause, or worse.
+  void OnOverdue(absl::Time sent_at, absl::Time now);
+  void OnLoad(TargetLoad load, absl::Time now);
+
+  /// @return the expected time until an answer to a request sent now.
+  /// @param slots requests that the target runs at once.
+  /// @param connections requests that this host may have there at once.
+  absl::Duration Expected(int slots, int connections, absl::Time now) const;
+
+  /// @return the time after which a request counts as overdue.
+  absl::Duration OverdueAfter(absl::Time now) const;
+
+  /// @return whether the target seems not to answer at present. After a while
+  /// it is no longer suspect until one request has tried it again.
+  bool IsSuspect(absl::Time now) const;
+
+  /// @return the part of recent exchanges that failed, in [0, 1].
+  double FailureRate(absl::Time now) const;
+
+  /// @return whether latency was learned recently.
+  bool HasLatency(absl::Time now) const;
+  int outstanding() const { return outstanding_; }
+
+ private:
+  absl::Duration Mean(absl::Time now) const;
+  void Suspect(absl::Duration floor, absl::Time now);
+
+  absl::Duration prior_;
+  absl::Duration mean_;
+  absl::Duration deviation_;
+  absl::Time learned_at_ = absl::InfinitePast();
+  double failures_ = 0;
+  absl::Time failures_at_ = absl::InfinitePast();
+  absl::Time answered_at_ = absl::InfinitePast();
+  absl::Time suspect_until_ = absl::InfinitePast();
+  absl::Duration backoff_;
+  int outstanding_ = 0;
+  TargetLoad load_;
+  absl::Time load_at_ = absl::InfinitePast();
+};
+
+}  // namespace cherrydyke
--- /dev/null
+++ b/libs/dispatch/src/extra_budget.cc
@@ -0,0 +1,51 @@
+#include "dispatch/extra_budget.h"
+
+namespace cherrydyke {
+namespace {
+
+/// Resolution of the windows: a twentieth of the usual ten seconds.
+constexpr absl::Duration kBucket = absl::Milliseconds(500);
+/// Part of the budget that is used at all; the rest covers arrivals that are
+/// delayed into the next window.
+constexpr double kUsablePart = 0.9;
+/// Part of the usable budget that helpful sends may use.
+constexpr double kHelpfulPart = 0.7;
+
+}  // namespace
+
+ExtraBudget::Use& ExtraBudget::UseOf(const ServiceName& service) {
+  // Requests are counted over a shorter window than extras, because a bucket
+  // that the window cuts counts whole.
+  const Use empty{SlidingCount(bounds_.retry_window - kBucket, kBucket),
+                  SlidingCount(bounds_.retry_window, kBucket)};
+  return uses_.try_emplace(service, empty).first->second;
+}
+
+void ExtraBudget::OnRequest(const ServiceName& service, absl::Time now) {
+  UseOf(service).requests.Add(now);
+}
+
+double ExtraBudget::Allowance(Use& use, absl::Time now) const {
+  const double requests = static_cast<double>(use.requests.Count(now));
+  return kUsablePart *
+         (bounds_.retry_ratio * requests + bounds_.retry_slack / hosts_);
+}
+
+bool ExtraBudget::TryTake(const ServiceName& service, ExtraUse use,
+                          absl::Time now) {
+  Use& state = UseOf(service);
+  double allowance = Allowance(state, now);
+  if (use == ExtraUse::kHelpful) allowance *= kHelpfulPart;
+  if (static_cast<double>(state.extras.Count(now)) + 1 > allowance) {
+    return false;
+  }
+  state.extras.Add(now);
+  return true;
+}
+
+double ExtraBudget::Left(const ServiceName& service, absl::Time now) {
+  Use& state = UseOf(service);
+  return Allowance(state, now) - static_cast<double>(state.extras.Count(now));
+}
+
+}  // namespace cherrydyke
--- /dev/null
+++ b/libs/dispatch/src/request_run.cc
@@ -0,0 +1,209 @@
+#include "dispatch/request_run.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/invariant.h"
+
+namespace cherrydyke {
+
+RequestRun::RequestRun(RequestPlan plan, Placement& placement)
+    : plan_(std::move(plan)),
+      placement_(placement),
+      parts_(plan_.services.size()) {}
+
+RunActions RequestRun::Start(absl::Time now) {
+  RunActions actions;
+  for (size_t part = 0; part < parts_.size(); ++part) {
+    if (!Send(part, std::nullopt, now, actions)) {
+      parts_[part].given_up = true;
+      ++given_up_;
+    }
+  }
+  if (parts_.size() - given_up_ < plan_.needed) {
+    // Nothing of this has left the process yet.
+    actions.send.clear();
+    maybe_run_ = 0;
+    Conclude(ConclusionKind::kNotRun, actions);
+    return actions;
+  }
+  Settle(now, actions);
+  return actions;
+}
+
+bool RequestRun::Send(size_t index, std::optional<ExtraUse> extra,
+                      absl::Time now, RunActions& actions) {
+  Part& part = parts_[index];
+  PlacementNeed need;
+  need.service = plan_.services[index];
+  need.exclude = &part.tried;
+  need.allowed_regions = &plan_.allowed_regions;
+  need.extra = extra;
+  need.useful_until = plan_.deadline;
+  const std::optional<Placed> placed = placement_.Place(need, now);
+  if (!placed) return false;
+  const size_t attempt = attempts_.size();
+  attempts_.push_back({index, placed->target, true});
+  part.tried.push_back(placed->target);
+  ++part.running;
+  ++part.counted;
+  ++maybe_run_;
+  CHERRYDYKE_INVARIANT(plan_.idempotent || maybe_run_ <= 1,
+                       "a request that is not idempotent was sent twice");
+  part.overdue_at = now + placed->overdue_after;
+  actions.send.push_back({attempt, index, placed->target});
+  return true;
+}
+
+bool RequestRun::MayHedge(const Part& part) const {
+  return plan_.idempotent && part.counted < plan_.attempts;
+}
+
+ExtraUse RequestRun::UseOf(size_t index) const {
+  // Parts that can still be had without this one.
+  size_t possible = 0;
+  for (size_t part = 0; part < parts_.size(); ++part) {
+    if (part != index && !parts_[part].given_up) ++possible;
+  }
+  return possible < plan_.needed ? ExtraUse::kNeeded : ExtraUse::kHelpful;
+}
+
+RunActions RequestRun::OnEnded(size_t attempt_index, AttemptEnd end,
+                               absl::Time now) {
+  RunActions actions;
+  Attempt& attempt = attempts_[attempt_index];
+  if (done_ || !attempt.running) return actions;
+  attempt.running = false;
+  const size_t index = attempt.part;
+  Part& part = parts_[index];
+  --part.running;
+  if (part.winner) return actions;
+  switch (end) {
+    case AttemptEnd::kSuccess:
+      part.winner = attempt_index;
+      part.overdue_at = absl::InfiniteFuture();
+      ++succeeded_;
+      for (size_t other = 0; other < attempts_.size(); ++other) {
+        if (attempts_[other].part != index || !attempts_[other].running) {
+          continue;
+        }
+        attempts_[other].running = false;
+        actions.cancel.push_back(other);
+      }
+      break;
+    case AttemptEnd::kNotRun:
+    case AttemptEnd::kWrongTarget:
+      --part.counted;
+      --maybe_run_;
+      Retry(index, now, actions);
+      break;
+    case AttemptEnd::kFailure:
+      part.failure = attempt_index;
+      Retry(index, now, actions);
+      break;
+    case AttemptEnd::kUnknown:
+      Retry(index, now, actions);
+      break;
+  }
+  Settle(now, actions);
+  return actions;
+}
+
+void RequestRun::Retry(size_t index, absl::Time now, RunActions& actions) {
+  Part& part = parts_[index];
+  const bool proved_not_run = maybe_run_ == 0;
+  const bool may_run_again =
+      plan_.idempotent ? part.counted < plan_.attempts : proved_not_run;
+  if (may_run_again && now < plan_.deadline && part.running == 0 &&
+      Send(index, UseOf(index), now, actions)) {
+    return;
+  }
+  if (part.running > 0) return;
+  part.given_up = true;
+  part.overdue_at = absl::InfiniteFuture();
+  ++given_up_;
+}
+
+RunActions RequestRun::OnTimer(absl::Time now) {
+  RunActions actions;
+  if (done_) return actions;
+  if (now >= plan_.deadline) {
+    const bool enough = succeeded_ >= plan_.needed;
+    Conclude(enough            ? ConclusionKind::kAnswer
+             : maybe_run_ == 0 ? ConclusionKind::kNotRun
+                               : ConclusionKind::kTimedOut,
+             actions);
+    return actions;
+  }
+  for (size_t index = 0; index < parts_.size(); ++index) {
+    Part& part = parts_[index];
+    if (now < part.overdue_at) continue;
+    part.overdue_at = absl::InfiniteFuture();
+    for (size_t attempt = 0; attempt < attempts_.size(); ++attempt) {
+      if (attempts_[attempt].part == index && attempts_[attempt].running) {
+        actions.overdue.push_back(attempt);
+      }
+    }
+    if (MayHedge(part)) Send(index, UseOf(index), now, actions);
+  }
+  Settle(now, actions);
+  return actions;
+}
+
+void RequestRun::Settle(absl::Time now, RunActions& actions) {
+  if (done_) return;
+  const bool all_settled = succeeded_ + given_up_ == parts_.size();
+  const bool enough = succeeded_ >= plan_.needed;
+  if (enough && (all_settled || now >= plan_.answer_at)) {
+    return Conclude(ConclusionKind::kAnswer, actions);
+  }
+  if (parts_.size() - given_up_ < plan_.needed) {
+    Conclude(FailureKind(), actions);
+  }
+}
+
+ConclusionKind RequestRun::FailureKind() const {
+  if (maybe_run_ == 0) return ConclusionKind::kNotRun;
+  if (!plan_.is_fanout && parts_.front().failure) {
+    return ConclusionKind::kRelayFailure;
+  }
+  return ConclusionKind::kFailed;
+}
+
+void RequestRun::Conclude(ConclusionKind kind, RunActions& actions) {
+  done_ = true;
+  if (kind == ConclusionKind::kRelayFailure) {
+    relayed_ = *parts_.front().failure;
+  }
+  for (size_t index = 0; index < attempts_.size(); ++index) {
+    if (!attempts_[index].running) continue;
+    attempts_[index].running = false;
+    actions.cancel.push_back(index);
+  }
+  actions.conclusion = kind;
+}
+
+RunActions RequestRun::Abort() {
+  RunActions actions;
+  if (!done_) Conclude(ConclusionKind::kFailed, actions);
+  actions.conclusion.reset();
+  return actions;
+}
+
+absl::Time RequestRun::NextTimer() const {
+  if (done_) return absl::InfiniteFuture();
+  absl::Time next = plan_.deadline;
+  // Before the answer time, an answer that lacks parts waits for them.
+  if (succeeded_ >= plan_.needed) next = std::min(next, plan_.answer_at);
+  for (const Part& part : parts_) next = std::min(next, part.overdue_at);
+  return next;
+}
+
+std::vector<std::optional<size_t>> RequestRun::Winners() const {
+  std::vector<std::optional<size_t>> winners;
+  winners.reserve(parts_.size());
+  for (const Part& part : parts_) winners.push_back(part.winner);
+  return winners;
+}
+
+}  // namespace cherrydyke
--- /dev/null
+++ b/libs/dispatch/src/sliding_count.cc
@@ -0,0 +1,27 @@
+#include "dispatch/sliding_count.h"
+
+namespace cherrydyke {
+
+void SlidingCount::Add(absl::Time now, int64_t amount) {
+  Expire(now);
+  if (buckets_.empty() || now >= buckets_.back().begin + bucket_) {
+    buckets_.push_back({now, 0});
+  }
+  buckets_.back().count += amount;
+  total_ += amount;
+}
+
+int64_t SlidingCount::Count(absl::Time now) {
+  Expire(now);
+  return total_;
+}
+
+void SlidingCount::Expire(absl::Time now) {
+  while (!buckets_.empty() &&
+         buckets_.front().begin + bucket_ + window_ <= now) {
+    total_ -= buckets_.front().count;
+    buckets_.pop_front();
+  }
+}
+
+}  // namespace cherrydyke
--- /dev/null
+++ b/libs/dispatch/src/target_health.cc
@@ -0,0 +1,121 @@
+#include "dispatch/target_health.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cherrydyke {
+namespace {
+
+/// Weight of the newest sample in the smoothed latency and failure rate.
+constexpr double kLatencyWeight = 0.2;
+constexpr double kFailureWeight = 0.25;
+/// Time in which what was learned loses half of its difference from the prior:
+/// a target that is avoided gets another chance after a few of them.
+constexpr absl::Duration kForgetHalf = absl::Seconds(2);
+/// Shortest time after which a request can be overdue: below it, scheduling
+/// on a small host looks like a slow target.
+constexpr absl::Duration kMinOverdue = absl::Milliseconds(20);
+/// Deviations above the mean at which a request is overdue.
+constexpr double kOverdueDeviations = 4;
+/// Times the mean at which a request is overdue at the earliest.
+constexpr double kOverdueTimes = 2;
+/// First and longest time for which a silent target is avoided.
+constexpr absl::Duration kFirstBackoff = absl::Milliseconds(150);
+constexpr absl::Duration kLongestBackoff = absl::Seconds(3);
+/// How long a report of load describes the target.
+constexpr absl::Duration kLoadValidity = absl::Milliseconds(100);
+
+double Decay(absl::Duration age) {
+  return std::exp2(-absl::FDivDuration(age, kForgetHalf));
+}
+
+}  // namespace
+
+void TargetHealth::OnEnded(TargetSign sign, absl::Duration latency,
+                           absl::Time now) {
+  OnAbandoned();
+  const bool failed = sign != TargetSign::kAnswered;
+  failures_ =
+      FailureRate(now) * (1 - kFailureWeight) + (failed ? kFailureWeight : 0);
+  failures_at_ = now;
+  if (sign == TargetSign::kUnreachable) return Suspect(kFirstBackoff, now);
+  if (sign == TargetSign::kLost) return;
+  answered_at_ = now;
+  suspect_until_ = absl::InfinitePast();
+  backoff_ = absl::ZeroDuration();
+  if (sign != TargetSign::kAnswered) return;
+  if (learned_at_ == absl::InfinitePast()) {
+    mean_ = latency;
+    deviation_ = latency / 2;
+  } else {
+    const absl::Duration mean = Mean(now);
+    const absl::Duration error = absl::AbsDuration(latency - mean);
+    mean_ = mean + (latency - mean) * kLatencyWeight;
+    deviation_ += (error - deviation_) * kLatencyWeight;
+  }
+  learned_at_ = now;
+}
+
+void TargetHealth::OnOverdue(absl::Time sent_at, absl::Time now) {
+  // Answers to later requests show that the target is well.
+  if (answered_at_ > sent_at) return;
+  Suspect(kFirstBackoff, now);
+}
+
+void TargetHealth::Suspect(absl::Duration floor, absl::Time now) {
+  if (now < suspect_until_) return;
+  backoff_ = std::clamp(backoff_ * 2, floor, kLongestBackoff);
+  suspect_until_ = now + backoff_;
+}
+
+void TargetHealth::OnLoad(TargetLoad load, absl::Time now) {
+  load_ = load;
+  load_at_ = now;
+}
+
+absl::Duration TargetHealth::Mean(absl::Time now) const {
+  if (learned_at_ == absl::InfinitePast()) return prior_;
+  return prior_ + (mean_ - prior_) * Decay(now - learned_at_);
+}
+
+bool TargetHealth::HasLatency(absl::Time now) const {
+  return now - learned_at_ < kForgetHalf;
+}
+
+absl::Duration TargetHealth::Expected(int slots, int connections,
+                                      absl::Time now) const {
+  const absl::Duration mean = Mean(now);
+  int load = outstanding_;
+  if (now - load_at_ < kLoadValidity) {
+    load = std::max(load, load_.running + load_.waiting);
+  }
+  const double at_target =
+      static_cast<double>(std::max(0, load + 1 - slots)) / slots;
+  const double at_host =
+      static_cast<double>(std::max(0, outstanding_ + 1 - connections)) /
+      connections;
+  // A little for each request there, so that equals share the load.
+  const double sharing = 0.05 * load;
+  return mean * (1 + std::max(at_target, at_host) + sharing);
+}
+
+absl::Duration TargetHealth::OverdueAfter(absl::Time now) const {
+  const absl::Duration mean = Mean(now);
+  const absl::Duration deviation =
+      learned_at_ == absl::InfinitePast() ? prior_ / 2 : deviation_;
+  return std::max({kMinOverdue, mean * kOverdueTimes,
+                   mean + deviation * kOverdueDeviations});
+}
+
+bool TargetHealth::IsSuspect(absl::Time now) const {
+  if (now < suspect_until_) return true;
+  // One request at a time tries a target that was suspect.
+  return backoff_ > absl::ZeroDuration() && outstanding_ > 0;
+}
+
+double TargetHealth::FailureRate(absl::Time now) const {
+  if (failures_at_ == absl::InfinitePast()) return 0;
+  return failures_ * Decay(now - failures_at_);
+}
+
+}  // namespace cherrydyke
--- /dev/null
+++ b/libs/dispatch/src/top_records.cc
@@ -0,0 +1,29 @@
+#include "dispatch/top_records.h"
+
+#include <algorithm>
+
+#include "absl/strings/string_view.h"
+
+namespace cherrydyke {
+
+std::string MergeTopRecords(const std::vector<std::string>& parts,
+                            size_t top_k) {
+  std::vector<absl::string_view> records;
+  for (const std::string& part : parts) {
+    const absl::string_view bytes = part;
+    for (size_t at = 0; at + kRecordBytes <= bytes.size(); at += kRecordBytes) {
+      records.push_back(bytes.substr(at, kRecordBytes));
+    }
+  }
+  const size_t kept = std::min(top_k, records.size());
+  // Views compare as unsigned bytes.
+  std::partial_sort(records.begin(), records.begin() + kept, records.end(),
+                    std::greater<>());
+  std::string merged;
+  merged.reserve(kept * kRecordBytes);
+  for (size_t index = 0; index < kept; ++index)
+    merged.append(records[index].data(), records[index].size());
+  return merged;
+}
+
+}  // namespace cherrydyke
--- /dev/null
+++ b/libs/engine/include/engine/connection_pool.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "absl/container/flat_hash_set.h"
+#include "engine/client_connection.h"
+
+namespace cherrydyke::engine {
+
+/// Names one exchange of a pool until it has ended.
+using ExchangeId = uint64_t;
+
+/// How a request may use kept connections.
+struct PoolRequest {
+  Exchange exchange;
+  /// Longest time since a connection last proved to work; a connection silent
+  /// for longer is replaced by a new one. Infinite for any open connection.
+  absl::Duration max_silence = absl::InfiniteDuration();
+};
+
+/// The kept connections to one server: at most `limit` at once, one request at
+/// a time on each, others waiting in order.
+class ConnectionPool : private ClientConnection::Observer {
+ public:
+  /// Told of signs of the server's health.
+  class Listener {
+   public:
+    virtual ~Listener() = default;
+    /// A connection attempt was refused or not answered in time.
+    virtual void OnConnectFailed(bool refused) = 0;
+    /// The server ended an open connection that carried no request.
+    virtual void OnIdleClosed() = 0;
+    virtual void OnConnected() = 0;
+  };
+
+  ConnectionPool(EventLoop& loop, Endpoint endpoint, ClientOptions options,
+                 int limit, Listener* listener);
+  ~ConnectionPool() override;
+  ConnectionPool(const ConnectionPool&) = delete;
+  ConnectionPool& operator=(const ConnectionPool&) = delete;
+
+  void SetLimit(int limit) { limit_ = limit; }
+
+  /// Sends a request now or as soon as a connection is free. `done` is called
+  /// once, never from within this call, unless the exchange is cancelled.
+  ExchangeId Send(PoolRequest request);
+
+  /// Forgets an exchange. One that was sent is left to finish for `grace`, so
+  /// that its connection can be kept, and is then broken off by a close.
+  void Cancel(ExchangeId exchange, absl::Duration grace);
+
+  /// Drops connections that carry no request.
+  void CloseIdle();
+
+  int open_connections() const { return static_cast<int>(members_.size()); }
+  size_t waiting() const { return queue_.size(); }
+  /// @return whether a request sent now would not have to wait for another.
+  bool HasRoom() const;
+
+ private:
+  struct Waiting {
+    ExchangeId id;
+    PoolRequest request;
+  };
+  struct Member {
+    std::shared_ptr<ClientConnection> connection;
+    ExchangeId exchange = 0;
+    /// Set while a cancelled exchange may still finish.
+    TimerId break_off = 0;
+  };
+
+  void OnOpened(ClientConnection& connection) override;
+  void OnIdle(ClientConnection& connection) override;
+  void OnClosed(ClientConnection& connection, bool was_open,
+                bool by_peer) override;
+
+  Member* Find(const ClientConnection& connection);
+  Member* FindIdle(absl::Duration max_silence);
+  void Assign(Member& member, Waiting waiting);
+  void Open();
+  void Pump();
+  void FailWaiting();
+
+  EventLoop& loop_;
+  const Endpoint endpoint_;
+  const ClientOptions options_;
+  int limit_;
+  Listener* const listener_;
+  std::vector<Member> members_;
+  std::deque<Waiting> queue_;
+  ExchangeId last_exchange_ = 0;
+  /// Exchanges whose `done` is still to be called.
+  absl::flat_hash_set<ExchangeId> pending_;
+  int connecting_ = 0;
+  /// Lets posted work notice that the pool is gone.
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace cherrydyke::engine
--- /dev/null
+++ b/libs/engine/include/engine/http_server.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "base/ids.h"
+#include "base/result.h"
+#include "engine/event_loop.h"
+#include "engine/http_message.h"
+
+namespace cherrydyke::engine {
+
+/// What a caller may send, and how long it may take.
+struct ServerLimits {
+  uint32_t max_header_bytes = 16U << 10U;
+  uint64_t max_body_bytes = 256U << 10U;
+  /// From the first byte of a request to the end of its header; a body has the
+  /// same time again for each part that arrives.
+  absl::Duration header_timeout = absl::Seconds(3);
+  /// Longest time without a request on a kept connection.
+  absl::Duration idle_timeout = absl::Seconds(15);
+
+  friend bool operator==(const ServerLimits& a, const ServerLimits& b) {
+    return std::tie(a.max_header_bytes, a.max_body_bytes, a.header_timeout,
+                    a.idle_timeout) ==
+           std::tie(b.max_header_bytes, b.max_body_bytes, b.header_timeout,
+                    b.idle_timeout);
+  }
+};
+
+/// One request under way and the means to answer it. Kept by whoever serves the
+/// request; an exchange dropped without an answer closes the connection.
+class ServerExchange {
+ public:
+  virtual ~ServerExchange() = default;
+  virtual const HttpRequest& request() const = 0;
+  /// @return when the whole request had been read.
+  virtual absl::Time received_at() const = 0;
+  /// Answers; only the first call counts.
+  virtual void Respond(HttpResponse response) = 0;
+  /// Calls `left` once if the caller goes away before the answer.
+  virtual void OnLeft(std::function<void()> left) = 0;
+};
+
+/// Accepts connections and hands whole requests to a handler. Requests of one
+/// connection are answered in order; further ones wait unread.
+class HttpServer {
+ public:
+  using Handler = std::function<void(std::shared_ptr<ServerExchange>)>;
+
+  /// @param limits read anew for each request, as they may be reconfigured.
+  HttpServer(EventLoop& loop, std::function<ServerLimits()> limits,
+             Handler handler);
+  ~HttpServer();
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+
+  /// Starts to listen.
+  Status Listen(const Endpoint& endpoint);
+
+  /// From now on each answer ends its connection.
+  void CloseAfterAnswers();
+
+  /// Closes connections on which no request is read or under way.
+  void CloseIdle();
+
+  /// @return requests read and not yet answered.
+  size_t running() const;
+  size_t connections() const;
+
+  /// Shared between the server and its connections.
+  struct State;
+
+ private:
+  void Accept();
+  void Sweep();
+
+  std::shared_ptr<State> state_;
+};
+
+}  // namespace cherrydyke::engine
--- /dev/null
+++ b/libs/engine/src/beast_message.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <utility>
+#include <vector>
+
+#include "boost/beast/http/fields.hpp"
+#include "engine/http_message.h"
+
+namespace cherrydyke::engine {
+
+/// @return the fields as plain headers, in order.
+inline std::vector<HttpHeader> CopyHeaders(
+    const boost::beast::http::fields& fields) {
+  std::vector<HttpHeader> headers;
+  headers.reserve(8);
+  for (const auto& field : fields) {
+    headers.push_back(
+        {std::string(field.name_string()), std::string(field.value())});
+  }
+  return headers;
+}
+
+}  // namespace cherrydyke::engine
--- /dev/null
+++ b/libs/engine/src/client_connection.cc
@@ -0,0 +1,240 @@
+#include "engine/client_connection.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <optional>
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_split.h"
+#include "absl/strings/string_view.h"
+#include "absl/strings/strip.h"
+#include "beast_message.h"
+#include "boost/asio/ip/tcp.hpp"
+#include "boost/asio/write.hpp"
+#include "boost/beast/core/flat_buffer.hpp"
+#include "boost/beast/http/parser.hpp"
+#include "boost/beast/http/string_body.hpp"
+#include "endpoint.h"
+
+namespace cherrydyke::engine {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using ResponseParser = http::response_parser<http::string_body>;
+
+/// Bytes asked of the kernel in one read: most responses fit.
+constexpr size_t kReadBytes = 4096;
+/// Longest header of a response, in bytes.
+constexpr uint32_t kMaxResponseHeaderBytes = 64U << 10U;
+/// Time after which bytes that the peer's kernel has not confirmed break the
+/// connection, in milliseconds: within a few seconds, as partitions last.
+constexpr unsigned kTcpUserTimeoutMs = 4000;
+
+/// A response without length ends with its connection; told so in words,
+/// because callers of this connection see the whole body only.
+bool KeepsConnection(const ResponseParser& parser) {
+  return parser.get().keep_alive() && !parser.get().need_eof();
+}
+
+/// Probes of a connection on which nothing moves, in seconds and tries: one
+/// whose path has lost track of it is given up within about four seconds.
+constexpr int kKeepAliveIdleS = 2;
+constexpr int kKeepAliveIntervalS = 1;
+constexpr int kKeepAliveProbes = 2;
+
+}  // namespace
+
+void ConfigureTcp(int descriptor) {
+  const int on = 1;
+  setsockopt(descriptor, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+  setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, &kKeepAliveIdleS,
+             sizeof(kKeepAliveIdleS));
+  setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, &kKeepAliveIntervalS,
+             sizeof(kKeepAliveIntervalS));
+  setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPCNT, &kKeepAliveProbes,
+             sizeof(kKeepAliveProbes));
+  setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+  setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &kTcpUserTimeoutMs,
+             sizeof(kTcpUserTimeoutMs));
+}
+
+struct ClientConnection::Socket {
+  explicit Socket(asio::io_context& context) : tcp(context) {}
+
+  asio::ip::tcp::socket tcp;
+  beast::flat_buffer input;
+  std::optional<ResponseParser> parser;
+};
+
+ClientConnection::ClientConnection(EventLoop& loop, Endpoint endpoint,
+                                   ClientOptions options, Observer* observer)
+    : loop_(loop),
+      endpoint_(std::move(endpoint)),
+      options_(std::move(options)),
+      observer_(observer),
+      socket_(std::make_unique<Socket>(loop.context())) {}
+
+ClientConnection::~ClientConnection() { loop_.Cancel(connect_timer_); }
+
+void ClientConnection::Connect() {
+  const auto address = ParseEndpoint(endpoint_);
+  if (!address) {
+    loop_.Post([self = shared_from_this()] { self->CloseSocket(false); });
+    return;
+  }
+  connect_timer_ = loop_.RunAfter(options_.connect_timeout, [this] {
+    connect_timer_ = 0;
+    CloseSocket(false);
+  });
+  socket_->tcp.async_connect(
+      *address, [self = shared_from_this()](const error_code& error) {
+        if (self->state_ == State::kClosed) return;
+        self->loop_.Cancel(self->connect_timer_);
+        if (error) return self->CloseSocket(true);
+        ConfigureTcp(self->socket_->tcp.native_handle());
+        self->state_ = State::kIdle;
+        self->proved_at_ = self->loop_.Now();
+        self->Read();
+        if (self->observer_ != nullptr) self->observer_->OnOpened(*self);
+      });
+}
+
+void ClientConnection::Start(Exchange exchange) {
+  state_ = State::kBusy;
+  exchange_ = std::move(exchange);
+  ResetParser();
+  writing_ = true;
+  const auto bytes = std::make_shared<std::string>(std::move(exchange_.bytes));
+  asio::async_write(
+      socket_->tcp, asio::buffer(*bytes),
+      [self = shared_from_this(), bytes](const error_code& error, size_t) {
+        // A failed write shows at the pending read as well, which may still
+        // deliver a response that came before the request was taken whole.
+        if (!error) self->writing_ = false;
+      });
+}
+
+void ClientConnection::ResetParser() {
+  socket_->parser.emplace();
+  socket_->parser->eager(true);
+  socket_->parser->header_limit(kMaxResponseHeaderBytes);
+  socket_->parser->body_limit(options_.max_body_bytes);
+  socket_->parser->skip(exchange_.is_head);
+}
+
+void ClientConnection::Read() {
+  socket_->tcp.async_read_some(
+      socket_->input.prepare(kReadBytes),
+      [self = shared_from_this()](const error_code& error, size_t bytes) {
+        if (self->state_ == State::kClosed) return;
+        if (error) return self->OnEnd(error == asio::error::eof);
+        self->socket_->input.commit(bytes);
+        self->OnBytes();
+        if (self->state_ != State::kClosed) self->Read();
+      });
+}
+
+void ClientConnection::OnBytes() {
+  // Bytes that no request asked for belong to nothing.
+  if (state_ != State::kBusy) return CloseSocket(true);
+  while (state_ == State::kBusy && ParseResponse(false)) CompleteResponse();
+}
+
+bool ClientConnection::ParseResponse(bool at_end) {
+  ResponseParser& parser = *socket_->parser;
+  error_code error;
+  if (at_end) {
+    if (!parser.got_some()) return false;
+    parser.put_eof(error);
+  } else {
+    while (socket_->input.size() > 0 && !parser.is_done()) {
+      const size_t used = parser.put(socket_->input.data(), error);
+      socket_->input.consume(used);
+      if (error || used == 0) break;
+    }
+  }
+  if (error == http::error::need_more) return false;
+  if (error) {
+    Fail(ExchangeStatus::kMalformed, {}, false);
+    return false;
+  }
+  return parser.is_done();
+}
+
+void ClientConnection::CompleteResponse() {
+  ResponseParser& parser = *socket_->parser;
+  HttpResponse response;
+  response.status = parser.get().result_int();
+  const bool interim = response.status >= 100 && response.status < 200;
+  const bool keeps = KeepsConnection(parser);
+  response.headers = CopyHeaders(parser.get());
+  response.body = std::move(parser.get().body());
+  const std::string* const id =
+      FindHeader(response.headers, options_.id_header);
+  const bool foreign = id != nullptr && !exchange_.expected_id.empty() &&
+                       *id != exchange_.expected_id;
+  if (interim || foreign) return ResetParser();
+  NoteKeepAlive(response);
+  proved_at_ = loop_.Now();
+  // Where a part of the request is still unsent, the server takes whatever
+  // comes next for the rest of it.
+  if (!keeps || writing_ || socket_->input.size() > 0) {
+    return Fail(ExchangeStatus::kComplete, std::move(response), false);
+  }
+  auto done = std::move(exchange_.done);
+  exchange_ = {};
+  state_ = State::kIdle;
+  if (done) done({ExchangeStatus::kComplete, std::move(response)});
+  if (state_ == State::kIdle && observer_ != nullptr) observer_->OnIdle(*this);
+}
+
+void ClientConnection::NoteKeepAlive(const HttpResponse& response) {
+  const std::string* const header = FindHeader(response.headers, "Keep-Alive");
+  if (header == nullptr) return;
+  for (absl::string_view part : absl::StrSplit(*header, ',')) {
+    part = absl::StripAsciiWhitespace(part);
+    int seconds = 0;
+    if (absl::ConsumePrefix(&part, "timeout=") &&
+        absl::SimpleAtoi(part, &seconds)) {
+      idle_limit_ = absl::Seconds(seconds);
+    }
+  }
+}
+
+void ClientConnection::OnEnd(bool clean) {
+  if (state_ == State::kBusy && clean && ParseResponse(true)) {
+    return CompleteResponse();
+  }
+  if (state_ == State::kBusy) return Fail(ExchangeStatus::kLost, {}, true);
+  CloseSocket(true);
+}
+
+void ClientConnection::Fail(ExchangeStatus status, HttpResponse response,
+                            bool by_peer) {
+  auto done = std::move(exchange_.done);
+  exchange_ = {};
+  CloseSocket(by_peer);
+  if (done) done({status, std::move(response)});
+}
+
+void ClientConnection::Close() {
+  exchange_ = {};
+  CloseSocket(false);
+}
+
+void ClientConnection::CloseSocket(bool by_peer) {
+  if (state_ == State::kClosed) return;
+  const bool was_open = state_ != State::kConnecting;
+  state_ = State::kClosed;
+  loop_.Cancel(connect_timer_);
+  error_code ignored;
+  socket_->tcp.close(ignored);
+  if (observer_ != nullptr) observer_->OnClosed(*this, was_open, by_peer);
+}
+
+}  // namespace cherrydyke::engine
--- /dev/null
+++ b/libs/engine/src/connection_pool.cc
@@ -0,0 +1,190 @@
+#include "engine/connection_pool.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cherrydyke::engine {
+
+ConnectionPool::ConnectionPool(EventLoop& loop, Endpoint endpoint,
+                               ClientOptions options, int limit,
+                               Listener* listener)
+    : loop_(loop),
+      endpoint_(std::move(endpoint)),
+      options_(std::move(options)),
+      limit_(limit),
+      listener_(listener) {}
+
+ConnectionPool::~ConnectionPool() {
+  *alive_ = false;
+  for (Member& member : members_) {
+    loop_.Cancel(member.break_off);
+    member.connection->Detach();
+    member.connection->Close();
+  }
+}
+
+bool ConnectionPool::HasRoom() const {
+  const bool any_idle = std::any_of(
+      members_.begin(), members_.end(),
+      [](const Member& member) { return member.connection->IsIdle(); });
+  return queue_.empty() && (any_idle || open_connections() < limit_);
+}
+
+ExchangeId ConnectionPool::Send(PoolRequest request) {
+  const ExchangeId id = ++last_exchange_;
+  pending_.insert(id);
+  queue_.push_back({id, std::move(request)});
+  Pump();
+  return id;
+}
+
+void ConnectionPool::Pump() {
+  while (!queue_.empty()) {
+    Member* const idle = FindIdle(queue_.front().request.max_silence);
+    if (idle == nullptr) break;
+    Waiting next = std::move(queue_.front());
+    queue_.pop_front();
+    Assign(*idle, std::move(next));
+  }
+  while (connecting_ < static_cast<int>(queue_.size()) &&
+         open_connections() < limit_) {
+    Open();
+  }
+}
+
+ConnectionPool::Member* ConnectionPool::FindIdle(absl::Duration max_silence) {
+  const absl::Time now = loop_.Now();
+  Member* best = nullptr;
+  std::vector<std::shared_ptr<ClientConnection>> stale;
+  for (Member& member : members_) {
+    ClientConnection& connection = *member.connection;
+    if (!connection.IsIdle()) continue;
+    // The server may close at its own limit while a request is on its way.
+    const absl::Duration usable =
+        std::min(max_silence, connection.idle_limit() * 0.8);
+    if (now - connection.proved_at() > usable) {
+      stale.push_back(member.connection);
+      continue;
+    }
+    // The last used one first, so that surplus connections fall idle.
+    if (best == nullptr ||
+        connection.proved_at() > best->connection->proved_at()) {
+      best = &member;
+    }
+  }
+  if (best != nullptr || stale.empty()) return best;
+  stale.front()->Close();
+  return nullptr;
+}
+
+void ConnectionPool::Assign(Member& member, Waiting waiting) {
+  member.exchange = waiting.id;
+  const auto connection = member.connection;
+  ClientConnection* const raw = connection.get();
+  auto done = std::move(waiting.request.exchange.done);
+  waiting.request.exchange.done = [this, raw, alive = alive_, id = waiting.id,
+                                   done =
+                                       std::move(done)](ExchangeResult result) {
+    if (!*alive) return;
+    if (Member* const member = Find(*raw)) {
+      member->exchange = 0;
+      loop_.Cancel(std::exchange(member->break_off, 0));
+    }
+    if (pending_.erase(id) > 0) done(std::move(result));
+  };
+  connection->Start(std::move(waiting.request.exchange));
+}
+
+ConnectionPool::Member* ConnectionPool::Find(
+    const ClientConnection& connection) {
+  const auto found =
+      std::find_if(members_.begin(), members_.end(), [&](const Member& member) {
+        return member.connection.get() == &connection;
+      });
+  return found == members_.end() ? nullptr : &*found;
+}
+
+void ConnectionPool::Open() {
+  auto connection = std::make_shared<ClientConnection>(
+      loop_, endpoint_, options_, static_cast<Observer*>(this));
+  members_.push_back({connection, 0, 0});
+  ++connecting_;
+  connection->Connect();
+}
+
+void ConnectionPool::Cancel(ExchangeId exchange, absl::Duration grace) {
+  pending_.erase(exchange);
+  const auto waiting =
+      std::find_if(queue_.begin(), queue_.end(),
+                   [&](const Waiting& entry) { return entry.id == exchange; });
+  if (waiting != queue_.end()) {
+    queue_.erase(waiting);
+    return;
+  }
+  for (Member& member : members_) {
+    if (member.exchange != exchange) continue;
+    if (grace <= absl::ZeroDuration()) {
+      const auto connection = member.connection;
+      connection->Close();
+      return;
+    }
+    member.break_off = loop_.RunAfter(
+        grace, [connection = member.connection] { connection->Close(); });
+    return;
+  }
+}
+
+void ConnectionPool::CloseIdle() {
+  std::vector<std::shared_ptr<ClientConnection>> idle;
+  for (const Member& member : members_) {
+    if (member.connection->IsIdle()) idle.push_back(member.connection);
+  }
+  for (const auto& connection : idle) connection->Close();
+}
+
+void ConnectionPool::OnOpened(ClientConnection& /*connection*/) {
+  --connecting_;
+  if (listener_ != nullptr) listener_->OnConnected();
+  Pump();
+}
+
+void ConnectionPool::OnIdle(ClientConnection& /*connection*/) { Pump(); }
+
+void ConnectionPool::OnClosed(ClientConnection& connection, bool was_open,
+                              bool by_peer) {
+  Member* const member = Find(connection);
+  if (member == nullptr) return;
+  const bool carried = member->exchange != 0;
+  loop_.Cancel(member->break_off);
+  members_.erase(members_.begin() + (member - members_.data()));
+  if (!was_open) {
+    --connecting_;
+    if (listener_ != nullptr) listener_->OnConnectFailed(by_peer);
+    if (connecting_ == 0) FailWaiting();
+    return;
+  }
+  if (by_peer && !carried && listener_ != nullptr) listener_->OnIdleClosed();
+  loop_.Post([this, alive = alive_] {
+    if (*alive) Pump();
+  });
+}
+
+void ConnectionPool::FailWaiting() {
+  const bool any_open = std::any_of(
+      members_.begin(), members_.end(),
+      [](const Member& member) { return member.connection->IsOpen(); });
+  if (any_open) return;
+  std::deque<Waiting> failed;
+  failed.swap(queue_);
+  loop_.Post(
+      [this, alive = alive_,
+       failed = std::make_shared<std::deque<Waiting>>(std::move(failed))] {
+        for (Waiting& entry : *failed) {
+          if (!*alive) return;
+          if (pending_.erase(entry.id) == 0) continue;
+          entry.request.exchange.done({ExchangeStatus::kNotSent, {}});
+        }
+      });
+}
+
+}  // namespace cherrydyke::engine
--- /dev/null
+++ b/libs/engine/src/http_caller.cc
@@ -0,0 +1,58 @@
+#include "engine/http_caller.h"
+
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "base/result.h"
+
+namespace cherrydyke::engine {
+namespace {
+
+/// One call at a time; a second connection serves a call that overlaps.
+constexpr int kMaxConnections = 2;
+
+ClientOptions OptionsFor(absl::Duration connect_timeout) {
+  ClientOptions options;
+  options.connect_timeout = connect_timeout;
+  return options;
+}
+
+}  // namespace
+
+HttpCaller::HttpCaller(EventLoop& loop, Endpoint endpoint,
+                       absl::Duration connect_timeout)
+    : loop_(loop),
+      endpoint_(endpoint),
+      pool_(loop, std::move(endpoint), OptionsFor(connect_timeout),
+            kMaxConnections, nullptr) {}
+
+void HttpCaller::Get(const std::string& target, absl::Duration timeout,
+                     Done done) {
+  struct Call {
+    ExchangeId exchange = 0;
+    TimerId timer = 0;
+    Done done;
+  };
+  const auto call = std::make_shared<Call>();
+  call->done = std::move(done);
+  PoolRequest request;
+  request.exchange.bytes = absl::StrCat(
+      "GET ", target, " HTTP/1.1\r\nHost: ", endpoint_, "\r\n\r\n");
+  request.exchange.done = [this, call](ExchangeResult result) {
+    loop_.Cancel(call->timer);
+    if (result.status == ExchangeStatus::kComplete) {
+      call->done(std::move(result.response));
+    } else {
+      call->done(Error{ErrorCode::kUnavailable,
+                       absl::StrCat("no answer from ", endpoint_)});
+    }
+  };
+  call->timer = loop_.RunAfter(timeout, [this, call] {
+    pool_.Cancel(call->exchange, absl::ZeroDuration());
+    call->done(Error{ErrorCode::kTimeout,
+                     absl::StrCat("no answer in time from ", endpoint_)});
+  });
+  call->exchange = pool_.Send(std::move(request));
+}
+
+}  // namespace cherrydyke::engine
--- /dev/null
+++ b/libs/engine/src/http_server.cc
@@ -0,0 +1,104 @@
+#include "engine/http_server.h"
+
+#include <memory>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "endpoint.h"
+#include "server_connection.h"
+
+namespace cherrydyke::engine {
+namespace {
+
+namespace asio = boost::asio;
+
+/// How often connections are checked against their time limits.
+constexpr absl::Duration kSweepPeriod = absl::Milliseconds(250);
+/// Pause after an accept that failed, as when descriptors run out.
+constexpr absl::Duration kAcceptRetry = absl::Milliseconds(50);
+/// Connections that may wait to be accepted.
+constexpr int kListenBacklog = 1024;
+
+}  // namespace
+
+HttpServer::State::State(EventLoop& event_loop)
+    : loop(event_loop), acceptor(event_loop.context()) {}
+
+HttpServer::HttpServer(EventLoop& loop, std::function<ServerLimits()> limits,
+                       Handler handler)
+    : state_(std::make_shared<State>(loop)) {
+  state_->limits = std::move(limits);
+  state_->handler = std::move(handler);
+}
+
+HttpServer::~HttpServer() {
+  boost::system::error_code ignored;
+  state_->acceptor.close(ignored);
+}
+
+Status HttpServer::Listen(const Endpoint& endpoint) {
+  const auto address = ParseEndpoint(endpoint);
+  if (!address) {
+    return Error{ErrorCode::kInvalidInput,
+                 absl::StrCat("not an IP:PORT address: ", endpoint)};
+  }
+  boost::system::error_code error;
+  auto& acceptor = state_->acceptor;
+  acceptor.open(address->protocol(), error);
+  if (!error) {
+    acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true), error);
+  }
+  if (!error) acceptor.bind(*address, error);
+  if (!error) acceptor.listen(kListenBacklog, error);
+  if (error) {
+    return Error{ErrorCode::kUnavailable,
+                 absl::StrCat("listen on ", endpoint, ": ", error.message())};
+  }
+  Accept();
+  state_->loop.Every(kSweepPeriod, [this] { Sweep(); });
+  return OkStatus();
+}
+
+void HttpServer::Accept() {
+  state_->acceptor.async_accept(
+      [this, state = state_](const boost::system::error_code& error,
+                             asio::ip::tcp::socket socket) {
+        if (error == asio::error::operation_aborted) return;
+        if (error) {
+          state->loop.RunAfter(kAcceptRetry, [this] { Accept(); });
+          return;
+        }
+        auto connection =
+            std::make_shared<ServerConnection>(state, std::move(socket));
+        state->connections.push_back(connection);
+        connection->Start();
+        Accept();
+      });
+}
+
+void HttpServer::Sweep() {
+  const absl::Time now = state_->loop.Now();
+  auto& all = state_->connections;
+  for (auto entry = all.begin(); entry != all.end();) {
+    if (const auto connection = entry->lock()) {
+      connection->CheckTimeout(now);
+      ++entry;
+    } else {
+      entry = all.erase(entry);
+    }
+  }
+}
+
+void HttpServer::CloseAfterAnswers() { state_->closing = true; }
+
+void HttpServer::CloseIdle() {
+  for (const auto& entry : state_->connections) {
+    if (const auto connection = entry.lock()) connection->CloseIfIdle();
+  }
+}
+
+size_t HttpServer::running() const { return state_->running; }
+
+size_t HttpServer::connections() const { return state_->connections.size(); }
+
+}  // namespace cherrydyke::engine
--- /dev/null
+++ b/libs/engine/src/server_connection.cc
@@ -0,0 +1,249 @@
+#include "server_connection.h"
+
+#include <netinet/in.h>
+
+#include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/string_view.h"
+#include "beast_message.h"
+#include "boost/asio/write.hpp"
+#include "boost/beast/http/status.hpp"
+#include "engine/client_connection.h"
+
+namespace cherrydyke::engine {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+/// Bytes asked of the kernel in one read: a usual request fits.
+constexpr size_t kReadBytes = 4096;
+/// Bytes of later requests that are taken while one runs; beyond them the
+/// caller is left to wait.
+constexpr size_t kMaxPipelinedBytes = 32U << 10U;
+/// Longest time that a caller may take to read an answer.
+constexpr absl::Duration kWriteTimeout = absl::Seconds(20);
+/// Time for a caller to read the last answer of a connection and to close it.
+constexpr absl::Duration kLingerTimeout = absl::Seconds(1);
+
+std::string Serialize(const HttpResponse& response, bool is_head, bool keep) {
+  std::string bytes;
+  bytes.reserve(256 + response.body.size());
+  absl::StrAppend(&bytes, "HTTP/1.1 ", response.status, " ",
+                  std::string(http::obsolete_reason(
+                      static_cast<http::status>(response.status))),
+                  "\r\n");
+  for (const HttpHeader& header : response.headers) {
+    absl::StrAppend(&bytes, header.name, ": ", header.value, "\r\n");
+  }
+  const bool bodiless = response.status == 204 || response.status == 304;
+  if (!bodiless) {
+    absl::StrAppend(&bytes, "Content-Length: ", response.body.size(), "\r\n");
+  }
+  if (!keep) bytes += "Connection: close\r\n";
+  bytes += "\r\n";
+  if (!is_head && !bodiless) bytes += response.body;
+  return bytes;
+}
+
+}  // namespace
+
+ServerConnection::ServerConnection(std::shared_ptr<HttpServer::State> state,
+                                   asio::ip::tcp::socket socket)
+    : state_(std::move(state)),
+      socket_(std::move(socket)),
+      limits_(state_->limits()) {}
+
+ServerConnection::~ServerConnection() = default;
+
+void ServerConnection::Start() {
+  ConfigureTcp(socket_.native_handle());
+  error_code ignored;
+  const auto peer = socket_.remote_endpoint(ignored);
+  peer_ = absl::StrCat(peer.address().to_string(), ":", peer.port());
+  deadline_ = state_->loop.Now() + limits_.idle_timeout;
+  StartParser();
+  Read();
+}
+
+void ServerConnection::StartParser() {
+  limits_ = state_->limits();
+  parser_.emplace();
+  parser_->eager(true);
+  parser_->header_limit(limits_.max_header_bytes);
+  parser_->body_limit(limits_.max_body_bytes);
+}
+
+void ServerConnection::Read() {
+  if (reading_ || peer_closed_ || phase_ == Phase::kClosed) return;
+  if (phase_ == Phase::kRunning && input_.size() >= kMaxPipelinedBytes) return;
+  reading_ = true;
+  socket_.async_read_some(
+      input_.prepare(kReadBytes),
+      [self = shared_from_this()](const error_code& error, size_t bytes) {
+        self->reading_ = false;
+        if (self->phase_ == Phase::kClosed) return;
+        if (error) return self->OnPeerClosed();
+        self->input_.commit(bytes);
+        if (self->phase_ == Phase::kIdle || self->phase_ == Phase::kReading) {
+          self->OnBytes();
+        } else if (self->lingering_) {
+          self->input_.consume(self->input_.size());
+        }
+        self->Read();
+      });
+}
+
+void ServerConnection::OnBytes() {
+  if (input_.size() == 0) return;
+  const absl::Time now = state_->loop.Now();
+  const bool had_header = parser_->is_header_done();
+  if (phase_ == Phase::kIdle || had_header) {
+    deadline_ = now + limits_.header_timeout;
+  }
+  phase_ = Phase::kReading;
+  error_code error;
+  while (input_.size() > 0 && !parser_->is_done()) {
+    const size_t used = parser_->put(input_.data(), error);
+    input_.consume(used);
+    if (error || used == 0) break;
+  }
+  if (error == http::error::need_more) error = {};
+  if (error == http::error::header_limit) return Reject(431);
+  if (error == http::error::body_limit) return Reject(413);
+  if (error) return Reject(400);
+  if (parser_->is_header_done() && !had_header) {
+    if (!IsProper()) return Reject(400);
+    SendContinue();
+  }
+  if (parser_->is_done()) Dispatch();
+}
+
+bool ServerConnection::IsProper() const {
+  const auto& message = parser_->get();
+  if (message.target().empty() || message.target().front() != '/') return false;
+  if (message.count(http::field::host) != 1) return false;
+  // Whoever reads another coding or two lengths another way could be made to
+  // see a second request inside this one.
+  const auto coding = message.count(http::field::transfer_encoding);
+  if (coding > 1 || message.count(http::field::content_length) > 1) {
+    return false;
+  }
+  if (coding == 1) {
+    const std::string value(message[http::field::transfer_encoding]);
+    return message.count(http::field::content_length) == 0 &&
+           absl::EqualsIgnoreCase(value, "chunked");
+  }
+  return true;
+}
+
+void ServerConnection::SendContinue() {
+  if (parser_->is_done() || parser_->get().count(http::field::expect) == 0) {
+    return;
+  }
+  static constexpr absl::string_view kContinue =
+      "HTTP/1.1 100 Continue\r\n\r\n";
+  asio::async_write(socket_, asio::buffer(kContinue.data(), kContinue.size()),
+                    [self = shared_from_this()](const error_code&, size_t) {});
+}
+
+void ServerConnection::Dispatch() {
+  auto& message = parser_->get();
+  keep_alive_ = message.keep_alive();
+  request_ = {};
+  request_.method = std::string(message.method_string());
+  request_.target = std::string(message.target());
+  request_.headers = CopyHeaders(message);
+  request_.body = std::move(message.body());
+  request_.peer = peer_;
+  received_at_ = state_->loop.Now();
+  phase_ = Phase::kRunning;
+  answered_ = false;
+  ++state_->running;
+  StartParser();
+  state_->handler(shared_from_this());
+}
+
+void ServerConnection::Respond(HttpResponse response) {
+  if (phase_ != Phase::kRunning || answered_) return;
+  answered_ = true;
+  left_ = nullptr;
+  --state_->running;
+  const bool keep = keep_alive_ && !state_->closing && !peer_closed_;
+  const bool is_head = request_.method == "HEAD";
+  Write(std::make_shared<std::string>(Serialize(response, is_head, keep)),
+        keep);
+}
+
+void ServerConnection::Reject(int status) {
+  HttpResponse response;
+  response.status = status;
+  Write(std::make_shared<std::string>(Serialize(response, false, false)),
+        false);
+}
+
+void ServerConnection::Write(std::shared_ptr<std::string> bytes, bool keep) {
+  phase_ = Phase::kWriting;
+  deadline_ = state_->loop.Now() + kWriteTimeout;
+  asio::async_write(socket_, asio::buffer(*bytes),
+                    [self = shared_from_this(), bytes, keep](
+                        const error_code& error, size_t) {
+                      if (self->phase_ == Phase::kClosed) return;
+                      if (error) return self->Close();
+                      self->OnWritten(keep);
+                    });
+}
+
+void ServerConnection::OnWritten(bool keep) {
+  if (!keep) {
+    // Bytes left unread would turn the close into a reset, which can destroy
+    // the answer on its way.
+    error_code ignored;
+    socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    if (peer_closed_) return Close();
+    lingering_ = true;
+    deadline_ = state_->loop.Now() + kLingerTimeout;
+    input_.consume(input_.size());
+    return Read();
+  }
+  phase_ = Phase::kIdle;
+  request_ = {};
+  deadline_ = state_->loop.Now() + limits_.idle_timeout;
+  OnBytes();
+  Read();
+}
+
+void ServerConnection::OnPeerClosed() {
+  peer_closed_ = true;
+  if (phase_ == Phase::kRunning) {
+    if (auto left = std::move(left_)) left();
+    if (phase_ == Phase::kRunning) {
+      --state_->running;
+      answered_ = true;
+    }
+    return Close();
+  }
+  // An answer that is being written may still be wanted.
+  Close();
+}
+
+void ServerConnection::CheckTimeout(absl::Time now) {
+  if (phase_ == Phase::kRunning || phase_ == Phase::kClosed) return;
+  if (now < deadline_) return;
+  if (phase_ == Phase::kReading) return Reject(408);
+  Close();
+}
+
+void ServerConnection::CloseIfIdle() {
+  if (phase_ == Phase::kIdle) Close();
+}
+
+void ServerConnection::Close() {
+  phase_ = Phase::kClosed;
+  left_ = nullptr;
+  error_code ignored;
+  socket_.close(ignored);
+}
+
+}  // namespace cherrydyke::engine
--- /dev/null
+++ b/libs/engine/src/server_connection.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <list>
+#include <memory>
+#include <optional>
+
+#include "boost/asio/ip/tcp.hpp"
+#include "boost/beast/core/flat_buffer.hpp"
+#include "boost/beast/http/parser.hpp"
+#include "boost/beast/http/string_body.hpp"
+#include "engine/http_server.h"
+
+namespace cherrydyke::engine {
+
+class ServerConnection;
+
+struct HttpServer::State {
+  explicit State(EventLoop& event_loop);
+
+  EventLoop& loop;
+  std::function<ServerLimits()> limits;
+  Handler handler;
+  boost::asio::ip::tcp::acceptor acceptor;
+  std::list<std::weak_ptr<ServerConnection>> connections;
+  bool closing = false;
+  size_t running = 0;
+};
+
+/// One caller's connection. A read is pending while a request runs, so that the
+/// caller's leaving is seen; bytes of later requests wait in a bounded buffer.
+class ServerConnection : public ServerExchange,
+                         public std::enable_shared_from_this<ServerConnection> {
+ public:
+  ServerConnection(std::shared_ptr<HttpServer::State> state,
+                   boost::asio::ip::tcp::socket socket);
+  ~ServerConnection() override;
+
+  void Start();
+  /// Ends the connection if it has taken longer than the limits allow.
+  void CheckTimeout(absl::Time now);
+  void CloseIfIdle();
+
+  const HttpRequest& request() const override { return request_; }
+  absl::Time received_at() const override { return received_at_; }
+  void Respond(HttpResponse response) override;
+  void OnLeft(std::function<void()> left) override { left_ = std::move(left); }
+
+ private:
+  enum class Phase { kIdle, kReading, kRunning, kWriting, kClosed };
+  using Parser =
+      boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+  void Read();
+  void OnBytes();
+  void StartParser();
+  /// Answers an unreadable request and ends the connection.
+  void Reject(int status);
+  bool IsProper() const;
+  void SendContinue();
+  void Dispatch();
+  void Write(std::shared_ptr<std::string> bytes, bool keep);
+  void OnWritten(bool keep);
+  void OnPeerClosed();
+  void Close();
+
+  std::shared_ptr<HttpServer::State> state_;
+  boost::asio::ip::tcp::socket socket_;
+  boost::beast::flat_buffer input_;
+  std::optional<Parser> parser_;
+  Phase phase_ = Phase::kIdle;
+  bool reading_ = false;
+  bool peer_closed_ = false;
+  bool keep_alive_ = true;
+  /// The last answer is sent; what still comes is dropped.
+  bool lingering_ = false;
+  /// The answer to the running request was given.
+  bool answered_ = false;
+  ServerLimits limits_;
+  absl::Time deadline_;
+  absl::Time received_at_;
+  std::string peer_;
+  HttpRequest request_;
+  std::function<void()> left_;
+};
+
+}  // namespace cherrydyke::engine
--- a/libs/telemetry/include/telemetry/log.h
+++ b/libs/telemetry/include/telemetry/log.h
@@ -38,9 +38,13 @@
 
 using Fields = std::vector<Field>;
 
-/// Sets the program and host named in every line and sends lines to standard
-/// error. Call once, before other threads start.
-void StartLogging(const std::string& program, const std::string& host);
+/// Where lines go.
+enum class LogOutput { kStandardError, kStandardOutput };
+
+/// Sets the program and host named in every line and where lines go. Call once,
+/// before other threads start.
+void StartLogging(const std::string& program, const std::string& host,
+                  LogOutput output = LogOutput::kStandardError);
 
 /// Changes the lowest level written; safe while the process runs.
 /// @return false if `level` is not debug, info, warning or error.
--- /dev/null
+++ b/libs/telemetry/include/telemetry/log_budget.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <map>
+#include <string>
+
+#include "absl/time/time.h"
+
+namespace cherrydyke {
+
+/// Bounds the log lines of each kind in a second, so that load cannot turn into
+/// a flood of output. Pure: time is an argument.
+class LogBudget {
+ public:
+  /// @param per_second lines of one kind.
+  explicit LogBudget(int per_second = 20) : per_second_(per_second) {}
+
+  /// @return whether a line of this kind may be written; one that may not is
+  /// counted.
+  bool Take(const std::string& kind, absl::Time now);
+
+  /// @return lines dropped of each kind since the last call.
+  std::map<std::string, int> TakeDropped();
+
+ private:
+  struct Kind {
+    absl::Time second;
+    int written = 0;
+    int dropped = 0;
+  };
+  const int per_second_;
+  std::map<std::string, Kind> kinds_;
+};
+
+}  // namespace cherrydyke
--- a/libs/telemetry/src/log.cc
+++ b/libs/telemetry/src/log.cc
@@ -63,9 +63,12 @@
 
 }  // namespace
 
-void StartLogging(const std::string& program, const std::string& host) {
+void StartLogging(const std::string& program, const std::string& host,
+                  LogOutput output) {
   Identity() = {program, host};
-  auto logger = spdlog::stderr_logger_mt("cherrydyke");
+  auto logger = output == LogOutput::kStandardError
+                    ? spdlog::stderr_logger_mt("cherrydyke")
+                    : spdlog::stdout_logger_mt("cherrydyke");
   logger->set_pattern(R"({"time":"%Y-%m-%dT%H:%M:%S.%fZ",%v})",
                       spdlog::pattern_time_type::utc);
   spdlog::set_default_logger(logger);
--- /dev/null
+++ b/libs/telemetry/src/log_budget.cc
@@ -0,0 +1,28 @@
+#include "telemetry/log_budget.h"
+
+namespace cherrydyke {
+
+bool LogBudget::Take(const std::string& kind, absl::Time now) {
+  Kind& state = kinds_[kind];
+  if (now - state.second >= absl::Seconds(1)) {
+    state.second = now;
+    state.written = 0;
+  }
+  if (state.written < per_second_) {
+    ++state.written;
+    return true;
+  }
+  ++state.dropped;
+  return false;
+}
+
+std::map<std::string, int> LogBudget::TakeDropped() {
+  std::map<std::string, int> dropped;
+  for (auto& [kind, state] : kinds_) {
+    if (state.dropped > 0) dropped[kind] = state.dropped;
+    state.dropped = 0;
+  }
+  return dropped;
+}
+
+}  // namespace cherrydyke
--- /dev/null
+++ b/libs/tier/include/tier/query_plane.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+
+#include "absl/container/flat_hash_map.h"
+#include "dispatch/crash_ledger.h"
+#include "dispatch/request_run.h"
+#include "dispatch/route_table.h"
+#include "dispatch/top_records.h"
+#include "engine/http_server.h"
+#include "telemetry/log_budget.h"
+#include "telemetry/metrics.h"
+#include "tier/caller_face.h"
+#include "tier/target_set.h"
+
+namespace cherrydyke {
+
+/// Serves callers' requests: finds the route, runs the request over its
+/// targets, and answers. One thread.
+class QueryPlane {
+ public:
+  struct Parts {
+    engine::EventLoop& loop;
+    const CallerFace& face;
+    TargetSet& targets;
+    CrashLedger& crashes;
+    Metrics& metrics;
+  };
+
+  explicit QueryPlane(Parts parts);
+  ~QueryPlane();
+
+  /// Puts a configuration in force for requests that come from now on.
+  void SetRoutes(std::shared_ptr<const RouteTable> routes);
+  bool has_routes() const { return routes_ != nullptr; }
+  int64_t version() const {
+    return routes_ == nullptr ? 0 : routes_->version();
+  }
+
+  void OnRequest(std::shared_ptr<engine::ServerExchange> exchange);
+
+  size_t running() const { return running_; }
+
+ private:
+  struct Request;
+  using RequestPtr = std::shared_ptr<Request>;
+
+  RequestPlan MakePlan(const Route& route, const Call& call,
+                       absl::Time received_at);
+  void Perform(const RequestPtr& request, const RunActions& actions);
+  void SendAttempt(const RequestPtr& request, const AttemptSend& send);
+  void OnResult(const RequestPtr& request, size_t attempt,
+                engine::ExchangeResult result);
+  TargetReply Interpret(engine::ExchangeResult result) const;
+  void Learn(const Request& request, size_t attempt, const TargetReply& reply,
+             engine::ExchangeStatus status);
+  void Conclude(const RequestPtr& request, ConclusionKind kind);
+  void Answer(const RequestPtr& request);
+  void Refuse(engine::ServerExchange& exchange, const std::string& request_id,
+              RefusalReason reason, bool ran);
+  void Arm(const RequestPtr& request);
+  void OnLeft(const RequestPtr& request);
+  void LogOutcome(const Request& request, const std::string& outcome,
+                  size_t missing);
+  absl::Duration RetryAfter();
+
+  engine::EventLoop& loop_;
+  const CallerFace& face_;
+  TargetSet& targets_;
+  CrashLedger& crashes_;
+  Metrics& metrics_;
+  LogBudget log_budget_;
+  std::mt19937_64 random_;
+  std::shared_ptr<const RouteTable> routes_;
+  absl::flat_hash_map<RouteName, WeightedSpreader> spreaders_;
+  size_t running_ = 0;
+};
+
+}  // namespace cherrydyke
--- /dev/null
+++ b/libs/tier/include/tier/target_set.h
@@ -0,0 +1,120 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/time/time.h"
+#include "dispatch/cold_allowance.h"
+#include "dispatch/extra_budget.h"
+#include "dispatch/placement.h"
+#include "dispatch/target_health.h"
+#include "dispatch/types.h"
+#include "engine/connection_pool.h"
+#include "membership/host_table.h"
+
+namespace cherrydyke {
+
+/// Where a host stands.
+struct Locality {
+  HostId host;
+  FailureDomainName failure_domain;
+  /// Region of each failure domain.
+  std::map<FailureDomainName, RegionName> regions;
+
+  friend bool operator==(const Locality& a, const Locality& b) {
+    return a.host == b.host && a.failure_domain == b.failure_domain &&
+           a.regions == b.regions;
+  }
+};
+
+/// What the operators ask of targets.
+struct TargetOrders {
+  std::map<ServiceName, ServiceSpec> services;
+  /// Failure domains whose targets get nothing.
+  std::set<FailureDomainName> evacuated;
+};
+
+/// The targets that this host knows, with their connections and what it has
+/// learned of each; chooses one for each send.
+class TargetSet : public Placement {
+ public:
+  /// Told of beliefs that change here.
+  class Observer {
+   public:
+    virtual ~Observer() = default;
+    /// A target crashed while it ran the request of this fingerprint.
+    virtual void OnCrash(uint64_t fingerprint, const TargetId& target) = 0;
+  };
+
+  TargetSet(engine::EventLoop& loop, Locality locality, FleetBounds bounds,
+            engine::ClientOptions options, const HostTable& hosts,
+            Observer& observer);
+  ~TargetSet() override;
+
+  /// Replaces the list of targets.
+  /// @param missing_grace how long targets that are no longer listed are kept:
+  /// their entries may have lapsed while the configuration service was away.
+  void SetTargets(std::vector<TargetInfo> targets,
+                  absl::Duration missing_grace);
+  void SetOrders(TargetOrders orders);
+  /// Divides the limits anew after a change of the known hosts.
+  void OnHostsChanged();
+
+  void OnRequest(const ServiceName& service);
+  std::optional<Placed> Place(const PlacementNeed& need,
+                              absl::Time now) override;
+
+  /// Sends a request that `Place` chose this target for.
+  /// @return 0 if the target is gone by now; `done` is then not called.
+  engine::ExchangeId Send(const TargetId& target, engine::PoolRequest request);
+  /// Gives back what `Place` took for a send that was never made.
+  void Unplace(const TargetId& target);
+  void Cancel(const TargetId& target, engine::ExchangeId exchange,
+              absl::Duration grace);
+
+  void OnEnded(const TargetId& target, TargetSign sign, absl::Duration latency);
+  /// The target does not have the address that it was listed with.
+  void OnWrongTarget(const TargetId& target);
+  void OnOverdue(const TargetId& target, absl::Time sent_at);
+  void OnLoad(const TargetId& target, TargetLoad load);
+  /// A connection broke while the request ran, which a crash may explain.
+  void OnLostRequest(const TargetId& target, uint64_t fingerprint);
+
+  size_t size() const { return targets_.size(); }
+  int open_connections() const;
+  ExtraBudget& budget() { return budget_; }
+
+ private:
+  struct Target;
+  using TargetPtr = std::unique_ptr<Target>;
+
+  void Update(TargetInfo info, absl::Time now);
+  void DropGone(absl::Time now);
+  void Retire(TargetPtr target);
+  bool MayUse(const Target& target, const PlacementNeed& need,
+              absl::Time now) const;
+  bool IsExcluded(const Target& target, const PlacementNeed& need) const;
+  absl::Duration Cost(Target& target, absl::Time now) const;
+  absl::Duration DistanceTo(const FailureDomainName& domain) const;
+  RegionName RegionOf(const FailureDomainName& domain) const;
+  void Divide(Target& target) const;
+  Target* Find(const TargetId& id) const;
+
+  engine::EventLoop& loop_;
+  const Locality locality_;
+  const FleetBounds bounds_;
+  const engine::ClientOptions options_;
+  const HostTable& hosts_;
+  Observer& observer_;
+  ExtraBudget budget_;
+  TargetOrders orders_;
+  absl::flat_hash_map<TargetId, TargetPtr> targets_;
+  absl::flat_hash_map<ServiceName, std::vector<Target*>> by_service_;
+};
+
+}  // namespace cherrydyke
--- /dev/null
+++ b/libs/tier/src/caller_face.cc
@@ -0,0 +1,27 @@
+#include "tier/caller_face.h"
+
+namespace cherrydyke {
+
+std::string ReasonName(RefusalReason reason) {
+  switch (reason) {
+    case RefusalReason::kMalformed:
+      return "malformed";
+    case RefusalReason::kNoConfiguration:
+      return "no_configuration";
+    case RefusalReason::kNoRoute:
+      return "no_route";
+    case RefusalReason::kQuarantined:
+      return "quarantined";
+    case RefusalReason::kOverloaded:
+      return "overloaded";
+    case RefusalReason::kNoTarget:
+      return "no_target";
+    case RefusalReason::kTargetsFailed:
+      return "targets_failed";
+    case RefusalReason::kDeadline:
+      return "deadline";
+  }
+  return "unknown";
+}
+
+}  // namespace cherrydyke
--- /dev/null
+++ b/libs/tier/src/fleet_link.cc
@@ -0,0 +1,207 @@
+#include "tier/fleet_link.h"
+
+#include <algorithm>
+#include <exception>
+#include <sstream>
+#include <utility>
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
+#include "cereal/archives/portable_binary.hpp"
+#include "cereal/types/string.hpp"
+#include "cereal/types/vector.hpp"
+#include "telemetry/log.h"
+
+namespace cherrydyke {
+namespace {
+
+/// Pause between rounds of gossip: a crashing request is known to a small
+/// fleet within a second.
+constexpr absl::Duration kGossipPeriod = absl::Milliseconds(500);
+/// Crash counts in one message, so that it fits a datagram.
+constexpr size_t kMaxCrashCounts = 12;
+/// How long a host waits for the configuration service itself before it asks a
+/// peer that knows more.
+constexpr absl::Duration kLagTolerance = absl::Milliseconds(700);
+constexpr absl::Duration kTransferTimeout = absl::Seconds(1);
+constexpr absl::Duration kConnectTimeout = absl::Milliseconds(500);
+constexpr char kTransferPath[] = "/published/";
+
+struct Transfer {
+  std::vector<PublishedItem> config;
+  std::vector<PublishedItem> targets;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(config, targets);
+  }
+};
+
+template <typename T>
+std::string Encode(const T& value) {
+  std::ostringstream out;
+  {
+    cereal::PortableBinaryOutputArchive archive(out);
+    archive(value);
+  }
+  return out.str();
+}
+
+template <typename T>
+Result<T> Decode(const std::string& bytes) {
+  T value;
+  std::istringstream in(bytes);
+  // The library reports malformed input by exceptions only.
+  try {
+    cereal::PortableBinaryInputArchive archive(in);
+    archive(value);
+  } catch (const std::exception& error) {
+    return Error{ErrorCode::kInvalidInput, error.what()};
+  }
+  return value;
+}
+
+}  // namespace
+
+std::string EncodeFleetMessage(const FleetMessage& message) {
+  return Encode(message);
+}
+
+Result<FleetMessage> DecodeFleetMessage(const std::string& datagram) {
+  return Decode<FleetMessage>(datagram);
+}
+
+FleetLink::FleetLink(engine::EventLoop& loop, Options options, HostTable& hosts,
+                     CrashLedger& crashes, PublishedItems& config,
+                     PublishedItems& targets)
+    : loop_(loop),
+      options_(std::move(options)),
+      hosts_(hosts),
+      crashes_(crashes),
+      config_(config),
+      targets_(targets),
+      datagrams_(loop, [this](const std::string& bytes) { OnDatagram(bytes); }),
+      transfers_(
+          loop, [] { return engine::ServerLimits(); },
+          [this](std::shared_ptr<engine::ServerExchange> exchange) {
+            ServeTransfer(*exchange);
+          }),
+      random_(NewIncarnation()),
+      sharing_hosts_(hosts.SharingHosts()) {}
+
+Endpoint FleetLink::EndpointOf(const HostId& host) const {
+  return absl::StrCat(host, ":", options_.port);
+}
+
+Status FleetLink::Start(Changed changed, HostsChanged hosts_changed) {
+  changed_ = std::move(changed);
+  hosts_changed_ = std::move(hosts_changed);
+  const Endpoint own = EndpointOf(options_.host);
+  if (Status bound = datagrams_.Bind(own); GetError(bound)) return bound;
+  if (Status bound = transfers_.Listen(own); GetError(bound)) return bound;
+  Gossip();
+  loop_.Every(kGossipPeriod, [this] { Gossip(); });
+  return OkStatus();
+}
+
+void FleetLink::Gossip() {
+  const absl::Time now = loop_.Now();
+  FleetMessage message;
+  message.host = options_.host;
+  message.known_hosts = static_cast<int>(hosts_.KnownHosts().size());
+  message.config_revision = config_.newest();
+  message.targets_revision = targets_.newest();
+  message.hosts = hosts_.Ages(now, random_);
+  message.crashes = crashes_.Counts(kMaxCrashCounts);
+  const std::string datagram = EncodeFleetMessage(message);
+  for (const HostId& target : hosts_.GossipTargets(now, random_)) {
+    datagrams_.Send(EndpointOf(target), datagram);
+  }
+}
+
+void FleetLink::OnDatagram(const std::string& datagram) {
+  const Result<FleetMessage> decoded = DecodeFleetMessage(datagram);
+  if (const Error* error = GetError(decoded)) {
+    LogWarning("datagram ignored", {{"error", error->message}});
+    return;
+  }
+  const FleetMessage& message = GetValue(decoded);
+  const absl::Time now = loop_.Now();
+  hosts_.OnGossip(message.host, message.hosts, message.known_hosts, now);
+  for (const CrashCount& count : message.crashes) {
+    if (crashes_.OnCount(count, now)) {
+      LogWarning("request quarantined",
+                 {{"fingerprint", ToHex(count.fingerprint)},
+                  {"told_by", message.host}});
+    }
+  }
+  if (const int sharing = hosts_.SharingHosts(); sharing != sharing_hosts_) {
+    LogInfo("limits divided anew",
+            {{"hosts", sharing}, {"before", sharing_hosts_}});
+    sharing_hosts_ = sharing;
+    hosts_changed_();
+  }
+  if (!IsBehind(message)) return;
+  behind_since_ = std::min(behind_since_, now);
+  if (now - behind_since_ >= kLagTolerance) FetchFrom(message.host);
+}
+
+bool FleetLink::IsBehind(const FleetMessage& message) const {
+  return message.config_revision > config_.newest() ||
+         message.targets_revision > targets_.newest();
+}
+
+void FleetLink::FetchFrom(const HostId& peer) {
+  if (fetching_) return;
+  fetching_ = true;
+  std::unique_ptr<engine::HttpCaller>& caller = callers_[peer];
+  if (caller == nullptr) {
+    caller = std::make_unique<engine::HttpCaller>(loop_, EndpointOf(peer),
+                                                  kConnectTimeout);
+  }
+  const std::string path =
+      absl::StrCat(kTransferPath, config_.newest(), "/", targets_.newest());
+  caller->Get(path, kTransferTimeout,
+              [this, peer](Result<engine::HttpResponse> result) {
+                fetching_ = false;
+                behind_since_ = absl::InfiniteFuture();
+                const Error* error = GetError(result);
+                Result<Transfer> decoded =
+                    error != nullptr ? Result<Transfer>(*error)
+                                     : Decode<Transfer>(GetValue(result).body);
+                if (error = GetError(decoded); error != nullptr) {
+                  LogWarning("no news from peer",
+                             {{"peer", peer}, {"error", error->message}});
+                  return;
+                }
+                const Transfer& transfer = GetValue(decoded);
+                const bool config = !config_.Merge(transfer.config).empty();
+                const bool targets = !targets_.Merge(transfer.targets).empty();
+                LogInfo("news from peer",
+                        {{"peer", peer},
+                         {"config_items", transfer.config.size()},
+                         {"target_items", transfer.targets.size()},
+                         {"config_revision", config_.newest()},
+                         {"targets_revision", targets_.newest()}});
+                changed_(config, targets);
+              });
+}
+
+void FleetLink::ServeTransfer(engine::ServerExchange& exchange) {
+  engine::HttpResponse response;
+  response.status = 400;
+  const std::vector<std::string> path =
+      absl::StrSplit(exchange.request().target, '/');
+  Revision config = 0;
+  Revision targets = 0;
+  if (path.size() == 4 && absl::SimpleAtoi(path[2], &config) &&
+      absl::SimpleAtoi(path[3], &targets)) {
+    response.status = 200;
+    response.body = Encode(
+        Transfer{config_.ChangesAfter(config), targets_.ChangesAfter(targets)});
+  }
+  exchange.Respond(std::move(response));
+}
+
+}  // namespace cherrydyke
--- /dev/null
+++ b/libs/tier/src/published_items.cc
@@ -0,0 +1,58 @@
+#include "tier/published_items.h"
+
+#include <algorithm>
+#include <set>
+
+namespace cherrydyke {
+
+bool PublishedItems::MergeOne(const PublishedItem& item) {
+  auto [known, added] = items_.try_emplace(item.key, item);
+  if (!added) {
+    if (item.revision <= known->second.revision) return false;
+    known->second = item;
+  }
+  newest_ = std::max(newest_, item.revision);
+  return true;
+}
+
+std::vector<std::string> PublishedItems::Merge(
+    const std::vector<PublishedItem>& items) {
+  std::vector<std::string> changed;
+  for (const PublishedItem& item : items) {
+    if (MergeOne(item)) changed.push_back(item.key);
+  }
+  return changed;
+}
+
+std::vector<std::string> PublishedItems::MergeAll(
+    const std::vector<PublishedItem>& items, Revision as_of) {
+  std::vector<std::string> changed = Merge(items);
+  std::set<std::string> present;
+  for (const PublishedItem& item : items) present.insert(item.key);
+  for (auto& [key, item] : items_) {
+    if (item.removed || item.revision > as_of || present.count(key) > 0) {
+      continue;
+    }
+    item = {key, "", as_of, true};
+    newest_ = std::max(newest_, as_of);
+    changed.push_back(key);
+  }
+  return changed;
+}
+
+const PublishedItem* PublishedItems::Find(const std::string& key) const {
+  const auto found = items_.find(key);
+  if (found == items_.end() || found->second.removed) return nullptr;
+  return &found->second;
+}
+
+std::vector<PublishedItem> PublishedItems::ChangesAfter(
+    Revision revision) const {
+  std::vector<PublishedItem> changes;
+  for (const auto& [key, item] : items_) {
+    if (item.revision > revision) changes.push_back(item);
+  }
+  return changes;
+}
+
+}  // namespace cherrydyke
--- /dev/null
+++ b/libs/tier/src/query_plane.cc
@@ -0,0 +1,365 @@
+#include "tier/query_plane.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "telemetry/log.h"
+
+namespace cherrydyke {
+namespace {
+
+/// How much earlier than the latency objective an answer is given: the way back
+/// to the caller and the time it took to read the request.
+constexpr absl::Duration kAnswerMargin = absl::Milliseconds(12);
+/// How much earlier than the deadline a request ends.
+constexpr absl::Duration kDeadlineMargin = absl::Milliseconds(10);
+/// Time that an unwanted request has to finish at its target before its
+/// connection is closed: a new connection costs the target about as much as a
+/// usual request, but callers' leaving must reach it within half a second.
+constexpr absl::Duration kCancelGrace = absl::Milliseconds(250);
+/// Longest silence of a connection that a request which must not run twice is
+/// trusted to: a server that drops idle connections does so much later.
+constexpr absl::Duration kProvedConnection = absl::Milliseconds(400);
+/// When a refused caller should come back, on average, and how widely the
+/// returns are spread around it.
+constexpr absl::Duration kRetryAfter = absl::Milliseconds(200);
+constexpr double kRetrySpread = 0.5;
+
+TargetSign SignOf(const TargetReply& reply, engine::ExchangeStatus status) {
+  if (status == engine::ExchangeStatus::kNotSent) {
+    return TargetSign::kUnreachable;
+  }
+  switch (reply.end) {
+    case AttemptEnd::kSuccess:
+      return TargetSign::kAnswered;
+    case AttemptEnd::kNotRun:
+    case AttemptEnd::kWrongTarget:
+      return TargetSign::kRejected;
+    case AttemptEnd::kFailure:
+      return TargetSign::kFailed;
+    case AttemptEnd::kUnknown:
+      return TargetSign::kLost;
+  }
+  return TargetSign::kLost;
+}
+
+std::string HostOf(const std::string& peer) {
+  return peer.substr(0, peer.rfind(':'));
+}
+
+/// What makes two requests the same request sent again.
+uint64_t Fingerprint(const engine::HttpRequest& request) {
+  return StableHash(absl::StrCat(request.method, " ", request.target, "\n",
+                                 HostOf(request.peer), "\n", request.body));
+}
+
+}  // namespace
+
+struct QueryPlane::Request {
+  struct Attempt {
+    TargetId target;
+    engine::ExchangeId exchange = 0;
+    absl::Time sent_at;
+    /// The response, once it is in.
+    TargetReply reply;
+  };
+
+  std::shared_ptr<engine::ServerExchange> exchange;
+  std::shared_ptr<const RouteTable> routes;
+  const Route* route = nullptr;
+  Call call;
+  std::string head;
+  uint64_t fingerprint = 0;
+  absl::Time deadline;
+  std::unique_ptr<RequestRun> run;
+  std::vector<Attempt> attempts;
+  engine::TimerId timer = 0;
+  absl::Time timer_at = absl::InfiniteFuture();
+};
+
+QueryPlane::QueryPlane(Parts parts)
+    : loop_(parts.loop),
+      face_(parts.face),
+      targets_(parts.targets),
+      crashes_(parts.crashes),
+      metrics_(parts.metrics),
+      random_(NewIncarnation()) {}
+
+QueryPlane::~QueryPlane() = default;
+
+void QueryPlane::SetRoutes(std::shared_ptr<const RouteTable> routes) {
+  routes_ = std::move(routes);
+}
+
+void QueryPlane::OnRequest(std::shared_ptr<engine::ServerExchange> exchange) {
+  const std::optional<Call> call = face_.ReadCall(exchange->request());
+  if (!call) return Refuse(*exchange, "", RefusalReason::kMalformed, false);
+  if (!has_routes()) {
+    return Refuse(*exchange, call->request_id, RefusalReason::kNoConfiguration,
+                  false);
+  }
+  const Route* const route = routes_->Find(call->host, call->path);
+  if (route == nullptr) {
+    return Refuse(*exchange, call->request_id, RefusalReason::kNoRoute, false);
+  }
+  const uint64_t fingerprint = Fingerprint(exchange->request());
+  if (crashes_.IsQuarantined(fingerprint, loop_.Now())) {
+    return Refuse(*exchange, call->request_id, RefusalReason::kQuarantined,
+                  false);
+  }
+  const auto request = std::make_shared<Request>();
+  request->exchange = std::move(exchange);
+  request->routes = routes_;
+  request->route = route;
+  request->call = *call;
+  request->fingerprint = fingerprint;
+  request->head = face_.TargetHead(request->exchange->request());
+  RequestPlan plan = MakePlan(*route, *call, request->exchange->received_at());
+  for (const ServiceName& service : plan.services) targets_.OnRequest(service);
+  request->deadline = plan.deadline;
+  request->run = std::make_unique<RequestRun>(std::move(plan), targets_);
+  request->exchange->OnLeft([this, weak = std::weak_ptr<Request>(request)] {
+    if (const auto left = weak.lock()) OnLeft(left);
+  });
+  ++running_;
+  Perform(request, request->run->Start(loop_.Now()));
+}
+
+RequestPlan QueryPlane::MakePlan(const Route& route, const Call& call,
+                                 absl::Time received_at) {
+  RequestPlan plan;
+  plan.is_fanout = route.IsFanout();
+  plan.idempotent = route.idempotent;
+  plan.attempts = std::max(1, route.attempts);
+  plan.allowed_regions = route.allowed_regions;
+  if (plan.is_fanout) {
+    plan.services = route.shards;
+    const double needed =
+        route.min_coverage * static_cast<double>(route.shards.size());
+    // Shares such as 0.9 of 10 must not ask for an eleventh by rounding.
+    plan.needed =
+        std::max<size_t>(1, static_cast<size_t>(std::ceil(needed - 1e-9)));
+  } else {
+    const size_t chosen = spreaders_[route.name].Next(route.backends);
+    plan.services = {route.backends[chosen].service};
+  }
+  const absl::Duration left =
+      std::min(call.time_left.value_or(route.timeout), route.timeout);
+  plan.deadline = received_at + left - kDeadlineMargin;
+  plan.answer_at = std::min(
+      plan.deadline, received_at + route.latency_objective - kAnswerMargin);
+  return plan;
+}
+
+void QueryPlane::Perform(const RequestPtr& request, const RunActions& actions) {
+  for (const size_t attempt : actions.overdue) {
+    const Request::Attempt& overdue = request->attempts[attempt];
+    targets_.OnOverdue(overdue.target, overdue.sent_at);
+  }
+  for (const size_t attempt : actions.cancel) {
+    if (attempt >= request->attempts.size()) {
+      targets_.Unplace(request->run->target(attempt));
+      continue;
+    }
+    const Request::Attempt& cancelled = request->attempts[attempt];
+    const absl::Duration grace =
+        request->route->idempotent
+            ? kCancelGrace
+            : std::max(request->deadline - loop_.Now(), kCancelGrace);
+    targets_.Cancel(cancelled.target, cancelled.exchange, grace);
+  }
+  for (const AttemptSend& send : actions.send) SendAttempt(request, send);
+  if (actions.conclusion) {
+    Conclude(request, *actions.conclusion);
+  } else {
+    Arm(request);
+  }
+}
+
+void QueryPlane::SendAttempt(const RequestPtr& request,
+                             const AttemptSend& send) {
+  const absl::Time now = loop_.Now();
+  request->attempts.resize(
+      std::max(request->attempts.size(), send.attempt + 1));
+  Request::Attempt& attempt = request->attempts[send.attempt];
+  attempt.target = send.target;
+  attempt.sent_at = now;
+  const engine::HttpRequest& call = request->exchange->request();
+  engine::PoolRequest out;
+  out.exchange.bytes = face_.TargetRequest(
+      request->head, call.body, send.target, request->deadline - now);
+  out.exchange.is_head = call.method == "HEAD";
+  out.exchange.expected_id = request->call.request_id;
+  out.exchange.done = [this, request,
+                       index = send.attempt](engine::ExchangeResult result) {
+    OnResult(request, index, std::move(result));
+  };
+  if (!request->route->idempotent) out.max_silence = kProvedConnection;
+  attempt.exchange = targets_.Send(send.target, std::move(out));
+  if (attempt.exchange == 0) {
+    loop_.Post([this, request, index = send.attempt] {
+      OnResult(request, index, {});
+    });
+  }
+}
+
+TargetReply QueryPlane::Interpret(engine::ExchangeResult result) const {
+  if (result.status == engine::ExchangeStatus::kComplete) {
+    return face_.ReadReply(std::move(result.response));
+  }
+  TargetReply reply;
+  reply.end = result.status == engine::ExchangeStatus::kNotSent
+                  ? AttemptEnd::kNotRun
+                  : AttemptEnd::kUnknown;
+  return reply;
+}
+
+void QueryPlane::Learn(const Request& request, size_t index,
+                       const TargetReply& reply,
+                       engine::ExchangeStatus status) {
+  const Request::Attempt& attempt = request.attempts[index];
+  targets_.OnEnded(attempt.target, SignOf(reply, status),
+                   loop_.Now() - attempt.sent_at);
+  if (reply.load) targets_.OnLoad(attempt.target, *reply.load);
+  if (reply.end == AttemptEnd::kWrongTarget) {
+    targets_.OnWrongTarget(attempt.target);
+  }
+  if (status == engine::ExchangeStatus::kLost) {
+    targets_.OnLostRequest(attempt.target, request.fingerprint);
+  }
+}
+
+void QueryPlane::OnResult(const RequestPtr& request, size_t index,
+                          engine::ExchangeResult result) {
+  const engine::ExchangeStatus status = result.status;
+  TargetReply reply = Interpret(std::move(result));
+  Learn(*request, index, reply, status);
+  if (request->run->done()) return;
+  const AttemptEnd end = reply.end;
+  request->attempts[index].reply = std::move(reply);
+  Perform(request, request->run->OnEnded(index, end, loop_.Now()));
+}
+
+void QueryPlane::Arm(const RequestPtr& request) {
+  const absl::Time next = request->run->NextTimer();
+  if (next == request->timer_at) return;
+  loop_.Cancel(request->timer);
+  request->timer_at = next;
+  request->timer = loop_.RunAt(next, [this, request] {
+    request->timer_at = absl::InfiniteFuture();
+    Perform(request, request->run->OnTimer(loop_.Now()));
+  });
+}
+
+void QueryPlane::OnLeft(const RequestPtr& request) {
+  if (request->run->done()) return;
+  loop_.Cancel(request->timer);
+  --running_;
+  metrics_.counter("cherrydyke_callers_left_total").Add();
+  Perform(request, request->run->Abort());
+  loop_.Cancel(request->timer);
+  LogOutcome(*request, "caller_left", 0);
+}
+
+void QueryPlane::Conclude(const RequestPtr& request, ConclusionKind kind) {
+  loop_.Cancel(request->timer);
+  --running_;
+  const RequestRun& run = *request->run;
+  switch (kind) {
+    case ConclusionKind::kAnswer:
+      return Answer(request);
+    case ConclusionKind::kRelayFailure:
+      request->exchange->Respond(face_.Relay(
+          std::move(request->attempts[run.relayed()].reply.response)));
+      return LogOutcome(*request, "target_failure", 0);
+    case ConclusionKind::kNotRun:
+      Refuse(*request->exchange, request->call.request_id,
+             RefusalReason::kNoTarget, false);
+      return LogOutcome(*request, "not_run", 0);
+    case ConclusionKind::kFailed:
+      Refuse(*request->exchange, request->call.request_id,
+             RefusalReason::kTargetsFailed, true);
+      return LogOutcome(*request, "targets_failed", 0);
+    case ConclusionKind::kTimedOut:
+      Refuse(*request->exchange, request->call.request_id,
+             RefusalReason::kDeadline, true);
+      return LogOutcome(*request, "deadline", 0);
+  }
+}
+
+void QueryPlane::Answer(const RequestPtr& request) {
+  const auto winners = request->run->Winners();
+  if (!request->route->IsFanout()) {
+    request->exchange->Respond(face_.Relay(
+        std::move(request->attempts[*winners.front()].reply.response)));
+    return LogOutcome(*request, "answered", 0);
+  }
+  std::vector<std::string> stamps;
+  std::vector<std::string> bodies;
+  for (const std::optional<size_t>& winner : winners) {
+    if (!winner) continue;
+    TargetReply& reply = request->attempts[*winner].reply;
+    stamps.push_back(std::move(reply.stamp));
+    bodies.push_back(std::move(reply.response.body));
+  }
+  const size_t missing = winners.size() - stamps.size();
+  request->exchange->Respond(
+      face_.Merged(request->call, stamps, missing,
+                   MergeTopRecords(bodies, request->route->top_k)));
+  LogOutcome(*request, missing == 0 ? "answered" : "answered_in_part", missing);
+}
+
+absl::Duration QueryPlane::RetryAfter() {
+  std::uniform_real_distribution<double> spread(1 - kRetrySpread,
+                                                1 + kRetrySpread);
+  return kRetryAfter * spread(random_);
+}
+
+void QueryPlane::Refuse(engine::ServerExchange& exchange,
+                        const std::string& request_id, RefusalReason reason,
+                        bool ran) {
+  metrics_
+      .counter("cherrydyke_refusals_total",
+               absl::StrCat("reason=\"", ReasonName(reason), "\""))
+      .Add();
+  if (log_budget_.Take("refused", loop_.Now())) {
+    LogInfo("request refused", {{"request", request_id},
+                                {"target", exchange.request().target},
+                                {"reason", ReasonName(reason)},
+                                {"ran", ran},
+                                {"config_version", version()}});
+  }
+  exchange.Respond(face_.Refuse(request_id, reason, ran, RetryAfter()));
+}
+
+void QueryPlane::LogOutcome(const Request& request, const std::string& outcome,
+                            size_t missing) {
+  metrics_
+      .counter("cherrydyke_requests_total",
+               absl::StrCat("outcome=\"", outcome, "\""))
+      .Add();
+  const absl::Duration took = loop_.Now() - request.exchange->received_at();
+  metrics_.summary("cherrydyke_request_ms")
+      .Observe(absl::ToDoubleMilliseconds(took));
+  if (!log_budget_.Take(outcome, loop_.Now())) return;
+  Fields fields = {{"request", request.call.request_id},
+                   {"route", request.route->name},
+                   {"config_version", request.routes->version()},
+                   {"outcome", outcome},
+                   {"ms", absl::ToDoubleMilliseconds(took)},
+                   {"sends", request.run->sends()},
+                   {"missing", missing}};
+  if (outcome != "answered") {
+    std::string detail;
+    for (const Request::Attempt& attempt : request.attempts) {
+      absl::StrAppend(&detail, detail.empty() ? "" : ",", attempt.target, ":",
+                      attempt.reply.response.status);
+    }
+    fields.emplace_back("attempts", detail);
+  }
+  LogInfo("request done", fields);
+}
+
+}  // namespace cherrydyke
--- /dev/null
+++ b/libs/tier/src/target.cc
@@ -0,0 +1,61 @@
+#include "target.h"
+
+#include <utility>
+
+#include "telemetry/log.h"
+
+namespace cherrydyke {
+namespace {
+
+/// A refused connection this soon after a broken request shows a crash.
+constexpr absl::Duration kCrashEvidenceTime = absl::Milliseconds(1500);
+
+}  // namespace
+
+TargetSet::Target::Target(TargetSet& owner, TargetInfo target_info,
+                          absl::Duration prior)
+    : set(owner), info(std::move(target_info)), health(prior) {
+  pool = std::make_unique<engine::ConnectionPool>(
+      owner.loop_, info.endpoint, owner.options_, connection_limit,
+      static_cast<engine::ConnectionPool::Listener*>(this));
+}
+
+void TargetSet::Target::OnConnectFailed(bool refused) {
+  const absl::Time now = set.loop_.Now();
+  if (!unreachable_) {
+    LogInfo(
+        "target unreachable",
+        {{"target", info.id}, {"service", info.service}, {"refused", refused}});
+  }
+  unreachable_ = true;
+  if (refused) ConfirmCrash();
+  health.OnOverdue(now, now);
+}
+
+void TargetSet::Target::OnIdleClosed() {}
+
+void TargetSet::Target::OnConnected() {
+  if (!unreachable_) return;
+  unreachable_ = false;
+  lost.clear();
+  // What was away has started again, whatever its entry still says.
+  const auto spec = set.orders_.services.find(info.service);
+  const absl::Duration warmup = spec == set.orders_.services.end()
+                                    ? absl::ZeroDuration()
+                                    : spec->second.warmup;
+  cold_until = std::max(cold_until, set.loop_.Now() + warmup);
+  LogInfo("target reachable again",
+          {{"target", info.id},
+           {"service", info.service},
+           {"cold_ms", absl::ToInt64Milliseconds(warmup)}});
+}
+
+void TargetSet::Target::ConfirmCrash() {
+  const absl::Time now = set.loop_.Now();
+  for (const Lost& entry : std::exchange(lost, {})) {
+    if (now - entry.at > kCrashEvidenceTime) continue;
+    set.observer_.OnCrash(entry.fingerprint, info.id);
+  }
+}
+
+}  // namespace cherrydyke
--- /dev/null
+++ b/libs/tier/src/target.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <memory>
+#include <vector>
+
+#include "tier/target_set.h"
+
+namespace cherrydyke {
+
+/// One target as this host knows it.
+struct TargetSet::Target : private engine::ConnectionPool::Listener {
+  Target(TargetSet& owner, TargetInfo target_info, absl::Duration prior);
+
+  bool IsCold(absl::Time now) const { return now < cold_until; }
+
+  TargetSet& set;
+  TargetInfo info;
+  TargetHealth health;
+  ColdAllowance cold;
+  absl::Time cold_until = absl::InfinitePast();
+  /// Requests that this host may send in a second while the target is cold.
+  int cold_share = 0;
+  int connection_limit = 1;
+  /// When a target that is no longer listed is dropped.
+  absl::Time gone_at = absl::InfiniteFuture();
+  /// Another target has its address.
+  bool wrong = false;
+  std::unique_ptr<engine::ConnectionPool> pool;
+
+  /// Requests whose connections broke lately, not yet explained.
+  struct Lost {
+    absl::Time at;
+    uint64_t fingerprint;
+  };
+  std::vector<Lost> lost;
+
+ private:
+  void OnConnectFailed(bool refused) override;
+  void OnIdleClosed() override;
+  void OnConnected() override;
+  void ConfirmCrash();
+
+  bool unreachable_ = false;
+};
+
+}  // namespace cherrydyke
--- /dev/null
+++ b/libs/tier/src/tier_node.cc
@@ -0,0 +1,176 @@
+#include "tier/tier_node.h"
+
+#include <utility>
+
+#include "telemetry/log.h"
+
+namespace cherrydyke {
+namespace {
+
+/// Entries that lapsed while the configuration service was away are back this
+/// soon after its return, if their targets live.
+constexpr absl::Duration kLapsedEntryTime = absl::Milliseconds(2200);
+/// How long a stopping host goes on taking requests, until whoever directs
+/// callers has asked twice for its readiness and callers know that it leaves.
+constexpr absl::Duration kLeaveTime = absl::Milliseconds(2600);
+/// Kept free at the end of the time to stop.
+constexpr absl::Duration kStopReserve = absl::Milliseconds(400);
+constexpr absl::Duration kStopStep = absl::Milliseconds(100);
+
+engine::ClientOptions TargetOptions(const CallerFace& face) {
+  engine::ClientOptions options;
+  options.id_header = face.id_header();
+  return options;
+}
+
+}  // namespace
+
+TierNode::TierNode(engine::EventLoop& loop, TierSettings settings,
+                   TierFaces faces)
+    : loop_(loop),
+      settings_(std::move(settings)),
+      faces_(faces),
+      hosts_(settings_.locality.host, settings_.seeds, HostTable::Options()),
+      crashes_(settings_.locality.host),
+      targets_(loop, settings_.locality, settings_.bounds,
+               TargetOptions(faces.callers), hosts_, *this),
+      queries_({loop, faces.callers, targets_, crashes_, metrics_}),
+      fleet_(loop,
+             {settings_.locality.host, settings_.fleet_port, settings_.seeds},
+             hosts_, crashes_, config_items_, target_items_),
+      callers_(
+          loop, [this] { return limits_; },
+          [this](std::shared_ptr<engine::ServerExchange> exchange) {
+            queries_.OnRequest(std::move(exchange));
+          }),
+      readiness_(
+          loop, [] { return engine::ServerLimits(); },
+          [this](std::shared_ptr<engine::ServerExchange> exchange) {
+            ServeReadiness(*exchange);
+          }),
+      metrics_server_(
+          loop, [] { return engine::ServerLimits(); },
+          [this](std::shared_ptr<engine::ServerExchange> exchange) {
+            ServeMetrics(*exchange);
+          }) {}
+
+Status TierNode::Start() {
+  RegisterGauges();
+  if (Status s = readiness_.Listen(settings_.ready_endpoint); GetError(s)) {
+    return s;
+  }
+  if (!settings_.metrics_endpoint.empty()) {
+    Status s = metrics_server_.Listen(settings_.metrics_endpoint);
+    if (GetError(s)) return s;
+  }
+  if (Status s = callers_.Listen(settings_.caller_endpoint); GetError(s)) {
+    return s;
+  }
+  const auto changed = [this](bool config, bool targets) {
+    if (config) OnConfigChanged();
+    if (targets) OnTargetsChanged();
+  };
+  Status linked = fleet_.Start(changed, [this] { targets_.OnHostsChanged(); });
+  if (GetError(linked)) return linked;
+  faces_.source.Start(config_items_, target_items_, *this);
+  return OkStatus();
+}
+
+void TierNode::RegisterGauges() {
+  metrics_.Gauge("cherrydyke_requests_running",
+                 [this] { return static_cast<double>(queries_.running()); });
+  metrics_.Gauge("cherrydyke_targets",
+                 [this] { return static_cast<double>(targets_.size()); });
+  metrics_.Gauge("cherrydyke_target_connections", [this] {
+    return static_cast<double>(targets_.open_connections());
+  });
+  metrics_.Gauge("cherrydyke_caller_connections", [this] {
+    return static_cast<double>(callers_.connections());
+  });
+  metrics_.Gauge("cherrydyke_known_hosts",
+                 [this] { return static_cast<double>(hosts_.SharingHosts()); });
+  metrics_.Gauge("cherrydyke_config_version",
+                 [this] { return static_cast<double>(queries_.version()); });
+}
+
+void TierNode::OnConfigChanged() {
+  Result<OperatorConfig> decoded = faces_.decoder.DecodeConfig(config_items_);
+  if (const Error* error = GetError(decoded)) {
+    LogError("configuration refused",
+             {{"error", error->message}, {"revision", config_items_.newest()}});
+    return;
+  }
+  OperatorConfig& config = GetValue(decoded);
+  if (config.routes == nullptr) return;
+  LogInfo("configuration in force",
+          {{"version", config.routes->version()},
+           {"revision", config_items_.newest()},
+           {"routes", config.routes->routes().size()},
+           {"services", config.routes->services().size()},
+           {"evacuated", config.evacuated.size()}});
+  limits_ = config.limits;
+  targets_.SetOrders({config.routes->services(), std::move(config.evacuated)});
+  queries_.SetRoutes(std::move(config.routes));
+}
+
+void TierNode::OnTargetsChanged() {
+  const bool lapsed = loop_.Now() - regained_at_ < kLapsedEntryTime;
+  targets_.SetTargets(faces_.decoder.DecodeTargets(target_items_),
+                      lapsed ? kLapsedEntryTime : absl::ZeroDuration());
+  LogInfo("targets changed",
+          {{"targets", targets_.size()}, {"revision", target_items_.newest()}});
+}
+
+void TierNode::OnSourceRegained() { regained_at_ = loop_.Now(); }
+
+void TierNode::OnCrash(uint64_t fingerprint, const TargetId& target) {
+  const bool quarantined = crashes_.OnCrash(fingerprint, loop_.Now());
+  LogWarning("target crashed during a request",
+             {{"target", target},
+              {"fingerprint", ToHex(fingerprint)},
+              {"quarantined", quarantined}});
+  fleet_.Gossip();
+}
+
+bool TierNode::IsReady() const {
+  return !stopping_since_ && queries_.has_routes() && targets_.size() > 0;
+}
+
+void TierNode::ServeReadiness(engine::ServerExchange& exchange) {
+  engine::HttpResponse response;
+  response.status = IsReady() ? 200 : 503;
+  exchange.Respond(std::move(response));
+}
+
+void TierNode::ServeMetrics(engine::ServerExchange& exchange) {
+  engine::HttpResponse response;
+  response.status = 200;
+  response.headers.push_back({"Content-Type", "text/plain; version=0.0.4"});
+  response.body = metrics_.Render();
+  exchange.Respond(std::move(response));
+}
+
+void TierNode::BeginStop() {
+  if (stopping_since_) return;
+  stopping_since_ = loop_.Now();
+  LogInfo("stopping", {{"running", queries_.running()},
+                       {"connections", callers_.connections()}});
+  callers_.CloseAfterAnswers();
+  ContinueStop();
+}
+
+void TierNode::ContinueStop() {
+  const absl::Duration stopped = loop_.Now() - *stopping_since_;
+  if (stopped >= kLeaveTime) {
+    callers_.CloseIdle();
+    const bool out_of_time = stopped >= settings_.stop_grace - kStopReserve;
+    if (queries_.running() == 0 || out_of_time) {
+      LogInfo("stopped", {{"running", queries_.running()},
+                          {"after_ms", absl::ToInt64Milliseconds(stopped)}});
+      return loop_.Stop();
+    }
+  }
+  loop_.RunAfter(kStopStep, [this] { ContinueStop(); });
+}
+
+}  // namespace cherrydyke
