--- a/libs/engine/include/engine/client_connection.h
+++ b/libs/engine/include/engine/client_connection.h
@@ -32,8 +32,9 @@
 
 /// One request and what happens with its result.
 struct Exchange {
-  /// Head and body, ready for the wire.
-  std::string bytes;
+  /// Makes head and body when they are sent, not before: a request may wait
+  /// for a connection, and what it states of the time left must be true then.
+  std::function<std::string()> write;
   /// Whether the response has no body whatever its headers say.
   bool is_head = false;
   /// Identifier that the response echoes; a response that echoes another one
--- a/libs/engine/src/client_connection.cc
+++ b/libs/engine/src/client_connection.cc
@@ -109,7 +109,7 @@
   exchange_ = std::move(exchange);
   ResetParser();
   writing_ = true;
-  const auto bytes = std::make_shared<std::string>(std::move(exchange_.bytes));
+  const auto bytes = std::make_shared<std::string>(exchange_.write());
   asio::async_write(
       socket_->tcp, asio::buffer(*bytes),
       [self = shared_from_this(), bytes](const error_code& error, size_t) {
--- a/libs/engine/src/http_caller.cc
+++ b/libs/engine/src/http_caller.cc
@@ -36,8 +36,10 @@
   const auto call = std::make_shared<Call>();
   call->done = std::move(done);
   PoolRequest request;
-  request.exchange.bytes = absl::StrCat(
-      "GET ", target, " HTTP/1.1\r\nHost: ", endpoint_, "\r\n\r\n");
+  request.exchange.write = [this, target] {
+    return absl::StrCat("GET ", target, " HTTP/1.1\r\nHost: ", endpoint_,
+                        "\r\n\r\n");
+  };
   request.exchange.done = [this, call](ExchangeResult result) {
     loop_.Cancel(call->timer);
     if (result.status == ExchangeStatus::kComplete) {
--- a/libs/tier/src/query_plane.cc
+++ b/libs/tier/src/query_plane.cc
@@ -188,8 +188,10 @@
   attempt.sent_at = now;
   const engine::HttpRequest& call = request->exchange->request();
   engine::PoolRequest out;
-  out.exchange.bytes = face_.TargetRequest(
-      request->head, call.body, send.target, request->deadline - now);
+  out.exchange.write = [this, request, target = send.target] {
+    return face_.TargetRequest(request->head, request->exchange->request().body,
+                               target, request->deadline - loop_.Now());
+  };
   out.exchange.is_head = call.method == "HEAD";
   out.exchange.expected_id = request->call.request_id;
   out.exchange.done = [this, request,
