--- /dev/null
+++ b/libs/dispatch/tests/limits_test.cc
@@ -0,0 +1,132 @@
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <deque>
+#include <random>
+#include <set>
+
+#include "dispatch/cold_allowance.h"
+#include "dispatch/extra_budget.h"
+
+namespace cherrydyke {
+namespace {
+
+const absl::Time kStart = absl::UnixEpoch() + absl::Hours(1);
+
+FleetBounds Bounds() {
+  FleetBounds bounds;
+  bounds.retry_ratio = 0.2;
+  bounds.retry_window = absl::Seconds(10);
+  bounds.retry_slack = 54;
+  bounds.warmup_overage = 1.5;
+  bounds.warmup_slack = 5;
+  return bounds;
+}
+
+std::vector<HostId> Hosts(int count) {
+  std::vector<HostId> hosts;
+  for (int i = 0; i < count; ++i)
+    hosts.push_back("10.0.0." + std::to_string(i));
+  return hosts;
+}
+
+}  // namespace
+
+class FleetLimitsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(FleetLimitsTest);
+  CPPUNIT_TEST(ExtrasOfTheFleetStayWithinTheBudget);
+  CPPUNIT_TEST(HelpfulExtrasLeaveRoomForNeededOnes);
+  CPPUNIT_TEST(ColdSharesAddUpToNoMoreThanTheWhole);
+  CPPUNIT_TEST(SmallAllowanceGoesToSomeHosts);
+  CPPUNIT_TEST(ColdSendsOfAnySecondStayWithinTheAllowance);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void ExtrasOfTheFleetStayWithinTheBudget() {
+    rc::check("sum of extras in any window", [] {
+      const int hosts = *rc::gen::inRange(1, 12);
+      std::vector<ExtraBudget> fleet(hosts, ExtraBudget(Bounds()));
+      for (ExtraBudget& budget : fleet) budget.SetHosts(hosts);
+      std::mt19937_64 random(*rc::gen::arbitrary<uint32_t>());
+      std::deque<absl::Time> requests;
+      std::deque<absl::Time> extras;
+      absl::Time now = kStart;
+      for (int step = 0; step < 4000; ++step) {
+        now += absl::Milliseconds(random() % 20);
+        ExtraBudget& budget = fleet[random() % fleet.size()];
+        if (random() % 3 == 0) {
+          budget.OnRequest("s", now);
+          requests.push_back(now);
+        } else if (budget.TryTake("s", ExtraUse::kNeeded, now)) {
+          extras.push_back(now);
+        }
+        const absl::Time begin = now - absl::Seconds(10);
+        while (!requests.empty() && requests.front() < begin) {
+          requests.pop_front();
+        }
+        while (!extras.empty() && extras.front() < begin) extras.pop_front();
+        RC_ASSERT(static_cast<double>(extras.size()) <=
+                  0.2 * static_cast<double>(requests.size()) + 54);
+      }
+    });
+  }
+
+  void HelpfulExtrasLeaveRoomForNeededOnes() {
+    ExtraBudget budget(Bounds());
+    while (budget.TryTake("s", ExtraUse::kHelpful, kStart)) {
+    }
+    CPPUNIT_ASSERT(budget.TryTake("s", ExtraUse::kNeeded, kStart));
+  }
+
+  void ColdSharesAddUpToNoMoreThanTheWhole() {
+    rc::check("sum of shares", [] {
+      const int total = *rc::gen::inRange(0, 60);
+      const std::vector<HostId> hosts = Hosts(*rc::gen::inRange(1, 90));
+      int sum = 0;
+      for (const HostId& host : hosts) {
+        sum += ColdShare(total, "target", host, hosts);
+      }
+      RC_ASSERT(sum == total);
+    });
+  }
+
+  void SmallAllowanceGoesToSomeHosts() {
+    const std::vector<HostId> hosts = Hosts(8);
+    std::set<HostId> served;
+    for (int target = 0; target < 40; ++target) {
+      int sum = 0;
+      for (const HostId& host : hosts) {
+        const int share =
+            ColdShare(5, "t" + std::to_string(target), host, hosts);
+        sum += share;
+        if (share > 0) served.insert(host);
+      }
+      CPPUNIT_ASSERT_EQUAL(5, sum);
+    }
+    CPPUNIT_ASSERT_EQUAL(hosts.size(), served.size());
+  }
+
+  void ColdSendsOfAnySecondStayWithinTheAllowance() {
+    rc::check("sends in any second", [] {
+      const std::vector<HostId> hosts = Hosts(*rc::gen::inRange(1, 10));
+      std::vector<ColdAllowance> fleet(hosts.size());
+      std::mt19937_64 random(*rc::gen::arbitrary<uint32_t>());
+      std::deque<absl::Time> sends;
+      absl::Time now = kStart;
+      for (int step = 0; step < 2000; ++step) {
+        now += absl::Milliseconds(random() % 30);
+        const size_t host = random() % hosts.size();
+        const int share = ColdShare(9, "t", hosts[host], hosts);
+        if (!fleet[host].MaySend(share, now)) continue;
+        fleet[host].OnSent(now);
+        sends.push_back(now);
+        while (sends.front() <= now - absl::Seconds(1)) sends.pop_front();
+        RC_ASSERT(sends.size() <= 9U);
+      }
+    });
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FleetLimitsTest);
+
+}  // namespace cherrydyke
--- /dev/null
+++ b/libs/dispatch/tests/request_run_test.cc
@@ -0,0 +1,278 @@
+#include "dispatch/request_run.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+namespace cherrydyke {
+namespace {
+
+const absl::Time kStart = absl::UnixEpoch() + absl::Hours(1);
+
+// Hands out targets named after the service, as long as the budget lasts.
+class FakePlacement : public Placement {
+ public:
+  std::optional<Placed> Place(const PlacementNeed& need,
+                              absl::Time /*now*/) override {
+    if (down_.count(need.service) > 0) return std::nullopt;
+    if (need.extra) {
+      uses_.push_back(*need.extra);
+      if (extras_left_ == 0) return std::nullopt;
+      --extras_left_;
+    }
+    for (int replica = 0; replica < replicas_; ++replica) {
+      const TargetId id = need.service + "/" + std::to_string(replica);
+      const auto& tried = *need.exclude;
+      if (std::find(tried.begin(), tried.end(), id) != tried.end()) continue;
+      return Placed{id, absl::Milliseconds(30), absl::Milliseconds(10)};
+    }
+    return std::nullopt;
+  }
+
+  int replicas_ = 3;
+  int extras_left_ = 100;
+  std::set<ServiceName> down_;
+  std::vector<ExtraUse> uses_;
+};
+
+RequestPlan Fanout(size_t shards, size_t needed) {
+  RequestPlan plan;
+  for (size_t i = 0; i < shards; ++i) {
+    plan.services.push_back("s" + std::to_string(i));
+  }
+  plan.is_fanout = true;
+  plan.idempotent = true;
+  plan.attempts = 2;
+  plan.needed = needed;
+  plan.answer_at = kStart + absl::Milliseconds(100);
+  plan.deadline = kStart + absl::Milliseconds(1000);
+  return plan;
+}
+
+RequestPlan Single(bool idempotent) {
+  RequestPlan plan = Fanout(1, 1);
+  plan.is_fanout = false;
+  plan.idempotent = idempotent;
+  return plan;
+}
+
+}  // namespace
+
+class RequestRunTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RequestRunTest);
+  CPPUNIT_TEST(AnswersAtOnceWhenEveryPartIsIn);
+  CPPUNIT_TEST(WaitsForMissingPartsUntilTheAnswerTime);
+  CPPUNIT_TEST(AnswersLateAsSoonAsEnoughPartsAreIn);
+  CPPUNIT_TEST(RefusesWithoutSendingWhenTooFewPartsCanBeHad);
+  CPPUNIT_TEST(GivesUpAtOnceWhenEnoughPartsCanNoLongerBeHad);
+  CPPUNIT_TEST(HedgesAnOverduePartAndCancelsTheLoser);
+  CPPUNIT_TEST(RejectedAttemptsDoNotCountAsRuns);
+  CPPUNIT_TEST(UnsafeRequestIsNotSentAgainAfterALostAnswer);
+  CPPUNIT_TEST(UnsafeRequestIsSentAgainAfterProofThatItDidNotRun);
+  CPPUNIT_TEST(UnsafeRequestIsNeverHedged);
+  CPPUNIT_TEST(OnlyRequestsThatRanNowhereAreReportedAsNotRun);
+  CPPUNIT_TEST(RelaysTheFailureOfASingleTarget);
+  CPPUNIT_TEST(LastNeededPartMayUseTheWholeBudget);
+  CPPUNIT_TEST(KeepsItsPromisesUnderRandomEvents);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void AnswersAtOnceWhenEveryPartIsIn() {
+    RequestRun run(Fanout(2, 1), placement_);
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, run.Start(kStart).send.size());
+    CPPUNIT_ASSERT(!run.OnEnded(0, AttemptEnd::kSuccess, kStart).conclusion);
+    const RunActions last = run.OnEnded(1, AttemptEnd::kSuccess, kStart);
+    CPPUNIT_ASSERT(last.conclusion == ConclusionKind::kAnswer);
+  }
+
+  void WaitsForMissingPartsUntilTheAnswerTime() {
+    placement_.extras_left_ = 0;
+    RequestRun run(Fanout(3, 2), placement_);
+    run.Start(kStart);
+    run.OnEnded(0, AttemptEnd::kSuccess, kStart);
+    run.OnEnded(1, AttemptEnd::kSuccess, kStart);
+    CPPUNIT_ASSERT(!run.done());
+    const absl::Time just_before = kStart + absl::Milliseconds(99);
+    CPPUNIT_ASSERT(!run.OnTimer(just_before).conclusion);
+    const RunActions due = run.OnTimer(kStart + absl::Milliseconds(100));
+    CPPUNIT_ASSERT(due.conclusion == ConclusionKind::kAnswer);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, due.cancel.size());
+    CPPUNIT_ASSERT(!run.Winners()[2].has_value());
+  }
+
+  void AnswersLateAsSoonAsEnoughPartsAreIn() {
+    RequestRun run(Fanout(3, 2), placement_);
+    run.Start(kStart);
+    run.OnEnded(0, AttemptEnd::kSuccess, kStart);
+    run.OnTimer(kStart + absl::Milliseconds(100));
+    CPPUNIT_ASSERT(!run.done());
+    const RunActions late =
+        run.OnEnded(1, AttemptEnd::kSuccess, kStart + absl::Milliseconds(300));
+    CPPUNIT_ASSERT(late.conclusion == ConclusionKind::kAnswer);
+  }
+
+  void RefusesWithoutSendingWhenTooFewPartsCanBeHad() {
+    placement_.down_ = {"s0", "s1"};
+    RequestRun run(Fanout(3, 2), placement_);
+    const RunActions actions = run.Start(kStart);
+    CPPUNIT_ASSERT(actions.send.empty());
+    CPPUNIT_ASSERT(actions.conclusion == ConclusionKind::kNotRun);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, actions.cancel.size());
+  }
+
+  void GivesUpAtOnceWhenEnoughPartsCanNoLongerBeHad() {
+    placement_.extras_left_ = 0;
+    RequestRun run(Fanout(3, 2), placement_);
+    run.Start(kStart);
+    run.OnEnded(0, AttemptEnd::kSuccess, kStart);
+    run.OnEnded(1, AttemptEnd::kUnknown, kStart);
+    const RunActions actions = run.OnEnded(2, AttemptEnd::kUnknown, kStart);
+    CPPUNIT_ASSERT(actions.conclusion == ConclusionKind::kFailed);
+  }
+
+  void HedgesAnOverduePartAndCancelsTheLoser() {
+    RequestRun run(Fanout(1, 1), placement_);
+    run.Start(kStart);
+    CPPUNIT_ASSERT(run.NextTimer() == kStart + absl::Milliseconds(30));
+    const RunActions hedge = run.OnTimer(run.NextTimer());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, hedge.overdue.size());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, hedge.send.size());
+    CPPUNIT_ASSERT(hedge.send[0].target != run.target(0));
+    const RunActions won = run.OnEnded(1, AttemptEnd::kSuccess, kStart);
+    CPPUNIT_ASSERT(won.conclusion == ConclusionKind::kAnswer);
+    CPPUNIT_ASSERT(won.cancel == std::vector<size_t>{0});
+  }
+
+  void RejectedAttemptsDoNotCountAsRuns() {
+    RequestRun run(Fanout(1, 1), placement_);
+    run.Start(kStart);
+    CPPUNIT_ASSERT_EQUAL(
+        size_t{1}, run.OnEnded(0, AttemptEnd::kNotRun, kStart).send.size());
+    CPPUNIT_ASSERT_EQUAL(
+        size_t{1}, run.OnEnded(1, AttemptEnd::kNotRun, kStart).send.size());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, run.maybe_run());
+  }
+
+  void UnsafeRequestIsNotSentAgainAfterALostAnswer() {
+    RequestRun run(Single(false), placement_);
+    run.Start(kStart);
+    const RunActions lost = run.OnEnded(0, AttemptEnd::kUnknown, kStart);
+    CPPUNIT_ASSERT(lost.send.empty());
+    CPPUNIT_ASSERT(lost.conclusion == ConclusionKind::kFailed);
+  }
+
+  void UnsafeRequestIsSentAgainAfterProofThatItDidNotRun() {
+    RequestRun run(Single(false), placement_);
+    run.Start(kStart);
+    const RunActions again = run.OnEnded(0, AttemptEnd::kWrongTarget, kStart);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, again.send.size());
+  }
+
+  void UnsafeRequestIsNeverHedged() {
+    RequestRun run(Single(false), placement_);
+    run.Start(kStart);
+    const RunActions overdue = run.OnTimer(kStart + absl::Milliseconds(500));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, overdue.overdue.size());
+    CPPUNIT_ASSERT(overdue.send.empty());
+  }
+
+  void OnlyRequestsThatRanNowhereAreReportedAsNotRun() {
+    placement_.replicas_ = 1;
+    RequestRun rejected(Single(true), placement_);
+    rejected.Start(kStart);
+    CPPUNIT_ASSERT(
+        rejected.OnEnded(0, AttemptEnd::kNotRun, kStart).conclusion ==
+        ConclusionKind::kNotRun);
+    RequestRun late(Single(true), placement_);
+    late.Start(kStart);
+    CPPUNIT_ASSERT(late.OnTimer(kStart + absl::Seconds(2)).conclusion ==
+                   ConclusionKind::kTimedOut);
+  }
+
+  void RelaysTheFailureOfASingleTarget() {
+    placement_.replicas_ = 1;
+    RequestRun run(Single(true), placement_);
+    run.Start(kStart);
+    CPPUNIT_ASSERT(run.OnEnded(0, AttemptEnd::kFailure, kStart).conclusion ==
+                   ConclusionKind::kRelayFailure);
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, run.relayed());
+  }
+
+  void LastNeededPartMayUseTheWholeBudget() {
+    RequestRun run(Fanout(3, 2), placement_);
+    run.Start(kStart);
+    run.OnEnded(0, AttemptEnd::kNotRun, kStart);
+    CPPUNIT_ASSERT(placement_.uses_.back() == ExtraUse::kHelpful);
+    placement_.extras_left_ = 0;
+    run.OnEnded(1, AttemptEnd::kNotRun, kStart);
+    run.OnEnded(2, AttemptEnd::kNotRun, kStart);
+    CPPUNIT_ASSERT(placement_.uses_.back() == ExtraUse::kNeeded);
+  }
+
+  void KeepsItsPromisesUnderRandomEvents() {
+    rc::check("promises of a run", [] {
+      FakePlacement placement;
+      placement.extras_left_ = *rc::gen::inRange(0, 6);
+      const bool idempotent = *rc::gen::arbitrary<bool>();
+      const size_t shards = idempotent ? *rc::gen::inRange<size_t>(1, 6) : 1;
+      RequestPlan plan =
+          Fanout(shards, *rc::gen::inRange<size_t>(1, shards + 1));
+      plan.is_fanout = shards > 1;
+      plan.idempotent = idempotent;
+      RequestRun run(plan, placement);
+      std::set<size_t> running;
+      std::map<size_t, std::set<TargetId>> maybe_ran;
+      size_t ran_or_may = 0;
+      std::optional<ConclusionKind> conclusion;
+      absl::Time now = kStart;
+      const auto apply = [&](const RunActions& actions) {
+        for (const AttemptSend& send : actions.send) {
+          running.insert(send.attempt);
+          maybe_ran[send.part].insert(send.target);
+          ++ran_or_may;
+          RC_ASSERT(maybe_ran[send.part].size() <= 2U);
+          RC_ASSERT(idempotent || ran_or_may <= 1U);
+        }
+        for (const size_t attempt : actions.cancel) running.erase(attempt);
+        if (actions.conclusion) {
+          RC_ASSERT(!conclusion.has_value());
+          conclusion = actions.conclusion;
+          RC_ASSERT(running.empty());
+        }
+      };
+      apply(run.Start(now));
+      for (int step = 0; step < 60 && !conclusion; ++step) {
+        now += absl::Milliseconds(*rc::gen::inRange(0, 40));
+        if (running.empty() || *rc::gen::arbitrary<bool>()) {
+          now = std::max(now, std::min(run.NextTimer(), plan.deadline));
+          apply(run.OnTimer(now));
+          continue;
+        }
+        const size_t attempt = *rc::gen::elementOf(
+            std::vector<size_t>(running.begin(), running.end()));
+        const auto end = static_cast<AttemptEnd>(*rc::gen::inRange(0, 5));
+        running.erase(attempt);
+        if (end == AttemptEnd::kNotRun || end == AttemptEnd::kWrongTarget) {
+          --ran_or_may;
+          for (auto& [part, targets] : maybe_ran) {
+            targets.erase(run.target(attempt));
+          }
+        }
+        apply(run.OnEnded(attempt, end, now));
+      }
+      if (!conclusion) apply(run.OnTimer(plan.deadline));
+      RC_ASSERT(conclusion.has_value());
+      RC_ASSERT(conclusion != ConclusionKind::kNotRun || ran_or_may == 0);
+    });
+  }
+
+ private:
+  FakePlacement placement_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RequestRunTest);
+
+}  // namespace cherrydyke
--- /dev/null
+++ b/libs/dispatch/tests/tables_test.cc
@@ -0,0 +1,151 @@
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <map>
+
+#include "dispatch/crash_ledger.h"
+#include "dispatch/route_table.h"
+#include "dispatch/target_health.h"
+#include "dispatch/top_records.h"
+
+namespace cherrydyke {
+namespace {
+
+const absl::Time kStart = absl::UnixEpoch() + absl::Hours(1);
+
+Route MakeRoute(const std::string& name, const std::string& prefix) {
+  Route route;
+  route.name = name;
+  route.host = "a.example";
+  route.prefix = prefix;
+  return route;
+}
+
+}  // namespace
+
+class DispatchTablesTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(DispatchTablesTest);
+  CPPUNIT_TEST(LongestPrefixWins);
+  CPPUNIT_TEST(HostIsComparedWithoutCaseAndPort);
+  CPPUNIT_TEST(WeightsAreKeptInAnyShortRun);
+  CPPUNIT_TEST(MergesLikeASort);
+  CPPUNIT_TEST(CrashesOfAllHostsAddUp);
+  CPPUNIT_TEST(OldCountsChangeNothing);
+  CPPUNIT_TEST(SilentTargetIsSuspectUntilItAnswers);
+  CPPUNIT_TEST(AnswerToALaterRequestClearsAnOverdueOne);
+  CPPUNIT_TEST(ReplacedTargetDoesNotCountBelowZero);
+  CPPUNIT_TEST(SlownessIsForgotten);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void LongestPrefixWins() {
+    const RouteTable table(
+        1, {MakeRoute("short", "/a/"), MakeRoute("long", "/a/b/")}, {});
+    CPPUNIT_ASSERT_EQUAL(std::string("long"),
+                         table.Find("a.example", "/a/b/c")->name);
+    CPPUNIT_ASSERT_EQUAL(std::string("short"),
+                         table.Find("a.example", "/a/bc")->name);
+    CPPUNIT_ASSERT(table.Find("a.example", "/a") == nullptr);
+    CPPUNIT_ASSERT(table.Find("a.example", "") == nullptr);
+    CPPUNIT_ASSERT(table.Find("b.example", "/a/b/c") == nullptr);
+  }
+
+  void HostIsComparedWithoutCaseAndPort() {
+    const RouteTable table(1, {MakeRoute("r", "/")}, {});
+    CPPUNIT_ASSERT(table.Find("A.Example:8080", "/x") != nullptr);
+  }
+
+  void WeightsAreKeptInAnyShortRun() {
+    const std::vector<WeightedService> services = {{"a", 3}, {"b", 1}};
+    WeightedSpreader spreader;
+    std::map<size_t, int> chosen;
+    for (int i = 0; i < 40; ++i) ++chosen[spreader.Next(services)];
+    CPPUNIT_ASSERT_EQUAL(30, chosen[0]);
+    CPPUNIT_ASSERT_EQUAL(10, chosen[1]);
+  }
+
+  void MergesLikeASort() {
+    rc::check("merge", [] {
+      std::vector<std::string> parts;
+      std::vector<std::string> records;
+      const int count = *rc::gen::inRange(0, 5);
+      for (int i = 0; i < count; ++i) {
+        const auto bytes = *rc::gen::container<std::vector<uint8_t>>(
+            rc::gen::arbitrary<uint8_t>());
+        parts.emplace_back(bytes.begin(), bytes.end());
+        const std::string& part = parts.back();
+        for (size_t at = 0; at + kRecordBytes <= part.size();
+             at += kRecordBytes) {
+          records.push_back(part.substr(at, kRecordBytes));
+        }
+      }
+      const size_t top = *rc::gen::inRange<size_t>(0, 8);
+      std::sort(records.rbegin(), records.rend());
+      std::string expected;
+      for (size_t i = 0; i < std::min(top, records.size()); ++i) {
+        expected += records[i];
+      }
+      RC_ASSERT(MergeTopRecords(parts, top) == expected);
+    });
+  }
+
+  void CrashesOfAllHostsAddUp() {
+    CrashLedger ledger("a");
+    CPPUNIT_ASSERT(!ledger.OnCrash(7, kStart));
+    CPPUNIT_ASSERT(!ledger.OnCount({7, "b", 1}, kStart));
+    CPPUNIT_ASSERT(!ledger.IsQuarantined(7, kStart));
+    CPPUNIT_ASSERT(ledger.OnCount({7, "c", 1}, kStart));
+    CPPUNIT_ASSERT(ledger.IsQuarantined(7, kStart));
+    CPPUNIT_ASSERT(!ledger.IsQuarantined(8, kStart));
+  }
+
+  void OldCountsChangeNothing() {
+    CrashLedger ledger("a");
+    ledger.OnCount({7, "b", 2}, kStart);
+    ledger.OnCount({7, "b", 1}, kStart);
+    CPPUNIT_ASSERT(!ledger.IsQuarantined(7, kStart));
+    CPPUNIT_ASSERT_EQUAL(2, ledger.Counts(9).front().crashes);
+  }
+
+  void SilentTargetIsSuspectUntilItAnswers() {
+    TargetHealth health(absl::Milliseconds(10));
+    health.OnSent();
+    health.OnOverdue(kStart, kStart + absl::Milliseconds(50));
+    CPPUNIT_ASSERT(health.IsSuspect(kStart + absl::Milliseconds(60)));
+    health.OnEnded(TargetSign::kAnswered, absl::Milliseconds(200),
+                   kStart + absl::Milliseconds(200));
+    CPPUNIT_ASSERT(!health.IsSuspect(kStart + absl::Milliseconds(200)));
+  }
+
+  void AnswerToALaterRequestClearsAnOverdueOne() {
+    TargetHealth health(absl::Milliseconds(10));
+    health.OnSent();
+    health.OnSent();
+    health.OnEnded(TargetSign::kAnswered, absl::Milliseconds(5),
+                   kStart + absl::Milliseconds(5));
+    health.OnOverdue(kStart, kStart + absl::Milliseconds(50));
+    CPPUNIT_ASSERT(!health.IsSuspect(kStart + absl::Milliseconds(50)));
+  }
+
+  void ReplacedTargetDoesNotCountBelowZero() {
+    TargetHealth health(absl::Milliseconds(10));
+    health.OnEnded(TargetSign::kAnswered, absl::Milliseconds(5), kStart);
+    CPPUNIT_ASSERT_EQUAL(0, health.outstanding());
+  }
+
+  void SlownessIsForgotten() {
+    TargetHealth health(absl::Milliseconds(10));
+    health.OnSent();
+    health.OnEnded(TargetSign::kAnswered, absl::Milliseconds(500), kStart);
+    const auto at = [&](absl::Duration later) {
+      return health.Expected(2, 3, kStart + later);
+    };
+    CPPUNIT_ASSERT(at(absl::ZeroDuration()) > absl::Milliseconds(400));
+    CPPUNIT_ASSERT(at(absl::Seconds(20)) < absl::Milliseconds(20));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DispatchTablesTest);
+
+}  // namespace cherrydyke
--- a/libs/engine/src/client_connection.cc
+++ b/libs/engine/src/client_connection.cc
@@ -151,6 +151,8 @@
   if (at_end) {
     if (!parser.got_some()) return false;
     parser.put_eof(error);
+    // An answer that stops short was lost on its way.
+    if (error) return false;
   } else {
     while (socket_->input.size() > 0 && !parser.is_done()) {
       const size_t used = parser.put(socket_->input.data(), error);
--- /dev/null
+++ b/libs/engine/tests/connection_pool_test.cc
@@ -0,0 +1,260 @@
+#include "engine/connection_pool.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "support/raw_peers.h"
+
+namespace cherrydyke::engine {
+namespace {
+
+ClientOptions Options() {
+  ClientOptions options;
+  options.connect_timeout = absl::Milliseconds(300);
+  options.id_header = "X-Id";
+  return options;
+}
+
+}  // namespace
+
+class ConnectionPoolTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ConnectionPoolTest);
+  CPPUNIT_TEST(ReusesAConnection);
+  CPPUNIT_TEST(ReadsEveryFraming);
+  CPPUNIT_TEST(ResetBodyIsNotComplete);
+  CPPUNIT_TEST(LostAndMalformedAnswersAreToldApart);
+  CPPUNIT_TEST(RefusedConnectionMeansNotSent);
+  CPPUNIT_TEST(DropsAnswersToOtherRequests);
+  CPPUNIT_TEST(StrayBytesEndTheConnection);
+  CPPUNIT_TEST(EarlyAnswerEndsTheConnectionWhileTheBodyIsUnsent);
+  CPPUNIT_TEST(KeepsWithinItsLimitAndInOrder);
+  CPPUNIT_TEST(WritesTheRequestWhenItIsSent);
+  CPPUNIT_TEST(CancelledRequestReportsNothingAndFreesItsConnection);
+  CPPUNIT_TEST(CancelledRequestIsBrokenOffAfterItsGrace);
+  CPPUNIT_TEST(OldConnectionIsNotTrustedWithAnUnsafeRequest);
+  CPPUNIT_TEST(KeepsToTheIdleLimitThatTheServerStates);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void ReusesAConnection() {
+    Serve(
+        [](RawConnection& c, const std::string&) { c.Write(OkResponse("a")); });
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), Ask()->response.body);
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), Ask()->response.body);
+    CPPUNIT_ASSERT_EQUAL(1, server_->accepted());
+  }
+
+  void ReadsEveryFraming() {
+    int round = 0;
+    Serve([&](RawConnection& c, const std::string&) {
+      ++round;
+      if (round == 1) {
+        c.Write(
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            "2\r\nab\r\n1\r\nc\r\n0\r\n\r\n");
+      } else if (round == 2) {
+        c.Write("HTTP/1.1 100 Continue\r\n\r\n" + OkResponse("abc"));
+      } else {
+        c.Write("HTTP/1.1 200 OK\r\n\r\nabc");
+        c.Close();
+      }
+    });
+    for (int i = 0; i < 3; ++i) {
+      CPPUNIT_ASSERT_EQUAL(std::string("abc"), Ask()->response.body);
+    }
+  }
+
+  void ResetBodyIsNotComplete() {
+    Serve([](RawConnection& c, const std::string&) {
+      c.Write("HTTP/1.1 200 OK\r\n\r\nhalf");
+      c.Reset();
+    });
+    CPPUNIT_ASSERT(Ask()->status == ExchangeStatus::kLost);
+  }
+
+  void LostAndMalformedAnswersAreToldApart() {
+    std::string answer;
+    Serve([&](RawConnection& c, const std::string&) {
+      c.Write(answer);
+      c.Close();
+    });
+    CPPUNIT_ASSERT(Ask()->status == ExchangeStatus::kLost);
+    answer = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort";
+    CPPUNIT_ASSERT(Ask()->status == ExchangeStatus::kLost);
+    answer = "no protocol at all\r\n\r\n";
+    CPPUNIT_ASSERT(Ask()->status == ExchangeStatus::kMalformed);
+  }
+
+  void RefusedConnectionMeansNotSent() {
+    Serve([](RawConnection&, const std::string&) {});
+    server_->Stop();
+    CPPUNIT_ASSERT(Ask()->status == ExchangeStatus::kNotSent);
+  }
+
+  void DropsAnswersToOtherRequests() {
+    Serve([](RawConnection& c, const std::string&) {
+      c.Write(OkResponse("old", "X-Id: 1\r\n") +
+              OkResponse("mine", "X-Id: 2\r\n"));
+    });
+    CPPUNIT_ASSERT_EQUAL(std::string("mine"), Ask("2")->response.body);
+  }
+
+  void StrayBytesEndTheConnection() {
+    Serve([](RawConnection& c, const std::string&) {
+      c.Write(OkResponse("a") + OkResponse("stray"));
+    });
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), Ask()->response.body);
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), Ask()->response.body);
+    CPPUNIT_ASSERT_EQUAL(2, server_->accepted());
+  }
+
+  void EarlyAnswerEndsTheConnectionWhileTheBodyIsUnsent() {
+    Serve([](RawConnection& c, const std::string& bytes) {
+      if (bytes.find("GET") == 0) c.Write(OkResponse("early"));
+    });
+    // More than the kernel takes while nobody reads.
+    body_ = std::string(64U << 20U, 'x');
+    CPPUNIT_ASSERT_EQUAL(std::string("early"), Ask()->response.body);
+    CPPUNIT_ASSERT_EQUAL(0, pool_->open_connections());
+  }
+
+  void KeepsWithinItsLimitAndInOrder() {
+    std::vector<RawConnection*> asking;
+    Serve([&](RawConnection& c, const std::string&) { asking.push_back(&c); });
+    pool_->SetLimit(2);
+    std::vector<int> order;
+    for (int i = 0; i < 4; ++i) {
+      PoolRequest request = Request("");
+      request.exchange.done = [&order, i](ExchangeResult) {
+        order.push_back(i);
+      };
+      pool_->Send(std::move(request));
+    }
+    CPPUNIT_ASSERT(RunUntil(loop_, [&] { return asking.size() == 2; }));
+    RunFor(loop_, absl::Milliseconds(30));
+    CPPUNIT_ASSERT_EQUAL(2, server_->accepted());
+    for (size_t i = 0; i < 4; ++i) {
+      CPPUNIT_ASSERT(RunUntil(loop_, [&] { return asking.size() > i; }));
+      asking[i]->Write(OkResponse("a"));
+      CPPUNIT_ASSERT(RunUntil(loop_, [&] { return order.size() > i; }));
+    }
+    CPPUNIT_ASSERT_EQUAL(2, server_->accepted());
+  }
+
+  void WritesTheRequestWhenItIsSent() {
+    RawConnection* first = nullptr;
+    Serve([&](RawConnection& c, const std::string&) {
+      if (first == nullptr) first = &c;
+    });
+    pool_->SetLimit(1);
+    pool_->Send(Request(""));
+    absl::Time written;
+    PoolRequest second = Request("");
+    second.exchange.write = [&] {
+      written = loop_.Now();
+      return std::string("GET /2 HTTP/1.1\r\n\r\n");
+    };
+    pool_->Send(std::move(second));
+    CPPUNIT_ASSERT(RunUntil(loop_, [&] { return first != nullptr; }));
+    RunFor(loop_, absl::Milliseconds(50));
+    const absl::Time freed = loop_.Now();
+    first->Write(OkResponse("a"));
+    CPPUNIT_ASSERT(RunUntil(loop_, [&] { return written >= freed; }));
+  }
+
+  void CancelledRequestReportsNothingAndFreesItsConnection() {
+    RawConnection* asking = nullptr;
+    int asked = 0;
+    Serve([&](RawConnection& c, const std::string&) {
+      asking = &c;
+      ++asked;
+    });
+    pool_->SetLimit(1);
+    bool reported = false;
+    PoolRequest request = Request("");
+    request.exchange.done = [&](ExchangeResult) { reported = true; };
+    const ExchangeId id = pool_->Send(std::move(request));
+    CPPUNIT_ASSERT(RunUntil(loop_, [&] { return asked == 1; }));
+    pool_->Cancel(id, absl::Seconds(5));
+    asking->Write(OkResponse("late"));
+    pool_->Send(Request(""));
+    CPPUNIT_ASSERT(RunUntil(loop_, [&] { return asked == 2; }));
+    CPPUNIT_ASSERT(!reported);
+    CPPUNIT_ASSERT_EQUAL(1, server_->accepted());
+  }
+
+  void CancelledRequestIsBrokenOffAfterItsGrace() {
+    RawConnection* asking = nullptr;
+    Serve([&](RawConnection& c, const std::string&) { asking = &c; });
+    const ExchangeId id = pool_->Send(Request(""));
+    CPPUNIT_ASSERT(RunUntil(loop_, [&] { return asking != nullptr; }));
+    pool_->Cancel(id, absl::Milliseconds(40));
+    CPPUNIT_ASSERT(RunUntil(loop_, [&] { return asking->closed_by_peer(); }));
+  }
+
+  void OldConnectionIsNotTrustedWithAnUnsafeRequest() {
+    Serve(
+        [](RawConnection& c, const std::string&) { c.Write(OkResponse("a")); });
+    Ask();
+    RunFor(loop_, absl::Milliseconds(60));
+    max_silence_ = absl::Milliseconds(30);
+    Ask();
+    CPPUNIT_ASSERT_EQUAL(2, server_->accepted());
+  }
+
+  void KeepsToTheIdleLimitThatTheServerStates() {
+    Serve([](RawConnection& c, const std::string&) {
+      c.Write(OkResponse("a", "Keep-Alive: max=3, timeout=0\r\n"));
+    });
+    Ask();
+    RunFor(loop_, absl::Milliseconds(5));
+    Ask();
+    CPPUNIT_ASSERT_EQUAL(2, server_->accepted());
+  }
+
+ private:
+  void Serve(RawServer::OnRequest on_request) {
+    server_ = std::make_unique<RawServer>(loop_, std::move(on_request));
+    pool_ = std::make_unique<ConnectionPool>(loop_, server_->endpoint(),
+                                             Options(), 4, nullptr);
+  }
+
+  PoolRequest Request(const std::string& id) {
+    PoolRequest request;
+    request.exchange.write = [body = body_] {
+      return "GET / HTTP/1.1\r\nHost: a\r\nContent-Length: " +
+             std::to_string(body.size()) + "\r\n\r\n" + body;
+    };
+    request.exchange.expected_id = id;
+    request.exchange.done = [](ExchangeResult) {};
+    request.max_silence = max_silence_;
+    return request;
+  }
+
+  std::optional<ExchangeResult> Ask(const std::string& id = "") {
+    std::optional<ExchangeResult> result;
+    PoolRequest request = Request(id);
+    request.exchange.done = [&](ExchangeResult ended) {
+      result = std::move(ended);
+    };
+    pool_->Send(std::move(request));
+    CPPUNIT_ASSERT(RunUntil(loop_, [&] { return result.has_value(); }));
+    return result;
+  }
+
+  BootClock clock_;
+  EventLoop loop_{clock_};
+  std::unique_ptr<RawServer> server_;
+  std::unique_ptr<ConnectionPool> pool_;
+  std::string body_;
+  absl::Duration max_silence_ = absl::InfiniteDuration();
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ConnectionPoolTest);
+
+}  // namespace cherrydyke::engine
--- /dev/null
+++ b/libs/engine/tests/http_server_test.cc
@@ -0,0 +1,228 @@
+#include "engine/http_server.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <deque>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "support/raw_peers.h"
+
+namespace cherrydyke::engine {
+namespace {
+
+constexpr char kHost[] = "Host: a\r\n";
+/// Below the ports that the kernel hands out, other than other tests' ports.
+constexpr char kEndpoint[] = "127.0.0.1:17411";
+
+std::string Get(const std::string& path, const std::string& headers = "") {
+  return "GET " + path + " HTTP/1.1\r\n" + kHost + headers + "\r\n";
+}
+
+bool Contains(const std::string& text, const std::string& part) {
+  return text.find(part) != std::string::npos;
+}
+
+}  // namespace
+
+class HttpServerTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(HttpServerTest);
+  CPPUNIT_TEST(AnswersPipelinedRequestsInOrder);
+  CPPUNIT_TEST(ReadsChunkedBodies);
+  CPPUNIT_TEST(InvitesABodyThatWaitsForIt);
+  CPPUNIT_TEST(RejectsWhatIsTooLargeOrMalformed);
+  CPPUNIT_TEST(RejectsRequestsThatOthersCouldReadDifferently);
+  CPPUNIT_TEST(SeesTheCallerLeaveWhileItsRequestRuns);
+  CPPUNIT_TEST(EndsSlowHeadersAndIdleConnections);
+  CPPUNIT_TEST(StoppingServerEndsConnectionsWithTheirAnswers);
+  CPPUNIT_TEST(CallerThatDoesNotReadHoldsNoFurtherRequests);
+  CPPUNIT_TEST(SurvivesRandomBytes);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    limits_.max_header_bytes = 1024;
+    limits_.max_body_bytes = 4096;
+    limits_.header_timeout = absl::Milliseconds(300);
+    limits_.idle_timeout = absl::Milliseconds(600);
+    server_ = std::make_unique<HttpServer>(
+        loop_, [this] { return limits_; },
+        [this](std::shared_ptr<ServerExchange> exchange) {
+          exchanges_.push_back(std::move(exchange));
+        });
+    CPPUNIT_ASSERT(GetError(server_->Listen(kEndpoint)) == nullptr);
+  }
+
+  void tearDown() override {
+    exchanges_.clear();
+    server_.reset();
+  }
+
+  void AnswersPipelinedRequestsInOrder() {
+    const auto caller = Connect();
+    caller->Write(Get("/1") + Get("/2"));
+    CPPUNIT_ASSERT(Arrived(1));
+    CPPUNIT_ASSERT_EQUAL(std::string("/1"), exchanges_[0]->request().target);
+    RunFor(loop_, absl::Milliseconds(30));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, exchanges_.size());
+    Respond(0, "one");
+    CPPUNIT_ASSERT(Arrived(2));
+    Respond(1, "two");
+    CPPUNIT_ASSERT(Received(*caller, "two"));
+    CPPUNIT_ASSERT(caller->received().find("one") <
+                   caller->received().find("two"));
+  }
+
+  void ReadsChunkedBodies() {
+    const auto caller = Connect();
+    caller->Write("POST /c HTTP/1.1\r\n" + std::string(kHost) +
+                  "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n");
+    RunFor(loop_, absl::Milliseconds(20));
+    CPPUNIT_ASSERT(exchanges_.empty());
+    caller->Write("2\r\nde\r\n0\r\n\r\n");
+    CPPUNIT_ASSERT(Arrived(1));
+    CPPUNIT_ASSERT_EQUAL(std::string("abcde"), exchanges_[0]->request().body);
+  }
+
+  void InvitesABodyThatWaitsForIt() {
+    const auto caller = Connect();
+    caller->Write("POST /c HTTP/1.1\r\n" + std::string(kHost) +
+                  "Content-Length: 2\r\nExpect: 100-continue\r\n\r\n");
+    CPPUNIT_ASSERT(Received(*caller, "100 Continue"));
+    caller->Write("ab");
+    CPPUNIT_ASSERT(Arrived(1));
+  }
+
+  void RejectsWhatIsTooLargeOrMalformed() {
+    ExpectStatus(Get("/", "X: " + std::string(2000, 'x') + "\r\n"), "431");
+    ExpectStatus("POST / HTTP/1.1\r\n" + std::string(kHost) +
+                     "Content-Length: 5000\r\n\r\n",
+                 "413");
+    ExpectStatus("POST / HTTP/1.1\r\n" + std::string(kHost) +
+                     "Transfer-Encoding: chunked\r\n\r\n1400\r\n" +
+                     std::string(5120, 'x'),
+                 "413");
+    ExpectStatus("nonsense\r\n\r\n", "400");
+    ExpectStatus("GET / HTTP/1.1\r\n\r\n", "400");
+    ExpectStatus("GET x HTTP/1.1\r\n" + std::string(kHost) + "\r\n", "400");
+  }
+
+  void RejectsRequestsThatOthersCouldReadDifferently() {
+    const std::string post = "POST / HTTP/1.1\r\n" + std::string(kHost);
+    ExpectStatus(post +
+                     "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n"
+                     "0\r\n\r\n",
+                 "400");
+    ExpectStatus(post + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+                 "400");
+    ExpectStatus(post + "Transfer-Encoding: gzip\r\n\r\n0\r\n\r\n", "400");
+    ExpectStatus(post + "Transfer-Encoding: chunked, chunked\r\n\r\n0\r\n\r\n",
+                 "400");
+    CPPUNIT_ASSERT(exchanges_.empty());
+  }
+
+  void SeesTheCallerLeaveWhileItsRequestRuns() {
+    const auto caller = Connect();
+    caller->Write(Get("/1"));
+    CPPUNIT_ASSERT(Arrived(1));
+    bool left = false;
+    exchanges_[0]->OnLeft([&] { left = true; });
+    caller->Close();
+    CPPUNIT_ASSERT(RunUntil(loop_, [&] { return left; }));
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, server_->running());
+    Respond(0, "nobody");
+  }
+
+  void EndsSlowHeadersAndIdleConnections() {
+    const auto slow = Connect();
+    const auto idle = Connect();
+    slow->Write("GET / HTTP/1.1\r\n");
+    CPPUNIT_ASSERT(Received(*slow, " 408 "));
+    CPPUNIT_ASSERT(RunUntil(loop_, [&] { return idle->closed_by_peer(); }));
+    CPPUNIT_ASSERT(idle->received().empty());
+  }
+
+  void StoppingServerEndsConnectionsWithTheirAnswers() {
+    const auto caller = Connect();
+    caller->Write(Get("/1"));
+    CPPUNIT_ASSERT(Arrived(1));
+    server_->CloseAfterAnswers();
+    Respond(0, "last");
+    CPPUNIT_ASSERT(RunUntil(loop_, [&] { return caller->closed_by_peer(); }));
+    CPPUNIT_ASSERT(Contains(caller->received(), "Connection: close"));
+    CPPUNIT_ASSERT(Contains(caller->received(), "last"));
+  }
+
+  void CallerThatDoesNotReadHoldsNoFurtherRequests() {
+    const auto caller = Connect();
+    std::string flood;
+    for (int i = 0; i < 4000; ++i) flood += Get("/" + std::to_string(i));
+    caller->Write(flood.substr(0, 60'000));
+    CPPUNIT_ASSERT(Arrived(1));
+    RunFor(loop_, absl::Milliseconds(50));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, exchanges_.size());
+    for (size_t i = 0; i < 500; ++i) {
+      CPPUNIT_ASSERT(Arrived(i + 1));
+      Respond(i, "x");
+    }
+  }
+
+  void SurvivesRandomBytes() {
+    uint64_t state = 20261204;
+    for (int round = 0; round < 200; ++round) {
+      std::string bytes = round % 2 == 0 ? "POST /a HTTP/1.1\r\n" : "";
+      const size_t length = 1 + state % 300;
+      for (size_t i = 0; i < length; ++i) {
+        state = state * 6364136223846793005ULL + 1442695040888963407ULL;
+        bytes += static_cast<char>(state >> 56U);
+      }
+      const auto caller = Connect();
+      caller->Write(bytes + "\r\n\r\n");
+      RunFor(loop_, absl::Milliseconds(1));
+      caller->Close();
+    }
+    ExpectStatus("bad\r\n\r\n", "400");
+  }
+
+ private:
+  std::shared_ptr<RawConnection> Connect() {
+    return RawConnect(loop_, kEndpoint);
+  }
+
+  bool Arrived(size_t count) {
+    return RunUntil(loop_, [&] { return exchanges_.size() >= count; });
+  }
+
+  bool Received(const RawConnection& caller, const std::string& part) {
+    return RunUntil(loop_, [&] { return Contains(caller.received(), part); });
+  }
+
+  void Respond(size_t index, const std::string& body) {
+    HttpResponse response;
+    response.status = 200;
+    response.body = body;
+    exchanges_[index]->Respond(std::move(response));
+  }
+
+  void ExpectStatus(const std::string& bytes, const std::string& status) {
+    const auto caller = Connect();
+    caller->Write(bytes);
+    CPPUNIT_ASSERT_MESSAGE(
+        status + " for " + bytes.substr(0, 80),
+        RunUntil(loop_, [&] { return caller->closed_by_peer(); }));
+    CPPUNIT_ASSERT_EQUAL("HTTP/1.1 " + status,
+                         caller->received().substr(0, 12));
+  }
+
+  BootClock clock_;
+  EventLoop loop_{clock_};
+  ServerLimits limits_;
+  std::unique_ptr<HttpServer> server_;
+  std::deque<std::shared_ptr<ServerExchange>> exchanges_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HttpServerTest);
+
+}  // namespace cherrydyke::engine
--- a/libs/membership/include/membership/host_table.h
+++ b/libs/membership/include/membership/host_table.h
@@ -35,8 +35,10 @@
 class HostTable {
  public:
   struct Options {
-    /// Hosts assumed to share limits until the first peer was heard.
+    /// Hosts assumed to share limits until the fleet had time to find itself.
     int initial_hosts = 16;
+    /// From the first peer heard until the known hosts are taken for all.
+    absl::Duration settle_time = absl::Seconds(3);
     /// A host not heard by anybody for this long is not gossiped with.
     absl::Duration silence_limit = absl::Seconds(10);
     /// Hosts that each round of gossip reaches.
@@ -64,7 +66,7 @@
   std::vector<HostAge> Ages(absl::Time now, std::mt19937_64& random) const;
 
   /// @return the most hosts that may share a limit.
-  int SharingHosts() const;
+  int SharingHosts(absl::Time now) const;
 
   /// @return every host ever known, this one included, sorted.
   std::vector<HostId> KnownHosts() const;
@@ -78,7 +80,7 @@
   const Options options_;
   std::map<HostId, absl::Time> heard_;
   int told_hosts_ = 0;
-  bool heard_any_ = false;
+  absl::Time first_heard_ = absl::InfiniteFuture();
 };
 
 }  // namespace cherrydyke
--- a/libs/membership/src/host_table.cc
+++ b/libs/membership/src/host_table.cc
@@ -18,7 +18,7 @@
 void HostTable::OnGossip(const HostId& from, const std::vector<HostAge>& hosts,
                          int known_hosts, absl::Time now) {
   if (from == self_) return;
-  heard_any_ = true;
+  first_heard_ = std::min(first_heard_, now);
   heard_[from] = now;
   told_hosts_ = std::max(told_hosts_, known_hosts);
   for (const HostAge& entry : hosts) {
@@ -63,10 +63,11 @@
   return ages;
 }
 
-int HostTable::SharingHosts() const {
+int HostTable::SharingHosts(absl::Time now) const {
   const int known = static_cast<int>(heard_.size()) + 1;
   const int most = std::max(known, told_hosts_);
-  return heard_any_ ? most : std::max(most, options_.initial_hosts);
+  const bool settled = now - first_heard_ >= options_.settle_time;
+  return settled ? most : std::max(most, options_.initial_hosts);
 }
 
 std::vector<HostId> HostTable::KnownHosts() const {
--- a/libs/tier/src/fleet_link.cc
+++ b/libs/tier/src/fleet_link.cc
@@ -88,7 +88,7 @@
             ServeTransfer(*exchange);
           }),
       random_(NewIncarnation()),
-      sharing_hosts_(hosts.SharingHosts()) {}
+      sharing_hosts_(hosts.SharingHosts(loop.Now())) {}
 
 Endpoint FleetLink::EndpointOf(const HostId& host) const {
   return absl::StrCat(host, ":", options_.port);
@@ -107,6 +107,12 @@
 
 void FleetLink::Gossip() {
   const absl::Time now = loop_.Now();
+  if (const int sharing = hosts_.SharingHosts(now); sharing != sharing_hosts_) {
+    LogInfo("limits divided anew",
+            {{"hosts", sharing}, {"before", sharing_hosts_}});
+    sharing_hosts_ = sharing;
+    hosts_changed_();
+  }
   FleetMessage message;
   message.host = options_.host;
   message.known_hosts = static_cast<int>(hosts_.KnownHosts().size());
@@ -136,12 +142,6 @@
                   {"told_by", message.host}});
     }
   }
-  if (const int sharing = hosts_.SharingHosts(); sharing != sharing_hosts_) {
-    LogInfo("limits divided anew",
-            {{"hosts", sharing}, {"before", sharing_hosts_}});
-    sharing_hosts_ = sharing;
-    hosts_changed_();
-  }
   if (!IsBehind(message)) return;
   behind_since_ = std::min(behind_since_, now);
   if (now - behind_since_ >= kLagTolerance) FetchFrom(message.host);
--- a/libs/tier/src/target_set.cc
+++ b/libs/tier/src/target_set.cc
@@ -46,7 +46,7 @@
       hosts_(hosts),
       observer_(observer),
       budget_(bounds) {
-  budget_.SetHosts(hosts.SharingHosts());
+  budget_.SetHosts(hosts.SharingHosts(loop.Now()));
 }
 
 TargetSet::~TargetSet() = default;
@@ -153,14 +153,14 @@
 }
 
 void TargetSet::OnHostsChanged() {
-  budget_.SetHosts(hosts_.SharingHosts());
+  budget_.SetHosts(hosts_.SharingHosts(loop_.Now()));
   for (auto& [id, target] : targets_) Divide(*target);
 }
 
 void TargetSet::Divide(Target& target) const {
   const auto spec = orders_.services.find(target.info.service);
   if (spec == orders_.services.end()) return;
-  const int hosts = hosts_.SharingHosts();
+  const int hosts = hosts_.SharingHosts(loop_.Now());
   const int share =
       static_cast<int>(kConnectionPart * spec->second.max_connections / hosts);
   target.connection_limit = std::clamp(share, 1, kMaxConnections);
--- a/libs/tier/src/tier_node.cc
+++ b/libs/tier/src/tier_node.cc
@@ -87,8 +87,9 @@
   metrics_.Gauge("cherrydyke_caller_connections", [this] {
     return static_cast<double>(callers_.connections());
   });
-  metrics_.Gauge("cherrydyke_known_hosts",
-                 [this] { return static_cast<double>(hosts_.SharingHosts()); });
+  metrics_.Gauge("cherrydyke_known_hosts", [this] {
+    return static_cast<double>(hosts_.SharingHosts(loop_.Now()));
+  });
   metrics_.Gauge("cherrydyke_config_version",
                  [this] { return static_cast<double>(queries_.version()); });
 }
--- /dev/null
+++ b/tests/support/raw_peers.cc
@@ -0,0 +1,150 @@
+#include "support/raw_peers.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+#include <vector>
+
+#include "boost/asio/ip/tcp.hpp"
+#include "boost/asio/write.hpp"
+
+namespace cherrydyke {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+class Connection : public RawConnection,
+                   public std::enable_shared_from_this<Connection> {
+ public:
+  explicit Connection(tcp::socket socket) : socket_(std::move(socket)) {}
+
+  void Write(const std::string& bytes) override {
+    error_code ignored;
+    asio::write(socket_, asio::buffer(bytes), ignored);
+  }
+
+  void Close() override {
+    error_code ignored;
+    socket_.shutdown(tcp::socket::shutdown_both, ignored);
+    socket_.close(ignored);
+  }
+
+  void Reset() override {
+    error_code ignored;
+    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    socket_.close(ignored);
+  }
+
+  const std::string& received() const override { return received_; }
+  bool closed_by_peer() const override { return closed_by_peer_; }
+
+  void Read(const std::function<void(Connection&)>& on_bytes) {
+    socket_.async_read_some(
+        asio::buffer(chunk_), [self = shared_from_this(), on_bytes](
+                                  const error_code& error, size_t bytes) {
+          if (error) {
+            self->closed_by_peer_ = error != asio::error::operation_aborted;
+            return;
+          }
+          self->received_.append(self->chunk_.data(), bytes);
+          if (on_bytes) on_bytes(*self);
+          if (self->socket_.is_open()) self->Read(on_bytes);
+        });
+  }
+
+  size_t handled = 0;
+
+ private:
+  tcp::socket socket_;
+  std::array<char, 4096> chunk_;
+  std::string received_;
+  bool closed_by_peer_ = false;
+};
+
+}  // namespace
+
+bool RunUntil(engine::EventLoop& loop, const std::function<bool()>& done,
+              absl::Duration limit) {
+  const absl::Time end = loop.Now() + limit;
+  while (!done() && loop.Now() < end) {
+    loop.context().restart();
+    loop.context().run_one_for(std::chrono::milliseconds(5));
+  }
+  return done();
+}
+
+void RunFor(engine::EventLoop& loop, absl::Duration time) {
+  RunUntil(
+      loop, [] { return false; }, time);
+}
+
+std::shared_ptr<RawConnection> RawConnect(engine::EventLoop& loop,
+                                          const Endpoint& endpoint) {
+  const size_t colon = endpoint.rfind(':');
+  tcp::socket socket(loop.context());
+  socket.connect(
+      {asio::ip::make_address(endpoint.substr(0, colon)),
+       static_cast<uint16_t>(std::stoi(endpoint.substr(colon + 1)))});
+  auto connection = std::make_shared<Connection>(std::move(socket));
+  connection->Read(nullptr);
+  return connection;
+}
+
+struct RawServer::State {
+  State(engine::EventLoop& loop, OnRequest handler)
+      : on_request(std::move(handler)),
+        acceptor(loop.context(),
+                 tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)) {
+    endpoint = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+  }
+
+  static void Accept(const std::shared_ptr<State>& state) {
+    state->acceptor.async_accept(
+        [state](const error_code& error, tcp::socket socket) {
+          if (error) return;
+          ++state->accepted;
+          auto connection = std::make_shared<Connection>(std::move(socket));
+          state->connections.push_back(connection);
+          connection->Read([state](Connection& from) {
+            const std::string fresh = from.received().substr(from.handled);
+            if (fresh.find("\r\n\r\n") == std::string::npos) return;
+            from.handled = from.received().size();
+            state->on_request(from, fresh);
+          });
+          Accept(state);
+        });
+  }
+
+  OnRequest on_request;
+  tcp::acceptor acceptor;
+  Endpoint endpoint;
+  int accepted = 0;
+  std::vector<std::shared_ptr<Connection>> connections;
+};
+
+RawServer::RawServer(engine::EventLoop& loop, OnRequest on_request)
+    : state_(std::make_shared<State>(loop, std::move(on_request))) {
+  State::Accept(state_);
+}
+
+RawServer::~RawServer() { Stop(); }
+
+const Endpoint& RawServer::endpoint() const { return state_->endpoint; }
+
+int RawServer::accepted() const { return state_->accepted; }
+
+void RawServer::Stop() {
+  error_code ignored;
+  state_->acceptor.close(ignored);
+  for (const auto& connection : state_->connections) connection->Reset();
+  state_->connections.clear();
+}
+
+std::string OkResponse(const std::string& body, const std::string& headers) {
+  return "HTTP/1.1 200 OK\r\n" + headers +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+}  // namespace cherrydyke
