--- a/libs/engine/include/engine/connection_pool.h
+++ b/libs/engine/include/engine/connection_pool.h
@@ -54,6 +54,10 @@
   /// that its connection can be kept, and is then broken off by a close.
   void Cancel(ExchangeId exchange, absl::Duration grace);
 
+  /// Opens a connection, if there is room for one, to learn whether the server
+  /// still accepts any.
+  void Probe();
+
   /// Drops connections that carry no request.
   void CloseIdle();
 
--- a/libs/engine/src/connection_pool.cc
+++ b/libs/engine/src/connection_pool.cc
@@ -134,6 +134,10 @@
   }
 }
 
+void ConnectionPool::Probe() {
+  if (connecting_ == 0 && open_connections() < limit_) Open();
+}
+
 void ConnectionPool::CloseIdle() {
   std::vector<std::shared_ptr<ClientConnection>> idle;
   for (const Member& member : members_) {
--- a/libs/tier/src/target_set.cc
+++ b/libs/tier/src/target_set.cc
@@ -287,6 +287,8 @@
 void TargetSet::OnLostRequest(const TargetId& id, uint64_t fingerprint) {
   if (Target* const target = Find(id)) {
     target->lost.push_back({loop_.Now(), fingerprint});
+    // A refused connection tells a crash from an answer that was lost.
+    target->pool->Probe();
   }
 }
 
--- /dev/null
+++ b/tests/support/platform_stand_ins.cc
@@ -0,0 +1,239 @@
+#include "support/platform_stand_ins.h"
+
+#include <utility>
+
+#include "absl/strings/escaping.h"
+#include "absl/strings/match.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "base/invariant.h"
+#include "nlohmann/json.hpp"
+
+namespace cherrydyke {
+namespace {
+
+using Json = nlohmann::json;
+
+engine::HttpResponse JsonResponse(const Json& json) {
+  engine::HttpResponse response;
+  response.status = 200;
+  response.headers.push_back({"Content-Type", "application/json"});
+  response.body = json.dump();
+  return response;
+}
+
+engine::HttpResponse StatusResponse(int status) {
+  engine::HttpResponse response;
+  response.status = status;
+  return response;
+}
+
+std::string HeaderOf(const std::string& bytes, const std::string& name) {
+  const size_t at = bytes.find(name + ": ");
+  if (at == std::string::npos) return "";
+  const size_t begin = at + name.size() + 2;
+  return bytes.substr(begin, bytes.find("\r\n", begin) - begin);
+}
+
+}  // namespace
+
+StoreStandIn::StoreStandIn(engine::EventLoop& loop, const Endpoint& endpoint)
+    : loop_(loop),
+      server_(
+          loop, [] { return engine::ServerLimits(); },
+          [this](std::shared_ptr<engine::ServerExchange> exchange) {
+            OnCall(std::move(exchange));
+          }) {
+  const Status listening = server_.Listen(endpoint);
+  CHERRYDYKE_INVARIANT(GetError(listening) == nullptr, "no port for the store");
+}
+
+std::string StoreStandIn::Argument(const std::string& target,
+                                   const std::string& name) {
+  for (const char lead : {'?', '&'}) {
+    const std::string key = absl::StrCat(std::string(1, lead), name, "=");
+    const size_t at = target.find(key);
+    if (at == std::string::npos) continue;
+    const size_t begin = at + key.size();
+    return target.substr(begin, target.find('&', begin) - begin);
+  }
+  return "";
+}
+
+void StoreStandIn::OnCall(std::shared_ptr<engine::ServerExchange> exchange) {
+  ++calls_;
+  if (silent_) {
+    unanswered_.push_back(std::move(exchange));
+    return;
+  }
+  if (refusal_ != 0) return exchange->Respond(StatusResponse(refusal_));
+  const std::string target = exchange->request().target;
+  if (absl::StartsWith(target, "/v1/kv-range")) return AnswerRange(*exchange);
+  Watch watch{std::move(exchange), Argument(target, "prefix"), 0, {}};
+  int wait_ms = 0;
+  const bool proper =
+      absl::SimpleAtoi(Argument(target, "after"), &watch.after) &&
+      absl::SimpleAtoi(Argument(target, "waitMs"), &wait_ms);
+  if (!proper) return watch.exchange->Respond(StatusResponse(400));
+  watch.until = loop_.Now() + absl::Milliseconds(wait_ms);
+  if (AnswerIfDue(watch)) return;
+  watches_.push_back(std::move(watch));
+  loop_.RunAfter(absl::Milliseconds(wait_ms), [this] { AnswerWatches(); });
+}
+
+void StoreStandIn::AnswerRange(engine::ServerExchange& exchange) {
+  const std::string& target = exchange.request().target;
+  const std::string prefix = Argument(target, "prefix");
+  const std::string after = Argument(target, "after");
+  Json page = {
+      {"items", Json::array()}, {"truncated", false}, {"asOf", revision_}};
+  for (const auto& [key, item] : items_) {
+    if (!absl::StartsWith(key, prefix) || key <= after) continue;
+    if (page["items"].size() == page_size_) {
+      page["truncated"] = true;
+      break;
+    }
+    page["items"].push_back({{"key", key},
+                             {"value", absl::Base64Escape(item.value)},
+                             {"revision", item.revision}});
+  }
+  exchange.Respond(JsonResponse(page));
+}
+
+bool StoreStandIn::AnswerIfDue(const Watch& watch) {
+  if (silent_) return false;
+  if (watch.after < history_from_) {
+    watch.exchange->Respond(StatusResponse(410));
+    return true;
+  }
+  Json events = Json::array();
+  for (const Change& change : history_) {
+    if (change.revision <= watch.after ||
+        !absl::StartsWith(change.key, watch.prefix)) {
+      continue;
+    }
+    Json event = {{"key", change.key}, {"revision", change.revision}};
+    if (change.removed) {
+      event["removed"] = true;
+    } else {
+      event["value"] = absl::Base64Escape(change.value);
+    }
+    events.push_back(std::move(event));
+  }
+  if (events.empty() && loop_.Now() < watch.until) return false;
+  watch.exchange->Respond(
+      JsonResponse({{"events", std::move(events)}, {"asOf", revision_}}));
+  return true;
+}
+
+void StoreStandIn::AnswerWatches() {
+  for (auto watch = watches_.begin(); watch != watches_.end();) {
+    watch = AnswerIfDue(*watch) ? watches_.erase(watch) : std::next(watch);
+  }
+}
+
+void StoreStandIn::Record(Change change) {
+  change.revision = ++revision_;
+  history_.push_back(change);
+  if (change.removed) {
+    items_.erase(change.key);
+  } else {
+    items_[change.key] = std::move(change);
+  }
+  AnswerWatches();
+}
+
+void StoreStandIn::Put(const std::string& key, const std::string& value) {
+  Record({key, value, 0, false});
+}
+
+void StoreStandIn::Remove(const std::string& key) {
+  Record({key, "", 0, true});
+}
+
+void StoreStandIn::SetSilent(bool silent) {
+  silent_ = silent;
+  // Watches that were held are lost for good.
+  for (Watch& watch : watches_) {
+    unanswered_.push_back(std::move(watch.exchange));
+  }
+  watches_.clear();
+}
+
+void StoreStandIn::ForgetHistory() {
+  history_.clear();
+  history_from_ = ++revision_;
+  AnswerWatches();
+}
+
+TargetStandIn::TargetStandIn(engine::EventLoop& loop, std::string id,
+                             std::string records)
+    : loop_(loop),
+      id_(std::move(id)),
+      records_(std::move(records)),
+      server_(loop,
+              [this](RawConnection& connection, const std::string& bytes) {
+                OnRequest(connection, bytes);
+              }) {}
+
+std::string TargetStandIn::Entry(const std::string& service,
+                                 const std::string& zone,
+                                 const std::string& state) const {
+  return Json({{"service", service},
+               {"address", endpoint()},
+               {"zone", zone},
+               {"version", "v1"},
+               {"maxConcurrency", 2},
+               {"state", state},
+               {"warmupLeftMs", 0},
+               {"seq", 1}})
+      .dump();
+}
+
+void TargetStandIn::OnRequest(RawConnection& connection,
+                              const std::string& bytes) {
+  ++arrivals_;
+  last_request_ = bytes;
+  switch (behaviour_) {
+    case Behaviour::kHang:
+      ++runs_;
+      return;
+    case Behaviour::kLoseAnswer:
+      ++runs_;
+      return connection.Reset();
+    case Behaviour::kGarble:
+      ++runs_;
+      return connection.Write("?? no answer ??\r\n\r\n");
+    default:
+      break;
+  }
+  if (delay_ == absl::ZeroDuration()) return connection.Write(Answer(bytes));
+  loop_.RunAfter(delay_, [this, &connection, answer = Answer(bytes)] {
+    connection.Write(answer);
+  });
+}
+
+std::string TargetStandIn::Answer(const std::string& bytes) {
+  const std::string id =
+      "Cherrydyke-Request-Id: " + HeaderOf(bytes, "Cherrydyke-Request-Id") +
+      "\r\n";
+  switch (behaviour_) {
+    case Behaviour::kShed:
+      return "HTTP/1.1 503 Service Unavailable\r\n" + id +
+             "Cherrydyke-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    case Behaviour::kMisdirect:
+      return "HTTP/1.1 421 Misdirected Request\r\n" + id +
+             "Content-Length: 0\r\n\r\n";
+    case Behaviour::kFail:
+      ++runs_;
+      return "HTTP/1.1 500 Internal Server Error\r\n" + id +
+             "Cherrydyke-Server-Stamp: " + id_ +
+             "-failed\r\nContent-Length: 0\r\n\r\n";
+    default:
+      ++runs_;
+      return OkResponse(records_, id + "Cherrydyke-Server-Stamp: " + id_ + "." +
+                                      std::to_string(runs_) + "\r\n");
+  }
+}
+
+}  // namespace cherrydyke
--- /dev/null
+++ b/tests/support/platform_stand_ins.h
@@ -0,0 +1,124 @@
+#pragma once
+
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "engine/http_server.h"
+#include "support/raw_peers.h"
+
+namespace cherrydyke {
+
+/// Stands in for the platform's store: ranges in pages and watches over
+/// published keys, with the faults that the platform's pages name.
+class StoreStandIn {
+ public:
+  StoreStandIn(engine::EventLoop& loop, const Endpoint& endpoint);
+
+  void Put(const std::string& key, const std::string& value);
+  void Remove(const std::string& key);
+
+  /// Leaves calls unanswered from now on, those that wait included.
+  void SetSilent(bool silent);
+  /// Answers every call with this status; 0 ends it.
+  void SetRefusal(int status) { refusal_ = status; }
+  /// Forgets what happened so far: watches from before get 410.
+  void ForgetHistory();
+  void SetPageSize(size_t items) { page_size_ = items; }
+  int calls() const { return calls_; }
+
+ private:
+  struct Change {
+    std::string key;
+    std::string value;
+    int64_t revision = 0;
+    bool removed = false;
+  };
+  struct Watch {
+    std::shared_ptr<engine::ServerExchange> exchange;
+    std::string prefix;
+    int64_t after = 0;
+    absl::Time until;
+  };
+
+  void OnCall(std::shared_ptr<engine::ServerExchange> exchange);
+  void AnswerRange(engine::ServerExchange& exchange);
+  void Record(Change change);
+  bool AnswerIfDue(const Watch& watch);
+  void AnswerWatches();
+  static std::string Argument(const std::string& target,
+                              const std::string& name);
+
+  engine::EventLoop& loop_;
+  engine::HttpServer server_;
+  std::map<std::string, Change> items_;
+  std::vector<Change> history_;
+  std::list<Watch> watches_;
+  /// Calls that are never answered.
+  std::vector<std::shared_ptr<engine::ServerExchange>> unanswered_;
+  int64_t revision_ = 1;
+  int64_t history_from_ = 1;
+  size_t page_size_ = 500;
+  int refusal_ = 0;
+  int calls_ = 0;
+  bool silent_ = false;
+};
+
+/// Stands in for a target of the platform.
+class TargetStandIn {
+ public:
+  enum class Behaviour {
+    kAnswer,
+    /// Says that it did not run the request.
+    kShed,
+    /// Fails it.
+    kFail,
+    /// Never answers.
+    kHang,
+    /// Runs it and resets the connection.
+    kLoseAnswer,
+    /// Sends bytes that are no answer.
+    kGarble,
+    /// Says that another target has the address.
+    kMisdirect,
+  };
+
+  /// @param id also the stem of its signatures.
+  /// @param records body of its answers.
+  TargetStandIn(engine::EventLoop& loop, std::string id, std::string records);
+
+  void SetBehaviour(Behaviour behaviour) { behaviour_ = behaviour; }
+  void SetDelay(absl::Duration delay) { delay_ = delay; }
+  /// Stops to listen and resets every connection, as a crash does.
+  void Crash() { server_.Stop(); }
+
+  const Endpoint& endpoint() const { return server_.endpoint(); }
+  const std::string& id() const { return id_; }
+  /// @return its entry in the store.
+  std::string Entry(const std::string& service, const std::string& zone,
+                    const std::string& state = "ready") const;
+  /// Requests that arrived, whatever came of them.
+  int arrivals() const { return arrivals_; }
+  /// Requests that it ran.
+  int runs() const { return runs_; }
+  const std::string& last_request() const { return last_request_; }
+
+ private:
+  void OnRequest(RawConnection& connection, const std::string& bytes);
+  std::string Answer(const std::string& bytes);
+
+  engine::EventLoop& loop_;
+  const std::string id_;
+  const std::string records_;
+  RawServer server_;
+  Behaviour behaviour_ = Behaviour::kAnswer;
+  absl::Duration delay_;
+  int arrivals_ = 0;
+  int runs_ = 0;
+  std::string last_request_;
+};
+
+}  // namespace cherrydyke
--- a/tests/support/raw_peers.cc
+++ b/tests/support/raw_peers.cc
@@ -80,6 +80,11 @@
       loop, [] { return false; }, time);
 }
 
+void RunToStop(engine::EventLoop& loop) {
+  loop.context().restart();
+  loop.Run();
+}
+
 std::shared_ptr<RawConnection> RawConnect(engine::EventLoop& loop,
                                           const Endpoint& endpoint) {
   const size_t colon = endpoint.rfind(':');
--- a/tests/support/raw_peers.h
+++ b/tests/support/raw_peers.h
@@ -17,6 +17,9 @@
 /// Runs the loop for a time.
 void RunFor(engine::EventLoop& loop, absl::Duration time);
 
+/// Runs the loop until it is stopped.
+void RunToStop(engine::EventLoop& loop);
+
 /// One end of a TCP connection that tests write any bytes to.
 class RawConnection {
  public:
