Hedge by deviation and at the last moment that helps; name unanswered parts

Cause: a remote replica counted as overdue only after twice its round trip, when a hedge could no longer answer in time.

--- a/libs/dispatch/include/dispatch/placement.h
+++ b/libs/dispatch/include/dispatch/placement.h
@@ -17,6 +17,9 @@
   absl::Duration overdue_after;
   /// Expected time until the answer.
   absl::Duration expected;
+  /// Expected time until the answer of the next best target; infinite if there
+  /// is none.
+  absl::Duration alternative = absl::InfiniteDuration();
 };
 
 /// What a send needs of its target.
--- a/libs/dispatch/include/dispatch/request_run.h
+++ b/libs/dispatch/include/dispatch/request_run.h
@@ -106,6 +106,13 @@
   const TargetId& target(size_t attempt) const {
     return attempts_[attempt].target;
   }
+  const ServiceName& service(size_t attempt) const {
+    return plan_.services[attempts_[attempt].part];
+  }
+  /// @return whether the part that the attempt was for has been answered.
+  bool answered(size_t attempt) const {
+    return parts_[attempts_[attempt].part].winner.has_value();
+  }
   /// @return attempts that may have run at a target.
   size_t maybe_run() const { return maybe_run_; }
 
@@ -129,6 +136,7 @@
   bool Send(size_t part, std::optional<ExtraUse> extra, absl::Time now,
             RunActions& actions);
   void Retry(size_t part, absl::Time now, RunActions& actions);
+  absl::Time OverdueAt(const Placed& placed, absl::Time now) const;
   ExtraUse UseOf(size_t part) const;
   bool MayHedge(const Part& part) const;
   void Settle(absl::Time now, RunActions& actions);
--- a/libs/dispatch/include/dispatch/target_health.h
+++ b/libs/dispatch/include/dispatch/target_health.h
@@ -35,10 +35,11 @@
 /// answers next. Pure: time is an argument.
 class TargetHealth {
  public:
-  /// @param prior latency assumed before the first answer.
-  explicit TargetHealth(absl::Duration prior) : prior_(prior) {}
+  /// @param round_trip time on the way, assumed before the first answer.
+  /// @param work time to run a request, assumed likewise.
+  TargetHealth(absl::Duration round_trip, absl::Duration work)
+      : prior_(round_trip + work), prior_deviation_(work / 2) {}
 
-  void SetPrior(absl::Duration prior) { prior_ = prior; }
   void OnSent() { ++outstanding_; }
   /// An exchange ended with a sign.
   void OnEnded(TargetSign sign, absl::Duration latency, absl::Time now);
@@ -71,7 +72,8 @@
   absl::Duration Mean(absl::Time now) const;
   void Suspect(absl::Duration floor, absl::Time now);
 
-  absl::Duration prior_;
+  const absl::Duration prior_;
+  const absl::Duration prior_deviation_;
   absl::Duration mean_;
   absl::Duration deviation_;
   absl::Time learned_at_ = absl::InfinitePast();
--- a/libs/dispatch/src/request_run.cc
+++ b/libs/dispatch/src/request_run.cc
@@ -6,6 +6,13 @@
 #include "base/invariant.h"
 
 namespace cherrydyke {
+namespace {
+
+/// Kept free between the expected answer of a last hedge and the time at which
+/// the request is answered.
+constexpr absl::Duration kLastCallMargin = absl::Milliseconds(10);
+
+}  // namespace
 
 RequestRun::RequestRun(RequestPlan plan, Placement& placement)
     : plan_(std::move(plan)),
@@ -50,11 +57,22 @@
   ++maybe_run_;
   CHERRYDYKE_INVARIANT(plan_.idempotent || maybe_run_ <= 1,
                        "a request that is not idempotent was sent twice");
-  part.overdue_at = now + placed->overdue_after;
+  part.overdue_at = OverdueAt(*placed, now);
   actions.send.push_back({attempt, index, placed->target});
   return true;
 }
 
+absl::Time RequestRun::OverdueAt(const Placed& placed, absl::Time now) const {
+  const absl::Time overdue = now + placed.overdue_after;
+  if (placed.alternative == absl::InfiniteDuration()) return overdue;
+  // The last moment at which another target can still answer in time, unless
+  // this one is not even expected to have answered by then.
+  const absl::Time last_call =
+      plan_.answer_at - placed.alternative - kLastCallMargin;
+  return last_call < now + placed.expected ? overdue
+                                           : std::min(overdue, last_call);
+}
+
 bool RequestRun::MayHedge(const Part& part) const {
   return plan_.idempotent && part.counted < plan_.attempts;
 }
--- a/libs/dispatch/src/target_health.cc
+++ b/libs/dispatch/src/target_health.cc
@@ -12,13 +12,11 @@
 /// Time in which what was learned loses half of its difference from the prior:
 /// a target that is avoided gets another chance after a few of them.
 constexpr absl::Duration kForgetHalf = absl::Seconds(2);
-/// Shortest time after which a request can be overdue: below it, scheduling
-/// on a small host looks like a slow target.
-constexpr absl::Duration kMinOverdue = absl::Milliseconds(20);
+/// Least time above the mean after which a request is overdue: less than it,
+/// scheduling on a small host looks like a slow target.
+constexpr absl::Duration kMinOverdue = absl::Milliseconds(15);
 /// Deviations above the mean at which a request is overdue.
 constexpr double kOverdueDeviations = 4;
-/// Times the mean at which a request is overdue at the earliest.
-constexpr double kOverdueTimes = 2;
 /// First and longest time for which a silent target is avoided.
 constexpr absl::Duration kFirstBackoff = absl::Milliseconds(150);
 constexpr absl::Duration kLongestBackoff = absl::Seconds(3);
@@ -46,7 +44,7 @@
   if (sign != TargetSign::kAnswered) return;
   if (learned_at_ == absl::InfinitePast()) {
     mean_ = latency;
-    deviation_ = latency / 2;
+    deviation_ = prior_deviation_;
   } else {
     const absl::Duration mean = Mean(now);
     const absl::Duration error = absl::AbsDuration(latency - mean);
@@ -102,9 +100,8 @@
 absl::Duration TargetHealth::OverdueAfter(absl::Time now) const {
   const absl::Duration mean = Mean(now);
   const absl::Duration deviation =
-      learned_at_ == absl::InfinitePast() ? prior_ / 2 : deviation_;
-  return std::max({kMinOverdue, mean * kOverdueTimes,
-                   mean + deviation * kOverdueDeviations});
+      learned_at_ == absl::InfinitePast() ? prior_deviation_ : deviation_;
+  return mean + std::max(kMinOverdue, deviation * kOverdueDeviations);
 }
 
 bool TargetHealth::IsSuspect(absl::Time now) const {
--- a/libs/dispatch/tests/request_run_test.cc
+++ b/libs/dispatch/tests/request_run_test.cc
@@ -27,13 +27,15 @@
       const TargetId id = need.service + "/" + std::to_string(replica);
       const auto& tried = *need.exclude;
       if (std::find(tried.begin(), tried.end(), id) != tried.end()) continue;
-      return Placed{id, absl::Milliseconds(30), absl::Milliseconds(10)};
+      return Placed{id, absl::Milliseconds(30), absl::Milliseconds(10),
+                    alternative_};
     }
     return std::nullopt;
   }
 
   int replicas_ = 3;
   int extras_left_ = 100;
+  absl::Duration alternative_ = absl::InfiniteDuration();
   std::set<ServiceName> down_;
   std::vector<ExtraUse> uses_;
 };
@@ -69,6 +71,7 @@
   CPPUNIT_TEST(RefusesWithoutSendingWhenTooFewPartsCanBeHad);
   CPPUNIT_TEST(GivesUpAtOnceWhenEnoughPartsCanNoLongerBeHad);
   CPPUNIT_TEST(HedgesAnOverduePartAndCancelsTheLoser);
+  CPPUNIT_TEST(HedgesWhileAnotherTargetCanStillAnswerInTime);
   CPPUNIT_TEST(RejectedAttemptsDoNotCountAsRuns);
   CPPUNIT_TEST(UnsafeRequestIsNotSentAgainAfterALostAnswer);
   CPPUNIT_TEST(UnsafeRequestIsSentAgainAfterProofThatItDidNotRun);
@@ -146,6 +149,15 @@
     CPPUNIT_ASSERT(won.cancel == std::vector<size_t>{0});
   }
 
+  void HedgesWhileAnotherTargetCanStillAnswerInTime() {
+    RequestPlan plan = Fanout(1, 1);
+    plan.answer_at = kStart + absl::Milliseconds(75);
+    placement_.alternative_ = absl::Milliseconds(50);
+    RequestRun run(plan, placement_);
+    run.Start(kStart);
+    CPPUNIT_ASSERT(run.NextTimer() == kStart + absl::Milliseconds(15));
+  }
+
   void RejectedAttemptsDoNotCountAsRuns() {
     RequestRun run(Fanout(1, 1), placement_);
     run.Start(kStart);
--- a/libs/dispatch/tests/tables_test.cc
+++ b/libs/dispatch/tests/tables_test.cc
@@ -109,7 +109,7 @@
   }
 
   void SilentTargetIsSuspectUntilItAnswers() {
-    TargetHealth health(absl::Milliseconds(10));
+    TargetHealth health(absl::ZeroDuration(), absl::Milliseconds(10));
     health.OnSent();
     health.OnOverdue(kStart, kStart + absl::Milliseconds(50));
     CPPUNIT_ASSERT(health.IsSuspect(kStart + absl::Milliseconds(60)));
@@ -119,7 +119,7 @@
   }
 
   void AnswerToALaterRequestClearsAnOverdueOne() {
-    TargetHealth health(absl::Milliseconds(10));
+    TargetHealth health(absl::ZeroDuration(), absl::Milliseconds(10));
     health.OnSent();
     health.OnSent();
     health.OnEnded(TargetSign::kAnswered, absl::Milliseconds(5),
@@ -129,13 +129,13 @@
   }
 
   void ReplacedTargetDoesNotCountBelowZero() {
-    TargetHealth health(absl::Milliseconds(10));
+    TargetHealth health(absl::ZeroDuration(), absl::Milliseconds(10));
     health.OnEnded(TargetSign::kAnswered, absl::Milliseconds(5), kStart);
     CPPUNIT_ASSERT_EQUAL(0, health.outstanding());
   }
 
   void SlownessIsForgotten() {
-    TargetHealth health(absl::Milliseconds(10));
+    TargetHealth health(absl::ZeroDuration(), absl::Milliseconds(10));
     health.OnSent();
     health.OnEnded(TargetSign::kAnswered, absl::Milliseconds(500), kStart);
     const auto at = [&](absl::Duration later) {
--- a/libs/tier/include/tier/query_plane.h
+++ b/libs/tier/include/tier/query_plane.h
@@ -64,6 +64,9 @@
               RefusalReason reason, bool ran);
   void Arm(const RequestPtr& request);
   void OnLeft(const RequestPtr& request);
+  /// @return each attempt for a part that has no answer: service, target, when
+  /// it was sent and the status it got, 0 for none.
+  static std::string UnansweredAttempts(const Request& request);
   void LogOutcome(const Request& request, const std::string& outcome,
                   size_t missing);
   absl::Duration RetryAfter();
--- a/libs/tier/src/query_plane.cc
+++ b/libs/tier/src/query_plane.cc
@@ -336,6 +336,21 @@
   exchange.Respond(face_.Refuse(request_id, reason, ran, RetryAfter()));
 }
 
+std::string QueryPlane::UnansweredAttempts(const Request& request) {
+  std::string text;
+  for (size_t index = 0; index < request.attempts.size(); ++index) {
+    if (request.run->answered(index)) continue;
+    const Request::Attempt& attempt = request.attempts[index];
+    const absl::Duration sent_after =
+        attempt.sent_at - request.exchange->received_at();
+    absl::StrAppend(&text, text.empty() ? "" : " ", request.run->service(index),
+                    "/", attempt.target, "+",
+                    absl::ToInt64Milliseconds(sent_after),
+                    "ms:", attempt.reply.response.status);
+  }
+  return text;
+}
+
 void QueryPlane::LogOutcome(const Request& request, const std::string& outcome,
                             size_t missing) {
   metrics_
@@ -354,12 +369,7 @@
                    {"sends", request.run->sends()},
                    {"missing", missing}};
   if (outcome != "answered") {
-    std::string detail;
-    for (const Request::Attempt& attempt : request.attempts) {
-      absl::StrAppend(&detail, detail.empty() ? "" : ",", attempt.target, ":",
-                      attempt.reply.response.status);
-    }
-    fields.emplace_back("attempts", detail);
+    fields.emplace_back("unanswered", UnansweredAttempts(request));
   }
   LogInfo("request done", fields);
 }
--- a/libs/tier/src/target.cc
+++ b/libs/tier/src/target.cc
@@ -7,14 +7,16 @@
 namespace cherrydyke {
 namespace {
 
+/// Time to run a request assumed until latency was learned.
+constexpr absl::Duration kPriorWork = absl::Milliseconds(10);
 /// A refused connection this soon after a broken request shows a crash.
 constexpr absl::Duration kCrashEvidenceTime = absl::Milliseconds(1500);
 
 }  // namespace
 
 TargetSet::Target::Target(TargetSet& owner, TargetInfo target_info,
-                          absl::Duration prior)
-    : set(owner), info(std::move(target_info)), health(prior) {
+                          absl::Duration round_trip)
+    : set(owner), info(std::move(target_info)), health(round_trip, kPriorWork) {
   pool = std::make_unique<engine::ConnectionPool>(
       owner.loop_, info.endpoint, owner.options_, connection_limit,
       static_cast<engine::ConnectionPool::Listener*>(this));
--- a/libs/tier/src/target.h
+++ b/libs/tier/src/target.h
@@ -9,7 +9,7 @@
 
 /// One target as this host knows it.
 struct TargetSet::Target : private engine::ConnectionPool::Listener {
-  Target(TargetSet& owner, TargetInfo target_info, absl::Duration prior);
+  Target(TargetSet& owner, TargetInfo target_info, absl::Duration round_trip);
 
   bool IsCold(absl::Time now) const { return now < cold_until; }
 
--- a/libs/tier/src/target_set.cc
+++ b/libs/tier/src/target_set.cc
@@ -14,8 +14,6 @@
 constexpr absl::Duration kDomainRoundTrip = absl::Milliseconds(1);
 constexpr absl::Duration kRegionRoundTrip = absl::Milliseconds(3);
 constexpr absl::Duration kRemoteRoundTrip = absl::Milliseconds(42);
-/// Time to run a request assumed until latency was learned.
-constexpr absl::Duration kPriorWork = absl::Milliseconds(10);
 /// What it costs a request to meet a failure: the time to ask another target
 /// and a part of the budget.
 constexpr absl::Duration kFailureCost = absl::Milliseconds(80);
@@ -99,8 +97,8 @@
     return;
   }
   if (!same_lifetime) {
-    auto fresh = std::make_unique<Target>(
-        *this, info, DistanceTo(info.failure_domain) + kPriorWork);
+    auto fresh =
+        std::make_unique<Target>(*this, info, DistanceTo(info.failure_domain));
     std::vector<Target*>& peers = by_service_[info.service];
     if (target != nullptr) {
       std::vector<Target*>& old = by_service_[target->info.service];
@@ -214,7 +212,8 @@
   const auto found = by_service_.find(need.service);
   if (found == by_service_.end()) return std::nullopt;
   Target* best = nullptr;
-  absl::Duration best_cost;
+  absl::Duration best_cost = absl::InfiniteDuration();
+  absl::Duration next_cost = absl::InfiniteDuration();
   for (Target* target : found->second) {
     if (!MayUse(*target, need, now)) continue;
     if (target->IsCold(now) && !target->cold.MaySend(target->cold_share, now)) {
@@ -224,9 +223,12 @@
     if (need.extra == ExtraUse::kHelpful && now + cost > need.useful_until) {
       continue;
     }
-    if (best == nullptr || cost < best_cost) {
+    if (cost < best_cost) {
+      next_cost = best_cost;
       best = target;
       best_cost = cost;
+    } else {
+      next_cost = std::min(next_cost, cost);
     }
   }
   if (best == nullptr) return std::nullopt;
@@ -234,7 +236,8 @@
     return std::nullopt;
   }
   best->cold.OnSent(now);
-  const Placed placed{best->info.id, best->health.OverdueAfter(now), best_cost};
+  const Placed placed{best->info.id, best->health.OverdueAfter(now), best_cost,
+                      next_cost};
   best->health.OnSent();
   return placed;
 }
