--- a/libs/dispatch/include/dispatch/cold_allowance.h
+++ b/libs/dispatch/include/dispatch/cold_allowance.h
@@ -9,16 +9,15 @@
 
 namespace cherrydyke {
 
-/// This host's part of what a cold target bears in a second.
+/// This host's part of what a target bears from all hosts together, in whole
+/// units, so that the parts never add up to more than the whole.
 ///
-/// @param per_second requests that all hosts together may send.
-/// @param target the target's name, by which a part too small to divide is
-/// given to some of the hosts only.
-/// @param self this host.
-/// @param hosts every host that may share, this one included.
-/// @return requests that this host may send in any second; may be 0.
-int ColdShare(double per_second, const TargetId& target, const HostId& self,
-              const std::vector<HostId>& hosts);
+/// @param whole what all hosts may use.
+/// @param hosts every host that may share, this one included; at least 1.
+/// @param rank this host's place in an order of them that all agree on: what
+/// cannot be divided evenly goes to the first ones.
+/// @return units of this host; may be 0.
+int DivideShare(double whole, int hosts, size_t rank);
 
 /// Counts the sends to one target of the last second, warm ones included, so
 /// that a target that turns cold is not given a second's worth twice.
--- a/libs/dispatch/tests/limits_test.cc
+++ b/libs/dispatch/tests/limits_test.cc
@@ -3,7 +3,6 @@
 
 #include <deque>
 #include <random>
-#include <set>
 
 #include "dispatch/cold_allowance.h"
 #include "dispatch/extra_budget.h"
@@ -23,21 +22,13 @@
   return bounds;
 }
 
-std::vector<HostId> Hosts(int count) {
-  std::vector<HostId> hosts;
-  for (int i = 0; i < count; ++i)
-    hosts.push_back("10.0.0." + std::to_string(i));
-  return hosts;
-}
-
 }  // namespace
 
 class FleetLimitsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(FleetLimitsTest);
   CPPUNIT_TEST(ExtrasOfTheFleetStayWithinTheBudget);
   CPPUNIT_TEST(HelpfulExtrasLeaveRoomForNeededOnes);
-  CPPUNIT_TEST(ColdSharesAddUpToNoMoreThanTheWhole);
-  CPPUNIT_TEST(SmallAllowanceGoesToSomeHosts);
+  CPPUNIT_TEST(SharesAddUpToTheWhole);
   CPPUNIT_TEST(ColdSendsOfAnySecondStayWithinTheAllowance);
   CPPUNIT_TEST_SUITE_END();
 
@@ -78,45 +69,29 @@
     CPPUNIT_ASSERT(budget.TryTake("s", ExtraUse::kNeeded, kStart));
   }
 
-  void ColdSharesAddUpToNoMoreThanTheWhole() {
+  void SharesAddUpToTheWhole() {
     rc::check("sum of shares", [] {
-      const int total = *rc::gen::inRange(0, 60);
-      const std::vector<HostId> hosts = Hosts(*rc::gen::inRange(1, 90));
+      const int whole = *rc::gen::inRange(0, 60);
+      const int hosts = *rc::gen::inRange(1, 90);
       int sum = 0;
-      for (const HostId& host : hosts) {
-        sum += ColdShare(total, "target", host, hosts);
+      for (int rank = 0; rank < hosts; ++rank) {
+        sum += DivideShare(whole + 0.9, hosts, rank);
       }
-      RC_ASSERT(sum == total);
+      RC_ASSERT(sum == whole);
     });
   }
 
-  void SmallAllowanceGoesToSomeHosts() {
-    const std::vector<HostId> hosts = Hosts(8);
-    std::set<HostId> served;
-    for (int target = 0; target < 40; ++target) {
-      int sum = 0;
-      for (const HostId& host : hosts) {
-        const int share =
-            ColdShare(5, "t" + std::to_string(target), host, hosts);
-        sum += share;
-        if (share > 0) served.insert(host);
-      }
-      CPPUNIT_ASSERT_EQUAL(5, sum);
-    }
-    CPPUNIT_ASSERT_EQUAL(hosts.size(), served.size());
-  }
-
   void ColdSendsOfAnySecondStayWithinTheAllowance() {
     rc::check("sends in any second", [] {
-      const std::vector<HostId> hosts = Hosts(*rc::gen::inRange(1, 10));
-      std::vector<ColdAllowance> fleet(hosts.size());
+      const int hosts = *rc::gen::inRange(1, 10);
+      std::vector<ColdAllowance> fleet(hosts);
       std::mt19937_64 random(*rc::gen::arbitrary<uint32_t>());
       std::deque<absl::Time> sends;
       absl::Time now = kStart;
       for (int step = 0; step < 2000; ++step) {
         now += absl::Milliseconds(random() % 30);
-        const size_t host = random() % hosts.size();
-        const int share = ColdShare(9, "t", hosts[host], hosts);
+        const size_t host = random() % hosts;
+        const int share = DivideShare(9, hosts, host);
         if (!fleet[host].MaySend(share, now)) continue;
         fleet[host].OnSent(now);
         sends.push_back(now);
--- a/libs/engine/include/engine/connection_pool.h
+++ b/libs/engine/include/engine/connection_pool.h
@@ -44,7 +44,8 @@
   ConnectionPool(const ConnectionPool&) = delete;
   ConnectionPool& operator=(const ConnectionPool&) = delete;
 
-  void SetLimit(int limit) { limit_ = limit; }
+  /// Changes the limit; idle connections beyond it are closed.
+  void SetLimit(int limit);
 
   /// Sends a request now or as soon as a connection is free. `done` is called
   /// once, never from within this call, unless the exchange is cancelled.
--- a/libs/engine/src/connection_pool.cc
+++ b/libs/engine/src/connection_pool.cc
@@ -23,6 +23,19 @@
   }
 }
 
+void ConnectionPool::SetLimit(int limit) {
+  limit_ = limit;
+  for (size_t index = 0;
+       open_connections() > limit_ && index < members_.size();) {
+    const auto connection = members_[index].connection;
+    if (connection->IsIdle()) {
+      connection->Close();
+    } else {
+      ++index;
+    }
+  }
+}
+
 bool ConnectionPool::HasRoom() const {
   const bool any_idle = std::any_of(
       members_.begin(), members_.end(),
--- a/libs/membership/include/membership/host_table.h
+++ b/libs/membership/include/membership/host_table.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <random>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "absl/time/time.h"
@@ -14,23 +15,56 @@
 /// How long ago a host was heard, by the one who tells it.
 struct HostAge {
   HostId host;
+  FailureDomainName failure_domain;
   int64_t age_ms = 0;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(host, age_ms);
+    archive(host, failure_domain, age_ms);
   }
 
   friend bool operator==(const HostAge& a, const HostAge& b) {
-    return a.host == b.host && a.age_ms == b.age_ms;
+    return std::tie(a.host, a.failure_domain, a.age_ms) ==
+           std::tie(b.host, b.failure_domain, b.age_ms);
   }
 };
 
+/// A host and where it stands.
+struct KnownHost {
+  HostId host;
+  FailureDomainName failure_domain;
+
+  friend bool operator==(const KnownHost& a, const KnownHost& b) {
+    return std::tie(a.host, a.failure_domain) ==
+           std::tie(b.host, b.failure_domain);
+  }
+  friend bool operator<(const KnownHost& a, const KnownHost& b) {
+    return std::tie(a.host, a.failure_domain) <
+           std::tie(b.host, b.failure_domain);
+  }
+};
+
+/// What a host says of itself.
+struct HostNews {
+  KnownHost from;
+  /// Hosts that it has ever known.
+  int known_hosts = 1;
+  /// Whether it reads the configuration service, and gets answers.
+  bool reads = false;
+  /// What it has heard of others.
+  std::vector<HostAge> hosts;
+};
+
 /// The hosts of the fleet as one host knows them: from its seeds at first, then
 /// from what hosts tell each other. Nobody keeps a list.
 ///
 /// Limits that the whole fleet shares are divided by every host ever known in
 /// this lifetime, not by the live ones: a host that is cut off still acts.
+///
+/// The hosts of a failure domain form groups in the order of their addresses.
+/// The first live host of each group reads the configuration service for it;
+/// the next one takes over when the first says that it gets no answers, or says
+/// nothing. More than one may read for a while: that costs calls, not truth.
 /// Pure: time and randomness are arguments.
 class HostTable {
  public:
@@ -44,23 +78,31 @@
     /// Hosts that each round of gossip reaches.
     size_t fanout = 3;
     /// Hosts named in one message, so that it fits a datagram.
-    size_t named_hosts = 40;
+    size_t named_hosts = 30;
+    /// Hosts of one group.
+    size_t group_size = 16;
+    /// A reader not heard for this long no longer counts as one: two rounds of
+    /// gossip and what a datagram takes.
+    absl::Duration reader_silence = absl::Milliseconds(1300);
   };
 
-  /// @param self this host's address.
+  /// @param self this host.
   /// @param seeds addresses of some hosts, possibly stale.
-  HostTable(HostId self, std::vector<HostId> seeds, Options options);
+  HostTable(KnownHost self, std::vector<HostId> seeds, Options options);
 
   /// Replaces the seeds after a change of the settings.
   void SetSeeds(std::vector<HostId> seeds);
 
-  /// A message came from `from`, which told of others.
-  /// @param known_hosts how many hosts the sender has known.
-  void OnGossip(const HostId& from, const std::vector<HostAge>& hosts,
-                int known_hosts, absl::Time now);
+  void OnNews(const HostNews& news, absl::Time now);
+
+  /// @return whether this host should read the configuration service itself.
+  bool ShouldRead(absl::Time now) const;
 
+  /// @param reads whether this host reads for its group, whose hosts then all
+  /// hear from it.
   /// @return hosts that the next round of gossip goes to.
-  std::vector<HostId> GossipTargets(absl::Time now, std::mt19937_64& random);
+  std::vector<HostId> GossipTargets(bool reads, absl::Time now,
+                                    std::mt19937_64& random) const;
 
   /// @return what to tell others of hosts.
   std::vector<HostAge> Ages(absl::Time now, std::mt19937_64& random) const;
@@ -69,16 +111,27 @@
   int SharingHosts(absl::Time now) const;
 
   /// @return every host ever known, this one included, sorted.
-  std::vector<HostId> KnownHosts() const;
+  std::vector<KnownHost> KnownHosts() const;
 
   /// @return hosts heard by somebody within the silence limit.
   std::vector<HostId> LivePeers(absl::Time now) const;
 
  private:
-  const HostId self_;
+  struct Peer {
+    FailureDomainName failure_domain;
+    /// When somebody heard it last.
+    absl::Time heard;
+    /// When it last said here that it reads.
+    absl::Time read = absl::InfinitePast();
+  };
+
+  /// @return the live hosts of the own group, this one included, in order.
+  std::vector<HostId> Group(absl::Time now) const;
+
+  const KnownHost self_;
   std::vector<HostId> seeds_;
   const Options options_;
-  std::map<HostId, absl::Time> heard_;
+  std::map<HostId, Peer> peers_;
   int told_hosts_ = 0;
   absl::Time first_heard_ = absl::InfiniteFuture();
 };
--- a/libs/membership/src/host_table.cc
+++ b/libs/membership/src/host_table.cc
@@ -5,58 +5,91 @@
 
 namespace cherrydyke {
 
-HostTable::HostTable(HostId self, std::vector<HostId> seeds, Options options)
+HostTable::HostTable(KnownHost self, std::vector<HostId> seeds, Options options)
     : self_(std::move(self)), options_(options) {
   SetSeeds(std::move(seeds));
 }
 
 void HostTable::SetSeeds(std::vector<HostId> seeds) {
-  seeds.erase(std::remove(seeds.begin(), seeds.end(), self_), seeds.end());
+  seeds.erase(std::remove(seeds.begin(), seeds.end(), self_.host), seeds.end());
   seeds_ = std::move(seeds);
 }
 
-void HostTable::OnGossip(const HostId& from, const std::vector<HostAge>& hosts,
-                         int known_hosts, absl::Time now) {
-  if (from == self_) return;
+void HostTable::OnNews(const HostNews& news, absl::Time now) {
+  if (news.from.host == self_.host) return;
   first_heard_ = std::min(first_heard_, now);
-  heard_[from] = now;
-  told_hosts_ = std::max(told_hosts_, known_hosts);
-  for (const HostAge& entry : hosts) {
-    if (entry.host == self_ || entry.age_ms < 0) continue;
+  told_hosts_ = std::max(told_hosts_, news.known_hosts);
+  Peer& sender = peers_[news.from.host];
+  sender.failure_domain = news.from.failure_domain;
+  sender.heard = now;
+  sender.read = news.reads ? now : absl::InfinitePast();
+  for (const HostAge& entry : news.hosts) {
+    if (entry.host == self_.host || entry.age_ms < 0) continue;
     const absl::Time heard = now - absl::Milliseconds(entry.age_ms);
-    auto [known, added] = heard_.try_emplace(entry.host, heard);
-    known->second = std::max(known->second, heard);
+    auto [known, added] =
+        peers_.try_emplace(entry.host, Peer{entry.failure_domain, heard, {}});
+    if (added) known->second.read = absl::InfinitePast();
+    known->second.heard = std::max(known->second.heard, heard);
   }
 }
 
 std::vector<HostId> HostTable::LivePeers(absl::Time now) const {
   std::vector<HostId> live;
-  for (const auto& [host, heard] : heard_) {
-    if (now - heard <= options_.silence_limit) live.push_back(host);
+  for (const auto& [host, peer] : peers_) {
+    if (now - peer.heard <= options_.silence_limit) live.push_back(host);
   }
   return live;
 }
 
-std::vector<HostId> HostTable::GossipTargets(absl::Time now,
-                                             std::mt19937_64& random) {
+std::vector<HostId> HostTable::Group(absl::Time now) const {
+  std::vector<HostId> hosts = {self_.host};
+  for (const auto& [host, peer] : peers_) {
+    if (peer.failure_domain == self_.failure_domain &&
+        now - peer.heard <= options_.silence_limit) {
+      hosts.push_back(host);
+    }
+  }
+  std::sort(hosts.begin(), hosts.end());
+  const auto self = std::find(hosts.begin(), hosts.end(), self_.host);
+  const size_t index = static_cast<size_t>(self - hosts.begin());
+  const size_t begin = index / options_.group_size * options_.group_size;
+  const size_t end = std::min(begin + options_.group_size, hosts.size());
+  return {hosts.begin() + begin, hosts.begin() + end};
+}
+
+bool HostTable::ShouldRead(absl::Time now) const {
+  const bool settled = now - first_heard_ >= options_.settle_time;
+  if (!settled) return true;
+  for (const HostId& host : Group(now)) {
+    if (host == self_.host) return true;
+    if (now - peers_.at(host).read <= options_.reader_silence) return false;
+  }
+  return true;
+}
+
+std::vector<HostId> HostTable::GossipTargets(bool reads, absl::Time now,
+                                             std::mt19937_64& random) const {
   std::vector<HostId> targets = LivePeers(now);
   std::shuffle(targets.begin(), targets.end(), random);
   if (targets.size() > options_.fanout) targets.resize(options_.fanout);
   // A seed each round joins parts of the fleet that lost each other.
-  if (!seeds_.empty()) {
-    const HostId& seed = seeds_[random() % seeds_.size()];
-    if (std::find(targets.begin(), targets.end(), seed) == targets.end()) {
-      targets.push_back(seed);
+  if (!seeds_.empty()) targets.push_back(seeds_[random() % seeds_.size()]);
+  if (reads) {
+    for (const HostId& host : Group(now)) {
+      if (host != self_.host) targets.push_back(host);
     }
   }
+  std::sort(targets.begin(), targets.end());
+  targets.erase(std::unique(targets.begin(), targets.end()), targets.end());
   return targets;
 }
 
 std::vector<HostAge> HostTable::Ages(absl::Time now,
                                      std::mt19937_64& random) const {
   std::vector<HostAge> ages;
-  for (const auto& [host, heard] : heard_) {
-    ages.push_back({host, absl::ToInt64Milliseconds(now - heard)});
+  for (const auto& [host, peer] : peers_) {
+    ages.push_back({host, peer.failure_domain,
+                    absl::ToInt64Milliseconds(now - peer.heard)});
   }
   std::shuffle(ages.begin(), ages.end(), random);
   if (ages.size() > options_.named_hosts) ages.resize(options_.named_hosts);
@@ -64,15 +97,17 @@
 }
 
 int HostTable::SharingHosts(absl::Time now) const {
-  const int known = static_cast<int>(heard_.size()) + 1;
+  const int known = static_cast<int>(peers_.size()) + 1;
   const int most = std::max(known, told_hosts_);
   const bool settled = now - first_heard_ >= options_.settle_time;
   return settled ? most : std::max(most, options_.initial_hosts);
 }
 
-std::vector<HostId> HostTable::KnownHosts() const {
-  std::vector<HostId> hosts = {self_};
-  for (const auto& [host, heard] : heard_) hosts.push_back(host);
+std::vector<KnownHost> HostTable::KnownHosts() const {
+  std::vector<KnownHost> hosts = {self_};
+  for (const auto& [host, peer] : peers_) {
+    hosts.push_back({host, peer.failure_domain});
+  }
   std::sort(hosts.begin(), hosts.end());
   return hosts;
 }
--- a/libs/membership/tests/host_table_test.cc
+++ b/libs/membership/tests/host_table_test.cc
@@ -2,12 +2,26 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <set>
+#include <algorithm>
 
 namespace cherrydyke {
 namespace {
 
 const absl::Time kStart = absl::UnixEpoch() + absl::Hours(1);
+const absl::Time kSettled = kStart + absl::Seconds(4);
+
+HostNews News(const HostId& from, bool reads = false,
+              std::vector<HostAge> hosts = {}, int known_hosts = 1) {
+  return {{from, "z"}, known_hosts, reads, std::move(hosts)};
+}
+
+HostTable Table(const HostId& self, std::vector<HostId> seeds = {}) {
+  return HostTable({self, "z"}, std::move(seeds), HostTable::Options());
+}
+
+HostId Name(int index) {
+  return (index < 10 ? "h0" : "h") + std::to_string(index);
+}
 
 }  // namespace
 
@@ -18,61 +32,114 @@
   CPPUNIT_TEST(GossipsWithASeedEvenIfOthersAreLive);
   CPPUNIT_TEST(SilentHostsAreKnownButNotLive);
   CPPUNIT_TEST(FleetFindsItselfThroughOneSeed);
+  CPPUNIT_TEST(ReadsUntilAnEarlierHostOfItsGroupDoes);
+  CPPUNIT_TEST(TakesOverFromAReaderThatFailsOrFallsSilent);
+  CPPUNIT_TEST(HostsOfOtherDomainsDoNotReadForIt);
+  CPPUNIT_TEST(FewHostsOfAFleetReadAndAllHearOne);
   CPPUNIT_TEST_SUITE_END();
 
  public:
   void AssumesManyHostsUntilTheFleetIsKnown() {
-    HostTable table("a", {"b"}, HostTable::Options());
+    HostTable table = Table("a", {"b"});
     CPPUNIT_ASSERT_EQUAL(16, table.SharingHosts(kStart));
-    table.OnGossip("b", {}, 2, kStart);
+    table.OnNews(News("b", false, {}, 2), kStart);
     CPPUNIT_ASSERT_EQUAL(16, table.SharingHosts(kStart));
-    CPPUNIT_ASSERT_EQUAL(2, table.SharingHosts(kStart + absl::Seconds(5)));
+    CPPUNIT_ASSERT_EQUAL(2, table.SharingHosts(kSettled));
   }
 
   void NeverDividesByFewerHostsThanEverKnown() {
-    HostTable table("a", {}, HostTable::Options());
-    table.OnGossip("b", {{"c", 10}, {"d", 90'000}}, 9, kStart);
+    HostTable table = Table("a");
+    table.OnNews(News("b", false, {{"c", "z", 10}, {"d", "y", 90'000}}, 9),
+                 kStart);
     CPPUNIT_ASSERT_EQUAL(9, table.SharingHosts(kStart + absl::Hours(1)));
   }
 
   void GossipsWithASeedEvenIfOthersAreLive() {
-    HostTable table("a", {"seed"}, HostTable::Options());
+    HostTable table = Table("a", {"seed"});
     std::mt19937_64 random(1);
-    table.OnGossip("b", {}, 2, kStart);
-    const std::vector<HostId> targets = table.GossipTargets(kStart, random);
-    CPPUNIT_ASSERT(targets == (std::vector<HostId>{"b", "seed"}));
+    table.OnNews(News("b"), kStart);
+    CPPUNIT_ASSERT(table.GossipTargets(false, kStart, random) ==
+                   (std::vector<HostId>{"b", "seed"}));
   }
 
   void SilentHostsAreKnownButNotLive() {
-    HostTable table("a", {}, HostTable::Options());
-    table.OnGossip("b", {{"old", 60'000}}, 3, kStart);
+    HostTable table = Table("a");
+    table.OnNews(News("b", false, {{"old", "z", 60'000}}), kStart);
     CPPUNIT_ASSERT_EQUAL(size_t{1}, table.LivePeers(kStart).size());
     CPPUNIT_ASSERT_EQUAL(size_t{3}, table.KnownHosts().size());
   }
 
   void FleetFindsItselfThroughOneSeed() {
-    constexpr int kHosts = 60;
-    std::mt19937_64 random(7);
-    std::vector<HostTable> fleet;
-    for (int i = 0; i < kHosts; ++i) {
-      fleet.emplace_back("h" + std::to_string(i), std::vector<HostId>{"h0"},
-                         HostTable::Options());
+    std::vector<HostTable> fleet = Fleet(60);
+    const absl::Time now = Gossip(fleet, 12);
+    for (const HostTable& table : fleet) {
+      CPPUNIT_ASSERT_EQUAL(60, table.SharingHosts(now));
     }
+  }
+
+  void ReadsUntilAnEarlierHostOfItsGroupDoes() {
+    HostTable table = Table("b");
+    CPPUNIT_ASSERT(table.ShouldRead(kStart));
+    table.OnNews(News("a", true), kStart);
+    CPPUNIT_ASSERT(table.ShouldRead(kStart));
+    table.OnNews(News("a", true), kSettled);
+    CPPUNIT_ASSERT(!table.ShouldRead(kSettled));
+    table.OnNews(News("c", true), kSettled);
+    table.OnNews(News("a", false), kSettled);
+    CPPUNIT_ASSERT(table.ShouldRead(kSettled));
+  }
+
+  void TakesOverFromAReaderThatFailsOrFallsSilent() {
+    HostTable table = Table("b");
+    table.OnNews(News("a", true), kStart);
+    table.OnNews(News("a", true), kSettled);
+    CPPUNIT_ASSERT(!table.ShouldRead(kSettled + absl::Seconds(1)));
+    CPPUNIT_ASSERT(table.ShouldRead(kSettled + absl::Milliseconds(1400)));
+  }
+
+  void HostsOfOtherDomainsDoNotReadForIt() {
+    HostTable table = Table("b");
+    HostNews news = News("a", true);
+    news.from.failure_domain = "y";
+    table.OnNews(news, kStart);
+    table.OnNews(news, kSettled);
+    CPPUNIT_ASSERT(table.ShouldRead(kSettled));
+  }
+
+  void FewHostsOfAFleetReadAndAllHearOne() {
+    std::vector<HostTable> fleet = Fleet(40);
+    const absl::Time now = Gossip(fleet, 30);
+    const auto readers = std::count_if(
+        fleet.begin(), fleet.end(),
+        [&](const HostTable& table) { return table.ShouldRead(now); });
+    // One for each group of 16.
+    CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{3}, readers);
+  }
+
+ private:
+  static std::vector<HostTable> Fleet(int hosts) {
+    std::vector<HostTable> fleet;
+    for (int i = 0; i < hosts; ++i) fleet.push_back(Table(Name(i), {Name(0)}));
+    return fleet;
+  }
+
+  // @return when the last round was.
+  static absl::Time Gossip(std::vector<HostTable>& fleet, int rounds) {
+    std::mt19937_64 random(7);
     absl::Time now = kStart;
-    for (int round = 0; round < 12; ++round) {
+    for (int round = 0; round < rounds; ++round) {
       now += absl::Milliseconds(500);
-      for (int i = 0; i < kHosts; ++i) {
-        const HostId self = "h" + std::to_string(i);
-        const auto ages = fleet[i].Ages(now, random);
-        const int known = static_cast<int>(fleet[i].KnownHosts().size());
-        for (const HostId& to : fleet[i].GossipTargets(now, random)) {
-          fleet[std::stoi(to.substr(1))].OnGossip(self, ages, known, now);
+      for (size_t i = 0; i < fleet.size(); ++i) {
+        const bool reads = fleet[i].ShouldRead(now);
+        const HostNews news =
+            News(Name(static_cast<int>(i)), reads, fleet[i].Ages(now, random),
+                 static_cast<int>(fleet[i].KnownHosts().size()));
+        for (const HostId& to : fleet[i].GossipTargets(reads, now, random)) {
+          fleet[std::stoul(to.substr(1))].OnNews(news, now);
         }
       }
     }
-    for (HostTable& table : fleet) {
-      CPPUNIT_ASSERT_EQUAL(kHosts, table.SharingHosts(now));
-    }
+    return now;
   }
 };
 
--- a/libs/tier/include/tier/fleet_link.h
+++ b/libs/tier/include/tier/fleet_link.h
@@ -19,8 +19,11 @@
 /// What hosts tell each other by datagram.
 struct FleetMessage {
   HostId host;
+  FailureDomainName failure_domain;
   /// Hosts that the sender has ever known.
   int known_hosts = 1;
+  /// Whether the sender reads the configuration service, and gets answers.
+  bool reads = false;
   Revision config_revision = 0;
   Revision targets_revision = 0;
   std::vector<HostAge> hosts;
@@ -28,15 +31,16 @@
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(host, known_hosts, config_revision, targets_revision, hosts,
-            crashes);
+    archive(host, failure_domain, known_hosts, reads, config_revision,
+            targets_revision, hosts, crashes);
   }
 
   friend bool operator==(const FleetMessage& a, const FleetMessage& b) {
-    return std::tie(a.host, a.known_hosts, a.config_revision,
-                    a.targets_revision, a.hosts, a.crashes) ==
-           std::tie(b.host, b.known_hosts, b.config_revision,
-                    b.targets_revision, b.hosts, b.crashes);
+    return std::tie(a.host, a.failure_domain, a.known_hosts, a.reads,
+                    a.config_revision, a.targets_revision, a.hosts,
+                    a.crashes) ==
+           std::tie(b.host, b.failure_domain, b.known_hosts, b.reads,
+                    b.config_revision, b.targets_revision, b.hosts, b.crashes);
   }
 };
 
@@ -50,23 +54,32 @@
 class FleetLink {
  public:
   struct Options {
-    HostId host;
+    KnownHost self;
     /// Port of datagrams and of transfers, the same on all hosts.
     int port = 0;
-    std::vector<HostId> seeds;
   };
-  /// Called after news from peers were merged.
-  using Changed = std::function<void(bool config, bool targets)>;
-  /// Called when more hosts became known.
-  using HostsChanged = std::function<void()>;
+  /// What the link asks of its owner, and tells it.
+  struct Hooks {
+    /// News from peers were merged.
+    std::function<void(bool config, bool targets)> changed;
+    /// More hosts became known.
+    std::function<void()> hosts_changed;
+    /// @return whether this host reads the configuration service with success.
+    std::function<bool()> reads;
+    /// @return how long ago the configuration service answered again after it
+    /// had not.
+    std::function<absl::Duration()> regained_age;
+    /// A peer tells the same of its news.
+    std::function<void(absl::Duration age)> regained;
+  };
 
   FleetLink(engine::EventLoop& loop, Options options, HostTable& hosts,
             CrashLedger& crashes, PublishedItems& config,
             PublishedItems& targets);
 
-  Status Start(Changed changed, HostsChanged hosts_changed);
+  Status Start(Hooks hooks);
 
-  /// Tells others at once, as after a crash was seen.
+  /// Tells others at once, as after a crash was seen or news were read.
   void Gossip();
 
  private:
@@ -86,8 +99,7 @@
   engine::HttpServer transfers_;
   std::map<HostId, std::unique_ptr<engine::HttpCaller>> callers_;
   std::mt19937_64 random_;
-  Changed changed_;
-  HostsChanged hosts_changed_;
+  Hooks hooks_;
   absl::Time behind_since_ = absl::InfiniteFuture();
   bool fetching_ = false;
   int sharing_hosts_ = 0;
--- a/libs/tier/include/tier/published_source.h
+++ b/libs/tier/include/tier/published_source.h
@@ -19,13 +19,16 @@
    public:
     virtual ~Listener() = default;
     /// The items given to the source have changed.
-    virtual void OnConfigChanged() = 0;
-    virtual void OnTargetsChanged() = 0;
+    virtual void OnPublished(bool config, bool targets) = 0;
     /// The service answers again after it did not.
     virtual void OnSourceRegained() = 0;
   };
 
   virtual ~PublishedSource() = default;
+  /// Asks to read, or to leave that to others; reads at first.
+  virtual void SetReading(bool reading) = 0;
+  /// @return whether it reads and gets answers.
+  virtual bool IsReading() const = 0;
   /// Starts to read into the two sets of items.
   virtual void Start(PublishedItems& config, PublishedItems& targets,
                      Listener& listener) = 0;
--- a/libs/tier/include/tier/target_set.h
+++ b/libs/tier/include/tier/target_set.h
@@ -96,6 +96,8 @@
   void Update(TargetInfo info, absl::Time now);
   void DropGone(absl::Time now);
   void Retire(TargetPtr target);
+  /// Opens connections to the targets that requests and hedges would go to.
+  void KeepWarm();
   bool MayUse(const Target& target, const PlacementNeed& need,
               absl::Time now) const;
   bool IsExcluded(const Target& target, const PlacementNeed& need) const;
@@ -103,6 +105,11 @@
   absl::Duration DistanceTo(const FailureDomainName& domain) const;
   RegionName RegionOf(const FailureDomainName& domain) const;
   void Divide(Target& target) const;
+  /// @return this host's part of what a target bears from the whole fleet.
+  int ShareOf(double whole, const Target& target) const;
+  /// @return this host's place among all hosts that may use the target: those
+  /// of its failure domain first, then those of its region.
+  size_t Rank(const Target& target) const;
   Target* Find(const TargetId& id) const;
 
   engine::EventLoop& loop_;
@@ -114,6 +121,8 @@
   ExtraBudget budget_;
   TargetOrders orders_;
   absl::flat_hash_map<TargetId, TargetPtr> targets_;
+  /// When each service was asked for last.
+  absl::flat_hash_map<ServiceName, absl::Time> used_at_;
   absl::flat_hash_map<ServiceName, std::vector<Target*>> by_service_;
 };
 
--- a/libs/tier/include/tier/tier_node.h
+++ b/libs/tier/include/tier/tier_node.h
@@ -66,11 +66,16 @@
   void SetSeeds(const std::vector<HostId>& seeds) { hosts_.SetSeeds(seeds); }
 
  private:
-  void OnConfigChanged() override;
-  void OnTargetsChanged() override;
+  void OnPublished(bool config, bool targets) override;
   void OnSourceRegained() override;
   void OnCrash(uint64_t fingerprint, const TargetId& target) override;
 
+  /// Decides whether this host reads the configuration service itself.
+  void ChooseReader();
+  /// Puts changed items in force.
+  void Apply(bool config, bool targets);
+  void ApplyConfig();
+  void ApplyTargets();
   bool IsReady() const;
   void ServeReadiness(engine::ServerExchange& exchange);
   void ServeMetrics(engine::ServerExchange& exchange);
--- a/libs/tier/src/fleet_link.cc
+++ b/libs/tier/src/fleet_link.cc
@@ -21,8 +21,8 @@
 constexpr absl::Duration kGossipPeriod = absl::Milliseconds(500);
 /// Crash counts in one message, so that it fits a datagram.
 constexpr size_t kMaxCrashCounts = 12;
-/// How long a host waits for the configuration service itself before it asks a
-/// peer that knows more.
+/// How long a host waits for the configuration service, or for the reader of
+/// its group, before it asks another peer that knows more.
 constexpr absl::Duration kLagTolerance = absl::Milliseconds(700);
 constexpr absl::Duration kTransferTimeout = absl::Seconds(1);
 constexpr absl::Duration kConnectTimeout = absl::Milliseconds(500);
@@ -31,10 +31,13 @@
 struct Transfer {
   std::vector<PublishedItem> config;
   std::vector<PublishedItem> targets;
+  /// How long ago the sender's configuration service answered again after it
+  /// had not.
+  int64_t regained_age_ms = 0;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(config, targets);
+    archive(config, targets, regained_age_ms);
   }
 };
 
@@ -94,10 +97,9 @@
   return absl::StrCat(host, ":", options_.port);
 }
 
-Status FleetLink::Start(Changed changed, HostsChanged hosts_changed) {
-  changed_ = std::move(changed);
-  hosts_changed_ = std::move(hosts_changed);
-  const Endpoint own = EndpointOf(options_.host);
+Status FleetLink::Start(Hooks hooks) {
+  hooks_ = std::move(hooks);
+  const Endpoint own = EndpointOf(options_.self.host);
   if (Status bound = datagrams_.Bind(own); GetError(bound)) return bound;
   if (Status bound = transfers_.Listen(own); GetError(bound)) return bound;
   Gossip();
@@ -111,17 +113,20 @@
     LogInfo("limits divided anew",
             {{"hosts", sharing}, {"before", sharing_hosts_}});
     sharing_hosts_ = sharing;
-    hosts_changed_();
+    hooks_.hosts_changed();
   }
   FleetMessage message;
-  message.host = options_.host;
+  message.host = options_.self.host;
+  message.failure_domain = options_.self.failure_domain;
+  message.reads = hooks_.reads();
   message.known_hosts = static_cast<int>(hosts_.KnownHosts().size());
   message.config_revision = config_.newest();
   message.targets_revision = targets_.newest();
   message.hosts = hosts_.Ages(now, random_);
   message.crashes = crashes_.Counts(kMaxCrashCounts);
   const std::string datagram = EncodeFleetMessage(message);
-  for (const HostId& target : hosts_.GossipTargets(now, random_)) {
+  for (const HostId& target :
+       hosts_.GossipTargets(message.reads, now, random_)) {
     datagrams_.Send(EndpointOf(target), datagram);
   }
 }
@@ -134,7 +139,11 @@
   }
   const FleetMessage& message = GetValue(decoded);
   const absl::Time now = loop_.Now();
-  hosts_.OnGossip(message.host, message.hosts, message.known_hosts, now);
+  hosts_.OnNews({{message.host, message.failure_domain},
+                 message.known_hosts,
+                 message.reads,
+                 message.hosts},
+                now);
   for (const CrashCount& count : message.crashes) {
     if (crashes_.OnCount(count, now)) {
       LogWarning("request quarantined",
@@ -144,7 +153,11 @@
   }
   if (!IsBehind(message)) return;
   behind_since_ = std::min(behind_since_, now);
-  if (now - behind_since_ >= kLagTolerance) FetchFrom(message.host);
+  // Who reads itself will know soon; who does not takes the news at once, from
+  // its own failure domain if it can.
+  const bool waits =
+      hooks_.reads() || message.failure_domain != options_.self.failure_domain;
+  if (!waits || now - behind_since_ >= kLagTolerance) FetchFrom(message.host);
 }
 
 bool FleetLink::IsBehind(const FleetMessage& message) const {
@@ -176,6 +189,7 @@
                   return;
                 }
                 const Transfer& transfer = GetValue(decoded);
+                hooks_.regained(absl::Milliseconds(transfer.regained_age_ms));
                 const bool config = !config_.Merge(transfer.config).empty();
                 const bool targets = !targets_.Merge(transfer.targets).empty();
                 LogInfo("news from peer",
@@ -184,7 +198,7 @@
                          {"target_items", transfer.targets.size()},
                          {"config_revision", config_.newest()},
                          {"targets_revision", targets_.newest()}});
-                changed_(config, targets);
+                hooks_.changed(config, targets);
               });
 }
 
@@ -199,7 +213,8 @@
       absl::SimpleAtoi(path[3], &targets)) {
     response.status = 200;
     response.body = Encode(
-        Transfer{config_.ChangesAfter(config), targets_.ChangesAfter(targets)});
+        Transfer{config_.ChangesAfter(config), targets_.ChangesAfter(targets),
+                 absl::ToInt64Milliseconds(hooks_.regained_age())});
   }
   exchange.Respond(std::move(response));
 }
--- a/libs/tier/src/target.cc
+++ b/libs/tier/src/target.cc
@@ -15,8 +15,11 @@
 }  // namespace
 
 TargetSet::Target::Target(TargetSet& owner, TargetInfo target_info,
-                          absl::Duration round_trip)
-    : set(owner), info(std::move(target_info)), health(round_trip, kPriorWork) {
+                          absl::Duration trip)
+    : set(owner),
+      info(std::move(target_info)),
+      round_trip(trip),
+      health(trip, kPriorWork) {
   pool = std::make_unique<engine::ConnectionPool>(
       owner.loop_, info.endpoint, owner.options_, connection_limit,
       static_cast<engine::ConnectionPool::Listener*>(this));
--- a/libs/tier/src/target_set.cc
+++ b/libs/tier/src/target_set.cc
@@ -1,8 +1,10 @@
 #include "tier/target_set.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
+#include "membership/rendezvous.h"
 #include "target.h"
 #include "telemetry/log.h"
 
@@ -32,6 +34,13 @@
 /// which still run there end with their answers: longer than any request.
 constexpr absl::Duration kRetireTime = absl::Seconds(10);
 
+/// How often, for how long after its last request, and for how many of its
+/// targets a service has open connections kept: the target in use and the one
+/// that a hedge would go to, for which a handshake would come too late.
+constexpr absl::Duration kWarmPeriod = absl::Milliseconds(500);
+constexpr absl::Duration kWarmTime = absl::Seconds(5);
+constexpr size_t kWarmTargets = 2;
+
 }  // namespace
 
 TargetSet::TargetSet(engine::EventLoop& loop, Locality locality,
@@ -45,6 +54,7 @@
       observer_(observer),
       budget_(bounds) {
   budget_.SetHosts(hosts.SharingHosts(loop.Now()));
+  loop.Every(kWarmPeriod, [this] { KeepWarm(); });
 }
 
 TargetSet::~TargetSet() = default;
@@ -121,7 +131,7 @@
   target->cold_until = target->info.warmup_left > absl::ZeroDuration()
                            ? now + target->info.warmup_left
                            : absl::InfinitePast();
-  Divide(*target);
+  if (!same_lifetime) Divide(*target);
 }
 
 void TargetSet::DropGone(absl::Time now) {
@@ -158,19 +168,61 @@
 void TargetSet::Divide(Target& target) const {
   const auto spec = orders_.services.find(target.info.service);
   if (spec == orders_.services.end()) return;
-  const int hosts = hosts_.SharingHosts(loop_.Now());
-  const int share =
-      static_cast<int>(kConnectionPart * spec->second.max_connections / hosts);
-  target.connection_limit = std::clamp(share, 1, kMaxConnections);
+  const double connections = kConnectionPart * spec->second.max_connections;
+  target.connection_limit =
+      std::min(ShareOf(connections, target), kMaxConnections);
   target.pool->SetLimit(target.connection_limit);
   const double per_second =
       spec->second.warmup_per_s * bounds_.warmup_overage + bounds_.warmup_slack;
-  target.cold_share = ColdShare(per_second, target.info.id, locality_.host,
-                                hosts_.KnownHosts());
+  target.cold_share = ShareOf(per_second, target);
+}
+
+int TargetSet::ShareOf(double whole, const Target& target) const {
+  return DivideShare(whole, hosts_.SharingHosts(loop_.Now()), Rank(target));
+}
+
+size_t TargetSet::Rank(const Target& target) const {
+  const FailureDomainName& domain = target.info.failure_domain;
+  const std::vector<KnownHost> known = hosts_.KnownHosts();
+  std::array<std::vector<HostId>, 3> by_distance;
+  for (const KnownHost& host : known) {
+    const bool near = RegionOf(host.failure_domain) == RegionOf(domain);
+    const size_t distance = host.failure_domain == domain ? 0 : near ? 1 : 2;
+    by_distance[distance].push_back(host.host);
+  }
+  size_t rank = 0;
+  for (const std::vector<HostId>& hosts : by_distance) {
+    const std::vector<HostId> ranked = RankByRendezvous(target.info.id, hosts);
+    const auto found = std::find(ranked.begin(), ranked.end(), locality_.host);
+    rank += static_cast<size_t>(found - ranked.begin());
+    if (found != ranked.end()) break;
+  }
+  return rank;
 }
 
 void TargetSet::OnRequest(const ServiceName& service) {
-  budget_.OnRequest(service, loop_.Now());
+  const absl::Time now = loop_.Now();
+  budget_.OnRequest(service, now);
+  used_at_[service] = now;
+}
+
+void TargetSet::KeepWarm() {
+  const absl::Time now = loop_.Now();
+  for (const auto& [service, used_at] : used_at_) {
+    const auto found = by_service_.find(service);
+    if (now - used_at > kWarmTime || found == by_service_.end()) continue;
+    std::vector<std::pair<absl::Duration, Target*>> ranked;
+    for (Target* target : found->second) {
+      if (!MayUse(*target, {}, now) || target->IsCold(now)) continue;
+      ranked.emplace_back(Cost(*target, now), target);
+    }
+    const size_t kept = std::min(ranked.size(), kWarmTargets);
+    std::partial_sort(ranked.begin(), ranked.begin() + kept, ranked.end());
+    for (size_t index = 0; index < kept; ++index) {
+      engine::ConnectionPool& pool = *ranked[index].second->pool;
+      if (pool.open_connections() == 0) pool.Probe();
+    }
+  }
 }
 
 bool TargetSet::IsExcluded(const Target& target,
@@ -193,6 +245,7 @@
   if (target.info.draining || target.wrong || now >= target.gone_at) {
     return false;
   }
+  if (target.connection_limit == 0) return false;
   if (orders_.evacuated.count(target.info.failure_domain) > 0) return false;
   return !IsExcluded(target, need);
 }
@@ -201,6 +254,7 @@
   absl::Duration cost = target.health.Expected(std::max(1, target.info.slots),
                                                target.connection_limit, now);
   cost += target.health.FailureRate(now) * kFailureCost;
+  if (target.pool->open_connections() == 0) cost += target.round_trip;
   if (target.health.IsSuspect(now)) cost += kSuspectCost;
   if (target.IsCold(now)) cost += kColdCost;
   if (target.gone_at != absl::InfiniteFuture()) cost += kMissingCost;
--- a/libs/tier/src/tier_node.cc
+++ b/libs/tier/src/tier_node.cc
@@ -15,6 +15,8 @@
 constexpr absl::Duration kLeaveTime = absl::Milliseconds(2600);
 /// Kept free at the end of the time to stop.
 constexpr absl::Duration kStopReserve = absl::Milliseconds(400);
+/// How often it is decided who reads the configuration service.
+constexpr absl::Duration kReaderCheckPeriod = absl::Milliseconds(250);
 constexpr absl::Duration kStopStep = absl::Milliseconds(100);
 
 engine::ClientOptions TargetOptions(const CallerFace& face) {
@@ -30,13 +32,15 @@
     : loop_(loop),
       settings_(std::move(settings)),
       faces_(faces),
-      hosts_(settings_.locality.host, settings_.seeds, HostTable::Options()),
+      hosts_({settings_.locality.host, settings_.locality.failure_domain},
+             settings_.seeds, HostTable::Options()),
       crashes_(settings_.locality.host),
       targets_(loop, settings_.locality, settings_.bounds,
                TargetOptions(faces.callers), hosts_, *this),
       queries_({loop, faces.callers, targets_, crashes_, metrics_}),
       fleet_(loop,
-             {settings_.locality.host, settings_.fleet_port, settings_.seeds},
+             {{settings_.locality.host, settings_.locality.failure_domain},
+              settings_.fleet_port},
              hosts_, crashes_, config_items_, target_items_),
       callers_(
           loop, [this] { return limits_; },
@@ -66,13 +70,17 @@
   if (Status s = callers_.Listen(settings_.caller_endpoint); GetError(s)) {
     return s;
   }
-  const auto changed = [this](bool config, bool targets) {
-    if (config) OnConfigChanged();
-    if (targets) OnTargetsChanged();
-  };
-  Status linked = fleet_.Start(changed, [this] { targets_.OnHostsChanged(); });
+  const Status linked = fleet_.Start(
+      {[this](bool config, bool targets) { Apply(config, targets); },
+       [this] { targets_.OnHostsChanged(); },
+       [this] { return faces_.source.IsReading(); },
+       [this] { return loop_.Now() - regained_at_; },
+       [this](absl::Duration age) {
+         regained_at_ = std::max(regained_at_, loop_.Now() - age);
+       }});
   if (GetError(linked)) return linked;
   faces_.source.Start(config_items_, target_items_, *this);
+  loop_.Every(kReaderCheckPeriod, [this] { ChooseReader(); });
   return OkStatus();
 }
 
@@ -94,7 +102,18 @@
                  [this] { return static_cast<double>(queries_.version()); });
 }
 
-void TierNode::OnConfigChanged() {
+void TierNode::OnPublished(bool config, bool targets) {
+  Apply(config, targets);
+  // Those for whom this host reads take it from here.
+  fleet_.Gossip();
+}
+
+void TierNode::Apply(bool config, bool targets) {
+  if (targets) ApplyTargets();
+  if (config) ApplyConfig();
+}
+
+void TierNode::ApplyConfig() {
   Result<OperatorConfig> decoded = faces_.decoder.DecodeConfig(config_items_);
   if (const Error* error = GetError(decoded)) {
     LogError("configuration refused",
@@ -114,7 +133,7 @@
   queries_.SetRoutes(std::move(config.routes));
 }
 
-void TierNode::OnTargetsChanged() {
+void TierNode::ApplyTargets() {
   const bool lapsed = loop_.Now() - regained_at_ < kLapsedEntryTime;
   targets_.SetTargets(faces_.decoder.DecodeTargets(target_items_),
                       lapsed ? kLapsedEntryTime : absl::ZeroDuration());
@@ -122,6 +141,10 @@
           {{"targets", targets_.size()}, {"revision", target_items_.newest()}});
 }
 
+void TierNode::ChooseReader() {
+  faces_.source.SetReading(hosts_.ShouldRead(loop_.Now()));
+}
+
 void TierNode::OnSourceRegained() { regained_at_ = loop_.Now(); }
 
 void TierNode::OnCrash(uint64_t fingerprint, const TargetId& target) {
