--- a/libs/dispatch/src/target_health.cc
+++ b/libs/dispatch/src/target_health.cc
@@ -11,7 +11,7 @@
 constexpr double kFailureWeight = 0.25;
 /// Time in which what was learned loses half of its difference from the prior:
 /// a target that is avoided gets another chance after a few of them.
-constexpr absl::Duration kForgetHalf = absl::Seconds(2);
+constexpr absl::Duration kForgetHalf = absl::Seconds(5);
 /// Least time above the mean after which a request is overdue: less than it,
 /// scheduling on a small host looks like a slow target.
 constexpr absl::Duration kMinOverdue = absl::Milliseconds(15);
--- a/libs/membership/include/membership/host_table.h
+++ b/libs/membership/include/membership/host_table.h
@@ -18,11 +18,6 @@
   FailureDomainName failure_domain;
   int64_t age_ms = 0;
 
-  template <typename Archive>
-  void serialize(Archive& archive) {
-    archive(host, failure_domain, age_ms);
-  }
-
   friend bool operator==(const HostAge& a, const HostAge& b) {
     return std::tie(a.host, a.failure_domain, a.age_ms) ==
            std::tie(b.host, b.failure_domain, b.age_ms);
@@ -74,11 +69,11 @@
     /// From the first peer heard until the known hosts are taken for all.
     absl::Duration settle_time = absl::Seconds(3);
     /// A host not heard by anybody for this long is not gossiped with.
-    absl::Duration silence_limit = absl::Seconds(10);
+    absl::Duration silence_limit = absl::Seconds(20);
     /// Hosts that each round of gossip reaches.
-    size_t fanout = 3;
+    size_t fanout = 2;
     /// Hosts named in one message, so that it fits a datagram.
-    size_t named_hosts = 30;
+    size_t named_hosts = 50;
     /// Hosts of one group.
     size_t group_size = 16;
     /// A reader not heard for this long no longer counts as one: two rounds of
@@ -98,12 +93,13 @@
   /// @return whether this host should read the configuration service itself.
   bool ShouldRead(absl::Time now) const;
 
-  /// @param reads whether this host reads for its group, whose hosts then all
-  /// hear from it.
-  /// @return hosts that the next round of gossip goes to.
-  std::vector<HostId> GossipTargets(bool reads, absl::Time now,
+  /// @return hosts anywhere that the next round of gossip goes to.
+  std::vector<HostId> GossipTargets(absl::Time now,
                                     std::mt19937_64& random) const;
 
+  /// @return the other live hosts of the own group.
+  std::vector<HostId> GroupPeers(absl::Time now) const;
+
   /// @return what to tell others of hosts.
   std::vector<HostAge> Ages(absl::Time now, std::mt19937_64& random) const;
 
--- a/libs/membership/src/host_table.cc
+++ b/libs/membership/src/host_table.cc
@@ -58,8 +58,6 @@
 }
 
 bool HostTable::ShouldRead(absl::Time now) const {
-  const bool settled = now - first_heard_ >= options_.settle_time;
-  if (!settled) return true;
   for (const HostId& host : Group(now)) {
     if (host == self_.host) return true;
     if (now - peers_.at(host).read <= options_.reader_silence) return false;
@@ -67,23 +65,27 @@
   return true;
 }
 
-std::vector<HostId> HostTable::GossipTargets(bool reads, absl::Time now,
+std::vector<HostId> HostTable::GossipTargets(absl::Time now,
                                              std::mt19937_64& random) const {
   std::vector<HostId> targets = LivePeers(now);
   std::shuffle(targets.begin(), targets.end(), random);
   if (targets.size() > options_.fanout) targets.resize(options_.fanout);
   // A seed each round joins parts of the fleet that lost each other.
-  if (!seeds_.empty()) targets.push_back(seeds_[random() % seeds_.size()]);
-  if (reads) {
-    for (const HostId& host : Group(now)) {
-      if (host != self_.host) targets.push_back(host);
+  if (!seeds_.empty()) {
+    const HostId& seed = seeds_[random() % seeds_.size()];
+    if (std::find(targets.begin(), targets.end(), seed) == targets.end()) {
+      targets.push_back(seed);
     }
   }
-  std::sort(targets.begin(), targets.end());
-  targets.erase(std::unique(targets.begin(), targets.end()), targets.end());
   return targets;
 }
 
+std::vector<HostId> HostTable::GroupPeers(absl::Time now) const {
+  std::vector<HostId> peers = Group(now);
+  peers.erase(std::remove(peers.begin(), peers.end(), self_.host), peers.end());
+  return peers;
+}
+
 std::vector<HostAge> HostTable::Ages(absl::Time now,
                                      std::mt19937_64& random) const {
   std::vector<HostAge> ages;
--- a/libs/tier/include/tier/fleet_link.h
+++ b/libs/tier/include/tier/fleet_link.h
@@ -12,43 +12,11 @@
 #include "engine/http_caller.h"
 #include "engine/http_server.h"
 #include "membership/host_table.h"
+#include "tier/fleet_message.h"
 #include "tier/published_items.h"
 
 namespace cherrydyke {
 
-/// What hosts tell each other by datagram.
-struct FleetMessage {
-  HostId host;
-  FailureDomainName failure_domain;
-  /// Hosts that the sender has ever known.
-  int known_hosts = 1;
-  /// Whether the sender reads the configuration service, and gets answers.
-  bool reads = false;
-  Revision config_revision = 0;
-  Revision targets_revision = 0;
-  std::vector<HostAge> hosts;
-  std::vector<CrashCount> crashes;
-
-  template <typename Archive>
-  void serialize(Archive& archive) {
-    archive(host, failure_domain, known_hosts, reads, config_revision,
-            targets_revision, hosts, crashes);
-  }
-
-  friend bool operator==(const FleetMessage& a, const FleetMessage& b) {
-    return std::tie(a.host, a.failure_domain, a.known_hosts, a.reads,
-                    a.config_revision, a.targets_revision, a.hosts,
-                    a.crashes) ==
-           std::tie(b.host, b.failure_domain, b.known_hosts, b.reads,
-                    b.config_revision, b.targets_revision, b.hosts, b.crashes);
-  }
-};
-
-/// @return the message as a datagram.
-std::string EncodeFleetMessage(const FleetMessage& message);
-/// @return the message, or an error for anything else.
-Result<FleetMessage> DecodeFleetMessage(const std::string& datagram);
-
 /// The link to the other hosts: who is there, what has crashed targets, and,
 /// for a host that cannot read the configuration service, what was published.
 class FleetLink {
@@ -79,10 +47,15 @@
 
   Status Start(Hooks hooks);
 
-  /// Tells others at once, as after a crash was seen or news were read.
+  /// Tells others at once, as after a crash was seen.
   void Gossip();
 
+  /// Tells the hosts for which this one reads at once, as after news were read.
+  void TellGroup();
+
  private:
+  void NextRound();
+  void Send(const std::vector<HostId>& targets, std::vector<HostAge> ages);
   void OnDatagram(const std::string& datagram);
   void ServeTransfer(engine::ServerExchange& exchange);
   void FetchFrom(const HostId& peer);
@@ -102,6 +75,8 @@
   Hooks hooks_;
   absl::Time behind_since_ = absl::InfiniteFuture();
   bool fetching_ = false;
+  absl::Time started_at_;
+  int round_ = 0;
   int sharing_hosts_ = 0;
 };
 
--- a/libs/tier/include/tier/target_set.h
+++ b/libs/tier/include/tier/target_set.h
@@ -39,6 +39,21 @@
   std::set<FailureDomainName> evacuated;
 };
 
+/// Sends since the start, by where they went and why.
+struct SendCounts {
+  int64_t same_domain = 0;
+  int64_t same_region = 0;
+  int64_t other_region = 0;
+  /// Of all: beyond the first of their request.
+  int64_t extra = 0;
+  /// Of all: to targets that seemed not to answer.
+  int64_t suspect = 0;
+  /// Of all: to cold targets.
+  int64_t cold = 0;
+  /// Extra sends for which the budget had no room.
+  int64_t over_budget = 0;
+};
+
 /// The targets that this host knows, with their connections and what it has
 /// learned of each; chooses one for each send.
 class TargetSet : public Placement {
@@ -87,6 +102,7 @@
 
   size_t size() const { return targets_.size(); }
   int open_connections() const;
+  const SendCounts& counts() const { return counts_; }
   ExtraBudget& budget() { return budget_; }
 
  private:
@@ -110,6 +126,7 @@
   /// @return this host's place among all hosts that may use the target: those
   /// of its failure domain first, then those of its region.
   size_t Rank(const Target& target) const;
+  void Count(const Target& target, bool extra, absl::Time now);
   Target* Find(const TargetId& id) const;
 
   engine::EventLoop& loop_;
@@ -120,6 +137,7 @@
   Observer& observer_;
   ExtraBudget budget_;
   TargetOrders orders_;
+  SendCounts counts_;
   absl::flat_hash_map<TargetId, TargetPtr> targets_;
   /// When each service was asked for last.
   absl::flat_hash_map<ServiceName, absl::Time> used_at_;
--- a/libs/tier/include/tier/tier_node.h
+++ b/libs/tier/include/tier/tier_node.h
@@ -76,6 +76,7 @@
   void Apply(bool config, bool targets);
   void ApplyConfig();
   void ApplyTargets();
+  void LogLoad();
   bool IsReady() const;
   void ServeReadiness(engine::ServerExchange& exchange);
   void ServeMetrics(engine::ServerExchange& exchange);
--- a/libs/tier/src/fleet_link.cc
+++ b/libs/tier/src/fleet_link.cc
@@ -1,24 +1,24 @@
 #include "tier/fleet_link.h"
 
 #include <algorithm>
-#include <exception>
-#include <sstream>
 #include <utility>
 
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
-#include "cereal/archives/portable_binary.hpp"
-#include "cereal/types/string.hpp"
-#include "cereal/types/vector.hpp"
+#include "archive.h"
 #include "telemetry/log.h"
 
 namespace cherrydyke {
 namespace {
 
-/// Pause between rounds of gossip: a crashing request is known to a small
-/// fleet within a second.
+/// Pause between the signs of life of a reader to its group.
 constexpr absl::Duration kGossipPeriod = absl::Milliseconds(500);
+/// Rounds between messages to hosts anywhere, which name other hosts: bytes
+/// between regions are dear, and who is there changes slowly.
+constexpr int kRoundsPerNaming = 4;
+/// A host that has just started tells and asks in every round.
+constexpr absl::Duration kIntroductionTime = absl::Seconds(4);
 /// Crash counts in one message, so that it fits a datagram.
 constexpr size_t kMaxCrashCounts = 12;
 /// How long a host waits for the configuration service, or for the reader of
@@ -41,40 +41,8 @@
   }
 };
 
-template <typename T>
-std::string Encode(const T& value) {
-  std::ostringstream out;
-  {
-    cereal::PortableBinaryOutputArchive archive(out);
-    archive(value);
-  }
-  return out.str();
-}
-
-template <typename T>
-Result<T> Decode(const std::string& bytes) {
-  T value;
-  std::istringstream in(bytes);
-  // The library reports malformed input by exceptions only.
-  try {
-    cereal::PortableBinaryInputArchive archive(in);
-    archive(value);
-  } catch (const std::exception& error) {
-    return Error{ErrorCode::kInvalidInput, error.what()};
-  }
-  return value;
-}
-
 }  // namespace
 
-std::string EncodeFleetMessage(const FleetMessage& message) {
-  return Encode(message);
-}
-
-Result<FleetMessage> DecodeFleetMessage(const std::string& datagram) {
-  return Decode<FleetMessage>(datagram);
-}
-
 FleetLink::FleetLink(engine::EventLoop& loop, Options options, HostTable& hosts,
                      CrashLedger& crashes, PublishedItems& config,
                      PublishedItems& targets)
@@ -102,12 +70,13 @@
   const Endpoint own = EndpointOf(options_.self.host);
   if (Status bound = datagrams_.Bind(own); GetError(bound)) return bound;
   if (Status bound = transfers_.Listen(own); GetError(bound)) return bound;
-  Gossip();
-  loop_.Every(kGossipPeriod, [this] { Gossip(); });
+  started_at_ = loop_.Now();
+  NextRound();
+  loop_.Every(kGossipPeriod, [this] { NextRound(); });
   return OkStatus();
 }
 
-void FleetLink::Gossip() {
+void FleetLink::NextRound() {
   const absl::Time now = loop_.Now();
   if (const int sharing = hosts_.SharingHosts(now); sharing != sharing_hosts_) {
     LogInfo("limits divided anew",
@@ -115,6 +84,28 @@
     sharing_hosts_ = sharing;
     hooks_.hosts_changed();
   }
+  const bool introduces = now - started_at_ < kIntroductionTime;
+  const bool names_hosts = introduces || round_ % kRoundsPerNaming == 0;
+  ++round_;
+  if (names_hosts) {
+    Send(hosts_.GossipTargets(now, random_), hosts_.Ages(now, random_));
+  }
+  TellGroup();
+}
+
+void FleetLink::TellGroup() {
+  const absl::Time now = loop_.Now();
+  if (hooks_.reads()) Send(hosts_.GroupPeers(now), {});
+}
+
+void FleetLink::Gossip() {
+  const absl::Time now = loop_.Now();
+  Send(hosts_.GossipTargets(now, random_), {});
+  TellGroup();
+}
+
+void FleetLink::Send(const std::vector<HostId>& targets,
+                     std::vector<HostAge> ages) {
   FleetMessage message;
   message.host = options_.self.host;
   message.failure_domain = options_.self.failure_domain;
@@ -122,11 +113,10 @@
   message.known_hosts = static_cast<int>(hosts_.KnownHosts().size());
   message.config_revision = config_.newest();
   message.targets_revision = targets_.newest();
-  message.hosts = hosts_.Ages(now, random_);
+  message.hosts = std::move(ages);
   message.crashes = crashes_.Counts(kMaxCrashCounts);
   const std::string datagram = EncodeFleetMessage(message);
-  for (const HostId& target :
-       hosts_.GossipTargets(message.reads, now, random_)) {
+  for (const HostId& target : targets) {
     datagrams_.Send(EndpointOf(target), datagram);
   }
 }
@@ -175,31 +165,31 @@
   }
   const std::string path =
       absl::StrCat(kTransferPath, config_.newest(), "/", targets_.newest());
-  caller->Get(path, kTransferTimeout,
-              [this, peer](Result<engine::HttpResponse> result) {
-                fetching_ = false;
-                behind_since_ = absl::InfiniteFuture();
-                const Error* error = GetError(result);
-                Result<Transfer> decoded =
-                    error != nullptr ? Result<Transfer>(*error)
-                                     : Decode<Transfer>(GetValue(result).body);
-                if (error = GetError(decoded); error != nullptr) {
-                  LogWarning("no news from peer",
-                             {{"peer", peer}, {"error", error->message}});
-                  return;
-                }
-                const Transfer& transfer = GetValue(decoded);
-                hooks_.regained(absl::Milliseconds(transfer.regained_age_ms));
-                const bool config = !config_.Merge(transfer.config).empty();
-                const bool targets = !targets_.Merge(transfer.targets).empty();
-                LogInfo("news from peer",
-                        {{"peer", peer},
-                         {"config_items", transfer.config.size()},
-                         {"target_items", transfer.targets.size()},
-                         {"config_revision", config_.newest()},
-                         {"targets_revision", targets_.newest()}});
-                hooks_.changed(config, targets);
-              });
+  caller->Get(
+      path, kTransferTimeout,
+      [this, peer](Result<engine::HttpResponse> result) {
+        fetching_ = false;
+        behind_since_ = absl::InfiniteFuture();
+        const Error* error = GetError(result);
+        Result<Transfer> decoded =
+            error != nullptr ? Result<Transfer>(*error)
+                             : DecodeArchive<Transfer>(GetValue(result).body);
+        if (error = GetError(decoded); error != nullptr) {
+          LogWarning("no news from peer",
+                     {{"peer", peer}, {"error", error->message}});
+          return;
+        }
+        const Transfer& transfer = GetValue(decoded);
+        hooks_.regained(absl::Milliseconds(transfer.regained_age_ms));
+        const bool config = !config_.Merge(transfer.config).empty();
+        const bool targets = !targets_.Merge(transfer.targets).empty();
+        LogInfo("news from peer", {{"peer", peer},
+                                   {"config_items", transfer.config.size()},
+                                   {"target_items", transfer.targets.size()},
+                                   {"config_revision", config_.newest()},
+                                   {"targets_revision", targets_.newest()}});
+        hooks_.changed(config, targets);
+      });
 }
 
 void FleetLink::ServeTransfer(engine::ServerExchange& exchange) {
@@ -212,7 +202,7 @@
   if (path.size() == 4 && absl::SimpleAtoi(path[2], &config) &&
       absl::SimpleAtoi(path[3], &targets)) {
     response.status = 200;
-    response.body = Encode(
+    response.body = EncodeArchive(
         Transfer{config_.ChangesAfter(config), targets_.ChangesAfter(targets),
                  absl::ToInt64Milliseconds(hooks_.regained_age())});
   }
--- /dev/null
+++ b/libs/tier/src/fleet_message.cc
@@ -0,0 +1,106 @@
+#include "tier/fleet_message.h"
+
+#include <algorithm>
+#include <limits>
+#include <optional>
+#include <utility>
+
+#include "archive.h"
+#include "boost/asio/ip/address_v4.hpp"
+
+namespace cherrydyke {
+namespace {
+
+/// A host's age as it is sent: some fifty of them fit a datagram.
+struct PackedAge {
+  uint32_t address = 0;
+  /// Index into the message's failure domains.
+  uint8_t domain = 0;
+  uint16_t age_ds = 0;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(address, domain, age_ds);
+  }
+};
+
+/// A fleet message as it is sent.
+struct PackedMessage {
+  HostId host;
+  FailureDomainName failure_domain;
+  uint16_t known_hosts = 0;
+  bool reads = false;
+  Revision config_revision = 0;
+  Revision targets_revision = 0;
+  std::vector<FailureDomainName> domains;
+  std::vector<PackedAge> ages;
+  std::vector<CrashCount> crashes;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(host, failure_domain, known_hosts, reads, config_revision,
+            targets_revision, domains, ages, crashes);
+  }
+};
+
+constexpr int64_t kMsPerDs = 100;
+
+std::optional<PackedAge> Pack(const HostAge& age,
+                              std::vector<FailureDomainName>& domains) {
+  boost::system::error_code error;
+  const auto address = boost::asio::ip::make_address_v4(age.host, error);
+  if (error) return std::nullopt;
+  auto domain = std::find(domains.begin(), domains.end(), age.failure_domain);
+  if (domain == domains.end()) {
+    if (domains.size() > std::numeric_limits<uint8_t>::max()) {
+      return std::nullopt;
+    }
+    domain = domains.insert(domains.end(), age.failure_domain);
+  }
+  constexpr int64_t kMost = std::numeric_limits<uint16_t>::max();
+  return PackedAge{
+      address.to_uint(), static_cast<uint8_t>(domain - domains.begin()),
+      static_cast<uint16_t>(std::min(age.age_ms / kMsPerDs, kMost))};
+}
+
+}  // namespace
+
+std::string EncodeFleetMessage(const FleetMessage& message) {
+  PackedMessage packed;
+  packed.host = message.host;
+  packed.failure_domain = message.failure_domain;
+  packed.known_hosts = static_cast<uint16_t>(message.known_hosts);
+  packed.reads = message.reads;
+  packed.config_revision = message.config_revision;
+  packed.targets_revision = message.targets_revision;
+  packed.crashes = message.crashes;
+  for (const HostAge& age : message.hosts) {
+    if (const auto one = Pack(age, packed.domains)) packed.ages.push_back(*one);
+  }
+  return EncodeArchive(packed);
+}
+
+Result<FleetMessage> DecodeFleetMessage(const std::string& datagram) {
+  Result<PackedMessage> decoded = DecodeArchive<PackedMessage>(datagram);
+  if (const Error* error = GetError(decoded)) return *error;
+  PackedMessage& packed = GetValue(decoded);
+  FleetMessage message;
+  message.host = std::move(packed.host);
+  message.failure_domain = std::move(packed.failure_domain);
+  message.known_hosts = packed.known_hosts;
+  message.reads = packed.reads;
+  message.config_revision = packed.config_revision;
+  message.targets_revision = packed.targets_revision;
+  message.crashes = std::move(packed.crashes);
+  for (const PackedAge& age : packed.ages) {
+    if (age.domain >= packed.domains.size()) {
+      return Error{ErrorCode::kInvalidInput, "unknown failure domain"};
+    }
+    message.hosts.push_back(
+        {boost::asio::ip::make_address_v4(age.address).to_string(),
+         packed.domains[age.domain], age.age_ds * kMsPerDs});
+  }
+  return message;
+}
+
+}  // namespace cherrydyke
--- a/libs/tier/src/target_set.cc
+++ b/libs/tier/src/target_set.cc
@@ -287,8 +287,10 @@
   }
   if (best == nullptr) return std::nullopt;
   if (need.extra && !budget_.TryTake(need.service, *need.extra, now)) {
+    ++counts_.over_budget;
     return std::nullopt;
   }
+  Count(*best, need.extra.has_value(), now);
   best->cold.OnSent(now);
   const Placed placed{best->info.id, best->health.OverdueAfter(now), best_cost,
                       next_cost};
@@ -296,6 +298,19 @@
   return placed;
 }
 
+void TargetSet::Count(const Target& target, bool extra, absl::Time now) {
+  const FailureDomainName& domain = target.info.failure_domain;
+  const bool same_region =
+      RegionOf(domain) == RegionOf(locality_.failure_domain);
+  int64_t& place = domain == locality_.failure_domain ? counts_.same_domain
+                   : same_region                      ? counts_.same_region
+                                                      : counts_.other_region;
+  ++place;
+  if (extra) ++counts_.extra;
+  if (target.health.IsSuspect(now)) ++counts_.suspect;
+  if (target.IsCold(now)) ++counts_.cold;
+}
+
 engine::ExchangeId TargetSet::Send(const TargetId& id,
                                    engine::PoolRequest request) {
   Target* const target = Find(id);
--- a/libs/tier/src/tier_node.cc
+++ b/libs/tier/src/tier_node.cc
@@ -17,6 +17,8 @@
 constexpr absl::Duration kStopReserve = absl::Milliseconds(400);
 /// How often it is decided who reads the configuration service.
 constexpr absl::Duration kReaderCheckPeriod = absl::Milliseconds(250);
+/// How often a line tells what the host has done so far.
+constexpr absl::Duration kLoadLogPeriod = absl::Seconds(10);
 constexpr absl::Duration kStopStep = absl::Milliseconds(100);
 
 engine::ClientOptions TargetOptions(const CallerFace& face) {
@@ -81,6 +83,7 @@
   if (GetError(linked)) return linked;
   faces_.source.Start(config_items_, target_items_, *this);
   loop_.Every(kReaderCheckPeriod, [this] { ChooseReader(); });
+  loop_.Every(kLoadLogPeriod, [this] { LogLoad(); });
   return OkStatus();
 }
 
@@ -105,7 +108,7 @@
 void TierNode::OnPublished(bool config, bool targets) {
   Apply(config, targets);
   // Those for whom this host reads take it from here.
-  fleet_.Gossip();
+  fleet_.TellGroup();
 }
 
 void TierNode::Apply(bool config, bool targets) {
@@ -113,6 +116,20 @@
   if (config) ApplyConfig();
 }
 
+void TierNode::LogLoad() {
+  const SendCounts& sends = targets_.counts();
+  LogInfo("load", {{"running", queries_.running()},
+                   {"caller_connections", callers_.connections()},
+                   {"target_connections", targets_.open_connections()},
+                   {"sends_same_domain", sends.same_domain},
+                   {"sends_same_region", sends.same_region},
+                   {"sends_other_region", sends.other_region},
+                   {"sends_extra", sends.extra},
+                   {"sends_suspect", sends.suspect},
+                   {"sends_cold", sends.cold},
+                   {"over_budget", sends.over_budget}});
+}
+
 void TierNode::ApplyConfig() {
   Result<OperatorConfig> decoded = faces_.decoder.DecodeConfig(config_items_);
   if (const Error* error = GetError(decoded)) {
