--- a/libs/dispatch/include/dispatch/request_run.h
+++ b/libs/dispatch/include/dispatch/request_run.h
@@ -106,6 +106,8 @@
   const TargetId& target(size_t attempt) const {
     return attempts_[attempt].target;
   }
+  /// @return whether the attempt's result is still wanted.
+  bool running(size_t attempt) const { return attempts_[attempt].running; }
   const ServiceName& service(size_t attempt) const {
     return plan_.services[attempts_[attempt].part];
   }
--- a/libs/dispatch/include/dispatch/target_health.h
+++ b/libs/dispatch/include/dispatch/target_health.h
@@ -17,6 +17,10 @@
   kLost,
   /// No connection could be made.
   kUnreachable,
+  /// It was given up before it was sent.
+  kUnsent,
+  /// It was given up while it ran, after the time that is told as latency.
+  kBrokenOff,
 };
 
 /// What a target said of its own load.
@@ -43,7 +47,7 @@
   void OnSent() { ++outstanding_; }
   /// An exchange ended with a sign.
   void OnEnded(TargetSign sign, absl::Duration latency, absl::Time now);
-  /// An exchange was given up; it says nothing more.
+  /// A send was not made after all.
   void OnAbandoned() { outstanding_ = outstanding_ > 0 ? outstanding_ - 1 : 0; }
   /// A request has run longer than `OverdueAfter`: a pause, or worse.
   void OnOverdue(absl::Time sent_at, absl::Time now);
@@ -70,6 +74,7 @@
 
  private:
   absl::Duration Mean(absl::Time now) const;
+  void Learn(absl::Duration latency, absl::Time now);
   void Suspect(absl::Duration floor, absl::Time now);
 
   const absl::Duration prior_;
--- a/libs/dispatch/src/target_health.cc
+++ b/libs/dispatch/src/target_health.cc
@@ -32,6 +32,9 @@
 void TargetHealth::OnEnded(TargetSign sign, absl::Duration latency,
                            absl::Time now) {
   OnAbandoned();
+  if (sign == TargetSign::kUnsent) return;
+  // Work that is given up would have taken at least so long.
+  if (sign == TargetSign::kBrokenOff) return Learn(latency, now);
   const bool failed = sign != TargetSign::kAnswered;
   failures_ =
       FailureRate(now) * (1 - kFailureWeight) + (failed ? kFailureWeight : 0);
@@ -41,7 +44,10 @@
   answered_at_ = now;
   suspect_until_ = absl::InfinitePast();
   backoff_ = absl::ZeroDuration();
-  if (sign != TargetSign::kAnswered) return;
+  if (sign == TargetSign::kAnswered) Learn(latency, now);
+}
+
+void TargetHealth::Learn(absl::Duration latency, absl::Time now) {
   if (learned_at_ == absl::InfinitePast()) {
     mean_ = latency;
     deviation_ = prior_deviation_;
--- a/libs/dispatch/tests/tables_test.cc
+++ b/libs/dispatch/tests/tables_test.cc
@@ -36,6 +36,7 @@
   CPPUNIT_TEST(AnswerToALaterRequestClearsAnOverdueOne);
   CPPUNIT_TEST(ReplacedTargetDoesNotCountBelowZero);
   CPPUNIT_TEST(SlownessIsForgotten);
+  CPPUNIT_TEST(WorkThatIsGivenUpCountsAsSlow);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -144,6 +145,14 @@
     CPPUNIT_ASSERT(at(absl::ZeroDuration()) > absl::Milliseconds(400));
     CPPUNIT_ASSERT(at(absl::Seconds(50)) < absl::Milliseconds(20));
   }
+
+  void WorkThatIsGivenUpCountsAsSlow() {
+    TargetHealth health(absl::ZeroDuration(), absl::Milliseconds(10));
+    health.OnSent();
+    health.OnEnded(TargetSign::kBrokenOff, absl::Milliseconds(300), kStart);
+    CPPUNIT_ASSERT(health.Expected(2, 3, kStart) > absl::Milliseconds(250));
+    CPPUNIT_ASSERT_EQUAL(0.0, health.FailureRate(kStart));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DispatchTablesTest);
--- a/libs/engine/include/engine/client_connection.h
+++ b/libs/engine/include/engine/client_connection.h
@@ -22,6 +22,8 @@
   kLost,
   /// The server sent something that is no HTTP response.
   kMalformed,
+  /// It was cancelled and did not end within its grace.
+  kBrokenOff,
 };
 
 /// What came of one request.
@@ -85,6 +87,9 @@
   /// Closes at once; a running exchange's `done` is not called.
   void Close();
 
+  /// Closes at once and reports the running exchange as broken off.
+  void BreakOff();
+
   bool IsIdle() const { return state_ == State::kIdle; }
   bool IsOpen() const {
     return state_ == State::kIdle || state_ == State::kBusy;
--- a/libs/engine/include/engine/connection_pool.h
+++ b/libs/engine/include/engine/connection_pool.h
@@ -7,7 +7,6 @@
 #include <memory>
 #include <vector>
 
-#include "absl/container/flat_hash_set.h"
 #include "engine/client_connection.h"
 
 namespace cherrydyke::engine {
@@ -48,11 +47,13 @@
   void SetLimit(int limit);
 
   /// Sends a request now or as soon as a connection is free. `done` is called
-  /// once, never from within this call, unless the exchange is cancelled.
+  /// once, never from within this call.
   ExchangeId Send(PoolRequest request);
 
-  /// Forgets an exchange. One that was sent is left to finish for `grace`, so
-  /// that its connection can be kept, and is then broken off by a close.
+  /// Gives up an exchange. One that was sent is left to finish for `grace`, so
+  /// that its connection can be kept and its time be learned; then it is broken
+  /// off by a close. `done` tells how it ended, but is not called from within
+  /// this call.
   void Cancel(ExchangeId exchange, absl::Duration grace);
 
   /// Opens a connection, if there is room for one, to learn whether the server
@@ -90,6 +91,8 @@
   void Open();
   void Pump();
   void FailWaiting();
+  void ReportLater(std::function<void(ExchangeResult)> done,
+                   ExchangeStatus status);
 
   EventLoop& loop_;
   const Endpoint endpoint_;
@@ -99,8 +102,6 @@
   std::vector<Member> members_;
   std::deque<Waiting> queue_;
   ExchangeId last_exchange_ = 0;
-  /// Exchanges whose `done` is still to be called.
-  absl::flat_hash_set<ExchangeId> pending_;
   int connecting_ = 0;
   /// Lets posted work notice that the pool is gone.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/libs/engine/src/client_connection.cc
+++ b/libs/engine/src/client_connection.cc
@@ -224,6 +224,10 @@
   if (done) done({status, std::move(response)});
 }
 
+void ClientConnection::BreakOff() {
+  if (state_ == State::kBusy) Fail(ExchangeStatus::kBrokenOff, {}, false);
+}
+
 void ClientConnection::Close() {
   exchange_ = {};
   CloseSocket(false);
--- a/libs/engine/src/connection_pool.cc
+++ b/libs/engine/src/connection_pool.cc
@@ -45,7 +45,6 @@
 
 ExchangeId ConnectionPool::Send(PoolRequest request) {
   const ExchangeId id = ++last_exchange_;
-  pending_.insert(id);
   queue_.push_back({id, std::move(request)});
   Pump();
   return id;
@@ -95,7 +94,7 @@
   const auto connection = member.connection;
   ClientConnection* const raw = connection.get();
   auto done = std::move(waiting.request.exchange.done);
-  waiting.request.exchange.done = [this, raw, alive = alive_, id = waiting.id,
+  waiting.request.exchange.done = [this, raw, alive = alive_,
                                    done =
                                        std::move(done)](ExchangeResult result) {
     if (!*alive) return;
@@ -103,7 +102,7 @@
       member->exchange = 0;
       loop_.Cancel(std::exchange(member->break_off, 0));
     }
-    if (pending_.erase(id) > 0) done(std::move(result));
+    done(std::move(result));
   };
   connection->Start(std::move(waiting.request.exchange));
 }
@@ -126,27 +125,36 @@
 }
 
 void ConnectionPool::Cancel(ExchangeId exchange, absl::Duration grace) {
-  pending_.erase(exchange);
   const auto waiting =
       std::find_if(queue_.begin(), queue_.end(),
                    [&](const Waiting& entry) { return entry.id == exchange; });
   if (waiting != queue_.end()) {
+    Waiting cancelled = std::move(*waiting);
     queue_.erase(waiting);
+    ReportLater(std::move(cancelled.request.exchange.done),
+                ExchangeStatus::kNotSent);
     return;
   }
   for (Member& member : members_) {
-    if (member.exchange != exchange) continue;
-    if (grace <= absl::ZeroDuration()) {
-      const auto connection = member.connection;
-      connection->Close();
-      return;
-    }
-    member.break_off = loop_.RunAfter(
-        grace, [connection = member.connection] { connection->Close(); });
+    if (member.exchange != exchange || member.break_off != 0) continue;
+    member.break_off =
+        loop_.RunAfter(grace, [this, connection = member.connection] {
+          if (Member* const broken = Find(*connection)) {
+            broken->break_off = 0;
+            connection->BreakOff();
+          }
+        });
     return;
   }
 }
 
+void ConnectionPool::ReportLater(std::function<void(ExchangeResult)> done,
+                                 ExchangeStatus status) {
+  loop_.Post([alive = alive_, done = std::move(done), status] {
+    if (*alive) done({status, {}});
+  });
+}
+
 void ConnectionPool::Probe() {
   if (connecting_ == 0 && open_connections() < limit_) Open();
 }
@@ -193,15 +201,10 @@
   if (any_open) return;
   std::deque<Waiting> failed;
   failed.swap(queue_);
-  loop_.Post(
-      [this, alive = alive_,
-       failed = std::make_shared<std::deque<Waiting>>(std::move(failed))] {
-        for (Waiting& entry : *failed) {
-          if (!*alive) return;
-          if (pending_.erase(entry.id) == 0) continue;
-          entry.request.exchange.done({ExchangeStatus::kNotSent, {}});
-        }
-      });
+  for (Waiting& entry : failed) {
+    ReportLater(std::move(entry.request.exchange.done),
+                ExchangeStatus::kNotSent);
+  }
 }
 
 }  // namespace cherrydyke::engine
--- a/libs/engine/src/http_caller.cc
+++ b/libs/engine/src/http_caller.cc
@@ -41,18 +41,21 @@
                         "\r\n\r\n");
   };
   request.exchange.done = [this, call](ExchangeResult result) {
+    if (!call->done) return;
     loop_.Cancel(call->timer);
+    const Done done = std::exchange(call->done, nullptr);
     if (result.status == ExchangeStatus::kComplete) {
-      call->done(std::move(result.response));
+      done(std::move(result.response));
     } else {
-      call->done(Error{ErrorCode::kUnavailable,
-                       absl::StrCat("no answer from ", endpoint_)});
+      done(Error{ErrorCode::kUnavailable,
+                 absl::StrCat("no answer from ", endpoint_)});
     }
   };
   call->timer = loop_.RunAfter(timeout, [this, call] {
+    const Done done = std::exchange(call->done, nullptr);
     pool_.Cancel(call->exchange, absl::ZeroDuration());
-    call->done(Error{ErrorCode::kTimeout,
-                     absl::StrCat("no answer in time from ", endpoint_)});
+    done(Error{ErrorCode::kTimeout,
+               absl::StrCat("no answer in time from ", endpoint_)});
   });
   call->exchange = pool_.Send(std::move(request));
 }
--- a/libs/tier/src/query_plane.cc
+++ b/libs/tier/src/query_plane.cc
@@ -27,9 +27,13 @@
 constexpr absl::Duration kRetryAfter = absl::Milliseconds(200);
 constexpr double kRetrySpread = 0.5;
 
-TargetSign SignOf(const TargetReply& reply, engine::ExchangeStatus status) {
+TargetSign SignOf(const TargetReply& reply, engine::ExchangeStatus status,
+                  bool wanted) {
   if (status == engine::ExchangeStatus::kNotSent) {
-    return TargetSign::kUnreachable;
+    return wanted ? TargetSign::kUnreachable : TargetSign::kUnsent;
+  }
+  if (status == engine::ExchangeStatus::kBrokenOff) {
+    return TargetSign::kBrokenOff;
   }
   switch (reply.end) {
     case AttemptEnd::kSuccess:
@@ -222,7 +226,8 @@
                        const TargetReply& reply,
                        engine::ExchangeStatus status) {
   const Request::Attempt& attempt = request.attempts[index];
-  targets_.OnEnded(attempt.target, SignOf(reply, status),
+  targets_.OnEnded(attempt.target,
+                   SignOf(reply, status, request.run->running(index)),
                    loop_.Now() - attempt.sent_at);
   if (reply.load) targets_.OnLoad(attempt.target, *reply.load);
   if (reply.end == AttemptEnd::kWrongTarget) {
--- a/libs/tier/src/target_set.cc
+++ b/libs/tier/src/target_set.cc
@@ -323,10 +323,7 @@
 
 void TargetSet::Cancel(const TargetId& id, engine::ExchangeId exchange,
                        absl::Duration grace) {
-  Target* const target = Find(id);
-  if (target == nullptr) return;
-  target->health.OnAbandoned();
-  target->pool->Cancel(exchange, grace);
+  if (Target* const target = Find(id)) target->pool->Cancel(exchange, grace);
 }
 
 void TargetSet::OnEnded(const TargetId& id, TargetSign sign,
