--- a/daemons/tier/main.cc
+++ b/daemons/tier/main.cc
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "CLI/CLI.hpp"
+#include "absl/strings/str_cat.h"
 #include "base/clock.h"
 #include "engine/event_loop.h"
 #include "platform/http_face.h"
@@ -81,6 +82,9 @@
     LogError("not started", {{"error", GetError(started)->message}});
     return 1;
   }
+  std::cout << absl::StrCat("{\"ready\":true,\"http\":\"",
+                            settings.tier.caller_endpoint, "\"}")
+            << std::endl;
   LogInfo("started", {{"version", CHERRYDYKE_VERSION},
                       {"callers", settings.tier.caller_endpoint},
                       {"store", settings.store_endpoint}});
--- /dev/null
+++ b/tests/soak/tier_soak_test.cc
@@ -0,0 +1,399 @@
+#include <cppunit/extensions/HelperMacros.h>
+#include <signal.h>
+#include <unistd.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "absl/strings/match.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
+#include "base/clock.h"
+#include "support/platform_stand_ins.h"
+#include "support/process.h"
+
+namespace cherrydyke {
+namespace {
+
+using Behaviour = TargetStandIn::Behaviour;
+
+constexpr char kServices[] = "abc";
+constexpr int kReplicas = 3;
+constexpr int kHosts = 4;
+constexpr int kCallersPort = 17'500;
+constexpr int kReadyPort = 17'501;
+constexpr int kFleetPort = 17'502;
+/// Length and seed in CI; a longer soak sets the variables itself.
+constexpr int kSeconds = 20;
+constexpr uint32_t kSeed = 20261204;
+constexpr absl::Duration kCallPeriod = absl::Milliseconds(12);
+constexpr absl::Duration kFaultPeriod = absl::Milliseconds(350);
+/// From the last fault until everything must be served again, as the
+/// platform's bound for recovery.
+constexpr absl::Duration kRecovery = absl::Seconds(12);
+
+int FromEnvironment(const char* name, int fallback) {
+  const char* const text = std::getenv(name);
+  int value = 0;
+  return text != nullptr && absl::SimpleAtoi(text, &value) ? value : fallback;
+}
+
+std::string RecordsOf(char service) { return std::string(16, service); }
+
+std::string Config(int version) {
+  std::string services;
+  for (const char service : std::string(kServices)) {
+    absl::StrAppend(&services, services.empty() ? "" : ",", "{\"name\":\"",
+                    std::string(1, service),
+                    R"(","maxConns":26,"warmupS":0.2,"warmupPerS":1000})");
+  }
+  return absl::StrCat(
+      "{\"version\":", version, R"(,"routes":[)",
+      R"({"name":"all","host":"h","prefix":"/all/","type":"idempotent",)",
+      R"("timeoutMs":900,"targetLatencyMs":150,"attempts":2,"topK":9,)",
+      R"("minCoverage":0.6,"fanout":["a","b","c"]},)",
+      R"({"name":"one","host":"h","prefix":"/one/","type":"non_idempotent",)",
+      R"("timeoutMs":700,"targetLatencyMs":200,"attempts":2,"service":"a"}],)",
+      R"("services":[)", services, R"(],"limits":{}})");
+}
+
+}  // namespace
+
+/// Real processes of the tier between stand-ins, under random faults, several
+/// at once: answers stay true, unsafe requests run at most once, refusals are
+/// true, and all is served again soon after the last fault.
+class TierSoakTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(TierSoakTest);
+  CPPUNIT_TEST(KeepsItsPromisesUnderRandomFaults);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    folder_ = std::filesystem::temp_directory_path() /
+              absl::StrCat("tier-soak-", getpid());
+    std::filesystem::create_directories(folder_);
+    store_ = std::make_unique<StoreStandIn>(loop_, "127.0.0.1:17503");
+    for (const char service : std::string(kServices)) {
+      for (int replica = 0; replica < kReplicas; ++replica) {
+        AddTarget(service, replica);
+      }
+    }
+    store_->Put("op/config", Config(++version_));
+    for (int host = 0; host < kHosts; ++host) StartHost(host);
+  }
+
+  void tearDown() override {
+    hosts_.clear();
+    std::filesystem::remove_all(folder_);
+  }
+
+  void KeepsItsPromisesUnderRandomFaults() {
+    const int seed = FromEnvironment("CHERRYDYKE_SOAK_SEED", kSeed);
+    const int seconds = FromEnvironment("CHERRYDYKE_SOAK_SECONDS", kSeconds);
+    random_.seed(static_cast<uint32_t>(seed));
+    CPPUNIT_ASSERT(WaitUntilServed(absl::Seconds(10)));
+    const absl::Time end = loop_.Now() + absl::Seconds(seconds);
+    absl::Time next_fault = loop_.Now();
+    while (loop_.Now() < end) {
+      StartCall();
+      if (loop_.Now() >= next_fault) {
+        Disturb();
+        next_fault = loop_.Now() + kFaultPeriod;
+      }
+      RunFor(loop_, kCallPeriod);
+      CheckCalls();
+    }
+    CPPUNIT_ASSERT_MESSAGE("served again", WaitUntilServed(kRecovery));
+    RunFor(loop_, absl::Seconds(2));
+    CheckCalls();
+    CheckRuns();
+    std::cerr << "soak: seed " << seed << ", " << served_ << " served, "
+              << refused_ << " refused, " << failed_ << " failed or cut\n";
+    CPPUNIT_ASSERT(served_ > refused_ + failed_);
+  }
+
+ private:
+  struct Call {
+    std::string id;
+    bool unsafe = false;
+    std::shared_ptr<RawConnection> connection;
+    absl::Time begun;
+  };
+
+  static HostId HostAddress(int host) {
+    return absl::StrCat("127.44.0.", host + 1);
+  }
+
+  static std::string Zone(int number) { return number % 2 == 0 ? "x" : "y"; }
+
+  void StartHost(int host) {
+    const HostId address = HostAddress(host);
+    const std::string path = absl::StrCat(folder_.string(), "/", host, ".toml");
+    std::ofstream(path) << absl::StrCat(
+        "node = \"h", host, "\"\nip = \"", address, "\"\nzone = \"", Zone(host),
+        "\"\ninternalPorts = [", kFleetPort, ", ", kFleetPort + 9,
+        "]\nseeds = [\"", HostAddress(0), ":1\", \"", HostAddress(1),
+        ":1\"]\n[zones]\nx = \"north\"\ny = \"south\"\n[listen]\nfront = \"",
+        address, ":", kCallersPort, "\"\nready = \"", address, ":", kReadyPort,
+        "\"\n[bounds]\nretryBudgetRatio = 1\nretryWindowS = 10\n"
+        "retrySlack = 500\nwarmupOverage = 1\nwarmupSlack = 1000\n"
+        "graceS = 6\n[platform]\naddress = \"127.0.0.1:17503\"\n");
+    hosts_.resize(kHosts);
+    hosts_[host] =
+        std::make_unique<Process>("cherrydyke-tier", path, folder_ / "log");
+    CPPUNIT_ASSERT(hosts_[host]->ready());
+  }
+
+  void AddTarget(char service, int replica) {
+    auto target = std::make_unique<TargetStandIn>(
+        loop_, absl::StrCat(std::string(1, service), "-", ++last_target_),
+        RecordsOf(service));
+    store_->Put("servers/" + target->id(),
+                target->Entry(std::string(1, service), Zone(replica)));
+    targets_.push_back(std::move(target));
+  }
+
+  size_t Random(size_t below) { return random_() % below; }
+
+  // Brings about one fault, and its end after a while.
+  void Disturb() {
+    const absl::Duration time = absl::Milliseconds(300 + Random(1200));
+    switch (Random(8)) {
+      case 0:
+        return RestartHost(Random(kHosts), SIGKILL, time);
+      case 1:
+        return RestartHost(Random(kHosts), SIGTERM, absl::Seconds(5));
+      case 2:
+        return FreezeHost(Random(kHosts), time);
+      case 3:
+        store_->SetSilent(true);
+        loop_.RunAfter(time, [this] { store_->SetSilent(false); });
+        return;
+      case 4:
+        store_->SetRefusal(Random(2) == 0 ? 503 : 429);
+        loop_.RunAfter(time, [this] { store_->SetRefusal(0); });
+        return;
+      case 5:
+        store_->ForgetHistory();
+        store_->Put("op/config", Config(++version_));
+        return;
+      case 6:
+        return ReplaceTarget(Random(targets_.size()));
+      default:
+        return SpoilTarget(Random(targets_.size()), time);
+    }
+  }
+
+  void RestartHost(size_t host, int signal, absl::Duration down) {
+    if (disturbed_.count(host) > 0) return;
+    disturbed_.insert(host);
+    hosts_[host]->Signal(signal);
+    loop_.RunAfter(down, [this, host] {
+      hosts_[host]->Kill();
+      StartHost(static_cast<int>(host));
+      disturbed_.erase(host);
+    });
+  }
+
+  void FreezeHost(size_t host, absl::Duration time) {
+    if (disturbed_.count(host) > 0) return;
+    disturbed_.insert(host);
+    hosts_[host]->Freeze();
+    loop_.RunAfter(time, [this, host] {
+      hosts_[host]->Resume();
+      disturbed_.erase(host);
+    });
+  }
+
+  // Ends a target without notice; another one of its service starts.
+  void ReplaceTarget(size_t index) {
+    const std::unique_ptr<TargetStandIn> gone = std::move(targets_[index]);
+    targets_.erase(targets_.begin() + static_cast<std::ptrdiff_t>(index));
+    for (const auto& [id, runs] : gone->runs_by_request()) {
+      gone_runs_[id] += runs;
+    }
+    store_->Remove("servers/" + gone->id());
+    gone->Crash();
+    AddTarget(gone->id()[0], static_cast<int>(Random(2)));
+  }
+
+  void SpoilTarget(size_t index, absl::Duration time) {
+    const std::string id = targets_[index]->id();
+    targets_[index]->SetBehaviour(static_cast<Behaviour>(1 + Random(6)));
+    loop_.RunAfter(time, [this, id] {
+      for (const auto& target : targets_) {
+        if (target->id() == id) target->SetBehaviour(Behaviour::kAnswer);
+      }
+    });
+  }
+
+  void StartCall() {
+    const size_t host = Random(kHosts);
+    if (disturbed_.count(host) > 0) return;
+    Call call;
+    call.id = absl::StrCat("id", ++last_call_);
+    call.unsafe = Random(3) == 0;
+    call.begun = loop_.Now();
+    call.connection = TryConnect(host);
+    if (call.connection == nullptr) return;
+    call.connection->Write(Request(call));
+    if (call.unsafe) unsafe_ids_.insert(call.id);
+    calls_.push_back(std::move(call));
+  }
+
+  std::shared_ptr<RawConnection> TryConnect(size_t host) {
+    try {
+      return RawConnect(loop_, absl::StrCat(HostAddress(static_cast<int>(host)),
+                                            ":", kCallersPort));
+    } catch (const std::exception& error) {
+      std::cerr << "soak: host " << host << ": " << error.what() << "\n";
+      return nullptr;
+    }
+  }
+
+  static std::string Request(const Call& call) {
+    return absl::StrCat(call.unsafe ? "POST /one/x" : "GET /all/x",
+                        " HTTP/1.1\r\nHost: h\r\nCherrydyke-Request-Id: ",
+                        call.id, "\r\nCherrydyke-Deadline-Ms: 1500\r\n",
+                        call.unsafe ? "Content-Length: 2\r\n\r\nhi" : "\r\n");
+  }
+
+  void CheckCalls() {
+    std::vector<Call> open;
+    for (Call& call : calls_) {
+      const bool ended = Complete(call.connection->received()) ||
+                         call.connection->closed_by_peer();
+      if (ended) {
+        CheckAnswer(call);
+      } else if (loop_.Now() - call.begun < absl::Seconds(3)) {
+        open.push_back(std::move(call));
+      } else {
+        ++failed_;
+      }
+    }
+    calls_ = std::move(open);
+  }
+
+  void CheckAnswer(const Call& call) {
+    const std::string& answer = call.connection->received();
+    if (!Complete(answer)) {
+      ++failed_;
+      return;
+    }
+    const std::string status = answer.substr(9, 3);
+    if (status == "503") {
+      ++refused_;
+      if (call.unsafe) not_run_.insert(call.id);
+    } else if (status == "200") {
+      ++served_;
+      CPPUNIT_ASSERT_MESSAGE(answer, absl::StrContains(answer, call.id));
+      if (!call.unsafe) CheckParts(answer);
+    } else {
+      ++failed_;
+      CPPUNIT_ASSERT_MESSAGE(
+          answer, status == "502" || status == "504" || status == "500");
+    }
+  }
+
+  // The body must be just the records of the parts named.
+  static void CheckParts(const std::string& answer) {
+    const std::string stamps = Header(answer, "Cherrydyke-Part-Stamps");
+    std::set<char, std::greater<>> services;
+    for (const std::string part : absl::StrSplit(stamps, ", ")) {
+      CPPUNIT_ASSERT_MESSAGE(answer, services.insert(part[0]).second);
+    }
+    std::string records;
+    for (const char service : services) records += RecordsOf(service);
+    CPPUNIT_ASSERT_EQUAL(records, answer.substr(answer.find("\r\n\r\n") + 4));
+    CPPUNIT_ASSERT_EQUAL(absl::StrCat(3 - services.size()),
+                         Header(answer, "Cherrydyke-Missing-Parts"));
+    CPPUNIT_ASSERT(services.size() >= 2);
+  }
+
+  void CheckRuns() {
+    std::map<std::string, int> runs = gone_runs_;
+    for (const auto& target : targets_) {
+      for (const auto& [id, count] : target->runs_by_request()) {
+        runs[id] += count;
+      }
+    }
+    for (const std::string& id : not_run_) {
+      CPPUNIT_ASSERT_MESSAGE(id + " was said not to run", runs[id] == 0);
+    }
+    for (const std::string& id : unsafe_ids_) {
+      CPPUNIT_ASSERT_MESSAGE(id + " ran twice", runs[id] <= 1);
+    }
+  }
+
+  // Every host answers a whole fan-out.
+  bool WaitUntilServed(absl::Duration limit) {
+    const absl::Time end = loop_.Now() + limit;
+    RunUntil(
+        loop_, [&] { return disturbed_.empty(); }, limit);
+    for (int host = 0; host < kHosts; ++host) {
+      bool whole = false;
+      while (!whole && loop_.Now() < end) {
+        const auto caller = TryConnect(static_cast<size_t>(host));
+        if (caller != nullptr) {
+          caller->Write(Request({"probe", false, caller, loop_.Now()}));
+          RunUntil(
+              loop_, [&] { return Complete(caller->received()); },
+              absl::Seconds(1));
+          whole = Header(caller->received(), "Cherrydyke-Missing-Parts") == "0";
+        }
+        RunFor(loop_, absl::Milliseconds(50));
+      }
+      if (!whole) return false;
+    }
+    return true;
+  }
+
+  static bool Complete(const std::string& answer) {
+    const size_t head = answer.find("\r\n\r\n");
+    size_t length = 0;
+    if (head == std::string::npos ||
+        !absl::SimpleAtoi(Header(answer, "Content-Length"), &length)) {
+      return false;
+    }
+    return answer.size() >= head + 4 + length;
+  }
+
+  static std::string Header(const std::string& answer,
+                            const std::string& name) {
+    const size_t at = answer.find("\r\n" + name + ": ");
+    if (at == std::string::npos) return "";
+    const size_t begin = at + name.size() + 4;
+    return answer.substr(begin, answer.find("\r\n", begin) - begin);
+  }
+
+  BootClock clock_;
+  engine::EventLoop loop_{clock_};
+  std::filesystem::path folder_;
+  std::mt19937 random_;
+  std::unique_ptr<StoreStandIn> store_;
+  std::vector<std::unique_ptr<TargetStandIn>> targets_;
+  std::vector<std::unique_ptr<Process>> hosts_;
+  std::set<size_t> disturbed_;
+  std::vector<Call> calls_;
+  std::map<std::string, int> gone_runs_;
+  std::set<std::string> not_run_;
+  std::set<std::string> unsafe_ids_;
+  int version_ = 0;
+  int last_target_ = 0;
+  int last_call_ = 0;
+  int served_ = 0;
+  int refused_ = 0;
+  int failed_ = 0;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TierSoakTest);
+
+}  // namespace cherrydyke
--- a/tests/support/platform_stand_ins.cc
+++ b/tests/support/platform_stand_ins.cc
@@ -196,13 +196,13 @@
   last_request_ = bytes;
   switch (behaviour_) {
     case Behaviour::kHang:
-      ++runs_;
+      CountRun(bytes);
       return;
     case Behaviour::kLoseAnswer:
-      ++runs_;
+      CountRun(bytes);
       return connection.Reset();
     case Behaviour::kGarble:
-      ++runs_;
+      CountRun(bytes);
       return connection.Write("?? no answer ??\r\n\r\n");
     default:
       break;
@@ -213,6 +213,11 @@
   });
 }
 
+void TargetStandIn::CountRun(const std::string& bytes) {
+  ++runs_;
+  ++runs_by_request_[HeaderOf(bytes, "Cherrydyke-Request-Id")];
+}
+
 std::string TargetStandIn::Answer(const std::string& bytes) {
   const std::string id =
       "Cherrydyke-Request-Id: " + HeaderOf(bytes, "Cherrydyke-Request-Id") +
@@ -225,12 +230,12 @@
       return "HTTP/1.1 421 Misdirected Request\r\n" + id +
              "Content-Length: 0\r\n\r\n";
     case Behaviour::kFail:
-      ++runs_;
+      CountRun(bytes);
       return "HTTP/1.1 500 Internal Server Error\r\n" + id +
              "Cherrydyke-Server-Stamp: " + id_ +
              "-failed\r\nContent-Length: 0\r\n\r\n";
     default:
-      ++runs_;
+      CountRun(bytes);
       return OkResponse(records_, id + "Cherrydyke-Server-Stamp: " + id_ + "." +
                                       std::to_string(runs_) + "\r\n");
   }
--- a/tests/support/platform_stand_ins.h
+++ b/tests/support/platform_stand_ins.h
@@ -104,11 +104,16 @@
   int arrivals() const { return arrivals_; }
   /// Requests that it ran.
   int runs() const { return runs_; }
+  /// @return how often it ran each request, by the request's id.
+  const std::map<std::string, int>& runs_by_request() const {
+    return runs_by_request_;
+  }
   const std::string& last_request() const { return last_request_; }
 
  private:
   void OnRequest(RawConnection& connection, const std::string& bytes);
   std::string Answer(const std::string& bytes);
+  void CountRun(const std::string& bytes);
 
   engine::EventLoop& loop_;
   const std::string id_;
@@ -118,6 +123,7 @@
   absl::Duration delay_;
   int arrivals_ = 0;
   int runs_ = 0;
+  std::map<std::string, int> runs_by_request_;
   std::string last_request_;
 };
 
