--- a/daemons/tier/main.cc
+++ b/daemons/tier/main.cc
@@ -68,7 +68,9 @@
 };
 
 int Serve(const std::string& path, const platform::Settings& settings) {
-  // A reader of the log that has stopped reading must not stop the daemon.
+  // A reader of the log that has stopped reading, or has gone, must not stop
+  // the daemon.
+  signal(SIGPIPE, SIG_IGN);
   fcntl(STDOUT_FILENO, F_SETFL, fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
   StartLogging("cherrydyke-tier", settings.node_name,
                LogOutput::kStandardOutput);
--- a/tests/soak/tier_soak_test.cc
+++ b/tests/soak/tier_soak_test.cc
@@ -307,7 +307,7 @@
   static void CheckParts(const std::string& answer) {
     const std::string stamps = Header(answer, "Cherrydyke-Part-Stamps");
     std::set<char, std::greater<>> services;
-    for (const std::string part : absl::StrSplit(stamps, ", ")) {
+    for (const absl::string_view part : absl::StrSplit(stamps, ", ")) {
       CPPUNIT_ASSERT_MESSAGE(answer, services.insert(part[0]).second);
     }
     std::string records;
