--- a/libs/tier/src/target_set.cc
+++ b/libs/tier/src/target_set.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <limits>
 #include <utility>
 
 #include "membership/rendezvous.h"
@@ -174,7 +175,10 @@
   target.pool->SetLimit(target.connection_limit);
   const double per_second =
       spec->second.warmup_per_s * bounds_.warmup_overage + bounds_.warmup_slack;
-  target.cold_share = ShareOf(per_second, target);
+  // A service that states no rate for cold targets does not limit them.
+  target.cold_share = spec->second.warmup_per_s > 0
+                          ? ShareOf(per_second, target)
+                          : std::numeric_limits<int>::max();
 }
 
 int TargetSet::ShareOf(double whole, const Target& target) const {
--- a/tests/support/platform_stand_ins.cc
+++ b/tests/support/platform_stand_ins.cc
@@ -178,14 +178,15 @@
 
 std::string TargetStandIn::Entry(const std::string& service,
                                  const std::string& zone,
-                                 const std::string& state) const {
+                                 const std::string& state,
+                                 int warmup_left_ms) const {
   return Json({{"service", service},
                {"address", endpoint()},
                {"zone", zone},
                {"version", "v1"},
                {"maxConcurrency", 2},
                {"state", state},
-               {"warmupLeftMs", 0},
+               {"warmupLeftMs", warmup_left_ms},
                {"seq", 1}})
       .dump();
 }
--- a/tests/support/platform_stand_ins.h
+++ b/tests/support/platform_stand_ins.h
@@ -99,7 +99,8 @@
   const std::string& id() const { return id_; }
   /// @return its entry in the store.
   std::string Entry(const std::string& service, const std::string& zone,
-                    const std::string& state = "ready") const;
+                    const std::string& state = "ready",
+                    int warmup_left_ms = 0) const;
   /// Requests that arrived, whatever came of them.
   int arrivals() const { return arrivals_; }
   /// Requests that it ran.
