--- a/libs/dispatch/include/dispatch/route_table.h
+++ b/libs/dispatch/include/dispatch/route_table.h
@@ -25,6 +25,9 @@
     return services_;
   }
 
+  /// @return the services that some route sends to, each once.
+  std::vector<ServiceName> ServicesInUse() const;
+
   /// @param host as the caller sent it: any case, perhaps with a port.
   /// @param path without its query.
   /// @return the route of the host with the longest prefix of the path, or
--- a/libs/dispatch/src/route_table.cc
+++ b/libs/dispatch/src/route_table.cc
@@ -1,6 +1,7 @@
 #include "dispatch/route_table.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "absl/strings/ascii.h"
@@ -21,6 +22,17 @@
   }
 }
 
+std::vector<ServiceName> RouteTable::ServicesInUse() const {
+  std::set<ServiceName> names;
+  for (const Route& route : routes_) {
+    names.insert(route.shards.begin(), route.shards.end());
+    for (const WeightedService& backend : route.backends) {
+      names.insert(backend.service);
+    }
+  }
+  return {names.begin(), names.end()};
+}
+
 const Route* RouteTable::Find(absl::string_view host,
                               absl::string_view path) const {
   host = host.substr(0, host.find(':'));
--- a/libs/dispatch/src/top_records.cc
+++ b/libs/dispatch/src/top_records.cc
@@ -17,8 +17,9 @@
   }
   const size_t kept = std::min(top_k, records.size());
   // Views compare as unsigned bytes.
-  std::partial_sort(records.begin(), records.begin() + kept, records.end(),
-                    std::greater<>());
+  std::partial_sort(records.begin(),
+                    records.begin() + static_cast<std::ptrdiff_t>(kept),
+                    records.end(), std::greater<>());
   std::string merged;
   merged.reserve(kept * kRecordBytes);
   for (size_t index = 0; index < kept; ++index)
--- a/libs/engine/src/beast_message.h
+++ b/libs/engine/src/beast_message.h
@@ -15,7 +15,7 @@
   headers.reserve(8);
   for (const auto& field : fields) {
     headers.push_back(
-        {std::string(field.name_string()), std::string(field.value())});
+        {field.name_string().to_string(), field.value().to_string()});
   }
   return headers;
 }
--- a/libs/engine/src/client_connection.cc
+++ b/libs/engine/src/client_connection.cc
@@ -171,7 +171,7 @@
 void ClientConnection::CompleteResponse() {
   ResponseParser& parser = *socket_->parser;
   HttpResponse response;
-  response.status = parser.get().result_int();
+  response.status = static_cast<int>(parser.get().result_int());
   const bool interim = response.status >= 100 && response.status < 200;
   const bool keeps = KeepsConnection(parser);
   response.headers = CopyHeaders(parser.get());
--- a/libs/engine/src/server_connection.cc
+++ b/libs/engine/src/server_connection.cc
@@ -30,10 +30,11 @@
 std::string Serialize(const HttpResponse& response, bool is_head, bool keep) {
   std::string bytes;
   bytes.reserve(256 + response.body.size());
-  absl::StrAppend(&bytes, "HTTP/1.1 ", response.status, " ",
-                  std::string(http::obsolete_reason(
-                      static_cast<http::status>(response.status))),
-                  "\r\n");
+  absl::StrAppend(
+      &bytes, "HTTP/1.1 ", response.status, " ",
+      http::obsolete_reason(static_cast<http::status>(response.status))
+          .to_string(),
+      "\r\n");
   for (const HttpHeader& header : response.headers) {
     absl::StrAppend(&bytes, header.name, ": ", header.value, "\r\n");
   }
@@ -131,7 +132,8 @@
     return false;
   }
   if (coding == 1) {
-    const std::string value(message[http::field::transfer_encoding]);
+    const std::string value =
+        message[http::field::transfer_encoding].to_string();
     return message.count(http::field::content_length) == 0 &&
            absl::EqualsIgnoreCase(value, "chunked");
   }
@@ -152,8 +154,8 @@
   auto& message = parser_->get();
   keep_alive_ = message.keep_alive();
   request_ = {};
-  request_.method = std::string(message.method_string());
-  request_.target = std::string(message.target());
+  request_.method = message.method_string().to_string();
+  request_.target = message.target().to_string();
   request_.headers = CopyHeaders(message);
   request_.body = std::move(message.body());
   request_.peer = peer_;
@@ -183,7 +185,8 @@
         false);
 }
 
-void ServerConnection::Write(std::shared_ptr<std::string> bytes, bool keep) {
+void ServerConnection::Write(const std::shared_ptr<std::string>& bytes,
+                             bool keep) {
   phase_ = Phase::kWriting;
   deadline_ = state_->loop.Now() + kWriteTimeout;
   asio::async_write(socket_, asio::buffer(*bytes),
--- a/libs/engine/src/server_connection.h
+++ b/libs/engine/src/server_connection.h
@@ -58,7 +58,7 @@
   bool IsProper() const;
   void SendContinue();
   void Dispatch();
-  void Write(std::shared_ptr<std::string> bytes, bool keep);
+  void Write(const std::shared_ptr<std::string>& bytes, bool keep);
   void OnWritten(bool keep);
   void OnPeerClosed();
   void Close();
--- a/libs/engine/tests/connection_pool_test.cc
+++ b/libs/engine/tests/connection_pool_test.cc
@@ -131,7 +131,7 @@
     std::vector<int> order;
     for (int i = 0; i < 4; ++i) {
       PoolRequest request = Request("");
-      request.exchange.done = [&order, i](ExchangeResult) {
+      request.exchange.done = [&order, i](const ExchangeResult&) {
         order.push_back(i);
       };
       pool_->Send(std::move(request));
@@ -247,14 +247,14 @@
              std::to_string(body.size()) + "\r\n\r\n" + body;
     };
     request.exchange.expected_id = id;
-    request.exchange.done = [](ExchangeResult) {};
+    request.exchange.done = [](const ExchangeResult&) {};
     request.max_silence = max_silence_;
     return request;
   }
 
   ExchangeId SendNoting(std::optional<ExchangeStatus>& status) {
     PoolRequest request = Request("");
-    request.exchange.done = [&](ExchangeResult result) {
+    request.exchange.done = [&](const ExchangeResult& result) {
       status = result.status;
     };
     return pool_->Send(std::move(request));
--- a/libs/membership/src/host_table.cc
+++ b/libs/membership/src/host_table.cc
@@ -54,7 +54,8 @@
   const size_t index = static_cast<size_t>(self - hosts.begin());
   const size_t begin = index / options_.group_size * options_.group_size;
   const size_t end = std::min(begin + options_.group_size, hosts.size());
-  return {hosts.begin() + begin, hosts.begin() + end};
+  return {hosts.begin() + static_cast<std::ptrdiff_t>(begin),
+          hosts.begin() + static_cast<std::ptrdiff_t>(end)};
 }
 
 bool HostTable::ShouldRead(absl::Time now) const {
--- a/libs/tier/include/tier/target_set.h
+++ b/libs/tier/include/tier/target_set.h
@@ -81,6 +81,9 @@
   /// Divides the limits anew after a change of the known hosts.
   void OnHostsChanged();
 
+  /// Opens connections for services that routes have begun to name, before
+  /// their first requests would have to wait for them.
+  void Expect(const std::vector<ServiceName>& services);
   void OnRequest(const ServiceName& service);
   std::optional<Placed> Place(const PlacementNeed& need,
                               absl::Time now) override;
--- a/libs/tier/src/fleet_link.cc
+++ b/libs/tier/src/fleet_link.cc
@@ -55,7 +55,7 @@
       datagrams_(loop, [this](const std::string& bytes) { OnDatagram(bytes); }),
       transfers_(
           loop, [] { return engine::ServerLimits(); },
-          [this](std::shared_ptr<engine::ServerExchange> exchange) {
+          [this](const std::shared_ptr<engine::ServerExchange>& exchange) {
             ServeTransfer(*exchange);
           }),
       random_(NewIncarnation()),
--- a/libs/tier/src/target_set.cc
+++ b/libs/tier/src/target_set.cc
@@ -201,6 +201,14 @@
   used_at_[service] = now;
 }
 
+void TargetSet::Expect(const std::vector<ServiceName>& services) {
+  const absl::Time now = loop_.Now();
+  for (const ServiceName& service : services) {
+    used_at_.try_emplace(service, now);
+  }
+  KeepWarm();
+}
+
 void TargetSet::KeepWarm() {
   const absl::Time now = loop_.Now();
   for (const auto& [service, used_at] : used_at_) {
@@ -212,7 +220,9 @@
       ranked.emplace_back(ReplicaCost(StateOf(*target, now), now), target);
     }
     const size_t kept = std::min(ranked.size(), kWarmTargets);
-    std::partial_sort(ranked.begin(), ranked.begin() + kept, ranked.end());
+    std::partial_sort(ranked.begin(),
+                      ranked.begin() + static_cast<std::ptrdiff_t>(kept),
+                      ranked.end());
     for (size_t index = 0; index < kept; ++index) {
       engine::ConnectionPool& pool = *ranked[index].second->pool;
       if (pool.open_connections() == 0) pool.Probe();
--- a/libs/tier/src/tier_node.cc
+++ b/libs/tier/src/tier_node.cc
@@ -51,12 +51,12 @@
           }),
       readiness_(
           loop, [] { return engine::ServerLimits(); },
-          [this](std::shared_ptr<engine::ServerExchange> exchange) {
+          [this](const std::shared_ptr<engine::ServerExchange>& exchange) {
             ServeReadiness(*exchange);
           }),
       metrics_server_(
           loop, [] { return engine::ServerLimits(); },
-          [this](std::shared_ptr<engine::ServerExchange> exchange) {
+          [this](const std::shared_ptr<engine::ServerExchange>& exchange) {
             ServeMetrics(*exchange);
           }) {}
 
@@ -147,6 +147,7 @@
            {"evacuated", config.evacuated.size()}});
   limits_ = config.limits;
   targets_.SetOrders({config.routes->services(), std::move(config.evacuated)});
+  targets_.Expect(config.routes->ServicesInUse());
   queries_.SetRoutes(std::move(config.routes));
 }
 
--- a/tests/support/platform_stand_ins.h
+++ b/tests/support/platform_stand_ins.h
@@ -101,6 +101,8 @@
   std::string Entry(const std::string& service, const std::string& zone,
                     const std::string& state = "ready",
                     int warmup_left_ms = 0) const;
+  /// Connections that it accepted.
+  int connections() const { return server_.accepted(); }
   /// Requests that arrived, whatever came of them.
   int arrivals() const { return arrivals_; }
   /// Requests that it ran.
