--- a/libs/dispatch/include/dispatch/target_health.h
+++ b/libs/dispatch/include/dispatch/target_health.h
@@ -69,7 +69,8 @@
   /// and is not due for a trial.
   bool IsDark(absl::Time now) const;
 
-  /// @return the part of recent exchanges that failed, in [0, 1].
+  /// @return the part of recent exchanges that failed, in [0, 1); cautious
+  /// while there were few.
   double FailureRate(absl::Time now) const;
 
   /// @return whether latency was learned recently.
@@ -86,8 +87,10 @@
   absl::Duration mean_;
   absl::Duration deviation_;
   absl::Time learned_at_ = absl::InfinitePast();
+  /// Exchanges and failures, older ones counting less.
+  double exchanges_ = 0;
   double failures_ = 0;
-  absl::Time failures_at_ = absl::InfinitePast();
+  absl::Time counted_at_ = absl::InfinitePast();
   absl::Time answered_at_ = absl::InfinitePast();
   /// Since when nothing that was sent has been answered.
   absl::Time silent_since_ = absl::InfiniteFuture();
--- a/libs/dispatch/src/replica_choice.cc
+++ b/libs/dispatch/src/replica_choice.cc
@@ -5,9 +5,9 @@
 namespace cherrydyke {
 namespace {
 
-/// What it costs a request to meet a failure. Second sends are few, so a failure
-/// may well lose the part: a replica that fails half of its requests must cost
-/// more than one in another region.
+/// What it costs a request to meet a failure. Second sends are few, so a
+/// failure may well lose the part: a replica that fails half of its requests
+/// must cost more than one in another region.
 constexpr absl::Duration kFailureCost = absl::Milliseconds(250);
 /// Added for a replica that seems not to answer: more than any distance.
 constexpr absl::Duration kSuspectCost = absl::Seconds(2);
--- a/libs/dispatch/src/target_health.cc
+++ b/libs/dispatch/src/target_health.cc
@@ -6,9 +6,11 @@
 namespace cherrydyke {
 namespace {
 
-/// Weight of the newest sample in the smoothed latency and failure rate.
+/// Weight of the newest sample in the smoothed latency.
 constexpr double kLatencyWeight = 0.2;
-constexpr double kFailureWeight = 0.1;
+/// Successes that a target is credited with from the start: so many failures
+/// in a row make it look as bad as good.
+constexpr double kCreditedSuccesses = 3;
 /// Time in which what was learned loses half of its difference from the prior:
 /// a target that is avoided gets another chance after a few of them.
 constexpr absl::Duration kForgetHalf = absl::Seconds(5);
@@ -39,9 +41,10 @@
   // Work that is given up would have taken at least so long.
   if (sign == TargetSign::kBrokenOff) return Learn(latency, now);
   const bool failed = sign != TargetSign::kAnswered;
-  failures_ =
-      FailureRate(now) * (1 - kFailureWeight) + (failed ? kFailureWeight : 0);
-  failures_at_ = now;
+  const double kept = Decay(now - counted_at_);
+  exchanges_ = exchanges_ * kept + 1;
+  failures_ = failures_ * kept + (failed ? 1 : 0);
+  counted_at_ = now;
   if (sign == TargetSign::kUnreachable) {
     silent_since_ = std::min(silent_since_, now);
     return Suspect(kFirstBackoff, now);
@@ -125,12 +128,14 @@
 }
 
 bool TargetHealth::IsDark(absl::Time now) const {
-  return now - silent_since_ > kDarkTime && IsSuspect(now);
+  // A trial after the first silence has found nothing either.
+  const bool tried_again = backoff_ > kFirstBackoff;
+  return tried_again && now - silent_since_ > kDarkTime && IsSuspect(now);
 }
 
 double TargetHealth::FailureRate(absl::Time now) const {
-  if (failures_at_ == absl::InfinitePast()) return 0;
-  return failures_ * Decay(now - failures_at_);
+  const double kept = Decay(now - counted_at_);
+  return failures_ * kept / (exchanges_ * kept + kCreditedSuccesses);
 }
 
 }  // namespace cherrydyke
--- a/libs/dispatch/tests/tables_test.cc
+++ b/libs/dispatch/tests/tables_test.cc
@@ -36,6 +36,8 @@
   CPPUNIT_TEST(AnswerToALaterRequestClearsAnOverdueOne);
   CPPUNIT_TEST(ReplacedTargetDoesNotCountBelowZero);
   CPPUNIT_TEST(SlownessIsForgotten);
+  CPPUNIT_TEST(FailuresShowAtAnyRateOfRequests);
+  CPPUNIT_TEST(DarkOnlyAfterATrialHasFailedToo);
   CPPUNIT_TEST(WorkThatIsGivenUpCountsAsSlow);
   CPPUNIT_TEST_SUITE_END();
 
@@ -146,6 +148,38 @@
     CPPUNIT_ASSERT(at(absl::Seconds(50)) < absl::Milliseconds(20));
   }
 
+  void FailuresShowAtAnyRateOfRequests() {
+    for (const absl::Duration gap :
+         {absl::Milliseconds(30), absl::Milliseconds(700)}) {
+      TargetHealth health(absl::ZeroDuration(), absl::Milliseconds(10));
+      absl::Time now = kStart;
+      const auto exchange = [&](bool good) {
+        now += gap;
+        health.OnSent();
+        health.OnEnded(good ? TargetSign::kAnswered : TargetSign::kRejected,
+                       absl::Milliseconds(5), now);
+      };
+      for (int i = 0; i < 12; ++i) exchange(true);
+      exchange(false);
+      CPPUNIT_ASSERT(health.FailureRate(now) < 0.1);
+      for (int i = 0; i < 12; ++i) exchange(i % 2 == 0);
+      CPPUNIT_ASSERT(health.FailureRate(now) > 0.2);
+    }
+  }
+
+  void DarkOnlyAfterATrialHasFailedToo() {
+    TargetHealth health(absl::ZeroDuration(), absl::Milliseconds(10));
+    health.OnSent();
+    health.OnOverdue(kStart, kStart + absl::Milliseconds(30));
+    const absl::Time later = kStart + absl::Milliseconds(700);
+    CPPUNIT_ASSERT(!health.IsDark(later));
+    health.OnOverdue(later, later + absl::Milliseconds(30));
+    CPPUNIT_ASSERT(health.IsDark(later + absl::Milliseconds(40)));
+    // Now and then it gets a trial.
+    health.OnAbandoned();
+    CPPUNIT_ASSERT(!health.IsDark(later + absl::Seconds(4)));
+  }
+
   void WorkThatIsGivenUpCountsAsSlow() {
     TargetHealth health(absl::ZeroDuration(), absl::Milliseconds(10));
     health.OnSent();
