Drop an object's timers with it; test the link between hosts

The new tests (a host without the store serves from a peer, another takes over reading) ended with a crash at first: timers of a destroyed node fired.

--- a/libs/engine/include/engine/event_loop.h
+++ b/libs/engine/include/engine/event_loop.h
@@ -70,4 +70,38 @@
   absl::Time armed_for_ = absl::InfiniteFuture();
 };
 
+/// The timers of one object: those that are not due when the object goes are
+/// dropped with it.
+class TimerScope {
+ public:
+  explicit TimerScope(EventLoop& loop) : loop_(loop) {}
+  ~TimerScope() { *alive_ = false; }
+  TimerScope(const TimerScope&) = delete;
+  TimerScope& operator=(const TimerScope&) = delete;
+
+  TimerId RunAt(absl::Time when, EventLoop::Task task) {
+    return loop_.RunAt(when, Guard(std::move(task)));
+  }
+  TimerId RunAfter(absl::Duration delay, EventLoop::Task task) {
+    return loop_.RunAfter(delay, Guard(std::move(task)));
+  }
+  void Every(absl::Duration period, EventLoop::Task task) {
+    RunAfter(period, [this, period, task = std::move(task)] {
+      task();
+      Every(period, task);
+    });
+  }
+  void Post(EventLoop::Task task) { loop_.Post(Guard(std::move(task))); }
+
+ private:
+  EventLoop::Task Guard(EventLoop::Task task) const {
+    return [alive = alive_, task = std::move(task)] {
+      if (*alive) task();
+    };
+  }
+
+  EventLoop& loop_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
 }  // namespace cherrydyke::engine
--- a/libs/engine/include/engine/http_caller.h
+++ b/libs/engine/include/engine/http_caller.h
@@ -24,6 +24,7 @@
 
  private:
   EventLoop& loop_;
+  TimerScope timers_{loop_};
   const Endpoint endpoint_;
   ConnectionPool pool_;
 };
--- a/libs/engine/include/engine/http_server.h
+++ b/libs/engine/include/engine/http_server.h
@@ -56,6 +56,7 @@
   /// @param limits read anew for each request, as they may be reconfigured.
   HttpServer(EventLoop& loop, std::function<ServerLimits()> limits,
              Handler handler);
+  /// Closes every connection; requests under way get no answer.
   ~HttpServer();
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
@@ -81,6 +82,7 @@
   void Sweep();
 
   std::shared_ptr<State> state_;
+  TimerScope timers_;
 };
 
 }  // namespace cherrydyke::engine
--- a/libs/engine/src/http_caller.cc
+++ b/libs/engine/src/http_caller.cc
@@ -51,7 +51,7 @@
                  absl::StrCat("no answer from ", endpoint_)});
     }
   };
-  call->timer = loop_.RunAfter(timeout, [this, call] {
+  call->timer = timers_.RunAfter(timeout, [this, call] {
     const Done done = std::exchange(call->done, nullptr);
     pool_.Cancel(call->exchange, absl::ZeroDuration());
     done(Error{ErrorCode::kTimeout,
--- a/libs/engine/src/http_server.cc
+++ b/libs/engine/src/http_server.cc
@@ -26,7 +26,7 @@
 
 HttpServer::HttpServer(EventLoop& loop, std::function<ServerLimits()> limits,
                        Handler handler)
-    : state_(std::make_shared<State>(loop)) {
+    : state_(std::make_shared<State>(loop)), timers_(loop) {
   state_->limits = std::move(limits);
   state_->handler = std::move(handler);
 }
@@ -34,6 +34,9 @@
 HttpServer::~HttpServer() {
   boost::system::error_code ignored;
   state_->acceptor.close(ignored);
+  for (const auto& entry : state_->connections) {
+    if (const auto connection = entry.lock()) connection->Close();
+  }
 }
 
 Status HttpServer::Listen(const Endpoint& endpoint) {
@@ -55,7 +58,7 @@
                  absl::StrCat("listen on ", endpoint, ": ", error.message())};
   }
   Accept();
-  state_->loop.Every(kSweepPeriod, [this] { Sweep(); });
+  timers_.Every(kSweepPeriod, [this] { Sweep(); });
   return OkStatus();
 }
 
@@ -65,7 +68,7 @@
                              asio::ip::tcp::socket socket) {
         if (error == asio::error::operation_aborted) return;
         if (error) {
-          state->loop.RunAfter(kAcceptRetry, [this] { Accept(); });
+          timers_.RunAfter(kAcceptRetry, [this] { Accept(); });
           return;
         }
         auto connection =
--- a/libs/engine/src/server_connection.h
+++ b/libs/engine/src/server_connection.h
@@ -39,6 +39,7 @@
   /// Ends the connection if it has taken longer than the limits allow.
   void CheckTimeout(absl::Time now);
   void CloseIfIdle();
+  void Close();
 
   const HttpRequest& request() const override { return request_; }
   absl::Time received_at() const override { return received_at_; }
@@ -61,7 +62,6 @@
   void Write(const std::shared_ptr<std::string>& bytes, bool keep);
   void OnWritten(bool keep);
   void OnPeerClosed();
-  void Close();
 
   std::shared_ptr<HttpServer::State> state_;
   boost::asio::ip::tcp::socket socket_;
--- a/libs/tier/include/tier/fleet_link.h
+++ b/libs/tier/include/tier/fleet_link.h
@@ -63,6 +63,7 @@
   bool IsBehind(const FleetMessage& message) const;
 
   engine::EventLoop& loop_;
+  engine::TimerScope timers_{loop_};
   const Options options_;
   HostTable& hosts_;
   CrashLedger& crashes_;
--- a/libs/tier/include/tier/query_plane.h
+++ b/libs/tier/include/tier/query_plane.h
@@ -72,6 +72,7 @@
   absl::Duration RetryAfter();
 
   engine::EventLoop& loop_;
+  engine::TimerScope timers_{loop_};
   const CallerFace& face_;
   TargetSet& targets_;
   CrashLedger& crashes_;
--- a/libs/tier/include/tier/target_set.h
+++ b/libs/tier/include/tier/target_set.h
@@ -134,6 +134,7 @@
   Target* Find(const TargetId& id) const;
 
   engine::EventLoop& loop_;
+  engine::TimerScope timers_{loop_};
   const Locality locality_;
   const FleetBounds bounds_;
   const engine::ClientOptions options_;
--- a/libs/tier/include/tier/tier_node.h
+++ b/libs/tier/include/tier/tier_node.h
@@ -84,6 +84,7 @@
   void RegisterGauges();
 
   engine::EventLoop& loop_;
+  engine::TimerScope timers_{loop_};
   const TierSettings settings_;
   const TierFaces faces_;
   Metrics metrics_;
--- a/libs/tier/src/fleet_link.cc
+++ b/libs/tier/src/fleet_link.cc
@@ -72,7 +72,7 @@
   if (Status bound = transfers_.Listen(own); GetError(bound)) return bound;
   started_at_ = loop_.Now();
   NextRound();
-  loop_.Every(kGossipPeriod, [this] { NextRound(); });
+  timers_.Every(kGossipPeriod, [this] { NextRound(); });
   return OkStatus();
 }
 
--- a/libs/tier/src/query_plane.cc
+++ b/libs/tier/src/query_plane.cc
@@ -205,7 +205,7 @@
   if (!request->route->idempotent) out.max_silence = kProvedConnection;
   attempt.exchange = targets_.Send(send.target, std::move(out));
   if (attempt.exchange == 0) {
-    loop_.Post([this, request, index = send.attempt] {
+    timers_.Post([this, request, index = send.attempt] {
       OnResult(request, index, {});
     });
   }
@@ -254,7 +254,7 @@
   if (next == request->timer_at) return;
   loop_.Cancel(request->timer);
   request->timer_at = next;
-  request->timer = loop_.RunAt(next, [this, request] {
+  request->timer = timers_.RunAt(next, [this, request] {
     request->timer_at = absl::InfiniteFuture();
     Perform(request, request->run->OnTimer(loop_.Now()));
   });
--- a/libs/tier/src/target_set.cc
+++ b/libs/tier/src/target_set.cc
@@ -46,7 +46,7 @@
       observer_(observer),
       budget_(bounds) {
   budget_.SetHosts(hosts.SharingHosts(loop.Now()));
-  loop.Every(kWarmPeriod, [this] { KeepWarm(); });
+  timers_.Every(kWarmPeriod, [this] { KeepWarm(); });
 }
 
 TargetSet::~TargetSet() = default;
@@ -84,7 +84,7 @@
   }
   DropGone(now);
   if (missing_grace > absl::ZeroDuration()) {
-    loop_.RunAfter(missing_grace, [this] { DropGone(loop_.Now()); });
+    timers_.RunAfter(missing_grace, [this] { DropGone(loop_.Now()); });
   }
 }
 
--- a/libs/tier/src/tier_node.cc
+++ b/libs/tier/src/tier_node.cc
@@ -82,8 +82,8 @@
        }});
   if (GetError(linked)) return linked;
   faces_.source.Start(config_items_, target_items_, *this);
-  loop_.Every(kReaderCheckPeriod, [this] { ChooseReader(); });
-  loop_.Every(kLoadLogPeriod, [this] { LogLoad(); });
+  timers_.Every(kReaderCheckPeriod, [this] { ChooseReader(); });
+  timers_.Every(kLoadLogPeriod, [this] { LogLoad(); });
   return OkStatus();
 }
 
@@ -212,7 +212,7 @@
       return loop_.Stop();
     }
   }
-  loop_.RunAfter(kStopStep, [this] { ContinueStop(); });
+  timers_.RunAfter(kStopStep, [this] { ContinueStop(); });
 }
 
 }  // namespace cherrydyke
