--- a/libs/dispatch/src/target_health.cc
+++ b/libs/dispatch/src/target_health.cc
@@ -11,6 +11,9 @@
 /// Successes that a target is credited with from the start: so many failures
 /// in a row make it look as bad as good.
 constexpr double kCreditedSuccesses = 3;
+/// Exchanges that the failure rate looks back on at most: with many requests a
+/// change shows within a fraction of a second.
+constexpr double kMostExchanges = 15;
 /// Time in which what was learned loses half of its difference from the prior:
 /// a target that is avoided gets another chance after a few of them.
 constexpr absl::Duration kForgetHalf = absl::Seconds(5);
@@ -41,7 +44,9 @@
   // Work that is given up would have taken at least so long.
   if (sign == TargetSign::kBrokenOff) return Learn(latency, now);
   const bool failed = sign != TargetSign::kAnswered;
-  const double kept = Decay(now - counted_at_);
+  const double kept =
+      std::min(Decay(now - counted_at_),
+               kMostExchanges / std::max(exchanges_, kMostExchanges));
   exchanges_ = exchanges_ * kept + 1;
   failures_ = failures_ * kept + (failed ? 1 : 0);
   counted_at_ = now;
--- a/tests/support/platform_stand_ins.cc
+++ b/tests/support/platform_stand_ins.cc
@@ -209,7 +209,7 @@
       break;
   }
   if (delay_ == absl::ZeroDuration()) return connection.Write(Answer(bytes));
-  loop_.RunAfter(delay_, [this, &connection, answer = Answer(bytes)] {
+  loop_.RunAfter(delay_, [&connection, answer = Answer(bytes)] {
     connection.Write(answer);
   });
 }
