--- a/libs/engine/include/engine/client_connection.h
+++ b/libs/engine/include/engine/client_connection.h
@@ -94,6 +94,8 @@
   bool IsOpen() const {
     return state_ == State::kIdle || state_ == State::kBusy;
   }
+  /// @return whether it has carried an answer.
+  bool has_served() const { return has_served_; }
   /// @return when the connection was opened or last answered.
   absl::Time proved_at() const { return proved_at_; }
   /// @return how long the server keeps an idle connection, if it said so.
@@ -125,6 +127,7 @@
   Exchange exchange_;
   /// Whether a part of a request is not yet handed to the kernel.
   bool writing_ = false;
+  bool has_served_ = false;
   TimerId connect_timer_ = 0;
   absl::Time proved_at_;
   absl::Duration idle_limit_ = absl::InfiniteDuration();
--- a/libs/engine/include/engine/connection_pool.h
+++ b/libs/engine/include/engine/connection_pool.h
@@ -32,8 +32,9 @@
     virtual ~Listener() = default;
     /// A connection attempt was refused or not answered in time.
     virtual void OnConnectFailed(bool refused) = 0;
-    /// The server ended an open connection that carried no request.
-    virtual void OnIdleClosed() = 0;
+    /// The server ended a connection before it had answered anything on it, as
+    /// one does that has too many.
+    virtual void OnTurnedAway() = 0;
     virtual void OnConnected() = 0;
   };
 
@@ -63,6 +64,9 @@
   /// Drops connections that carry no request.
   void CloseIdle();
 
+  /// @return whether the server has just turned a connection away, so that none
+  /// is opened for requests.
+  bool is_paused() const { return loop_.Now() < open_after_; }
   int open_connections() const { return static_cast<int>(members_.size()); }
   size_t waiting() const { return queue_.size(); }
   /// @return whether a request sent now would not have to wait for another.
@@ -91,6 +95,7 @@
   void Open();
   void Pump();
   void FailWaiting();
+  void OnTurnedAway();
   void ReportLater(std::function<void(ExchangeResult)> done,
                    ExchangeStatus status);
 
@@ -103,6 +108,9 @@
   std::deque<Waiting> queue_;
   ExchangeId last_exchange_ = 0;
   int connecting_ = 0;
+  /// A server that turned connections away gets no new one until then.
+  absl::Time open_after_ = absl::InfinitePast();
+  absl::Duration open_pause_;
   /// Lets posted work notice that the pool is gone.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/libs/engine/src/client_connection.cc
+++ b/libs/engine/src/client_connection.cc
@@ -183,6 +183,7 @@
   if (interim || foreign) return ResetParser();
   NoteKeepAlive(response);
   proved_at_ = loop_.Now();
+  has_served_ = true;
   // Where a part of the request is still unsent, the server takes whatever
   // comes next for the rest of it.
   if (!keeps || writing_ || socket_->input.size() > 0) {
--- a/libs/engine/src/connection_pool.cc
+++ b/libs/engine/src/connection_pool.cc
@@ -4,6 +4,14 @@
 #include <utility>
 
 namespace cherrydyke::engine {
+namespace {
+
+/// Pause before a new connection to a server that turned one away: doubled each
+/// time, up to the longest, until it answers again.
+constexpr absl::Duration kFirstOpenPause = absl::Milliseconds(100);
+constexpr absl::Duration kLongestOpenPause = absl::Seconds(2);
+
+}  // namespace
 
 ConnectionPool::ConnectionPool(EventLoop& loop, Endpoint endpoint,
                                ClientOptions options, int limit,
@@ -58,6 +66,7 @@
     queue_.pop_front();
     Assign(*idle, std::move(next));
   }
+  if (is_paused()) return FailWaiting();
   while (connecting_ < static_cast<int>(queue_.size()) &&
          open_connections() < limit_) {
     Open();
@@ -98,6 +107,9 @@
                                    done =
                                        std::move(done)](ExchangeResult result) {
     if (!*alive) return;
+    if (result.status == ExchangeStatus::kComplete) {
+      open_pause_ = absl::ZeroDuration();
+    }
     if (Member* const member = Find(*raw)) {
       member->exchange = 0;
       loop_.Cancel(std::exchange(member->break_off, 0));
@@ -179,7 +191,6 @@
                               bool by_peer) {
   Member* const member = Find(connection);
   if (member == nullptr) return;
-  const bool carried = member->exchange != 0;
   loop_.Cancel(member->break_off);
   members_.erase(members_.begin() + (member - members_.data()));
   if (!was_open) {
@@ -188,17 +199,24 @@
     if (connecting_ == 0) FailWaiting();
     return;
   }
-  if (by_peer && !carried && listener_ != nullptr) listener_->OnIdleClosed();
+  if (by_peer && !connection.has_served()) OnTurnedAway();
   loop_.Post([this, alive = alive_] {
     if (*alive) Pump();
   });
 }
 
+void ConnectionPool::OnTurnedAway() {
+  open_pause_ = std::clamp(open_pause_ * 2, kFirstOpenPause, kLongestOpenPause);
+  open_after_ = loop_.Now() + open_pause_;
+  if (listener_ != nullptr) listener_->OnTurnedAway();
+  if (connecting_ == 0) FailWaiting();
+}
+
 void ConnectionPool::FailWaiting() {
   const bool any_open = std::any_of(
       members_.begin(), members_.end(),
       [](const Member& member) { return member.connection->IsOpen(); });
-  if (any_open) return;
+  if (any_open || connecting_ > 0) return;
   std::deque<Waiting> failed;
   failed.swap(queue_);
   for (Waiting& entry : failed) {
--- a/libs/membership/include/membership/host_table.h
+++ b/libs/membership/include/membership/host_table.h
@@ -64,8 +64,9 @@
 class HostTable {
  public:
   struct Options {
-    /// Hosts assumed to share limits until the fleet had time to find itself.
-    int initial_hosts = 16;
+    /// Hosts assumed to share limits until the fleet had time to find itself:
+    /// after a loss of power all start at once, and none knows how many.
+    int initial_hosts = 100;
     /// From the first peer heard until the known hosts are taken for all.
     absl::Duration settle_time = absl::Seconds(3);
     /// A host not heard by anybody for this long is not gossiped with.
--- a/libs/tier/src/target.cc
+++ b/libs/tier/src/target.cc
@@ -37,7 +37,10 @@
   health.OnOverdue(now, now);
 }
 
-void TargetSet::Target::OnIdleClosed() {}
+void TargetSet::Target::OnTurnedAway() {
+  const absl::Time now = set.loop_.Now();
+  health.OnOverdue(now, now);
+}
 
 void TargetSet::Target::OnConnected() {
   if (!unreachable_) return;
--- a/libs/tier/src/target.h
+++ b/libs/tier/src/target.h
@@ -38,7 +38,7 @@
 
  private:
   void OnConnectFailed(bool refused) override;
-  void OnIdleClosed() override;
+  void OnTurnedAway() override;
   void OnConnected() override;
   void ConfirmCrash();
 
--- a/libs/tier/src/target_set.cc
+++ b/libs/tier/src/target_set.cc
@@ -225,7 +225,7 @@
                       ranked.end());
     for (size_t index = 0; index < kept; ++index) {
       engine::ConnectionPool& pool = *ranked[index].second->pool;
-      if (pool.open_connections() == 0) pool.Probe();
+      if (pool.open_connections() == 0 && !pool.is_paused()) pool.Probe();
     }
   }
 }
