--- a/libs/dispatch/include/dispatch/target_health.h
+++ b/libs/dispatch/include/dispatch/target_health.h
@@ -73,8 +73,6 @@
   /// while there were few.
   double FailureRate(absl::Time now) const;
 
-  /// @return whether latency was learned recently.
-  bool HasLatency(absl::Time now) const;
   int outstanding() const { return outstanding_; }
 
  private:
--- a/libs/dispatch/src/target_health.cc
+++ b/libs/dispatch/src/target_health.cc
@@ -98,10 +98,6 @@
   return prior_ + (mean_ - prior_) * Decay(now - learned_at_);
 }
 
-bool TargetHealth::HasLatency(absl::Time now) const {
-  return now - learned_at_ < kForgetHalf;
-}
-
 absl::Duration TargetHealth::Expected(int slots, int connections,
                                       absl::Time now) const {
   const absl::Duration mean = Mean(now);
--- a/libs/engine/include/engine/connection_pool.h
+++ b/libs/engine/include/engine/connection_pool.h
@@ -69,8 +69,6 @@
   bool is_paused() const { return loop_.Now() < open_after_; }
   int open_connections() const { return static_cast<int>(members_.size()); }
   size_t waiting() const { return queue_.size(); }
-  /// @return whether a request sent now would not have to wait for another.
-  bool HasRoom() const;
 
  private:
   struct Waiting {
--- a/libs/engine/src/connection_pool.cc
+++ b/libs/engine/src/connection_pool.cc
@@ -44,13 +44,6 @@
   }
 }
 
-bool ConnectionPool::HasRoom() const {
-  const bool any_idle = std::any_of(
-      members_.begin(), members_.end(),
-      [](const Member& member) { return member.connection->IsIdle(); });
-  return queue_.empty() && (any_idle || open_connections() < limit_);
-}
-
 ExchangeId ConnectionPool::Send(PoolRequest request) {
   const ExchangeId id = ++last_exchange_;
   queue_.push_back({id, std::move(request)});
