Use one piece where the tier had written it twice, and drop what nothing used

- ParseCommandLine and PrintReady move from libs/hosting to libs/kernel, and cherrydyke-tier calls them in place of its own copies.
- TimerScope is the one way to repeat a task and to drop an object's timers: the loop's own Every and the connection pool's flag go.
- How far a failure domain is was worked out in three places and for each send; now once for a target.
A division ranks the hosts once, not twice, and takes the list of hosts once for all targets.
- Merging published items said which keys changed; callers only ask whether any.
Not used by anything: ExtraBudget::Left, ConnectionPool::CloseIdle and waiting, TargetSet::budget, a refusal reason, the warm-up time of replies (only health answers carry it).

--- a/daemons/tier/main.cc
+++ b/daemons/tier/main.cc
@@ -9,9 +9,9 @@
 #include <string>
 
 #include "CLI/CLI.hpp"
-#include "absl/strings/str_cat.h"
 #include "base/clock.h"
 #include "engine/event_loop.h"
+#include "kernel/command_line.h"
 #include "platform/http_face.h"
 #include "platform/published_decoder.h"
 #include "platform/settings.h"
@@ -84,9 +84,7 @@
     LogError("not started", {{"error", GetError(started)->message}});
     return 1;
   }
-  std::cout << absl::StrCat("{\"ready\":true,\"http\":\"",
-                            settings.tier.caller_endpoint, "\"}")
-            << std::endl;
+  PrintReady({{"http", settings.tier.caller_endpoint}});
   LogInfo("started", {{"version", CHERRYDYKE_VERSION},
                       {"callers", settings.tier.caller_endpoint},
                       {"store", settings.store_endpoint}});
@@ -94,7 +92,8 @@
   loop.OnSignal(SIGTERM, [&] { node.BeginStop(); });
   loop.OnSignal(SIGINT, [&] { node.BeginStop(); });
   loop.OnSignal(SIGHUP, [&] { watcher.Reload(); });
-  loop.Every(kSettingsCheckPeriod, [&] { watcher.Check(); });
+  engine::TimerScope timers(loop);
+  timers.Every(kSettingsCheckPeriod, [&] { watcher.Check(); });
   loop.Run();
   return 0;
 }
@@ -109,12 +108,7 @@
                  "environment names");
   app.add_flag("--check", check, "check the settings and exit");
   app.set_version_flag("--version", CHERRYDYKE_VERSION);
-  try {
-    app.parse(argc, argv);
-  } catch (const CLI::ParseError& error) {
-    const int code = app.exit(error);
-    return code == 0 ? 0 : kFaultExitCode;
-  }
+  if (const auto code = ParseCommandLine(app, argc, argv)) return *code;
   const auto read = platform::ReadSettings(path);
   if (const auto* faults = std::get_if<platform::SettingsFaults>(&read)) {
     PrintFaults(*faults);
--- a/libs/dispatch/include/dispatch/extra_budget.h
+++ b/libs/dispatch/include/dispatch/extra_budget.h
@@ -36,9 +36,6 @@
   /// @return whether it may be sent.
   bool TryTake(const ServiceName& service, ExtraUse use, absl::Time now);
 
-  /// @return extra sends left for needed uses.
-  double Left(const ServiceName& service, absl::Time now);
-
  private:
   struct Use {
     SlidingCount requests;
--- a/libs/dispatch/include/dispatch/request_run.h
+++ b/libs/dispatch/include/dispatch/request_run.h
@@ -139,6 +139,7 @@
             RunActions& actions);
   void Retry(size_t part, absl::Time now, RunActions& actions);
   absl::Time OverdueAt(const Placed& placed, absl::Time now) const;
+  void GiveUp(Part& part);
   ExtraUse UseOf(size_t part) const;
   bool MayHedge(const Part& part) const;
   void Settle(absl::Time now, RunActions& actions);
--- a/libs/dispatch/include/dispatch/target_health.h
+++ b/libs/dispatch/include/dispatch/target_health.h
@@ -78,7 +78,7 @@
  private:
   absl::Duration Mean(absl::Time now) const;
   void Learn(absl::Duration latency, absl::Time now);
-  void Suspect(absl::Duration floor, absl::Time now);
+  void Suspect(absl::Time now);
 
   const absl::Duration prior_;
   const absl::Duration prior_deviation_;
--- a/libs/dispatch/src/extra_budget.cc
+++ b/libs/dispatch/src/extra_budget.cc
@@ -43,9 +43,4 @@
   return true;
 }
 
-double ExtraBudget::Left(const ServiceName& service, absl::Time now) {
-  Use& state = UseOf(service);
-  return Allowance(state, now) - static_cast<double>(state.extras.Count(now));
-}
-
 }  // namespace cherrydyke
--- a/libs/dispatch/src/request_run.cc
+++ b/libs/dispatch/src/request_run.cc
@@ -22,10 +22,7 @@
 RunActions RequestRun::Start(absl::Time now) {
   RunActions actions;
   for (size_t part = 0; part < parts_.size(); ++part) {
-    if (!Send(part, std::nullopt, now, actions)) {
-      parts_[part].given_up = true;
-      ++given_up_;
-    }
+    if (!Send(part, std::nullopt, now, actions)) GiveUp(parts_[part]);
   }
   if (parts_.size() - given_up_ < plan_.needed) {
     // Nothing of this has left the process yet.
@@ -136,7 +133,10 @@
       Send(index, UseOf(index), now, actions)) {
     return;
   }
-  if (part.running > 0) return;
+  if (part.running == 0) GiveUp(part);
+}
+
+void RequestRun::GiveUp(Part& part) {
   part.given_up = true;
   part.overdue_at = absl::InfiniteFuture();
   ++given_up_;
--- a/libs/dispatch/src/target_health.cc
+++ b/libs/dispatch/src/target_health.cc
@@ -52,7 +52,7 @@
   counted_at_ = now;
   if (sign == TargetSign::kUnreachable) {
     silent_since_ = std::min(silent_since_, now);
-    return Suspect(kFirstBackoff, now);
+    return Suspect(now);
   }
   if (sign == TargetSign::kLost) return;
   answered_at_ = now;
@@ -79,12 +79,12 @@
   // Answers to later requests show that the target is well.
   if (answered_at_ > sent_at) return;
   silent_since_ = std::min(silent_since_, sent_at);
-  Suspect(kFirstBackoff, now);
+  Suspect(now);
 }
 
-void TargetHealth::Suspect(absl::Duration floor, absl::Time now) {
+void TargetHealth::Suspect(absl::Time now) {
   if (now < suspect_until_) return;
-  backoff_ = std::clamp(backoff_ * 2, floor, kLongestBackoff);
+  backoff_ = std::clamp(backoff_ * 2, kFirstBackoff, kLongestBackoff);
   suspect_until_ = now + backoff_;
 }
 
--- a/libs/engine/include/engine/connection_pool.h
+++ b/libs/engine/include/engine/connection_pool.h
@@ -61,14 +61,10 @@
   /// still accepts any.
   void Probe();
 
-  /// Drops connections that carry no request.
-  void CloseIdle();
-
   /// @return whether the server has just turned a connection away, so that none
   /// is opened for requests.
   bool is_paused() const { return loop_.Now() < open_after_; }
   int open_connections() const { return static_cast<int>(members_.size()); }
-  size_t waiting() const { return queue_.size(); }
 
  private:
   struct Waiting {
@@ -98,6 +94,7 @@
                    ExchangeStatus status);
 
   EventLoop& loop_;
+  TimerScope timers_{loop_};
   const Endpoint endpoint_;
   const ClientOptions options_;
   int limit_;
@@ -109,8 +106,6 @@
   /// A server that turned connections away gets no new one until then.
   absl::Time open_after_ = absl::InfinitePast();
   absl::Duration open_pause_;
-  /// Lets posted work notice that the pool is gone.
-  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 }  // namespace cherrydyke::engine
--- a/libs/engine/include/engine/event_loop.h
+++ b/libs/engine/include/engine/event_loop.h
@@ -39,8 +39,6 @@
   TimerId RunAfter(absl::Duration delay, Task task) {
     return RunAt(Now() + delay, std::move(task));
   }
-  /// Runs `task` every `period`, counted from its previous end.
-  void Every(absl::Duration period, Task task);
   /// Forgets a timer; one that has fired or is 0 is ignored.
   void Cancel(TimerId timer);
 
@@ -85,6 +83,7 @@
   TimerId RunAfter(absl::Duration delay, EventLoop::Task task) {
     return loop_.RunAfter(delay, Guard(std::move(task)));
   }
+  /// Runs `task` every `period`, counted from its previous end.
   void Every(absl::Duration period, EventLoop::Task task) {
     RunAfter(period, [this, period, task = std::move(task)] {
       task();
--- a/libs/engine/src/client_connection.cc
+++ b/libs/engine/src/client_connection.cc
@@ -35,8 +35,8 @@
 /// connection, in milliseconds: within a few seconds, as partitions last.
 constexpr unsigned kTcpUserTimeoutMs = 4000;
 
-/// A response without length ends with its connection; told so in words,
-/// because callers of this connection see the whole body only.
+/// A response without length ends with its connection, whatever its headers
+/// say.
 bool KeepsConnection(const ResponseParser& parser) {
   return parser.get().keep_alive() && !parser.get().need_eof();
 }
--- a/libs/engine/src/connection_pool.cc
+++ b/libs/engine/src/connection_pool.cc
@@ -23,9 +23,7 @@
       listener_(listener) {}
 
 ConnectionPool::~ConnectionPool() {
-  *alive_ = false;
   for (Member& member : members_) {
-    loop_.Cancel(member.break_off);
     member.connection->Detach();
     member.connection->Close();
   }
@@ -96,19 +94,17 @@
   const auto connection = member.connection;
   ClientConnection* const raw = connection.get();
   auto done = std::move(waiting.request.exchange.done);
-  waiting.request.exchange.done = [this, raw, alive = alive_,
-                                   done =
-                                       std::move(done)](ExchangeResult result) {
-    if (!*alive) return;
-    if (result.status == ExchangeStatus::kComplete) {
-      open_pause_ = absl::ZeroDuration();
-    }
-    if (Member* const member = Find(*raw)) {
-      member->exchange = 0;
-      loop_.Cancel(std::exchange(member->break_off, 0));
-    }
-    done(std::move(result));
-  };
+  waiting.request.exchange.done =
+      [this, raw, done = std::move(done)](ExchangeResult result) {
+        if (result.status == ExchangeStatus::kComplete) {
+          open_pause_ = absl::ZeroDuration();
+        }
+        if (Member* const member = Find(*raw)) {
+          member->exchange = 0;
+          loop_.Cancel(std::exchange(member->break_off, 0));
+        }
+        done(std::move(result));
+      };
   connection->Start(std::move(waiting.request.exchange));
 }
 
@@ -143,7 +139,7 @@
   for (Member& member : members_) {
     if (member.exchange != exchange || member.break_off != 0) continue;
     member.break_off =
-        loop_.RunAfter(grace, [this, connection = member.connection] {
+        timers_.RunAfter(grace, [this, connection = member.connection] {
           if (Member* const broken = Find(*connection)) {
             broken->break_off = 0;
             connection->BreakOff();
@@ -155,23 +151,13 @@
 
 void ConnectionPool::ReportLater(std::function<void(ExchangeResult)> done,
                                  ExchangeStatus status) {
-  loop_.Post([alive = alive_, done = std::move(done), status] {
-    if (*alive) done({status, {}});
-  });
+  timers_.Post([done = std::move(done), status] { done({status, {}}); });
 }
 
 void ConnectionPool::Probe() {
   if (connecting_ == 0 && open_connections() < limit_) Open();
 }
 
-void ConnectionPool::CloseIdle() {
-  std::vector<std::shared_ptr<ClientConnection>> idle;
-  for (const Member& member : members_) {
-    if (member.connection->IsIdle()) idle.push_back(member.connection);
-  }
-  for (const auto& connection : idle) connection->Close();
-}
-
 void ConnectionPool::OnOpened(ClientConnection& /*connection*/) {
   --connecting_;
   if (listener_ != nullptr) listener_->OnConnected();
@@ -193,9 +179,7 @@
     return;
   }
   if (by_peer && !connection.has_served()) OnTurnedAway();
-  loop_.Post([this, alive = alive_] {
-    if (*alive) Pump();
-  });
+  timers_.Post([this] { Pump(); });
 }
 
 void ConnectionPool::OnTurnedAway() {
--- a/libs/engine/src/event_loop.cc
+++ b/libs/engine/src/event_loop.cc
@@ -32,13 +32,6 @@
   return timer;
 }
 
-void EventLoop::Every(absl::Duration period, Task task) {
-  RunAfter(period, [this, period, task = std::move(task)] {
-    task();
-    Every(period, task);
-  });
-}
-
 void EventLoop::Cancel(TimerId timer) {
   const auto found = due_.find(timer);
   if (found == due_.end()) return;
--- a/libs/hosting/include/hosting/program.h
+++ b/libs/hosting/include/hosting/program.h
@@ -7,32 +7,19 @@
 
 #include "adapters/http_server.h"
 #include "hosting/settings.h"
+#include "kernel/command_line.h"
 #include "telemetry/metrics.h"
 #include "telemetry/span.h"
 #include "wire/cut.h"
 
-namespace CLI {
-class App;
-}  // namespace CLI
-
 namespace cherrydyke {
 
-/// Parses a program's command line; prints help, version or the fault.
-/// @return the exit code if the program is to end here: 0 after help or
-/// version, 2 for a fault.
-std::optional<int> ParseCommandLine(CLI::App& app, int argc, char** argv);
-
 /// Blocks the signals that stop a program; call before any thread starts.
 void BlockStopSignals();
 
 /// Waits for SIGTERM or SIGINT.
 void WaitForStopSignal();
 
-/// Prints the line that tells that a program is listening.
-/// @param addresses names and `IP:PORT` of what it listens on.
-void PrintReady(
-    const std::vector<std::pair<std::string, std::string>>& addresses);
-
 /// Runs a daemon's `main`: reads the command line (`--config`, `--check`,
 /// `--version`, `--help`), checks the settings and calls `run`.
 /// @return the exit code; 2 for faults in the command line or settings.
--- a/libs/hosting/src/program.cc
+++ b/libs/hosting/src/program.cc
@@ -3,7 +3,6 @@
 #include <signal.h>
 #include <unistd.h>
 
-#include <cstdio>
 #include <iostream>
 #include <set>
 
@@ -46,15 +45,6 @@
 
 }  // namespace
 
-std::optional<int> ParseCommandLine(CLI::App& app, int argc, char** argv) {
-  try {
-    app.parse(argc, argv);
-  } catch (const CLI::ParseError& error) {
-    return app.exit(error) == 0 ? 0 : 2;
-  }
-  return std::nullopt;
-}
-
 void BlockStopSignals() {
   const sigset_t signals = StopSignals();
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
@@ -69,14 +59,6 @@
 
 void RequestStop() { kill(getpid(), SIGTERM); }
 
-void PrintReady(
-    const std::vector<std::pair<std::string, std::string>>& addresses) {
-  nlohmann::ordered_json line = {{"ready", true}};
-  for (const auto& [name, address] : addresses) line[name] = address;
-  std::printf("%s\n", line.dump().c_str());
-  std::fflush(stdout);
-}
-
 int RunDaemonMain(int argc, char** argv, const std::string& name,
                   const std::string& description,
                   const std::function<int(const DaemonSettings&)>& run) {
--- /dev/null
+++ b/libs/kernel/src/command_line.cc
@@ -0,0 +1,27 @@
+#include "kernel/command_line.h"
+
+#include <cstdio>
+
+#include "CLI/CLI.hpp"
+#include "nlohmann/json.hpp"
+
+namespace cherrydyke {
+
+std::optional<int> ParseCommandLine(CLI::App& app, int argc, char** argv) {
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& error) {
+    return app.exit(error) == 0 ? 0 : 2;
+  }
+  return std::nullopt;
+}
+
+void PrintReady(
+    const std::vector<std::pair<std::string, std::string>>& addresses) {
+  nlohmann::ordered_json line = {{"ready", true}};
+  for (const auto& [name, address] : addresses) line[name] = address;
+  std::printf("%s\n", line.dump().c_str());
+  std::fflush(stdout);
+}
+
+}  // namespace cherrydyke
--- a/libs/membership/include/membership/host_table.h
+++ b/libs/membership/include/membership/host_table.h
@@ -107,6 +107,9 @@
   /// @return the most hosts that may share a limit.
   int SharingHosts(absl::Time now) const;
 
+  /// @return how many hosts were ever known, this one included.
+  int known_hosts() const { return static_cast<int>(peers_.size()) + 1; }
+
   /// @return every host ever known, this one included, sorted.
   std::vector<KnownHost> KnownHosts() const;
 
--- a/libs/membership/src/host_table.cc
+++ b/libs/membership/src/host_table.cc
@@ -100,8 +100,7 @@
 }
 
 int HostTable::SharingHosts(absl::Time now) const {
-  const int known = static_cast<int>(peers_.size()) + 1;
-  const int most = std::max(known, told_hosts_);
+  const int most = std::max(known_hosts(), told_hosts_);
   const bool settled = now - first_heard_ >= options_.settle_time;
   return settled ? most : std::max(most, options_.initial_hosts);
 }
--- a/libs/tier/include/tier/caller_face.h
+++ b/libs/tier/include/tier/caller_face.h
@@ -35,8 +35,6 @@
   /// The target's signature of its answer.
   std::string stamp;
   std::optional<TargetLoad> load;
-  /// How much longer the target stays cold, if it says so.
-  std::optional<absl::Duration> warmup_left;
 };
 
 /// Why the tier answers a request itself.
@@ -45,7 +43,6 @@
   kNoConfiguration,
   kNoRoute,
   kQuarantined,
-  kOverloaded,
   kNoTarget,
   kTargetsFailed,
   kDeadline,
--- a/libs/tier/include/tier/published_items.h
+++ b/libs/tier/include/tier/published_items.h
@@ -35,14 +35,13 @@
 class PublishedItems {
  public:
   /// Takes news of single keys.
-  /// @return the keys that changed.
-  std::vector<std::string> Merge(const std::vector<PublishedItem>& items);
+  /// @return whether anything changed.
+  bool Merge(const std::vector<PublishedItem>& items);
 
-  /// Takes the whole content. Keys that it lacks and that were
-  /// last changed no later than `as_of` are removed.
-  /// @return the keys that changed.
-  std::vector<std::string> MergeAll(const std::vector<PublishedItem>& items,
-                                    Revision as_of);
+  /// Takes the whole content. Keys that it lacks and that were last changed no
+  /// later than `as_of` are removed.
+  /// @return whether anything changed.
+  bool MergeAll(const std::vector<PublishedItem>& items, Revision as_of);
 
   /// @return the item, or null if it is absent or removed.
   const PublishedItem* Find(const std::string& key) const;
--- a/libs/tier/include/tier/target_set.h
+++ b/libs/tier/include/tier/target_set.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <functional>
 #include <map>
 #include <memory>
@@ -40,11 +41,14 @@
   std::set<FailureDomainName> evacuated;
 };
 
+/// How far two failure domains are from each other.
+enum class Distance { kSameDomain, kSameRegion, kOtherRegion };
+constexpr size_t kDistances = 3;
+
 /// Sends since the start, by where they went and why.
 struct SendCounts {
-  int64_t same_domain = 0;
-  int64_t same_region = 0;
-  int64_t other_region = 0;
+  /// Indexed by `Distance`.
+  std::array<int64_t, kDistances> by_distance{};
   /// Of all: beyond the first of their request.
   int64_t extra = 0;
   /// Of all: to targets that seemed not to answer.
@@ -107,7 +111,6 @@
   size_t size() const { return targets_.size(); }
   int open_connections() const;
   const SendCounts& counts() const { return counts_; }
-  ExtraBudget& budget() { return budget_; }
 
  private:
   struct Target;
@@ -122,14 +125,15 @@
               absl::Time now) const;
   bool IsExcluded(const Target& target, const PlacementNeed& need) const;
   static ReplicaState StateOf(const Target& target, absl::Time now);
-  absl::Duration DistanceTo(const FailureDomainName& domain) const;
+  Distance DistanceBetween(const FailureDomainName& a,
+                           const FailureDomainName& b) const;
   RegionName RegionOf(const FailureDomainName& domain) const;
-  void Divide(Target& target) const;
-  /// @return this host's part of what a target bears from the whole fleet.
-  int ShareOf(double whole, const Target& target) const;
+  /// Divides what targets bear among the hosts that may use them.
+  void DivideAll();
+  void Divide(Target& target, const std::vector<KnownHost>& hosts) const;
   /// @return this host's place among all hosts that may use the target: those
   /// of its failure domain first, then those of its region.
-  size_t Rank(const Target& target) const;
+  size_t Rank(const Target& target, const std::vector<KnownHost>& hosts) const;
   void Count(const Target& target, bool extra, absl::Time now);
   Target* Find(const TargetId& id) const;
 
--- a/libs/tier/src/caller_face.cc
+++ b/libs/tier/src/caller_face.cc
@@ -12,8 +12,6 @@
       return "no_route";
     case RefusalReason::kQuarantined:
       return "quarantined";
-    case RefusalReason::kOverloaded:
-      return "overloaded";
     case RefusalReason::kNoTarget:
       return "no_target";
     case RefusalReason::kTargetsFailed:
--- a/libs/tier/src/fleet_link.cc
+++ b/libs/tier/src/fleet_link.cc
@@ -110,7 +110,7 @@
   message.host = options_.self.host;
   message.failure_domain = options_.self.failure_domain;
   message.reads = hooks_.reads();
-  message.known_hosts = static_cast<int>(hosts_.KnownHosts().size());
+  message.known_hosts = hosts_.known_hosts();
   message.config_revision = config_.newest();
   message.targets_revision = targets_.newest();
   message.hosts = std::move(ages);
@@ -181,8 +181,8 @@
         }
         const Transfer& transfer = GetValue(decoded);
         hooks_.regained(absl::Milliseconds(transfer.regained_age_ms));
-        const bool config = !config_.Merge(transfer.config).empty();
-        const bool targets = !targets_.Merge(transfer.targets).empty();
+        const bool config = config_.Merge(transfer.config);
+        const bool targets = targets_.Merge(transfer.targets);
         LogInfo("news from peer", {{"peer", peer},
                                    {"config_items", transfer.config.size()},
                                    {"target_items", transfer.targets.size()},
--- a/libs/tier/src/published_items.cc
+++ b/libs/tier/src/published_items.cc
@@ -15,18 +15,15 @@
   return true;
 }
 
-std::vector<std::string> PublishedItems::Merge(
-    const std::vector<PublishedItem>& items) {
-  std::vector<std::string> changed;
-  for (const PublishedItem& item : items) {
-    if (MergeOne(item)) changed.push_back(item.key);
-  }
+bool PublishedItems::Merge(const std::vector<PublishedItem>& items) {
+  bool changed = false;
+  for (const PublishedItem& item : items) changed |= MergeOne(item);
   return changed;
 }
 
-std::vector<std::string> PublishedItems::MergeAll(
-    const std::vector<PublishedItem>& items, Revision as_of) {
-  std::vector<std::string> changed = Merge(items);
+bool PublishedItems::MergeAll(const std::vector<PublishedItem>& items,
+                              Revision as_of) {
+  bool changed = Merge(items);
   std::set<std::string> present;
   for (const PublishedItem& item : items) present.insert(item.key);
   for (auto& [key, item] : items_) {
@@ -35,7 +32,7 @@
     }
     item = {key, "", as_of, true};
     newest_ = std::max(newest_, as_of);
-    changed.push_back(key);
+    changed = true;
   }
   return changed;
 }
--- a/libs/tier/src/target.cc
+++ b/libs/tier/src/target.cc
@@ -15,9 +15,10 @@
 }  // namespace
 
 TargetSet::Target::Target(TargetSet& owner, TargetInfo target_info,
-                          absl::Duration trip)
+                          Distance from_here, absl::Duration trip)
     : set(owner),
       info(std::move(target_info)),
+      distance(from_here),
       round_trip(trip),
       health(trip, kPriorWork) {
   pool = std::make_unique<engine::ConnectionPool>(
--- a/libs/tier/src/target.h
+++ b/libs/tier/src/target.h
@@ -9,12 +9,14 @@
 
 /// One target as this host knows it.
 struct TargetSet::Target : private engine::ConnectionPool::Listener {
-  Target(TargetSet& owner, TargetInfo target_info, absl::Duration trip);
+  Target(TargetSet& owner, TargetInfo target_info, Distance from_here,
+         absl::Duration trip);
 
   bool IsCold(absl::Time now) const { return now < cold_until; }
 
   TargetSet& set;
   TargetInfo info;
+  const Distance distance;
   /// Time to the target and back, as far as its place tells.
   const absl::Duration round_trip;
   TargetHealth health;
--- a/libs/tier/src/target_set.cc
+++ b/libs/tier/src/target_set.cc
@@ -33,6 +33,18 @@
 constexpr absl::Duration kWarmTime = absl::Seconds(5);
 constexpr size_t kWarmTargets = 2;
 
+absl::Duration RoundTrip(Distance distance) {
+  switch (distance) {
+    case Distance::kSameDomain:
+      return kDomainRoundTrip;
+    case Distance::kSameRegion:
+      return kRegionRoundTrip;
+    case Distance::kOtherRegion:
+      return kRemoteRoundTrip;
+  }
+  return kRemoteRoundTrip;
+}
+
 }  // namespace
 
 TargetSet::TargetSet(engine::EventLoop& loop, Locality locality,
@@ -56,11 +68,11 @@
   return found == locality_.regions.end() ? "" : found->second;
 }
 
-absl::Duration TargetSet::DistanceTo(const FailureDomainName& domain) const {
-  if (domain == locality_.failure_domain) return kDomainRoundTrip;
-  return RegionOf(domain) == RegionOf(locality_.failure_domain)
-             ? kRegionRoundTrip
-             : kRemoteRoundTrip;
+Distance TargetSet::DistanceBetween(const FailureDomainName& a,
+                                    const FailureDomainName& b) const {
+  if (a == b) return Distance::kSameDomain;
+  return RegionOf(a) == RegionOf(b) ? Distance::kSameRegion
+                                    : Distance::kOtherRegion;
 }
 
 TargetSet::Target* TargetSet::Find(const TargetId& id) const {
@@ -99,8 +111,10 @@
     return;
   }
   if (!same_lifetime) {
+    const Distance distance =
+        DistanceBetween(locality_.failure_domain, info.failure_domain);
     auto fresh =
-        std::make_unique<Target>(*this, info, DistanceTo(info.failure_domain));
+        std::make_unique<Target>(*this, info, distance, RoundTrip(distance));
     std::vector<Target*>& peers = by_service_[info.service];
     if (target != nullptr) {
       std::vector<Target*>& old = by_service_[target->info.service];
@@ -123,7 +137,7 @@
   target->cold_until = target->info.warmup_left > absl::ZeroDuration()
                            ? now + target->info.warmup_left
                            : absl::InfinitePast();
-  if (!same_lifetime) Divide(*target);
+  if (!same_lifetime) Divide(*target, hosts_.KnownHosts());
 }
 
 void TargetSet::DropGone(absl::Time now) {
@@ -149,45 +163,48 @@
 
 void TargetSet::SetOrders(TargetOrders orders) {
   orders_ = std::move(orders);
-  for (auto& [id, target] : targets_) Divide(*target);
+  DivideAll();
 }
 
 void TargetSet::OnHostsChanged() {
   budget_.SetHosts(hosts_.SharingHosts(loop_.Now()));
-  for (auto& [id, target] : targets_) Divide(*target);
+  DivideAll();
 }
 
-void TargetSet::Divide(Target& target) const {
+void TargetSet::DivideAll() {
+  const std::vector<KnownHost> hosts = hosts_.KnownHosts();
+  for (auto& [id, target] : targets_) Divide(*target, hosts);
+}
+
+void TargetSet::Divide(Target& target,
+                       const std::vector<KnownHost>& hosts) const {
   const auto spec = orders_.services.find(target.info.service);
   if (spec == orders_.services.end()) return;
+  const int sharing = hosts_.SharingHosts(loop_.Now());
+  const size_t rank = Rank(target, hosts);
   const double connections = kConnectionPart * spec->second.max_connections;
   target.connection_limit =
-      std::min(ShareOf(connections, target), kMaxConnections);
+      std::min(DivideShare(connections, sharing, rank), kMaxConnections);
   target.pool->SetLimit(target.connection_limit);
   const double per_second =
       spec->second.warmup_per_s * bounds_.warmup_overage + bounds_.warmup_slack;
   // A service that states no rate for cold targets does not limit them.
   target.cold_share = spec->second.warmup_per_s > 0
-                          ? ShareOf(per_second, target)
+                          ? DivideShare(per_second, sharing, rank)
                           : std::numeric_limits<int>::max();
 }
 
-int TargetSet::ShareOf(double whole, const Target& target) const {
-  return DivideShare(whole, hosts_.SharingHosts(loop_.Now()), Rank(target));
-}
-
-size_t TargetSet::Rank(const Target& target) const {
-  const FailureDomainName& domain = target.info.failure_domain;
-  const std::vector<KnownHost> known = hosts_.KnownHosts();
-  std::array<std::vector<HostId>, 3> by_distance;
-  for (const KnownHost& host : known) {
-    const bool near = RegionOf(host.failure_domain) == RegionOf(domain);
-    const size_t distance = host.failure_domain == domain ? 0 : near ? 1 : 2;
-    by_distance[distance].push_back(host.host);
+size_t TargetSet::Rank(const Target& target,
+                       const std::vector<KnownHost>& hosts) const {
+  std::array<std::vector<HostId>, kDistances> by_distance;
+  for (const KnownHost& host : hosts) {
+    const Distance distance =
+        DistanceBetween(host.failure_domain, target.info.failure_domain);
+    by_distance[static_cast<size_t>(distance)].push_back(host.host);
   }
   size_t rank = 0;
-  for (const std::vector<HostId>& hosts : by_distance) {
-    const std::vector<HostId> ranked = RankByRendezvous(target.info.id, hosts);
+  for (const std::vector<HostId>& equals : by_distance) {
+    const std::vector<HostId> ranked = RankByRendezvous(target.info.id, equals);
     const auto found = std::find(ranked.begin(), ranked.end(), locality_.host);
     rank += static_cast<size_t>(found - ranked.begin());
     if (found != ranked.end()) break;
@@ -301,13 +318,7 @@
 }
 
 void TargetSet::Count(const Target& target, bool extra, absl::Time now) {
-  const FailureDomainName& domain = target.info.failure_domain;
-  const bool same_region =
-      RegionOf(domain) == RegionOf(locality_.failure_domain);
-  int64_t& place = domain == locality_.failure_domain ? counts_.same_domain
-                   : same_region                      ? counts_.same_region
-                                                      : counts_.other_region;
-  ++place;
+  ++counts_.by_distance[static_cast<size_t>(target.distance)];
   if (extra) ++counts_.extra;
   if (target.health.IsSuspect(now)) ++counts_.suspect;
   if (target.IsCold(now)) ++counts_.cold;
--- a/libs/tier/src/tier_node.cc
+++ b/libs/tier/src/tier_node.cc
@@ -118,12 +118,13 @@
 
 void TierNode::LogLoad() {
   const SendCounts& sends = targets_.counts();
+  const auto& [same_domain, same_region, other_region] = sends.by_distance;
   LogInfo("load", {{"running", queries_.running()},
                    {"caller_connections", callers_.connections()},
                    {"target_connections", targets_.open_connections()},
-                   {"sends_same_domain", sends.same_domain},
-                   {"sends_same_region", sends.same_region},
-                   {"sends_other_region", sends.other_region},
+                   {"sends_same_domain", same_domain},
+                   {"sends_same_region", same_region},
+                   {"sends_other_region", other_region},
                    {"sends_extra", sends.extra},
                    {"sends_suspect", sends.suspect},
                    {"sends_cold", sends.cold},
