--- a/tests/support/raw_peers.cc
+++ b/tests/support/raw_peers.cc
@@ -5,6 +5,7 @@
 #include <utility>
 #include <vector>
 
+#include "absl/strings/numbers.h"
 #include "boost/asio/ip/tcp.hpp"
 #include "boost/asio/write.hpp"
 
@@ -147,6 +148,27 @@
   state_->connections.clear();
 }
 
+std::string HeaderOf(const std::string& message, const std::string& name) {
+  const size_t at = message.find("\r\n" + name + ": ");
+  if (at == std::string::npos) return "";
+  const size_t begin = at + name.size() + 4;
+  return message.substr(begin, message.find("\r\n", begin) - begin);
+}
+
+std::string BodyOf(const std::string& response) {
+  return response.substr(response.find("\r\n\r\n") + 4);
+}
+
+bool IsComplete(const std::string& response) {
+  const size_t head = response.find("\r\n\r\n");
+  size_t length = 0;
+  if (head == std::string::npos ||
+      !absl::SimpleAtoi(HeaderOf(response, "Content-Length"), &length)) {
+    return false;
+  }
+  return response.size() >= head + 4 + length;
+}
+
 std::string OkResponse(const std::string& body, const std::string& headers) {
   return "HTTP/1.1 200 OK\r\n" + headers +
          "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
--- a/tests/support/raw_peers.h
+++ b/tests/support/raw_peers.h
@@ -60,6 +60,15 @@
   std::shared_ptr<State> state_;
 };
 
+/// @return the value of a header in a request or response, or "".
+std::string HeaderOf(const std::string& message, const std::string& name);
+
+/// @return the body of a response.
+std::string BodyOf(const std::string& response);
+
+/// @return whether a response with a length is whole.
+bool IsComplete(const std::string& response);
+
 /// @return a complete response with a length.
 std::string OkResponse(const std::string& body,
                        const std::string& headers = "");
