Let a stand-in's search keep the range it was admitted for

Cause: the stand-in target checked the asked range when it admitted a search and read the range again when it built the answer. A border that moved in between made it answer with fewer documents under the old range's name; no part of such an answer shows that. The window is the service time, 2 to 3 ms.

--- a/fakes/target/target_model.cc
+++ b/fakes/target/target_model.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cstdlib>
 #include <optional>
+#include <utility>
 
 #include "absl/time/clock.h"
 #include "fakes/fake_program.h"
@@ -101,8 +102,8 @@
   return std::nullopt;
 }
 
-std::optional<HttpResponse> TargetModel::CheckShard(
-    const HttpRequest& request) {
+std::variant<KeyRange, HttpResponse> TargetModel::CheckShard(
+    const HttpRequest& request) const {
   const auto found = shards_.find(request.Header("x-shard"));
   if (found == shards_.end()) return Refuse("wrong_shard", 409);
   const HeldShard& held = found->second;
@@ -113,7 +114,7 @@
   if (!Holds(held.versions, HeaderNumber(request, "x-index-version"))) {
     return Refuse("wrong_version", 409, held.versions);
   }
-  return std::nullopt;
+  return held.range;
 }
 
 void TargetModel::MaybeCrash(const std::string& body) {
@@ -173,7 +174,8 @@
   return ending;
 }
 
-nlohmann::json TargetModel::SearchBody(const HttpRequest& request) {
+nlohmann::json TargetModel::SearchBody(const HttpRequest& request,
+                                       const KeyRange& range) {
   const json body = json::parse(request.body, nullptr, false);
   const json query =
       body.is_object() ? body.value("query", json::object()) : json::object();
@@ -184,8 +186,7 @@
   const ShardId shard = request.Header("x-shard");
   const IndexVersion version = HeaderNumber(request, "x-index-version");
   const absl::MutexLock lock(&mutex_);
-  std::vector<Document> found =
-      FindDocuments(wanted, shards_[shard].range, version);
+  std::vector<Document> found = FindDocuments(wanted, range, version);
   if (faults_.truncate) found.resize(found.size() / 2);
   json results = json::array();
   for (const Document& document : found) {
@@ -211,6 +212,7 @@
   }
   MaybeCrash(request.body);
   double late_ms = 0;
+  KeyRange range;
   {
     const absl::MutexLock lock(&mutex_);
     ++arrived_;
@@ -219,16 +221,19 @@
                       request.body.find(faults_.drop_on) != std::string::npos;
     if (drop) return Dropped();
     if (auto refusal = Admit()) return *refusal;
-    if (auto refusal = CheckShard(request)) {
+    auto checked = CheckShard(request);
+    if (auto* refusal = std::get_if<HttpResponse>(&checked)) {
       --in_flight_;
-      return *refusal;
+      return std::move(*refusal);
     }
+    // The shard's border may move while the search runs.
+    range = std::get<KeyRange>(std::move(checked));
     late_ms = faults_.late_ms;
   }
   if (Serve(request, arrived) != Ending::kServed) {
     return Refuse("expired", 409, json::array(), false);
   }
-  HttpResponse response = JsonReply(SearchBody(request));
+  HttpResponse response = JsonReply(SearchBody(request, range));
   absl::SleepFor(absl::Milliseconds(late_ms));
   return response;
 }
--- a/fakes/target/target_model.h
+++ b/fakes/target/target_model.h
@@ -5,6 +5,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <variant>
 #include <vector>
 
 #include "absl/base/thread_annotations.h"
@@ -65,14 +66,15 @@
   void TurnCold() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   /// @return a refusal, or nothing if the request got a slot.
   std::optional<HttpResponse> Admit() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
-  std::optional<HttpResponse> CheckShard(const HttpRequest& request)
-      ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  /// @return the range that a search admitted now runs over, or a refusal.
+  std::variant<KeyRange, HttpResponse> CheckShard(
+      const HttpRequest& request) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   void MaybeCrash(const std::string& body);
   bool IsSilent(const std::string& peer);
   void StaySilent();
   Ending Serve(const HttpRequest& request, absl::Time arrived);
   absl::Duration ServiceTime() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
-  Json SearchBody(const HttpRequest& request);
+  Json SearchBody(const HttpRequest& request, const KeyRange& range);
 
   const std::string id_;
   std::string incarnation_;
--- /dev/null
+++ b/fakes/target/tests/target_model_test.cc
@@ -0,0 +1,104 @@
+#include "target_model.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <thread>
+
+#include "absl/time/clock.h"
+#include "nlohmann/json.hpp"
+
+namespace cherrydyke {
+namespace {
+
+using nlohmann::json;
+
+/// Long enough to change the shards while a search runs, also on a busy
+/// machine.
+constexpr int kServiceMs = 400;
+constexpr absl::Duration kStep = absl::Milliseconds(5);
+
+json ShardWith(const char* begin, const char* end) {
+  return json::array(
+      {{{"shard", "s1"}, {"range", {begin, end}}, {"index_versions", {41}}}});
+}
+
+HttpRequest SearchFor(const char* range) {
+  HttpRequest request;
+  request.headers = {{"x-attempt-id", "1-1"},
+                     {"x-shard", "s1"},
+                     {"x-shard-range", range},
+                     {"x-index-version", "41"},
+                     {"x-deadline-ms", "5000"}};
+  request.body = R"({"query":{"term":"a","every":1}})";
+  return request;
+}
+
+HttpRequest FaultOf(const json& faults) {
+  HttpRequest request;
+  request.body = faults.dump();
+  return request;
+}
+
+}  // namespace
+
+class TargetModelTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(TargetModelTest);
+  CPPUNIT_TEST(SearchIsOfTheRangeItWasAskedFor);
+  CPPUNIT_TEST(SearchOutlivesItsShard);
+  CPPUNIT_TEST(ForeignRangeIsRefused);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // A shard that moved its border while a search ran answered with the
+  // documents of the new range under the old one's name: nothing in such an
+  // answer shows that a part is absent.
+  void SearchIsOfTheRangeItWasAskedFor() {
+    TargetModel target("t1", Settings());
+    const HttpResponse answer = SearchWhile(target, ShardWith("6000", "8000"));
+    CPPUNIT_ASSERT_EQUAL(200, answer.status);
+    const json results = json::parse(answer.body).at("results");
+    CPPUNIT_ASSERT_EQUAL(
+        FindDocuments({"a", 1, 256}, {"3000", "8000"}, 41).size(),
+        results.size());
+  }
+
+  void SearchOutlivesItsShard() {
+    TargetModel target("t1", Settings());
+    const HttpResponse answer = SearchWhile(target, json::array());
+    CPPUNIT_ASSERT_EQUAL(200, answer.status);
+    const json results = json::parse(answer.body).at("results");
+    CPPUNIT_ASSERT_EQUAL(
+        FindDocuments({"a", 1, 256}, {"3000", "8000"}, 41).size(),
+        results.size());
+    CPPUNIT_ASSERT_EQUAL(409, target.Search(SearchFor("3000-8000")).status);
+  }
+
+  void ForeignRangeIsRefused() {
+    TargetModel target("t1", Settings());
+    CPPUNIT_ASSERT_EQUAL(409, target.Search(SearchFor("6000-8000")).status);
+  }
+
+ private:
+  static json Settings() {
+    return {{"service_ms", kServiceMs},
+            {"jitter_ms", 0},
+            {"documents", 256},
+            {"shards", ShardWith("3000", "8000")}};
+  }
+
+  // Asks for 3000 to 8000 and changes the shards once the search has begun.
+  static HttpResponse SearchWhile(TargetModel& target, const json& shards) {
+    HttpResponse answer;
+    std::thread search([&] { answer = target.Search(SearchFor("3000-8000")); });
+    while (json::parse(target.Stats().body).at("in_flight") == 0) {
+      absl::SleepFor(kStep);
+    }
+    target.SetFaults(FaultOf({{"shards", shards}}));
+    search.join();
+    return answer;
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TargetModelTest);
+
+}  // namespace cherrydyke
