Take memory for a frame only as its bytes arrive

Cause: a frame with a damaged length made the reader set up to 16 MB aside, filled with zeros, before any of the bytes were there. glibc raises its limit for separate mappings after the first such block and then keeps the memory for each thread's arena.

Ruled out: a leak of sessions (they are reaped); the HTTP ports and the gossip ports (nothing grows once the link no longer does).

The new test in wire_test failed first.

--- a/libs/wire/src/frame.cc
+++ b/libs/wire/src/frame.cc
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 
+#include <algorithm>
 #include <array>
 #include <cstring>
 #include <exception>
@@ -19,7 +20,10 @@
 
 constexpr uint32_t kMagic = 0x43444b31;  // "CDK1"
 constexpr size_t kHeaderSize = 16;
-/// Time for the rest of a frame after its first bytes.
+/// Memory set aside for a payload before its bytes are there: a length that a
+/// broken peer claims must not take what 16 MB of it would.
+constexpr size_t kReadStep = 64U << 10U;
+/// Time for each step of the rest of a frame after its first bytes.
 constexpr absl::Duration kBodyTimeout = absl::Seconds(2);
 
 struct FrameHeader {
@@ -160,10 +164,15 @@
   if (const Status status = CheckHeader(header); GetError(status) != nullptr) {
     return *GetError(status);
   }
-  std::string payload(header.length, '\0');
-  if (header.length > 0 && stream.Read(payload.data(), payload.size(),
-                                       kBodyTimeout) != StreamState::kOpen) {
-    return Error{ErrorCode::kUnavailable, "stream ended inside a frame"};
+  std::string payload;
+  while (payload.size() < header.length) {
+    const size_t at = payload.size();
+    const size_t step = std::min(kReadStep, header.length - at);
+    payload.resize(at + step);
+    if (stream.Read(payload.data() + at, step, kBodyTimeout) !=
+        StreamState::kOpen) {
+      return Error{ErrorCode::kUnavailable, "stream ended inside a frame"};
+    }
   }
   return DecodePayload(header, payload);
 }
--- a/libs/wire/tests/frame_test.cc
+++ b/libs/wire/tests/frame_test.cc
@@ -3,6 +3,9 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
 
+#include <algorithm>
+#include <cstring>
+
 namespace cherrydyke {
 namespace {
 
@@ -14,6 +17,30 @@
   return batch;
 }
 
+/// Bytes that a peer sent before it went away.
+class ScriptedStream : public Stream {
+ public:
+  explicit ScriptedStream(std::string bytes) : bytes_(std::move(bytes)) {}
+
+  StreamState Write(const char*, size_t) override { return StreamState::kOpen; }
+  StreamState Read(char* data, size_t size, absl::Duration) override {
+    largest_read_ = std::max(largest_read_, size);
+    if (bytes_.size() - at_ < size) return StreamState::kClosed;
+    std::memcpy(data, bytes_.data() + at_, size);
+    at_ += size;
+    return StreamState::kOpen;
+  }
+  void Close() override {}
+  std::string PeerAddress() const override { return "127.0.0.1"; }
+
+  size_t largest_read() const { return largest_read_; }
+
+ private:
+  const std::string bytes_;
+  size_t at_ = 0;
+  size_t largest_read_ = 0;
+};
+
 }  // namespace
 
 class FrameTest : public CppUnit::TestFixture {
@@ -23,6 +50,8 @@
   CPPUNIT_TEST(GarbageIsRefused);
   CPPUNIT_TEST(OtherVersionIsNamed);
   CPPUNIT_TEST(HugeLengthIsRefused);
+  CPPUNIT_TEST(ClaimedLengthTakesNoMemoryBeforeItsBytes);
+  CPPUNIT_TEST(LongFrameIsReadFromAStream);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -58,6 +87,32 @@
     CPPUNIT_ASSERT(GetError(decoded)->code == ErrorCode::kVersionMismatch);
   }
 
+  // Each of many broken peers made a daemon set 16 MB aside for bytes that
+  // never came, and the allocator kept them for each thread.
+  void ClaimedLengthTakesNoMemoryBeforeItsBytes() {
+    std::string frame = EncodeFrame(SampleMessage());
+    const uint32_t claimed = kMaxFramePayload;
+    for (int byte = 0; byte < 4; ++byte) {
+      frame[8 + byte] = static_cast<char>(claimed >> (24 - 8 * byte));
+    }
+    ScriptedStream stream(frame);
+    const Result<Message> read = ReadFrame(stream, absl::Seconds(1));
+    CPPUNIT_ASSERT(GetError(read) != nullptr);
+    CPPUNIT_ASSERT(GetError(read)->code == ErrorCode::kUnavailable);
+    constexpr size_t kMostUnproved = 64U << 10U;
+    CPPUNIT_ASSERT(stream.largest_read() <= kMostUnproved);
+  }
+
+  void LongFrameIsReadFromAStream() {
+    SubRequestBatch batch;
+    batch.query_json = std::string(1'000'003, 'q');
+    ScriptedStream stream(EncodeFrame(batch));
+    const Result<Message> read = ReadFrame(stream, absl::Seconds(1));
+    CPPUNIT_ASSERT(GetError(read) == nullptr);
+    CPPUNIT_ASSERT(std::get<SubRequestBatch>(GetValue(read)).query_json ==
+                   batch.query_json);
+  }
+
   void HugeLengthIsRefused() {
     std::string frame = EncodeFrame(SampleMessage());
     frame[8] = '\x7f';
