Keep telling why a shard is missing when a last retry came too late

Found while reading: a retry sent just before the deadline comes back expired and replaced the reason that the replicas had given. A test of QueryRun failed first.

The test now prints the reason it got; the check is as it was.

--- a/libs/routing/include/routing/query_run.h
+++ b/libs/routing/include/routing/query_run.h
@@ -113,6 +113,8 @@
     bool answered = false;
     /// No attempt runs and none will follow.
     bool given_up = false;
+    /// Whether an attempt has told why the shard is not answered.
+    bool has_reason = false;
     int crashes = 0;
     int rounds = 0;
     /// Answers that the same replica would give again.
--- a/libs/routing/src/query_run.cc
+++ b/libs/routing/src/query_run.cc
@@ -177,7 +177,12 @@
 void QueryRun::OnFailure(AttemptOutcome outcome, size_t index, absl::Time now,
                          QueryActions& actions) {
   ShardRun& shard = shards_[index];
-  if (shard.truncated_hits.empty()) tally_.Missing(index, ToString(outcome));
+  // A send with too little time left says nothing of the shard.
+  const bool tells = outcome != AttemptOutcome::kExpired || !shard.has_reason;
+  if (shard.truncated_hits.empty() && tells) {
+    tally_.Missing(index, ToString(outcome));
+    shard.has_reason = true;
+  }
   if (outcome == AttemptOutcome::kWrongVersion) version_gone_ = true;
   if (outcome == AttemptOutcome::kQuarantined && IsCanaryPhase()) {
     quarantined_ = true;
--- a/libs/routing/tests/query_run_test.cc
+++ b/libs/routing/tests/query_run_test.cc
@@ -101,6 +101,7 @@
 class QueryRunTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(QueryRunTest);
   CPPUNIT_TEST(CoverageIsTrueInAnyRun);
+  CPPUNIT_TEST(LateSendDoesNotHideWhyAShardIsMissing);
   CPPUNIT_TEST(OtherVersionIsNeverMerged);
   CPPUNIT_TEST(ForeignKeysAreAMovedRange);
   CPPUNIT_TEST(HedgeWinsAndLoserIsCancelled);
@@ -174,6 +175,25 @@
     }));
   }
 
+  // A retry just before the deadline comes back as expired, which says nothing
+  // of the shard; what its replicas said before does.
+  void LateSendDoesNotHideWhyAShardIsMissing() {
+    Bench bench(1, EntryClass::kCoverage, CanaryMode::kNever, 1);
+    const QueryActions first = bench.run.Start(bench.now);
+    bench.run.OnAnswer(
+        Bench::Bad(first.send.at(0), AttemptOutcome::kUnreachable), bench.now);
+    bench.now = bench.run.NextTimer();
+    const QueryActions second = bench.run.OnTimer(bench.now);
+    bench.run.OnAnswer(Bench::Bad(second.send.at(0), AttemptOutcome::kExpired),
+                       bench.now);
+    while (!bench.run.done()) {
+      bench.now = bench.run.NextTimer();
+      bench.run.OnTimer(bench.now);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string("unreachable"),
+                         bench.run.TakeResult().coverage.missing.at(0).reason);
+  }
+
   void OtherVersionIsNeverMerged() {
     Bench bench(1);
     for (const Dispatch& d : bench.run.Start(bench.now).send) {
--- a/tests/whole_path/coverage_test.cc
+++ b/tests/whole_path/coverage_test.cc
@@ -50,7 +50,8 @@
     CPPUNIT_ASSERT_EQUAL(size_t{1}, missing.size());
     CPPUNIT_ASSERT(missing[0]["shard"] == shard["shard"]);
     CPPUNIT_ASSERT(missing[0]["range"] == shard["range"]);
-    CPPUNIT_ASSERT(missing[0]["reason"] == "unreachable");
+    CPPUNIT_ASSERT_EQUAL(std::string("unreachable"),
+                         missing[0]["reason"].get<std::string>());
   }
 
   void LyingAndLateTargetsNeverMakeFalseComplete() {
