--- a/libs/dispatch/tests/limits_test.cc
+++ b/libs/dispatch/tests/limits_test.cc
@@ -34,7 +34,7 @@
 
  public:
   void ExtrasOfTheFleetStayWithinTheBudget() {
-    rc::check("sum of extras in any window", [] {
+    CPPUNIT_ASSERT(rc::check("sum of extras in any window", [] {
       const int hosts = *rc::gen::inRange(1, 12);
       std::vector<ExtraBudget> fleet(hosts, ExtraBudget(Bounds()));
       for (ExtraBudget& budget : fleet) budget.SetHosts(hosts);
@@ -59,7 +59,7 @@
         RC_ASSERT(static_cast<double>(extras.size()) <=
                   0.2 * static_cast<double>(requests.size()) + 54);
       }
-    });
+    }));
   }
 
   void HelpfulExtrasLeaveRoomForNeededOnes() {
@@ -70,7 +70,7 @@
   }
 
   void SharesAddUpToTheWhole() {
-    rc::check("sum of shares", [] {
+    CPPUNIT_ASSERT(rc::check("sum of shares", [] {
       const int whole = *rc::gen::inRange(0, 60);
       const int hosts = *rc::gen::inRange(1, 90);
       int sum = 0;
@@ -78,11 +78,11 @@
         sum += DivideShare(whole + 0.9, hosts, rank);
       }
       RC_ASSERT(sum == whole);
-    });
+    }));
   }
 
   void ColdSendsOfAnySecondStayWithinTheAllowance() {
-    rc::check("sends in any second", [] {
+    CPPUNIT_ASSERT(rc::check("sends in any second", [] {
       const int hosts = *rc::gen::inRange(1, 10);
       std::vector<ColdAllowance> fleet(hosts);
       std::mt19937_64 random(*rc::gen::arbitrary<uint32_t>());
@@ -98,7 +98,7 @@
         while (sends.front() <= now - absl::Seconds(1)) sends.pop_front();
         RC_ASSERT(sends.size() <= 9U);
       }
-    });
+    }));
   }
 };
 
--- a/libs/dispatch/tests/request_run_test.cc
+++ b/libs/dispatch/tests/request_run_test.cc
@@ -225,7 +225,7 @@
   }
 
   void KeepsItsPromisesUnderRandomEvents() {
-    rc::check("promises of a run", [] {
+    CPPUNIT_ASSERT(rc::check("promises of a run", [] {
       FakePlacement placement;
       placement.extras_left_ = *rc::gen::inRange(0, 6);
       const bool idempotent = *rc::gen::arbitrary<bool>();
@@ -278,7 +278,7 @@
       if (!conclusion) apply(run.OnTimer(plan.deadline));
       RC_ASSERT(conclusion.has_value());
       RC_ASSERT(conclusion != ConclusionKind::kNotRun || ran_or_may == 0);
-    });
+    }));
   }
 
  private:
--- a/libs/dispatch/tests/tables_test.cc
+++ b/libs/dispatch/tests/tables_test.cc
@@ -69,7 +69,7 @@
   }
 
   void MergesLikeASort() {
-    rc::check("merge", [] {
+    CPPUNIT_ASSERT(rc::check("merge", [] {
       std::vector<std::string> parts;
       std::vector<std::string> records;
       const int count = *rc::gen::inRange(0, 5);
@@ -90,7 +90,7 @@
         expected += records[i];
       }
       RC_ASSERT(MergeTopRecords(parts, top) == expected);
-    });
+    }));
   }
 
   void CrashesOfAllHostsAddUp() {
