--- a/libs/base/include/base/ids.h
+++ b/libs/base/include/base/ids.h
@@ -13,6 +13,7 @@
 using ServiceName = std::string;
 using OwnerName = std::string;
 using FailureDomainName = std::string;
+using RegionName = std::string;
 /// `IP:PORT` as text.
 using Endpoint = std::string;
 
--- a/libs/dispatch/include/dispatch/extra_budget.h
+++ b/libs/dispatch/include/dispatch/extra_budget.h
@@ -20,10 +20,13 @@
 ///
 /// In any window the fleet may send `ratio` x requests + `slack`. A host uses
 /// the ratio of its own requests and the slack divided by the hosts that may
-/// share it, so the parts never add up to more than the whole. Pure.
+/// share it, so the parts never add up to more than the whole. The slack is not
+/// used in the first window after the start: an earlier lifetime of the host
+/// may have used its part just before. Pure.
 class ExtraBudget {
  public:
-  explicit ExtraBudget(FleetBounds bounds) : bounds_(bounds) {}
+  ExtraBudget(FleetBounds bounds, absl::Time started)
+      : bounds_(bounds), slack_from_(started + bounds.retry_window) {}
 
   /// @param hosts the most hosts that may share the slack, at least 1.
   void SetHosts(int hosts) { hosts_ = hosts; }
@@ -45,6 +48,7 @@
   double Allowance(Use& use, absl::Time now) const;
 
   const FleetBounds bounds_;
+  const absl::Time slack_from_;
   int hosts_ = 1;
   absl::flat_hash_map<ServiceName, Use> uses_;
 };
--- a/libs/dispatch/include/dispatch/types.h
+++ b/libs/dispatch/include/dispatch/types.h
@@ -13,7 +13,6 @@
 
 namespace cherrydyke {
 
-using RegionName = std::string;
 using RouteName = std::string;
 
 /// A service and its part of a route's requests.
--- a/libs/dispatch/src/extra_budget.cc
+++ b/libs/dispatch/src/extra_budget.cc
@@ -8,6 +8,12 @@
 /// Part of the budget that is used at all; the rest covers arrivals that are
 /// delayed into the next window.
 constexpr double kUsablePart = 0.9;
+/// Part of what a host's requests allow that is used in the first window after
+/// its start, half of the usual: an earlier lifetime may have used up the
+/// window. Everything used and all hosts restarted at once would leave nothing,
+/// yet right then requests need their second sends; the fleet model keeps the
+/// bound.
+constexpr double kFirstWindowPart = 0.45;
 /// Part of the usable budget that helpful sends may use.
 constexpr double kHelpfulPart = 0.85;
 
@@ -27,6 +33,9 @@
 
 double ExtraBudget::Allowance(Use& use, absl::Time now) const {
   const double requests = static_cast<double>(use.requests.Count(now));
+  if (now < slack_from_) {
+    return kFirstWindowPart * bounds_.retry_ratio * requests;
+  }
   return kUsablePart *
          (bounds_.retry_ratio * requests + bounds_.retry_slack / hosts_);
 }
--- a/libs/dispatch/tests/limits_test.cc
+++ b/libs/dispatch/tests/limits_test.cc
@@ -6,11 +6,13 @@
 
 #include "dispatch/cold_allowance.h"
 #include "dispatch/extra_budget.h"
+#include "membership/fleet_shares.h"
 
 namespace cherrydyke {
 namespace {
 
 const absl::Time kStart = absl::UnixEpoch() + absl::Hours(1);
+const absl::Time kLongAgo = kStart - absl::Hours(1);
 
 FleetBounds Bounds() {
   FleetBounds bounds;
@@ -28,6 +30,7 @@
   CPPUNIT_TEST_SUITE(FleetLimitsTest);
   CPPUNIT_TEST(ExtrasOfTheFleetStayWithinTheBudget);
   CPPUNIT_TEST(HelpfulExtrasLeaveRoomForNeededOnes);
+  CPPUNIT_TEST(SlackWaitsForTheWindowOfAnEarlierLifetime);
   CPPUNIT_TEST(SharesAddUpToTheWhole);
   CPPUNIT_TEST(ColdSendsOfAnySecondStayWithinTheAllowance);
   CPPUNIT_TEST_SUITE_END();
@@ -36,7 +39,7 @@
   void ExtrasOfTheFleetStayWithinTheBudget() {
     CPPUNIT_ASSERT(rc::check("sum of extras in any window", [] {
       const int hosts = *rc::gen::inRange(1, 12);
-      std::vector<ExtraBudget> fleet(hosts, ExtraBudget(Bounds()));
+      std::vector<ExtraBudget> fleet(hosts, ExtraBudget(Bounds(), kLongAgo));
       for (ExtraBudget& budget : fleet) budget.SetHosts(hosts);
       std::mt19937_64 random(*rc::gen::arbitrary<uint32_t>());
       std::deque<absl::Time> requests;
@@ -63,12 +66,25 @@
   }
 
   void HelpfulExtrasLeaveRoomForNeededOnes() {
-    ExtraBudget budget(Bounds());
+    ExtraBudget budget(Bounds(), kLongAgo);
     while (budget.TryTake("s", ExtraUse::kHelpful, kStart)) {
     }
     CPPUNIT_ASSERT(budget.TryTake("s", ExtraUse::kNeeded, kStart));
   }
 
+  void SlackWaitsForTheWindowOfAnEarlierLifetime() {
+    ExtraBudget budget(Bounds(), kStart);
+    CPPUNIT_ASSERT(!budget.TryTake("s", ExtraUse::kNeeded, kStart));
+    const absl::Time last = kStart + absl::Milliseconds(9900);
+    CPPUNIT_ASSERT(!budget.TryTake("s", ExtraUse::kNeeded, last));
+    // What the host's own requests allow is there from the start.
+    for (int i = 0; i < 10; ++i) budget.OnRequest("s", last);
+    CPPUNIT_ASSERT(budget.TryTake("s", ExtraUse::kNeeded, last));
+    CPPUNIT_ASSERT(!budget.TryTake("s", ExtraUse::kNeeded, last));
+    CPPUNIT_ASSERT(
+        budget.TryTake("s", ExtraUse::kNeeded, kStart + absl::Seconds(10)));
+  }
+
   void SharesAddUpToTheWhole() {
     CPPUNIT_ASSERT(rc::check("sum of shares", [] {
       const int whole = *rc::gen::inRange(0, 60);
--- a/libs/dispatch/tests/load_model.cc
+++ b/libs/dispatch/tests/load_model.cc
@@ -108,7 +108,7 @@
         number_(number),
         random_(random),
         result_(result),
-        budget_(Bounds()) {
+        budget_(Bounds(), absl::InfinitePast()) {
     budget_.SetHosts(scenario.hosts);
     for (int shard = 0; shard < scenario.shards; ++shard) {
       for (int replica = 0; replica < scenario.replicas; ++replica) {
--- a/libs/membership/include/membership/host_table.h
+++ b/libs/membership/include/membership/host_table.h
@@ -67,8 +67,14 @@
     /// Hosts assumed to share limits until the fleet had time to find itself:
     /// after a loss of power all start at once, and none knows how many.
     int initial_hosts = 100;
-    /// From the first peer heard until the known hosts are taken for all.
+    /// From the first peer heard, or from the start of a host without seeds,
+    /// until the known hosts are taken for all. A host that hears none of its
+    /// seeds never takes itself for the only one: others may act elsewhere.
     absl::Duration settle_time = absl::Seconds(3);
+    /// All failure domains that hosts stand in. One of which no host was ever
+    /// heard is taken to have as many as the largest one that is known: it may
+    /// be cut off, and its hosts act.
+    std::vector<FailureDomainName> domains = {};
     /// A host not heard by anybody for this long is not gossiped with.
     absl::Duration silence_limit = absl::Seconds(20);
     /// Hosts that each round of gossip reaches.
@@ -84,12 +90,17 @@
 
   /// @param self this host.
   /// @param seeds addresses of some hosts, possibly stale.
-  HostTable(KnownHost self, std::vector<HostId> seeds, Options options);
+  /// @param started when the host started.
+  HostTable(KnownHost self, std::vector<HostId> seeds, Options options,
+            absl::Time started);
 
   /// Replaces the seeds after a change of the settings.
   void SetSeeds(std::vector<HostId> seeds);
 
-  void OnNews(const HostNews& news, absl::Time now);
+  /// @return whether the sender knows fewer hosts than this one and should be
+  /// told: one that has just started uses little of what the fleet shares until
+  /// it knows the fleet.
+  bool OnNews(const HostNews& news, absl::Time now);
 
   /// @return whether this host should read the configuration service itself.
   bool ShouldRead(absl::Time now) const;
@@ -107,6 +118,9 @@
   /// @return the most hosts that may share a limit.
   int SharingHosts(absl::Time now) const;
 
+  /// @return when a host became known that was not before.
+  absl::Time last_added() const { return last_added_; }
+
   /// @return how many hosts were ever known, this one included.
   int known_hosts() const { return static_cast<int>(peers_.size()) + 1; }
 
@@ -127,12 +141,17 @@
 
   /// @return the live hosts of the own group, this one included, in order.
   std::vector<HostId> Group(absl::Time now) const;
+  /// @return hosts assumed in failure domains of which none was ever heard.
+  int UnheardHosts() const;
+  bool IsSettled(absl::Time now) const;
 
   const KnownHost self_;
   std::vector<HostId> seeds_;
   const Options options_;
+  const absl::Time started_;
   std::map<HostId, Peer> peers_;
   int told_hosts_ = 0;
+  absl::Time last_added_ = absl::InfinitePast();
   absl::Time first_heard_ = absl::InfiniteFuture();
 };
 
--- a/libs/membership/src/host_table.cc
+++ b/libs/membership/src/host_table.cc
@@ -5,8 +5,9 @@
 
 namespace cherrydyke {
 
-HostTable::HostTable(KnownHost self, std::vector<HostId> seeds, Options options)
-    : self_(std::move(self)), options_(options) {
+HostTable::HostTable(KnownHost self, std::vector<HostId> seeds, Options options,
+                     absl::Time started)
+    : self_(std::move(self)), options_(std::move(options)), started_(started) {
   SetSeeds(std::move(seeds));
 }
 
@@ -15,10 +16,11 @@
   seeds_ = std::move(seeds);
 }
 
-void HostTable::OnNews(const HostNews& news, absl::Time now) {
-  if (news.from.host == self_.host) return;
+bool HostTable::OnNews(const HostNews& news, absl::Time now) {
+  if (news.from.host == self_.host) return false;
   first_heard_ = std::min(first_heard_, now);
   told_hosts_ = std::max(told_hosts_, news.known_hosts);
+  const size_t known_before = peers_.size();
   Peer& sender = peers_[news.from.host];
   sender.failure_domain = news.from.failure_domain;
   sender.heard = now;
@@ -31,6 +33,8 @@
     if (added) known->second.read = absl::InfinitePast();
     known->second.heard = std::max(known->second.heard, heard);
   }
+  if (peers_.size() > known_before) last_added_ = now;
+  return news.known_hosts < known_hosts();
 }
 
 std::vector<HostId> HostTable::LivePeers(absl::Time now) const {
@@ -100,9 +104,26 @@
 }
 
 int HostTable::SharingHosts(absl::Time now) const {
-  const int most = std::max(known_hosts(), told_hosts_);
-  const bool settled = now - first_heard_ >= options_.settle_time;
-  return settled ? most : std::max(most, options_.initial_hosts);
+  const int most = std::max(known_hosts() + UnheardHosts(), told_hosts_);
+  return IsSettled(now) ? most : std::max(most, options_.initial_hosts);
+}
+
+bool HostTable::IsSettled(absl::Time now) const {
+  const bool heard = first_heard_ != absl::InfiniteFuture();
+  if (!heard && !seeds_.empty()) return false;
+  return now - (heard ? first_heard_ : started_) >= options_.settle_time;
+}
+
+int HostTable::UnheardHosts() const {
+  std::map<FailureDomainName, int> heard;
+  for (const KnownHost& host : KnownHosts()) ++heard[host.failure_domain];
+  int most = 0;
+  for (const auto& [domain, hosts] : heard) most = std::max(most, hosts);
+  int unheard = 0;
+  for (const FailureDomainName& domain : options_.domains) {
+    if (heard.count(domain) == 0) unheard += most;
+  }
+  return unheard;
 }
 
 std::vector<KnownHost> HostTable::KnownHosts() const {
--- a/libs/membership/tests/host_table_test.cc
+++ b/libs/membership/tests/host_table_test.cc
@@ -16,7 +16,7 @@
 }
 
 HostTable Table(const HostId& self, std::vector<HostId> seeds = {}) {
-  return HostTable({self, "z"}, std::move(seeds), HostTable::Options());
+  return HostTable({self, "z"}, std::move(seeds), HostTable::Options(), kStart);
 }
 
 HostId Name(int index) {
@@ -28,6 +28,10 @@
 class HostTableTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(HostTableTest);
   CPPUNIT_TEST(AssumesManyHostsUntilTheFleetIsKnown);
+  CPPUNIT_TEST(HostThatHearsNoSeedIsNotAlone);
+  CPPUNIT_TEST(HostWithoutSeedsIsAlone);
+  CPPUNIT_TEST(UnheardDomainsHaveAsManyHostsAsTheLargestKnown);
+  CPPUNIT_TEST(WhoKnowsFewerHostsIsTold);
   CPPUNIT_TEST(NeverDividesByFewerHostsThanEverKnown);
   CPPUNIT_TEST(GossipsWithASeedEvenIfOthersAreLive);
   CPPUNIT_TEST(SilentHostsAreKnownButNotLive);
@@ -47,6 +51,37 @@
     CPPUNIT_ASSERT_EQUAL(2, table.SharingHosts(kSettled));
   }
 
+  void HostThatHearsNoSeedIsNotAlone() {
+    const HostTable table = Table("a", {"b"});
+    CPPUNIT_ASSERT_EQUAL(100, table.SharingHosts(kStart + absl::Hours(1)));
+  }
+
+  void HostWithoutSeedsIsAlone() {
+    HostTable::Options options;
+    options.domains = {"y", "z"};
+    const HostTable table({"a", "z"}, {"a"}, options, kStart);
+    CPPUNIT_ASSERT_EQUAL(100, table.SharingHosts(kStart + absl::Seconds(2)));
+    CPPUNIT_ASSERT_EQUAL(2, table.SharingHosts(kSettled));
+  }
+
+  void UnheardDomainsHaveAsManyHostsAsTheLargestKnown() {
+    HostTable::Options options;
+    options.domains = {"x", "y", "z"};
+    HostTable table({"a", "z"}, {}, options, kStart);
+    table.OnNews(News("b", false, {{"c", "z", 10}, {"d", "y", 10}}), kStart);
+    // Three of "z", one of "y", and three for "x".
+    CPPUNIT_ASSERT_EQUAL(7, table.SharingHosts(kSettled));
+    table.OnNews(News("b", false, {{"e", "x", 10}}), kSettled);
+    CPPUNIT_ASSERT_EQUAL(5, table.SharingHosts(kSettled));
+  }
+
+  void WhoKnowsFewerHostsIsTold() {
+    HostTable table = Table("a");
+    CPPUNIT_ASSERT(table.OnNews(News("b"), kStart));
+    CPPUNIT_ASSERT(!table.OnNews(News("b", false, {}, 2), kStart));
+    CPPUNIT_ASSERT(table.OnNews(News("c", false, {}, 2), kStart));
+  }
+
   void NeverDividesByFewerHostsThanEverKnown() {
     HostTable table = Table("a");
     table.OnNews(News("b", false, {{"c", "z", 10}, {"d", "y", 90'000}}, 9),
--- a/libs/tier/include/tier/fleet_link.h
+++ b/libs/tier/include/tier/fleet_link.h
@@ -78,7 +78,9 @@
   bool fetching_ = false;
   absl::Time started_at_;
   int round_ = 0;
+  /// As of the last division of limits.
   int sharing_hosts_ = 0;
+  int known_hosts_ = 1;
 };
 
 }  // namespace cherrydyke
--- a/libs/tier/include/tier/target_set.h
+++ b/libs/tier/include/tier/target_set.h
@@ -17,23 +17,10 @@
 #include "dispatch/target_health.h"
 #include "dispatch/types.h"
 #include "engine/connection_pool.h"
-#include "membership/host_table.h"
+#include "membership/fleet_shares.h"
 
 namespace cherrydyke {
 
-/// Where a host stands.
-struct Locality {
-  HostId host;
-  FailureDomainName failure_domain;
-  /// Region of each failure domain.
-  std::map<FailureDomainName, RegionName> regions;
-
-  friend bool operator==(const Locality& a, const Locality& b) {
-    return a.host == b.host && a.failure_domain == b.failure_domain &&
-           a.regions == b.regions;
-  }
-};
-
 /// What the operators ask of targets.
 struct TargetOrders {
   std::map<ServiceName, ServiceSpec> services;
@@ -41,10 +28,6 @@
   std::set<FailureDomainName> evacuated;
 };
 
-/// How far two failure domains are from each other.
-enum class Distance { kSameDomain, kSameRegion, kOtherRegion };
-constexpr size_t kDistances = 3;
-
 /// Sends since the start, by where they went and why.
 struct SendCounts {
   /// Indexed by `Distance`.
@@ -125,15 +108,9 @@
               absl::Time now) const;
   bool IsExcluded(const Target& target, const PlacementNeed& need) const;
   static ReplicaState StateOf(const Target& target, absl::Time now);
-  Distance DistanceBetween(const FailureDomainName& a,
-                           const FailureDomainName& b) const;
-  RegionName RegionOf(const FailureDomainName& domain) const;
   /// Divides what targets bear among the hosts that may use them.
   void DivideAll();
-  void Divide(Target& target, const std::vector<KnownHost>& hosts) const;
-  /// @return this host's place among all hosts that may use the target: those
-  /// of its failure domain first, then those of its region.
-  size_t Rank(const Target& target, const std::vector<KnownHost>& hosts) const;
+  void Divide(Target& target) const;
   void Count(const Target& target, bool extra, absl::Time now);
   Target* Find(const TargetId& id) const;
 
@@ -142,7 +119,7 @@
   const Locality locality_;
   const FleetBounds bounds_;
   const engine::ClientOptions options_;
-  const HostTable& hosts_;
+  FleetShares shares_;
   Observer& observer_;
   ExtraBudget budget_;
   TargetOrders orders_;
--- a/libs/tier/src/fleet_link.cc
+++ b/libs/tier/src/fleet_link.cc
@@ -19,6 +19,9 @@
 constexpr int kRoundsPerNaming = 4;
 /// A host that has just started tells and asks in every round.
 constexpr absl::Duration kIntroductionTime = absl::Seconds(4);
+/// A host that has learned of another names hosts in every round for this long,
+/// so that all divide their limits anew before the newcomer uses its part.
+constexpr absl::Duration kRumourTime = absl::Seconds(2);
 /// Crash counts in one message, so that it fits a datagram.
 constexpr size_t kMaxCrashCounts = 12;
 /// How long a host waits for the configuration service, or for the reader of
@@ -78,13 +81,17 @@
 
 void FleetLink::NextRound() {
   const absl::Time now = loop_.Now();
-  if (const int sharing = hosts_.SharingHosts(now); sharing != sharing_hosts_) {
-    LogInfo("limits divided anew",
-            {{"hosts", sharing}, {"before", sharing_hosts_}});
+  const int sharing = hosts_.SharingHosts(now);
+  if (sharing != sharing_hosts_ || hosts_.known_hosts() != known_hosts_) {
+    LogInfo("limits divided anew", {{"hosts", sharing},
+                                    {"before", sharing_hosts_},
+                                    {"known", hosts_.known_hosts()}});
     sharing_hosts_ = sharing;
+    known_hosts_ = hosts_.known_hosts();
     hooks_.hosts_changed();
   }
-  const bool introduces = now - started_at_ < kIntroductionTime;
+  const bool introduces = now - started_at_ < kIntroductionTime ||
+                          now - hosts_.last_added() < kRumourTime;
   const bool names_hosts = introduces || round_ % kRoundsPerNaming == 0;
   ++round_;
   if (names_hosts) {
@@ -129,11 +136,13 @@
   }
   const FleetMessage& message = GetValue(decoded);
   const absl::Time now = loop_.Now();
-  hosts_.OnNews({{message.host, message.failure_domain},
-                 message.known_hosts,
-                 message.reads,
-                 message.hosts},
-                now);
+  const HostNews news{{message.host, message.failure_domain},
+                      message.known_hosts,
+                      message.reads,
+                      message.hosts};
+  if (hosts_.OnNews(news, now)) {
+    Send({message.host}, hosts_.Ages(now, random_));
+  }
   for (const CrashCount& count : message.crashes) {
     if (crashes_.OnCount(count, now)) {
       LogWarning("request quarantined",
--- a/libs/tier/src/target_set.cc
+++ b/libs/tier/src/target_set.cc
@@ -1,11 +1,9 @@
 #include "tier/target_set.h"
 
 #include <algorithm>
-#include <array>
 #include <limits>
 #include <utility>
 
-#include "membership/rendezvous.h"
 #include "target.h"
 #include "telemetry/log.h"
 
@@ -54,27 +52,16 @@
       locality_(std::move(locality)),
       bounds_(bounds),
       options_(std::move(options)),
-      hosts_(hosts),
+      shares_(locality_, hosts),
       observer_(observer),
-      budget_(bounds) {
-  budget_.SetHosts(hosts.SharingHosts(loop.Now()));
+      budget_(bounds, loop.Now()) {
+  shares_.Refresh(loop.Now());
+  budget_.SetHosts(shares_.hosts());
   timers_.Every(kWarmPeriod, [this] { KeepWarm(); });
 }
 
 TargetSet::~TargetSet() = default;
 
-RegionName TargetSet::RegionOf(const FailureDomainName& domain) const {
-  const auto found = locality_.regions.find(domain);
-  return found == locality_.regions.end() ? "" : found->second;
-}
-
-Distance TargetSet::DistanceBetween(const FailureDomainName& a,
-                                    const FailureDomainName& b) const {
-  if (a == b) return Distance::kSameDomain;
-  return RegionOf(a) == RegionOf(b) ? Distance::kSameRegion
-                                    : Distance::kOtherRegion;
-}
-
 TargetSet::Target* TargetSet::Find(const TargetId& id) const {
   const auto found = targets_.find(id);
   return found == targets_.end() ? nullptr : found->second.get();
@@ -111,8 +98,8 @@
     return;
   }
   if (!same_lifetime) {
-    const Distance distance =
-        DistanceBetween(locality_.failure_domain, info.failure_domain);
+    const Distance distance = locality_.DistanceBetween(
+        locality_.failure_domain, info.failure_domain);
     auto fresh =
         std::make_unique<Target>(*this, info, distance, RoundTrip(distance));
     std::vector<Target*>& peers = by_service_[info.service];
@@ -137,7 +124,7 @@
   target->cold_until = target->info.warmup_left > absl::ZeroDuration()
                            ? now + target->info.warmup_left
                            : absl::InfinitePast();
-  if (!same_lifetime) Divide(*target, hosts_.KnownHosts());
+  if (!same_lifetime) Divide(*target);
 }
 
 void TargetSet::DropGone(absl::Time now) {
@@ -167,49 +154,31 @@
 }
 
 void TargetSet::OnHostsChanged() {
-  budget_.SetHosts(hosts_.SharingHosts(loop_.Now()));
+  shares_.Refresh(loop_.Now());
+  budget_.SetHosts(shares_.hosts());
   DivideAll();
 }
 
 void TargetSet::DivideAll() {
-  const std::vector<KnownHost> hosts = hosts_.KnownHosts();
-  for (auto& [id, target] : targets_) Divide(*target, hosts);
+  for (auto& [id, target] : targets_) Divide(*target);
 }
 
-void TargetSet::Divide(Target& target,
-                       const std::vector<KnownHost>& hosts) const {
+void TargetSet::Divide(Target& target) const {
   const auto spec = orders_.services.find(target.info.service);
   if (spec == orders_.services.end()) return;
-  const int sharing = hosts_.SharingHosts(loop_.Now());
-  const size_t rank = Rank(target, hosts);
+  const TargetInfo& info = target.info;
   const double connections = kConnectionPart * spec->second.max_connections;
   target.connection_limit =
-      std::min(DivideShare(connections, sharing, rank), kMaxConnections);
+      std::min(shares_.ShareOf(connections, info.id, info.failure_domain),
+               kMaxConnections);
   target.pool->SetLimit(target.connection_limit);
   const double per_second =
       spec->second.warmup_per_s * bounds_.warmup_overage + bounds_.warmup_slack;
   // A service that states no rate for cold targets does not limit them.
-  target.cold_share = spec->second.warmup_per_s > 0
-                          ? DivideShare(per_second, sharing, rank)
-                          : std::numeric_limits<int>::max();
-}
-
-size_t TargetSet::Rank(const Target& target,
-                       const std::vector<KnownHost>& hosts) const {
-  std::array<std::vector<HostId>, kDistances> by_distance;
-  for (const KnownHost& host : hosts) {
-    const Distance distance =
-        DistanceBetween(host.failure_domain, target.info.failure_domain);
-    by_distance[static_cast<size_t>(distance)].push_back(host.host);
-  }
-  size_t rank = 0;
-  for (const std::vector<HostId>& equals : by_distance) {
-    const std::vector<HostId> ranked = RankByRendezvous(target.info.id, equals);
-    const auto found = std::find(ranked.begin(), ranked.end(), locality_.host);
-    rank += static_cast<size_t>(found - ranked.begin());
-    if (found != ranked.end()) break;
-  }
-  return rank;
+  target.cold_share =
+      spec->second.warmup_per_s > 0
+          ? shares_.StrictShareOf(per_second, info.id, info.failure_domain)
+          : std::numeric_limits<int>::max();
 }
 
 void TargetSet::OnRequest(const ServiceName& service) {
@@ -257,7 +226,7 @@
   if (need.allowed_regions == nullptr || need.allowed_regions->empty()) {
     return false;
   }
-  const RegionName region = RegionOf(target.info.failure_domain);
+  const RegionName region = locality_.RegionOf(target.info.failure_domain);
   return std::find(need.allowed_regions->begin(), need.allowed_regions->end(),
                    region) == need.allowed_regions->end();
 }
--- a/libs/tier/src/tier_node.cc
+++ b/libs/tier/src/tier_node.cc
@@ -27,6 +27,14 @@
   return options;
 }
 
+HostTable::Options HostOptions(const Locality& locality) {
+  HostTable::Options options;
+  for (const auto& [domain, region] : locality.regions) {
+    options.domains.push_back(domain);
+  }
+  return options;
+}
+
 }  // namespace
 
 TierNode::TierNode(engine::EventLoop& loop, TierSettings settings,
@@ -35,7 +43,7 @@
       settings_(std::move(settings)),
       faces_(faces),
       hosts_({settings_.locality.host, settings_.locality.failure_domain},
-             settings_.seeds, HostTable::Options()),
+             settings_.seeds, HostOptions(settings_.locality), loop.Now()),
       crashes_(settings_.locality.host),
       targets_(loop, settings_.locality, settings_.bounds,
                TargetOptions(faces.callers), hosts_, *this),
