Let an operator set the policies, and bound every kind of log line

Logs: besides the budget for each outcome, each message has one for the whole process, so that garbage datagrams or targets that come and go cannot flood the output; errors are always written. The load line says how many lines were left out (LogBudget::TakeDropped was never called).

--- a/daemons/tier/main.cc
+++ b/daemons/tier/main.cc
@@ -17,6 +17,7 @@
 #include "platform/settings.h"
 #include "platform/store_client.h"
 #include "telemetry/log.h"
+#include "tier/policy_file.h"
 #include "tier/tier_node.h"
 
 namespace cherrydyke {
@@ -25,8 +26,11 @@
 /// How often the settings file is looked at: it may change without a signal.
 constexpr absl::Duration kSettingsCheckPeriod = absl::Seconds(1);
 constexpr int kFaultExitCode = 2;
+/// Lines of one message in a second, in budgets of an outcome's: more than all
+/// outcomes of requests together have.
+constexpr int kBudgetsOfAMessage = 10;
 
-void PrintFaults(const platform::SettingsFaults& faults) {
+void PrintFaults(const SettingsFaults& faults) {
   for (const std::string& fault : faults) std::cerr << fault << "\n";
 }
 
@@ -43,7 +47,7 @@
   void Reload() {
     seen_ = Stamp();
     const auto read = platform::ReadSettings(path_);
-    if (const auto* faults = std::get_if<platform::SettingsFaults>(&read)) {
+    if (const auto* faults = std::get_if<SettingsFaults>(&read)) {
       LogError("changed settings refused; the old ones stay",
                {{"fault", faults->front()}, {"faults", faults->size()}});
       return;
@@ -74,6 +78,7 @@
   fcntl(STDOUT_FILENO, F_SETFL, fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
   StartLogging("cherrydyke-tier", settings.node_name,
                LogOutput::kStandardOutput);
+  LimitLines(kBudgetsOfAMessage * settings.tier.policy.log_lines);
   const BootClock clock;
   engine::EventLoop loop(clock);
   const platform::HttpFace face;
@@ -101,21 +106,29 @@
 int Main(int argc, char** argv) {
   const char* const from_environment = std::getenv(platform::kSettingsVariable);
   std::string path = from_environment == nullptr ? "" : from_environment;
+  std::string policy_path;
   bool check = false;
   CLI::App app("Serves callers on the users' platform", "cherrydyke-tier");
   app.add_option("--config", path,
                  "settings file of the platform; by default the one that the "
                  "environment names");
-  app.add_flag("--check", check, "check the settings and exit");
+  app.add_option("--policy", policy_path,
+                 "file with the operator's policy; without it, the defaults");
+  app.add_flag("--check", check, "check the settings and the policy, and exit");
   app.set_version_flag("--version", CHERRYDYKE_VERSION);
   if (const auto code = ParseCommandLine(app, argc, argv)) return *code;
-  const auto read = platform::ReadSettings(path);
-  if (const auto* faults = std::get_if<platform::SettingsFaults>(&read)) {
-    PrintFaults(*faults);
-    return kFaultExitCode;
-  }
+  auto read = platform::ReadSettings(path);
+  const auto* faults = std::get_if<SettingsFaults>(&read);
+  if (faults != nullptr) PrintFaults(*faults);
+  std::variant<Policy, SettingsFaults> policy;
+  if (!policy_path.empty()) policy = ReadPolicy(policy_path);
+  const auto* policy_faults = std::get_if<SettingsFaults>(&policy);
+  if (policy_faults != nullptr) PrintFaults(*policy_faults);
+  if (faults != nullptr || policy_faults != nullptr) return kFaultExitCode;
   if (check) return 0;
-  return Serve(path, std::get<platform::Settings>(read));
+  auto& settings = std::get<platform::Settings>(read);
+  settings.tier.policy = std::get<Policy>(policy);
+  return Serve(path, settings);
 }
 
 }  // namespace
--- a/libs/dispatch/include/dispatch/extra_budget.h
+++ b/libs/dispatch/include/dispatch/extra_budget.h
@@ -2,6 +2,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
+#include "dispatch/policy.h"
 #include "dispatch/sliding_count.h"
 #include "dispatch/types.h"
 
@@ -25,8 +26,10 @@
 /// may have used its part just before. Pure.
 class ExtraBudget {
  public:
-  ExtraBudget(FleetBounds bounds, absl::Time started)
-      : bounds_(bounds), slack_from_(started + bounds.retry_window) {}
+  ExtraBudget(FleetBounds bounds, absl::Time started, Policy policy = {})
+      : bounds_(bounds),
+        policy_(policy),
+        slack_from_(started + bounds.retry_window) {}
 
   /// @param hosts the most hosts that may share the slack, at least 1.
   void SetHosts(int hosts) { hosts_ = hosts; }
@@ -48,6 +51,7 @@
   double Allowance(Use& use, absl::Time now) const;
 
   const FleetBounds bounds_;
+  const Policy policy_;
   const absl::Time slack_from_;
   int hosts_ = 1;
   absl::flat_hash_map<ServiceName, Use> uses_;
--- /dev/null
+++ b/libs/dispatch/include/dispatch/policy.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <string>
+#include <tuple>
+
+#include "absl/time/time.h"
+
+namespace cherrydyke {
+
+/// What an operator may change about the decisions on requests. The defaults
+/// are what was measured in docs/design/heavy-days.md.
+struct Policy {
+  /// How much earlier than the latency objective an answer is given: the way
+  /// back to the caller and the time it took to read the request.
+  absl::Duration answer_margin = absl::Milliseconds(12);
+  /// Whether a fan-out waits for all parts until then, or is answered as soon
+  /// as enough parts are in.
+  bool wait_for_parts = true;
+  /// How much earlier than the deadline a request ends.
+  absl::Duration deadline_margin = absl::Milliseconds(10);
+  /// Time that an unwanted request has to finish at its target before its
+  /// connection is closed: a new connection costs the target about as much as
+  /// a usual request, but callers' leaving must reach it within half a second.
+  absl::Duration cancel_grace = absl::Milliseconds(250);
+  /// When a refused caller should come back, on average, and the part of it by
+  /// which returns are spread to both sides, so that they do not come together.
+  absl::Duration retry_after = absl::Milliseconds(200);
+  double retry_after_spread = 0.5;
+
+  /// Whether a part that takes long is asked for at a second target.
+  bool hedges = true;
+  /// Part of the fleet's budget for extra sends that is used at all; the rest
+  /// covers arrivals that are delayed into the next window.
+  double budget_part = 0.9;
+  /// Part of that which sends may use that only make an answer faster or more
+  /// complete.
+  double helpful_part = 0.85;
+
+  /// What it costs a request to meet a failure, when replicas are compared.
+  /// Second sends are few, so a failure may well lose the part: a replica that
+  /// fails half of its requests must cost more than one in another region.
+  absl::Duration failure_cost = absl::Milliseconds(250);
+  /// Targets of a service to which connections are kept open: the one in use
+  /// and the one that a hedge would go to, for which a handshake would come too
+  /// late.
+  int warm_targets = 2;
+
+  /// Most lines a second for each kind of outcome.
+  int log_lines = 20;
+
+  friend bool operator==(const Policy& a, const Policy& b) {
+    return std::tie(a.answer_margin, a.wait_for_parts, a.deadline_margin,
+                    a.cancel_grace, a.retry_after, a.retry_after_spread,
+                    a.hedges, a.budget_part, a.helpful_part, a.failure_cost,
+                    a.warm_targets, a.log_lines) ==
+           std::tie(b.answer_margin, b.wait_for_parts, b.deadline_margin,
+                    b.cancel_grace, b.retry_after, b.retry_after_spread,
+                    b.hedges, b.budget_part, b.helpful_part, b.failure_cost,
+                    b.warm_targets, b.log_lines);
+  }
+};
+
+}  // namespace cherrydyke
--- a/libs/dispatch/include/dispatch/replica_choice.h
+++ b/libs/dispatch/include/dispatch/replica_choice.h
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "absl/time/time.h"
+#include "dispatch/policy.h"
 #include "dispatch/target_health.h"
 
 namespace cherrydyke {
@@ -22,6 +23,8 @@
   bool cold = false;
   /// Whether its entry is missing and may be back.
   bool missing = false;
+  /// What it costs a request to meet a failure.
+  absl::Duration failure_cost = Policy().failure_cost;
 };
 
 /// What a send to a replica is expected to cost its request, in time until the
--- a/libs/dispatch/include/dispatch/request_run.h
+++ b/libs/dispatch/include/dispatch/request_run.h
@@ -17,6 +17,8 @@
   std::vector<ServiceName> services;
   bool is_fanout = false;
   bool idempotent = false;
+  /// Whether a part that takes long is asked for at a second target.
+  bool hedges = true;
   /// Most targets of each service that the request may run on.
   int attempts = 1;
   /// Fewest parts that make an answer.
--- a/libs/dispatch/src/extra_budget.cc
+++ b/libs/dispatch/src/extra_budget.cc
@@ -5,17 +5,12 @@
 
 /// Resolution of the windows: a twentieth of the usual ten seconds.
 constexpr absl::Duration kBucket = absl::Milliseconds(500);
-/// Part of the budget that is used at all; the rest covers arrivals that are
-/// delayed into the next window.
-constexpr double kUsablePart = 0.9;
-/// Part of what a host's requests allow that is used in the first window after
-/// its start, half of the usual: an earlier lifetime may have used up the
+/// Part of the usual that a host's requests allow in the first window after its
+/// start: an earlier lifetime may have used up the
 /// window. Everything used and all hosts restarted at once would leave nothing,
 /// yet right then requests need their second sends; the fleet model keeps the
 /// bound.
-constexpr double kFirstWindowPart = 0.45;
-/// Part of the usable budget that helpful sends may use.
-constexpr double kHelpfulPart = 0.85;
+constexpr double kFirstWindowPart = 0.5;
 
 }  // namespace
 
@@ -34,9 +29,10 @@
 double ExtraBudget::Allowance(Use& use, absl::Time now) const {
   const double requests = static_cast<double>(use.requests.Count(now));
   if (now < slack_from_) {
-    return kFirstWindowPart * bounds_.retry_ratio * requests;
+    return policy_.budget_part * kFirstWindowPart * bounds_.retry_ratio *
+           requests;
   }
-  return kUsablePart *
+  return policy_.budget_part *
          (bounds_.retry_ratio * requests + bounds_.retry_slack / hosts_);
 }
 
@@ -44,7 +40,7 @@
                           absl::Time now) {
   Use& state = UseOf(service);
   double allowance = Allowance(state, now);
-  if (use == ExtraUse::kHelpful) allowance *= kHelpfulPart;
+  if (use == ExtraUse::kHelpful) allowance *= policy_.helpful_part;
   if (static_cast<double>(state.extras.Count(now)) + 1 > allowance) {
     return false;
   }
--- a/libs/dispatch/src/replica_choice.cc
+++ b/libs/dispatch/src/replica_choice.cc
@@ -5,10 +5,6 @@
 namespace cherrydyke {
 namespace {
 
-/// What it costs a request to meet a failure. Second sends are few, so a
-/// failure may well lose the part: a replica that fails half of its requests
-/// must cost more than one in another region.
-constexpr absl::Duration kFailureCost = absl::Milliseconds(250);
 /// Added for a replica that seems not to answer: more than any distance.
 constexpr absl::Duration kSuspectCost = absl::Seconds(2);
 /// Added for a cold replica, which is slow and bears little.
@@ -22,7 +18,7 @@
   const TargetHealth& health = *replica.health;
   absl::Duration cost = health.Expected(std::max(1, replica.slots),
                                         std::max(1, replica.connections), now);
-  cost += health.FailureRate(now) * kFailureCost;
+  cost += health.FailureRate(now) * replica.failure_cost;
   if (!replica.connected) cost += replica.round_trip;
   if (health.IsSuspect(now)) cost += kSuspectCost;
   if (replica.cold) cost += kColdCost;
--- a/libs/dispatch/src/request_run.cc
+++ b/libs/dispatch/src/request_run.cc
@@ -71,7 +71,7 @@
 }
 
 bool RequestRun::MayHedge(const Part& part) const {
-  return plan_.idempotent && part.counted < plan_.attempts;
+  return plan_.hedges && plan_.idempotent && part.counted < plan_.attempts;
 }
 
 ExtraUse RequestRun::UseOf(size_t index) const {
--- a/libs/hosting/include/hosting/settings.h
+++ b/libs/hosting/include/hosting/settings.h
@@ -2,9 +2,9 @@
 
 #include <string>
 #include <variant>
-#include <vector>
 
 #include "base/ids.h"
+#include "kernel/settings_reader.h"
 
 namespace cherrydyke {
 
@@ -53,9 +53,6 @@
   bool allow_faults = false;
 };
 
-/// Faults found in a settings file, each `file:line: key: what was expected`.
-using SettingsFaults = std::vector<std::string>;
-
 /// Reads and checks a TOML settings file.
 std::variant<DaemonSettings, SettingsFaults> ReadSettings(
     const std::string& file_name);
--- /dev/null
+++ b/libs/kernel/include/kernel/settings_reader.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#define TOML_EXCEPTIONS 0
+#include "toml++/toml.h"
+
+namespace cherrydyke {
+
+/// Faults found in a settings file, each `file:line: key: what was expected`.
+using SettingsFaults = std::vector<std::string>;
+
+/// Reads the sections of one settings file, checks each value and collects
+/// every fault with its line. A value that is absent or faulty keeps its
+/// default.
+class SettingsReader {
+ public:
+  SettingsReader(std::string file, const toml::table& root,
+                 SettingsFaults& faults)
+      : file_(std::move(file)), root_(root), faults_(faults) {}
+
+  void Text(const std::string& section, const std::string& key,
+            std::string& value, bool required);
+  void Integer(const std::string& section, const std::string& key, int& value,
+               int low, int high);
+  void Number(const std::string& section, const std::string& key, double& value,
+              double low, double high);
+  void Boolean(const std::string& section, const std::string& key, bool& value);
+  void Choice(const std::string& section, const std::string& key,
+              std::string& value, const std::set<std::string>& words);
+  /// Adds a fault at a key that is present.
+  void Fault(const std::string& section, const std::string& key,
+             const std::string& expected);
+  /// Adds a fault for each key that was not asked for until now.
+  void RejectUnknown();
+
+ private:
+  const toml::node* Find(const std::string& section, const std::string& key);
+  void Add(uint32_t line, const std::string& path, const std::string& what);
+  void Fault(const toml::node& node, const std::string& section,
+             const std::string& key, const std::string& expected);
+  void Missing(const std::string& section, const std::string& key);
+
+  const std::string file_;
+  const toml::table& root_;
+  SettingsFaults& faults_;
+  std::map<std::string, std::set<std::string>> known_;
+};
+
+}  // namespace cherrydyke
--- /dev/null
+++ b/libs/kernel/src/settings_reader.cc
@@ -0,0 +1,130 @@
+#include "kernel/settings_reader.h"
+
+#include "absl/strings/str_cat.h"
+
+namespace cherrydyke {
+namespace {
+
+uint32_t LineOf(const toml::node& node) { return node.source().begin.line; }
+
+}  // namespace
+
+void SettingsReader::Text(const std::string& section, const std::string& key,
+                          std::string& value, bool required) {
+  const toml::node* node = Find(section, key);
+  if (node == nullptr) {
+    if (required) Missing(section, key);
+    return;
+  }
+  const auto text = node->value_exact<std::string>();
+  if (!text || text->empty()) {
+    Fault(*node, section, key, "a string that is not empty");
+    return;
+  }
+  value = *text;
+}
+
+void SettingsReader::Integer(const std::string& section, const std::string& key,
+                             int& value, int low, int high) {
+  const toml::node* node = Find(section, key);
+  if (node == nullptr) return;
+  const auto number = node->value_exact<int64_t>();
+  if (!number || *number < low || *number > high) {
+    Fault(*node, section, key,
+          absl::StrCat("an integer from ", low, " to ", high));
+    return;
+  }
+  value = static_cast<int>(*number);
+}
+
+void SettingsReader::Number(const std::string& section, const std::string& key,
+                            double& value, double low, double high) {
+  const toml::node* node = Find(section, key);
+  if (node == nullptr) return;
+  const auto number = node->is_number() ? node->value<double>() : std::nullopt;
+  if (!number || *number < low || *number > high) {
+    Fault(*node, section, key,
+          absl::StrCat("a number from ", low, " to ", high));
+    return;
+  }
+  value = *number;
+}
+
+void SettingsReader::Boolean(const std::string& section, const std::string& key,
+                             bool& value) {
+  const toml::node* node = Find(section, key);
+  if (node == nullptr) return;
+  const auto flag = node->value_exact<bool>();
+  if (!flag) {
+    Fault(*node, section, key, "true or false");
+    return;
+  }
+  value = *flag;
+}
+
+void SettingsReader::Choice(const std::string& section, const std::string& key,
+                            std::string& value,
+                            const std::set<std::string>& words) {
+  const size_t faults_before = faults_.size();
+  Text(section, key, value, false);
+  if (faults_.size() != faults_before || words.count(value) > 0) return;
+  std::string expected = "one of";
+  for (const std::string& word : words) absl::StrAppend(&expected, " ", word);
+  Fault(*Find(section, key), section, key, expected);
+}
+
+void SettingsReader::Fault(const std::string& section, const std::string& key,
+                           const std::string& expected) {
+  if (const toml::node* node = Find(section, key)) {
+    Fault(*node, section, key, expected);
+  }
+}
+
+void SettingsReader::RejectUnknown() {
+  for (const auto& [section, node] : root_) {
+    const std::string name(section.str());
+    const auto known = known_.find(name);
+    if (known == known_.end()) {
+      Add(LineOf(node), name, "unknown key");
+      continue;
+    }
+    const toml::table* table = node.as_table();
+    if (table == nullptr) {
+      Add(LineOf(node), name, "expected a table");
+      continue;
+    }
+    for (const auto& [key, value] : *table) {
+      const std::string key_name(key.str());
+      if (known->second.count(key_name) > 0) continue;
+      Add(LineOf(value), name + "." + key_name, "unknown key");
+    }
+  }
+}
+
+const toml::node* SettingsReader::Find(const std::string& section,
+                                       const std::string& key) {
+  known_[section].insert(key);
+  const toml::node* node = root_.get(section);
+  const toml::table* table = node == nullptr ? nullptr : node->as_table();
+  return table == nullptr ? nullptr : table->get(key);
+}
+
+void SettingsReader::Add(uint32_t line, const std::string& path,
+                         const std::string& what) {
+  faults_.push_back(absl::StrCat(file_, ":", line, ": ", path, ": ", what));
+}
+
+void SettingsReader::Fault(const toml::node& node, const std::string& section,
+                           const std::string& key,
+                           const std::string& expected) {
+  Add(LineOf(node), section + "." + key, "expected " + expected);
+}
+
+void SettingsReader::Missing(const std::string& section,
+                             const std::string& key) {
+  const toml::node* node = root_.get(section);
+  Add(node == nullptr ? 1 : LineOf(*node), section + "." + key,
+      "expected a value, the key is missing");
+}
+
+}  // namespace cherrydyke
--- a/libs/telemetry/include/telemetry/log.h
+++ b/libs/telemetry/include/telemetry/log.h
@@ -46,6 +46,14 @@
 void StartLogging(const std::string& program, const std::string& host,
                   LogOutput output = LogOutput::kStandardError);
 
+/// Bounds the lines of each message that are written in a second, so that what
+/// a peer sends or how a target behaves cannot flood the output. Unbounded
+/// before the first call. Errors are always written.
+void LimitLines(int per_message_and_second);
+
+/// @return lines left out because of the limit since the last call.
+int64_t TakeDroppedLines();
+
 /// Changes the lowest level written; safe while the process runs.
 /// @return false if `level` is not debug, info, warning or error.
 bool SetLogLevel(const std::string& level);
--- a/libs/telemetry/include/telemetry/log_budget.h
+++ b/libs/telemetry/include/telemetry/log_budget.h
@@ -12,7 +12,7 @@
 class LogBudget {
  public:
   /// @param per_second lines of one kind.
-  explicit LogBudget(int per_second = 20) : per_second_(per_second) {}
+  explicit LogBudget(int per_second) : per_second_(per_second) {}
 
   /// @return whether a line of this kind may be written; one that may not is
   /// counted.
--- a/libs/telemetry/src/log.cc
+++ b/libs/telemetry/src/log.cc
@@ -2,9 +2,12 @@
 
 #include <memory>
 
+#include "absl/synchronization/mutex.h"
+#include "absl/time/clock.h"
 #include "nlohmann/json.hpp"
 #include "spdlog/sinks/stdout_sinks.h"
 #include "spdlog/spdlog.h"
+#include "telemetry/log_budget.h"
 
 namespace cherrydyke {
 namespace {
@@ -14,6 +17,21 @@
   std::string host;
 };
 
+absl::Mutex& LimitMutex() {
+  static absl::Mutex mutex;
+  return mutex;
+}
+
+std::unique_ptr<LogBudget>& Limit() {
+  static std::unique_ptr<LogBudget> limit;
+  return limit;
+}
+
+bool MayWrite(const std::string& message) {
+  const absl::MutexLock lock(&LimitMutex());
+  return Limit() == nullptr || Limit()->Take(message, absl::Now());
+}
+
 LogIdentity& Identity() {
   static LogIdentity identity;
   return identity;
@@ -86,8 +104,22 @@
 
 bool IsLogged(LogLevel level) { return spdlog::should_log(ToSpdlog(level)); }
 
+void LimitLines(int per_message_and_second) {
+  const absl::MutexLock lock(&LimitMutex());
+  Limit() = std::make_unique<LogBudget>(per_message_and_second);
+}
+
+int64_t TakeDroppedLines() {
+  const absl::MutexLock lock(&LimitMutex());
+  int64_t sum = 0;
+  if (Limit() == nullptr) return sum;
+  for (const auto& [message, lines] : Limit()->TakeDropped()) sum += lines;
+  return sum;
+}
+
 void Log(LogLevel level, const std::string& message, const Fields& fields) {
   if (!IsLogged(level)) return;
+  if (level != LogLevel::kError && !MayWrite(message)) return;
   Fields all = {{"level", LevelName(level)},
                 {"program", Identity().program},
                 {"host", Identity().host},
--- a/libs/tier/include/tier/query_plane.h
+++ b/libs/tier/include/tier/query_plane.h
@@ -8,6 +8,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "dispatch/crash_ledger.h"
+#include "dispatch/policy.h"
 #include "dispatch/request_run.h"
 #include "dispatch/route_table.h"
 #include "dispatch/top_records.h"
@@ -29,6 +30,7 @@
     TargetSet& targets;
     CrashLedger& crashes;
     Metrics& metrics;
+    Policy policy;
   };
 
   explicit QueryPlane(Parts parts);
@@ -44,6 +46,10 @@
   void OnRequest(std::shared_ptr<engine::ServerExchange> exchange);
 
   size_t running() const { return running_; }
+  /// @return lines left out since the last call, by kind.
+  std::map<std::string, int> TakeDroppedLines() {
+    return log_budget_.TakeDropped();
+  }
 
  private:
   struct Request;
@@ -77,6 +83,7 @@
   TargetSet& targets_;
   CrashLedger& crashes_;
   Metrics& metrics_;
+  const Policy policy_;
   LogBudget log_budget_;
   std::mt19937_64 random_;
   std::shared_ptr<const RouteTable> routes_;
--- a/libs/tier/include/tier/target_set.h
+++ b/libs/tier/include/tier/target_set.h
@@ -56,7 +56,7 @@
 
   TargetSet(engine::EventLoop& loop, Locality locality, FleetBounds bounds,
             engine::ClientOptions options, const HostTable& hosts,
-            Observer& observer);
+            Policy policy, Observer& observer);
   ~TargetSet() override;
 
   /// Replaces the list of targets.
@@ -107,7 +107,7 @@
   bool MayUse(const Target& target, const PlacementNeed& need,
               absl::Time now) const;
   bool IsExcluded(const Target& target, const PlacementNeed& need) const;
-  static ReplicaState StateOf(const Target& target, absl::Time now);
+  ReplicaState StateOf(const Target& target, absl::Time now) const;
   /// Divides what targets bear among the hosts that may use them.
   void DivideAll();
   void Divide(Target& target) const;
@@ -118,6 +118,7 @@
   engine::TimerScope timers_{loop_};
   const Locality locality_;
   const FleetBounds bounds_;
+  const Policy policy_;
   const engine::ClientOptions options_;
   FleetShares shares_;
   Observer& observer_;
--- a/libs/tier/include/tier/tier_node.h
+++ b/libs/tier/include/tier/tier_node.h
@@ -29,16 +29,17 @@
   int fleet_port = 0;
   std::vector<HostId> seeds;
   FleetBounds bounds;
+  Policy policy;
   /// Time between the signal to stop and the kill.
   absl::Duration stop_grace = absl::Seconds(6);
 
   friend bool operator==(const TierSettings& a, const TierSettings& b) {
     return std::tie(a.locality, a.caller_endpoint, a.ready_endpoint,
                     a.metrics_endpoint, a.fleet_port, a.seeds, a.bounds,
-                    a.stop_grace) == std::tie(b.locality, b.caller_endpoint,
-                                              b.ready_endpoint,
-                                              b.metrics_endpoint, b.fleet_port,
-                                              b.seeds, b.bounds, b.stop_grace);
+                    a.policy, a.stop_grace) ==
+           std::tie(b.locality, b.caller_endpoint, b.ready_endpoint,
+                    b.metrics_endpoint, b.fleet_port, b.seeds, b.bounds,
+                    b.policy, b.stop_grace);
   }
 };
 
--- /dev/null
+++ b/libs/tier/src/policy_file.cc
@@ -0,0 +1,66 @@
+#include "tier/policy_file.h"
+
+#include <fstream>
+#include <sstream>
+
+#include "absl/strings/str_cat.h"
+
+namespace cherrydyke {
+namespace {
+
+// Reads a number of milliseconds into a duration.
+void Milliseconds(SettingsReader& reader, const std::string& section,
+                  const std::string& key, absl::Duration& value, double low,
+                  double high) {
+  double number = absl::ToDoubleMilliseconds(value);
+  reader.Number(section, key, number, low, high);
+  value = absl::Milliseconds(number);
+}
+
+}  // namespace
+
+std::variant<Policy, SettingsFaults> ReadPolicy(const std::string& path) {
+  std::ifstream file(path);
+  if (!file) return SettingsFaults{absl::StrCat(path, ": cannot be read")};
+  std::ostringstream text;
+  text << file.rdbuf();
+  return ParsePolicy(text.str(), path);
+}
+
+std::variant<Policy, SettingsFaults> ParsePolicy(const std::string& text,
+                                                 const std::string& file) {
+  const toml::parse_result parsed = toml::parse(text, file);
+  if (!parsed) {
+    return SettingsFaults{absl::StrCat(
+        file, ":", parsed.error().source().begin.line,
+        ": expected TOML: ", std::string(parsed.error().description()))};
+  }
+  Policy policy;
+  SettingsFaults faults;
+  SettingsReader reader(file, parsed.table(), faults);
+  Milliseconds(reader, "answers", "answer_margin_ms", policy.answer_margin, 0,
+               100);
+  reader.Boolean("answers", "wait_for_parts", policy.wait_for_parts);
+  Milliseconds(reader, "answers", "deadline_margin_ms", policy.deadline_margin,
+               1, 100);
+  // Callers' leaving must reach targets within half a second.
+  Milliseconds(reader, "answers", "cancel_grace_ms", policy.cancel_grace, 0,
+               400);
+  Milliseconds(reader, "refusals", "retry_after_ms", policy.retry_after, 10,
+               60'000);
+  reader.Number("refusals", "retry_after_spread", policy.retry_after_spread, 0,
+                1);
+  reader.Boolean("extra_sends", "hedges", policy.hedges);
+  // More than the whole would break the fleet's bound.
+  reader.Number("extra_sends", "budget_part", policy.budget_part, 0, 0.95);
+  reader.Number("extra_sends", "helpful_part", policy.helpful_part, 0, 1);
+  Milliseconds(reader, "placement", "failure_cost_ms", policy.failure_cost, 0,
+               5000);
+  reader.Integer("placement", "warm_targets", policy.warm_targets, 0, 10);
+  reader.Integer("log", "lines_per_s", policy.log_lines, 0, 1000);
+  reader.RejectUnknown();
+  if (!faults.empty()) return faults;
+  return policy;
+}
+
+}  // namespace cherrydyke
--- a/libs/tier/src/query_plane.cc
+++ b/libs/tier/src/query_plane.cc
@@ -10,23 +10,9 @@
 namespace cherrydyke {
 namespace {
 
-/// How much earlier than the latency objective an answer is given: the way back
-/// to the caller and the time it took to read the request.
-constexpr absl::Duration kAnswerMargin = absl::Milliseconds(12);
-/// How much earlier than the deadline a request ends.
-constexpr absl::Duration kDeadlineMargin = absl::Milliseconds(10);
-/// Time that an unwanted request has to finish at its target before its
-/// connection is closed: a new connection costs the target about as much as a
-/// usual request, but callers' leaving must reach it within half a second.
-constexpr absl::Duration kCancelGrace = absl::Milliseconds(250);
 /// Longest silence of a connection that a request which must not run twice is
 /// trusted to: a server that drops idle connections does so much later.
 constexpr absl::Duration kProvedConnection = absl::Milliseconds(400);
-/// When a refused caller should come back, on average, and how widely the
-/// returns are spread around it.
-constexpr absl::Duration kRetryAfter = absl::Milliseconds(200);
-constexpr double kRetrySpread = 0.5;
-
 TargetSign SignOf(const TargetReply& reply, engine::ExchangeStatus status,
                   bool wanted) {
   if (status == engine::ExchangeStatus::kNotSent) {
@@ -89,6 +75,8 @@
       targets_(parts.targets),
       crashes_(parts.crashes),
       metrics_(parts.metrics),
+      policy_(parts.policy),
+      log_budget_(parts.policy.log_lines),
       random_(NewIncarnation()) {}
 
 QueryPlane::~QueryPlane() = default;
@@ -151,9 +139,13 @@
   }
   const absl::Duration left =
       std::min(call.time_left.value_or(route.timeout), route.timeout);
-  plan.deadline = received_at + left - kDeadlineMargin;
-  plan.answer_at = std::min(
-      plan.deadline, received_at + route.latency_objective - kAnswerMargin);
+  plan.deadline = received_at + left - policy_.deadline_margin;
+  plan.answer_at =
+      policy_.wait_for_parts
+          ? std::min(plan.deadline, received_at + route.latency_objective -
+                                        policy_.answer_margin)
+          : received_at;
+  plan.hedges = policy_.hedges;
   return plan;
 }
 
@@ -170,8 +162,8 @@
     const Request::Attempt& cancelled = request->attempts[attempt];
     const absl::Duration grace =
         request->route->idempotent
-            ? kCancelGrace
-            : std::max(request->deadline - loop_.Now(), kCancelGrace);
+            ? policy_.cancel_grace
+            : std::max(request->deadline - loop_.Now(), policy_.cancel_grace);
     targets_.Cancel(cancelled.target, cancelled.exchange, grace);
   }
   for (const AttemptSend& send : actions.send) SendAttempt(request, send);
@@ -319,9 +311,9 @@
 }
 
 absl::Duration QueryPlane::RetryAfter() {
-  std::uniform_real_distribution<double> spread(1 - kRetrySpread,
-                                                1 + kRetrySpread);
-  return kRetryAfter * spread(random_);
+  std::uniform_real_distribution<double> spread(1 - policy_.retry_after_spread,
+                                                1 + policy_.retry_after_spread);
+  return policy_.retry_after * spread(random_);
 }
 
 void QueryPlane::Refuse(engine::ServerExchange& exchange,
--- a/libs/tier/src/target_set.cc
+++ b/libs/tier/src/target_set.cc
@@ -24,12 +24,10 @@
 /// which still run there end with their answers: longer than any request.
 constexpr absl::Duration kRetireTime = absl::Seconds(10);
 
-/// How often, for how long after its last request, and for how many of its
-/// targets a service has open connections kept: the target in use and the one
-/// that a hedge would go to, for which a handshake would come too late.
+/// How often, and for how long after its last request, a service has open
+/// connections kept.
 constexpr absl::Duration kWarmPeriod = absl::Milliseconds(500);
 constexpr absl::Duration kWarmTime = absl::Seconds(5);
-constexpr size_t kWarmTargets = 2;
 
 absl::Duration RoundTrip(Distance distance) {
   switch (distance) {
@@ -47,14 +45,15 @@
 
 TargetSet::TargetSet(engine::EventLoop& loop, Locality locality,
                      FleetBounds bounds, engine::ClientOptions options,
-                     const HostTable& hosts, Observer& observer)
+                     const HostTable& hosts, Policy policy, Observer& observer)
     : loop_(loop),
       locality_(std::move(locality)),
       bounds_(bounds),
+      policy_(policy),
       options_(std::move(options)),
       shares_(locality_, hosts),
       observer_(observer),
-      budget_(bounds, loop.Now()) {
+      budget_(bounds, loop.Now(), policy) {
   shares_.Refresh(loop.Now());
   budget_.SetHosts(shares_.hosts());
   timers_.Every(kWarmPeriod, [this] { KeepWarm(); });
@@ -205,7 +204,8 @@
       if (!MayUse(*target, {}, now) || target->IsCold(now)) continue;
       ranked.emplace_back(ReplicaCost(StateOf(*target, now), now), target);
     }
-    const size_t kept = std::min(ranked.size(), kWarmTargets);
+    const size_t kept =
+        std::min(ranked.size(), static_cast<size_t>(policy_.warm_targets));
     std::partial_sort(ranked.begin(),
                       ranked.begin() + static_cast<std::ptrdiff_t>(kept),
                       ranked.end());
@@ -241,7 +241,7 @@
   return !IsExcluded(target, need);
 }
 
-ReplicaState TargetSet::StateOf(const Target& target, absl::Time now) {
+ReplicaState TargetSet::StateOf(const Target& target, absl::Time now) const {
   ReplicaState state;
   state.health = &target.health;
   state.slots = target.info.slots;
@@ -250,6 +250,7 @@
   state.connected = target.pool->open_connections() > 0;
   state.cold = target.IsCold(now);
   state.missing = target.gone_at != absl::InfiniteFuture();
+  state.failure_cost = policy_.failure_cost;
   return state;
 }
 
--- a/libs/tier/src/tier_node.cc
+++ b/libs/tier/src/tier_node.cc
@@ -46,8 +46,9 @@
              settings_.seeds, HostOptions(settings_.locality), loop.Now()),
       crashes_(settings_.locality.host),
       targets_(loop, settings_.locality, settings_.bounds,
-               TargetOptions(faces.callers), hosts_, *this),
-      queries_({loop, faces.callers, targets_, crashes_, metrics_}),
+               TargetOptions(faces.callers), hosts_, settings_.policy, *this),
+      queries_({loop, faces.callers, targets_, crashes_, metrics_,
+                settings_.policy}),
       fleet_(loop,
              {{settings_.locality.host, settings_.locality.failure_domain},
               settings_.fleet_port},
@@ -127,6 +128,10 @@
 void TierNode::LogLoad() {
   const SendCounts& sends = targets_.counts();
   const auto& [same_domain, same_region, other_region] = sends.by_distance;
+  int64_t left_out = TakeDroppedLines();
+  for (const auto& [kind, lines] : queries_.TakeDroppedLines()) {
+    left_out += lines;
+  }
   LogInfo("load", {{"running", queries_.running()},
                    {"caller_connections", callers_.connections()},
                    {"target_connections", targets_.open_connections()},
@@ -136,7 +141,8 @@
                    {"sends_extra", sends.extra},
                    {"sends_suspect", sends.suspect},
                    {"sends_cold", sends.cold},
-                   {"over_budget", sends.over_budget}});
+                   {"over_budget", sends.over_budget},
+                   {"lines_left_out", left_out}});
 }
 
 void TierNode::ApplyConfig() {
