--- a/libs/dispatch/include/dispatch/policy.h
+++ b/libs/dispatch/include/dispatch/policy.h
@@ -45,18 +45,20 @@
   /// late.
   int warm_targets = 2;
 
-  /// Most lines a second for each kind of outcome.
+  /// Most lines a second for each kind of failure or refusal, and for each kind
+  /// of answer: callers ask about the former, and each line costs processor.
   int log_lines = 20;
+  int answer_log_lines = 3;
 
   friend bool operator==(const Policy& a, const Policy& b) {
     return std::tie(a.answer_margin, a.wait_for_parts, a.deadline_margin,
                     a.cancel_grace, a.retry_after, a.retry_after_spread,
                     a.hedges, a.budget_part, a.helpful_part, a.failure_cost,
-                    a.warm_targets, a.log_lines) ==
+                    a.warm_targets, a.log_lines, a.answer_log_lines) ==
            std::tie(b.answer_margin, b.wait_for_parts, b.deadline_margin,
                     b.cancel_grace, b.retry_after, b.retry_after_spread,
                     b.hedges, b.budget_part, b.helpful_part, b.failure_cost,
-                    b.warm_targets, b.log_lines);
+                    b.warm_targets, b.log_lines, b.answer_log_lines);
   }
 };
 
--- a/libs/telemetry/include/telemetry/log_budget.h
+++ b/libs/telemetry/include/telemetry/log_budget.h
@@ -11,12 +11,10 @@
 /// a flood of output. Pure: time is an argument.
 class LogBudget {
  public:
-  /// @param per_second lines of one kind.
-  explicit LogBudget(int per_second) : per_second_(per_second) {}
-
+  /// @param per_second lines of this kind.
   /// @return whether a line of this kind may be written; one that may not is
   /// counted.
-  bool Take(const std::string& kind, absl::Time now);
+  bool Take(const std::string& kind, int per_second, absl::Time now);
 
   /// @return lines dropped of each kind since the last call.
   std::map<std::string, int> TakeDropped();
@@ -27,7 +25,6 @@
     int written = 0;
     int dropped = 0;
   };
-  const int per_second_;
   std::map<std::string, Kind> kinds_;
 };
 
--- a/libs/telemetry/src/log.cc
+++ b/libs/telemetry/src/log.cc
@@ -1,7 +1,10 @@
 #include "telemetry/log.h"
 
-#include <memory>
+#include <cmath>
+#include <optional>
 
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_format.h"
 #include "absl/synchronization/mutex.h"
 #include "absl/time/clock.h"
 #include "nlohmann/json.hpp"
@@ -22,14 +25,20 @@
   return mutex;
 }
 
-std::unique_ptr<LogBudget>& Limit() {
-  static std::unique_ptr<LogBudget> limit;
+struct LineLimit {
+  std::optional<int> lines;
+  LogBudget budget;
+};
+
+LineLimit& Limit() {
+  static LineLimit limit;
   return limit;
 }
 
 bool MayWrite(const std::string& message) {
   const absl::MutexLock lock(&LimitMutex());
-  return Limit() == nullptr || Limit()->Take(message, absl::Now());
+  LineLimit& limit = Limit();
+  return !limit.lines || limit.budget.Take(message, *limit.lines, absl::Now());
 }
 
 LogIdentity& Identity() {
@@ -65,18 +74,35 @@
   return "info";
 }
 
-nlohmann::ordered_json ToJson(const Fields& fields) {
-  nlohmann::ordered_json object = nlohmann::ordered_json::object();
-  for (const Field& field : fields) {
-    std::visit([&](const auto& value) { object[field.name()] = value; },
-               field.value());
-  }
-  return object;
+// A string as JSON; what is not UTF-8 is replaced.
+std::string Quoted(const std::string& text) {
+  return nlohmann::json(text).dump(-1, ' ', false,
+                                   nlohmann::json::error_handler_t::replace);
 }
 
-std::string Dump(const nlohmann::ordered_json& json) {
-  return json.dump(-1, ' ', false,
-                   nlohmann::ordered_json::error_handler_t::replace);
+// Appends `"name":value`. Whole objects of the JSON library cost ten times as
+// much, which showed in the processor time of heavy days.
+struct AppendValue {
+  std::string& text;
+
+  void operator()(const std::string& value) const { text += Quoted(value); }
+  void operator()(bool value) const { text += value ? "true" : "false"; }
+  void operator()(int64_t value) const { absl::StrAppend(&text, value); }
+  void operator()(double value) const {
+    // JSON has neither infinity nor what is not a number.
+    if (std::isfinite(value)) {
+      absl::StrAppendFormat(&text, "%.9g", value);
+    } else {
+      text += "null";
+    }
+  }
+};
+
+void Append(const Field& field, std::string& text) {
+  if (!text.empty()) text += ',';
+  // Names are written in this project's code and need no escapes.
+  absl::StrAppend(&text, "\"", field.name(), "\":");
+  std::visit(AppendValue{text}, field.value());
 }
 
 }  // namespace
@@ -106,30 +132,37 @@
 
 void LimitLines(int per_message_and_second) {
   const absl::MutexLock lock(&LimitMutex());
-  Limit() = std::make_unique<LogBudget>(per_message_and_second);
+  Limit().lines = per_message_and_second;
 }
 
 int64_t TakeDroppedLines() {
   const absl::MutexLock lock(&LimitMutex());
   int64_t sum = 0;
-  if (Limit() == nullptr) return sum;
-  for (const auto& [message, lines] : Limit()->TakeDropped()) sum += lines;
+  for (const auto& [message, lines] : Limit().budget.TakeDropped()) {
+    sum += lines;
+  }
   return sum;
 }
 
 void Log(LogLevel level, const std::string& message, const Fields& fields) {
   if (!IsLogged(level)) return;
   if (level != LogLevel::kError && !MayWrite(message)) return;
-  Fields all = {{"level", LevelName(level)},
-                {"program", Identity().program},
-                {"host", Identity().host},
-                {"msg", message}};
-  all.insert(all.end(), fields.begin(), fields.end());
-  const std::string line = Dump(ToJson(all));
   // The pattern opens and closes the object, so only its inside is passed on.
-  spdlog::log(ToSpdlog(level), "{}", line.substr(1, line.size() - 2));
+  std::string line;
+  for (const Field& field : Fields{{"level", LevelName(level)},
+                                   {"program", Identity().program},
+                                   {"host", Identity().host},
+                                   {"msg", message}}) {
+    Append(field, line);
+  }
+  for (const Field& field : fields) Append(field, line);
+  spdlog::log(ToSpdlog(level), spdlog::string_view_t(line));
 }
 
-std::string FieldsToJson(const Fields& fields) { return Dump(ToJson(fields)); }
+std::string FieldsToJson(const Fields& fields) {
+  std::string text;
+  for (const Field& field : fields) Append(field, text);
+  return absl::StrCat("{", text, "}");
+}
 
 }  // namespace cherrydyke
--- a/libs/telemetry/src/log_budget.cc
+++ b/libs/telemetry/src/log_budget.cc
@@ -2,13 +2,13 @@
 
 namespace cherrydyke {
 
-bool LogBudget::Take(const std::string& kind, absl::Time now) {
+bool LogBudget::Take(const std::string& kind, int per_second, absl::Time now) {
   Kind& state = kinds_[kind];
   if (now - state.second >= absl::Seconds(1)) {
     state.second = now;
     state.written = 0;
   }
-  if (state.written < per_second_) {
+  if (state.written < per_second) {
     ++state.written;
     return true;
   }
--- a/libs/telemetry/tests/log_budget_test.cc
+++ b/libs/telemetry/tests/log_budget_test.cc
@@ -2,6 +2,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <limits>
+
 #include "telemetry/log.h"
 
 namespace cherrydyke {
@@ -11,24 +13,25 @@
   CPPUNIT_TEST(KindsDoNotTakeFromEachOther);
   CPPUNIT_TEST(WhatIsLeftOutIsCounted);
   CPPUNIT_TEST(FloodOfOneMessageIsBounded);
+  CPPUNIT_TEST(FieldsAreJson);
   CPPUNIT_TEST_SUITE_END();
 
  public:
   void KindsDoNotTakeFromEachOther() {
-    LogBudget budget(2);
-    CPPUNIT_ASSERT(budget.Take("answered", kNow));
-    CPPUNIT_ASSERT(budget.Take("answered", kNow));
-    CPPUNIT_ASSERT(!budget.Take("answered", kNow));
-    CPPUNIT_ASSERT(budget.Take("refused", kNow));
-    CPPUNIT_ASSERT(budget.Take("answered", kNow + absl::Seconds(1)));
+    LogBudget budget;
+    CPPUNIT_ASSERT(budget.Take("answered", 2, kNow));
+    CPPUNIT_ASSERT(budget.Take("answered", 2, kNow));
+    CPPUNIT_ASSERT(!budget.Take("answered", 2, kNow));
+    CPPUNIT_ASSERT(budget.Take("refused", 1, kNow));
+    CPPUNIT_ASSERT(budget.Take("answered", 2, kNow + absl::Seconds(1)));
   }
 
   void WhatIsLeftOutIsCounted() {
-    LogBudget budget(1);
-    for (int i = 0; i < 4; ++i) budget.Take("answered", kNow);
-    budget.Take("refused", kNow);
+    LogBudget budget;
+    for (int i = 0; i < 4; ++i) budget.Take("answered", 2, kNow);
+    budget.Take("refused", 1, kNow);
     const std::map<std::string, int> dropped = budget.TakeDropped();
-    CPPUNIT_ASSERT((dropped == std::map<std::string, int>{{"answered", 3}}));
+    CPPUNIT_ASSERT((dropped == std::map<std::string, int>{{"answered", 2}}));
     CPPUNIT_ASSERT(budget.TakeDropped().empty());
   }
 
@@ -40,6 +43,19 @@
     CPPUNIT_ASSERT_EQUAL(int64_t{0}, TakeDroppedLines());
   }
 
+  void FieldsAreJson() {
+    CPPUNIT_ASSERT_EQUAL(
+        std::string(R"({"text":"a \"b\"\n)"
+                    "\xef\xbf\xbd"  // What stands for a byte that is no text.
+                    R"(","ms":1.25,"n":-7,"on":true,"none":null})"),
+        FieldsToJson({{"text", "a \"b\"\n\xff"},
+                      {"ms", 1.25},
+                      {"n", -7},
+                      {"on", true},
+                      {"none", std::numeric_limits<double>::infinity()}}));
+    CPPUNIT_ASSERT_EQUAL(std::string("{}"), FieldsToJson({}));
+  }
+
  private:
   const absl::Time kNow = absl::UnixEpoch() + absl::Hours(1);
 };
--- a/libs/tier/src/policy_file.cc
+++ b/libs/tier/src/policy_file.cc
@@ -58,6 +58,7 @@
                5000);
   reader.Integer("placement", "warm_targets", policy.warm_targets, 0, 10);
   reader.Integer("log", "lines_per_s", policy.log_lines, 0, 1000);
+  reader.Integer("log", "answer_lines_per_s", policy.answer_log_lines, 0, 1000);
   reader.RejectUnknown();
   if (!faults.empty()) return faults;
   return policy;
--- a/libs/tier/src/query_plane.cc
+++ b/libs/tier/src/query_plane.cc
@@ -10,6 +10,9 @@
 namespace cherrydyke {
 namespace {
 
+constexpr char kAnswered[] = "answered";
+constexpr char kAnsweredInPart[] = "answered_in_part";
+
 /// Longest silence of a connection that a request which must not run twice is
 /// trusted to: a server that drops idle connections does so much later.
 constexpr absl::Duration kProvedConnection = absl::Milliseconds(400);
@@ -76,7 +79,6 @@
       crashes_(parts.crashes),
       metrics_(parts.metrics),
       policy_(parts.policy),
-      log_budget_(parts.policy.log_lines),
       random_(NewIncarnation()) {}
 
 QueryPlane::~QueryPlane() = default;
@@ -293,7 +295,7 @@
   if (!request->route->IsFanout()) {
     request->exchange->Respond(face_.Relay(
         std::move(request->attempts[*winners.front()].reply.response)));
-    return LogOutcome(*request, "answered", 0);
+    return LogOutcome(*request, kAnswered, 0);
   }
   std::vector<std::string> stamps;
   std::vector<std::string> bodies;
@@ -307,7 +309,7 @@
   request->exchange->Respond(
       face_.Merged(request->call, stamps, missing,
                    MergeTopRecords(bodies, request->route->top_k)));
-  LogOutcome(*request, missing == 0 ? "answered" : "answered_in_part", missing);
+  LogOutcome(*request, missing == 0 ? kAnswered : kAnsweredInPart, missing);
 }
 
 absl::Duration QueryPlane::RetryAfter() {
@@ -323,7 +325,7 @@
       .counter("cherrydyke_refusals_total",
                absl::StrCat("reason=\"", ReasonName(reason), "\""))
       .Add();
-  if (log_budget_.Take("refused", loop_.Now())) {
+  if (log_budget_.Take("refused", policy_.log_lines, loop_.Now())) {
     LogInfo("request refused", {{"request", request_id},
                                 {"target", exchange.request().target},
                                 {"reason", ReasonName(reason)},
@@ -357,7 +359,9 @@
   const absl::Duration took = loop_.Now() - request.exchange->received_at();
   metrics_.summary("cherrydyke_request_ms")
       .Observe(absl::ToDoubleMilliseconds(took));
-  if (!log_budget_.Take(outcome, loop_.Now())) return;
+  const bool answered = outcome == kAnswered || outcome == kAnsweredInPart;
+  const int lines = answered ? policy_.answer_log_lines : policy_.log_lines;
+  if (!log_budget_.Take(outcome, lines, loop_.Now())) return;
   Fields fields = {{"request", request.call.request_id},
                    {"route", request.route->name},
                    {"config_version", request.routes->version()},
@@ -365,7 +369,7 @@
                    {"ms", absl::ToDoubleMilliseconds(took)},
                    {"sends", request.run->sends()},
                    {"missing", missing}};
-  if (outcome != "answered") {
+  if (outcome != kAnswered) {
     fields.emplace_back("unanswered", UnansweredAttempts(request));
   }
   LogInfo("request done", fields);
