--- /dev/null
+++ b/tools/ctl/include/ctl/log_story.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <istream>
+#include <string>
+#include <vector>
+
+#include "nlohmann/json.hpp"
+
+namespace cherrydyke {
+
+/// The log lines of several hosts, of any order.
+class LogLines {
+ public:
+  /// Takes the JSON lines of a stream. Text before the first brace of a line is
+  /// passed over, as collectors put names and times there; lines without JSON
+  /// are counted.
+  void Read(std::istream& input);
+
+  const std::vector<nlohmann::json>& lines() const { return lines_; }
+  int unreadable() const { return unreadable_; }
+
+ private:
+  std::vector<nlohmann::json> lines_;
+  int unreadable_ = 0;
+};
+
+/// What the lines tell of one request.
+struct LogStory {
+  /// Whether any line names the request.
+  bool found = false;
+  std::string text;
+};
+
+/// Tells one request's story: its own lines, what was believed of the targets
+/// that did not answer it and of the configuration at the time, and how many
+/// other requests met the same targets.
+LogStory TellStory(const LogLines& log, const std::string& request_id);
+
+}  // namespace cherrydyke
--- a/tools/ctl/main.cc
+++ b/tools/ctl/main.cc
@@ -6,6 +6,7 @@
 #include "catalogue/checks.h"
 #include "ctl/explain.h"
 #include "ctl/fleet.h"
+#include "ctl/log_story.h"
 #include "hosting/program.h"
 
 namespace cherrydyke {
@@ -18,6 +19,7 @@
   bool as_json = false;
   std::string file;
   std::string request_id;
+  std::vector<std::string> logs;
   std::string host;
   std::string daemon = "both";
 };
@@ -73,7 +75,31 @@
   });
 }
 
+int ExplainFromLogs(const Options& options) {
+  LogLines log;
+  for (const std::string& name : options.logs) {
+    if (name == "-") {
+      log.Read(std::cin);
+      continue;
+    }
+    std::ifstream file(name);
+    if (!file) {
+      std::cerr << name << ": cannot be read\n";
+      return 2;
+    }
+    log.Read(file);
+  }
+  const LogStory story = TellStory(log, options.request_id);
+  std::cout << story.text;
+  return story.found ? 0 : 1;
+}
+
 int Explain(const Options& options) {
+  if (!options.logs.empty()) return ExplainFromLogs(options);
+  if (options.fleet.platform.empty()) {
+    std::cerr << "explain: expected --logs or --platform\n";
+    return 2;
+  }
   return WithDaemons(options, [&](const auto& daemons) {
     const json spans = CollectSpans(daemons, options.request_id);
     Print(options, spans, SpanTree(spans));
@@ -98,11 +124,10 @@
   });
 }
 
-void AddFleetOptions(CLI::App& command, Options& options) {
-  command
-      .add_option("--platform", options.fleet.platform,
-                  "The platform's IP:PORT, for the list of hosts")
-      ->required();
+CLI::Option* AddFleetOptions(CLI::App& command, Options& options) {
+  CLI::Option* const platform =
+      command.add_option("--platform", options.fleet.platform,
+                         "The platform's IP:PORT, for the list of hosts");
   command
       .add_option("--entry-port", options.fleet.entry_port,
                   "HTTP port of entries")
@@ -111,6 +136,7 @@
       .add_option("--gate-port", options.fleet.gate_port, "HTTP port of gates")
       ->capture_default_str();
   command.add_flag("--json", options.as_json, "Print JSON for programs");
+  return platform;
 }
 
 int Main(int argc, char** argv) {
@@ -118,7 +144,9 @@
       "Shows and checks a cherrydyke tier.\n\nTypical use:\n"
       "  cherrydyke-ctl check catalogue.json      before publishing it\n"
       "  cherrydyke-ctl revisions --platform P    what is in force where\n"
-      "  cherrydyke-ctl explain ID --platform P   where a request spent time",
+      "  cherrydyke-ctl explain ID --platform P   where a request spent time\n"
+      "  cherrydyke-ctl explain ID --logs *.log   why a request of the tier "
+      "ended so",
       "cherrydyke-ctl");
   app.set_version_flag("--version",
                        std::string("cherrydyke-ctl ") + CHERRYDYKE_VERSION);
@@ -133,21 +161,26 @@
   check->add_flag("--json", options.as_json, "Print JSON for programs");
   CLI::App* revisions = app.add_subcommand(
       "revisions", "Show which revision is in force on which host");
-  AddFleetOptions(*revisions, options);
+  AddFleetOptions(*revisions, options)->required();
   CLI::App* targets =
       app.add_subcommand("targets", "Show targets, their gates and states");
-  AddFleetOptions(*targets, options);
+  AddFleetOptions(*targets, options)->required();
   CLI::App* explain = app.add_subcommand(
-      "explain", "Show the spans of one request as a tree with times");
+      "explain",
+      "Tell the story of one request, from log lines or from the daemons' "
+      "spans");
   explain->add_option("request_id", options.request_id)->required();
-  AddFleetOptions(*explain, options);
+  CLI::Option* const logs = explain->add_option(
+      "--logs", options.logs,
+      "Files with log lines of any hosts of the tier, - for standard input");
+  AddFleetOptions(*explain, options)->excludes(logs);
   CLI::App* drain =
       app.add_subcommand("drain", "Ask a host to stop gracefully");
   drain->add_option("host", options.host)->required();
   drain->add_option("--daemon", options.daemon, "entry, gate or both")
       ->check(CLI::IsMember({"entry", "gate", "both"}))
       ->capture_default_str();
-  AddFleetOptions(*drain, options);
+  AddFleetOptions(*drain, options)->required();
   if (const auto code = ParseCommandLine(app, argc, argv)) return *code;
   if (*check) return CheckFile(options);
   if (*revisions) return ShowRevisions(options);
--- /dev/null
+++ b/tools/ctl/src/log_story.cc
@@ -0,0 +1,237 @@
+#include "ctl/log_story.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_format.h"
+#include "absl/strings/str_split.h"
+#include "absl/time/time.h"
+
+namespace cherrydyke {
+namespace {
+
+using nlohmann::json;
+
+/// Beliefs older than this no longer explain a request: ten seconds are the
+/// longest that a target is tried again after, or that a window counts.
+constexpr absl::Duration kBefore = absl::Seconds(10);
+/// What shows a moment later, as a refused connection that tells a crash.
+constexpr absl::Duration kAfter = absl::Seconds(2);
+/// Other requests in this time on both sides met the same trouble.
+constexpr absl::Duration kBeside = absl::Seconds(1);
+constexpr size_t kMostBeliefs = 40;
+constexpr char kNoLineHint[] =
+    " unreadable).\nFew answers are written a second; lines_left_out of the "
+    "load "
+    "lines counts the others.\n";
+
+std::string TextOf(const json& line, const char* name) {
+  const auto found = line.find(name);
+  if (found == line.end()) return "";
+  return found->is_string() ? found->get<std::string>() : found->dump();
+}
+
+absl::Time TimeOf(const json& line) {
+  absl::Time time = absl::InfinitePast();
+  std::string error;
+  absl::ParseTime(absl::RFC3339_full, TextOf(line, "time"), &time, &error);
+  return time;
+}
+
+/// One send for a part that was not answered.
+struct Unanswered {
+  std::string service;
+  std::string target;
+  std::string sent_ms;
+  std::string status;
+};
+
+// Reads `service/target+12ms:503 ...` as the tier writes it.
+std::vector<Unanswered> ReadUnanswered(const json& line) {
+  std::vector<Unanswered> sends;
+  for (const auto word :
+       absl::StrSplit(TextOf(line, "unanswered"), ' ', absl::SkipEmpty())) {
+    const std::string text(word);
+    const size_t slash = text.find('/');
+    const size_t plus = text.rfind('+');
+    const size_t unit = text.rfind("ms:");
+    if (slash == std::string::npos || plus == std::string::npos ||
+        unit == std::string::npos || slash > plus || plus > unit) {
+      continue;
+    }
+    sends.push_back(
+        {text.substr(0, slash), text.substr(slash + 1, plus - slash - 1),
+         text.substr(plus + 1, unit - plus - 1), text.substr(unit + 3)});
+  }
+  return sends;
+}
+
+std::string MeaningOf(const std::string& status) {
+  if (status == "0") return "no answer";
+  if (status == "503" || status == "429") return status + ", rejected, not run";
+  if (status == "421") return "421, another target has the address";
+  return status + ", a failure of the target's own";
+}
+
+// Why a request ended as it did, in one sentence.
+std::string VerdictOf(const std::string& outcome, const std::string& reason) {
+  static const std::map<std::string, std::string> verdicts = {
+      {"answered", "answered whole"},
+      {"answered_in_part", "answered, some parts were left out"},
+      {"target_failure", "the target's own failure was passed on"},
+      {"not_run", "refused: nothing was sent, as too few parts had a target"},
+      {"targets_failed", "failed: enough answers could no longer be had"},
+      {"deadline", "its time limit passed before enough answers were in"},
+      {"caller_left", "the caller left before the answer"},
+      {"no_configuration", "refused: this host had no configuration yet"},
+      {"no_route", "refused: no route of the configuration has its path"},
+      {"malformed", "refused: it could not be read as a request"},
+      {"quarantined", "refused: it had crashed several targets"},
+      {"no_target", "refused: too few parts had a target that may be used"}};
+  for (const std::string& word : {outcome, reason}) {
+    const auto found = verdicts.find(word);
+    if (found != verdicts.end()) return found->second;
+  }
+  return "no line tells how it ended";
+}
+
+bool IsOfRequest(const json& line) { return line.contains("request"); }
+
+// Everything but what each line repeats.
+std::string Describe(const json& line) {
+  std::string text = TextOf(line, "msg");
+  for (const auto& [name, value] : line.items()) {
+    static const std::set<std::string> common = {"time",    "level", "host",
+                                                 "program", "msg",   "request"};
+    if (common.count(name) > 0) continue;
+    absl::StrAppend(&text, "  ", name, "=", TextOf(line, name.c_str()));
+  }
+  return text;
+}
+
+// Draws lines with their time from an origin.
+std::string Draw(const std::vector<const json*>& lines, absl::Time origin) {
+  std::string text;
+  for (const json* line : lines) {
+    absl::StrAppend(
+        &text, absl::StrFormat("%+9.3f s  %-24s %s\n",
+                               absl::ToDoubleSeconds(TimeOf(*line) - origin),
+                               TextOf(*line, "host"), Describe(*line)));
+  }
+  return text;
+}
+
+/// Lines that change what a host believes of its surroundings.
+bool IsOfSurroundings(const json& line) {
+  static const std::set<std::string> messages = {"configuration in force",
+                                                 "configuration refused",
+                                                 "store does not answer",
+                                                 "store answers again",
+                                                 "limits divided anew",
+                                                 "no news from peer",
+                                                 "stopping",
+                                                 "started"};
+  return messages.count(TextOf(line, "msg")) > 0;
+}
+
+// How many other requests lacked an answer of the target at the same time.
+int CountOthers(const LogLines& log, const json& last,
+                const std::string& target) {
+  return static_cast<int>(std::count_if(
+      log.lines().begin(), log.lines().end(), [&](const json& line) {
+        if (&line == &last || !line.contains("unanswered") ||
+            absl::AbsDuration(TimeOf(line) - TimeOf(last)) > kBeside) {
+          return false;
+        }
+        const std::vector<Unanswered> sends = ReadUnanswered(line);
+        return std::any_of(
+            sends.begin(), sends.end(),
+            [&](const Unanswered& send) { return send.target == target; });
+      }));
+}
+
+std::string TellSends(const LogLines& log, const json& last) {
+  std::string text;
+  for (const Unanswered& send : ReadUnanswered(last)) {
+    absl::StrAppend(&text, text.empty() ? "\nsends without an answer:\n" : "",
+                    "  ", send.target, " of ", send.service, ", sent after ",
+                    send.sent_ms, " ms: ", MeaningOf(send.status), "; so for ",
+                    CountOthers(log, last, send.target),
+                    " other requests within a second\n");
+  }
+  return text;
+}
+
+// What any host came to believe of the targets, and the request's own host of
+// its surroundings.
+std::string TellBeliefs(const LogLines& log, const json& last) {
+  std::set<std::string> targets;
+  for (const Unanswered& send : ReadUnanswered(last)) {
+    targets.insert(send.target);
+  }
+  std::vector<const json*> beliefs;
+  for (const json& line : log.lines()) {
+    const absl::Duration age = TimeOf(last) - TimeOf(line);
+    if (age > kBefore || age < -kAfter || IsOfRequest(line)) continue;
+    const bool around =
+        IsOfSurroundings(line) && TextOf(line, "host") == TextOf(last, "host");
+    if (around || targets.count(TextOf(line, "target")) > 0) {
+      beliefs.push_back(&line);
+    }
+  }
+  if (beliefs.empty()) {
+    return "\nno belief changed from 10 s before to 2 s after\n";
+  }
+  const size_t left_out =
+      beliefs.size() > kMostBeliefs ? beliefs.size() - kMostBeliefs : 0;
+  beliefs.erase(beliefs.begin(),
+                beliefs.begin() + static_cast<std::ptrdiff_t>(left_out));
+  return absl::StrCat("\nbeliefs that changed about then (", left_out,
+                      " earlier ones left out):\n",
+                      Draw(beliefs, TimeOf(last)));
+}
+
+}  // namespace
+
+void LogLines::Read(std::istream& input) {
+  std::string text;
+  while (std::getline(input, text)) {
+    if (text.empty()) continue;
+    const size_t brace = text.find('{');
+    json line = brace == std::string::npos
+                    ? json()
+                    : json::parse(text.substr(brace), nullptr, false);
+    if (line.is_object()) {
+      lines_.push_back(std::move(line));
+    } else {
+      ++unreadable_;
+    }
+  }
+  std::stable_sort(
+      lines_.begin(), lines_.end(),
+      [](const json& a, const json& b) { return TimeOf(a) < TimeOf(b); });
+}
+
+LogStory TellStory(const LogLines& log, const std::string& request_id) {
+  std::vector<const json*> own;
+  std::string reason;
+  for (const json& line : log.lines()) {
+    if (TextOf(line, "request") != request_id) continue;
+    own.push_back(&line);
+    if (line.contains("reason")) reason = TextOf(line, "reason");
+  }
+  if (own.empty()) {
+    return {false,
+            absl::StrCat("no line names ", request_id, " (", log.lines().size(),
+                         " lines read, ", log.unreadable(), kNoLineHint)};
+  }
+  const json& last = *own.back();
+  return {true, absl::StrCat("request ", request_id, ": ",
+                             VerdictOf(TextOf(last, "outcome"), reason), "\n",
+                             Draw(own, TimeOf(last)), TellSends(log, last),
+                             TellBeliefs(log, last))};
+}
+
+}  // namespace cherrydyke
--- /dev/null
+++ b/tools/ctl/tests/log_story_test.cc
@@ -0,0 +1,87 @@
+#include "ctl/log_story.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <sstream>
+
+namespace cherrydyke {
+namespace {
+
+// Lines of two hosts as the tier writes them, with what a collector puts
+// before.
+constexpr char kLog[] =
+    R"(  -9.9995 front-a-1 {"ready":true,"http":"10.1.0.20:8108"}
+   8.0036 front-b-1 {"time":"2026-08-03T15:13:34.003610Z","level":"info","program":"cherrydyke-tier","host":"front-b-1","msg":"target unreachable","target":"i-04e3","service":"nyba","refused":false}
+   7.5000 front-a-1 {"time":"2026-08-03T15:13:33.500000Z","level":"info","program":"cherrydyke-tier","host":"front-a-1","msg":"configuration in force","version":8,"revision":42,"routes":3,"services":12,"evacuated":0}
+   7.6000 front-b-1 {"time":"2026-08-03T15:13:33.600000Z","level":"info","program":"cherrydyke-tier","host":"front-b-1","msg":"configuration in force","version":8}
+   8.1000 front-a-1 {"time":"2026-08-03T15:13:34.100000Z","level":"info","program":"cherrydyke-tier","host":"front-a-1","msg":"request refused","request":"f1","target":"/x","reason":"targets_failed","ran":true,"config_version":8}
+   8.1001 front-a-1 {"time":"2026-08-03T15:13:34.100100Z","level":"info","program":"cherrydyke-tier","host":"front-a-1","msg":"request done","request":"f1","route":"r","config_version":8,"outcome":"targets_failed","ms":60.4,"sends":9,"missing":0,"unanswered":"nyba/i-04e3+0ms:0 zino/i-9c8d+12ms:503"}
+   8.3000 front-b-1 {"time":"2026-08-03T15:13:34.300000Z","level":"info","program":"cherrydyke-tier","host":"front-b-1","msg":"request done","request":"f2","outcome":"answered_in_part","unanswered":"nyba/i-04e3+5ms:0"}
+a line of something else
+   9.0000 front-a-1 {"time":"2026-08-03T15:13:35.000000Z","level":"info","program":"cherrydyke-tier","host":"front-a-1","msg":"request refused","request":"f3","target":"/y","reason":"no_route","ran":false,"config_version":8}
+)";
+
+LogStory Story(const std::string& id) {
+  std::istringstream input(kLog);
+  LogLines log;
+  log.Read(input);
+  return TellStory(log, id);
+}
+
+bool Has(const LogStory& story, const std::string& text) {
+  return story.text.find(text) != std::string::npos;
+}
+
+}  // namespace
+
+class LogStoryTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(LogStoryTest);
+  CPPUNIT_TEST(TellsWhyARequestFailed);
+  CPPUNIT_TEST(CountsOthersThatMetTheSameTarget);
+  CPPUNIT_TEST(ShowsBeliefsOfTargetsOnAnyHostAndOfTheHostItself);
+  CPPUNIT_TEST(TellsWhyARequestWasRefused);
+  CPPUNIT_TEST(SaysWhatItReadIfNothingNamesTheRequest);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void TellsWhyARequestFailed() {
+    const LogStory story = Story("f1");
+    CPPUNIT_ASSERT(story.found);
+    CPPUNIT_ASSERT(Has(story, "enough answers could no longer be had"));
+    CPPUNIT_ASSERT(
+        Has(story, "i-9c8d of zino, sent after 12 ms: 503, rejected, not run"));
+  }
+
+  void CountsOthersThatMetTheSameTarget() {
+    const LogStory story = Story("f1");
+    CPPUNIT_ASSERT(Has(story,
+                       "i-04e3 of nyba, sent after 0 ms: no answer; so for 1 "
+                       "other requests"));
+    CPPUNIT_ASSERT(Has(story, "not run; so for 0 other requests"));
+  }
+
+  void ShowsBeliefsOfTargetsOnAnyHostAndOfTheHostItself() {
+    const LogStory story = Story("f1");
+    CPPUNIT_ASSERT(Has(story, "front-b-1                target unreachable"));
+    CPPUNIT_ASSERT(
+        Has(story, "front-a-1                configuration in force"));
+    CPPUNIT_ASSERT(
+        !Has(story, "front-b-1                configuration in force"));
+    CPPUNIT_ASSERT(Has(story, "-0.600 s"));
+  }
+
+  void TellsWhyARequestWasRefused() {
+    const LogStory story = Story("f3");
+    CPPUNIT_ASSERT(Has(story, "no route of the configuration has its path"));
+  }
+
+  void SaysWhatItReadIfNothingNamesTheRequest() {
+    const LogStory story = Story("f9");
+    CPPUNIT_ASSERT(!story.found);
+    CPPUNIT_ASSERT(Has(story, "no line names f9 (8 lines read, 1 unreadable)"));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LogStoryTest);
+
+}  // namespace cherrydyke
