--- a/bench/include/bench/experiments.h
+++ b/bench/include/bench/experiments.h
@@ -12,6 +12,10 @@
 /// Processor time of entries and gates for each sub-request.
 Table MeasureDataPath();
 
+/// Costs of one exchange over HTTP on the first version's path, a thread for
+/// each connection, and on the tier's event loop.
+Table MeasureHttpPaths();
+
 /// The tier's own added time: one shard, through the tier and straight to the
 /// target.
 Table MeasureAddedTime();
--- /dev/null
+++ b/bench/src/http_paths.cc
@@ -0,0 +1,145 @@
+#include <sys/resource.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "absl/time/clock.h"
+#include "adapters/http_client.h"
+#include "adapters/http_server.h"
+#include "base/clock.h"
+#include "base/invariant.h"
+#include "bench/experiments.h"
+#include "engine/connection_pool.h"
+#include "engine/event_loop.h"
+#include "engine/http_server.h"
+
+namespace cherrydyke {
+namespace {
+
+constexpr int kExchanges = 40'000;
+constexpr char kAddress[] = "127.0.0.1";
+constexpr int kEnginePort = 17'560;
+/// A part of an answer on the users' sites.
+constexpr size_t kBodyBytes = 400;
+
+absl::Duration ProcessorTime() {
+  rusage usage{};
+  getrusage(RUSAGE_SELF, &usage);
+  return absl::DurationFromTimeval(usage.ru_utime) +
+         absl::DurationFromTimeval(usage.ru_stime);
+}
+
+int64_t ContextSwitches() {
+  rusage usage{};
+  getrusage(RUSAGE_SELF, &usage);
+  return usage.ru_nvcsw + usage.ru_nivcsw;
+}
+
+// Adds a row with what `exchange_all` costs for each exchange.
+void Measure(Table& table, const std::string& name,
+             const std::function<void()>& exchange_all) {
+  const absl::Duration processor = ProcessorTime();
+  const int64_t switches = ContextSwitches();
+  const absl::Time start = absl::Now();
+  exchange_all();
+  const absl::Duration took = absl::Now() - start;
+  table.AddRow(
+      name,
+      {absl::ToDoubleMilliseconds(ProcessorTime() - processor) / kExchanges,
+       kExchanges / absl::ToDoubleSeconds(took),
+       static_cast<double>(ContextSwitches() - switches) / kExchanges});
+}
+
+// The first version's path: a thread for each connection on both sides.
+void MeasureThreads(Table& table, int connections) {
+  HttpServer::Options options;
+  HttpServer server(options);
+  server.Post("/search", [](const HttpRequest&) {
+    HttpResponse response;
+    response.body = std::string(kBodyBytes, 'r');
+    return response;
+  });
+  const Result<int> port = server.Start(kAddress, 0);
+  CHERRYDYKE_INVARIANT(GetError(port) == nullptr, "the server listens");
+  const std::string endpoint = absl::StrCat(kAddress, ":", GetValue(port));
+  Measure(table, absl::StrCat("thread a request, ", connections), [&] {
+    std::vector<std::thread> callers;
+    for (int caller = 0; caller < connections; ++caller) {
+      callers.emplace_back([&] {
+        HttpClient client(endpoint);
+        for (int i = 0; i < kExchanges / connections; ++i) {
+          const auto outcome =
+              client.Post("/search", "{}", {}, absl::Seconds(5));
+          CHERRYDYKE_INVARIANT(std::holds_alternative<HttpReply>(outcome),
+                               "every request is answered");
+        }
+      });
+    }
+    for (std::thread& caller : callers) caller.join();
+  });
+  server.Stop();
+}
+
+// The tier's path: both sides on one event loop.
+void MeasureEngine(Table& table, int connections) {
+  const BootClock clock;
+  engine::EventLoop loop(clock);
+  engine::HttpServer server(
+      loop, [] { return engine::ServerLimits(); },
+      [](const std::shared_ptr<engine::ServerExchange>& exchange) {
+        engine::HttpResponse response;
+        response.status = 200;
+        response.body = std::string(kBodyBytes, 'r');
+        exchange->Respond(std::move(response));
+      });
+  const std::string endpoint = absl::StrCat(kAddress, ":", kEnginePort);
+  const Status listening = server.Listen(endpoint);
+  CHERRYDYKE_INVARIANT(GetError(listening) == nullptr, "the server listens");
+  engine::ConnectionPool pool(loop, endpoint, engine::ClientOptions(),
+                              connections, nullptr);
+  int left = kExchanges;
+  int running = 0;
+  std::function<void()> send = [&] {
+    if (left == 0) {
+      if (running == 0) loop.Stop();
+      return;
+    }
+    --left;
+    ++running;
+    engine::PoolRequest request;
+    request.exchange.write = [] {
+      return "POST /search HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\n{}";
+    };
+    request.exchange.done = [&](const engine::ExchangeResult& result) {
+      CHERRYDYKE_INVARIANT(result.status == engine::ExchangeStatus::kComplete,
+                           "every request is answered");
+      --running;
+      send();
+    };
+    pool.Send(std::move(request));
+  };
+  Measure(table, absl::StrCat("event loop, ", connections), [&] {
+    for (int i = 0; i < connections; ++i) send();
+    loop.Run();
+  });
+}
+
+}  // namespace
+
+Table MeasureHttpPaths() {
+  Table table(
+      "One exchange with a body of 400 bytes, client and server in one "
+      "process, by kept connections",
+      {"path, connections", "processor ms", "exchanges/s", "switches"});
+  for (const int connections : {1, 8, 32}) {
+    MeasureThreads(table, connections);
+    MeasureEngine(table, connections);
+  }
+  return table;
+}
+
+}  // namespace cherrydyke
