--- a/libs/telemetry/tests/log_budget_test.cc
+++ b/libs/telemetry/tests/log_budget_test.cc
@@ -7,6 +7,11 @@
 #include "telemetry/log.h"
 
 namespace cherrydyke {
+namespace {
+
+const absl::Time kNow = absl::UnixEpoch() + absl::Hours(1);
+
+}  // namespace
 
 class LogBudgetTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(LogBudgetTest);
@@ -55,9 +60,6 @@
                       {"none", std::numeric_limits<double>::infinity()}}));
     CPPUNIT_ASSERT_EQUAL(std::string("{}"), FieldsToJson({}));
   }
-
- private:
-  const absl::Time kNow = absl::UnixEpoch() + absl::Hours(1);
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LogBudgetTest);
