--- a/libs/dispatch/src/extra_budget.cc
+++ b/libs/dispatch/src/extra_budget.cc
@@ -5,11 +5,11 @@
 
 /// Resolution of the windows: a twentieth of the usual ten seconds.
 constexpr absl::Duration kBucket = absl::Milliseconds(500);
-/// Part of the usual that a host's requests allow in the first window after its
-/// start: an earlier lifetime may have used up the
-/// window. Everything used and all hosts restarted at once would leave nothing,
-/// yet right then requests need their second sends; the fleet model keeps the
-/// bound.
+/// Part of the usual that a host's own requests allow in the first window after
+/// its start, as an earlier lifetime may have used up the window. If all hosts
+/// had used everything and started again at once, nothing would be left, yet
+/// right then requests need their second sends: the fleet model's bound breaks
+/// at two thirds and holds at a half.
 constexpr double kFirstWindowPart = 0.5;
 
 }  // namespace
--- a/libs/telemetry/src/log.cc
+++ b/libs/telemetry/src/log.cc
@@ -80,8 +80,8 @@
                                    nlohmann::json::error_handler_t::replace);
 }
 
-// Appends `"name":value`. Whole objects of the JSON library cost ten times as
-// much, which showed in the processor time of heavy days.
+// Appends `"name":value`. Building an object of the JSON library for each line
+// showed in the processor time of heavy days (docs/design/heavy-days.md).
 struct AppendValue {
   std::string& text;
 
