--- a/daemons/tier/main.cc
+++ b/daemons/tier/main.cc
@@ -4,7 +4,6 @@
 #include <unistd.h>
 
 #include <cstdlib>
-#include <iostream>
 #include <memory>
 #include <string>
 
@@ -25,15 +24,10 @@
 
 /// How often the settings file is looked at: it may change without a signal.
 constexpr absl::Duration kSettingsCheckPeriod = absl::Seconds(1);
-constexpr int kFaultExitCode = 2;
 /// Lines of one message in a second, in budgets of an outcome's: more than all
 /// outcomes of requests together have.
 constexpr int kBudgetsOfAMessage = 10;
 
-void PrintFaults(const SettingsFaults& faults) {
-  for (const std::string& fault : faults) std::cerr << fault << "\n";
-}
-
 // Re-reads the settings file when it has changed or a signal says so.
 class SettingsWatcher {
  public:
@@ -118,13 +112,16 @@
   app.set_version_flag("--version", CHERRYDYKE_VERSION);
   if (const auto code = ParseCommandLine(app, argc, argv)) return *code;
   auto read = platform::ReadSettings(path);
-  const auto* faults = std::get_if<SettingsFaults>(&read);
-  if (faults != nullptr) PrintFaults(*faults);
   std::variant<Policy, SettingsFaults> policy;
   if (!policy_path.empty()) policy = ReadPolicy(policy_path);
-  const auto* policy_faults = std::get_if<SettingsFaults>(&policy);
-  if (policy_faults != nullptr) PrintFaults(*policy_faults);
-  if (faults != nullptr || policy_faults != nullptr) return kFaultExitCode;
+  SettingsFaults faults;
+  if (const auto* of_settings = std::get_if<SettingsFaults>(&read)) {
+    faults = *of_settings;
+  }
+  if (const auto* of_policy = std::get_if<SettingsFaults>(&policy)) {
+    faults.insert(faults.end(), of_policy->begin(), of_policy->end());
+  }
+  if (!faults.empty()) return ReportFaults(faults);
   if (check) return 0;
   auto& settings = std::get<platform::Settings>(read);
   settings.tier.policy = std::get<Policy>(policy);
--- a/libs/hosting/src/program.cc
+++ b/libs/hosting/src/program.cc
@@ -73,8 +73,7 @@
   if (const auto code = ParseCommandLine(app, argc, argv)) return *code;
   const auto settings = ReadSettings(config);
   if (const auto* faults = std::get_if<SettingsFaults>(&settings)) {
-    for (const std::string& fault : *faults) std::cerr << fault << "\n";
-    return 2;
+    return ReportFaults(*faults);
   }
   if (check) {
     std::cout << config << ": settings are valid\n";
--- a/libs/hosting/src/settings.cc
+++ b/libs/hosting/src/settings.cc
@@ -2,9 +2,7 @@
 
 #include <arpa/inet.h>
 
-#include <fstream>
 #include <set>
-#include <sstream>
 
 #include "absl/strings/str_cat.h"
 #include "kernel/settings_reader.h"
@@ -81,15 +79,11 @@
 
 std::variant<DaemonSettings, SettingsFaults> ParseSettings(
     const std::string& file_name, const std::string& text) {
-  const toml::parse_result parsed = toml::parse(text, file_name);
-  if (!parsed) {
-    return SettingsFaults{absl::StrCat(
-        file_name, ":", parsed.error().source().begin.line,
-        ": expected TOML: ", std::string(parsed.error().description()))};
-  }
+  const auto parsed = ParseToml(text, file_name);
+  if (const auto* broken = std::get_if<SettingsFaults>(&parsed)) return *broken;
   DaemonSettings settings;
   SettingsFaults faults;
-  SettingsReader reader(file_name, parsed.table(), faults);
+  SettingsReader reader(file_name, std::get<toml::table>(parsed), faults);
   ReadHost(reader, settings);
   ReadPorts(reader, settings.ports);
   ReadPlatform(reader, settings);
@@ -101,11 +95,9 @@
 
 std::variant<DaemonSettings, SettingsFaults> ReadSettings(
     const std::string& file_name) {
-  std::ifstream file(file_name);
-  if (!file) return SettingsFaults{file_name + ": cannot be read"};
-  std::stringstream text;
-  text << file.rdbuf();
-  return ParseSettings(file_name, text.str());
+  const auto text = ReadSettingsText(file_name);
+  if (const auto* faults = std::get_if<SettingsFaults>(&text)) return *faults;
+  return ParseSettings(file_name, std::get<std::string>(text));
 }
 
 }  // namespace cherrydyke
--- a/libs/kernel/include/kernel/settings_reader.h
+++ b/libs/kernel/include/kernel/settings_reader.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <variant>
 #include <vector>
 
 #define TOML_EXCEPTIONS 0
@@ -14,6 +15,15 @@
 /// Faults found in a settings file, each `file:line: key: what was expected`.
 using SettingsFaults = std::vector<std::string>;
 
+/// @return the file's text, or the fault that it cannot be read.
+std::variant<std::string, SettingsFaults> ReadSettingsText(
+    const std::string& path);
+
+/// @param file name for faults.
+/// @return the tables of the text, or the fault that it is no TOML.
+std::variant<toml::table, SettingsFaults> ParseToml(const std::string& text,
+                                                    const std::string& file);
+
 /// Reads the sections of one settings file, checks each value and collects
 /// every fault with its line. A value that is absent or faulty keeps its
 /// default.
--- a/libs/kernel/src/command_line.cc
+++ b/libs/kernel/src/command_line.cc
@@ -1,21 +1,32 @@
 #include "kernel/command_line.h"
 
 #include <cstdio>
+#include <iostream>
 
 #include "CLI/CLI.hpp"
 #include "nlohmann/json.hpp"
 
 namespace cherrydyke {
+namespace {
+
+constexpr int kFaultExitCode = 2;
+
+}  // namespace
 
 std::optional<int> ParseCommandLine(CLI::App& app, int argc, char** argv) {
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& error) {
-    return app.exit(error) == 0 ? 0 : 2;
+    return app.exit(error) == 0 ? 0 : kFaultExitCode;
   }
   return std::nullopt;
 }
 
+int ReportFaults(const std::vector<std::string>& faults) {
+  for (const std::string& fault : faults) std::cerr << fault << "\n";
+  return kFaultExitCode;
+}
+
 void PrintReady(
     const std::vector<std::pair<std::string, std::string>>& addresses) {
   nlohmann::ordered_json line = {{"ready", true}};
--- a/libs/kernel/src/settings_reader.cc
+++ b/libs/kernel/src/settings_reader.cc
@@ -1,5 +1,9 @@
 #include "kernel/settings_reader.h"
 
+#include <fstream>
+#include <sstream>
+#include <utility>
+
 #include "absl/strings/str_cat.h"
 
 namespace cherrydyke {
@@ -9,6 +13,26 @@
 
 }  // namespace
 
+std::variant<std::string, SettingsFaults> ReadSettingsText(
+    const std::string& path) {
+  std::ifstream file(path);
+  if (!file) return SettingsFaults{absl::StrCat(path, ": cannot be read")};
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+std::variant<toml::table, SettingsFaults> ParseToml(const std::string& text,
+                                                    const std::string& file) {
+  toml::parse_result parsed = toml::parse(text, file);
+  if (!parsed) {
+    return SettingsFaults{absl::StrCat(
+        file, ":", parsed.error().source().begin.line,
+        ": expected TOML: ", std::string(parsed.error().description()))};
+  }
+  return std::move(parsed).table();
+}
+
 void SettingsReader::Text(const std::string& section, const std::string& key,
                           std::string& value, bool required) {
   const toml::node* node = Find(section, key);
--- a/libs/membership/include/membership/fleet_shares.h
+++ b/libs/membership/include/membership/fleet_shares.h
@@ -29,23 +29,22 @@
   /// Takes the hosts as they are known by now.
   void Refresh(absl::Time now);
 
-  /// @return units of a limit at the target that the target itself enforces as
+  /// @return this host's place among those known that may use a target: those
+  /// of the target's failure domain first, then those of its region. Costs a
+  /// hash for each known host.
+  size_t Rank(const TargetId& target, const FailureDomainName& domain) const;
+
+  /// @return units of a limit at a target that the target itself enforces as
   /// well: while others are not known, the parts may add up to more.
-  int ShareOf(double whole, const TargetId& target,
-              const FailureDomainName& domain) const;
+  int ShareOf(double whole, size_t rank) const;
 
-  /// @return units of a limit at the target that only the hosts keep.
-  int StrictShareOf(double whole, const TargetId& target,
-                    const FailureDomainName& domain) const;
+  /// @return units of a limit at a target that only the hosts keep.
+  int StrictShareOf(double whole, size_t rank) const;
 
   /// @return the most hosts that may share a limit.
   int hosts() const { return sharing_; }
 
  private:
-  /// @return this host's place among those known: those of the target's
-  /// failure domain first, then those of its region.
-  size_t Rank(const TargetId& target, const FailureDomainName& domain) const;
-
   const Locality locality_;
   const HostTable& hosts_;
   std::vector<KnownHost> known_;
--- a/libs/membership/include/membership/host_table.h
+++ b/libs/membership/include/membership/host_table.h
@@ -48,6 +48,11 @@
   bool reads = false;
   /// What it has heard of others.
   std::vector<HostAge> hosts;
+
+  friend bool operator==(const HostNews& a, const HostNews& b) {
+    return std::tie(a.from, a.known_hosts, a.reads, a.hosts) ==
+           std::tie(b.from, b.known_hosts, b.reads, b.hosts);
+  }
 };
 
 /// The hosts of the fleet as one host knows them: from its seeds at first, then
@@ -81,6 +86,14 @@
     size_t fanout = 2;
     /// Hosts named in one message, so that it fits a datagram.
     size_t named_hosts = 50;
+    /// Rounds of gossip between messages to hosts anywhere, which name other
+    /// hosts: bytes between regions are dear, and who is there changes slowly.
+    int rounds_per_naming = 4;
+    /// A host that has just started names hosts in every round.
+    absl::Duration introduction_time = absl::Seconds(4);
+    /// A host that has learned of another does so too for this long, so that
+    /// all divide their limits anew before the newcomer uses its part.
+    absl::Duration rumour_time = absl::Seconds(2);
     /// Hosts of one group.
     size_t group_size = 16;
     /// A reader not heard for this long no longer counts as one: two rounds of
@@ -105,6 +118,11 @@
   /// @return whether this host should read the configuration service itself.
   bool ShouldRead(absl::Time now) const;
 
+  /// @return whether this round of gossip goes to hosts anywhere and names
+  /// others.
+  /// @param round counts the rounds of this lifetime, from 0.
+  bool ShouldNameHosts(int round, absl::Time now) const;
+
   /// @return hosts anywhere that the next round of gossip goes to.
   std::vector<HostId> GossipTargets(absl::Time now,
                                     std::mt19937_64& random) const;
@@ -118,9 +136,6 @@
   /// @return the most hosts that may share a limit.
   int SharingHosts(absl::Time now) const;
 
-  /// @return when a host became known that was not before.
-  absl::Time last_added() const { return last_added_; }
-
   /// @return how many hosts were ever known, this one included.
   int known_hosts() const { return static_cast<int>(peers_.size()) + 1; }
 
@@ -151,6 +166,7 @@
   const absl::Time started_;
   std::map<HostId, Peer> peers_;
   int told_hosts_ = 0;
+  /// When a host became known that was not before.
   absl::Time last_added_ = absl::InfinitePast();
   absl::Time first_heard_ = absl::InfiniteFuture();
 };
--- a/libs/membership/src/fleet_shares.cc
+++ b/libs/membership/src/fleet_shares.cc
@@ -20,17 +20,15 @@
   sharing_ = hosts_.SharingHosts(now);
 }
 
-int FleetShares::ShareOf(double whole, const TargetId& target,
-                         const FailureDomainName& domain) const {
-  return DivideShare(whole, sharing_, Rank(target, domain));
+int FleetShares::ShareOf(double whole, size_t rank) const {
+  return DivideShare(whole, sharing_, rank);
 }
 
-int FleetShares::StrictShareOf(double whole, const TargetId& target,
-                               const FailureDomainName& domain) const {
+int FleetShares::StrictShareOf(double whole, size_t rank) const {
   // Those that are not known may all stand nearer.
   const size_t unknown = static_cast<size_t>(
       std::max(0, sharing_ - static_cast<int>(known_.size())));
-  return DivideShare(whole, sharing_, unknown + Rank(target, domain));
+  return DivideShare(whole, sharing_, unknown + rank);
 }
 
 size_t FleetShares::Rank(const TargetId& target,
--- a/libs/membership/src/host_table.cc
+++ b/libs/membership/src/host_table.cc
@@ -70,6 +70,12 @@
   return true;
 }
 
+bool HostTable::ShouldNameHosts(int round, absl::Time now) const {
+  return now - started_ < options_.introduction_time ||
+         now - last_added_ < options_.rumour_time ||
+         round % options_.rounds_per_naming == 0;
+}
+
 std::vector<HostId> HostTable::GossipTargets(absl::Time now,
                                              std::mt19937_64& random) const {
   std::vector<HostId> targets = LivePeers(now);
@@ -115,8 +121,8 @@
 }
 
 int HostTable::UnheardHosts() const {
-  std::map<FailureDomainName, int> heard;
-  for (const KnownHost& host : KnownHosts()) ++heard[host.failure_domain];
+  std::map<FailureDomainName, int> heard = {{self_.failure_domain, 1}};
+  for (const auto& [host, peer] : peers_) ++heard[peer.failure_domain];
   int most = 0;
   for (const auto& [domain, hosts] : heard) most = std::max(most, hosts);
   int unheard = 0;
--- a/libs/tier/include/tier/fleet_link.h
+++ b/libs/tier/include/tier/fleet_link.h
@@ -76,7 +76,6 @@
   Hooks hooks_;
   absl::Time behind_since_ = absl::InfiniteFuture();
   bool fetching_ = false;
-  absl::Time started_at_;
   int round_ = 0;
   /// As of the last division of limits.
   int sharing_hosts_ = 0;
--- a/libs/tier/src/fleet_link.cc
+++ b/libs/tier/src/fleet_link.cc
@@ -14,14 +14,6 @@
 
 /// Pause between the signs of life of a reader to its group.
 constexpr absl::Duration kGossipPeriod = absl::Milliseconds(500);
-/// Rounds between messages to hosts anywhere, which name other hosts: bytes
-/// between regions are dear, and who is there changes slowly.
-constexpr int kRoundsPerNaming = 4;
-/// A host that has just started tells and asks in every round.
-constexpr absl::Duration kIntroductionTime = absl::Seconds(4);
-/// A host that has learned of another names hosts in every round for this long,
-/// so that all divide their limits anew before the newcomer uses its part.
-constexpr absl::Duration kRumourTime = absl::Seconds(2);
 /// Crash counts in one message, so that it fits a datagram.
 constexpr size_t kMaxCrashCounts = 12;
 /// How long a host waits for the configuration service, or for the reader of
@@ -73,7 +65,6 @@
   const Endpoint own = EndpointOf(options_.self.host);
   if (Status bound = datagrams_.Bind(own); GetError(bound)) return bound;
   if (Status bound = transfers_.Listen(own); GetError(bound)) return bound;
-  started_at_ = loop_.Now();
   NextRound();
   timers_.Every(kGossipPeriod, [this] { NextRound(); });
   return OkStatus();
@@ -90,11 +81,7 @@
     known_hosts_ = hosts_.known_hosts();
     hooks_.hosts_changed();
   }
-  const bool introduces = now - started_at_ < kIntroductionTime ||
-                          now - hosts_.last_added() < kRumourTime;
-  const bool names_hosts = introduces || round_ % kRoundsPerNaming == 0;
-  ++round_;
-  if (names_hosts) {
+  if (hosts_.ShouldNameHosts(round_++, now)) {
     Send(hosts_.GossipTargets(now, random_), hosts_.Ages(now, random_));
   }
   TellGroup();
@@ -114,13 +101,10 @@
 void FleetLink::Send(const std::vector<HostId>& targets,
                      std::vector<HostAge> ages) {
   FleetMessage message;
-  message.host = options_.self.host;
-  message.failure_domain = options_.self.failure_domain;
-  message.reads = hooks_.reads();
-  message.known_hosts = hosts_.known_hosts();
+  message.news = {options_.self, hosts_.known_hosts(), hooks_.reads(),
+                  std::move(ages)};
   message.config_revision = config_.newest();
   message.targets_revision = targets_.newest();
-  message.hosts = std::move(ages);
   message.crashes = crashes_.Counts(kMaxCrashCounts);
   const std::string datagram = EncodeFleetMessage(message);
   for (const HostId& target : targets) {
@@ -136,18 +120,15 @@
   }
   const FleetMessage& message = GetValue(decoded);
   const absl::Time now = loop_.Now();
-  const HostNews news{{message.host, message.failure_domain},
-                      message.known_hosts,
-                      message.reads,
-                      message.hosts};
-  if (hosts_.OnNews(news, now)) {
-    Send({message.host}, hosts_.Ages(now, random_));
+  const KnownHost& sender = message.news.from;
+  if (hosts_.OnNews(message.news, now)) {
+    Send({sender.host}, hosts_.Ages(now, random_));
   }
   for (const CrashCount& count : message.crashes) {
     if (crashes_.OnCount(count, now)) {
       LogWarning("request quarantined",
                  {{"fingerprint", ToHex(count.fingerprint)},
-                  {"told_by", message.host}});
+                  {"told_by", sender.host}});
     }
   }
   if (!IsBehind(message)) return;
@@ -155,8 +136,8 @@
   // Who reads itself will know soon; who does not takes the news at once, from
   // its own failure domain if it can.
   const bool waits =
-      hooks_.reads() || message.failure_domain != options_.self.failure_domain;
-  if (!waits || now - behind_since_ >= kLagTolerance) FetchFrom(message.host);
+      hooks_.reads() || sender.failure_domain != options_.self.failure_domain;
+  if (!waits || now - behind_since_ >= kLagTolerance) FetchFrom(sender.host);
 }
 
 bool FleetLink::IsBehind(const FleetMessage& message) const {
--- a/libs/tier/src/fleet_message.cc
+++ b/libs/tier/src/fleet_message.cc
@@ -67,14 +67,14 @@
 
 std::string EncodeFleetMessage(const FleetMessage& message) {
   PackedMessage packed;
-  packed.host = message.host;
-  packed.failure_domain = message.failure_domain;
-  packed.known_hosts = static_cast<uint16_t>(message.known_hosts);
-  packed.reads = message.reads;
+  packed.host = message.news.from.host;
+  packed.failure_domain = message.news.from.failure_domain;
+  packed.known_hosts = static_cast<uint16_t>(message.news.known_hosts);
+  packed.reads = message.news.reads;
   packed.config_revision = message.config_revision;
   packed.targets_revision = message.targets_revision;
   packed.crashes = message.crashes;
-  for (const HostAge& age : message.hosts) {
+  for (const HostAge& age : message.news.hosts) {
     if (const auto one = Pack(age, packed.domains)) packed.ages.push_back(*one);
   }
   return EncodeArchive(packed);
@@ -85,10 +85,10 @@
   if (const Error* error = GetError(decoded)) return *error;
   PackedMessage& packed = GetValue(decoded);
   FleetMessage message;
-  message.host = std::move(packed.host);
-  message.failure_domain = std::move(packed.failure_domain);
-  message.known_hosts = packed.known_hosts;
-  message.reads = packed.reads;
+  message.news.from.host = std::move(packed.host);
+  message.news.from.failure_domain = std::move(packed.failure_domain);
+  message.news.known_hosts = packed.known_hosts;
+  message.news.reads = packed.reads;
   message.config_revision = packed.config_revision;
   message.targets_revision = packed.targets_revision;
   message.crashes = std::move(packed.crashes);
@@ -96,7 +96,7 @@
     if (age.domain >= packed.domains.size()) {
       return Error{ErrorCode::kInvalidInput, "unknown failure domain"};
     }
-    message.hosts.push_back(
+    message.news.hosts.push_back(
         {boost::asio::ip::make_address_v4(age.address).to_string(),
          packed.domains[age.domain], age.age_ds * kMsPerDs});
   }
--- a/libs/tier/src/policy_file.cc
+++ b/libs/tier/src/policy_file.cc
@@ -1,10 +1,5 @@
 #include "tier/policy_file.h"
 
-#include <fstream>
-#include <sstream>
-
-#include "absl/strings/str_cat.h"
-
 namespace cherrydyke {
 namespace {
 
@@ -20,24 +15,18 @@
 }  // namespace
 
 std::variant<Policy, SettingsFaults> ReadPolicy(const std::string& path) {
-  std::ifstream file(path);
-  if (!file) return SettingsFaults{absl::StrCat(path, ": cannot be read")};
-  std::ostringstream text;
-  text << file.rdbuf();
-  return ParsePolicy(text.str(), path);
+  const auto text = ReadSettingsText(path);
+  if (const auto* faults = std::get_if<SettingsFaults>(&text)) return *faults;
+  return ParsePolicy(std::get<std::string>(text), path);
 }
 
 std::variant<Policy, SettingsFaults> ParsePolicy(const std::string& text,
                                                  const std::string& file) {
-  const toml::parse_result parsed = toml::parse(text, file);
-  if (!parsed) {
-    return SettingsFaults{absl::StrCat(
-        file, ":", parsed.error().source().begin.line,
-        ": expected TOML: ", std::string(parsed.error().description()))};
-  }
+  const auto parsed = ParseToml(text, file);
+  if (const auto* broken = std::get_if<SettingsFaults>(&parsed)) return *broken;
   Policy policy;
   SettingsFaults faults;
-  SettingsReader reader(file, parsed.table(), faults);
+  SettingsReader reader(file, std::get<toml::table>(parsed), faults);
   Milliseconds(reader, "answers", "answer_margin_ms", policy.answer_margin, 0,
                100);
   reader.Boolean("answers", "wait_for_parts", policy.wait_for_parts);
--- a/libs/tier/src/target_set.cc
+++ b/libs/tier/src/target_set.cc
@@ -165,19 +165,17 @@
 void TargetSet::Divide(Target& target) const {
   const auto spec = orders_.services.find(target.info.service);
   if (spec == orders_.services.end()) return;
-  const TargetInfo& info = target.info;
+  const size_t rank = shares_.Rank(target.info.id, target.info.failure_domain);
   const double connections = kConnectionPart * spec->second.max_connections;
   target.connection_limit =
-      std::min(shares_.ShareOf(connections, info.id, info.failure_domain),
-               kMaxConnections);
+      std::min(shares_.ShareOf(connections, rank), kMaxConnections);
   target.pool->SetLimit(target.connection_limit);
   const double per_second =
       spec->second.warmup_per_s * bounds_.warmup_overage + bounds_.warmup_slack;
   // A service that states no rate for cold targets does not limit them.
-  target.cold_share =
-      spec->second.warmup_per_s > 0
-          ? shares_.StrictShareOf(per_second, info.id, info.failure_domain)
-          : std::numeric_limits<int>::max();
+  target.cold_share = spec->second.warmup_per_s > 0
+                          ? shares_.StrictShareOf(per_second, rank)
+                          : std::numeric_limits<int>::max();
 }
 
 void TargetSet::OnRequest(const ServiceName& service) {
--- a/libs/tier/tests/fleet_model.cc
+++ b/libs/tier/tests/fleet_model.cc
@@ -12,9 +12,6 @@
 constexpr absl::Duration kTick = absl::Milliseconds(10);
 /// As the link between hosts has it.
 constexpr absl::Duration kRound = absl::Milliseconds(500);
-constexpr absl::Duration kIntroduction = absl::Seconds(4);
-constexpr int kRoundsPerNaming = 4;
-constexpr absl::Duration kRumour = absl::Seconds(2);
 constexpr absl::Duration kReadPeriod = absl::Milliseconds(300);
 constexpr int kKeys = 6;
 /// The number of the store among failure domains.
@@ -84,7 +81,6 @@
   ++lifetimes_;
   host.alive = true;
   host.lifetime = lifetimes_;
-  host.started_at = now_;
   host.frozen_until = now_;
   host.next_round = now_;
   host.next_read = now_;
@@ -158,9 +154,7 @@
   host.next_round = now_ + kRound;
   host.shares->Refresh(now_);
   host.budget->SetHosts(host.shares->hosts());
-  const bool introduces = now_ - host.started_at < kIntroduction ||
-                          now_ - host.table->last_added() < kRumour;
-  if (introduces || host.round++ % kRoundsPerNaming == 0) {
+  if (host.table->ShouldNameHosts(host.round++, now_)) {
     Tell(host, host.table->GossipTargets(now_, random_), true);
   }
   if (host.table->ShouldRead(now_)) {
@@ -311,8 +305,8 @@
   if (IsCut(host.domain, domain) || IsCut(domain, host.domain)) return;
   const TargetId target = TargetIn(domain);
   ColdAllowance& allowance = host.cold[target];
-  const int share =
-      host.shares->StrictShareOf(kColdAllowance, target, kDomains[domain]);
+  const int share = host.shares->StrictShareOf(
+      kColdAllowance, host.shares->Rank(target, kDomains[domain]));
   if (!allowance.MaySend(share, now_)) return;
   allowance.OnSent(now_);
   ++cold_sends_;
--- a/libs/tier/tests/fleet_model.h
+++ b/libs/tier/tests/fleet_model.h
@@ -52,7 +52,6 @@
     bool alive = false;
     bool replaced = false;
     absl::Time boot_at;
-    absl::Time started_at;
     absl::Time frozen_until;
     absl::Time next_round;
     absl::Time next_read;
--- a/tools/ctl/include/ctl/log_story.h
+++ b/tools/ctl/include/ctl/log_story.h
@@ -4,11 +4,19 @@
 #include <string>
 #include <vector>
 
+#include "absl/time/time.h"
 #include "nlohmann/json.hpp"
 
 namespace cherrydyke {
 
-/// The log lines of several hosts, of any order.
+/// One log line of a host.
+struct LogLine {
+  /// The infinite past if the line has none.
+  absl::Time time;
+  nlohmann::json fields;
+};
+
+/// The log lines of several hosts, in the order of their times.
 class LogLines {
  public:
   /// Takes the JSON lines of a stream. Text before the first brace of a line is
@@ -16,11 +24,11 @@
   /// are counted.
   void Read(std::istream& input);
 
-  const std::vector<nlohmann::json>& lines() const { return lines_; }
+  const std::vector<LogLine>& lines() const { return lines_; }
   int unreadable() const { return unreadable_; }
 
  private:
-  std::vector<nlohmann::json> lines_;
+  std::vector<LogLine> lines_;
   int unreadable_ = 0;
 };
 
--- a/tools/ctl/src/log_story.cc
+++ b/tools/ctl/src/log_story.cc
@@ -24,19 +24,19 @@
 constexpr size_t kMostBeliefs = 40;
 constexpr char kNoLineHint[] =
     " unreadable).\nFew answers are written a second; lines_left_out of the "
-    "load "
-    "lines counts the others.\n";
+    "load"
+    " lines counts the others.\n";
 
-std::string TextOf(const json& line, const char* name) {
-  const auto found = line.find(name);
-  if (found == line.end()) return "";
+std::string TextOf(const json& fields, const char* name) {
+  const auto found = fields.find(name);
+  if (found == fields.end()) return "";
   return found->is_string() ? found->get<std::string>() : found->dump();
 }
 
-absl::Time TimeOf(const json& line) {
+absl::Time ReadTime(const json& fields) {
   absl::Time time = absl::InfinitePast();
   std::string error;
-  absl::ParseTime(absl::RFC3339_full, TextOf(line, "time"), &time, &error);
+  absl::ParseTime(absl::RFC3339_full, TextOf(fields, "time"), &time, &error);
   return time;
 }
 
@@ -49,10 +49,10 @@
 };
 
 // Reads `service/target+12ms:503 ...` as the tier writes it.
-std::vector<Unanswered> ReadUnanswered(const json& line) {
+std::vector<Unanswered> ReadUnanswered(const LogLine& line) {
   std::vector<Unanswered> sends;
-  for (const auto word :
-       absl::StrSplit(TextOf(line, "unanswered"), ' ', absl::SkipEmpty())) {
+  for (const auto word : absl::StrSplit(TextOf(line.fields, "unanswered"), ' ',
+                                        absl::SkipEmpty())) {
     const std::string text(word);
     const size_t slash = text.find('/');
     const size_t plus = text.rfind('+');
@@ -97,34 +97,36 @@
   return "no line tells how it ended";
 }
 
-bool IsOfRequest(const json& line) { return line.contains("request"); }
+bool IsOfRequest(const LogLine& line) {
+  return line.fields.contains("request");
+}
 
 // Everything but what each line repeats.
-std::string Describe(const json& line) {
-  std::string text = TextOf(line, "msg");
-  for (const auto& [name, value] : line.items()) {
+std::string Describe(const LogLine& line) {
+  std::string text = TextOf(line.fields, "msg");
+  for (const auto& [name, value] : line.fields.items()) {
     static const std::set<std::string> common = {"time",    "level", "host",
                                                  "program", "msg",   "request"};
     if (common.count(name) > 0) continue;
-    absl::StrAppend(&text, "  ", name, "=", TextOf(line, name.c_str()));
+    absl::StrAppend(&text, "  ", name, "=", TextOf(line.fields, name.c_str()));
   }
   return text;
 }
 
 // Draws lines with their time from an origin.
-std::string Draw(const std::vector<const json*>& lines, absl::Time origin) {
+std::string Draw(const std::vector<const LogLine*>& lines, absl::Time origin) {
   std::string text;
-  for (const json* line : lines) {
+  for (const LogLine* line : lines) {
     absl::StrAppend(
         &text, absl::StrFormat("%+9.3f s  %-24s %s\n",
-                               absl::ToDoubleSeconds(TimeOf(*line) - origin),
-                               TextOf(*line, "host"), Describe(*line)));
+                               absl::ToDoubleSeconds(line->time - origin),
+                               TextOf(line->fields, "host"), Describe(*line)));
   }
   return text;
 }
 
 /// Lines that change what a host believes of its surroundings.
-bool IsOfSurroundings(const json& line) {
+bool IsOfSurroundings(const LogLine& line) {
   static const std::set<std::string> messages = {"configuration in force",
                                                  "configuration refused",
                                                  "store does not answer",
@@ -133,16 +135,16 @@
                                                  "no news from peer",
                                                  "stopping",
                                                  "started"};
-  return messages.count(TextOf(line, "msg")) > 0;
+  return messages.count(TextOf(line.fields, "msg")) > 0;
 }
 
 // How many other requests lacked an answer of the target at the same time.
-int CountOthers(const LogLines& log, const json& last,
+int CountOthers(const LogLines& log, const LogLine& last,
                 const std::string& target) {
   return static_cast<int>(std::count_if(
-      log.lines().begin(), log.lines().end(), [&](const json& line) {
-        if (&line == &last || !line.contains("unanswered") ||
-            absl::AbsDuration(TimeOf(line) - TimeOf(last)) > kBeside) {
+      log.lines().begin(), log.lines().end(), [&](const LogLine& line) {
+        if (&line == &last || !line.fields.contains("unanswered") ||
+            absl::AbsDuration(line.time - last.time) > kBeside) {
           return false;
         }
         const std::vector<Unanswered> sends = ReadUnanswered(line);
@@ -152,7 +154,7 @@
       }));
 }
 
-std::string TellSends(const LogLines& log, const json& last) {
+std::string TellSends(const LogLines& log, const LogLine& last) {
   std::string text;
   for (const Unanswered& send : ReadUnanswered(last)) {
     absl::StrAppend(&text, text.empty() ? "\nsends without an answer:\n" : "",
@@ -166,18 +168,19 @@
 
 // What any host came to believe of the targets, and the request's own host of
 // its surroundings.
-std::string TellBeliefs(const LogLines& log, const json& last) {
+std::string TellBeliefs(const LogLines& log, const LogLine& last) {
   std::set<std::string> targets;
   for (const Unanswered& send : ReadUnanswered(last)) {
     targets.insert(send.target);
   }
-  std::vector<const json*> beliefs;
-  for (const json& line : log.lines()) {
-    const absl::Duration age = TimeOf(last) - TimeOf(line);
+  std::vector<const LogLine*> beliefs;
+  for (const LogLine& line : log.lines()) {
+    const absl::Duration age = last.time - line.time;
     if (age > kBefore || age < -kAfter || IsOfRequest(line)) continue;
     const bool around =
-        IsOfSurroundings(line) && TextOf(line, "host") == TextOf(last, "host");
-    if (around || targets.count(TextOf(line, "target")) > 0) {
+        IsOfSurroundings(line) &&
+        TextOf(line.fields, "host") == TextOf(last.fields, "host");
+    if (around || targets.count(TextOf(line.fields, "target")) > 0) {
       beliefs.push_back(&line);
     }
   }
@@ -189,8 +192,7 @@
   beliefs.erase(beliefs.begin(),
                 beliefs.begin() + static_cast<std::ptrdiff_t>(left_out));
   return absl::StrCat("\nbeliefs that changed about then (", left_out,
-                      " earlier ones left out):\n",
-                      Draw(beliefs, TimeOf(last)));
+                      " earlier ones left out):\n", Draw(beliefs, last.time));
 }
 
 }  // namespace
@@ -200,37 +202,38 @@
   while (std::getline(input, text)) {
     if (text.empty()) continue;
     const size_t brace = text.find('{');
-    json line = brace == std::string::npos
-                    ? json()
-                    : json::parse(text.substr(brace), nullptr, false);
-    if (line.is_object()) {
-      lines_.push_back(std::move(line));
+    json fields = brace == std::string::npos
+                      ? json()
+                      : json::parse(text.substr(brace), nullptr, false);
+    if (fields.is_object()) {
+      const absl::Time time = ReadTime(fields);
+      lines_.push_back({time, std::move(fields)});
     } else {
       ++unreadable_;
     }
   }
   std::stable_sort(
       lines_.begin(), lines_.end(),
-      [](const json& a, const json& b) { return TimeOf(a) < TimeOf(b); });
+      [](const LogLine& a, const LogLine& b) { return a.time < b.time; });
 }
 
 LogStory TellStory(const LogLines& log, const std::string& request_id) {
-  std::vector<const json*> own;
+  std::vector<const LogLine*> own;
   std::string reason;
-  for (const json& line : log.lines()) {
-    if (TextOf(line, "request") != request_id) continue;
+  for (const LogLine& line : log.lines()) {
+    if (TextOf(line.fields, "request") != request_id) continue;
     own.push_back(&line);
-    if (line.contains("reason")) reason = TextOf(line, "reason");
+    if (line.fields.contains("reason")) reason = TextOf(line.fields, "reason");
   }
   if (own.empty()) {
     return {false,
             absl::StrCat("no line names ", request_id, " (", log.lines().size(),
                          " lines read, ", log.unreadable(), kNoLineHint)};
   }
-  const json& last = *own.back();
+  const LogLine& last = *own.back();
   return {true, absl::StrCat("request ", request_id, ": ",
-                             VerdictOf(TextOf(last, "outcome"), reason), "\n",
-                             Draw(own, TimeOf(last)), TellSends(log, last),
+                             VerdictOf(TextOf(last.fields, "outcome"), reason),
+                             "\n", Draw(own, last.time), TellSends(log, last),
                              TellBeliefs(log, last))};
 }
 
