Measure the memory of a connection on both HTTP paths

The single connection's row holds what a path sets aside once.

Ruled out: comparing peaks of one process over all rows (a later path would reuse what an earlier one gave back); each row begins with malloc_trim and ends while its connections are open. The server of the threads' path starts as many threads as connections here; the daemons start 64 in any case.

--- a/bench/src/http_paths.cc
+++ b/bench/src/http_paths.cc
@@ -1,5 +1,8 @@
+#include <malloc.h>
 #include <sys/resource.h>
+#include <unistd.h>
 
+#include <fstream>
 #include <functional>
 #include <memory>
 #include <string>
@@ -7,6 +10,8 @@
 #include <vector>
 
 #include "absl/strings/str_cat.h"
+#include "absl/synchronization/blocking_counter.h"
+#include "absl/synchronization/notification.h"
 #include "absl/time/clock.h"
 #include "adapters/http_client.h"
 #include "adapters/http_server.h"
@@ -39,24 +44,51 @@
   return usage.ru_nvcsw + usage.ru_nivcsw;
 }
 
-// Adds a row with what `exchange_all` costs for each exchange.
-void Measure(Table& table, const std::string& name,
-             const std::function<void()>& exchange_all) {
-  const absl::Duration processor = ProcessorTime();
-  const int64_t switches = ContextSwitches();
-  const absl::Time start = absl::Now();
-  exchange_all();
-  const absl::Duration took = absl::Now() - start;
-  table.AddRow(
-      name,
-      {absl::ToDoubleMilliseconds(ProcessorTime() - processor) / kExchanges,
-       kExchanges / absl::ToDoubleSeconds(took),
-       static_cast<double>(ContextSwitches() - switches) / kExchanges});
+double ResidentKilobytes() {
+  constexpr double kKilobyte = 1024;
+  // The second figure of this file is the resident memory in pages.
+  int64_t all = 0;
+  int64_t resident = 0;
+  std::ifstream("/proc/self/statm") >> all >> resident;
+  CHERRYDYKE_INVARIANT(resident > 0, "the system tells the resident memory");
+  return static_cast<double>(resident * sysconf(_SC_PAGESIZE)) / kKilobyte;
 }
 
+// Measures one path from its first connection on.
+class Measurement {
+ public:
+  Measurement() {
+    // What an earlier path gave back must not serve this one unseen.
+    malloc_trim(0);
+    resident_ = ResidentKilobytes();
+    processor_ = ProcessorTime();
+    switches_ = ContextSwitches();
+    start_ = absl::Now();
+  }
+
+  // Called after the last exchange, while all connections are still open.
+  void AddRow(Table& table, const std::string& name, int connections) const {
+    const absl::Duration took = absl::Now() - start_;
+    table.AddRow(
+        absl::StrCat(name, ", ", connections),
+        {absl::ToDoubleMilliseconds(ProcessorTime() - processor_) / kExchanges,
+         kExchanges / absl::ToDoubleSeconds(took),
+         static_cast<double>(ContextSwitches() - switches_) / kExchanges,
+         (ResidentKilobytes() - resident_) / connections});
+  }
+
+ private:
+  double resident_ = 0;
+  absl::Duration processor_;
+  int64_t switches_ = 0;
+  absl::Time start_;
+};
+
 // The first version's path: a thread for each connection on both sides.
 void MeasureThreads(Table& table, int connections) {
+  const Measurement measurement;
   HttpServer::Options options;
+  options.threads = connections;
   HttpServer server(options);
   server.Post("/search", [](const HttpRequest&) {
     HttpResponse response;
@@ -66,26 +98,31 @@
   const Result<int> port = server.Start(kAddress, 0);
   CHERRYDYKE_INVARIANT(GetError(port) == nullptr, "the server listens");
   const std::string endpoint = absl::StrCat(kAddress, ":", GetValue(port));
-  Measure(table, absl::StrCat("thread a request, ", connections), [&] {
-    std::vector<std::thread> callers;
-    for (int caller = 0; caller < connections; ++caller) {
-      callers.emplace_back([&] {
-        HttpClient client(endpoint);
-        for (int i = 0; i < kExchanges / connections; ++i) {
-          const auto outcome =
-              client.Post("/search", "{}", {}, absl::Seconds(5));
-          CHERRYDYKE_INVARIANT(std::holds_alternative<HttpReply>(outcome),
-                               "every request is answered");
-        }
-      });
-    }
-    for (std::thread& caller : callers) caller.join();
-  });
+  absl::BlockingCounter exchanging(connections);
+  absl::Notification measured;
+  std::vector<std::thread> callers;
+  for (int caller = 0; caller < connections; ++caller) {
+    callers.emplace_back([&] {
+      HttpClient client(endpoint);
+      for (int i = 0; i < kExchanges / connections; ++i) {
+        const auto outcome = client.Post("/search", "{}", {}, absl::Seconds(5));
+        CHERRYDYKE_INVARIANT(std::holds_alternative<HttpReply>(outcome),
+                             "every request is answered");
+      }
+      exchanging.DecrementCount();
+      measured.WaitForNotification();
+    });
+  }
+  exchanging.Wait();
+  measurement.AddRow(table, "thread a connection", connections);
+  measured.Notify();
+  for (std::thread& caller : callers) caller.join();
   server.Stop();
 }
 
 // The tier's path: both sides on one event loop.
 void MeasureEngine(Table& table, int connections) {
+  const Measurement measurement;
   const BootClock clock;
   engine::EventLoop loop(clock);
   engine::HttpServer server(
@@ -122,10 +159,9 @@
     };
     pool.Send(std::move(request));
   };
-  Measure(table, absl::StrCat("event loop, ", connections), [&] {
-    for (int i = 0; i < connections; ++i) send();
-    loop.Run();
-  });
+  for (int i = 0; i < connections; ++i) send();
+  loop.Run();
+  measurement.AddRow(table, "event loop", connections);
 }
 
 }  // namespace
@@ -133,9 +169,10 @@
 Table MeasureHttpPaths() {
   Table table(
       "One exchange with a body of 400 bytes, client and server in one "
-      "process, by kept connections",
-      {"path, connections", "processor ms", "exchanges/s", "switches"});
-  for (const int connections : {1, 8, 32}) {
+      "process, by kept connections; resident memory for each of them",
+      {"path, connections", "processor ms", "exchanges/s", "switches",
+       "resident KB"});
+  for (const int connections : {1, 8, 32, 128}) {
     MeasureThreads(table, connections);
     MeasureEngine(table, connections);
   }
