Refuse what targets cannot answer in time; ask callers back by the backlog

Cause: a host had no limit on what it gave a target but its connections, and what had none waited for one until its deadline.

Change: ConcurrencyLimit for each target (rises while answers come in time, falls when they are late); a part none of whose replicas has room is left out, or its request refused at once with reason `overloaded`. ReturnSchedule gives callers refused for load their places one after the other, at half of the pace of answers. Switch: placement.limit_concurrency.

--- a/libs/dispatch/include/dispatch/policy.h
+++ b/libs/dispatch/include/dispatch/policy.h
@@ -29,6 +29,9 @@
 
   /// Whether a part that takes long is asked for at a second target.
   bool hedges = true;
+  /// Deviations of a target's usual time above its mean after which a part
+  /// counts as taking long: pauses of 200 ms stand far outside, queues inside.
+  double hedge_deviations = 4;
   /// Part of the fleet's budget for extra sends that is used at all; the rest
   /// covers arrivals that are delayed into the next window.
   double budget_part = 0.9;
@@ -44,6 +47,10 @@
   /// and the one that a hedge would go to, for which a handshake would come too
   /// late.
   int warm_targets = 2;
+  /// Whether distance counts when replicas are compared.
+  bool prefer_near = true;
+  /// Whether a target gets no more than it answers in time.
+  bool limit_concurrency = true;
 
   /// Most lines a second for each kind of failure or refusal, and for each kind
   /// of answer: callers ask about the former, and each line costs processor.
@@ -53,12 +60,14 @@
   friend bool operator==(const Policy& a, const Policy& b) {
     return std::tie(a.answer_margin, a.wait_for_parts, a.deadline_margin,
                     a.cancel_grace, a.retry_after, a.retry_after_spread,
-                    a.hedges, a.budget_part, a.helpful_part, a.failure_cost,
-                    a.warm_targets, a.log_lines, a.answer_log_lines) ==
+                    a.hedges, a.hedge_deviations, a.budget_part, a.helpful_part,
+                    a.failure_cost, a.warm_targets, a.prefer_near,
+                    a.limit_concurrency, a.log_lines, a.answer_log_lines) ==
            std::tie(b.answer_margin, b.wait_for_parts, b.deadline_margin,
                     b.cancel_grace, b.retry_after, b.retry_after_spread,
-                    b.hedges, b.budget_part, b.helpful_part, b.failure_cost,
-                    b.warm_targets, b.log_lines, b.answer_log_lines);
+                    b.hedges, b.hedge_deviations, b.budget_part, b.helpful_part,
+                    b.failure_cost, b.warm_targets, b.prefer_near,
+                    b.limit_concurrency, b.log_lines, b.answer_log_lines);
   }
 };
 
--- a/libs/dispatch/include/dispatch/replica_choice.h
+++ b/libs/dispatch/include/dispatch/replica_choice.h
@@ -25,6 +25,8 @@
   bool missing = false;
   /// What it costs a request to meet a failure.
   absl::Duration failure_cost = Policy().failure_cost;
+  /// Whether its distance counts when it is compared with others.
+  bool prefer_near = Policy().prefer_near;
 };
 
 /// What a send to a replica is expected to cost its request, in time until the
--- a/libs/dispatch/include/dispatch/target_health.h
+++ b/libs/dispatch/include/dispatch/target_health.h
@@ -58,8 +58,9 @@
   /// @param connections requests that this host may have there at once.
   absl::Duration Expected(int slots, int connections, absl::Time now) const;
 
+  /// @param deviations how far above the usual time that is.
   /// @return the time after which a request counts as overdue.
-  absl::Duration OverdueAfter(absl::Time now) const;
+  absl::Duration OverdueAfter(absl::Time now, double deviations) const;
 
   /// @return whether the target seems not to answer at present. After a while
   /// it is no longer suspect until one request has tried it again.
--- a/libs/dispatch/src/replica_choice.cc
+++ b/libs/dispatch/src/replica_choice.cc
@@ -29,16 +29,21 @@
 std::optional<ReplicaChoice> ChooseReplica(
     const std::vector<ReplicaState>& replicas, absl::Time now) {
   std::optional<ReplicaChoice> best;
+  absl::Duration best_compared = absl::InfiniteDuration();
   for (size_t index = 0; index < replicas.size(); ++index) {
-    if (replicas[index].health->IsDark(now)) continue;
-    const absl::Duration cost = ReplicaCost(replicas[index], now);
+    const ReplicaState& replica = replicas[index];
+    if (replica.health->IsDark(now)) continue;
+    const absl::Duration cost = ReplicaCost(replica, now);
+    const absl::Duration compared =
+        replica.prefer_near ? cost : cost - replica.round_trip;
     if (!best) {
       best = ReplicaChoice{index, cost};
-    } else if (cost < best->cost) {
-      best = ReplicaChoice{index, cost, best->cost};
+    } else if (compared < best_compared) {
+      best = ReplicaChoice{index, cost, std::min(best->next_cost, best->cost)};
     } else {
       best->next_cost = std::min(best->next_cost, cost);
     }
+    best_compared = std::min(best_compared, compared);
   }
   return best;
 }
--- a/libs/dispatch/src/target_health.cc
+++ b/libs/dispatch/src/target_health.cc
@@ -20,8 +20,6 @@
 /// Least time above the mean after which a request is overdue: less than it,
 /// scheduling on a small host looks like a slow target.
 constexpr absl::Duration kMinOverdue = absl::Milliseconds(15);
-/// Deviations above the mean at which a request is overdue.
-constexpr double kOverdueDeviations = 4;
 /// First and longest time for which a silent target is avoided.
 constexpr absl::Duration kFirstBackoff = absl::Milliseconds(150);
 constexpr absl::Duration kLongestBackoff = absl::Seconds(3);
@@ -115,11 +113,12 @@
   return mean * (1 + std::max(at_target, at_host) + sharing);
 }
 
-absl::Duration TargetHealth::OverdueAfter(absl::Time now) const {
+absl::Duration TargetHealth::OverdueAfter(absl::Time now,
+                                          double deviations) const {
   const absl::Duration mean = Mean(now);
   const absl::Duration deviation =
       learned_at_ == absl::InfinitePast() ? prior_deviation_ : deviation_;
-  return mean + std::max(kMinOverdue, deviation * kOverdueDeviations);
+  return mean + std::max(kMinOverdue, deviation * deviations);
 }
 
 bool TargetHealth::IsSuspect(absl::Time now) const {
--- a/libs/dispatch/tests/load_model.cc
+++ b/libs/dispatch/tests/load_model.cc
@@ -3,8 +3,10 @@
 #include <algorithm>
 #include <utility>
 
+#include "dispatch/concurrency_limit.h"
 #include "dispatch/extra_budget.h"
 #include "dispatch/replica_choice.h"
+#include "dispatch/return_schedule.h"
 
 namespace cherrydyke {
 namespace {
@@ -35,6 +37,14 @@
 
 using Reply = std::function<void(AttemptEnd)>;
 
+// One send on its way: waiting for a connection, at its target, or over.
+struct Exchange {
+  Reply reply;
+  bool sent = false;
+  bool over = false;
+};
+using ExchangePtr = std::shared_ptr<Exchange>;
+
 class TargetModel {
  public:
   TargetModel(Timeline& timeline, const LoadScenario& scenario, int shard,
@@ -47,26 +57,28 @@
         factor_(replica == 0 && shard % 2 == 0 ? scenario.slow_factor : 1),
         phase_(absl::Milliseconds(random() % 4500)) {}
 
-  void Arrive(Reply reply) {
+  void Arrive(ExchangePtr exchange) {
     if (dark_) return;
     std::uniform_real_distribution<double> chance(0, 1);
     if (chance(random_) < shed_ ||
         waiting_.size() >= static_cast<size_t>(scenario_.queue)) {
-      return reply(AttemptEnd::kNotRun);
+      return exchange->reply(AttemptEnd::kNotRun);
     }
-    waiting_.push_back(std::move(reply));
+    waiting_.push_back(std::move(exchange));
     StartNext();
   }
 
  private:
   void StartNext() {
+    // What was broken off while it waited is not begun.
+    while (!waiting_.empty() && waiting_.front()->over) waiting_.pop_front();
     if (running_ == scenario_.slots || waiting_.empty()) return;
     ++running_;
-    const Reply reply = std::move(waiting_.front());
+    const ExchangePtr exchange = std::move(waiting_.front());
     waiting_.pop_front();
-    timeline_.At(EndOf(scenario_.work * factor_), [this, reply] {
+    timeline_.At(EndOf(scenario_.work * factor_), [this, exchange] {
       --running_;
-      reply(AttemptEnd::kSuccess);
+      if (!exchange->over) exchange->reply(AttemptEnd::kSuccess);
       StartNext();
     });
   }
@@ -86,7 +98,71 @@
   const double shed_;
   const double factor_;
   const absl::Duration phase_;
-  std::deque<Reply> waiting_;
+  std::deque<ExchangePtr> waiting_;
+  int running_ = 0;
+};
+
+// The connections of one host to one target.
+class PoolModel {
+ public:
+  PoolModel(Timeline& timeline, TargetModel& target, absl::Duration one_way)
+      : timeline_(timeline), target_(target), one_way_(one_way) {}
+
+  ExchangePtr Send(Reply reply) {
+    const auto exchange = std::make_shared<Exchange>();
+    exchange->reply = [this, weak = std::weak_ptr<Exchange>(exchange),
+                       reply = std::move(reply)](AttemptEnd end) {
+      timeline_.At(timeline_.now() + one_way_,
+                   [this, held = weak.lock(), reply, end] {
+                     if (!held->over) {
+                       End(*held);
+                       reply(end);
+                     }
+                   });
+    };
+    waiting_.push_back(exchange);
+    SendNext();
+    return exchange;
+  }
+
+  // What was not sent yet never is; the rest may end within the grace.
+  void Cancel(const ExchangePtr& exchange, const Reply& broken_off) {
+    if (!exchange->sent) {
+      exchange->over = true;
+      waiting_.erase(std::remove(waiting_.begin(), waiting_.end(), exchange),
+                     waiting_.end());
+      return broken_off(AttemptEnd::kNotRun);
+    }
+    timeline_.At(timeline_.now() + Policy().cancel_grace,
+                 [this, exchange, broken_off] {
+                   if (exchange->over) return;
+                   End(*exchange);
+                   broken_off(AttemptEnd::kUnknown);
+                 });
+  }
+
+ private:
+  void End(Exchange& exchange) {
+    exchange.over = true;
+    --running_;
+    SendNext();
+  }
+
+  void SendNext() {
+    if (running_ == kConnections || waiting_.empty()) return;
+    ++running_;
+    const ExchangePtr exchange = waiting_.front();
+    waiting_.pop_front();
+    exchange->sent = true;
+    timeline_.At(timeline_.now() + one_way_, [this, exchange] {
+      if (!exchange->over) target_.Arrive(exchange);
+    });
+  }
+
+  Timeline& timeline_;
+  TargetModel& target_;
+  const absl::Duration one_way_;
+  std::deque<ExchangePtr> waiting_;
   int running_ = 0;
 };
 
@@ -101,7 +177,9 @@
 // One host: its places in the fleet and what it has learned.
 class HostModel : public Placement {
  public:
-  HostModel(const LoadScenario& scenario, LoadPolicy policy, int number,
+  HostModel(Timeline& timeline,
+            std::map<TargetId, std::unique_ptr<TargetModel>>& targets,
+            const LoadScenario& scenario, LoadPolicy policy, int number,
             std::mt19937& random, LoadResult& result)
       : scenario_(scenario),
         policy_(policy),
@@ -112,8 +190,11 @@
     budget_.SetHosts(scenario.hosts);
     for (int shard = 0; shard < scenario.shards; ++shard) {
       for (int replica = 0; replica < scenario.replicas; ++replica) {
-        health_.try_emplace(Name(shard, replica), Distance(replica),
-                            absl::Milliseconds(10));
+        const TargetId name = Name(shard, replica);
+        health_.try_emplace(name, Distance(replica), absl::Milliseconds(10));
+        limits_.try_emplace(name, kConnections);
+        pools_.try_emplace(name, timeline, *targets.at(name),
+                           Distance(replica) / 2);
       }
     }
   }
@@ -137,6 +218,10 @@
       if (std::count(need.exclude->begin(), need.exclude->end(), name) > 0) {
         continue;
       }
+      if (scenario_.concurrency_limit && policy_ == LoadPolicy::kTier &&
+          !limits_.at(name).HasRoom(health_.at(name).outstanding())) {
+        continue;
+      }
       names.push_back(name);
       states.push_back({&health_.at(name), scenario_.slots, kConnections,
                         Distance(replica), true, false, false});
@@ -154,7 +239,8 @@
     }
     Count(need.extra.has_value());
     TargetHealth& health = health_.at(names[choice->index]);
-    const Placed placed{names[choice->index], health.OverdueAfter(now),
+    const Placed placed{names[choice->index],
+                        health.OverdueAfter(now, Policy().hedge_deviations),
                         choice->cost, choice->next_cost};
     health.OnSent();
     return placed;
@@ -162,6 +248,9 @@
 
   ExtraBudget& budget() { return budget_; }
   TargetHealth& health(const TargetId& name) { return health_.at(name); }
+  ReturnSchedule& returns() { return returns_; }
+  ConcurrencyLimit& limit(const TargetId& name) { return limits_.at(name); }
+  PoolModel& pool(const TargetId& name) { return pools_.at(name); }
 
  private:
   void Count(bool extra) {
@@ -174,17 +263,20 @@
   std::mt19937& random_;
   LoadResult& result_;
   ExtraBudget budget_;
+  ReturnSchedule returns_{Policy().retry_after, Policy().retry_after_spread};
   std::map<TargetId, TargetHealth> health_;
+  std::map<TargetId, ConcurrencyLimit> limits_;
+  std::map<TargetId, PoolModel> pools_;
 };
 
 // One request under way.
 struct Play : std::enable_shared_from_this<Play> {
-  Play(Timeline& time, HostModel& from,
-       std::map<TargetId, std::unique_ptr<TargetModel>>& all, RequestPlan plan,
-       const LoadScenario& load, LoadResult& sum)
+  Play(Timeline& time, HostModel& from, RequestPlan plan,
+       const LoadScenario& load, LoadResult& sum,
+       std::function<void()> on_refused)
       : timeline(time),
         host(from),
-        targets(all),
+        refused(std::move(on_refused)),
         run(std::move(plan), from),
         scenario(load),
         result(sum),
@@ -195,6 +287,7 @@
       host.health(run.target(attempt))
           .OnOverdue(sent_at[attempt], timeline.now());
     }
+    for (const size_t attempt : actions.cancel) Cancel(attempt);
     for (const AttemptSend& send : actions.send) Send(send);
     if (actions.conclusion) return Conclude(*actions.conclusion);
     const absl::Time next = run.NextTimer();
@@ -209,34 +302,50 @@
   }
 
   void Send(const AttemptSend& send) {
-    const absl::Time sent = timeline.now();
-    sent_at[send.attempt] = sent;
-    const int replica =
-        std::stoi(send.target.substr(send.target.find('/') + 1));
-    const absl::Duration one_way = host.Distance(replica) / 2;
-    timeline.At(sent + one_way, [self = shared_from_this(), send, one_way] {
-      self->targets.at(send.target)
-          ->Arrive([self, send, one_way](AttemptEnd end) {
-            self->timeline.At(self->timeline.now() + one_way,
-                              [self, send, end] { self->OnReply(send, end); });
-          });
+    sent_at[send.attempt] = timeline.now();
+    exchanges[send.attempt] =
+        host.pool(send.target)
+            .Send([self = shared_from_this(), send](AttemptEnd end) {
+              self->OnReply(send, end);
+            });
+  }
+
+  void Cancel(size_t attempt) {
+    const TargetId& target = run.target(attempt);
+    const auto exchange = exchanges.find(attempt);
+    if (exchange == exchanges.end()) return host.health(target).OnAbandoned();
+    host.pool(target).Cancel(exchange->second, [self = shared_from_this(),
+                                                attempt](AttemptEnd end) {
+      self->Learn(attempt, end == AttemptEnd::kNotRun ? TargetSign::kUnsent
+                                                      : TargetSign::kBrokenOff);
     });
   }
 
   void OnReply(const AttemptSend& send, AttemptEnd end) {
+    Learn(send.attempt, end == AttemptEnd::kSuccess ? TargetSign::kAnswered
+                                                    : TargetSign::kRejected);
+    if (!run.done()) {
+      Perform(run.OnEnded(send.attempt, end, timeline.now()));
+    }
+  }
+
+  void Learn(size_t attempt, TargetSign sign) {
     const absl::Time now = timeline.now();
-    host.health(send.target)
-        .OnEnded(end == AttemptEnd::kSuccess ? TargetSign::kAnswered
-                                             : TargetSign::kRejected,
-                 now - sent_at[send.attempt], now);
-    if (!run.done()) Perform(run.OnEnded(send.attempt, end, now));
+    const TargetId& target = run.target(attempt);
+    const absl::Duration spent = now - sent_at[attempt];
+    host.health(target).OnEnded(sign, spent, now);
+    if (sign == TargetSign::kAnswered) {
+      host.limit(target).OnAnswered(spent, scenario.goal - kMargin, now);
+    } else if (sign != TargetSign::kRejected) {
+      host.limit(target).OnGivenUp(spent, scenario.goal - kMargin, now);
+    }
   }
 
   void Conclude(ConclusionKind kind) {
     const absl::Duration took = timeline.now() - begun;
     result.total_ms += absl::ToDoubleMilliseconds(took);
     if (kind == ConclusionKind::kNotRun) {
-      ++result.refused;
+      refused();
     } else if (kind != ConclusionKind::kAnswer) {
       ++result.failed;
     } else if (took > scenario.goal) {
@@ -248,19 +357,24 @@
       const double share =
           static_cast<double>(parts) / static_cast<double>(winners.size());
       ++result.in_goal;
+      if (returned) ++result.in_goal_returned;
       result.credit += share * share;
+      host.returns().OnAnswered(timeline.now());
     }
   }
 
   Timeline& timeline;
   HostModel& host;
-  std::map<TargetId, std::unique_ptr<TargetModel>>& targets;
+  const std::function<void()> refused;
   RequestRun run;
   const LoadScenario& scenario;
   LoadResult& result;
   const absl::Time begun;
+  /// Whether its caller has been refused before.
+  bool returned = false;
   absl::Time timer_at = absl::InfiniteFuture();
   std::map<size_t, absl::Time> sent_at;
+  std::map<size_t, ExchangePtr> exchanges;
 };
 
 RequestPlan PlanOf(const LoadScenario& scenario, LoadPolicy policy,
@@ -279,6 +393,72 @@
   return plan;
 }
 
+// Callers who ask any host, and come back once to any other after a refusal.
+class CallerModel {
+ public:
+  CallerModel(Timeline& timeline, const LoadScenario& scenario,
+              LoadPolicy policy, std::deque<HostModel>& hosts,
+              std::mt19937& random, LoadResult& result)
+      : timeline_(timeline),
+        scenario_(scenario),
+        policy_(policy),
+        hosts_(hosts),
+        random_(random),
+        result_(result) {}
+
+  // Lets one caller ask, and the next one come after it.
+  void Begin() {
+    const absl::Time now = timeline_.now();
+    const absl::Time burst = kStart + scenario_.length / 4;
+    const bool in_burst = scenario_.burst_rate > 0 && now >= burst &&
+                          now < burst + scenario_.burst_length;
+    std::exponential_distribution<double> gap(in_burst ? scenario_.burst_rate
+                                                       : scenario_.rate);
+    const absl::Time next = now + absl::Seconds(gap(random_));
+    if (next < kStart + scenario_.length) {
+      timeline_.At(next, [this] { Begin(); });
+    }
+    ++result_.requests;
+    Ask(true);
+  }
+
+ private:
+  void Ask(bool first) {
+    HostModel& host = hosts_[random_() % hosts_.size()];
+    RequestPlan plan = PlanOf(scenario_, policy_, timeline_.now());
+    for (const ServiceName& service : plan.services) {
+      host.budget().OnRequest(service, timeline_.now());
+    }
+    const auto play = std::make_shared<Play>(
+        timeline_, host, std::move(plan), scenario_, result_,
+        [this, first, &host] { OnRefused(first, host); });
+    play->returned = !first;
+    play->Perform(play->run.Start(timeline_.now()));
+  }
+
+  void OnRefused(bool first, HostModel& host) {
+    if (!first || !scenario_.callers_return) {
+      ++result_.refused;
+      return;
+    }
+    std::uniform_real_distribution<double> draw(0, 1);
+    const absl::Duration told =
+        scenario_.schedule_returns
+            ? host.returns().Next(draw(random_), timeline_.now())
+            : host.returns().Usual(draw(random_));
+    // Callers wait for a third of their time at most.
+    const absl::Duration wait = std::min(told, scenario_.time_limit / 3);
+    timeline_.At(timeline_.now() + wait, [this] { Ask(false); });
+  }
+
+  Timeline& timeline_;
+  const LoadScenario& scenario_;
+  const LoadPolicy policy_;
+  std::deque<HostModel>& hosts_;
+  std::mt19937& random_;
+  LoadResult& result_;
+};
+
 }  // namespace
 
 LoadResult PlayLoad(const LoadScenario& scenario, LoadPolicy policy,
@@ -295,24 +475,11 @@
   }
   std::deque<HostModel> hosts;
   for (int host = 0; host < scenario.hosts; ++host) {
-    hosts.emplace_back(scenario, policy, host, random, result);
-  }
-  std::exponential_distribution<double> gap(scenario.rate);
-  absl::Time arrival = kStart;
-  while (arrival < kStart + scenario.length) {
-    arrival += absl::Seconds(gap(random));
-    timeline.At(arrival, [&] {
-      HostModel& host = hosts[random() % hosts.size()];
-      ++result.requests;
-      RequestPlan plan = PlanOf(scenario, policy, timeline.now());
-      for (const ServiceName& service : plan.services) {
-        host.budget().OnRequest(service, timeline.now());
-      }
-      const auto play = std::make_shared<Play>(
-          timeline, host, targets, std::move(plan), scenario, result);
-      play->Perform(play->run.Start(timeline.now()));
-    });
+    hosts.emplace_back(timeline, targets, scenario, policy, host, random,
+                       result);
   }
+  CallerModel callers(timeline, scenario, policy, hosts, random, result);
+  timeline.At(kStart, [&] { callers.Begin(); });
   timeline.Run();
   return result;
 }
--- a/libs/dispatch/tests/load_model.h
+++ b/libs/dispatch/tests/load_model.h
@@ -40,6 +40,14 @@
   /// how many of them do.
   double shed = 0;
   int shedding_replicas = 2;
+  /// Whether hosts limit what they have at each target.
+  bool concurrency_limit = true;
+  /// A burst: this rate instead, for a while from the first quarter on.
+  double burst_rate = 0;
+  absl::Duration burst_length = absl::Seconds(3);
+  /// Whether refused callers come back, once, and how the tier tells them when.
+  bool callers_return = false;
+  bool schedule_returns = true;
 };
 
 /// What the callers got.
@@ -49,6 +57,8 @@
   int in_goal = 0;
   /// Sum of the squared coverage of those.
   double credit = 0;
+  /// Of those: after a refusal, counted from the new attempt.
+  int in_goal_returned = 0;
   int late = 0;
   int refused = 0;
   int failed = 0;
--- a/libs/dispatch/tests/load_test.cc
+++ b/libs/dispatch/tests/load_test.cc
@@ -18,6 +18,7 @@
         PlayLoad(scenario, policy, static_cast<uint32_t>(seed));
     sum.requests += one.requests;
     sum.in_goal += one.in_goal;
+    sum.in_goal_returned += one.in_goal_returned;
     sum.credit += one.credit;
     sum.late += one.late;
     sum.refused += one.refused;
@@ -50,6 +51,9 @@
   CPPUNIT_TEST(SlowReplicasAreAvoided);
   CPPUNIT_TEST(SheddingReplicasAreAvoidedWithinTheBudget);
   CPPUNIT_TEST(ScarceRetriesGoWhereTheyCompleteAnAnswer);
+  CPPUNIT_TEST(OverloadIsServedUpToWhatTargetsBear);
+  CPPUNIT_TEST(LimitCostsNothingBelowWhatTargetsBear);
+  CPPUNIT_TEST(RefusedCallersReturnWhenTheyCanBeServed);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -103,7 +107,63 @@
     CPPUNIT_ASSERT(tier.ExtraShare() < 0.25);
   }
 
+  void OverloadIsServedUpToWhatTargetsBear() {
+    for (const double rate : {900.0, 1200.0}) {
+      LoadScenario scenario;
+      scenario.rate = rate;
+      scenario.length = absl::Seconds(10);
+      const std::string name = "overload " + std::to_string(rate);
+      const auto [tier, naive] = Compare(scenario, name);
+      scenario.concurrency_limit = false;
+      const LoadResult queued =
+          Play(scenario, LoadPolicy::kTier, name + " without limit");
+      const double borne = scenario.replicas * scenario.slots /
+                           absl::ToDoubleSeconds(scenario.work) / rate;
+      CPPUNIT_ASSERT(InGoal(tier) > 0.8 * borne);
+      CPPUNIT_ASSERT(InGoal(tier) > 2 * InGoal(queued));
+      CPPUNIT_ASSERT(InGoal(tier) > 2 * InGoal(naive));
+      // Refusals are given at once.
+      CPPUNIT_ASSERT(tier.MeanMs() < absl::ToDoubleMilliseconds(scenario.goal));
+    }
+  }
+
+  void LimitCostsNothingBelowWhatTargetsBear() {
+    for (const double rate : {150.0, 450.0, 600.0}) {
+      LoadScenario scenario;
+      scenario.rate = rate;
+      scenario.length = absl::Seconds(10);
+      const std::string name = "rate " + std::to_string(rate);
+      const LoadResult limited = Play(scenario, LoadPolicy::kTier, name);
+      scenario.concurrency_limit = false;
+      const LoadResult queued =
+          Play(scenario, LoadPolicy::kTier, name + " without limit");
+      CPPUNIT_ASSERT(InGoal(limited) >= InGoal(queued) - 0.005);
+    }
+  }
+
+  void RefusedCallersReturnWhenTheyCanBeServed() {
+    LoadScenario scenario;
+    scenario.rate = 300;
+    scenario.burst_rate = 1400;
+    scenario.burst_length = absl::Seconds(1);
+    scenario.length = absl::Seconds(10);
+    const LoadResult gone = Play(scenario, LoadPolicy::kTier, "none returns");
+    scenario.callers_return = true;
+    const LoadResult scheduled =
+        Play(scenario, LoadPolicy::kTier, "burst, returns by the backlog");
+    scenario.schedule_returns = false;
+    const LoadResult at_once =
+        Play(scenario, LoadPolicy::kTier, "burst, returns after 0.1 to 0.3 s");
+    CPPUNIT_ASSERT(InGoal(scheduled) > InGoal(at_once));
+    CPPUNIT_ASSERT(InGoal(scheduled) > InGoal(gone));
+    CPPUNIT_ASSERT(scheduled.refused < at_once.refused);
+  }
+
  private:
+  static double InGoal(const LoadResult& result) {
+    return static_cast<double>(result.in_goal) / result.requests;
+  }
+
   static std::pair<LoadResult, LoadResult> Compare(const LoadScenario& scenario,
                                                    const std::string& name) {
     return {Play(scenario, LoadPolicy::kTier, name),
--- a/libs/tier/include/tier/caller_face.h
+++ b/libs/tier/include/tier/caller_face.h
@@ -44,6 +44,8 @@
   kNoRoute,
   kQuarantined,
   kNoTarget,
+  /// As `kNoTarget`, because targets have as much as they answer in time.
+  kOverloaded,
   kTargetsFailed,
   kDeadline,
 };
--- a/libs/tier/include/tier/query_plane.h
+++ b/libs/tier/include/tier/query_plane.h
@@ -10,6 +10,7 @@
 #include "dispatch/crash_ledger.h"
 #include "dispatch/policy.h"
 #include "dispatch/request_run.h"
+#include "dispatch/return_schedule.h"
 #include "dispatch/route_table.h"
 #include "dispatch/top_records.h"
 #include "engine/http_server.h"
@@ -75,7 +76,7 @@
   static std::string UnansweredAttempts(const Request& request);
   void LogOutcome(const Request& request, const std::string& outcome,
                   size_t missing);
-  absl::Duration RetryAfter();
+  absl::Duration RetryAfter(RefusalReason reason);
 
   engine::EventLoop& loop_;
   engine::TimerScope timers_{loop_};
@@ -85,6 +86,7 @@
   Metrics& metrics_;
   const Policy policy_;
   LogBudget log_budget_;
+  ReturnSchedule returns_;
   std::mt19937_64 random_;
   std::shared_ptr<const RouteTable> routes_;
   absl::flat_hash_map<RouteName, WeightedSpreader> spreaders_;
--- a/libs/tier/include/tier/target_set.h
+++ b/libs/tier/include/tier/target_set.h
@@ -11,6 +11,7 @@
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
 #include "dispatch/cold_allowance.h"
+#include "dispatch/concurrency_limit.h"
 #include "dispatch/extra_budget.h"
 #include "dispatch/placement.h"
 #include "dispatch/replica_choice.h"
@@ -40,6 +41,8 @@
   int64_t cold = 0;
   /// Extra sends for which the budget had no room.
   int64_t over_budget = 0;
+  /// Targets passed over because this host has enough there.
+  int64_t no_room = 0;
 };
 
 /// The targets that this host knows, with their connections and what it has
@@ -83,7 +86,9 @@
   void Cancel(const TargetId& target, engine::ExchangeId exchange,
               absl::Duration grace);
 
-  void OnEnded(const TargetId& target, TargetSign sign, absl::Duration latency);
+  /// @param useful latency above which answers are late.
+  void OnEnded(const TargetId& target, TargetSign sign, absl::Duration latency,
+               absl::Duration useful);
   /// The target does not have the address that it was listed with.
   void OnWrongTarget(const TargetId& target);
   void OnOverdue(const TargetId& target, absl::Time sent_at);
--- a/libs/tier/src/caller_face.cc
+++ b/libs/tier/src/caller_face.cc
@@ -14,6 +14,8 @@
       return "quarantined";
     case RefusalReason::kNoTarget:
       return "no_target";
+    case RefusalReason::kOverloaded:
+      return "overloaded";
     case RefusalReason::kTargetsFailed:
       return "targets_failed";
     case RefusalReason::kDeadline:
--- a/libs/tier/src/policy_file.cc
+++ b/libs/tier/src/policy_file.cc
@@ -40,12 +40,16 @@
   reader.Number("refusals", "retry_after_spread", policy.retry_after_spread, 0,
                 1);
   reader.Boolean("extra_sends", "hedges", policy.hedges);
+  reader.Number("extra_sends", "hedge_deviations", policy.hedge_deviations, 0,
+                100);
   // More than the whole would break the fleet's bound.
   reader.Number("extra_sends", "budget_part", policy.budget_part, 0, 0.95);
   reader.Number("extra_sends", "helpful_part", policy.helpful_part, 0, 1);
   Milliseconds(reader, "placement", "failure_cost_ms", policy.failure_cost, 0,
                5000);
   reader.Integer("placement", "warm_targets", policy.warm_targets, 0, 10);
+  reader.Boolean("placement", "prefer_near", policy.prefer_near);
+  reader.Boolean("placement", "limit_concurrency", policy.limit_concurrency);
   reader.Integer("log", "lines_per_s", policy.log_lines, 0, 1000);
   reader.Integer("log", "answer_lines_per_s", policy.answer_log_lines, 0, 1000);
   reader.RejectUnknown();
--- a/libs/tier/src/query_plane.cc
+++ b/libs/tier/src/query_plane.cc
@@ -67,6 +67,8 @@
   uint64_t fingerprint = 0;
   absl::Time deadline;
   std::unique_ptr<RequestRun> run;
+  /// Whether targets had too much to do when it began.
+  bool overloaded = false;
   std::vector<Attempt> attempts;
   engine::TimerId timer = 0;
   absl::Time timer_at = absl::InfiniteFuture();
@@ -79,6 +81,7 @@
       crashes_(parts.crashes),
       metrics_(parts.metrics),
       policy_(parts.policy),
+      returns_(policy_.retry_after, policy_.retry_after_spread),
       random_(NewIncarnation()) {}
 
 QueryPlane::~QueryPlane() = default;
@@ -118,7 +121,10 @@
     if (const auto left = weak.lock()) OnLeft(left);
   });
   ++running_;
-  Perform(request, request->run->Start(loop_.Now()));
+  const int64_t passed_over = targets_.counts().no_room;
+  const RunActions actions = request->run->Start(loop_.Now());
+  request->overloaded = targets_.counts().no_room > passed_over;
+  Perform(request, actions);
 }
 
 RequestPlan QueryPlane::MakePlan(const Route& route, const Call& call,
@@ -222,7 +228,8 @@
   const Request::Attempt& attempt = request.attempts[index];
   targets_.OnEnded(attempt.target,
                    SignOf(reply, status, request.run->running(index)),
-                   loop_.Now() - attempt.sent_at);
+                   loop_.Now() - attempt.sent_at,
+                   request.route->latency_objective - policy_.answer_margin);
   if (reply.load) targets_.OnLoad(attempt.target, *reply.load);
   if (reply.end == AttemptEnd::kWrongTarget) {
     targets_.OnWrongTarget(attempt.target);
@@ -277,7 +284,9 @@
       return LogOutcome(*request, "target_failure", 0);
     case ConclusionKind::kNotRun:
       Refuse(*request->exchange, request->call.request_id,
-             RefusalReason::kNoTarget, false);
+             request->overloaded ? RefusalReason::kOverloaded
+                                 : RefusalReason::kNoTarget,
+             false);
       return LogOutcome(*request, "not_run", 0);
     case ConclusionKind::kFailed:
       Refuse(*request->exchange, request->call.request_id,
@@ -291,6 +300,7 @@
 }
 
 void QueryPlane::Answer(const RequestPtr& request) {
+  returns_.OnAnswered(loop_.Now());
   const auto winners = request->run->Winners();
   if (!request->route->IsFanout()) {
     request->exchange->Respond(face_.Relay(
@@ -312,10 +322,10 @@
   LogOutcome(*request, missing == 0 ? kAnswered : kAnsweredInPart, missing);
 }
 
-absl::Duration QueryPlane::RetryAfter() {
-  std::uniform_real_distribution<double> spread(1 - policy_.retry_after_spread,
-                                                1 + policy_.retry_after_spread);
-  return policy_.retry_after * spread(random_);
+absl::Duration QueryPlane::RetryAfter(RefusalReason reason) {
+  const double draw = std::uniform_real_distribution<double>(0, 1)(random_);
+  return reason == RefusalReason::kOverloaded ? returns_.Next(draw, loop_.Now())
+                                              : returns_.Usual(draw);
 }
 
 void QueryPlane::Refuse(engine::ServerExchange& exchange,
@@ -332,7 +342,7 @@
                                 {"ran", ran},
                                 {"config_version", version()}});
   }
-  exchange.Respond(face_.Refuse(request_id, reason, ran, RetryAfter()));
+  exchange.Respond(face_.Refuse(request_id, reason, ran, RetryAfter(reason)));
 }
 
 std::string QueryPlane::UnansweredAttempts(const Request& request) {
--- a/libs/tier/src/target.h
+++ b/libs/tier/src/target.h
@@ -25,6 +25,7 @@
   /// Requests that this host may send in a second while the target is cold.
   int cold_share = 0;
   int connection_limit = 1;
+  ConcurrencyLimit concurrency{connection_limit};
   /// When a target that is no longer listed is dropped.
   absl::Time gone_at = absl::InfiniteFuture();
   /// Another target has its address.
--- a/libs/tier/src/target_set.cc
+++ b/libs/tier/src/target_set.cc
@@ -170,6 +170,7 @@
   target.connection_limit =
       std::min(shares_.ShareOf(connections, rank), kMaxConnections);
   target.pool->SetLimit(target.connection_limit);
+  target.concurrency.SetConnections(target.connection_limit);
   const double per_second =
       spec->second.warmup_per_s * bounds_.warmup_overage + bounds_.warmup_slack;
   // A service that states no rate for cold targets does not limit them.
@@ -249,6 +250,7 @@
   state.cold = target.IsCold(now);
   state.missing = target.gone_at != absl::InfiniteFuture();
   state.failure_cost = policy_.failure_cost;
+  state.prefer_near = policy_.prefer_near;
   return state;
 }
 
@@ -263,6 +265,11 @@
     if (target->IsCold(now) && !target->cold.MaySend(target->cold_share, now)) {
       continue;
     }
+    if (policy_.limit_concurrency &&
+        !target->concurrency.HasRoom(target->health.outstanding())) {
+      ++counts_.no_room;
+      continue;
+    }
     usable.push_back(target);
     states.push_back(StateOf(*target, now));
   }
@@ -279,7 +286,8 @@
   }
   Count(*best, need.extra.has_value(), now);
   best->cold.OnSent(now);
-  const Placed placed{best->info.id, best->health.OverdueAfter(now),
+  const Placed placed{best->info.id,
+                      best->health.OverdueAfter(now, policy_.hedge_deviations),
                       choice->cost, choice->next_cost};
   best->health.OnSent();
   return placed;
@@ -308,9 +316,15 @@
 }
 
 void TargetSet::OnEnded(const TargetId& id, TargetSign sign,
-                        absl::Duration latency) {
-  if (Target* const target = Find(id)) {
-    target->health.OnEnded(sign, latency, loop_.Now());
+                        absl::Duration latency, absl::Duration useful) {
+  Target* const target = Find(id);
+  if (target == nullptr) return;
+  const absl::Time now = loop_.Now();
+  target->health.OnEnded(sign, latency, now);
+  if (sign == TargetSign::kAnswered) {
+    target->concurrency.OnAnswered(latency, useful, now);
+  } else if (sign == TargetSign::kBrokenOff || sign == TargetSign::kUnsent) {
+    target->concurrency.OnGivenUp(latency, useful, now);
   }
 }
 
--- a/libs/tier/src/tier_node.cc
+++ b/libs/tier/src/tier_node.cc
@@ -142,6 +142,7 @@
                    {"sends_suspect", sends.suspect},
                    {"sends_cold", sends.cold},
                    {"over_budget", sends.over_budget},
+                   {"no_room", sends.no_room},
                    {"lines_left_out", left_out}});
 }
 
--- a/libs/tier/tests/policy_file_test.cc
+++ b/libs/tier/tests/policy_file_test.cc
@@ -26,12 +26,15 @@
   void ValuesAreTaken() {
     const auto read = ParsePolicy(
         "[answers]\nwait_for_parts = false\nanswer_margin_ms = 7.5\n"
-        "[extra_sends]\nhedges = false\n[placement]\nwarm_targets = 0\n",
+        "[extra_sends]\nhedges = false\nhedge_deviations = 2\n"
+        "[placement]\nwarm_targets = 0\nprefer_near = false\n",
         "p.toml");
     const auto& policy = std::get<Policy>(read);
     CPPUNIT_ASSERT(!policy.wait_for_parts && !policy.hedges);
     CPPUNIT_ASSERT(policy.answer_margin == absl::Microseconds(7500));
+    CPPUNIT_ASSERT_EQUAL(2.0, policy.hedge_deviations);
     CPPUNIT_ASSERT_EQUAL(0, policy.warm_targets);
+    CPPUNIT_ASSERT(!policy.prefer_near);
   }
 
   void EveryFaultIsNamedWithItsLine() {
--- a/tools/ctl/src/log_story.cc
+++ b/tools/ctl/src/log_story.cc
@@ -75,7 +75,8 @@
   return status + ", a failure of the target's own";
 }
 
-// Why a request ended as it did, in one sentence.
+// Why a request ended as it did, in one sentence; a reason says more than an
+// outcome.
 std::string VerdictOf(const std::string& outcome, const std::string& reason) {
   static const std::map<std::string, std::string> verdicts = {
       {"answered", "answered whole"},
@@ -89,8 +90,9 @@
       {"no_route", "refused: no route of the configuration has its path"},
       {"malformed", "refused: it could not be read as a request"},
       {"quarantined", "refused: it had crashed several targets"},
-      {"no_target", "refused: too few parts had a target that may be used"}};
-  for (const std::string& word : {outcome, reason}) {
+      {"no_target", "refused: too few parts had a target that may be used"},
+      {"overloaded", "refused: targets had as much as they answer in time"}};
+  for (const std::string& word : {reason, outcome}) {
     const auto found = verdicts.find(word);
     if (found != verdicts.end()) return found->second;
   }
