Count a host's places as hosts become known, not anew for each change

Cause: every time one host became known (or a configuration came), each tier ordered all hosts by a hash for each of its targets, with a sort and copies of their names.

Change: hosts are never forgotten in a lifetime, so places only grow. FleetRank keeps a place and how many hosts it has counted; FleetShares adds those that came since, by integers mixed from hashes taken once (the order is another one than before; all hosts of a fleet must agree on it, so versions before and after must not share limits). A host that moved to another failure domain makes all places be counted anew.

Ruled out: an order of hosts for each failure domain alone: all targets of it would give their remainders to the same hosts.

--- a/bench/include/bench/experiments.h
+++ b/bench/include/bench/experiments.h
@@ -12,6 +12,9 @@
 /// Processor time of entries and gates for each sub-request.
 Table MeasureDataPath();
 
+/// Cost of dividing shared limits in a tier against the fleet's size.
+Table MeasureFleetShares();
+
 /// Costs of one exchange over HTTP on the first version's path, a thread for
 /// each connection, and on the tier's event loop.
 Table MeasureHttpPaths();
--- /dev/null
+++ b/bench/src/fleet_shares.cc
@@ -0,0 +1,102 @@
+#include "membership/fleet_shares.h"
+
+#include <string>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "absl/time/clock.h"
+#include "base/invariant.h"
+#include "bench/experiments.h"
+#include "membership/host_table.h"
+
+namespace cherrydyke {
+namespace {
+
+constexpr int kDomains = 16;
+constexpr int kRegions = 4;
+/// Hosts that become known one after the other once the others are.
+constexpr int kNewcomers = 5;
+
+FailureDomainName DomainOf(int number) {
+  return absl::StrCat("domain-", number % kDomains);
+}
+
+HostId HostOf(int number) {
+  return absl::StrCat("10.", number % kDomains, ".", number / 250, ".",
+                      number % 250);
+}
+
+// A tier's view of a fleet, and its places at all targets.
+class View {
+ public:
+  explicit View(int targets) {
+    for (int target = 0; target < targets; ++target) {
+      targets_.push_back({absl::StrCat("i-", target), DomainOf(target)});
+    }
+    ranks_.resize(targets_.size());
+  }
+
+  void Hear(int host) {
+    hosts_.OnNews({{HostOf(host), DomainOf(host)}, 1, false, {}}, kNow);
+  }
+
+  // @return milliseconds that dividing the limits anew takes.
+  double Divide() {
+    const absl::Time start = absl::Now();
+    shares_.Refresh(kNow);
+    size_t sum = 0;
+    for (size_t target = 0; target < targets_.size(); ++target) {
+      shares_.Update(ranks_[target], targets_[target].id,
+                     targets_[target].domain);
+      sum += ranks_[target].before;
+    }
+    CHERRYDYKE_INVARIANT(sum < targets_.size() * (kNewcomers + 100'000),
+                         "ranks are places among hosts");
+    return absl::ToDoubleMilliseconds(absl::Now() - start);
+  }
+
+ private:
+  struct Target {
+    TargetId id;
+    FailureDomainName domain;
+  };
+
+  static Locality OwnLocality() {
+    Locality locality{HostOf(0), DomainOf(0), {}};
+    for (int domain = 0; domain < kDomains; ++domain) {
+      locality.regions[DomainOf(domain)] =
+          absl::StrCat("region-", domain % kRegions);
+    }
+    return locality;
+  }
+
+  const absl::Time kNow = absl::UnixEpoch() + absl::Hours(1);
+  HostTable hosts_{{HostOf(0), DomainOf(0)}, {}, HostTable::Options(), kNow};
+  FleetShares shares_{OwnLocality(), hosts_};
+  std::vector<Target> targets_;
+  std::vector<FleetRank> ranks_;
+};
+
+}  // namespace
+
+Table MeasureFleetShares() {
+  Table table(
+      "Dividing shared limits in one tier: at once for all hosts, and when "
+      "one more becomes known",
+      {"hosts, targets", "all ms", "one more ms"});
+  for (const auto& [hosts, targets] :
+       {std::pair{88, 288}, {301, 563}, {1450, 8000}, {2900, 16000}}) {
+    View view(targets);
+    for (int host = 1; host < hosts; ++host) view.Hear(host);
+    const double all = view.Divide();
+    double more = 0;
+    for (int host = hosts; host < hosts + kNewcomers; ++host) {
+      view.Hear(host);
+      more += view.Divide() / kNewcomers;
+    }
+    table.AddRow(absl::StrCat(hosts, ", ", targets), {all, more});
+  }
+  return table;
+}
+
+}  // namespace cherrydyke
--- a/libs/membership/include/membership/fleet_shares.h
+++ b/libs/membership/include/membership/fleet_shares.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstdint>
+#include <map>
 #include <vector>
 
 #include "absl/time/time.h"
@@ -18,36 +20,62 @@
 /// @return units of this host; may be 0.
 int DivideShare(double whole, int hosts, size_t rank);
 
+/// This host's place among the hosts that may use a target, kept by whoever
+/// uses the target and brought up to date by `FleetShares`.
+struct FleetRank {
+  /// Hosts that stand before this one.
+  size_t before = 0;
+  /// Hosts that were looked at for it, and in which order of them.
+  size_t counted = 0;
+  int order = 0;
+};
+
 /// This host's parts of the limits that the fleet shares at each target, worked
 /// out from the hosts that it knows, without asking any. Hosts near a target
-/// come first. Pure.
+/// come first: those of its failure domain, then those of its region. Pure.
 class FleetShares {
  public:
-  FleetShares(Locality locality, const HostTable& hosts)
-      : locality_(std::move(locality)), hosts_(hosts) {}
+  FleetShares(Locality locality, const HostTable& hosts);
 
   /// Takes the hosts as they are known by now.
   void Refresh(absl::Time now);
 
-  /// @return this host's place among those known that may use a target: those
-  /// of the target's failure domain first, then those of its region. Costs a
-  /// hash for each known host.
-  size_t Rank(const TargetId& target, const FailureDomainName& domain) const;
+  /// Brings a place up to date. Costs some instructions for each host that has
+  /// become known since it was last done: hosts are never forgotten, so places
+  /// only grow, and are counted anew only if a host has moved.
+  void Update(FleetRank& rank, const TargetId& target,
+              const FailureDomainName& domain);
 
   /// @return units of a limit at a target that the target itself enforces as
   /// well: while others are not known, the parts may add up to more.
-  int ShareOf(double whole, size_t rank) const;
+  int ShareOf(double whole, const FleetRank& rank) const;
 
   /// @return units of a limit at a target that only the hosts keep.
-  int StrictShareOf(double whole, size_t rank) const;
+  int StrictShareOf(double whole, const FleetRank& rank) const;
 
   /// @return the most hosts that may share a limit.
   int hosts() const { return sharing_; }
 
  private:
+  /// A host, as places are counted.
+  struct Member {
+    size_t domain = 0;
+    uint64_t hash = 0;
+  };
+
+  /// @return the number of a failure domain.
+  size_t NumberOf(const FailureDomainName& domain);
+
   const Locality locality_;
+  const uint64_t own_hash_;
   const HostTable& hosts_;
-  std::vector<KnownHost> known_;
+  /// The others, in the order in which they became known.
+  std::vector<Member> members_;
+  /// Where each of them stands.
+  std::map<HostId, FailureDomainName> places_;
+  /// Changes when the members' order does.
+  int order_ = 1;
+  std::vector<FailureDomainName> domains_;
   int sharing_ = 1;
 };
 
--- a/libs/membership/include/membership/rendezvous.h
+++ b/libs/membership/include/membership/rendezvous.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -7,6 +8,10 @@
 
 namespace cherrydyke {
 
+/// @return the weight of a candidate for a resource, by their hashes; the
+/// highest comes first.
+uint64_t RendezvousWeight(uint64_t resource_hash, uint64_t candidate_hash);
+
 /// Orders candidates for a resource by rendezvous hashing (highest random
 /// weight): every process that knows the same candidates computes the same
 /// order, and adding or removing one moves only its own share.
--- a/libs/membership/src/fleet_shares.cc
+++ b/libs/membership/src/fleet_shares.cc
@@ -1,8 +1,8 @@
 #include "membership/fleet_shares.h"
 
 #include <algorithm>
-#include <array>
 #include <cmath>
+#include <utility>
 
 #include "membership/rendezvous.h"
 
@@ -15,38 +15,72 @@
   return rank < static_cast<size_t>(rest) ? each + 1 : each;
 }
 
+FleetShares::FleetShares(Locality locality, const HostTable& hosts)
+    : locality_(std::move(locality)),
+      own_hash_(StableHash(locality_.host)),
+      hosts_(hosts) {}
+
+size_t FleetShares::NumberOf(const FailureDomainName& domain) {
+  const auto found = std::find(domains_.begin(), domains_.end(), domain);
+  const auto number = static_cast<size_t>(found - domains_.begin());
+  if (found == domains_.end()) domains_.push_back(domain);
+  return number;
+}
+
 void FleetShares::Refresh(absl::Time now) {
-  known_ = hosts_.KnownHosts();
   sharing_ = hosts_.SharingHosts(now);
+  const std::vector<KnownHost> known = hosts_.KnownHosts();
+  const bool moved =
+      std::any_of(known.begin(), known.end(), [&](const KnownHost& host) {
+        const auto place = places_.find(host.host);
+        return place != places_.end() && place->second != host.failure_domain;
+      });
+  if (moved) {
+    members_.clear();
+    places_.clear();
+    ++order_;
+  }
+  for (const KnownHost& host : known) {
+    if (host.host == locality_.host) continue;
+    if (!places_.try_emplace(host.host, host.failure_domain).second) continue;
+    members_.push_back({NumberOf(host.failure_domain), StableHash(host.host)});
+  }
 }
 
-int FleetShares::ShareOf(double whole, size_t rank) const {
-  return DivideShare(whole, sharing_, rank);
+int FleetShares::ShareOf(double whole, const FleetRank& rank) const {
+  return DivideShare(whole, sharing_, rank.before);
 }
 
-int FleetShares::StrictShareOf(double whole, size_t rank) const {
+int FleetShares::StrictShareOf(double whole, const FleetRank& rank) const {
   // Those that are not known may all stand nearer.
-  const size_t unknown = static_cast<size_t>(
-      std::max(0, sharing_ - static_cast<int>(known_.size())));
-  return DivideShare(whole, sharing_, unknown + rank);
+  const size_t known = members_.size() + 1;
+  const size_t unknown =
+      static_cast<size_t>(std::max(0, sharing_ - static_cast<int>(known)));
+  return DivideShare(whole, sharing_, unknown + rank.before);
 }
 
-size_t FleetShares::Rank(const TargetId& target,
-                         const FailureDomainName& domain) const {
-  std::array<std::vector<HostId>, kDistances> by_distance;
-  for (const KnownHost& host : known_) {
-    const Distance distance =
-        locality_.DistanceBetween(host.failure_domain, domain);
-    by_distance[static_cast<size_t>(distance)].push_back(host.host);
+void FleetShares::Update(FleetRank& rank, const TargetId& target,
+                         const FailureDomainName& domain) {
+  if (rank.order != order_) rank = {0, 0, order_};
+  if (rank.counted == members_.size()) return;
+  std::vector<Distance> distances;
+  distances.reserve(domains_.size());
+  for (const FailureDomainName& other : domains_) {
+    distances.push_back(locality_.DistanceBetween(other, domain));
   }
-  size_t rank = 0;
-  for (const std::vector<HostId>& equals : by_distance) {
-    const std::vector<HostId> ranked = RankByRendezvous(target, equals);
-    const auto found = std::find(ranked.begin(), ranked.end(), locality_.host);
-    rank += static_cast<size_t>(found - ranked.begin());
-    if (found != ranked.end()) break;
+  const Distance own =
+      locality_.DistanceBetween(locality_.failure_domain, domain);
+  const uint64_t target_hash = StableHash(target);
+  const uint64_t own_weight = RendezvousWeight(target_hash, own_hash_);
+  for (; rank.counted < members_.size(); ++rank.counted) {
+    const Member& member = members_[rank.counted];
+    const Distance distance = distances[member.domain];
+    if (distance < own ||
+        (distance == own &&
+         RendezvousWeight(target_hash, member.hash) > own_weight)) {
+      ++rank.before;
+    }
   }
-  return rank;
 }
 
 }  // namespace cherrydyke
--- a/libs/membership/src/rendezvous.cc
+++ b/libs/membership/src/rendezvous.cc
@@ -4,12 +4,22 @@
 #include <utility>
 
 namespace cherrydyke {
+
+uint64_t RendezvousWeight(uint64_t resource_hash, uint64_t candidate_hash) {
+  // The finishing steps of SplitMix64 over both.
+  uint64_t weight = resource_hash + 0x9e3779b97f4a7c15ULL * candidate_hash;
+  weight = (weight ^ (weight >> 30)) * 0xbf58476d1ce4e5b9ULL;
+  weight = (weight ^ (weight >> 27)) * 0x94d049bb133111ebULL;
+  return weight ^ (weight >> 31);
+}
+
 namespace {
 
 using Weighted = std::pair<uint64_t, HostId>;
 
 Weighted Weigh(const std::string& resource, const HostId& candidate) {
-  return {StableHash(resource + "|" + candidate), candidate};
+  return {RendezvousWeight(StableHash(resource), StableHash(candidate)),
+          candidate};
 }
 
 }  // namespace
--- /dev/null
+++ b/libs/membership/tests/fleet_shares_test.cc
@@ -0,0 +1,133 @@
+#include "membership/fleet_shares.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <set>
+
+#include "absl/strings/str_cat.h"
+
+namespace cherrydyke {
+namespace {
+
+const absl::Time kStart = absl::UnixEpoch() + absl::Hours(1);
+const std::vector<FailureDomainName> kDomains = {"a1", "a2", "b1", "c1"};
+const std::map<FailureDomainName, RegionName> kRegions = {
+    {"a1", "a"}, {"a2", "a"}, {"b1", "b"}, {"c1", "c"}};
+
+KnownHost HostOf(int number) {
+  return {absl::StrCat("10.0.0.", number),
+          kDomains[static_cast<size_t>(number) % kDomains.size()]};
+}
+
+Locality LocalityOf(const KnownHost& host) {
+  return {host.host, host.failure_domain, kRegions};
+}
+
+HostTable TableOf(const KnownHost& self) {
+  return {self, {}, HostTable::Options(), kStart};
+}
+
+void Hear(HostTable& table, const KnownHost& host) {
+  table.OnNews({host, 1, false, {}}, kStart);
+}
+
+FleetRank RankAnew(const HostTable& table, const KnownHost& self,
+                   const TargetId& target, const FailureDomainName& domain) {
+  FleetShares shares(LocalityOf(self), table);
+  shares.Refresh(kStart);
+  FleetRank rank;
+  shares.Update(rank, target, domain);
+  return rank;
+}
+
+}  // namespace
+
+class FleetSharesTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(FleetSharesTest);
+  CPPUNIT_TEST(EveryHostHasAPlaceOfItsOwn);
+  CPPUNIT_TEST(NearHostsComeFirst);
+  CPPUNIT_TEST(PlacesKeptUpAreThoseCountedAnew);
+  CPPUNIT_TEST(NothingIsCountedTwice);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void EveryHostHasAPlaceOfItsOwn() {
+    constexpr int kHosts = 23;
+    for (const FailureDomainName& domain : kDomains) {
+      std::set<size_t> places;
+      for (int self = 0; self < kHosts; ++self) {
+        HostTable table = TableOf(HostOf(self));
+        // Whatever the order in which they hear of each other.
+        for (int other = 0; other < kHosts; ++other) {
+          const int number = (self * 7 + other) % kHosts;
+          if (number != self) Hear(table, HostOf(number));
+        }
+        places.insert(RankAnew(table, HostOf(self), "t", domain).before);
+      }
+      CPPUNIT_ASSERT_EQUAL(size_t{kHosts}, places.size());
+      CPPUNIT_ASSERT_EQUAL(size_t{kHosts - 1}, *places.rbegin());
+    }
+  }
+
+  void NearHostsComeFirst() {
+    // Self stands in a1: a target of a1 sees it among the hosts of a1, one of
+    // b1 after all hosts of b1.
+    const KnownHost self = HostOf(0);
+    HostTable table = TableOf(self);
+    for (int other = 1; other < 20; ++other) Hear(table, HostOf(other));
+    constexpr size_t kInEachDomain = 5;
+    for (int target = 0; target < 50; ++target) {
+      const TargetId id = absl::StrCat("t", target);
+      CPPUNIT_ASSERT(RankAnew(table, self, id, "a1").before < kInEachDomain);
+      const size_t in_region = RankAnew(table, self, id, "a2").before;
+      CPPUNIT_ASSERT(in_region >= kInEachDomain);
+      CPPUNIT_ASSERT(in_region < 2 * kInEachDomain);
+      CPPUNIT_ASSERT(RankAnew(table, self, id, "b1").before >= kInEachDomain);
+    }
+  }
+
+  void PlacesKeptUpAreThoseCountedAnew() {
+    CPPUNIT_ASSERT(rc::check("places under any news", [] {
+      const KnownHost self = HostOf(0);
+      HostTable table = TableOf(self);
+      FleetShares shares(LocalityOf(self), table);
+      std::map<TargetId, FleetRank> ranks;
+      const auto events =
+          *rc::gen::container<std::vector<int>>(30, rc::gen::inRange(0, 100));
+      for (const int event : events) {
+        KnownHost host = HostOf(1 + event % 40);
+        // Some come back in another failure domain, under the same address.
+        if (event >= 80) host.failure_domain = kDomains[event % 4];
+        Hear(table, host);
+        if (event % 3 == 0) continue;
+        shares.Refresh(kStart);
+        for (const FailureDomainName& domain : kDomains) {
+          const TargetId target = "t-" + domain;
+          FleetRank& rank = ranks[target];
+          shares.Update(rank, target, domain);
+          RC_ASSERT(rank.before ==
+                    RankAnew(table, self, target, domain).before);
+        }
+      }
+    }));
+  }
+
+  void NothingIsCountedTwice() {
+    const KnownHost self = HostOf(0);
+    HostTable table = TableOf(self);
+    for (int other = 1; other < 20; ++other) Hear(table, HostOf(other));
+    FleetShares shares(LocalityOf(self), table);
+    FleetRank rank;
+    for (int round = 0; round < 3; ++round) {
+      shares.Refresh(kStart);
+      shares.Update(rank, "t", "c1");
+    }
+    CPPUNIT_ASSERT_EQUAL(RankAnew(table, self, "t", "c1").before, rank.before);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FleetSharesTest);
+
+}  // namespace cherrydyke
--- a/libs/tier/include/tier/target_set.h
+++ b/libs/tier/include/tier/target_set.h
@@ -115,7 +115,7 @@
   ReplicaState StateOf(const Target& target, absl::Time now) const;
   /// Divides what targets bear among the hosts that may use them.
   void DivideAll();
-  void Divide(Target& target) const;
+  void Divide(Target& target);
   void Count(const Target& target, bool extra, absl::Time now);
   Target* Find(const TargetId& id) const;
 
--- a/libs/tier/src/target.h
+++ b/libs/tier/src/target.h
@@ -24,6 +24,8 @@
   absl::Time cold_until = absl::InfinitePast();
   /// Requests that this host may send in a second while the target is cold.
   int cold_share = 0;
+  /// This host's place among those that share the target's limits.
+  FleetRank rank;
   int connection_limit = 1;
   ConcurrencyLimit concurrency{connection_limit};
   /// When a target that is no longer listed is dropped.
--- a/libs/tier/src/target_set.cc
+++ b/libs/tier/src/target_set.cc
@@ -162,20 +162,20 @@
   for (auto& [id, target] : targets_) Divide(*target);
 }
 
-void TargetSet::Divide(Target& target) const {
+void TargetSet::Divide(Target& target) {
   const auto spec = orders_.services.find(target.info.service);
   if (spec == orders_.services.end()) return;
-  const size_t rank = shares_.Rank(target.info.id, target.info.failure_domain);
+  shares_.Update(target.rank, target.info.id, target.info.failure_domain);
   const double connections = kConnectionPart * spec->second.max_connections;
   target.connection_limit =
-      std::min(shares_.ShareOf(connections, rank), kMaxConnections);
+      std::min(shares_.ShareOf(connections, target.rank), kMaxConnections);
   target.pool->SetLimit(target.connection_limit);
   target.concurrency.SetConnections(target.connection_limit);
   const double per_second =
       spec->second.warmup_per_s * bounds_.warmup_overage + bounds_.warmup_slack;
   // A service that states no rate for cold targets does not limit them.
   target.cold_share = spec->second.warmup_per_s > 0
-                          ? shares_.StrictShareOf(per_second, rank)
+                          ? shares_.StrictShareOf(per_second, target.rank)
                           : std::numeric_limits<int>::max();
 }
 
--- a/libs/tier/tests/fleet_model.cc
+++ b/libs/tier/tests/fleet_model.cc
@@ -97,6 +97,7 @@
   host.shares = std::make_unique<FleetShares>(
       Locality{host.self.host, host.self.failure_domain, kRegions},
       *host.table);
+  host.ranks.clear();
   host.budget = std::make_unique<ExtraBudget>(Bounds(), now_);
   host.cold.clear();
   host.items = {};
@@ -305,8 +306,9 @@
   if (IsCut(host.domain, domain) || IsCut(domain, host.domain)) return;
   const TargetId target = TargetIn(domain);
   ColdAllowance& allowance = host.cold[target];
-  const int share = host.shares->StrictShareOf(
-      kColdAllowance, host.shares->Rank(target, kDomains[domain]));
+  FleetRank& rank = host.ranks[target];
+  host.shares->Update(rank, target, kDomains[domain]);
+  const int share = host.shares->StrictShareOf(kColdAllowance, rank);
   if (!allowance.MaySend(share, now_)) return;
   allowance.OnSent(now_);
   ++cold_sends_;
--- a/libs/tier/tests/fleet_model.h
+++ b/libs/tier/tests/fleet_model.h
@@ -59,6 +59,7 @@
     int64_t lifetime = 0;
     std::unique_ptr<HostTable> table;
     std::unique_ptr<FleetShares> shares;
+    std::map<TargetId, FleetRank> ranks;
     std::unique_ptr<ExtraBudget> budget;
     std::map<TargetId, ColdAllowance> cold;
     PublishedItems items;
