--- a/libs/tier/src/fleet_link.cc
+++ b/libs/tier/src/fleet_link.cc
@@ -134,9 +134,11 @@
   if (!IsBehind(message)) return;
   behind_since_ = std::min(behind_since_, now);
   // Who reads itself will know soon; who does not takes the news at once, from
-  // its own failure domain if it can.
+  // its own failure domain if it can, and from anywhere if it knows nothing.
+  const bool is_blank = config_.newest() == 0 || targets_.newest() == 0;
   const bool waits =
-      hooks_.reads() || sender.failure_domain != options_.self.failure_domain;
+      !is_blank &&
+      (hooks_.reads() || sender.failure_domain != options_.self.failure_domain);
   if (!waits || now - behind_since_ >= kLagTolerance) FetchFrom(sender.host);
 }
 
--- a/libs/tier/src/tier_node.cc
+++ b/libs/tier/src/tier_node.cc
@@ -121,8 +121,12 @@
 }
 
 void TierNode::Apply(bool config, bool targets) {
+  const bool was_ready = IsReady();
   if (targets) ApplyTargets();
   if (config) ApplyConfig();
+  // Where all started while the configuration service was away, others wait for
+  // the first word of one that knows.
+  if (IsReady() && !was_ready) fleet_.Gossip();
 }
 
 void TierNode::LogLoad() {
