Lay out the tier's settings by a template, in the product's own words

Unknown keys are faults now, as in all other programs: the platform's new fields do not reach the file. Metrics listen on 9464, outside the range free for hosts; if that port is taken the host says so and serves without.

--- a/daemons/tier/main.cc
+++ b/daemons/tier/main.cc
@@ -13,10 +13,10 @@
 #include "kernel/command_line.h"
 #include "platform/http_face.h"
 #include "platform/published_decoder.h"
-#include "platform/settings.h"
 #include "platform/store_client.h"
 #include "telemetry/log.h"
 #include "tier/policy_file.h"
+#include "tier/settings_file.h"
 #include "tier/tier_node.h"
 
 namespace cherrydyke {
@@ -24,6 +24,8 @@
 
 /// How often the settings file is looked at: it may change without a signal.
 constexpr absl::Duration kSettingsCheckPeriod = absl::Seconds(1);
+/// Environment variable in which the platform names the settings file.
+constexpr char kSettingsVariable[] = "CHERRYDYKE_SETTINGS";
 /// Lines of one message in a second, in budgets of an outcome's: more than all
 /// outcomes of requests together have.
 constexpr int kBudgetsOfAMessage = 10;
@@ -40,13 +42,13 @@
 
   void Reload() {
     seen_ = Stamp();
-    const auto read = platform::ReadSettings(path_);
+    const auto read = ReadTierFile(path_);
     if (const auto* faults = std::get_if<SettingsFaults>(&read)) {
       LogError("changed settings refused; the old ones stay",
                {{"fault", faults->front()}, {"faults", faults->size()}});
       return;
     }
-    const auto& settings = std::get<platform::Settings>(read);
+    const auto& settings = std::get<TierFile>(read);
     node_.SetSeeds(settings.tier.seeds);
     LogInfo("settings read again", {{"seeds", settings.tier.seeds.size()}});
   }
@@ -65,12 +67,12 @@
   std::pair<int64_t, int64_t> seen_;
 };
 
-int Serve(const std::string& path, const platform::Settings& settings) {
+int Serve(const std::string& path, const TierFile& settings) {
   // A reader of the log that has stopped reading, or has gone, must not stop
   // the daemon.
   signal(SIGPIPE, SIG_IGN);
   fcntl(STDOUT_FILENO, F_SETFL, fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
-  StartLogging("cherrydyke-tier", settings.node_name,
+  StartLogging("cherrydyke-tier", settings.host_name,
                LogOutput::kStandardOutput);
   LimitLines(kBudgetsOfAMessage * settings.tier.policy.log_lines);
   const BootClock clock;
@@ -98,20 +100,20 @@
 }
 
 int Main(int argc, char** argv) {
-  const char* const from_environment = std::getenv(platform::kSettingsVariable);
+  const char* const from_environment = std::getenv(kSettingsVariable);
   std::string path = from_environment == nullptr ? "" : from_environment;
   std::string policy_path;
   bool check = false;
   CLI::App app("Serves callers on the users' platform", "cherrydyke-tier");
   app.add_option("--config", path,
-                 "settings file of the platform; by default the one that the "
+                 "settings file; by default the one that the "
                  "environment names");
   app.add_option("--policy", policy_path,
                  "file with the operator's policy; without it, the defaults");
   app.add_flag("--check", check, "check the settings and the policy, and exit");
   app.set_version_flag("--version", CHERRYDYKE_VERSION);
   if (const auto code = ParseCommandLine(app, argc, argv)) return *code;
-  auto read = platform::ReadSettings(path);
+  auto read = ReadTierFile(path);
   std::variant<Policy, SettingsFaults> policy;
   if (!policy_path.empty()) policy = ReadPolicy(policy_path);
   SettingsFaults faults;
@@ -123,7 +125,7 @@
   }
   if (!faults.empty()) return ReportFaults(faults);
   if (check) return 0;
-  auto& settings = std::get<platform::Settings>(read);
+  auto& settings = std::get<TierFile>(read);
   settings.tier.policy = std::get<Policy>(policy);
   return Serve(path, settings);
 }
--- a/libs/kernel/include/kernel/settings_reader.h
+++ b/libs/kernel/include/kernel/settings_reader.h
@@ -42,6 +42,14 @@
   void Boolean(const std::string& section, const std::string& key, bool& value);
   void Choice(const std::string& section, const std::string& key,
               std::string& value, const std::set<std::string>& words);
+  /// Reads a list, which must be there.
+  void Texts(const std::string& section, const std::string& key,
+             std::vector<std::string>& value);
+  /// Reads a whole section, which must be there, of any keys.
+  void TextTable(const std::string& section,
+                 std::map<std::string, std::string>& value);
+  /// Adds a fault if a key is absent.
+  void Require(const std::string& section, const std::string& key);
   /// Adds a fault at a key that is present.
   void Fault(const std::string& section, const std::string& key,
              const std::string& expected);
--- a/libs/kernel/src/settings_reader.cc
+++ b/libs/kernel/src/settings_reader.cc
@@ -97,6 +97,39 @@
   Fault(*Find(section, key), section, key, expected);
 }
 
+void SettingsReader::Texts(const std::string& section, const std::string& key,
+                           std::vector<std::string>& value) {
+  const toml::node* node = Find(section, key);
+  if (node == nullptr) return Missing(section, key);
+  const toml::array* const list = node->as_array();
+  if (list == nullptr ||
+      !(list->empty() || list->is_homogeneous<std::string>())) {
+    return Fault(*node, section, key, "a list of strings");
+  }
+  for (const toml::node& entry : *list) {
+    value.push_back(*entry.value_exact<std::string>());
+  }
+}
+
+void SettingsReader::TextTable(const std::string& section,
+                               std::map<std::string, std::string>& value) {
+  known_[section];
+  const toml::node* node = root_.get(section);
+  const toml::table* table = node == nullptr ? nullptr : node->as_table();
+  if (table == nullptr) {
+    return Add(node == nullptr ? 1 : LineOf(*node), section,
+               "expected a table of strings");
+  }
+  for (const auto& [key, entry] : *table) {
+    Text(section, std::string(key.str()), value[std::string(key.str())], true);
+  }
+}
+
+void SettingsReader::Require(const std::string& section,
+                             const std::string& key) {
+  if (Find(section, key) == nullptr) Missing(section, key);
+}
+
 void SettingsReader::Fault(const std::string& section, const std::string& key,
                            const std::string& expected) {
   if (const toml::node* node = Find(section, key)) {
--- a/libs/tier/src/tier_node.cc
+++ b/libs/tier/src/tier_node.cc
@@ -75,8 +75,11 @@
     return s;
   }
   if (!settings_.metrics_endpoint.empty()) {
-    Status s = metrics_server_.Listen(settings_.metrics_endpoint);
-    if (GetError(s)) return s;
+    const Status listening = metrics_server_.Listen(settings_.metrics_endpoint);
+    // Callers matter more than figures.
+    if (const Error* error = GetError(listening)) {
+      LogError("no metrics", {{"error", error->message}});
+    }
   }
   if (Status s = callers_.Listen(settings_.caller_endpoint); GetError(s)) {
     return s;
--- /dev/null
+++ b/libs/tier/tests/settings_file_test.cc
@@ -0,0 +1,163 @@
+#include "tier/settings_file.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <map>
+
+#include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_replace.h"
+
+namespace cherrydyke {
+namespace {
+
+constexpr char kSettings[] = R"([host]
+id = "front-a-1"
+failure_domain = "a"
+address = "10.1.0.39"
+[regions]
+"a" = "north"
+"b" = "south"
+[listen]
+callers = "10.1.0.39:8226"
+readiness = "10.1.0.39:8227"
+metrics = "10.1.0.39:9464"
+[fleet]
+port = 7740
+seeds = ["10.1.0.39:8224","10.2.0.33:8224"]
+[platform]
+address = "10.200.1.7:8229"
+[limits]
+retry_ratio = 0.2
+retry_window_s = 10
+retry_slack = 54
+warmup_overage = 1.5
+warmup_slack = 5
+[shutdown]
+grace_s = 6
+)";
+
+std::string With(const std::string& line, const std::string& replacement) {
+  CPPUNIT_ASSERT(absl::StrContains(kSettings, line));
+  return absl::StrReplaceAll(kSettings, {{line, replacement}});
+}
+
+SettingsFaults FaultsOf(const std::string& text) {
+  const auto read = ParseTierFile(text, "t.toml");
+  const auto* faults = std::get_if<SettingsFaults>(&read);
+  return faults == nullptr ? SettingsFaults() : *faults;
+}
+
+}  // namespace
+
+class SettingsFileTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(SettingsFileTest);
+  CPPUNIT_TEST(ReadsEveryKey);
+  CPPUNIT_TEST(EveryMissingKeyIsAFault);
+  CPPUNIT_TEST(FaultsNameLineKeyAndWhatWasExpected);
+  CPPUNIT_TEST(BrokenAndMissingFilesAreFaults);
+  CPPUNIT_TEST(TemplateGivesTheSameSettings);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void ReadsEveryKey() {
+    const auto read = ParseTierFile(kSettings, "t.toml");
+    const auto* settings = std::get_if<TierFile>(&read);
+    CPPUNIT_ASSERT(settings != nullptr);
+    TierFile expected;
+    expected.host_name = "front-a-1";
+    expected.store_endpoint = "10.200.1.7:8229";
+    TierSettings& tier = expected.tier;
+    tier.locality = {"10.1.0.39", "a", {{"a", "north"}, {"b", "south"}}};
+    tier.caller_endpoint = "10.1.0.39:8226";
+    tier.ready_endpoint = "10.1.0.39:8227";
+    tier.metrics_endpoint = "10.1.0.39:9464";
+    tier.fleet_port = 7740;
+    tier.seeds = {"10.1.0.39", "10.2.0.33"};
+    tier.bounds = {0.2, absl::Seconds(10), 54, 1.5, 5};
+    tier.stop_grace = absl::Seconds(6);
+    CPPUNIT_ASSERT(*settings == expected);
+  }
+
+  void EveryMissingKeyIsAFault() {
+    const std::string text = kSettings;
+    size_t begin = 0;
+    for (size_t end = 0; (end = text.find('\n', begin)) != std::string::npos;
+         begin = end + 1) {
+      const std::string line = text.substr(begin, end - begin);
+      const size_t equals = line.find(" = ");
+      // Regions are keys of their own.
+      if (equals == std::string::npos || line[0] == '"') continue;
+      const SettingsFaults faults = FaultsOf(With(line + "\n", ""));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(line, size_t{1}, faults.size());
+      CPPUNIT_ASSERT_MESSAGE(
+          faults.front(),
+          absl::StrContains(faults.front(),
+                            "." + line.substr(0, equals) + ": expected"));
+    }
+  }
+
+  void FaultsNameLineKeyAndWhatWasExpected() {
+    const std::map<std::string, std::pair<std::string, std::string>> cases = {
+        {"port = 7740",
+         {"port = 70000",
+          "t.toml:13: fleet.port: expected an integer from 1 to 65535"}},
+        {R"(["10.1.0.39:8224","10.2.0.33:8224"])",
+         {"[1, 2]", "t.toml:14: fleet.seeds: expected a list of strings"}},
+        {R"("a" = "north")",
+         {R"("a" = 1)",
+          "t.toml:6: regions.a: expected a string that is not empty"}},
+        {"grace_s = 6",
+         {"grace_s = 6\nspare = 1", "t.toml:25: shutdown.spare: unknown key"}},
+        {"retry_slack = 54",
+         {"retry_slack = -1",
+          "t.toml:20: limits.retry_slack: expected a number from 0 to 1e+06"}}};
+    for (const auto& [line, expected] : cases) {
+      const auto& [replacement, fault] = expected;
+      CPPUNIT_ASSERT(FaultsOf(With(line, replacement)) ==
+                     SettingsFaults{fault});
+    }
+    // All faults at once.
+    CPPUNIT_ASSERT(FaultsOf("").size() > 10);
+  }
+
+  void BrokenAndMissingFilesAreFaults() {
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, FaultsOf("x = [").size());
+    const auto absent = ReadTierFile("/nowhere/t.toml");
+    CPPUNIT_ASSERT(std::get<SettingsFaults>(absent) ==
+                   SettingsFaults{"/nowhere/t.toml: cannot be read"});
+  }
+
+  // Fills in the template as the platform does.
+  void TemplateGivesTheSameSettings() {
+    const auto text =
+        ReadSettingsText(CHERRYDYKE_DEPLOY_DIR "/tier.toml.template");
+    const std::string filled = absl::StrReplaceAll(
+        std::get<std::string>(text),
+        {{"{{#zones}}\n\"{{@}}\" = {{.|json}}\n{{/zones}}",
+          "\"a\" = \"north\"\n\"b\" = \"south\""},
+         {"{{node|json}}", "\"front-a-1\""},
+         {"{{zone|json}}", "\"a\""},
+         {"{{ip|json}}", "\"10.1.0.39\""},
+         {"{{ip}}", "10.1.0.39"},
+         {"{{listen.front|json}}", "\"10.1.0.39:8226\""},
+         {"{{listen.ready|json}}", "\"10.1.0.39:8227\""},
+         {"{{internalPorts.0}}", "7740"},
+         {"{{seeds|json}}", R"(["10.1.0.39:8224","10.2.0.33:8224"])"},
+         {"{{platform.address|json}}", "\"10.200.1.7:8229\""},
+         {"{{bounds.retryBudgetRatio}}", "0.2"},
+         {"{{bounds.retryWindowS}}", "10"},
+         {"{{bounds.retrySlack}}", "54"},
+         {"{{bounds.warmupOverage}}", "1.5"},
+         {"{{bounds.warmupSlack}}", "5"},
+         {"{{bounds.graceS}}", "6"}});
+    CPPUNIT_ASSERT(!absl::StrContains(filled, "{{"));
+    CPPUNIT_ASSERT(ParseTierFile(filled, "t.toml") ==
+                   ParseTierFile(kSettings, "t.toml"));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SettingsFileTest);
+
+}  // namespace cherrydyke
