Keep spare connections only where they leave targets room

Change: connections that only a hedge would use are kept where the host's last possible place (hosts not known counted before, FleetShares::LastPlace) lies in the first half of the target's limit.

--- a/libs/membership/include/membership/fleet_shares.h
+++ b/libs/membership/include/membership/fleet_shares.h
@@ -50,6 +50,10 @@
   /// well: while others are not known, the parts may add up to more.
   int ShareOf(double whole, const FleetRank& rank) const;
 
+  /// @return the last place that this host may have: those that are not known
+  /// may all stand nearer.
+  size_t LastPlace(const FleetRank& rank) const;
+
   /// @return units of a limit at a target that only the hosts keep.
   int StrictShareOf(double whole, const FleetRank& rank) const;
 
--- a/libs/membership/src/fleet_shares.cc
+++ b/libs/membership/src/fleet_shares.cc
@@ -51,12 +51,13 @@
   return DivideShare(whole, sharing_, rank.before);
 }
 
+size_t FleetShares::LastPlace(const FleetRank& rank) const {
+  const int known = static_cast<int>(members_.size()) + 1;
+  return rank.before + static_cast<size_t>(std::max(0, sharing_ - known));
+}
+
 int FleetShares::StrictShareOf(double whole, const FleetRank& rank) const {
-  // Those that are not known may all stand nearer.
-  const size_t known = members_.size() + 1;
-  const size_t unknown =
-      static_cast<size_t>(std::max(0, sharing_ - static_cast<int>(known)));
-  return DivideShare(whole, sharing_, unknown + rank.before);
+  return DivideShare(whole, sharing_, LastPlace(rank));
 }
 
 void FleetShares::Update(FleetRank& rank, const TargetId& target,
--- a/libs/tier/src/target.h
+++ b/libs/tier/src/target.h
@@ -27,6 +27,8 @@
   /// This host's place among those that share the target's limits.
   FleetRank rank;
   int connection_limit = 1;
+  /// Whether a connection may be kept open that only a hedge would use.
+  bool may_keep_spare = true;
   ConcurrencyLimit concurrency{connection_limit};
   /// When a target that is no longer listed is dropped.
   absl::Time gone_at = absl::InfiniteFuture();
--- a/libs/tier/src/target_set.cc
+++ b/libs/tier/src/target_set.cc
@@ -18,6 +18,10 @@
 /// Part of a target's connections that is divided among the hosts; the rest is
 /// for connections that the target has not yet seen closed.
 constexpr double kConnectionPart = 0.9;
+/// Part of a target's connections that hosts may keep open beside those in use.
+/// Were all hosts lost at once, the target would hold their connections until
+/// it times them out, and turn the new ones away as far as they find no room.
+constexpr double kSparePart = 0.5;
 /// Most connections of this host to one target: more would only queue there.
 constexpr int kMaxConnections = 12;
 /// How long the connections of a dropped target are kept, so that requests
@@ -169,6 +173,9 @@
   const double connections = kConnectionPart * spec->second.max_connections;
   target.connection_limit =
       std::min(shares_.ShareOf(connections, target.rank), kMaxConnections);
+  target.may_keep_spare =
+      shares_.LastPlace(target.rank) <
+      static_cast<size_t>(kSparePart * spec->second.max_connections);
   target.pool->SetLimit(target.connection_limit);
   target.concurrency.SetConnections(target.connection_limit);
   const double per_second =
@@ -209,6 +216,7 @@
                       ranked.begin() + static_cast<std::ptrdiff_t>(kept),
                       ranked.end());
     for (size_t index = 0; index < kept; ++index) {
+      if (index > 0 && !ranked[index].second->may_keep_spare) continue;
       engine::ConnectionPool& pool = *ranked[index].second->pool;
       if (pool.open_connections() == 0 && !pool.is_paused()) pool.Probe();
     }
