--- a/bench/src/fleet_shares.cc
+++ b/bench/src/fleet_shares.cc
@@ -37,13 +37,13 @@
   }
 
   void Hear(int host) {
-    hosts_.OnNews({{HostOf(host), DomainOf(host)}, 1, false, {}}, kNow);
+    hosts_.OnNews({{HostOf(host), DomainOf(host)}, 1, false, {}}, now_);
   }
 
   // @return milliseconds that dividing the limits anew takes.
   double Divide() {
     const absl::Time start = absl::Now();
-    shares_.Refresh(kNow);
+    shares_.Refresh(now_);
     size_t sum = 0;
     for (size_t target = 0; target < targets_.size(); ++target) {
       shares_.Update(ranks_[target], targets_[target].id,
@@ -70,8 +70,8 @@
     return locality;
   }
 
-  const absl::Time kNow = absl::UnixEpoch() + absl::Hours(1);
-  HostTable hosts_{{HostOf(0), DomainOf(0)}, {}, HostTable::Options(), kNow};
+  const absl::Time now_ = absl::UnixEpoch() + absl::Hours(1);
+  HostTable hosts_{{HostOf(0), DomainOf(0)}, {}, HostTable::Options(), now_};
   FleetShares shares_{OwnLocality(), hosts_};
   std::vector<Target> targets_;
   std::vector<FleetRank> ranks_;
