Count a failure domain that fell silent by the largest one known

Trace: all hosts restart within 2.5 s inside a cut between two failure domains and a one-way cut of the third; the four hosts of one know seven of twelve when they settle, take 2 of 12 each, and the others, who know all, 1 each; when the cut ends, both send within one second. Until now a domain was counted by the largest one only if no host of it had ever been heard.

Change: HostTable counts a domain of which no host is heard for three seconds (as long as settling takes) as at least as large as the largest known one.

In UnheardDomainsHaveAsManyHostsAsTheLargestKnown the known domain is heard again at the time asked about, as its silence now counts; its figures stay.

Left: hosts that know few of their own domain as well.

--- a/libs/membership/include/membership/host_table.h
+++ b/libs/membership/include/membership/host_table.h
@@ -76,10 +76,13 @@
     /// until the known hosts are taken for all. A host that hears none of its
     /// seeds never takes itself for the only one: others may act elsewhere.
     absl::Duration settle_time = absl::Seconds(3);
-    /// All failure domains that hosts stand in. One of which no host was ever
-    /// heard is taken to have as many as the largest one that is known: it may
-    /// be cut off, and its hosts act.
+    /// All failure domains that hosts stand in. One of which no host is heard
+    /// is taken to have at least as many as the largest one that is known: it
+    /// may be cut off, and its hosts act.
     std::vector<FailureDomainName> domains = {};
+    /// A failure domain counts as heard for this long: as long as a host takes
+    /// to settle, so that one that has settled inside a cut knows of it.
+    absl::Duration domain_silence = absl::Seconds(3);
     /// A host not heard by anybody for this long is not gossiped with.
     absl::Duration silence_limit = absl::Seconds(20);
     /// Hosts that each round of gossip reaches.
@@ -156,8 +159,9 @@
 
   /// @return the live hosts of the own group, this one included, in order.
   std::vector<HostId> Group(absl::Time now) const;
-  /// @return hosts assumed in failure domains of which none was ever heard.
-  int UnheardHosts() const;
+  /// @return hosts assumed in failure domains of which none is heard, beyond
+  /// those that are known there.
+  int UnheardHosts(absl::Time now) const;
   bool IsSettled(absl::Time now) const;
 
   const KnownHost self_;
--- a/libs/membership/src/host_table.cc
+++ b/libs/membership/src/host_table.cc
@@ -110,7 +110,7 @@
 }
 
 int HostTable::SharingHosts(absl::Time now) const {
-  const int most = std::max(known_hosts() + UnheardHosts(), told_hosts_);
+  const int most = std::max(known_hosts() + UnheardHosts(now), told_hosts_);
   return IsSettled(now) ? most : std::max(most, options_.initial_hosts);
 }
 
@@ -120,14 +120,26 @@
   return now - (heard ? first_heard_ : started_) >= options_.settle_time;
 }
 
-int HostTable::UnheardHosts() const {
-  std::map<FailureDomainName, int> heard = {{self_.failure_domain, 1}};
-  for (const auto& [host, peer] : peers_) ++heard[peer.failure_domain];
-  int most = 0;
-  for (const auto& [domain, hosts] : heard) most = std::max(most, hosts);
+int HostTable::UnheardHosts(absl::Time now) const {
+  struct Domain {
+    int hosts = 0;
+    absl::Time heard = absl::InfinitePast();
+  };
+  std::map<FailureDomainName, Domain> domains;
+  domains[self_.failure_domain] = {1, now};
+  int most = 1;
+  for (const auto& [host, peer] : peers_) {
+    Domain& domain = domains[peer.failure_domain];
+    domain.heard = std::max(domain.heard, peer.heard);
+    most = std::max(most, ++domain.hosts);
+  }
   int unheard = 0;
-  for (const FailureDomainName& domain : options_.domains) {
-    if (heard.count(domain) == 0) unheard += most;
+  for (const FailureDomainName& name : options_.domains) {
+    const Domain& domain = domains[name];
+    // A host that started just before a cut knows some of those beyond it.
+    if (now - domain.heard > options_.domain_silence) {
+      unheard += most - domain.hosts;
+    }
   }
   return unheard;
 }
--- a/libs/membership/tests/host_table_test.cc
+++ b/libs/membership/tests/host_table_test.cc
@@ -31,6 +31,7 @@
   CPPUNIT_TEST(HostThatHearsNoSeedIsNotAlone);
   CPPUNIT_TEST(HostWithoutSeedsIsAlone);
   CPPUNIT_TEST(UnheardDomainsHaveAsManyHostsAsTheLargestKnown);
+  CPPUNIT_TEST(DomainsThatFellSilentCountAsTheLargestKnown);
   CPPUNIT_TEST(WhoKnowsFewerHostsIsTold);
   CPPUNIT_TEST(NeverDividesByFewerHostsThanEverKnown);
   CPPUNIT_TEST(GossipsWithASeedEvenIfOthersAreLive);
@@ -68,13 +69,32 @@
     HostTable::Options options;
     options.domains = {"x", "y", "z"};
     HostTable table({"a", "z"}, {}, options, kStart);
-    table.OnNews(News("b", false, {{"c", "z", 10}, {"d", "y", 10}}), kStart);
+    for (const absl::Time heard : {kStart, kSettled}) {
+      table.OnNews(News("b", false, {{"c", "z", 10}, {"d", "y", 10}}), heard);
+    }
     // Three of "z", one of "y", and three for "x".
     CPPUNIT_ASSERT_EQUAL(7, table.SharingHosts(kSettled));
     table.OnNews(News("b", false, {{"e", "x", 10}}), kSettled);
     CPPUNIT_ASSERT_EQUAL(5, table.SharingHosts(kSettled));
   }
 
+  void DomainsThatFellSilentCountAsTheLargestKnown() {
+    // A host that started just before a cut was told of one host beyond it.
+    HostTable::Options options;
+    options.domains = {"y", "z"};
+    HostTable table({"a", "z"}, {}, options, kStart);
+    for (const absl::Time heard : {kStart, kSettled}) {
+      table.OnNews(News("b", false, {{"c", "z", 10}, {"d", "y", 10}}), heard);
+    }
+    CPPUNIT_ASSERT_EQUAL(4, table.SharingHosts(kSettled));
+    const absl::Time silent =
+        kSettled + options.domain_silence + absl::Seconds(1);
+    CPPUNIT_ASSERT_EQUAL(6, table.SharingHosts(silent));
+    // Heard again, it tells how many it knows.
+    table.OnNews({{"e", "y"}, 7, false, {}}, silent);
+    CPPUNIT_ASSERT_EQUAL(7, table.SharingHosts(silent));
+  }
+
   void WhoKnowsFewerHostsIsTold() {
     HostTable table = Table("a");
     CPPUNIT_ASSERT(table.OnNews(News("b"), kStart));
--- a/libs/tier/tests/fleet_model_test.cc
+++ b/libs/tier/tests/fleet_model_test.cc
@@ -39,6 +39,7 @@
   CPPUNIT_TEST(Cuts);
   CPPUNIT_TEST(EverythingAtOnce);
   CPPUNIT_TEST(ManyHosts);
+  CPPUNIT_TEST(AllRestartInsideACut);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -62,6 +63,13 @@
     options.hosts_per_domain = 28;
     CPPUNIT_ASSERT_EQUAL(std::string(), PlayFleet(options));
   }
+  // Found by hand: hosts that settle inside a cut know some of those beyond it.
+  void AllRestartInsideACut() {
+    constexpr uint32_t kFoundSeed = 2;
+    constexpr int64_t kFoundSteps = 230'000;
+    FleetModel model(With(true, true, true), kFoundSeed);
+    CPPUNIT_ASSERT_EQUAL(std::string(), model.Play(kFoundSteps));
+  }
 
  private:
   static FleetModel::Options With(bool kills, bool cuts, bool freezes) {
