--- a/bench/src/fleet_shares.cc
+++ b/bench/src/fleet_shares.cc
@@ -37,7 +37,8 @@
   }
 
   void Hear(int host) {
-    hosts_.OnNews({{HostOf(host), DomainOf(host)}, 1, false, {}}, now_);
+    hosts_.OnNews({{HostOf(host), DomainOf(host)}, 1, NewsRole::kFollows, {}},
+                  now_);
   }
 
   // @return milliseconds that dividing the limits anew takes.
--- a/libs/dispatch/include/dispatch/request_run.h
+++ b/libs/dispatch/include/dispatch/request_run.h
@@ -34,6 +34,8 @@
 /// How an attempt ended.
 enum class AttemptEnd {
   kSuccess,
+  /// No byte of it left this host.
+  kNotSent,
   /// The target says, or it is certain, that the request did not run.
   kNotRun,
   /// As `kNotRun`, and the address belongs to another target by now.
@@ -132,6 +134,9 @@
     int running = 0;
     /// Attempts that run, have run or may have.
     int counted = 0;
+    /// Attempts that reached a target, or may have: the next one is beyond the
+    /// free first arrival.
+    int arrivals = 0;
     std::vector<TargetId> tried;
     absl::Time overdue_at = absl::InfiniteFuture();
     std::optional<size_t> failure;
--- a/libs/dispatch/src/request_run.cc
+++ b/libs/dispatch/src/request_run.cc
@@ -51,6 +51,7 @@
   part.tried.push_back(placed->target);
   ++part.running;
   ++part.counted;
+  ++part.arrivals;
   ++maybe_run_;
   CHERRYDYKE_INVARIANT(plan_.idempotent || maybe_run_ <= 1,
                        "a request that is not idempotent was sent twice");
@@ -106,6 +107,9 @@
         actions.cancel.push_back(other);
       }
       break;
+    case AttemptEnd::kNotSent:
+      --part.arrivals;
+      [[fallthrough]];
     case AttemptEnd::kNotRun:
     case AttemptEnd::kWrongTarget:
       --part.counted;
@@ -129,8 +133,10 @@
   const bool proved_not_run = maybe_run_ == 0;
   const bool may_run_again =
       plan_.idempotent ? part.counted < plan_.attempts : proved_not_run;
+  const std::optional<ExtraUse> extra =
+      part.arrivals == 0 ? std::nullopt : std::make_optional(UseOf(index));
   if (may_run_again && now < plan_.deadline && part.running == 0 &&
-      Send(index, UseOf(index), now, actions)) {
+      Send(index, extra, now, actions)) {
     return;
   }
   if (part.running == 0) GiveUp(part);
--- a/libs/dispatch/tests/request_run_test.cc
+++ b/libs/dispatch/tests/request_run_test.cc
@@ -73,6 +73,7 @@
   CPPUNIT_TEST(HedgesAnOverduePartAndCancelsTheLoser);
   CPPUNIT_TEST(HedgesWhileAnotherTargetCanStillAnswerInTime);
   CPPUNIT_TEST(RejectedAttemptsDoNotCountAsRuns);
+  CPPUNIT_TEST(AttemptThatWasNeverSentIsReplacedForFree);
   CPPUNIT_TEST(UnsafeRequestIsNotSentAgainAfterALostAnswer);
   CPPUNIT_TEST(UnsafeRequestIsSentAgainAfterProofThatItDidNotRun);
   CPPUNIT_TEST(UnsafeRequestIsNeverHedged);
@@ -168,6 +169,21 @@
     CPPUNIT_ASSERT_EQUAL(size_t{1}, run.maybe_run());
   }
 
+  void AttemptThatWasNeverSentIsReplacedForFree() {
+    // A target that turns connections away, at a host without any budget.
+    placement_.extras_left_ = 0;
+    RequestRun run(Fanout(2, 2), placement_);
+    run.Start(kStart);
+    const RunActions replaced = run.OnEnded(0, AttemptEnd::kNotSent, kStart);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, replaced.send.size());
+    CPPUNIT_ASSERT(!replaced.conclusion);
+    CPPUNIT_ASSERT(placement_.uses_.empty());
+    // What a target has seen is another matter.
+    run.OnEnded(replaced.send[0].attempt, AttemptEnd::kNotRun, kStart);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, placement_.uses_.size());
+    CPPUNIT_ASSERT(run.done());
+  }
+
   void UnsafeRequestIsNotSentAgainAfterALostAnswer() {
     RequestRun run(Single(false), placement_);
     run.Start(kStart);
@@ -265,9 +281,10 @@
         }
         const size_t attempt = *rc::gen::elementOf(
             std::vector<size_t>(running.begin(), running.end()));
-        const auto end = static_cast<AttemptEnd>(*rc::gen::inRange(0, 5));
+        const auto end = static_cast<AttemptEnd>(*rc::gen::inRange(0, 6));
         running.erase(attempt);
-        if (end == AttemptEnd::kNotRun || end == AttemptEnd::kWrongTarget) {
+        if (end == AttemptEnd::kNotSent || end == AttemptEnd::kNotRun ||
+            end == AttemptEnd::kWrongTarget) {
           --ran_or_may;
           for (auto& [part, targets] : maybe_ran) {
             targets.erase(run.target(attempt));
--- a/libs/engine/include/engine/client_connection.h
+++ b/libs/engine/include/engine/client_connection.h
@@ -52,6 +52,10 @@
   size_t max_body_bytes = 16U << 20U;
   /// Header that carries the identifier checked against `expected_id`.
   std::string id_header;
+  /// Until then new connections carry nothing before they have been open for
+  /// the time that they took to open: a server with too many ends them by then,
+  /// and what was sent on one might have run.
+  absl::Time prove_until = absl::InfinitePast();
 };
 
 /// One kept connection to a server; it carries one request at a time.
--- a/libs/engine/include/engine/connection_pool.h
+++ b/libs/engine/include/engine/connection_pool.h
@@ -76,6 +76,9 @@
     ExchangeId exchange = 0;
     /// Set while a cancelled exchange may still finish.
     TimerId break_off = 0;
+    absl::Time began = absl::InfinitePast();
+    /// Whether it is not yet known if the server keeps the connection.
+    bool proving = false;
   };
 
   void OnOpened(ClientConnection& connection) override;
@@ -83,6 +86,10 @@
   void OnClosed(ClientConnection& connection, bool was_open,
                 bool by_peer) override;
 
+  /// Lets an open connection carry requests.
+  void Admit(Member& member);
+  /// @return whether the server may end new connections at once.
+  bool IsDoubtful() const;
   Member* Find(const ClientConnection& connection);
   Member* FindIdle(absl::Duration max_silence);
   void Assign(Member& member, Waiting waiting);
@@ -102,10 +109,12 @@
   std::vector<Member> members_;
   std::deque<Waiting> queue_;
   ExchangeId last_exchange_ = 0;
+  /// Connections that are being opened or proved.
   int connecting_ = 0;
   /// A server that turned connections away gets no new one until then.
   absl::Time open_after_ = absl::InfinitePast();
   absl::Duration open_pause_;
+  absl::Time doubtful_until_;
 };
 
 }  // namespace cherrydyke::engine
--- a/libs/engine/src/connection_pool.cc
+++ b/libs/engine/src/connection_pool.cc
@@ -10,6 +10,11 @@
 /// time, up to the longest, until it answers again.
 constexpr absl::Duration kFirstOpenPause = absl::Milliseconds(100);
 constexpr absl::Duration kLongestOpenPause = absl::Seconds(2);
+/// How long new connections to a server that turned one away are proved first:
+/// as long as it may hold connections of hosts that are gone.
+constexpr absl::Duration kDoubtTime = absl::Seconds(10);
+/// Added to the time in which the end of a new connection is seen.
+constexpr absl::Duration kProofMargin = absl::Milliseconds(2);
 
 }  // namespace
 
@@ -20,7 +25,8 @@
       endpoint_(std::move(endpoint)),
       options_(std::move(options)),
       limit_(limit),
-      listener_(listener) {}
+      listener_(listener),
+      doubtful_until_(options_.prove_until) {}
 
 ConnectionPool::~ConnectionPool() {
   for (Member& member : members_) {
@@ -70,7 +76,7 @@
   std::vector<std::shared_ptr<ClientConnection>> stale;
   for (Member& member : members_) {
     ClientConnection& connection = *member.connection;
-    if (!connection.IsIdle()) continue;
+    if (!connection.IsIdle() || member.proving) continue;
     // The server may close at its own limit while a request is on its way.
     const absl::Duration usable =
         std::min(max_silence, connection.idle_limit() * 0.8);
@@ -120,7 +126,7 @@
 void ConnectionPool::Open() {
   auto connection = std::make_shared<ClientConnection>(
       loop_, endpoint_, options_, static_cast<Observer*>(this));
-  members_.push_back({connection, 0, 0});
+  members_.push_back({connection, 0, 0, loop_.Now(), false});
   ++connecting_;
   connection->Connect();
 }
@@ -158,9 +164,27 @@
   if (connecting_ == 0 && open_connections() < limit_) Open();
 }
 
-void ConnectionPool::OnOpened(ClientConnection& /*connection*/) {
-  --connecting_;
+bool ConnectionPool::IsDoubtful() const {
+  return loop_.Now() < doubtful_until_;
+}
+
+void ConnectionPool::OnOpened(ClientConnection& connection) {
   if (listener_ != nullptr) listener_->OnConnected();
+  Member* const member = Find(connection);
+  if (member == nullptr) return;
+  if (!IsDoubtful()) return Admit(*member);
+  member->proving = true;
+  const absl::Duration round_trip = loop_.Now() - member->began;
+  timers_.RunAfter(round_trip + kProofMargin,
+                   [this, held = member->connection] {
+                     Member* const proved = Find(*held);
+                     if (proved != nullptr && proved->proving) Admit(*proved);
+                   });
+}
+
+void ConnectionPool::Admit(Member& member) {
+  member.proving = false;
+  --connecting_;
   Pump();
 }
 
@@ -171,6 +195,7 @@
   Member* const member = Find(connection);
   if (member == nullptr) return;
   loop_.Cancel(member->break_off);
+  const bool was_proving = member->proving;
   members_.erase(members_.begin() + (member - members_.data()));
   if (!was_open) {
     --connecting_;
@@ -178,6 +203,7 @@
     if (connecting_ == 0) FailWaiting();
     return;
   }
+  if (was_proving) --connecting_;
   if (by_peer && !connection.has_served()) OnTurnedAway();
   timers_.Post([this] { Pump(); });
 }
@@ -185,6 +211,7 @@
 void ConnectionPool::OnTurnedAway() {
   open_pause_ = std::clamp(open_pause_ * 2, kFirstOpenPause, kLongestOpenPause);
   open_after_ = loop_.Now() + open_pause_;
+  doubtful_until_ = loop_.Now() + kDoubtTime;
   if (listener_ != nullptr) listener_->OnTurnedAway();
   if (connecting_ == 0) FailWaiting();
 }
--- a/libs/engine/tests/connection_pool_test.cc
+++ b/libs/engine/tests/connection_pool_test.cc
@@ -38,6 +38,7 @@
   CPPUNIT_TEST(CancelledRequestThatWaitsIsNeverSent);
   CPPUNIT_TEST(CancelledRequestIsBrokenOffAfterItsGrace);
   CPPUNIT_TEST(DoesNotPressAServerThatTurnsConnectionsAway);
+  CPPUNIT_TEST(RequestIsNotTrustedToAConnectionThatIsTurnedAway);
   CPPUNIT_TEST(OldConnectionIsNotTrustedWithAnUnsafeRequest);
   CPPUNIT_TEST(KeepsToTheIdleLimitThatTheServerStates);
   CPPUNIT_TEST_SUITE_END();
@@ -232,6 +233,22 @@
     CPPUNIT_ASSERT(RunUntil(loop_, [&] { return status.has_value(); }));
   }
 
+  void RequestIsNotTrustedToAConnectionThatIsTurnedAway() {
+    // A target full of connections of hosts that are gone, at a host that has
+    // just started: what never left it may go elsewhere for free.
+    prove_until_ = absl::InfiniteFuture();
+    Serve(
+        [](RawConnection& c, const std::string&) { c.Write(OkResponse("a")); });
+    server_->TurnAway(1);
+    CPPUNIT_ASSERT(Ask()->status == ExchangeStatus::kNotSent);
+    RunFor(loop_, absl::Milliseconds(150));
+    CPPUNIT_ASSERT(Ask()->status == ExchangeStatus::kComplete);
+    CPPUNIT_ASSERT_EQUAL(1, pool_->open_connections());
+    // The connection is kept, and proved just once.
+    CPPUNIT_ASSERT(Ask()->status == ExchangeStatus::kComplete);
+    CPPUNIT_ASSERT_EQUAL(2, server_->accepted());
+  }
+
   void OldConnectionIsNotTrustedWithAnUnsafeRequest() {
     Serve(
         [](RawConnection& c, const std::string&) { c.Write(OkResponse("a")); });
@@ -256,8 +273,10 @@
   void Serve(RawServer::OnRequest on_request) {
     pool_.reset();
     server_ = std::make_unique<RawServer>(loop_, std::move(on_request));
+    ClientOptions options = Options();
+    options.prove_until = prove_until_;
     pool_ = std::make_unique<ConnectionPool>(loop_, server_->endpoint(),
-                                             Options(), 4, nullptr);
+                                             options, 4, nullptr);
   }
 
   PoolRequest Request(const std::string& id) {
@@ -296,6 +315,7 @@
   std::unique_ptr<RawServer> server_;
   std::unique_ptr<ConnectionPool> pool_;
   std::string body_;
+  absl::Time prove_until_ = absl::InfinitePast();
   absl::Duration max_silence_ = absl::InfiniteDuration();
 };
 
--- a/libs/membership/include/membership/host_table.h
+++ b/libs/membership/include/membership/host_table.h
@@ -39,19 +39,35 @@
   }
 };
 
+/// How a host comes by what was published.
+enum class NewsRole : uint8_t {
+  /// Others tell it.
+  kFollows,
+  /// Enough hosts before it ask the configuration service in vain.
+  kHolds,
+  /// It asks the configuration service and gets no answers.
+  kTries,
+  /// As `kTries`, and a reader of another failure domain tells it.
+  kForwards,
+  /// A reader of its failure domain, in another group, tells it, and it tells
+  /// its group.
+  kRelays,
+  /// It reads the configuration service, and gets answers.
+  kReads,
+};
+
 /// What a host says of itself.
 struct HostNews {
   KnownHost from;
   /// Hosts that it has ever known.
   int known_hosts = 1;
-  /// Whether it reads the configuration service, and gets answers.
-  bool reads = false;
+  NewsRole role = NewsRole::kFollows;
   /// What it has heard of others.
   std::vector<HostAge> hosts;
 
   friend bool operator==(const HostNews& a, const HostNews& b) {
-    return std::tie(a.from, a.known_hosts, a.reads, a.hosts) ==
-           std::tie(b.from, b.known_hosts, b.reads, b.hosts);
+    return std::tie(a.from, a.known_hosts, a.role, a.hosts) ==
+           std::tie(b.from, b.known_hosts, b.role, b.hosts);
   }
 };
 
@@ -61,11 +77,17 @@
 /// Limits that the whole fleet shares are divided by every host ever known in
 /// this lifetime, not by the live ones: a host that is cut off still acts.
 ///
-/// The hosts of a failure domain form groups in the order of their addresses.
-/// The first live host of each group reads the configuration service for it;
-/// the next one takes over when the first says that it gets no answers, or says
-/// nothing. More than one may read for a while: that costs calls, not truth.
-/// Pure: time and randomness are arguments.
+/// One host of a failure domain reads the configuration service for all of it,
+/// however many there are. The hosts form groups in the order of their
+/// addresses: the reader tells its own group and the first hosts of the others,
+/// and the first of each group relays to the rest. The next host takes over
+/// when the one before it says that it gets no answers, or says nothing, one
+/// after the other; where several ask in vain, the rest wait for their word.
+/// More than one may read for a while: that costs calls, not truth. Readers
+/// also tell the first hosts of other failure domains, so that a reader whose
+/// connection to the service is dead learns that it lags, and a failure domain
+/// that gets no answers at all is told. Pure: time and randomness are
+/// arguments.
 class HostTable {
  public:
   struct Options {
@@ -99,9 +121,27 @@
     absl::Duration rumour_time = absl::Seconds(2);
     /// Hosts of one group.
     size_t group_size = 16;
-    /// A reader not heard for this long no longer counts as one: two rounds of
-    /// gossip and what a datagram takes.
+    /// A reader or relay not heard for this long no longer counts as one: two
+    /// rounds of gossip and what a datagram takes.
     absl::Duration reader_silence = absl::Milliseconds(1300);
+    /// A reader of another group counts for this much longer: another host of
+    /// that group takes over first.
+    absl::Duration takeover_time = absl::Milliseconds(1000);
+    /// A host that has read once waits this long for the word of one that reads
+    /// for it.
+    absl::Duration reader_introduction = absl::Milliseconds(700);
+    /// Hosts of a group take over from one that gives up this long after each
+    /// other, all later ones together.
+    absl::Duration takeover_step = absl::Milliseconds(250);
+    int takeover_steps = 4;
+    /// First hosts of another group or failure domain that a reader tells.
+    size_t envoys = 2;
+    /// Hosts of a failure domain that ask the configuration service while it
+    /// answers none of them.
+    int candidates = 3;
+    /// Time without news after which all hosts ask: those that do may be the
+    /// ones that the service turns away.
+    absl::Duration holding_limit = absl::Seconds(10);
   };
 
   /// @param self this host.
@@ -119,7 +159,8 @@
   bool OnNews(const HostNews& news, absl::Time now);
 
   /// @return whether this host should read the configuration service itself.
-  bool ShouldRead(absl::Time now) const;
+  /// @param is_blank whether it knows nothing that was published.
+  bool ShouldRead(bool is_blank, absl::Time now) const;
 
   /// @return whether this round of gossip goes to hosts anywhere and names
   /// others.
@@ -130,8 +171,14 @@
   std::vector<HostId> GossipTargets(absl::Time now,
                                     std::mt19937_64& random) const;
 
-  /// @return the other live hosts of the own group.
-  std::vector<HostId> GroupPeers(absl::Time now) const;
+  /// @param reads whether this host reads and gets answers.
+  NewsRole Role(bool reads, absl::Time now) const;
+
+  /// @return whether a host of the own failure domain was lately heard to read.
+  bool DomainReads(absl::Time now) const;
+
+  /// @return the hosts that one of this role passes on what was published to.
+  std::vector<HostId> Audience(NewsRole role, absl::Time now) const;
 
   /// @return what to tell others of hosts.
   std::vector<HostAge> Ages(absl::Time now, std::mt19937_64& random) const;
@@ -153,12 +200,33 @@
     FailureDomainName failure_domain;
     /// When somebody heard it last.
     absl::Time heard;
-    /// When it last said here that it reads.
-    absl::Time read = absl::InfinitePast();
+    /// What it last said here of itself.
+    NewsRole role = NewsRole::kFollows;
+    absl::Time said = absl::InfinitePast();
   };
 
-  /// @return the live hosts of the own group, this one included, in order.
-  std::vector<HostId> Group(absl::Time now) const;
+  /// @return the live hosts of a failure domain, this one included, in order.
+  std::vector<HostId> LiveHosts(const FailureDomainName& domain,
+                                absl::Time now) const;
+  /// A live host of the own failure domain, as seen from this one.
+  struct Mate {
+    const Peer* peer = nullptr;
+    bool is_earlier = false;
+    bool is_same_group = false;
+  };
+  std::vector<Mate> Mates(absl::Time now) const;
+  bool Says(const Peer& peer, NewsRole role, absl::Duration silence,
+            absl::Time now) const;
+  /// @return whether an earlier host of the group tells this one.
+  bool IsFed(const std::vector<Mate>& mates, absl::Time now) const;
+  /// @return whether a host of another group reads.
+  /// @param only_earlier whether it must stand before this one.
+  bool HearsReader(const std::vector<Mate>& mates, bool only_earlier,
+                   absl::Time now) const;
+  bool HearsForeignReader(absl::Time now) const;
+  /// @return whether it can be left to others to ask a service that does not
+  /// answer.
+  bool OthersTry(const std::vector<Mate>& mates, absl::Time now) const;
   /// @return hosts assumed in failure domains of which none is heard, beyond
   /// those that are known there.
   int UnheardHosts(absl::Time now) const;
@@ -173,6 +241,10 @@
   /// When a host became known that was not before.
   absl::Time last_added_ = absl::InfinitePast();
   absl::Time first_heard_ = absl::InfiniteFuture();
+  /// When somebody last said that it is told what was published.
+  absl::Time news_heard_;
+  /// When a host that told others last said that it no longer does.
+  absl::Time lost_teller_at_ = absl::InfinitePast();
 };
 
 }  // namespace cherrydyke
--- a/libs/membership/src/host_table.cc
+++ b/libs/membership/src/host_table.cc
@@ -7,7 +7,10 @@
 
 HostTable::HostTable(KnownHost self, std::vector<HostId> seeds, Options options,
                      absl::Time started)
-    : self_(std::move(self)), options_(std::move(options)), started_(started) {
+    : self_(std::move(self)),
+      options_(std::move(options)),
+      started_(started),
+      news_heard_(started) {
   SetSeeds(std::move(seeds));
 }
 
@@ -24,14 +27,19 @@
   Peer& sender = peers_[news.from.host];
   sender.failure_domain = news.from.failure_domain;
   sender.heard = now;
-  sender.read = news.reads ? now : absl::InfinitePast();
+  const bool told = sender.role >= NewsRole::kRelays;
+  if (told && news.role < NewsRole::kRelays) lost_teller_at_ = now;
+  sender.role = news.role;
+  sender.said = now;
+  if (news.role >= NewsRole::kForwards) news_heard_ = now;
   for (const HostAge& entry : news.hosts) {
     if (entry.host == self_.host || entry.age_ms < 0) continue;
     const absl::Time heard = now - absl::Milliseconds(entry.age_ms);
-    auto [known, added] =
-        peers_.try_emplace(entry.host, Peer{entry.failure_domain, heard, {}});
-    if (added) known->second.read = absl::InfinitePast();
-    known->second.heard = std::max(known->second.heard, heard);
+    Peer told;
+    told.failure_domain = entry.failure_domain;
+    told.heard = heard;
+    Peer& peer = peers_.try_emplace(entry.host, told).first->second;
+    peer.heard = std::max(peer.heard, heard);
   }
   if (peers_.size() > known_before) last_added_ = now;
   return news.known_hosts < known_hosts();
@@ -45,29 +53,140 @@
   return live;
 }
 
-std::vector<HostId> HostTable::Group(absl::Time now) const {
-  std::vector<HostId> hosts = {self_.host};
+std::vector<HostId> HostTable::LiveHosts(const FailureDomainName& domain,
+                                         absl::Time now) const {
+  std::vector<HostId> hosts;
+  if (domain == self_.failure_domain) hosts.push_back(self_.host);
   for (const auto& [host, peer] : peers_) {
-    if (peer.failure_domain == self_.failure_domain &&
+    if (peer.failure_domain == domain &&
         now - peer.heard <= options_.silence_limit) {
       hosts.push_back(host);
     }
   }
   std::sort(hosts.begin(), hosts.end());
+  return hosts;
+}
+
+std::vector<HostTable::Mate> HostTable::Mates(absl::Time now) const {
+  const std::vector<HostId> hosts = LiveHosts(self_.failure_domain, now);
   const auto self = std::find(hosts.begin(), hosts.end(), self_.host);
-  const size_t index = static_cast<size_t>(self - hosts.begin());
-  const size_t begin = index / options_.group_size * options_.group_size;
-  const size_t end = std::min(begin + options_.group_size, hosts.size());
-  return {hosts.begin() + static_cast<std::ptrdiff_t>(begin),
-          hosts.begin() + static_cast<std::ptrdiff_t>(end)};
+  const auto own = static_cast<size_t>(self - hosts.begin());
+  std::vector<Mate> mates;
+  for (size_t place = 0; place < hosts.size(); ++place) {
+    if (place == own) continue;
+    mates.push_back({&peers_.at(hosts[place]), place < own,
+                     place / options_.group_size == own / options_.group_size});
+  }
+  return mates;
+}
+
+bool HostTable::Says(const Peer& peer, NewsRole role, absl::Duration silence,
+                     absl::Time now) const {
+  return peer.role == role && now - peer.said <= silence;
+}
+
+bool HostTable::DomainReads(absl::Time now) const {
+  const std::vector<Mate> mates = Mates(now);
+  return std::any_of(mates.begin(), mates.end(), [&](const Mate& mate) {
+    return Says(*mate.peer, NewsRole::kReads, options_.reader_silence, now);
+  });
 }
 
-bool HostTable::ShouldRead(absl::Time now) const {
-  for (const HostId& host : Group(now)) {
-    if (host == self_.host) return true;
-    if (now - peers_.at(host).read <= options_.reader_silence) return false;
+bool HostTable::IsFed(const std::vector<Mate>& mates, absl::Time now) const {
+  const absl::Duration silence = options_.reader_silence;
+  return std::any_of(mates.begin(), mates.end(), [&](const Mate& mate) {
+    return mate.is_earlier && mate.is_same_group &&
+           (Says(*mate.peer, NewsRole::kReads, silence, now) ||
+            Says(*mate.peer, NewsRole::kRelays, silence, now));
+  });
+}
+
+bool HostTable::HearsReader(const std::vector<Mate>& mates, bool only_earlier,
+                            absl::Time now) const {
+  const absl::Duration patience =
+      options_.reader_silence + options_.takeover_time;
+  return std::any_of(mates.begin(), mates.end(), [&](const Mate& mate) {
+    return !mate.is_same_group && (mate.is_earlier || !only_earlier) &&
+           Says(*mate.peer, NewsRole::kReads, patience, now);
+  });
+}
+
+bool HostTable::HearsForeignReader(absl::Time now) const {
+  return std::any_of(peers_.begin(), peers_.end(), [&](const auto& entry) {
+    const Peer& peer = entry.second;
+    return peer.failure_domain != self_.failure_domain &&
+           Says(peer, NewsRole::kReads, options_.reader_silence, now);
+  });
+}
+
+bool HostTable::OthersTry(const std::vector<Mate>& mates,
+                          absl::Time now) const {
+  const absl::Duration silence = options_.reader_silence;
+  int trying = 0;
+  for (const Mate& mate : mates) {
+    if (!mate.is_earlier) continue;
+    if (mate.is_same_group &&
+        Says(*mate.peer, NewsRole::kHolds, silence, now)) {
+      return true;
+    }
+    if (Says(*mate.peer, NewsRole::kTries, silence, now) ||
+        Says(*mate.peer, NewsRole::kForwards, silence, now)) {
+      ++trying;
+    }
+  }
+  return trying >= options_.candidates &&
+         now - news_heard_ <= options_.holding_limit;
+}
+
+bool HostTable::ShouldRead(bool is_blank, absl::Time now) const {
+  const bool is_new = now - started_ < options_.reader_introduction;
+  if (is_new && !is_blank && !seeds_.empty()) return false;
+  const std::vector<Mate> mates = Mates(now);
+  if (IsFed(mates, now) || HearsReader(mates, true, now)) return is_blank;
+  const auto earlier = static_cast<int>(std::count_if(
+      mates.begin(), mates.end(),
+      [](const Mate& mate) { return mate.is_earlier && mate.is_same_group; }));
+  const int steps = std::min(earlier, options_.takeover_steps);
+  if (now - lost_teller_at_ < steps * options_.takeover_step) return is_blank;
+  return !OthersTry(mates, now);
+}
+
+NewsRole HostTable::Role(bool reads, absl::Time now) const {
+  if (reads) return NewsRole::kReads;
+  const std::vector<Mate> mates = Mates(now);
+  if (IsFed(mates, now)) return NewsRole::kFollows;
+  if (HearsReader(mates, false, now)) return NewsRole::kRelays;
+  if (ShouldRead(false, now)) {
+    return HearsForeignReader(now) ? NewsRole::kForwards : NewsRole::kTries;
+  }
+  return OthersTry(mates, now) ? NewsRole::kHolds : NewsRole::kFollows;
+}
+
+std::vector<HostId> HostTable::Audience(NewsRole role, absl::Time now) const {
+  std::vector<HostId> audience;
+  if (role == NewsRole::kFollows) return audience;
+  const std::vector<HostId> hosts = LiveHosts(self_.failure_domain, now);
+  const auto self = std::find(hosts.begin(), hosts.end(), self_.host);
+  const size_t own =
+      static_cast<size_t>(self - hosts.begin()) / options_.group_size;
+  const bool tells_groups =
+      role != NewsRole::kRelays && role != NewsRole::kHolds;
+  for (size_t index = 0; index < hosts.size(); ++index) {
+    const bool is_envoy =
+        tells_groups && index % options_.group_size < options_.envoys;
+    const bool is_own = index / options_.group_size == own;
+    if (hosts[index] != self_.host && (is_own || is_envoy)) {
+      audience.push_back(hosts[index]);
+    }
   }
-  return true;
+  if (role != NewsRole::kReads) return audience;
+  for (const FailureDomainName& domain : options_.domains) {
+    if (domain == self_.failure_domain) continue;
+    std::vector<HostId> envoys = LiveHosts(domain, now);
+    if (envoys.size() > options_.envoys) envoys.resize(options_.envoys);
+    audience.insert(audience.end(), envoys.begin(), envoys.end());
+  }
+  return audience;
 }
 
 bool HostTable::ShouldNameHosts(int round, absl::Time now) const {
@@ -91,12 +210,6 @@
   return targets;
 }
 
-std::vector<HostId> HostTable::GroupPeers(absl::Time now) const {
-  std::vector<HostId> peers = Group(now);
-  peers.erase(std::remove(peers.begin(), peers.end(), self_.host), peers.end());
-  return peers;
-}
-
 std::vector<HostAge> HostTable::Ages(absl::Time now,
                                      std::mt19937_64& random) const {
   std::vector<HostAge> ages;
--- a/libs/membership/tests/fleet_shares_test.cc
+++ b/libs/membership/tests/fleet_shares_test.cc
@@ -30,7 +30,7 @@
 }
 
 void Hear(HostTable& table, const KnownHost& host) {
-  table.OnNews({host, 1, false, {}}, kStart);
+  table.OnNews({host, 1, NewsRole::kFollows, {}}, kStart);
 }
 
 FleetRank RankAnew(const HostTable& table, const KnownHost& self,
--- a/libs/membership/tests/host_table_test.cc
+++ b/libs/membership/tests/host_table_test.cc
@@ -3,6 +3,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <functional>
+#include <set>
 
 namespace cherrydyke {
 namespace {
@@ -10,9 +12,12 @@
 const absl::Time kStart = absl::UnixEpoch() + absl::Hours(1);
 const absl::Time kSettled = kStart + absl::Seconds(4);
 
-HostNews News(const HostId& from, bool reads = false,
+constexpr NewsRole kFollows = NewsRole::kFollows;
+constexpr NewsRole kReads = NewsRole::kReads;
+
+HostNews News(const HostId& from, NewsRole role = kFollows,
               std::vector<HostAge> hosts = {}, int known_hosts = 1) {
-  return {{from, "z"}, known_hosts, reads, std::move(hosts)};
+  return {{from, "z"}, known_hosts, role, std::move(hosts)};
 }
 
 HostTable Table(const HostId& self, std::vector<HostId> seeds = {}) {
@@ -20,7 +25,8 @@
 }
 
 HostId Name(int index) {
-  return (index < 10 ? "h0" : "h") + std::to_string(index);
+  const std::string number = std::to_string(index);
+  return "h" + std::string(3 - number.size(), '0') + number;
 }
 
 }  // namespace
@@ -40,14 +46,19 @@
   CPPUNIT_TEST(ReadsUntilAnEarlierHostOfItsGroupDoes);
   CPPUNIT_TEST(TakesOverFromAReaderThatFailsOrFallsSilent);
   CPPUNIT_TEST(HostsOfOtherDomainsDoNotReadForIt);
-  CPPUNIT_TEST(FewHostsOfAFleetReadAndAllHearOne);
+  CPPUNIT_TEST(OneHostOfADomainReadsAndAllAreTold);
+  CPPUNIT_TEST(NextHostTakesOverAndTheRestStayTold);
+  CPPUNIT_TEST(FewAskAServiceThatDoesNotAnswer);
+  CPPUNIT_TEST(AllAskWhereNothingWasHeardForLong);
+  CPPUNIT_TEST(ReadersTellTheFirstHostsOfOtherDomains);
+  CPPUNIT_TEST(DomainWithoutAnswersForwardsWhatForeignReadersTell);
   CPPUNIT_TEST_SUITE_END();
 
  public:
   void AssumesManyHostsUntilTheFleetIsKnown() {
     HostTable table = Table("a", {"b"});
     CPPUNIT_ASSERT_EQUAL(100, table.SharingHosts(kStart));
-    table.OnNews(News("b", false, {}, 2), kStart);
+    table.OnNews(News("b", kFollows, {}, 2), kStart);
     CPPUNIT_ASSERT_EQUAL(100, table.SharingHosts(kStart));
     CPPUNIT_ASSERT_EQUAL(2, table.SharingHosts(kSettled));
   }
@@ -70,11 +81,12 @@
     options.domains = {"x", "y", "z"};
     HostTable table({"a", "z"}, {}, options, kStart);
     for (const absl::Time heard : {kStart, kSettled}) {
-      table.OnNews(News("b", false, {{"c", "z", 10}, {"d", "y", 10}}), heard);
+      table.OnNews(News("b", kFollows, {{"c", "z", 10}, {"d", "y", 10}}),
+                   heard);
     }
     // Three of "z", one of "y", and three for "x".
     CPPUNIT_ASSERT_EQUAL(7, table.SharingHosts(kSettled));
-    table.OnNews(News("b", false, {{"e", "x", 10}}), kSettled);
+    table.OnNews(News("b", kFollows, {{"e", "x", 10}}), kSettled);
     CPPUNIT_ASSERT_EQUAL(5, table.SharingHosts(kSettled));
   }
 
@@ -84,27 +96,28 @@
     options.domains = {"y", "z"};
     HostTable table({"a", "z"}, {}, options, kStart);
     for (const absl::Time heard : {kStart, kSettled}) {
-      table.OnNews(News("b", false, {{"c", "z", 10}, {"d", "y", 10}}), heard);
+      table.OnNews(News("b", kFollows, {{"c", "z", 10}, {"d", "y", 10}}),
+                   heard);
     }
     CPPUNIT_ASSERT_EQUAL(4, table.SharingHosts(kSettled));
     const absl::Time silent =
         kSettled + options.domain_silence + absl::Seconds(1);
     CPPUNIT_ASSERT_EQUAL(6, table.SharingHosts(silent));
     // Heard again, it tells how many it knows.
-    table.OnNews({{"e", "y"}, 7, false, {}}, silent);
+    table.OnNews({{"e", "y"}, 7, kFollows, {}}, silent);
     CPPUNIT_ASSERT_EQUAL(7, table.SharingHosts(silent));
   }
 
   void WhoKnowsFewerHostsIsTold() {
     HostTable table = Table("a");
     CPPUNIT_ASSERT(table.OnNews(News("b"), kStart));
-    CPPUNIT_ASSERT(!table.OnNews(News("b", false, {}, 2), kStart));
-    CPPUNIT_ASSERT(table.OnNews(News("c", false, {}, 2), kStart));
+    CPPUNIT_ASSERT(!table.OnNews(News("b", kFollows, {}, 2), kStart));
+    CPPUNIT_ASSERT(table.OnNews(News("c", kFollows, {}, 2), kStart));
   }
 
   void NeverDividesByFewerHostsThanEverKnown() {
     HostTable table = Table("a");
-    table.OnNews(News("b", false, {{"c", "z", 10}, {"d", "y", 90'000}}, 9),
+    table.OnNews(News("b", kFollows, {{"c", "z", 10}, {"d", "y", 90'000}}, 9),
                  kStart);
     CPPUNIT_ASSERT_EQUAL(9, table.SharingHosts(kStart + absl::Hours(1)));
   }
@@ -119,7 +132,7 @@
 
   void SilentHostsAreKnownButNotLive() {
     HostTable table = Table("a");
-    table.OnNews(News("b", false, {{"old", "z", 60'000}}), kStart);
+    table.OnNews(News("b", kFollows, {{"old", "z", 60'000}}), kStart);
     CPPUNIT_ASSERT_EQUAL(size_t{1}, table.LivePeers(kStart).size());
     CPPUNIT_ASSERT_EQUAL(size_t{3}, table.KnownHosts().size());
   }
@@ -134,43 +147,110 @@
 
   void ReadsUntilAnEarlierHostOfItsGroupDoes() {
     HostTable table = Table("b");
-    CPPUNIT_ASSERT(table.ShouldRead(kStart));
-    table.OnNews(News("a", false), kStart);
-    CPPUNIT_ASSERT(table.ShouldRead(kStart));
-    table.OnNews(News("a", true), kStart);
-    CPPUNIT_ASSERT(!table.ShouldRead(kStart));
-    table.OnNews(News("a", true), kSettled);
-    CPPUNIT_ASSERT(!table.ShouldRead(kSettled));
-    table.OnNews(News("c", true), kSettled);
-    table.OnNews(News("a", false), kSettled);
-    CPPUNIT_ASSERT(table.ShouldRead(kSettled));
+    CPPUNIT_ASSERT(table.ShouldRead(false, kStart));
+    table.OnNews(News("a", NewsRole::kTries), kStart);
+    CPPUNIT_ASSERT(table.ShouldRead(false, kStart));
+    table.OnNews(News("a", kReads), kStart);
+    CPPUNIT_ASSERT(!table.ShouldRead(false, kStart));
+    table.OnNews(News("a", kReads), kSettled);
+    CPPUNIT_ASSERT(!table.ShouldRead(false, kSettled));
+    table.OnNews(News("c", kReads), kSettled);
+    table.OnNews(News("a", NewsRole::kTries), kSettled);
+    CPPUNIT_ASSERT(!table.ShouldRead(false, kSettled));
+    const absl::Time its_turn = kSettled + HostTable::Options().takeover_step;
+    CPPUNIT_ASSERT(table.ShouldRead(false, its_turn));
   }
 
   void TakesOverFromAReaderThatFailsOrFallsSilent() {
     HostTable table = Table("b");
-    table.OnNews(News("a", true), kStart);
-    table.OnNews(News("a", true), kSettled);
-    CPPUNIT_ASSERT(!table.ShouldRead(kSettled + absl::Seconds(1)));
-    CPPUNIT_ASSERT(table.ShouldRead(kSettled + absl::Milliseconds(1400)));
+    table.OnNews(News("a", kReads), kStart);
+    table.OnNews(News("a", kReads), kSettled);
+    CPPUNIT_ASSERT(!table.ShouldRead(false, kSettled + absl::Seconds(1)));
+    CPPUNIT_ASSERT(
+        table.ShouldRead(false, kSettled + absl::Milliseconds(1400)));
   }
 
   void HostsOfOtherDomainsDoNotReadForIt() {
     HostTable table = Table("b");
-    HostNews news = News("a", true);
+    HostNews news = News("a", kReads);
     news.from.failure_domain = "y";
     table.OnNews(news, kStart);
     table.OnNews(news, kSettled);
-    CPPUNIT_ASSERT(table.ShouldRead(kSettled));
+    CPPUNIT_ASSERT(table.ShouldRead(false, kSettled));
   }
 
-  void FewHostsOfAFleetReadAndAllHearOne() {
-    std::vector<HostTable> fleet = Fleet(40);
-    const absl::Time now = Gossip(fleet, 30);
-    const auto readers = std::count_if(
-        fleet.begin(), fleet.end(),
-        [&](const HostTable& table) { return table.ShouldRead(now); });
-    // One for each group of 16.
-    CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{3}, readers);
+  void OneHostOfADomainReadsAndAllAreTold() {
+    // Played at the hosts of one domain of the large deployment and of the size
+    // to design for.
+    for (const int size : {49, 181}) {
+      std::vector<HostTable> fleet = Fleet(size);
+      const absl::Time now = Gossip(fleet, 40);
+      CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{1}, Readers(fleet, now));
+      CPPUNIT_ASSERT_EQUAL(size_t{0}, Untold(fleet, now).size());
+    }
+  }
+
+  void NextHostTakesOverAndTheRestStayTold() {
+    std::vector<HostTable> fleet = Fleet(49);
+    absl::Time now = Gossip(fleet, 30);
+    int most = 0;
+    for (int round = 0; round < 12; ++round) {
+      now = Gossip(fleet, 1, now, [](int host) { return host != 0; });
+      most = std::max(most, static_cast<int>(Readers(fleet, now)));
+    }
+    // The first one, which believes so, and the next one.
+    CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{2}, Readers(fleet, now));
+    CPPUNIT_ASSERT(!fleet[2].ShouldRead(false, now));
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, Untold(fleet, now).size());
+    CPPUNIT_ASSERT(most <= 5);
+  }
+
+  void FewAskAServiceThatDoesNotAnswer() {
+    std::vector<HostTable> fleet = Fleet(181);
+    absl::Time now = Gossip(fleet, 40);
+    // Nobody gets answers any more.
+    now = Gossip(fleet, 12, now, [](int) { return false; });
+    CPPUNIT_ASSERT(Readers(fleet, now) <= 6);
+    // The one that does later is found by all.
+    now = Gossip(fleet, 12, now, [](int host) { return host == 1; });
+    CPPUNIT_ASSERT(fleet[1].ShouldRead(false, now));
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, Untold(fleet, now).size());
+  }
+
+  void AllAskWhereNothingWasHeardForLong() {
+    HostTable table = Table("h009");
+    for (int i = 1; i <= 3; ++i) {
+      table.OnNews(News(Name(i), NewsRole::kTries), kStart);
+    }
+    CPPUNIT_ASSERT(!table.ShouldRead(false, kStart));
+    const absl::Time late = kStart + absl::Seconds(11);
+    for (int i = 1; i <= 3; ++i) {
+      table.OnNews(News(Name(i), NewsRole::kTries), late);
+    }
+    CPPUNIT_ASSERT(table.ShouldRead(false, late));
+  }
+
+  void ReadersTellTheFirstHostsOfOtherDomains() {
+    HostTable::Options options;
+    options.domains = {"y", "z"};
+    HostTable table({"a", "z"}, {}, options, kStart);
+    for (const char* const host : {"p", "q", "r"}) {
+      table.OnNews({{host, "y"}, 1, kFollows, {}}, kStart);
+    }
+    CPPUNIT_ASSERT(table.Audience(kReads, kStart) ==
+                   (std::vector<HostId>{"p", "q"}));
+    CPPUNIT_ASSERT(table.Audience(NewsRole::kTries, kStart).empty());
+  }
+
+  void DomainWithoutAnswersForwardsWhatForeignReadersTell() {
+    HostTable table = Table("a");
+    CPPUNIT_ASSERT(table.Role(false, kStart) == NewsRole::kTries);
+    table.OnNews({{"p", "y"}, 1, kReads, {}}, kStart);
+    CPPUNIT_ASSERT(table.Role(false, kStart) == NewsRole::kForwards);
+    CPPUNIT_ASSERT(!table.DomainReads(kStart));
+    // Another host of its domain may be answered.
+    table.OnNews(News("b", NewsRole::kForwards), kStart);
+    CPPUNIT_ASSERT(table.ShouldRead(false, kStart));
   }
 
  private:
@@ -180,22 +260,26 @@
     return fleet;
   }
 
+  // Plays rounds of gossip in which some hosts get answers from the
+  // configuration service.
   // @return when the last round was.
-  static absl::Time Gossip(std::vector<HostTable>& fleet, int rounds) {
+  static absl::Time Gossip(
+      std::vector<HostTable>& fleet, int rounds, absl::Time now = kStart,
+      const std::function<bool(int)>& is_answered = [](int) { return true; }) {
     std::mt19937_64 random(7);
-    absl::Time now = kStart;
     for (int round = 0; round < rounds; ++round) {
       now += absl::Milliseconds(500);
       for (size_t i = 0; i < fleet.size(); ++i) {
-        const bool reads = fleet[i].ShouldRead(now);
+        const auto number = static_cast<int>(i);
+        const bool reads =
+            fleet[i].ShouldRead(false, now) && is_answered(number);
+        const NewsRole role = fleet[i].Role(reads, now);
         const HostNews news =
-            News(Name(static_cast<int>(i)), reads, fleet[i].Ages(now, random),
+            News(Name(number), role, fleet[i].Ages(now, random),
                  static_cast<int>(fleet[i].KnownHosts().size()));
         std::vector<HostId> targets = fleet[i].GossipTargets(now, random);
-        if (reads) {
-          for (HostId& peer : fleet[i].GroupPeers(now)) {
-            targets.push_back(std::move(peer));
-          }
+        for (HostId& peer : fleet[i].Audience(role, now)) {
+          targets.push_back(std::move(peer));
         }
         for (const HostId& to : targets) {
           fleet[std::stoul(to.substr(1))].OnNews(news, now);
@@ -204,6 +288,32 @@
     }
     return now;
   }
+
+  static std::ptrdiff_t Readers(const std::vector<HostTable>& fleet,
+                                absl::Time now) {
+    return std::count_if(
+        fleet.begin(), fleet.end(),
+        [&](const HostTable& table) { return table.ShouldRead(false, now); });
+  }
+
+  // @return hosts that neither read nor are in the audience of one that is
+  // told.
+  static std::set<HostId> Untold(const std::vector<HostTable>& fleet,
+                                 absl::Time now) {
+    std::set<HostId> untold;
+    for (size_t i = 0; i < fleet.size(); ++i) {
+      if (!fleet[i].ShouldRead(false, now)) {
+        untold.insert(Name(static_cast<int>(i)));
+      }
+    }
+    for (const HostTable& table : fleet) {
+      const bool reads = table.ShouldRead(false, now);
+      const NewsRole role = table.Role(reads, now);
+      if (role != NewsRole::kReads && role != NewsRole::kRelays) continue;
+      for (const HostId& host : table.Audience(role, now)) untold.erase(host);
+    }
+    return untold;
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HostTableTest);
--- a/libs/tier/include/tier/fleet_link.h
+++ b/libs/tier/include/tier/fleet_link.h
@@ -50,8 +50,8 @@
   /// Tells others at once, as after a crash was seen.
   void Gossip();
 
-  /// Tells the hosts for which this one reads at once, as after news were read.
-  void TellGroup();
+  /// Tells those whom this host passes on news to, as after it read some.
+  void PassOn();
 
  private:
   void NextRound();
--- a/libs/tier/src/fleet_link.cc
+++ b/libs/tier/src/fleet_link.cc
@@ -12,7 +12,7 @@
 namespace cherrydyke {
 namespace {
 
-/// Pause between the signs of life of a reader to its group.
+/// Pause between the signs of life of a reader or relay to its audience.
 constexpr absl::Duration kGossipPeriod = absl::Milliseconds(500);
 /// Crash counts in one message, so that it fits a datagram.
 constexpr size_t kMaxCrashCounts = 12;
@@ -84,25 +84,26 @@
   if (hosts_.ShouldNameHosts(round_++, now)) {
     Send(hosts_.GossipTargets(now, random_), hosts_.Ages(now, random_));
   }
-  TellGroup();
+  PassOn();
 }
 
-void FleetLink::TellGroup() {
+void FleetLink::PassOn() {
   const absl::Time now = loop_.Now();
-  if (hooks_.reads()) Send(hosts_.GroupPeers(now), {});
+  Send(hosts_.Audience(hosts_.Role(hooks_.reads(), now), now), {});
 }
 
 void FleetLink::Gossip() {
   const absl::Time now = loop_.Now();
   Send(hosts_.GossipTargets(now, random_), {});
-  TellGroup();
+  PassOn();
 }
 
 void FleetLink::Send(const std::vector<HostId>& targets,
                      std::vector<HostAge> ages) {
+  if (targets.empty()) return;
   FleetMessage message;
-  message.news = {options_.self, hosts_.known_hosts(), hooks_.reads(),
-                  std::move(ages)};
+  message.news = {options_.self, hosts_.known_hosts(),
+                  hosts_.Role(hooks_.reads(), loop_.Now()), std::move(ages)};
   message.config_revision = config_.newest();
   message.targets_revision = targets_.newest();
   message.crashes = crashes_.Counts(kMaxCrashCounts);
@@ -133,12 +134,12 @@
   }
   if (!IsBehind(message)) return;
   behind_since_ = std::min(behind_since_, now);
-  // Who reads itself will know soon; who does not takes the news at once, from
-  // its own failure domain if it can, and from anywhere if it knows nothing.
+  // Who reads itself will know soon, and so will one whose failure domain has a
+  // reader; others take the news at once, from anywhere.
   const bool is_blank = config_.newest() == 0 || targets_.newest() == 0;
+  const bool is_foreign = sender.failure_domain != options_.self.failure_domain;
   const bool waits =
-      !is_blank &&
-      (hooks_.reads() || sender.failure_domain != options_.self.failure_domain);
+      !is_blank && (hooks_.reads() || (is_foreign && hosts_.DomainReads(now)));
   if (!waits || now - behind_since_ >= kLagTolerance) FetchFrom(sender.host);
 }
 
@@ -181,6 +182,8 @@
                                    {"config_revision", config_.newest()},
                                    {"targets_revision", targets_.newest()}});
         hooks_.changed(config, targets);
+        // Those who are told by this host take it from here.
+        PassOn();
       });
 }
 
--- a/libs/tier/src/fleet_message.cc
+++ b/libs/tier/src/fleet_message.cc
@@ -29,7 +29,7 @@
   HostId host;
   FailureDomainName failure_domain;
   uint16_t known_hosts = 0;
-  bool reads = false;
+  uint8_t role = 0;
   Revision config_revision = 0;
   Revision targets_revision = 0;
   std::vector<FailureDomainName> domains;
@@ -38,7 +38,7 @@
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(host, failure_domain, known_hosts, reads, config_revision,
+    archive(host, failure_domain, known_hosts, role, config_revision,
             targets_revision, domains, ages, crashes);
   }
 };
@@ -70,7 +70,7 @@
   packed.host = message.news.from.host;
   packed.failure_domain = message.news.from.failure_domain;
   packed.known_hosts = static_cast<uint16_t>(message.news.known_hosts);
-  packed.reads = message.news.reads;
+  packed.role = static_cast<uint8_t>(message.news.role);
   packed.config_revision = message.config_revision;
   packed.targets_revision = message.targets_revision;
   packed.crashes = message.crashes;
@@ -88,7 +88,10 @@
   message.news.from.host = std::move(packed.host);
   message.news.from.failure_domain = std::move(packed.failure_domain);
   message.news.known_hosts = packed.known_hosts;
-  message.news.reads = packed.reads;
+  if (packed.role > static_cast<uint8_t>(NewsRole::kReads)) {
+    return Error{ErrorCode::kInvalidInput, "unknown role"};
+  }
+  message.news.role = static_cast<NewsRole>(packed.role);
   message.config_revision = packed.config_revision;
   message.targets_revision = packed.targets_revision;
   message.crashes = std::move(packed.crashes);
--- a/libs/tier/src/query_plane.cc
+++ b/libs/tier/src/query_plane.cc
@@ -27,6 +27,8 @@
   switch (reply.end) {
     case AttemptEnd::kSuccess:
       return TargetSign::kAnswered;
+    case AttemptEnd::kNotSent:
+      return TargetSign::kUnreachable;
     case AttemptEnd::kNotRun:
     case AttemptEnd::kWrongTarget:
       return TargetSign::kRejected;
@@ -217,7 +219,7 @@
   }
   TargetReply reply;
   reply.end = result.status == engine::ExchangeStatus::kNotSent
-                  ? AttemptEnd::kNotRun
+                  ? AttemptEnd::kNotSent
                   : AttemptEnd::kUnknown;
   return reply;
 }
--- a/libs/tier/src/tier_node.cc
+++ b/libs/tier/src/tier_node.cc
@@ -21,9 +21,15 @@
 constexpr absl::Duration kLoadLogPeriod = absl::Seconds(10);
 constexpr absl::Duration kStopStep = absl::Milliseconds(100);
 
-engine::ClientOptions TargetOptions(const CallerFace& face) {
+/// After a loss of all hosts targets are full of their connections, and turn
+/// new ones away, until they time them out.
+constexpr absl::Duration kProveTime = absl::Seconds(10);
+
+engine::ClientOptions TargetOptions(const CallerFace& face,
+                                    absl::Time started) {
   engine::ClientOptions options;
   options.id_header = face.id_header();
+  options.prove_until = started + kProveTime;
   return options;
 }
 
@@ -46,7 +52,8 @@
              settings_.seeds, HostOptions(settings_.locality), loop.Now()),
       crashes_(settings_.locality.host),
       targets_(loop, settings_.locality, settings_.bounds,
-               TargetOptions(faces.callers), hosts_, settings_.policy, *this),
+               TargetOptions(faces.callers, loop.Now()), hosts_,
+               settings_.policy, *this),
       queries_({loop, faces.callers, targets_, crashes_, metrics_,
                 settings_.policy}),
       fleet_(loop,
@@ -119,8 +126,9 @@
 
 void TierNode::OnPublished(bool config, bool targets) {
   Apply(config, targets);
+  ChooseReader();
   // Those for whom this host reads take it from here.
-  fleet_.TellGroup();
+  fleet_.PassOn();
 }
 
 void TierNode::Apply(bool config, bool targets) {
@@ -183,7 +191,12 @@
 }
 
 void TierNode::ChooseReader() {
-  faces_.source.SetReading(hosts_.ShouldRead(loop_.Now()));
+  const bool is_blank =
+      config_items_.newest() == 0 || target_items_.newest() == 0;
+  const bool was_reading = faces_.source.IsReading();
+  faces_.source.SetReading(hosts_.ShouldRead(is_blank, loop_.Now()));
+  // Those who would take over as well hear at once that this host does.
+  if (faces_.source.IsReading() && !was_reading) fleet_.PassOn();
 }
 
 void TierNode::OnSourceRegained() { regained_at_ = loop_.Now(); }
--- a/libs/tier/tests/fleet_model.cc
+++ b/libs/tier/tests/fleet_model.cc
@@ -101,6 +101,7 @@
   host.budget = std::make_unique<ExtraBudget>(Bounds(), now_);
   host.cold.clear();
   host.items = {};
+  host.is_answered = false;
 }
 
 bool FleetModel::IsCut(size_t from, size_t to) const {
@@ -158,15 +159,22 @@
   if (host.table->ShouldNameHosts(host.round++, now_)) {
     Tell(host, host.table->GossipTargets(now_, random_), true);
   }
-  if (host.table->ShouldRead(now_)) {
-    Tell(host, host.table->GroupPeers(now_), false);
-  }
+  PassOn(host);
+}
+
+NewsRole FleetModel::RoleOf(const Host& host) const {
+  const bool reads = host.is_answered && host.table->ShouldRead(false, now_);
+  return host.table->Role(reads, now_);
+}
+
+void FleetModel::PassOn(Host& host) {
+  Tell(host, host.table->Audience(RoleOf(host), now_), false);
 }
 
 void FleetModel::Tell(Host& host, const std::vector<HostId>& to,
                       bool names_hosts) {
   HostNews news{
-      host.self, host.table->known_hosts(), host.table->ShouldRead(now_),
+      host.self, host.table->known_hosts(), RoleOf(host),
       names_hosts ? host.table->Ages(now_, random_) : std::vector<HostAge>()};
   for (const HostId& id : to) {
     Message message;
@@ -222,8 +230,10 @@
 
 void FleetModel::Read(Host& host) {
   host.next_read = now_ + kReadPeriod;
-  if (!host.table->ShouldRead(now_)) return;
-  if (IsCut(host.domain, kStore)) return;
+  if (!host.table->ShouldRead(host.items.newest() == 0, now_)) return;
+  host.is_answered = !IsCut(host.domain, kStore) && !IsCut(kStore, host.domain);
+  ++store_calls_;
+  if (!host.is_answered) return;
   ++steps_;
   Message reply;
   reply.to = host.self.host;
@@ -242,7 +252,7 @@
 void FleetModel::Merge(Host& host, const std::vector<PublishedItem>& items) {
   const std::map<std::string, PublishedItem> before = host.items.items();
   const Revision newest = host.items.newest();
-  host.items.Merge(items);
+  if (host.items.Merge(items)) PassOn(host);
   if (host.items.newest() < newest) Break("the newest revision went back");
   for (const auto& [key, item] : before) {
     if (host.items.items().at(key).revision < item.revision) {
--- a/libs/tier/tests/fleet_model.h
+++ b/libs/tier/tests/fleet_model.h
@@ -44,6 +44,7 @@
   int64_t cold_sends() const { return cold_sends_; }
   int64_t extra_sends() const { return extra_sends_; }
   int64_t lifetimes() const { return lifetimes_; }
+  int64_t store_calls() const { return store_calls_; }
 
  private:
   struct Host {
@@ -63,6 +64,8 @@
     std::unique_ptr<ExtraBudget> budget;
     std::map<TargetId, ColdAllowance> cold;
     PublishedItems items;
+    /// Whether the store answered its last call.
+    bool is_answered = false;
   };
 
   struct Message {
@@ -96,6 +99,8 @@
   int64_t RequestsBefore(absl::Time end) const;
   void SendCold(Host& host);
   void Read(Host& host);
+  NewsRole RoleOf(const Host& host) const;
+  void PassOn(Host& host);
   void Tell(Host& host, const std::vector<HostId>& to, bool names_hosts);
   void Deliver(Message message);
   void Merge(Host& host, const std::vector<PublishedItem>& items);
@@ -129,6 +134,7 @@
   int64_t cold_sends_ = 0;
   int64_t extra_sends_ = 0;
   int64_t lifetimes_ = 0;
+  int64_t store_calls_ = 0;
   int64_t messages_sent_ = 0;
   int next_address_ = 1;
 };
--- /dev/null
+++ b/libs/tier/tests/read_pace_test.cc
@@ -0,0 +1,60 @@
+#include "tier/read_pace.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace cherrydyke {
+namespace {
+
+const absl::Time kStart = absl::UnixEpoch() + absl::Hours(1);
+/// Targets that are replaced one after the other must be found before the next
+/// ones leave.
+constexpr absl::Duration kMostPause = absl::Milliseconds(250);
+
+}  // namespace
+
+class ReadPaceTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ReadPaceTest);
+  CPPUNIT_TEST(StormOfChangesIsReadInFewCalls);
+  CPPUNIT_TEST(SingleChangesAreReadAtOnce);
+  CPPUNIT_TEST(ServiceThatIsAwayIsAskedLessOftenButSoonAfterItsReturn);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void StormOfChangesIsReadInFewCalls() {
+    // Changes without end, each found by the next call.
+    ReadPace pace;
+    int calls = 0;
+    for (absl::Time now = kStart; now < kStart + absl::Seconds(20);) {
+      const absl::Duration pause = pace.AfterChanges(now);
+      CPPUNIT_ASSERT(pause <= kMostPause);
+      now += pause;
+      ++calls;
+    }
+    // Six readers, fewer than a third of the 75 calls a second that 20 made
+    // with a pause of 150 ms each, and more.
+    CPPUNIT_ASSERT(calls <= 90);
+  }
+
+  void SingleChangesAreReadAtOnce() {
+    ReadPace pace;
+    const absl::Duration soon = absl::Milliseconds(150);
+    CPPUNIT_ASSERT(pace.AfterChanges(kStart) <= soon);
+    CPPUNIT_ASSERT(pace.AfterChanges(kStart + absl::Seconds(3)) <= soon);
+  }
+
+  void ServiceThatIsAwayIsAskedLessOftenButSoonAfterItsReturn() {
+    ReadPace pace;
+    CPPUNIT_ASSERT(pace.AfterFailure(0.5) <= absl::Milliseconds(150));
+    for (int i = 0; i < 100; ++i) {
+      CPPUNIT_ASSERT(pace.AfterFailure(0.999) <= absl::Milliseconds(1500));
+    }
+    CPPUNIT_ASSERT(pace.AfterFailure(0) >= absl::Milliseconds(400));
+    CPPUNIT_ASSERT_EQUAL(102, pace.failures());
+    pace.OnAnswered();
+    CPPUNIT_ASSERT(pace.AfterFailure(0.5) <= absl::Milliseconds(150));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ReadPaceTest);
+
+}  // namespace cherrydyke
--- a/tests/support/raw_peers.cc
+++ b/tests/support/raw_peers.cc
@@ -113,6 +113,11 @@
           ++state->accepted;
           auto connection = std::make_shared<Connection>(std::move(socket));
           state->connections.push_back(connection);
+          if (state->turned_away > 0) {
+            --state->turned_away;
+            connection->Reset();
+            return Accept(state);
+          }
           connection->Read([state](Connection& from) {
             const std::string fresh = from.received().substr(from.handled);
             if (fresh.find("\r\n\r\n") == std::string::npos) return;
@@ -127,6 +132,7 @@
   tcp::acceptor acceptor;
   Endpoint endpoint;
   int accepted = 0;
+  int turned_away = 0;
   std::vector<std::shared_ptr<Connection>> connections;
 };
 
@@ -141,6 +147,8 @@
 
 int RawServer::accepted() const { return state_->accepted; }
 
+void RawServer::TurnAway(int connections) { state_->turned_away = connections; }
+
 void RawServer::Stop() {
   error_code ignored;
   state_->acceptor.close(ignored);
--- a/tests/support/raw_peers.h
+++ b/tests/support/raw_peers.h
@@ -52,6 +52,8 @@
   /// @return `IP:PORT` where it listens.
   const Endpoint& endpoint() const;
   int accepted() const;
+  /// Resets the next connections as soon as they are accepted.
+  void TurnAway(int connections);
   /// Stops to listen and resets every connection.
   void Stop();
 
