Group the hosts of a failure domain by a hash, and know them well

Groups are now by a hash, hosts of the own failure domain count for 60 s, and messages name them first. ReadersOfALargeFleetStayTheSame failed before.

--- a/libs/membership/include/membership/host_table.h
+++ b/libs/membership/include/membership/host_table.h
@@ -78,16 +78,16 @@
 /// this lifetime, not by the live ones: a host that is cut off still acts.
 ///
 /// One host of a failure domain reads the configuration service for all of it,
-/// however many there are. The hosts form groups in the order of their
-/// addresses: the reader tells its own group and the first hosts of the others,
-/// and the first of each group relays to the rest. The next host takes over
-/// when the one before it says that it gets no answers, or says nothing, one
-/// after the other; where several ask in vain, the rest wait for their word.
-/// More than one may read for a while: that costs calls, not truth. Readers
-/// also tell the first hosts of other failure domains, so that a reader whose
-/// connection to the service is dead learns that it lags, and a failure domain
-/// that gets no answers at all is told. Pure: time and randomness are
-/// arguments.
+/// however many there are. The hosts form groups by a hash, so that hosts which
+/// know the others in part agree on most of them: the reader tells its own
+/// group and the first hosts of the others, and the first of each group relays
+/// to the rest. The next host takes over when the one before it says that it
+/// gets no answers, or says nothing, one after the other; where several ask in
+/// vain, the rest wait for their word. More than one may read for a while: that
+/// costs calls, not truth. Readers also tell the first hosts of other failure
+/// domains, so that a reader whose connection to the service is dead learns
+/// that it lags, and a failure domain that gets no answers at all is told.
+/// Pure: time and randomness are arguments.
 class HostTable {
  public:
   struct Options {
@@ -109,8 +109,16 @@
     absl::Duration silence_limit = absl::Seconds(20);
     /// Hosts that each round of gossip reaches.
     size_t fanout = 2;
-    /// Hosts named in one message, so that it fits a datagram.
+    /// Hosts named in one message beside those of the own failure domain, so
+    /// that it fits a datagram.
     size_t named_hosts = 50;
+    /// Hosts of the own failure domain named in one message: who reads for whom
+    /// rests on their order.
+    size_t named_mates = 25;
+    /// A host of the own failure domain not heard by anybody for this long has
+    /// no place in that order. Where each message names a seventh of them, one
+    /// that lives is heard of within it.
+    absl::Duration mate_silence = absl::Seconds(60);
     /// Rounds of gossip between messages to hosts anywhere, which name other
     /// hosts: bytes between regions are dear, and who is there changes slowly.
     int rounds_per_naming = 4;
@@ -119,7 +127,7 @@
     /// A host that has learned of another does so too for this long, so that
     /// all divide their limits anew before the newcomer uses its part.
     absl::Duration rumour_time = absl::Seconds(2);
-    /// Hosts of one group.
+    /// Hosts of one group, about; at most twice as many.
     size_t group_size = 16;
     /// A reader or relay not heard for this long no longer counts as one: two
     /// rounds of gossip and what a datagram takes.
@@ -205,9 +213,26 @@
     absl::Time said = absl::InfinitePast();
   };
 
+  /// A host's place in the order in which those of a failure domain read.
+  struct Place {
+    /// Number of its group.
+    uint64_t group = 0;
+    HostId host;
+
+    friend bool operator==(const Place& a, const Place& b) {
+      return a.group == b.group && a.host == b.host;
+    }
+    friend bool operator<(const Place& a, const Place& b) {
+      return std::tie(a.group, a.host) < std::tie(b.group, b.host);
+    }
+  };
   /// @return the live hosts of a failure domain, this one included, in order.
-  std::vector<HostId> LiveHosts(const FailureDomainName& domain,
-                                absl::Time now) const;
+  std::vector<Place> LiveHosts(const FailureDomainName& domain,
+                               absl::Time now) const;
+  /// @return the first hosts of each group.
+  std::vector<Place> Envoys(const std::vector<Place>& places) const;
+  /// @return this host's own place.
+  Place OwnPlace(const std::vector<Place>& places) const;
   /// A live host of the own failure domain, as seen from this one.
   struct Mate {
     const Peer* peer = nullptr;
--- a/libs/membership/src/host_table.cc
+++ b/libs/membership/src/host_table.cc
@@ -53,29 +53,50 @@
   return live;
 }
 
-std::vector<HostId> HostTable::LiveHosts(const FailureDomainName& domain,
-                                         absl::Time now) const {
-  std::vector<HostId> hosts;
-  if (domain == self_.failure_domain) hosts.push_back(self_.host);
+std::vector<HostTable::Place> HostTable::LiveHosts(
+    const FailureDomainName& domain, absl::Time now) const {
+  std::vector<Place> places;
+  if (domain == self_.failure_domain) places.push_back({0, self_.host});
   for (const auto& [host, peer] : peers_) {
     if (peer.failure_domain == domain &&
-        now - peer.heard <= options_.silence_limit) {
-      hosts.push_back(host);
+        now - peer.heard <= options_.mate_silence) {
+      places.push_back({0, host});
     }
   }
-  std::sort(hosts.begin(), hosts.end());
-  return hosts;
+  // A power of two changes with the number of hosts as seldom as can be.
+  uint64_t groups = 1;
+  while (groups * options_.group_size < places.size()) groups *= 2;
+  for (Place& place : places) place.group = StableHash(place.host) % groups;
+  std::sort(places.begin(), places.end());
+  return places;
+}
+
+std::vector<HostTable::Place> HostTable::Envoys(
+    const std::vector<Place>& places) const {
+  std::vector<Place> envoys;
+  size_t of_group = 0;
+  for (const Place& place : places) {
+    const bool is_first = envoys.empty() || envoys.back().group != place.group;
+    of_group = is_first ? 1 : of_group + 1;
+    if (of_group <= options_.envoys) envoys.push_back(place);
+  }
+  return envoys;
+}
+
+HostTable::Place HostTable::OwnPlace(const std::vector<Place>& places) const {
+  return *std::find_if(places.begin(), places.end(), [&](const Place& place) {
+    return place.host == self_.host;
+  });
 }
 
 std::vector<HostTable::Mate> HostTable::Mates(absl::Time now) const {
-  const std::vector<HostId> hosts = LiveHosts(self_.failure_domain, now);
-  const auto self = std::find(hosts.begin(), hosts.end(), self_.host);
-  const auto own = static_cast<size_t>(self - hosts.begin());
+  const std::vector<Place> places = LiveHosts(self_.failure_domain, now);
+  const Place own = OwnPlace(places);
   std::vector<Mate> mates;
-  for (size_t place = 0; place < hosts.size(); ++place) {
+  for (const Place& place : places) {
     if (place == own) continue;
-    mates.push_back({&peers_.at(hosts[place]), place < own,
-                     place / options_.group_size == own / options_.group_size});
+    mates.push_back(
+        {&peers_.at(place.host), place < own, place.group == own.group});
   }
   return mates;
 }
@@ -165,26 +186,24 @@
 std::vector<HostId> HostTable::Audience(NewsRole role, absl::Time now) const {
   std::vector<HostId> audience;
   if (role == NewsRole::kFollows) return audience;
-  const std::vector<HostId> hosts = LiveHosts(self_.failure_domain, now);
-  const auto self = std::find(hosts.begin(), hosts.end(), self_.host);
-  const size_t own =
-      static_cast<size_t>(self - hosts.begin()) / options_.group_size;
-  const bool tells_groups =
-      role != NewsRole::kRelays && role != NewsRole::kHolds;
-  for (size_t index = 0; index < hosts.size(); ++index) {
-    const bool is_envoy =
-        tells_groups && index % options_.group_size < options_.envoys;
-    const bool is_own = index / options_.group_size == own;
-    if (hosts[index] != self_.host && (is_own || is_envoy)) {
-      audience.push_back(hosts[index]);
+  const std::vector<Place> places = LiveHosts(self_.failure_domain, now);
+  const Place own = OwnPlace(places);
+  for (const Place& place : places) {
+    if (place.group == own.group && !(place == own)) {
+      audience.push_back(place.host);
     }
   }
+  if (role == NewsRole::kRelays || role == NewsRole::kHolds) return audience;
+  for (const Place& envoy : Envoys(places)) {
+    if (envoy.group != own.group) audience.push_back(envoy.host);
+  }
   if (role != NewsRole::kReads) return audience;
   for (const FailureDomainName& domain : options_.domains) {
     if (domain == self_.failure_domain) continue;
-    std::vector<HostId> envoys = LiveHosts(domain, now);
-    if (envoys.size() > options_.envoys) envoys.resize(options_.envoys);
-    audience.insert(audience.end(), envoys.begin(), envoys.end());
+    // The first of all are those who read there.
+    const std::vector<Place> others = LiveHosts(domain, now);
+    const size_t count = std::min(others.size(), options_.envoys);
+    for (size_t i = 0; i < count; ++i) audience.push_back(others[i].host);
   }
   return audience;
 }
@@ -199,6 +218,13 @@
                                              std::mt19937_64& random) const {
   std::vector<HostId> targets = LivePeers(now);
   std::shuffle(targets.begin(), targets.end(), random);
+  // One of them stands near: who reads for whom rests on hosts that know their
+  // own failure domain well.
+  const auto mate =
+      std::find_if(targets.begin(), targets.end(), [&](const HostId& host) {
+        return peers_.at(host).failure_domain == self_.failure_domain;
+      });
+  if (mate != targets.end()) std::iter_swap(targets.begin(), mate);
   if (targets.size() > options_.fanout) targets.resize(options_.fanout);
   // A seed each round joins parts of the fleet that lost each other.
   if (!seeds_.empty()) {
@@ -212,14 +238,22 @@
 
 std::vector<HostAge> HostTable::Ages(absl::Time now,
                                      std::mt19937_64& random) const {
-  std::vector<HostAge> ages;
+  std::vector<HostAge> mates;
+  std::vector<HostAge> others;
   for (const auto& [host, peer] : peers_) {
-    ages.push_back({host, peer.failure_domain,
+    const bool is_mate = peer.failure_domain == self_.failure_domain;
+    (is_mate ? mates : others)
+        .push_back({host, peer.failure_domain,
                     absl::ToInt64Milliseconds(now - peer.heard)});
   }
-  std::shuffle(ages.begin(), ages.end(), random);
-  if (ages.size() > options_.named_hosts) ages.resize(options_.named_hosts);
-  return ages;
+  std::shuffle(mates.begin(), mates.end(), random);
+  std::shuffle(others.begin(), others.end(), random);
+  const size_t most = options_.named_hosts + options_.named_mates;
+  const size_t room = most - std::min(most, others.size());
+  mates.resize(std::min(mates.size(), std::max(options_.named_mates, room)));
+  others.resize(std::min(others.size(), most - mates.size()));
+  mates.insert(mates.end(), others.begin(), others.end());
+  return mates;
 }
 
 int HostTable::SharingHosts(absl::Time now) const {
--- a/libs/tier/include/tier/fleet_link.h
+++ b/libs/tier/include/tier/fleet_link.h
@@ -55,6 +55,8 @@
 
  private:
   void NextRound();
+  /// @return those whom this host passes on news to.
+  std::vector<HostId> Audience() const;
   void Send(const std::vector<HostId>& targets, std::vector<HostAge> ages);
   void OnDatagram(const std::string& datagram);
   void ServeTransfer(engine::ServerExchange& exchange);
--- a/libs/tier/src/fleet_link.cc
+++ b/libs/tier/src/fleet_link.cc
@@ -81,17 +81,22 @@
     known_hosts_ = hosts_.known_hosts();
     hooks_.hosts_changed();
   }
-  if (hosts_.ShouldNameHosts(round_++, now)) {
+  const bool names_hosts = hosts_.ShouldNameHosts(round_++, now);
+  if (names_hosts) {
     Send(hosts_.GossipTargets(now, random_), hosts_.Ages(now, random_));
   }
-  PassOn();
+  const std::vector<HostId> audience = Audience();
+  Send(audience, names_hosts && !audience.empty() ? hosts_.Ages(now, random_)
+                                                  : std::vector<HostAge>());
 }
 
-void FleetLink::PassOn() {
+std::vector<HostId> FleetLink::Audience() const {
   const absl::Time now = loop_.Now();
-  Send(hosts_.Audience(hosts_.Role(hooks_.reads(), now), now), {});
+  return hosts_.Audience(hosts_.Role(hooks_.reads(), now), now);
 }
 
+void FleetLink::PassOn() { Send(Audience(), {}); }
+
 void FleetLink::Gossip() {
   const absl::Time now = loop_.Now();
   Send(hosts_.GossipTargets(now, random_), {});
