Tell hosts of a failure domain which targets fail; weigh a failure at a second

EvidenceBook collects answers and failures, each host tells 12 mates every 250 ms, TargetHealth counts what is told at 0.8. A connection that could not be made no longer counts as a failure: the request goes elsewhere free.

--- a/libs/dispatch/include/dispatch/policy.h
+++ b/libs/dispatch/include/dispatch/policy.h
@@ -43,9 +43,10 @@
   double helpful_part = 0.85;
 
   /// What it costs a request to meet a failure, when replicas are compared.
-  /// Second sends are few, so a failure may well lose the part: a replica that
-  /// fails half of its requests must cost more than one in another region.
-  absl::Duration failure_cost = absl::Milliseconds(250);
+  /// Second sends are few, so a failure may well lose the part, and of many
+  /// shards a lost part or two lose the answer: a replica that fails one
+  /// request in ten must cost more than one in another region.
+  absl::Duration failure_cost = absl::Milliseconds(1000);
   /// Targets of a service to which connections are kept open: the one in use
   /// and the one that a hedge would go to, for which a handshake would come too
   /// late.
--- /dev/null
+++ b/libs/dispatch/include/dispatch/target_evidence.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <tuple>
+#include <vector>
+
+#include "dispatch/target_health.h"
+
+namespace cherrydyke {
+
+/// What one host saw of a target since it last told others.
+struct TargetEvidence {
+  /// Hash of the target's id.
+  uint32_t target = 0;
+  uint8_t answers = 0;
+  /// Answers lost, failed or rejected.
+  uint8_t failures = 0;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(target, answers, failures);
+  }
+
+  friend bool operator==(const TargetEvidence& a, const TargetEvidence& b) {
+    return std::tie(a.target, a.answers, a.failures) ==
+           std::tie(b.target, b.answers, b.failures);
+  }
+};
+
+/// Collects what a host sees of targets, to be told to hosts of the same
+/// failure domain: they are as far from each target, and of many hosts each
+/// asks a target too seldom to learn alone that it is slow or fails.
+///
+/// Answers the load of targets that fail or turn slow in a large fleet. Pure.
+class EvidenceBook {
+ public:
+  void Note(uint32_t target, TargetSign sign);
+
+  /// @return the evidence since the last call, at most `limit` targets of it,
+  /// failures first.
+  std::vector<TargetEvidence> Take(size_t limit);
+
+ private:
+  struct Entry {
+    uint32_t answers = 0;
+    uint32_t failures = 0;
+  };
+  std::map<uint32_t, Entry> entries_;
+};
+
+}  // namespace cherrydyke
--- a/libs/dispatch/include/dispatch/target_health.h
+++ b/libs/dispatch/include/dispatch/target_health.h
@@ -47,6 +47,8 @@
   void OnSent() { ++outstanding_; }
   /// An exchange ended with a sign.
   void OnEnded(TargetSign sign, absl::Duration latency, absl::Time now);
+  /// Another host of the failure domain saw answers and failures.
+  void OnTold(int answers, int failures, absl::Time now);
   /// A send was not made after all.
   void OnAbandoned() { outstanding_ = outstanding_ > 0 ? outstanding_ - 1 : 0; }
   /// A request has run longer than `OverdueAfter`: a pause, or worse.
@@ -80,6 +82,7 @@
   absl::Duration Mean(absl::Time now) const;
   void Learn(absl::Duration latency, absl::Time now);
   void Suspect(absl::Time now);
+  void Count(double exchanges, double failures, absl::Time now);
 
   const absl::Duration prior_;
   const absl::Duration prior_deviation_;
--- a/libs/dispatch/src/target_health.cc
+++ b/libs/dispatch/src/target_health.cc
@@ -14,12 +14,18 @@
 /// Exchanges that the failure rate looks back on at most: with many requests a
 /// change shows within a fraction of a second.
 constexpr double kMostExchanges = 15;
+/// What another host saw counts by this much: a target may fail for one host
+/// and serve another.
+constexpr double kToldWeight = 0.8;
 /// Time in which what was learned loses half of its difference from the prior:
 /// a target that is avoided gets another chance after a few of them.
 constexpr absl::Duration kForgetHalf = absl::Seconds(5);
 /// Least time above the mean after which a request is overdue: less than it,
 /// scheduling on a small host looks like a slow target.
 constexpr absl::Duration kMinOverdue = absl::Milliseconds(15);
+/// Time in which failures of a target that nobody asks lose half of their
+/// weight, so that it gets another chance.
+constexpr absl::Duration kForgetUnaskedHalf = absl::Milliseconds(2500);
 /// First and longest time for which a silent target is avoided.
 constexpr absl::Duration kFirstBackoff = absl::Milliseconds(150);
 constexpr absl::Duration kLongestBackoff = absl::Seconds(3);
@@ -29,8 +35,8 @@
 /// How long a report of load describes the target.
 constexpr absl::Duration kLoadValidity = absl::Milliseconds(100);
 
-double Decay(absl::Duration age) {
-  return std::exp2(-absl::FDivDuration(age, kForgetHalf));
+double Decay(absl::Duration age, absl::Duration half = kForgetHalf) {
+  return std::exp2(-absl::FDivDuration(age, half));
 }
 
 }  // namespace
@@ -41,17 +47,12 @@
   if (sign == TargetSign::kUnsent) return;
   // Work that is given up would have taken at least so long.
   if (sign == TargetSign::kBrokenOff) return Learn(latency, now);
-  const bool failed = sign != TargetSign::kAnswered;
-  const double kept =
-      std::min(Decay(now - counted_at_),
-               kMostExchanges / std::max(exchanges_, kMostExchanges));
-  exchanges_ = exchanges_ * kept + 1;
-  failures_ = failures_ * kept + (failed ? 1 : 0);
-  counted_at_ = now;
   if (sign == TargetSign::kUnreachable) {
+    // The request is none the worse: it goes elsewhere at once.
     silent_since_ = std::min(silent_since_, now);
     return Suspect(now);
   }
+  Count(1, sign == TargetSign::kAnswered ? 0 : 1, now);
   if (sign == TargetSign::kLost) return;
   answered_at_ = now;
   silent_since_ = absl::InfiniteFuture();
@@ -60,6 +61,19 @@
   if (sign == TargetSign::kAnswered) Learn(latency, now);
 }
 
+void TargetHealth::Count(double exchanges, double failures, absl::Time now) {
+  const double kept =
+      std::min(Decay(now - counted_at_),
+               kMostExchanges / std::max(exchanges_, kMostExchanges));
+  exchanges_ = exchanges_ * kept + exchanges;
+  failures_ = failures_ * kept + failures;
+  counted_at_ = now;
+}
+
+void TargetHealth::OnTold(int answers, int failures, absl::Time now) {
+  Count(kToldWeight * (answers + failures), kToldWeight * failures, now);
+}
+
 void TargetHealth::Learn(absl::Duration latency, absl::Time now) {
   if (learned_at_ == absl::InfinitePast()) {
     mean_ = latency;
@@ -134,7 +148,7 @@
 }
 
 double TargetHealth::FailureRate(absl::Time now) const {
-  const double kept = Decay(now - counted_at_);
+  const double kept = Decay(now - counted_at_, kForgetUnaskedHalf);
   return failures_ * kept / (exchanges_ * kept + kCreditedSuccesses);
 }
 
--- a/libs/dispatch/tests/load_model.cc
+++ b/libs/dispatch/tests/load_model.cc
@@ -7,12 +7,16 @@
 #include "dispatch/extra_budget.h"
 #include "dispatch/replica_choice.h"
 #include "dispatch/return_schedule.h"
+#include "dispatch/target_evidence.h"
 
 namespace cherrydyke {
 namespace {
 
 const absl::Time kStart = absl::UnixEpoch() + absl::Hours(1);
 constexpr absl::Duration kMargin = absl::Milliseconds(12);
+/// As the link between hosts has it.
+constexpr absl::Duration kTellPeriod = absl::Milliseconds(250);
+constexpr size_t kTellFanout = 12;
 
 // Runs tasks in the order of simulated time.
 class Timeline {
@@ -53,6 +57,7 @@
         random_(random),
         dark_(scenario.dark_shards.count(shard) > 0),
         shed_(replica < scenario.shedding_replicas ? scenario.shed : 0),
+        lost_(replica < scenario.losing_replicas ? scenario.lost : 0),
         factor_(replica == 0 && shard % 2 == 0 ? scenario.slow_factor : 1),
         phase_(absl::Milliseconds(random() % 4500)) {}
 
@@ -77,7 +82,12 @@
     waiting_.pop_front();
     timeline_.At(EndOf(scenario_.work * factor_), [this, exchange] {
       --running_;
-      if (!exchange->over) exchange->reply(AttemptEnd::kSuccess);
+      std::uniform_real_distribution<double> chance(0, 1);
+      const bool loses = timeline_.now() > kStart + scenario_.length / 4 &&
+                         lost_ > 0 && chance(random_) < lost_;
+      if (!exchange->over) {
+        exchange->reply(loses ? AttemptEnd::kUnknown : AttemptEnd::kSuccess);
+      }
       StartNext();
     });
   }
@@ -95,6 +105,7 @@
   std::mt19937& random_;
   const bool dark_;
   const double shed_;
+  const double lost_;
   const double factor_;
   const absl::Duration phase_;
   std::deque<ExchangePtr> waiting_;
@@ -255,9 +266,27 @@
   TargetHealth& health(const TargetId& name) { return health_.at(name); }
   ReturnSchedule& returns() { return returns_; }
   ConcurrencyLimit& limit(const TargetId& name) { return limits_.at(name); }
+  void Learn(const TargetId& name, TargetSign sign, absl::Duration spent,
+             absl::Time now) {
+    health_.at(name).OnEnded(sign, spent, now);
+    book_.Note(HashOf(name), sign);
+  }
+  std::vector<TargetEvidence> TakeEvidence() { return book_.Take(kMostTold); }
+  void OnEvidence(const std::vector<TargetEvidence>& told, absl::Time now) {
+    for (const TargetEvidence& entry : told) {
+      for (auto& [name, health] : health_) {
+        if (HashOf(name) != entry.target) continue;
+        health.OnTold(entry.answers, entry.failures, now);
+      }
+    }
+  }
   PoolModel& pool(const TargetId& name) { return pools_.at(name); }
 
  private:
+  static constexpr size_t kMostTold = 100;
+  static uint32_t HashOf(const TargetId& name) {
+    return static_cast<uint32_t>(StableHash(name));
+  }
   void Count(bool extra) {
     ++(extra ? result_.extra_sends : result_.first_sends);
   }
@@ -269,6 +298,7 @@
   LoadResult& result_;
   ExtraBudget budget_;
   ReturnSchedule returns_{Policy().retry_after, Policy().retry_after_spread};
+  EvidenceBook book_;
   std::map<TargetId, TargetHealth> health_;
   std::map<TargetId, ConcurrencyLimit> limits_;
   std::map<TargetId, PoolModel> pools_;
@@ -327,8 +357,9 @@
   }
 
   void OnReply(const AttemptSend& send, AttemptEnd end) {
-    Learn(send.attempt, end == AttemptEnd::kSuccess ? TargetSign::kAnswered
-                                                    : TargetSign::kRejected);
+    Learn(send.attempt, end == AttemptEnd::kSuccess   ? TargetSign::kAnswered
+                        : end == AttemptEnd::kUnknown ? TargetSign::kLost
+                                                      : TargetSign::kRejected);
     if (!run.done()) {
       Perform(run.OnEnded(send.attempt, end, timeline.now()));
     }
@@ -338,10 +369,10 @@
     const absl::Time now = timeline.now();
     const TargetId& target = run.target(attempt);
     const absl::Duration spent = now - sent_at[attempt];
-    host.health(target).OnEnded(sign, spent, now);
+    host.Learn(target, sign, spent, now);
     if (sign == TargetSign::kAnswered) {
       host.limit(target).OnAnswered(spent, scenario.goal - kMargin, now);
-    } else if (sign != TargetSign::kRejected) {
+    } else if (sign != TargetSign::kRejected && sign != TargetSign::kLost) {
       host.limit(target).OnGivenUp(spent, scenario.goal - kMargin, now);
     }
   }
@@ -464,6 +495,24 @@
   LoadResult& result_;
 };
 
+// Each host tells some of those that stand where it does.
+void TellEachOther(std::deque<HostModel>& hosts, const LoadScenario& scenario,
+                   std::mt19937& random, const Timeline& timeline) {
+  const auto domains = static_cast<size_t>(scenario.replicas);
+  for (size_t i = 0; i < hosts.size(); ++i) {
+    const std::vector<TargetEvidence> told = hosts[i].TakeEvidence();
+    std::vector<size_t> mates;
+    for (size_t other = i % domains; other < hosts.size(); other += domains) {
+      if (other != i) mates.push_back(other);
+    }
+    std::shuffle(mates.begin(), mates.end(), random);
+    if (mates.size() > kTellFanout) mates.resize(kTellFanout);
+    for (const size_t mate : mates) {
+      hosts[mate].OnEvidence(told, timeline.now());
+    }
+  }
+}
+
 }  // namespace
 
 LoadResult PlayLoad(const LoadScenario& scenario, LoadPolicy policy,
@@ -485,6 +534,13 @@
   }
   CallerModel callers(timeline, scenario, policy, hosts, random, result);
   timeline.At(kStart, [&] { callers.Begin(); });
+  if (scenario.hosts_tell && policy == LoadPolicy::kTier) {
+    for (absl::Time at = kStart; at < kStart + scenario.length;
+         at += kTellPeriod) {
+      timeline.At(at,
+                  [&] { TellEachOther(hosts, scenario, random, timeline); });
+    }
+  }
   timeline.Run();
   return result;
 }
--- a/libs/dispatch/tests/load_model.h
+++ b/libs/dispatch/tests/load_model.h
@@ -42,6 +42,12 @@
   /// how many of them do.
   double shed = 0;
   int shedding_replicas = 2;
+  /// Part of the answers that the first replicas of each shard lose, and how
+  /// many of them do; from the first quarter of the time on.
+  double lost = 0;
+  int losing_replicas = 2;
+  /// Whether hosts tell each other what they see of targets.
+  bool hosts_tell = true;
   /// Whether hosts limit what they have at each target.
   bool concurrency_limit = true;
   /// A burst: this rate instead, for a while from the first quarter on.
--- a/libs/dispatch/tests/load_test.cc
+++ b/libs/dispatch/tests/load_test.cc
@@ -55,6 +55,7 @@
   CPPUNIT_TEST(LimitCostsNothingBelowWhatTargetsBear);
   CPPUNIT_TEST(RefusedCallersReturnWhenTheyCanBeServed);
   CPPUNIT_TEST(ShortBurstIsServedOverOneConnection);
+  CPPUNIT_TEST(LostAnswersAreAvoidedByAllHostsOfALargeFleet);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -160,6 +161,20 @@
     CPPUNIT_ASSERT(scheduled.refused < at_once.refused);
   }
 
+  void LostAnswersAreAvoidedByAllHostsOfALargeFleet() {
+    // The grown deployment: each host asks each target twice a second, and half
+    // of the targets lose two answers of five for some seconds.
+    LoadScenario scenario = LargeFleet();
+    scenario.lost = 0.4;
+    const LoadResult told =
+        Play(scenario, LoadPolicy::kTier, "lost answers, hosts tell");
+    scenario.hosts_tell = false;
+    const LoadResult alone =
+        Play(scenario, LoadPolicy::kTier, "lost answers, hosts learn alone");
+    CPPUNIT_ASSERT(told.failed < 0.5 * alone.failed);
+    CPPUNIT_ASSERT(told.CreditShare() > alone.CreditShare());
+  }
+
   void ShortBurstIsServedOverOneConnection() {
     // All hosts have just started and know few others: one connection to each
     // target, and callers who waited come at once.
@@ -178,6 +193,19 @@
   }
 
  private:
+  static LoadScenario LargeFleet() {
+    LoadScenario scenario;
+    scenario.hosts = 81;
+    scenario.shards = 36;
+    scenario.needed = 35;
+    scenario.slots = 4;
+    scenario.connections = 1;
+    scenario.rate = 180;
+    scenario.goal = absl::Milliseconds(200);
+    scenario.length = absl::Seconds(5);
+    return scenario;
+  }
+
   static double InGoal(const LoadResult& result) {
     return static_cast<double>(result.in_goal) / result.requests;
   }
--- /dev/null
+++ b/libs/dispatch/tests/target_evidence_test.cc
@@ -0,0 +1,86 @@
+#include "dispatch/target_evidence.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace cherrydyke {
+namespace {
+
+const absl::Time kNow = absl::UnixEpoch() + absl::Hours(1);
+constexpr absl::Duration kUsual = absl::Milliseconds(10);
+constexpr size_t kNoLimit = 1000;
+
+}  // namespace
+
+class TargetEvidenceTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(TargetEvidenceTest);
+  CPPUNIT_TEST(IsToldOnce);
+  CPPUNIT_TEST(FailuresComeFirstWhereNotAllFit);
+  CPPUNIT_TEST(CountsStayWithinTheirFields);
+  CPPUNIT_TEST(OwnConnectionsSayNothingOfTheTarget);
+  CPPUNIT_TEST(ToldFailuresCountLessThanOwnOnes);
+  CPPUNIT_TEST(ToldAnswersMakeAFailingTargetUsableAgain);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void IsToldOnce() {
+    EvidenceBook book;
+    book.Note(7, TargetSign::kAnswered);
+    book.Note(7, TargetSign::kAnswered);
+    book.Note(7, TargetSign::kLost);
+    CPPUNIT_ASSERT(book.Take(kNoLimit) ==
+                   (std::vector<TargetEvidence>{{7, 2, 1}}));
+    CPPUNIT_ASSERT(book.Take(kNoLimit).empty());
+  }
+
+  void FailuresComeFirstWhereNotAllFit() {
+    EvidenceBook book;
+    book.Note(1, TargetSign::kAnswered);
+    book.Note(2, TargetSign::kLost);
+    book.Note(3, TargetSign::kFailed);
+    book.Note(3, TargetSign::kFailed);
+    const std::vector<TargetEvidence> told = book.Take(2);
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, told.size());
+    CPPUNIT_ASSERT_EQUAL(uint32_t{3}, told[0].target);
+    CPPUNIT_ASSERT_EQUAL(uint32_t{2}, told[1].target);
+  }
+
+  void CountsStayWithinTheirFields() {
+    EvidenceBook book;
+    for (int i = 0; i < 1000; ++i) {
+      book.Note(1, TargetSign::kAnswered);
+      book.Note(1, TargetSign::kRejected);
+    }
+    CPPUNIT_ASSERT(book.Take(kNoLimit) ==
+                   (std::vector<TargetEvidence>{{1, 255, 255}}));
+  }
+
+  void OwnConnectionsSayNothingOfTheTarget() {
+    EvidenceBook book;
+    book.Note(1, TargetSign::kUnreachable);
+    book.Note(1, TargetSign::kUnsent);
+    CPPUNIT_ASSERT(book.Take(kNoLimit).empty());
+  }
+
+  void ToldFailuresCountLessThanOwnOnes() {
+    TargetHealth told(kUsual, kUsual);
+    TargetHealth own(kUsual, kUsual);
+    told.OnTold(0, 3, kNow);
+    for (int i = 0; i < 3; ++i) own.OnEnded(TargetSign::kLost, kUsual, kNow);
+    CPPUNIT_ASSERT(told.FailureRate(kNow) > 0.2);
+    CPPUNIT_ASSERT(told.FailureRate(kNow) < own.FailureRate(kNow));
+    // Nor is it taken for silent by hearsay.
+    CPPUNIT_ASSERT(!told.IsSuspect(kNow));
+  }
+
+  void ToldAnswersMakeAFailingTargetUsableAgain() {
+    TargetHealth health(kUsual, kUsual);
+    for (int i = 0; i < 10; ++i) health.OnTold(0, 2, kNow);
+    const double failing = health.FailureRate(kNow);
+    for (int i = 0; i < 10; ++i) health.OnTold(4, 0, kNow);
+    CPPUNIT_ASSERT(health.FailureRate(kNow) < 0.5 * failing);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TargetEvidenceTest);
+
+}  // namespace cherrydyke
--- a/libs/membership/include/membership/host_table.h
+++ b/libs/membership/include/membership/host_table.h
@@ -188,6 +188,11 @@
   /// @return the hosts that one of this role passes on what was published to.
   std::vector<HostId> Audience(NewsRole role, absl::Time now) const;
 
+  /// @return at most `limit` other live hosts of the own failure domain, chosen
+  /// at random.
+  std::vector<HostId> SampleMates(size_t limit, absl::Time now,
+                                  std::mt19937_64& random) const;
+
   /// @return what to tell others of hosts.
   std::vector<HostAge> Ages(absl::Time now, std::mt19937_64& random) const;
 
--- a/libs/membership/src/host_table.cc
+++ b/libs/membership/src/host_table.cc
@@ -236,6 +236,20 @@
   return targets;
 }
 
+std::vector<HostId> HostTable::SampleMates(size_t limit, absl::Time now,
+                                           std::mt19937_64& random) const {
+  std::vector<HostId> mates;
+  for (const auto& [host, peer] : peers_) {
+    if (peer.failure_domain == self_.failure_domain &&
+        now - peer.heard <= options_.silence_limit) {
+      mates.push_back(host);
+    }
+  }
+  std::shuffle(mates.begin(), mates.end(), random);
+  if (mates.size() > limit) mates.resize(limit);
+  return mates;
+}
+
 std::vector<HostAge> HostTable::Ages(absl::Time now,
                                      std::mt19937_64& random) const {
   std::vector<HostAge> mates;
--- a/libs/tier/include/tier/fleet_link.h
+++ b/libs/tier/include/tier/fleet_link.h
@@ -39,6 +39,10 @@
     std::function<absl::Duration()> regained_age;
     /// A peer tells the same of its news.
     std::function<void(absl::Duration age)> regained;
+    /// @return what this host saw of targets since it was last asked.
+    std::function<std::vector<TargetEvidence>(size_t limit)> take_evidence;
+    /// A peer of the own failure domain tells what it saw.
+    std::function<void(const std::vector<TargetEvidence>&)> evidence;
   };
 
   FleetLink(engine::EventLoop& loop, Options options, HostTable& hosts,
@@ -55,9 +59,12 @@
 
  private:
   void NextRound();
+  /// Tells some hosts of the failure domain what this one saw of targets.
+  void TellEvidence();
   /// @return those whom this host passes on news to.
   std::vector<HostId> Audience() const;
-  void Send(const std::vector<HostId>& targets, std::vector<HostAge> ages);
+  void Send(const std::vector<HostId>& targets, std::vector<HostAge> ages,
+            std::vector<TargetEvidence> evidence = {});
   void OnDatagram(const std::string& datagram);
   void ServeTransfer(engine::ServerExchange& exchange);
   void FetchFrom(const HostId& peer);
--- a/libs/tier/include/tier/fleet_message.h
+++ b/libs/tier/include/tier/fleet_message.h
@@ -7,6 +7,7 @@
 #include "base/ids.h"
 #include "base/result.h"
 #include "dispatch/crash_ledger.h"
+#include "dispatch/target_evidence.h"
 #include "membership/host_table.h"
 
 namespace cherrydyke {
@@ -17,10 +18,14 @@
   Revision config_revision = 0;
   Revision targets_revision = 0;
   std::vector<CrashCount> crashes;
+  /// What the sender saw of targets lately.
+  std::vector<TargetEvidence> evidence;
 
   friend bool operator==(const FleetMessage& a, const FleetMessage& b) {
-    return std::tie(a.news, a.config_revision, a.targets_revision, a.crashes) ==
-           std::tie(b.news, b.config_revision, b.targets_revision, b.crashes);
+    return std::tie(a.news, a.config_revision, a.targets_revision, a.crashes,
+                    a.evidence) == std::tie(b.news, b.config_revision,
+                                            b.targets_revision, b.crashes,
+                                            b.evidence);
   }
 };
 
--- a/libs/tier/include/tier/target_set.h
+++ b/libs/tier/include/tier/target_set.h
@@ -15,6 +15,7 @@
 #include "dispatch/extra_budget.h"
 #include "dispatch/placement.h"
 #include "dispatch/replica_choice.h"
+#include "dispatch/target_evidence.h"
 #include "dispatch/target_health.h"
 #include "dispatch/types.h"
 #include "engine/connection_pool.h"
@@ -96,6 +97,13 @@
   /// A connection broke while the request ran, which a crash may explain.
   void OnLostRequest(const TargetId& target, uint64_t fingerprint);
 
+  /// @return what was seen of targets since the last call.
+  std::vector<TargetEvidence> TakeEvidence(size_t limit) {
+    return evidence_.Take(limit);
+  }
+  /// Another host of the failure domain tells what it saw of targets.
+  void OnEvidence(const std::vector<TargetEvidence>& evidence);
+
   size_t size() const { return targets_.size(); }
   int open_connections() const;
   const SendCounts& counts() const { return counts_; }
@@ -130,7 +138,10 @@
   ExtraBudget budget_;
   TargetOrders orders_;
   SendCounts counts_;
+  EvidenceBook evidence_;
   absl::flat_hash_map<TargetId, TargetPtr> targets_;
+  /// The same by the hash under which hosts tell each other of them.
+  absl::flat_hash_map<uint32_t, Target*> by_hash_;
   /// When each service was asked for last.
   absl::flat_hash_map<ServiceName, absl::Time> used_at_;
   absl::flat_hash_map<ServiceName, std::vector<Target*>> by_service_;
--- a/libs/tier/src/fleet_link.cc
+++ b/libs/tier/src/fleet_link.cc
@@ -16,6 +16,11 @@
 constexpr absl::Duration kGossipPeriod = absl::Milliseconds(500);
 /// Crash counts in one message, so that it fits a datagram.
 constexpr size_t kMaxCrashCounts = 12;
+/// How often, to how many hosts and of how many targets is told what was seen
+/// of them: a few seconds of failures must be avoided by all within the first.
+constexpr absl::Duration kEvidencePeriod = absl::Milliseconds(250);
+constexpr size_t kEvidenceFanout = 12;
+constexpr size_t kMaxEvidence = 150;
 /// How long a host waits for the configuration service, or for the reader of
 /// its group, before it asks another peer that knows more.
 constexpr absl::Duration kLagTolerance = absl::Milliseconds(700);
@@ -67,6 +72,7 @@
   if (Status bound = transfers_.Listen(own); GetError(bound)) return bound;
   NextRound();
   timers_.Every(kGossipPeriod, [this] { NextRound(); });
+  timers_.Every(kEvidencePeriod, [this] { TellEvidence(); });
   return OkStatus();
 }
 
@@ -90,6 +96,13 @@
                                                   : std::vector<HostAge>());
 }
 
+void FleetLink::TellEvidence() {
+  std::vector<TargetEvidence> evidence = hooks_.take_evidence(kMaxEvidence);
+  if (evidence.empty()) return;
+  Send(hosts_.SampleMates(kEvidenceFanout, loop_.Now(), random_), {},
+       std::move(evidence));
+}
+
 std::vector<HostId> FleetLink::Audience() const {
   const absl::Time now = loop_.Now();
   return hosts_.Audience(hosts_.Role(hooks_.reads(), now), now);
@@ -104,7 +117,8 @@
 }
 
 void FleetLink::Send(const std::vector<HostId>& targets,
-                     std::vector<HostAge> ages) {
+                     std::vector<HostAge> ages,
+                     std::vector<TargetEvidence> evidence) {
   if (targets.empty()) return;
   FleetMessage message;
   message.news = {options_.self, hosts_.known_hosts(),
@@ -112,6 +126,7 @@
   message.config_revision = config_.newest();
   message.targets_revision = targets_.newest();
   message.crashes = crashes_.Counts(kMaxCrashCounts);
+  message.evidence = std::move(evidence);
   const std::string datagram = EncodeFleetMessage(message);
   for (const HostId& target : targets) {
     datagrams_.Send(EndpointOf(target), datagram);
@@ -137,6 +152,7 @@
                   {"told_by", sender.host}});
     }
   }
+  if (!message.evidence.empty()) hooks_.evidence(message.evidence);
   if (!IsBehind(message)) return;
   behind_since_ = std::min(behind_since_, now);
   // Who reads itself will know soon, and so will one whose failure domain has a
--- a/libs/tier/src/fleet_message.cc
+++ b/libs/tier/src/fleet_message.cc
@@ -35,11 +35,12 @@
   std::vector<FailureDomainName> domains;
   std::vector<PackedAge> ages;
   std::vector<CrashCount> crashes;
+  std::vector<TargetEvidence> evidence;
 
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(host, failure_domain, known_hosts, role, config_revision,
-            targets_revision, domains, ages, crashes);
+            targets_revision, domains, ages, crashes, evidence);
   }
 };
 
@@ -74,6 +75,7 @@
   packed.config_revision = message.config_revision;
   packed.targets_revision = message.targets_revision;
   packed.crashes = message.crashes;
+  packed.evidence = message.evidence;
   for (const HostAge& age : message.news.hosts) {
     if (const auto one = Pack(age, packed.domains)) packed.ages.push_back(*one);
   }
@@ -95,6 +97,7 @@
   message.config_revision = packed.config_revision;
   message.targets_revision = packed.targets_revision;
   message.crashes = std::move(packed.crashes);
+  message.evidence = std::move(packed.evidence);
   for (const PackedAge& age : packed.ages) {
     if (age.domain >= packed.domains.size()) {
       return Error{ErrorCode::kInvalidInput, "unknown failure domain"};
--- a/libs/tier/src/target.cc
+++ b/libs/tier/src/target.cc
@@ -18,6 +18,7 @@
                           Distance from_here, absl::Duration trip)
     : set(owner),
       info(std::move(target_info)),
+      hash(static_cast<uint32_t>(StableHash(info.id))),
       distance(from_here),
       round_trip(trip),
       health(trip, kPriorWork) {
--- a/libs/tier/src/target.h
+++ b/libs/tier/src/target.h
@@ -16,6 +16,8 @@
 
   TargetSet& set;
   TargetInfo info;
+  /// Under which hosts tell each other of it.
+  const uint32_t hash;
   const Distance distance;
   /// Time to the target and back, as far as its place tells.
   const absl::Duration round_trip;
--- a/libs/tier/src/target_set.cc
+++ b/libs/tier/src/target_set.cc
@@ -113,6 +113,7 @@
     }
     target = fresh.get();
     peers.push_back(target);
+    by_hash_[target->hash] = target;
     targets_[info.id] = std::move(fresh);
   }
   if (info.draining && !target->info.draining) {
@@ -147,6 +148,10 @@
 }
 
 void TargetSet::Retire(TargetPtr target) {
+  const auto hashed = by_hash_.find(target->hash);
+  if (hashed != by_hash_.end() && hashed->second == target.get()) {
+    by_hash_.erase(hashed);
+  }
   loop_.RunAfter(kRetireTime,
                  [kept = std::shared_ptr<Target>(std::move(target))] {});
 }
@@ -329,6 +334,7 @@
   if (target == nullptr) return;
   const absl::Time now = loop_.Now();
   target->health.OnEnded(sign, latency, now);
+  evidence_.Note(target->hash, sign);
   if (sign == TargetSign::kAnswered) {
     target->concurrency.OnAnswered(latency, useful, now);
   } else if (sign == TargetSign::kBrokenOff || sign == TargetSign::kUnsent) {
@@ -336,6 +342,15 @@
   }
 }
 
+void TargetSet::OnEvidence(const std::vector<TargetEvidence>& evidence) {
+  const absl::Time now = loop_.Now();
+  for (const TargetEvidence& told : evidence) {
+    const auto found = by_hash_.find(told.target);
+    if (found == by_hash_.end()) continue;
+    found->second->health.OnTold(told.answers, told.failures, now);
+  }
+}
+
 void TargetSet::OnWrongTarget(const TargetId& id) {
   Target* const target = Find(id);
   if (target == nullptr) return;
--- a/libs/tier/src/tier_node.cc
+++ b/libs/tier/src/tier_node.cc
@@ -98,6 +98,10 @@
        [this] { return loop_.Now() - regained_at_; },
        [this](absl::Duration age) {
          regained_at_ = std::max(regained_at_, loop_.Now() - age);
+       },
+       [this](size_t limit) { return targets_.TakeEvidence(limit); },
+       [this](const std::vector<TargetEvidence>& evidence) {
+         targets_.OnEvidence(evidence);
        }});
   if (GetError(linked)) return linked;
   faces_.source.Start(config_items_, target_items_, *this);
