--- a/libs/dispatch/include/dispatch/target_evidence.h
+++ b/libs/dispatch/include/dispatch/target_evidence.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <tuple>
 #include <vector>
@@ -37,9 +38,12 @@
  public:
   void Note(uint32_t target, TargetSign sign);
 
+  /// @param is_doubtful whether a target is known to fail at times: of others,
+  /// answers are not worth telling.
   /// @return the evidence since the last call, at most `limit` targets of it,
   /// failures first.
-  std::vector<TargetEvidence> Take(size_t limit);
+  std::vector<TargetEvidence> Take(
+      size_t limit, const std::function<bool(uint32_t target)>& is_doubtful);
 
  private:
   struct Entry {
--- a/libs/dispatch/include/dispatch/target_health.h
+++ b/libs/dispatch/include/dispatch/target_health.h
@@ -76,6 +76,9 @@
   /// while there were few.
   double FailureRate(absl::Time now) const;
 
+  /// @return whether it has failed so often of late that it matters.
+  bool IsDoubtful(absl::Time now) const;
+
   int outstanding() const { return outstanding_; }
 
  private:
--- a/libs/dispatch/src/target_evidence.cc
+++ b/libs/dispatch/src/target_evidence.cc
@@ -31,9 +31,11 @@
   }
 }
 
-std::vector<TargetEvidence> EvidenceBook::Take(size_t limit) {
+std::vector<TargetEvidence> EvidenceBook::Take(
+    size_t limit, const std::function<bool(uint32_t target)>& is_doubtful) {
   std::vector<TargetEvidence> evidence;
   for (const auto& [target, entry] : entries_) {
+    if (entry.failures == 0 && !is_doubtful(target)) continue;
     evidence.push_back({target, Capped(entry.answers), Capped(entry.failures)});
   }
   entries_.clear();
--- a/libs/dispatch/src/target_health.cc
+++ b/libs/dispatch/src/target_health.cc
@@ -17,6 +17,9 @@
 /// What another host saw counts by this much: a target may fail for one host
 /// and serve another.
 constexpr double kToldWeight = 0.8;
+/// A part of failures that costs a request about as much as a trip within a
+/// region.
+constexpr double kDoubtfulRate = 0.02;
 /// Time in which what was learned loses half of its difference from the prior:
 /// a target that is avoided gets another chance after a few of them.
 constexpr absl::Duration kForgetHalf = absl::Seconds(5);
@@ -147,6 +150,10 @@
   return tried_again && now - silent_since_ > kDarkTime && IsSuspect(now);
 }
 
+bool TargetHealth::IsDoubtful(absl::Time now) const {
+  return FailureRate(now) > kDoubtfulRate;
+}
+
 double TargetHealth::FailureRate(absl::Time now) const {
   const double kept = Decay(now - counted_at_, kForgetUnaskedHalf);
   return failures_ * kept / (exchanges_ * kept + kCreditedSuccesses);
--- a/libs/dispatch/tests/load_model.cc
+++ b/libs/dispatch/tests/load_model.cc
@@ -16,7 +16,7 @@
 constexpr absl::Duration kMargin = absl::Milliseconds(12);
 /// As the link between hosts has it.
 constexpr absl::Duration kTellPeriod = absl::Milliseconds(250);
-constexpr size_t kTellFanout = 12;
+constexpr size_t kTellFanout = 24;
 
 // Runs tasks in the order of simulated time.
 class Timeline {
@@ -271,7 +271,14 @@
     health_.at(name).OnEnded(sign, spent, now);
     book_.Note(HashOf(name), sign);
   }
-  std::vector<TargetEvidence> TakeEvidence() { return book_.Take(kMostTold); }
+  std::vector<TargetEvidence> TakeEvidence(absl::Time now) {
+    return book_.Take(kMostTold, [&](uint32_t target) {
+      for (const auto& [name, health] : health_) {
+        if (HashOf(name) == target) return health.IsDoubtful(now);
+      }
+      return false;
+    });
+  }
   void OnEvidence(const std::vector<TargetEvidence>& told, absl::Time now) {
     for (const TargetEvidence& entry : told) {
       for (auto& [name, health] : health_) {
@@ -500,7 +507,8 @@
                    std::mt19937& random, const Timeline& timeline) {
   const auto domains = static_cast<size_t>(scenario.replicas);
   for (size_t i = 0; i < hosts.size(); ++i) {
-    const std::vector<TargetEvidence> told = hosts[i].TakeEvidence();
+    const std::vector<TargetEvidence> told =
+        hosts[i].TakeEvidence(timeline.now());
     std::vector<size_t> mates;
     for (size_t other = i % domains; other < hosts.size(); other += domains) {
       if (other != i) mates.push_back(other);
--- a/libs/dispatch/tests/target_evidence_test.cc
+++ b/libs/dispatch/tests/target_evidence_test.cc
@@ -9,12 +9,17 @@
 constexpr absl::Duration kUsual = absl::Milliseconds(10);
 constexpr size_t kNoLimit = 1000;
 
+std::vector<TargetEvidence> Take(EvidenceBook& book, size_t limit = kNoLimit) {
+  return book.Take(limit, [](uint32_t) { return true; });
+}
+
 }  // namespace
 
 class TargetEvidenceTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(TargetEvidenceTest);
   CPPUNIT_TEST(IsToldOnce);
   CPPUNIT_TEST(FailuresComeFirstWhereNotAllFit);
+  CPPUNIT_TEST(AnswersOfTargetsThatNeverFailAreNotTold);
   CPPUNIT_TEST(CountsStayWithinTheirFields);
   CPPUNIT_TEST(OwnConnectionsSayNothingOfTheTarget);
   CPPUNIT_TEST(ToldFailuresCountLessThanOwnOnes);
@@ -27,9 +32,8 @@
     book.Note(7, TargetSign::kAnswered);
     book.Note(7, TargetSign::kAnswered);
     book.Note(7, TargetSign::kLost);
-    CPPUNIT_ASSERT(book.Take(kNoLimit) ==
-                   (std::vector<TargetEvidence>{{7, 2, 1}}));
-    CPPUNIT_ASSERT(book.Take(kNoLimit).empty());
+    CPPUNIT_ASSERT(Take(book) == (std::vector<TargetEvidence>{{7, 2, 1}}));
+    CPPUNIT_ASSERT(Take(book).empty());
   }
 
   void FailuresComeFirstWhereNotAllFit() {
@@ -38,27 +42,38 @@
     book.Note(2, TargetSign::kLost);
     book.Note(3, TargetSign::kFailed);
     book.Note(3, TargetSign::kFailed);
-    const std::vector<TargetEvidence> told = book.Take(2);
+    const std::vector<TargetEvidence> told = Take(book, 2);
     CPPUNIT_ASSERT_EQUAL(size_t{2}, told.size());
     CPPUNIT_ASSERT_EQUAL(uint32_t{3}, told[0].target);
     CPPUNIT_ASSERT_EQUAL(uint32_t{2}, told[1].target);
   }
 
+  void AnswersOfTargetsThatNeverFailAreNotTold() {
+    EvidenceBook book;
+    for (const uint32_t target : {1, 2, 3}) {
+      book.Note(target, TargetSign::kAnswered);
+    }
+    book.Note(3, TargetSign::kLost);
+    const auto told =
+        book.Take(kNoLimit, [](uint32_t target) { return target == 2; });
+    CPPUNIT_ASSERT(told == (std::vector<TargetEvidence>{{3, 1, 1}, {2, 1, 0}}));
+    CPPUNIT_ASSERT(Take(book).empty());
+  }
+
   void CountsStayWithinTheirFields() {
     EvidenceBook book;
     for (int i = 0; i < 1000; ++i) {
       book.Note(1, TargetSign::kAnswered);
       book.Note(1, TargetSign::kRejected);
     }
-    CPPUNIT_ASSERT(book.Take(kNoLimit) ==
-                   (std::vector<TargetEvidence>{{1, 255, 255}}));
+    CPPUNIT_ASSERT(Take(book) == (std::vector<TargetEvidence>{{1, 255, 255}}));
   }
 
   void OwnConnectionsSayNothingOfTheTarget() {
     EvidenceBook book;
     book.Note(1, TargetSign::kUnreachable);
     book.Note(1, TargetSign::kUnsent);
-    CPPUNIT_ASSERT(book.Take(kNoLimit).empty());
+    CPPUNIT_ASSERT(Take(book).empty());
   }
 
   void ToldFailuresCountLessThanOwnOnes() {
--- a/libs/membership/include/membership/fleet_shares.h
+++ b/libs/membership/include/membership/fleet_shares.h
@@ -47,7 +47,8 @@
               const FailureDomainName& domain);
 
   /// @return units of a limit at a target that the target itself enforces as
-  /// well: while others are not known, the parts may add up to more.
+  /// well: while others are not known, the parts may add up to more. Right
+  /// after a start that is better than to turn callers away.
   int ShareOf(double whole, const FleetRank& rank) const;
 
   /// @return the last place that this host may have: those that are not known
@@ -81,6 +82,7 @@
   int order_ = 1;
   std::vector<FailureDomainName> domains_;
   int sharing_ = 1;
+  int likely_ = 1;
 };
 
 }  // namespace cherrydyke
--- a/libs/tier/include/tier/fleet_link.h
+++ b/libs/tier/include/tier/fleet_link.h
@@ -86,6 +86,8 @@
   absl::Time behind_since_ = absl::InfiniteFuture();
   bool fetching_ = false;
   int round_ = 0;
+  /// Bytes that may be sent of evidence at present.
+  double evidence_bytes_ = 0;
   /// As of the last division of limits.
   int sharing_hosts_ = 0;
   int known_hosts_ = 1;
--- a/libs/tier/include/tier/target_set.h
+++ b/libs/tier/include/tier/target_set.h
@@ -98,9 +98,7 @@
   void OnLostRequest(const TargetId& target, uint64_t fingerprint);
 
   /// @return what was seen of targets since the last call.
-  std::vector<TargetEvidence> TakeEvidence(size_t limit) {
-    return evidence_.Take(limit);
-  }
+  std::vector<TargetEvidence> TakeEvidence(size_t limit);
   /// Another host of the failure domain tells what it saw of targets.
   void OnEvidence(const std::vector<TargetEvidence>& evidence);
 
--- a/libs/tier/src/fleet_link.cc
+++ b/libs/tier/src/fleet_link.cc
@@ -19,8 +19,17 @@
 /// How often, to how many hosts and of how many targets is told what was seen
 /// of them: a few seconds of failures must be avoided by all within the first.
 constexpr absl::Duration kEvidencePeriod = absl::Milliseconds(250);
-constexpr size_t kEvidenceFanout = 12;
+constexpr size_t kEvidenceFanout = 24;
 constexpr size_t kMaxEvidence = 150;
+/// Bytes that this may take a second, about half of what a host may spend on
+/// control, and at once. Where each host sends so much that they do not go far,
+/// it also sees enough of its own.
+constexpr double kEvidenceBytesPerS = 6000;
+constexpr double kEvidenceBurstBytes = 30'000;
+/// Size of a message without evidence, headers of the network included, and of
+/// the evidence of one target.
+constexpr size_t kMessageBytes = 150;
+constexpr size_t kEvidenceEntryBytes = 6;
 /// How long a host waits for the configuration service, or for the reader of
 /// its group, before it asks another peer that knows more.
 constexpr absl::Duration kLagTolerance = absl::Milliseconds(700);
@@ -98,9 +107,18 @@
 
 void FleetLink::TellEvidence() {
   std::vector<TargetEvidence> evidence = hooks_.take_evidence(kMaxEvidence);
+  evidence_bytes_ =
+      std::min(kEvidenceBurstBytes,
+               evidence_bytes_ +
+                   kEvidenceBytesPerS * absl::ToDoubleSeconds(kEvidencePeriod));
   if (evidence.empty()) return;
-  Send(hosts_.SampleMates(kEvidenceFanout, loop_.Now(), random_), {},
-       std::move(evidence));
+  const auto message_bytes = static_cast<double>(
+      kMessageBytes + evidence.size() * kEvidenceEntryBytes);
+  const auto affordable = static_cast<size_t>(evidence_bytes_ / message_bytes);
+  const std::vector<HostId> mates = hosts_.SampleMates(
+      std::min(kEvidenceFanout, affordable), loop_.Now(), random_);
+  evidence_bytes_ -= message_bytes * static_cast<double>(mates.size());
+  Send(mates, {}, std::move(evidence));
 }
 
 std::vector<HostId> FleetLink::Audience() const {
--- a/libs/tier/src/target_set.cc
+++ b/libs/tier/src/target_set.cc
@@ -342,6 +342,14 @@
   }
 }
 
+std::vector<TargetEvidence> TargetSet::TakeEvidence(size_t limit) {
+  const absl::Time now = loop_.Now();
+  return evidence_.Take(limit, [&](uint32_t target) {
+    const auto found = by_hash_.find(target);
+    return found != by_hash_.end() && found->second->health.IsDoubtful(now);
+  });
+}
+
 void TargetSet::OnEvidence(const std::vector<TargetEvidence>& evidence) {
   const absl::Time now = loop_.Now();
   for (const TargetEvidence& told : evidence) {
