Do once what the change did twice; mend comments left by a reverted trial

HostTable::Role built the list of mates twice, SampleMates walked the peers beside LivePeers, and Says needed no object. ConnectionPool counted connections being opened in a member that its list of connections tells anyway, with four places that had to keep it right; FailWaiting asked for open or opening ones, which are all there are. FleetShares::ShareOf and EvidenceBook still described what was tried and taken out.

--- a/libs/dispatch/include/dispatch/target_evidence.h
+++ b/libs/dispatch/include/dispatch/target_evidence.h
@@ -29,11 +29,10 @@
   }
 };
 
-/// Collects what a host sees of targets, to be told to hosts of the same
-/// failure domain: they are as far from each target, and of many hosts each
-/// asks a target too seldom to learn alone that it is slow or fails.
+/// Collects how often targets fail, to be told to hosts of the same failure
+/// domain: of many hosts each asks a target too seldom to learn it alone.
 ///
-/// Answers the load of targets that fail or turn slow in a large fleet. Pure.
+/// Answers the load of targets that lose answers in a large fleet. Pure.
 class EvidenceBook {
  public:
   void Note(uint32_t target, TargetSign sign);
--- a/libs/dispatch/tests/load_model.cc
+++ b/libs/dispatch/tests/load_model.cc
@@ -1,6 +1,7 @@
 #include "load_model.h"
 
 #include <algorithm>
+#include <unordered_map>
 #include <utility>
 
 #include "dispatch/concurrency_limit.h"
@@ -8,179 +9,16 @@
 #include "dispatch/replica_choice.h"
 #include "dispatch/return_schedule.h"
 #include "dispatch/target_evidence.h"
+#include "load_targets.h"
 
 namespace cherrydyke {
 namespace {
 
-const absl::Time kStart = absl::UnixEpoch() + absl::Hours(1);
 constexpr absl::Duration kMargin = absl::Milliseconds(12);
 /// As the link between hosts has it.
 constexpr absl::Duration kTellPeriod = absl::Milliseconds(250);
 constexpr size_t kTellFanout = 24;
 
-// Runs tasks in the order of simulated time.
-class Timeline {
- public:
-  absl::Time now() const { return now_; }
-  void At(absl::Time when, std::function<void()> task) {
-    tasks_.emplace(std::max(when, now_), std::move(task));
-  }
-  void Run() {
-    while (!tasks_.empty()) {
-      auto node = tasks_.extract(tasks_.begin());
-      now_ = node.key();
-      node.mapped()();
-    }
-  }
-
- private:
-  absl::Time now_ = kStart;
-  std::multimap<absl::Time, std::function<void()>> tasks_;
-};
-
-using Reply = std::function<void(AttemptEnd)>;
-
-// One send on its way: waiting for a connection, at its target, or over.
-struct Exchange {
-  Reply reply;
-  bool sent = false;
-  bool over = false;
-};
-using ExchangePtr = std::shared_ptr<Exchange>;
-
-class TargetModel {
- public:
-  TargetModel(Timeline& timeline, const LoadScenario& scenario, int shard,
-              int replica, std::mt19937& random)
-      : timeline_(timeline),
-        scenario_(scenario),
-        random_(random),
-        dark_(scenario.dark_shards.count(shard) > 0),
-        shed_(replica < scenario.shedding_replicas ? scenario.shed : 0),
-        lost_(replica < scenario.losing_replicas ? scenario.lost : 0),
-        factor_(replica == 0 && shard % 2 == 0 ? scenario.slow_factor : 1),
-        phase_(absl::Milliseconds(random() % 4500)) {}
-
-  void Arrive(ExchangePtr exchange) {
-    if (dark_) return;
-    std::uniform_real_distribution<double> chance(0, 1);
-    if (chance(random_) < shed_ ||
-        waiting_.size() >= static_cast<size_t>(scenario_.queue)) {
-      return exchange->reply(AttemptEnd::kNotRun);
-    }
-    waiting_.push_back(std::move(exchange));
-    StartNext();
-  }
-
- private:
-  void StartNext() {
-    // What was broken off while it waited is not begun.
-    while (!waiting_.empty() && waiting_.front()->over) waiting_.pop_front();
-    if (running_ == scenario_.slots || waiting_.empty()) return;
-    ++running_;
-    const ExchangePtr exchange = std::move(waiting_.front());
-    waiting_.pop_front();
-    timeline_.At(EndOf(scenario_.work * factor_), [this, exchange] {
-      --running_;
-      std::uniform_real_distribution<double> chance(0, 1);
-      const bool loses = timeline_.now() > kStart + scenario_.length / 4 &&
-                         lost_ > 0 && chance(random_) < lost_;
-      if (!exchange->over) {
-        exchange->reply(loses ? AttemptEnd::kUnknown : AttemptEnd::kSuccess);
-      }
-      StartNext();
-    });
-  }
-
-  // Work that a pause falls into takes the pause longer.
-  absl::Time EndOf(absl::Duration work) const {
-    const absl::Time end = timeline_.now() + work;
-    const absl::Duration into =
-        (end - kStart + phase_) % scenario_.pause_period;
-    return into < scenario_.pause ? end + (scenario_.pause - into) : end;
-  }
-
-  Timeline& timeline_;
-  const LoadScenario& scenario_;
-  std::mt19937& random_;
-  const bool dark_;
-  const double shed_;
-  const double lost_;
-  const double factor_;
-  const absl::Duration phase_;
-  std::deque<ExchangePtr> waiting_;
-  int running_ = 0;
-};
-
-// The connections of one host to one target.
-class PoolModel {
- public:
-  PoolModel(Timeline& timeline, TargetModel& target, int connections,
-            absl::Duration one_way)
-      : timeline_(timeline),
-        target_(target),
-        connections_(connections),
-        one_way_(one_way) {}
-
-  ExchangePtr Send(Reply reply) {
-    const auto exchange = std::make_shared<Exchange>();
-    exchange->reply = [this, weak = std::weak_ptr<Exchange>(exchange),
-                       reply = std::move(reply)](AttemptEnd end) {
-      timeline_.At(timeline_.now() + one_way_,
-                   [this, held = weak.lock(), reply, end] {
-                     if (!held->over) {
-                       End(*held);
-                       reply(end);
-                     }
-                   });
-    };
-    waiting_.push_back(exchange);
-    SendNext();
-    return exchange;
-  }
-
-  // What was not sent yet never is; the rest may end within the grace.
-  void Cancel(const ExchangePtr& exchange, const Reply& broken_off) {
-    if (!exchange->sent) {
-      exchange->over = true;
-      waiting_.erase(std::remove(waiting_.begin(), waiting_.end(), exchange),
-                     waiting_.end());
-      return broken_off(AttemptEnd::kNotRun);
-    }
-    timeline_.At(timeline_.now() + Policy().cancel_grace,
-                 [this, exchange, broken_off] {
-                   if (exchange->over) return;
-                   End(*exchange);
-                   broken_off(AttemptEnd::kUnknown);
-                 });
-  }
-
- private:
-  void End(Exchange& exchange) {
-    exchange.over = true;
-    --running_;
-    SendNext();
-  }
-
-  void SendNext() {
-    if (running_ == connections_ || waiting_.empty()) return;
-    ++running_;
-    const ExchangePtr exchange = waiting_.front();
-    waiting_.pop_front();
-    exchange->sent = true;
-    timeline_.At(timeline_.now() + one_way_, [this, exchange] {
-      if (!exchange->over) target_.Arrive(exchange);
-    });
-  }
-
-  Timeline& timeline_;
-  TargetModel& target_;
-  const int connections_;
-  const absl::Duration one_way_;
-  std::deque<ExchangePtr> waiting_;
-  int running_ = 0;
-};
-
 FleetBounds Bounds() {
   FleetBounds bounds;
   bounds.retry_ratio = 0.2;
@@ -206,6 +44,7 @@
     for (int shard = 0; shard < scenario.shards; ++shard) {
       for (int replica = 0; replica < scenario.replicas; ++replica) {
         const TargetId name = Name(shard, replica);
+        names_.emplace(HashOf(name), name);
         health_.try_emplace(name, Distance(replica), absl::Milliseconds(10));
         limits_.try_emplace(name, scenario.connections);
         pools_.try_emplace(name, timeline, *targets.at(name),
@@ -274,18 +113,13 @@
   }
   std::vector<TargetEvidence> TakeEvidence(absl::Time now) {
     return book_.Take(kMostTold, [&](uint32_t target) {
-      for (const auto& [name, health] : health_) {
-        if (HashOf(name) == target) return health.IsDoubtful(now);
-      }
-      return false;
+      return health_.at(names_.at(target)).IsDoubtful(now);
     });
   }
   void OnEvidence(const std::vector<TargetEvidence>& told, absl::Time now) {
     for (const TargetEvidence& entry : told) {
-      for (auto& [name, health] : health_) {
-        if (HashOf(name) != entry.target) continue;
-        health.OnTold(entry.answers, entry.failures, now);
-      }
+      health_.at(names_.at(entry.target))
+          .OnTold(entry.answers, entry.failures, now);
     }
   }
   PoolModel& pool(const TargetId& name) { return pools_.at(name); }
@@ -307,6 +141,7 @@
   ExtraBudget budget_;
   ReturnSchedule returns_{Policy().retry_after, Policy().retry_after_spread};
   EvidenceBook book_;
+  std::unordered_map<uint32_t, TargetId> names_;
   std::map<TargetId, TargetHealth> health_;
   std::map<TargetId, ConcurrencyLimit> limits_;
   std::map<TargetId, PoolModel> pools_;
--- a/libs/dispatch/tests/load_test.cc
+++ b/libs/dispatch/tests/load_test.cc
@@ -164,8 +164,8 @@
   }
 
   void LostAnswersAreAvoidedByAllHostsOfALargeFleet() {
-    // The grown deployment: each host asks each target twice a second, and half
-    // of the targets lose two answers of five for some seconds.
+    // The grown deployment: each host asks each shard twice a second, and two
+    // of three replicas lose two answers of five.
     LoadScenario scenario = LargeFleet();
     scenario.lost = 0.4;
     const LoadResult told =
--- a/libs/engine/include/engine/connection_pool.h
+++ b/libs/engine/include/engine/connection_pool.h
@@ -86,8 +86,8 @@
   void OnClosed(ClientConnection& connection, bool was_open,
                 bool by_peer) override;
 
-  /// Lets an open connection carry requests.
-  void Admit(Member& member);
+  /// @return connections that are being opened or proved.
+  int Connecting() const;
   /// @return whether the server may end new connections at once.
   bool IsDoubtful() const;
   Member* Find(const ClientConnection& connection);
@@ -109,8 +109,6 @@
   std::vector<Member> members_;
   std::deque<Waiting> queue_;
   ExchangeId last_exchange_ = 0;
-  /// Connections that are being opened or proved.
-  int connecting_ = 0;
   /// A server that turned connections away gets no new one until then.
   absl::Time open_after_ = absl::InfinitePast();
   absl::Duration open_pause_;
--- a/libs/engine/src/connection_pool.cc
+++ b/libs/engine/src/connection_pool.cc
@@ -64,7 +64,7 @@
     Assign(*idle, std::move(next));
   }
   if (is_paused()) return FailWaiting();
-  while (connecting_ < static_cast<int>(queue_.size()) &&
+  while (Connecting() < static_cast<int>(queue_.size()) &&
          open_connections() < limit_) {
     Open();
   }
@@ -127,7 +127,6 @@
   auto connection = std::make_shared<ClientConnection>(
       loop_, endpoint_, options_, static_cast<Observer*>(this));
   members_.push_back({connection, 0, 0, loop_.Now(), false});
-  ++connecting_;
   connection->Connect();
 }
 
@@ -161,7 +160,14 @@
 }
 
 void ConnectionPool::Probe() {
-  if (connecting_ == 0 && open_connections() < limit_) Open();
+  if (Connecting() == 0 && open_connections() < limit_) Open();
+}
+
+int ConnectionPool::Connecting() const {
+  return static_cast<int>(
+      std::count_if(members_.begin(), members_.end(), [](const Member& member) {
+        return member.proving || !member.connection->IsOpen();
+      }));
 }
 
 bool ConnectionPool::IsDoubtful() const {
@@ -172,22 +178,18 @@
   if (listener_ != nullptr) listener_->OnConnected();
   Member* const member = Find(connection);
   if (member == nullptr) return;
-  if (!IsDoubtful()) return Admit(*member);
+  if (!IsDoubtful()) return Pump();
   member->proving = true;
   const absl::Duration round_trip = loop_.Now() - member->began;
   timers_.RunAfter(round_trip + kProofMargin,
                    [this, held = member->connection] {
                      Member* const proved = Find(*held);
-                     if (proved != nullptr && proved->proving) Admit(*proved);
+                     if (proved == nullptr) return;
+                     proved->proving = false;
+                     Pump();
                    });
 }
 
-void ConnectionPool::Admit(Member& member) {
-  member.proving = false;
-  --connecting_;
-  Pump();
-}
-
 void ConnectionPool::OnIdle(ClientConnection& /*connection*/) { Pump(); }
 
 void ConnectionPool::OnClosed(ClientConnection& connection, bool was_open,
@@ -195,15 +197,11 @@
   Member* const member = Find(connection);
   if (member == nullptr) return;
   loop_.Cancel(member->break_off);
-  const bool was_proving = member->proving;
   members_.erase(members_.begin() + (member - members_.data()));
   if (!was_open) {
-    --connecting_;
     if (listener_ != nullptr) listener_->OnConnectFailed(by_peer);
-    if (connecting_ == 0) FailWaiting();
-    return;
+    return FailWaiting();
   }
-  if (was_proving) --connecting_;
   if (by_peer && !connection.has_served()) OnTurnedAway();
   timers_.Post([this] { Pump(); });
 }
@@ -213,14 +211,12 @@
   open_after_ = loop_.Now() + open_pause_;
   doubtful_until_ = loop_.Now() + kDoubtTime;
   if (listener_ != nullptr) listener_->OnTurnedAway();
-  if (connecting_ == 0) FailWaiting();
+  FailWaiting();
 }
 
 void ConnectionPool::FailWaiting() {
-  const bool any_open = std::any_of(
-      members_.begin(), members_.end(),
-      [](const Member& member) { return member.connection->IsOpen(); });
-  if (any_open || connecting_ > 0) return;
+  // Those that are open or being opened may still carry them.
+  if (!members_.empty()) return;
   std::deque<Waiting> failed;
   failed.swap(queue_);
   for (Waiting& entry : failed) {
--- a/libs/membership/include/membership/fleet_shares.h
+++ b/libs/membership/include/membership/fleet_shares.h
@@ -47,8 +47,7 @@
               const FailureDomainName& domain);
 
   /// @return units of a limit at a target that the target itself enforces as
-  /// well: while others are not known, the parts may add up to more. Right
-  /// after a start that is better than to turn callers away.
+  /// well: while others are not known, the parts may add up to more.
   int ShareOf(double whole, const FleetRank& rank) const;
 
   /// @return the last place that this host may have: those that are not known
--- a/libs/membership/include/membership/host_table.h
+++ b/libs/membership/include/membership/host_table.h
@@ -238,6 +238,8 @@
   std::vector<Place> Envoys(const std::vector<Place>& places) const;
   /// @return this host's own place.
   Place OwnPlace(const std::vector<Place>& places) const;
+  /// @return whether a known host stands in the own failure domain.
+  bool IsMate(const HostId& peer) const;
   /// A live host of the own failure domain, as seen from this one.
   struct Mate {
     const Peer* peer = nullptr;
@@ -245,8 +247,11 @@
     bool is_same_group = false;
   };
   std::vector<Mate> Mates(absl::Time now) const;
-  bool Says(const Peer& peer, NewsRole role, absl::Duration silence,
-            absl::Time now) const;
+  /// @return whether the peer said within the time that it has this role.
+  static bool Says(const Peer& peer, NewsRole role, absl::Duration silence,
+                   absl::Time now);
+  bool ShouldRead(const std::vector<Mate>& mates, bool is_blank,
+                  absl::Time now) const;
   /// @return whether an earlier host of the group tells this one.
   bool IsFed(const std::vector<Mate>& mates, absl::Time now) const;
   /// @return whether a host of another group reads.
--- a/libs/membership/src/host_table.cc
+++ b/libs/membership/src/host_table.cc
@@ -53,6 +53,10 @@
   return live;
 }
 
+bool HostTable::IsMate(const HostId& peer) const {
+  return peers_.at(peer).failure_domain == self_.failure_domain;
+}
+
 std::vector<HostTable::Place> HostTable::LiveHosts(
     const FailureDomainName& domain, absl::Time now) const {
   std::vector<Place> places;
@@ -102,7 +106,7 @@
 }
 
 bool HostTable::Says(const Peer& peer, NewsRole role, absl::Duration silence,
-                     absl::Time now) const {
+                     absl::Time now) {
   return peer.role == role && now - peer.said <= silence;
 }
 
@@ -160,9 +164,13 @@
 }
 
 bool HostTable::ShouldRead(bool is_blank, absl::Time now) const {
+  return ShouldRead(Mates(now), is_blank, now);
+}
+
+bool HostTable::ShouldRead(const std::vector<Mate>& mates, bool is_blank,
+                           absl::Time now) const {
   const bool is_new = now - started_ < options_.reader_introduction;
   if (is_new && !is_blank && !seeds_.empty()) return false;
-  const std::vector<Mate> mates = Mates(now);
   if (IsFed(mates, now) || HearsReader(mates, true, now)) return is_blank;
   const auto earlier = static_cast<int>(std::count_if(
       mates.begin(), mates.end(),
@@ -177,7 +185,7 @@
   const std::vector<Mate> mates = Mates(now);
   if (IsFed(mates, now)) return NewsRole::kFollows;
   if (HearsReader(mates, false, now)) return NewsRole::kRelays;
-  if (ShouldRead(false, now)) {
+  if (ShouldRead(mates, false, now)) {
     return HearsForeignReader(now) ? NewsRole::kForwards : NewsRole::kTries;
   }
   return OthersTry(mates, now) ? NewsRole::kHolds : NewsRole::kFollows;
@@ -221,9 +229,8 @@
   // One of them stands near: who reads for whom rests on hosts that know their
   // own failure domain well.
   const auto mate =
-      std::find_if(targets.begin(), targets.end(), [&](const HostId& host) {
-        return peers_.at(host).failure_domain == self_.failure_domain;
-      });
+      std::find_if(targets.begin(), targets.end(),
+                   [&](const HostId& host) { return IsMate(host); });
   if (mate != targets.end()) std::iter_swap(targets.begin(), mate);
   if (targets.size() > options_.fanout) targets.resize(options_.fanout);
   // A seed each round joins parts of the fleet that lost each other.
@@ -238,13 +245,10 @@
 
 std::vector<HostId> HostTable::SampleMates(size_t limit, absl::Time now,
                                            std::mt19937_64& random) const {
-  std::vector<HostId> mates;
-  for (const auto& [host, peer] : peers_) {
-    if (peer.failure_domain == self_.failure_domain &&
-        now - peer.heard <= options_.silence_limit) {
-      mates.push_back(host);
-    }
-  }
+  std::vector<HostId> mates = LivePeers(now);
+  mates.erase(std::remove_if(mates.begin(), mates.end(),
+                             [&](const HostId& host) { return !IsMate(host); }),
+              mates.end());
   std::shuffle(mates.begin(), mates.end(), random);
   if (mates.size() > limit) mates.resize(limit);
   return mates;
