Log lost answers and crashes counted elsewhere; count both

The logs could not tell whether a crash was not counted, counted and not told, or told and forgotten. Added: 'answer lost' with the fingerprint, 'crash counted elsewhere' with the total and who told it, the total in 'target crashed during a request', metrics of lost answers, crashes and suspects. No decision is changed.

--- a/libs/dispatch/include/dispatch/crash_ledger.h
+++ b/libs/dispatch/include/dispatch/crash_ledger.h
@@ -43,6 +43,11 @@
 
   bool IsQuarantined(uint64_t fingerprint, absl::Time now) const;
 
+  /// @return crashes counted of a request by all hosts.
+  int Total(uint64_t fingerprint) const;
+  /// @return requests of which a crash is counted.
+  size_t size() const { return counts_.size(); }
+
   /// @return at most `limit` counts to be told to other hosts.
   std::vector<CrashCount> Counts(size_t limit) const;
 
--- a/libs/dispatch/src/crash_ledger.cc
+++ b/libs/dispatch/src/crash_ledger.cc
@@ -33,12 +33,18 @@
 
 bool CrashLedger::Check(uint64_t fingerprint, absl::Time now) {
   if (counts_.size() > kCapacity) counts_.erase(counts_.begin());
-  int total = 0;
-  for (const auto& [host, crashes] : counts_[fingerprint]) total += crashes;
-  if (total < kCrashesToQuarantine) return false;
+  if (Total(fingerprint) < kCrashesToQuarantine) return false;
   return quarantine_.Add(fingerprint, now);
 }
 
+int CrashLedger::Total(uint64_t fingerprint) const {
+  const auto found = counts_.find(fingerprint);
+  if (found == counts_.end()) return 0;
+  int total = 0;
+  for (const auto& [host, crashes] : found->second) total += crashes;
+  return total;
+}
+
 bool CrashLedger::IsQuarantined(uint64_t fingerprint, absl::Time now) const {
   return quarantine_.Remaining(fingerprint, now) > absl::ZeroDuration();
 }
--- a/libs/tier/include/tier/fleet_link.h
+++ b/libs/tier/include/tier/fleet_link.h
@@ -12,6 +12,7 @@
 #include "engine/http_caller.h"
 #include "engine/http_server.h"
 #include "membership/host_table.h"
+#include "telemetry/log_budget.h"
 #include "tier/fleet_message.h"
 #include "tier/published_items.h"
 
@@ -57,6 +58,11 @@
   /// Tells those whom this host passes on news to, as after it read some.
   void PassOn();
 
+  /// @return lines left out since the last call, by kind.
+  std::map<std::string, int> TakeDroppedLines() {
+    return log_budget_.TakeDropped();
+  }
+
  private:
   void NextRound();
   /// Tells some hosts of the failure domain what this one saw of targets.
@@ -82,6 +88,7 @@
   engine::HttpServer transfers_;
   std::map<HostId, std::unique_ptr<engine::HttpCaller>> callers_;
   std::mt19937_64 random_;
+  LogBudget log_budget_;
   Hooks hooks_;
   absl::Time behind_since_ = absl::InfiniteFuture();
   bool fetching_ = false;
--- a/libs/tier/src/fleet_link.cc
+++ b/libs/tier/src/fleet_link.cc
@@ -16,6 +16,8 @@
 constexpr absl::Duration kGossipPeriod = absl::Milliseconds(500);
 /// Crash counts in one message, so that it fits a datagram.
 constexpr size_t kMaxCrashCounts = 12;
+/// Lines a second about crashes that others counted.
+constexpr int kCrashLogLines = 20;
 /// How often, to how many hosts and of how many targets is told what was seen
 /// of them: a few seconds of failures must be avoided by all within the first.
 constexpr absl::Duration kEvidencePeriod = absl::Milliseconds(250);
@@ -164,11 +166,16 @@
     Send({sender.host}, hosts_.Ages(now, random_));
   }
   for (const CrashCount& count : message.crashes) {
-    if (crashes_.OnCount(count, now)) {
-      LogWarning("request quarantined",
-                 {{"fingerprint", ToHex(count.fingerprint)},
-                  {"told_by", sender.host}});
-    }
+    const int known = crashes_.Total(count.fingerprint);
+    const bool quarantined = crashes_.OnCount(count, now);
+    const int crashes = crashes_.Total(count.fingerprint);
+    if (crashes == known) continue;
+    if (!log_budget_.Take("crash", kCrashLogLines, now)) continue;
+    LogInfo(quarantined ? "request quarantined" : "crash counted elsewhere",
+            {{"fingerprint", ToHex(count.fingerprint)},
+             {"counted_by", count.host},
+             {"crashes", crashes},
+             {"told_by", sender.host}});
   }
   if (!message.evidence.empty()) hooks_.evidence(message.evidence);
   if (!IsBehind(message)) return;
--- a/libs/tier/src/query_plane.cc
+++ b/libs/tier/src/query_plane.cc
@@ -243,6 +243,12 @@
     targets_.OnWrongTarget(attempt.target);
   }
   if (status == engine::ExchangeStatus::kLost) {
+    metrics_.counter("cherrydyke_lost_answers_total").Add();
+    if (log_budget_.Take("lost", policy_.log_lines, loop_.Now())) {
+      LogInfo("answer lost", {{"request", request.call.request_id},
+                              {"target", attempt.target},
+                              {"fingerprint", ToHex(request.fingerprint)}});
+    }
     targets_.OnLostRequest(attempt.target, request.fingerprint);
   }
 }
--- a/libs/tier/src/tier_node.cc
+++ b/libs/tier/src/tier_node.cc
@@ -124,6 +124,8 @@
   metrics_.Gauge("cherrydyke_known_hosts", [this] {
     return static_cast<double>(hosts_.SharingHosts(loop_.Now()));
   });
+  metrics_.Gauge("cherrydyke_crash_suspects",
+                 [this] { return static_cast<double>(crashes_.size()); });
   metrics_.Gauge("cherrydyke_config_version",
                  [this] { return static_cast<double>(queries_.version()); });
 }
@@ -148,8 +150,9 @@
   const SendCounts& sends = targets_.counts();
   const auto& [same_domain, same_region, other_region] = sends.by_distance;
   int64_t left_out = TakeDroppedLines();
-  for (const auto& [kind, lines] : queries_.TakeDroppedLines()) {
-    left_out += lines;
+  for (const auto& dropped :
+       {queries_.TakeDroppedLines(), fleet_.TakeDroppedLines()}) {
+    for (const auto& [kind, lines] : dropped) left_out += lines;
   }
   LogInfo("load", {{"running", queries_.running()},
                    {"caller_connections", callers_.connections()},
@@ -210,7 +213,9 @@
   LogWarning("target crashed during a request",
              {{"target", target},
               {"fingerprint", ToHex(fingerprint)},
+              {"crashes", crashes_.Total(fingerprint)},
               {"quarantined", quarantined}});
+  metrics_.counter("cherrydyke_crashes_total").Add();
   fleet_.Gossip();
 }
 
