Tell hosts of each crash in turn, of new ones first

What callers saw: targets kept ending under a request that had already ended three, because hosts other than the one that saw it sent the request on.

Cause: a message between hosts carries 12 counts, and CrashLedger told the first 12 in the order of the fingerprints, always the same ones, and kept every count for good. Beside a dozen older counts a new one was told only if its hash was among the smallest; each host then had to lose three targets of its own. The class of fault: a bounded message that always carries the same part of a longer list.

Change: requests told least often since their last crash go first, half of the message is kept for quarantined ones, no more counts of one are told than quarantine it, and a host that learns of a quarantine tells others at once. Counts carry their age, so that they end everywhere after ten minutes and a full ledger drops the oldest.

--- a/libs/dispatch/include/dispatch/crash_ledger.h
+++ b/libs/dispatch/include/dispatch/crash_ledger.h
@@ -3,10 +3,10 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "absl/time/time.h"
-#include "admission/quarantine.h"
 #include "base/ids.h"
 
 namespace cherrydyke {
@@ -15,21 +15,27 @@
 struct CrashCount {
   uint64_t fingerprint = 0;
   HostId host;
-  int crashes = 0;
+  int32_t crashes = 0;
+  /// How long ago the last crash of the request was counted anywhere, in
+  /// milliseconds.
+  int32_t age_ms = 0;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(fingerprint, host, crashes);
+    archive(fingerprint, host, crashes, age_ms);
   }
 
   friend bool operator==(const CrashCount& a, const CrashCount& b) {
-    return a.fingerprint == b.fingerprint && a.host == b.host &&
-           a.crashes == b.crashes;
+    return std::tie(a.fingerprint, a.host, a.crashes, a.age_ms) ==
+           std::tie(b.fingerprint, b.host, b.crashes, b.age_ms);
   }
 };
 
 /// Adds up, over all hosts, how many targets each request has crashed, and
 /// quarantines those that have crashed several. Pure.
+///
+///     if (ledger.OnCrash(fingerprint, now)) StopRunning(fingerprint);
+///     message.crashes = ledger.TakeCounts(kMaxCrashCounts, now);
 class CrashLedger {
  public:
   explicit CrashLedger(HostId self);
@@ -46,17 +52,37 @@
   /// @return crashes counted of a request by all hosts.
   int Total(uint64_t fingerprint) const;
   /// @return requests of which a crash is counted.
-  size_t size() const { return counts_.size(); }
+  size_t size() const { return suspects_.size(); }
 
-  /// @return at most `limit` counts to be told to other hosts.
-  std::vector<CrashCount> Counts(size_t limit) const;
+  /// Chooses what the next message tells other hosts. Requests told least often
+  /// since their last crash go first, so that a new crash is in the next
+  /// message and every request in one of the next few; half of the message is
+  /// kept for quarantined ones.
+  /// @return at most `limit` counts.
+  std::vector<CrashCount> TakeCounts(size_t limit, absl::Time now);
 
  private:
-  bool Check(uint64_t fingerprint, absl::Time now);
+  /// A request under which targets have crashed.
+  struct Suspect {
+    std::map<HostId, int> counts;
+    absl::Time last_crash;
+    /// Messages that have told of it since its counts last changed.
+    int told = 0;
+
+    int Total() const;
+  };
+  using Suspects = std::map<uint64_t, Suspect>;
+
+  bool Count(uint64_t fingerprint, const HostId& host, int crashes,
+             absl::Time at, absl::Time now);
+  void DropExpired(absl::Time now);
+  void MakeRoom();
+  /// Appends counts of the suspects told least often, up to `limit` in all.
+  static void Append(std::vector<Suspects::pointer>& suspects, size_t limit,
+                     absl::Time now, std::vector<CrashCount>& counts);
 
   const HostId self_;
-  std::map<uint64_t, std::map<HostId, int>> counts_;
-  Quarantine quarantine_;
+  Suspects suspects_;
 };
 
 }  // namespace cherrydyke
--- a/libs/dispatch/src/crash_ledger.cc
+++ b/libs/dispatch/src/crash_ledger.cc
@@ -9,55 +9,113 @@
 /// Crashed targets after which a request goes no further: two may be chance,
 /// as unrelated crashes hit whatever runs.
 constexpr int kCrashesToQuarantine = 3;
-/// How long a request is refused after its last crash.
+/// How long crashes count, and a request is refused, after its last crash.
 constexpr absl::Duration kQuarantineTime = absl::Minutes(10);
-/// Fingerprints kept; each takes some tens of bytes.
+/// Requests kept; each takes some hundred bytes.
 constexpr size_t kCapacity = 4096;
 
 }  // namespace
 
-CrashLedger::CrashLedger(HostId self)
-    : self_(std::move(self)), quarantine_(kQuarantineTime, kCapacity) {}
+CrashLedger::CrashLedger(HostId self) : self_(std::move(self)) {}
+
+int CrashLedger::Suspect::Total() const {
+  int total = 0;
+  for (const auto& [host, crashes] : counts) total += crashes;
+  return total;
+}
 
 bool CrashLedger::OnCrash(uint64_t fingerprint, absl::Time now) {
-  ++counts_[fingerprint][self_];
-  return Check(fingerprint, now);
+  const auto found = suspects_.find(fingerprint);
+  const int known = found == suspects_.end() ? 0 : found->second.counts[self_];
+  return Count(fingerprint, self_, known + 1, now, now);
 }
 
 bool CrashLedger::OnCount(const CrashCount& count, absl::Time now) {
-  int& known = counts_[count.fingerprint][count.host];
-  if (count.crashes <= known) return false;
-  known = count.crashes;
-  return Check(count.fingerprint, now);
+  const absl::Duration age = absl::Milliseconds(count.age_ms);
+  if (age < absl::ZeroDuration() || age >= kQuarantineTime) return false;
+  return Count(count.fingerprint, count.host, count.crashes, now - age, now);
 }
 
-bool CrashLedger::Check(uint64_t fingerprint, absl::Time now) {
-  if (counts_.size() > kCapacity) counts_.erase(counts_.begin());
-  if (Total(fingerprint) < kCrashesToQuarantine) return false;
-  return quarantine_.Add(fingerprint, now);
+bool CrashLedger::Count(uint64_t fingerprint, const HostId& host, int crashes,
+                        absl::Time at, absl::Time now) {
+  const bool was_quarantined = IsQuarantined(fingerprint, now);
+  Suspect& suspect = suspects_[fingerprint];
+  int& known = suspect.counts[host];
+  if (crashes <= known) return false;
+  known = crashes;
+  suspect.last_crash = std::max(suspect.last_crash, at);
+  suspect.told = 0;
+  if (suspects_.size() > kCapacity) MakeRoom();
+  return !was_quarantined && IsQuarantined(fingerprint, now);
 }
 
-int CrashLedger::Total(uint64_t fingerprint) const {
-  const auto found = counts_.find(fingerprint);
-  if (found == counts_.end()) return 0;
-  int total = 0;
-  for (const auto& [host, crashes] : found->second) total += crashes;
-  return total;
+void CrashLedger::MakeRoom() {
+  suspects_.erase(std::min_element(
+      suspects_.begin(), suspects_.end(), [](const auto& a, const auto& b) {
+        return a.second.last_crash < b.second.last_crash;
+      }));
+}
+
+void CrashLedger::DropExpired(absl::Time now) {
+  for (auto entry = suspects_.begin(); entry != suspects_.end();) {
+    const bool expired = now - entry->second.last_crash >= kQuarantineTime;
+    entry = expired ? suspects_.erase(entry) : std::next(entry);
+  }
 }
 
 bool CrashLedger::IsQuarantined(uint64_t fingerprint, absl::Time now) const {
-  return quarantine_.Remaining(fingerprint, now) > absl::ZeroDuration();
+  const auto found = suspects_.find(fingerprint);
+  return found != suspects_.end() &&
+         found->second.Total() >= kCrashesToQuarantine &&
+         now - found->second.last_crash < kQuarantineTime;
 }
 
-std::vector<CrashCount> CrashLedger::Counts(size_t limit) const {
+int CrashLedger::Total(uint64_t fingerprint) const {
+  const auto found = suspects_.find(fingerprint);
+  return found == suspects_.end() ? 0 : found->second.Total();
+}
+
+std::vector<CrashCount> CrashLedger::TakeCounts(size_t limit, absl::Time now) {
+  DropExpired(now);
+  std::vector<Suspects::pointer> quarantined;
+  std::vector<Suspects::pointer> others;
+  for (auto& entry : suspects_) {
+    const bool is_quarantined = entry.second.Total() >= kCrashesToQuarantine;
+    (is_quarantined ? quarantined : others).push_back(&entry);
+  }
   std::vector<CrashCount> counts;
-  for (const auto& [fingerprint, by_host] : counts_) {
-    for (const auto& [host, crashes] : by_host) {
-      if (counts.size() == limit) return counts;
-      counts.push_back({fingerprint, host, crashes});
+  Append(quarantined, others.empty() ? limit : limit / 2, now, counts);
+  Append(others, limit, now, counts);
+  return counts;
+}
+
+void CrashLedger::Append(std::vector<Suspects::pointer>& suspects, size_t limit,
+                         absl::Time now, std::vector<CrashCount>& counts) {
+  const size_t chosen = std::min(suspects.size(), limit);
+  std::partial_sort(
+      suspects.begin(), suspects.begin() + static_cast<std::ptrdiff_t>(chosen),
+      suspects.end(), [](Suspects::pointer a, Suspects::pointer b) {
+        return std::tie(a->second.told, b->second.last_crash) <
+               std::tie(b->second.told, a->second.last_crash);
+      });
+  for (size_t index = 0; index < chosen; ++index) {
+    auto& [fingerprint, suspect] = *suspects[index];
+    std::vector<std::pair<int, HostId>> most;
+    for (const auto& [host, crashes] : suspect.counts) {
+      most.emplace_back(crashes, host);
     }
+    std::sort(most.rbegin(), most.rend());
+    int told = 0;
+    for (const auto& [crashes, host] : most) {
+      if (counts.size() == limit) return;
+      counts.push_back({fingerprint, host, crashes,
+                        static_cast<int32_t>(absl::ToInt64Milliseconds(
+                            now - suspect.last_crash))});
+      // Others need no more to quarantine it.
+      if ((told += crashes) >= kCrashesToQuarantine) break;
+    }
+    ++suspect.told;
   }
-  return counts;
 }
 
 }  // namespace cherrydyke
--- a/libs/dispatch/tests/tables_test.cc
+++ b/libs/dispatch/tests/tables_test.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 
 #include "dispatch/crash_ledger.h"
 #include "dispatch/route_table.h"
@@ -14,6 +15,17 @@
 
 const absl::Time kStart = absl::UnixEpoch() + absl::Hours(1);
 
+/// Counts in one message between hosts.
+constexpr size_t kMessage = 12;
+
+std::set<uint64_t> Told(CrashLedger& ledger, absl::Duration later) {
+  std::set<uint64_t> told;
+  for (const CrashCount& count : ledger.TakeCounts(kMessage, kStart + later)) {
+    told.insert(count.fingerprint);
+  }
+  return told;
+}
+
 Route MakeRoute(const std::string& name, const std::string& prefix) {
   Route route;
   route.name = name;
@@ -32,6 +44,11 @@
   CPPUNIT_TEST(MergesLikeASort);
   CPPUNIT_TEST(CrashesOfAllHostsAddUp);
   CPPUNIT_TEST(OldCountsChangeNothing);
+  CPPUNIT_TEST(NewCrashIsToldNextBesideManyOlder);
+  CPPUNIT_TEST(EveryCrashIsToldInTurn);
+  CPPUNIT_TEST(QuarantinedRequestsAreInEveryMessage);
+  CPPUNIT_TEST(CrashesAreForgottenEverywhereAtTheSameTime);
+  CPPUNIT_TEST(FullLedgerDropsTheOldestCrash);
   CPPUNIT_TEST(SilentTargetIsSuspectUntilItAnswers);
   CPPUNIT_TEST(AnswerToALaterRequestClearsAnOverdueOne);
   CPPUNIT_TEST(ReplacedTargetDoesNotCountBelowZero);
@@ -96,19 +113,84 @@
   void CrashesOfAllHostsAddUp() {
     CrashLedger ledger("a");
     CPPUNIT_ASSERT(!ledger.OnCrash(7, kStart));
-    CPPUNIT_ASSERT(!ledger.OnCount({7, "b", 1}, kStart));
+    CPPUNIT_ASSERT(!ledger.OnCount({7, "b", 1, 0}, kStart));
     CPPUNIT_ASSERT(!ledger.IsQuarantined(7, kStart));
-    CPPUNIT_ASSERT(ledger.OnCount({7, "c", 1}, kStart));
+    CPPUNIT_ASSERT(ledger.OnCount({7, "c", 1, 0}, kStart));
     CPPUNIT_ASSERT(ledger.IsQuarantined(7, kStart));
     CPPUNIT_ASSERT(!ledger.IsQuarantined(8, kStart));
   }
 
   void OldCountsChangeNothing() {
     CrashLedger ledger("a");
-    ledger.OnCount({7, "b", 2}, kStart);
-    ledger.OnCount({7, "b", 1}, kStart);
+    ledger.OnCount({7, "b", 2, 0}, kStart);
+    ledger.OnCount({7, "b", 1, 0}, kStart);
     CPPUNIT_ASSERT(!ledger.IsQuarantined(7, kStart));
-    CPPUNIT_ASSERT_EQUAL(2, ledger.Counts(9).front().crashes);
+    CPPUNIT_ASSERT_EQUAL(2, ledger.TakeCounts(9, kStart).front().crashes);
+  }
+
+  void NewCrashIsToldNextBesideManyOlder() {
+    CPPUNIT_ASSERT(rc::check("new crash", [] {
+      CrashLedger ledger("a");
+      const auto older = *rc::gen::container<std::set<uint64_t>>(
+          100, rc::gen::arbitrary<uint64_t>());
+      const auto fresh = *rc::gen::arbitrary<uint64_t>();
+      for (const uint64_t fingerprint : older) {
+        ledger.OnCrash(fingerprint, kStart);
+      }
+      for (int i = *rc::gen::inRange(0, 40); i > 0; --i) {
+        ledger.TakeCounts(kMessage, kStart);
+      }
+      ledger.OnCrash(fresh, kStart + absl::Seconds(1));
+      RC_ASSERT(Told(ledger, absl::Seconds(1)).count(fresh) == 1);
+    }));
+  }
+
+  void EveryCrashIsToldInTurn() {
+    CrashLedger ledger("a");
+    for (uint64_t i = 0; i < 100; ++i) ledger.OnCrash(i, kStart);
+    std::set<uint64_t> told;
+    for (size_t i = 0; i < 100; i += kMessage) {
+      told.merge(Told(ledger, absl::Seconds(1)));
+    }
+    CPPUNIT_ASSERT_EQUAL(size_t{100}, told.size());
+  }
+
+  void QuarantinedRequestsAreInEveryMessage() {
+    CrashLedger ledger("a");
+    for (uint64_t i = 0; i < 100; ++i) ledger.OnCrash(i, kStart);
+    ledger.OnCount({200, "b", 3, 0}, kStart);
+    for (int i = 0; i < 20; ++i) {
+      CPPUNIT_ASSERT(Told(ledger, absl::Seconds(1)).count(200) == 1);
+    }
+  }
+
+  // A count that hosts tell each other must not stay young for ever.
+  void CrashesAreForgottenEverywhereAtTheSameTime() {
+    CrashLedger first("a");
+    CrashLedger second("b");
+    for (int i = 0; i < 3; ++i) first.OnCrash(7, kStart);
+    const absl::Time late = kStart + absl::Minutes(9);
+    for (const CrashCount& count : first.TakeCounts(kMessage, late)) {
+      second.OnCount(count, late);
+    }
+    CPPUNIT_ASSERT(second.IsQuarantined(7, late));
+    const absl::Time later = kStart + absl::Minutes(10);
+    CPPUNIT_ASSERT(!second.IsQuarantined(7, later));
+    CPPUNIT_ASSERT(second.TakeCounts(kMessage, later).empty());
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, second.size());
+  }
+
+  void FullLedgerDropsTheOldestCrash() {
+    constexpr uint64_t kMany = 5000;
+    CrashLedger ledger("a");
+    for (int i = 0; i < 3; ++i) ledger.OnCrash(kMany, kStart);
+    for (uint64_t i = 0; i < kMany; ++i) {
+      ledger.OnCrash(i, kStart + absl::Milliseconds(static_cast<double>(i)));
+      ledger.OnCount({kMany, "b", static_cast<int>(i) + 1, 0},
+                     kStart + absl::Milliseconds(static_cast<double>(i)));
+    }
+    CPPUNIT_ASSERT(ledger.size() <= 4096);
+    CPPUNIT_ASSERT(ledger.IsQuarantined(kMany, kStart + absl::Minutes(1)));
   }
 
   void SilentTargetIsSuspectUntilItAnswers() {
--- a/libs/tier/src/fleet_link.cc
+++ b/libs/tier/src/fleet_link.cc
@@ -145,7 +145,7 @@
                   hosts_.Role(hooks_.reads(), loop_.Now()), std::move(ages)};
   message.config_revision = config_.newest();
   message.targets_revision = targets_.newest();
-  message.crashes = crashes_.Counts(kMaxCrashCounts);
+  message.crashes = crashes_.TakeCounts(kMaxCrashCounts, loop_.Now());
   message.evidence = std::move(evidence);
   const std::string datagram = EncodeFleetMessage(message);
   for (const HostId& target : targets) {
@@ -165,10 +165,12 @@
   if (hosts_.OnNews(message.news, now)) {
     Send({sender.host}, hosts_.Ages(now, random_));
   }
+  bool quarantined_any = false;
   for (const CrashCount& count : message.crashes) {
     const int known = crashes_.Total(count.fingerprint);
     const bool quarantined = crashes_.OnCount(count, now);
     const int crashes = crashes_.Total(count.fingerprint);
+    quarantined_any = quarantined_any || quarantined;
     if (crashes == known) continue;
     if (!log_budget_.Take("crash", kCrashLogLines, now)) continue;
     LogInfo(quarantined ? "request quarantined" : "crash counted elsewhere",
@@ -177,6 +179,8 @@
              {"crashes", crashes},
              {"told_by", sender.host}});
   }
+  // Each further host that runs the request loses targets to it.
+  if (quarantined_any) Gossip();
   if (!message.evidence.empty()) hooks_.evidence(message.evidence);
   if (!IsBehind(message)) return;
   behind_since_ = std::min(behind_since_, now);
