Count crashes by the lifetime of the host that saw them

What callers saw: with hosts that restart, a request went on crashing targets beyond the third.

Cause: counts were kept by host, and others kept the larger of what a host told. A host that restarts counts from zero, so that its next crashes added nothing elsewhere until they exceeded those of its earlier lifetime. The same class as a counter that is reset under its readers.

Evidence: three lifetimes of one host that count a crash each made 1 at another host (CrashesAfterARestartOfTheirHostCount failed: expected 3, actual 1).

--- a/libs/dispatch/include/dispatch/crash_ledger.h
+++ b/libs/dispatch/include/dispatch/crash_ledger.h
@@ -2,7 +2,6 @@
 
 #include <cstdint>
 #include <map>
-#include <string>
 #include <tuple>
 #include <vector>
 
@@ -11,10 +10,11 @@
 
 namespace cherrydyke {
 
-/// How many targets one host saw a request crash.
+/// How many targets one host saw a request crash in one lifetime of it: a host
+/// that restarts counts from zero, and what it counted before still stands.
 struct CrashCount {
   uint64_t fingerprint = 0;
-  HostId host;
+  Incarnation incarnation = 0;
   int32_t crashes = 0;
   /// How long ago the last crash of the request was counted anywhere, in
   /// milliseconds.
@@ -22,12 +22,12 @@
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(fingerprint, host, crashes, age_ms);
+    archive(fingerprint, incarnation, crashes, age_ms);
   }
 
   friend bool operator==(const CrashCount& a, const CrashCount& b) {
-    return std::tie(a.fingerprint, a.host, a.crashes, a.age_ms) ==
-           std::tie(b.fingerprint, b.host, b.crashes, b.age_ms);
+    return std::tie(a.fingerprint, a.incarnation, a.crashes, a.age_ms) ==
+           std::tie(b.fingerprint, b.incarnation, b.crashes, b.age_ms);
   }
 };
 
@@ -38,7 +38,8 @@
 ///     message.crashes = ledger.TakeCounts(kMaxCrashCounts, now);
 class CrashLedger {
  public:
-  explicit CrashLedger(HostId self);
+  /// @param self this lifetime of the host.
+  explicit CrashLedger(Incarnation self);
 
   /// A target crashed while it ran the request, as seen here.
   /// @return whether the request is quarantined from now on.
@@ -64,7 +65,7 @@
  private:
   /// A request under which targets have crashed.
   struct Suspect {
-    std::map<HostId, int> counts;
+    std::map<Incarnation, int> counts;
     absl::Time last_crash;
     /// Messages that have told of it since its counts last changed.
     int told = 0;
@@ -73,7 +74,7 @@
   };
   using Suspects = std::map<uint64_t, Suspect>;
 
-  bool Count(uint64_t fingerprint, const HostId& host, int crashes,
+  bool Count(uint64_t fingerprint, Incarnation incarnation, int crashes,
              absl::Time at, absl::Time now);
   void DropExpired(absl::Time now);
   void MakeRoom();
@@ -81,7 +82,7 @@
   static void Append(std::vector<Suspects::pointer>& suspects, size_t limit,
                      absl::Time now, std::vector<CrashCount>& counts);
 
-  const HostId self_;
+  const Incarnation self_;
   Suspects suspects_;
 };
 
--- a/libs/dispatch/src/crash_ledger.cc
+++ b/libs/dispatch/src/crash_ledger.cc
@@ -16,11 +16,11 @@
 
 }  // namespace
 
-CrashLedger::CrashLedger(HostId self) : self_(std::move(self)) {}
+CrashLedger::CrashLedger(Incarnation self) : self_(self) {}
 
 int CrashLedger::Suspect::Total() const {
   int total = 0;
-  for (const auto& [host, crashes] : counts) total += crashes;
+  for (const auto& [incarnation, crashes] : counts) total += crashes;
   return total;
 }
 
@@ -33,14 +33,15 @@
 bool CrashLedger::OnCount(const CrashCount& count, absl::Time now) {
   const absl::Duration age = absl::Milliseconds(count.age_ms);
   if (age < absl::ZeroDuration() || age >= kQuarantineTime) return false;
-  return Count(count.fingerprint, count.host, count.crashes, now - age, now);
+  return Count(count.fingerprint, count.incarnation, count.crashes, now - age,
+               now);
 }
 
-bool CrashLedger::Count(uint64_t fingerprint, const HostId& host, int crashes,
-                        absl::Time at, absl::Time now) {
+bool CrashLedger::Count(uint64_t fingerprint, Incarnation incarnation,
+                        int crashes, absl::Time at, absl::Time now) {
   const bool was_quarantined = IsQuarantined(fingerprint, now);
   Suspect& suspect = suspects_[fingerprint];
-  int& known = suspect.counts[host];
+  int& known = suspect.counts[incarnation];
   if (crashes <= known) return false;
   known = crashes;
   suspect.last_crash = std::max(suspect.last_crash, at);
@@ -100,15 +101,15 @@
       });
   for (size_t index = 0; index < chosen; ++index) {
     auto& [fingerprint, suspect] = *suspects[index];
-    std::vector<std::pair<int, HostId>> most;
-    for (const auto& [host, crashes] : suspect.counts) {
-      most.emplace_back(crashes, host);
+    std::vector<std::pair<int, Incarnation>> most;
+    for (const auto& [incarnation, crashes] : suspect.counts) {
+      most.emplace_back(crashes, incarnation);
     }
     std::sort(most.rbegin(), most.rend());
     int told = 0;
-    for (const auto& [crashes, host] : most) {
+    for (const auto& [crashes, incarnation] : most) {
       if (counts.size() == limit) return;
-      counts.push_back({fingerprint, host, crashes,
+      counts.push_back({fingerprint, incarnation, crashes,
                         static_cast<int32_t>(absl::ToInt64Milliseconds(
                             now - suspect.last_crash))});
       // Others need no more to quarantine it.
--- a/libs/dispatch/tests/tables_test.cc
+++ b/libs/dispatch/tests/tables_test.cc
@@ -15,6 +15,8 @@
 
 const absl::Time kStart = absl::UnixEpoch() + absl::Hours(1);
 
+constexpr Incarnation kSelf = 1;
+constexpr Incarnation kPeer = 100;
 /// Counts in one message between hosts.
 constexpr size_t kMessage = 12;
 
@@ -44,6 +46,7 @@
   CPPUNIT_TEST(MergesLikeASort);
   CPPUNIT_TEST(CrashesOfAllHostsAddUp);
   CPPUNIT_TEST(OldCountsChangeNothing);
+  CPPUNIT_TEST(CrashesAfterARestartOfTheirHostCount);
   CPPUNIT_TEST(NewCrashIsToldNextBesideManyOlder);
   CPPUNIT_TEST(EveryCrashIsToldInTurn);
   CPPUNIT_TEST(QuarantinedRequestsAreInEveryMessage);
@@ -111,26 +114,39 @@
   }
 
   void CrashesOfAllHostsAddUp() {
-    CrashLedger ledger("a");
+    CrashLedger ledger(kSelf);
     CPPUNIT_ASSERT(!ledger.OnCrash(7, kStart));
-    CPPUNIT_ASSERT(!ledger.OnCount({7, "b", 1, 0}, kStart));
+    CPPUNIT_ASSERT(!ledger.OnCount({7, kPeer, 1, 0}, kStart));
     CPPUNIT_ASSERT(!ledger.IsQuarantined(7, kStart));
-    CPPUNIT_ASSERT(ledger.OnCount({7, "c", 1, 0}, kStart));
+    CPPUNIT_ASSERT(ledger.OnCount({7, kPeer + 1, 1, 0}, kStart));
     CPPUNIT_ASSERT(ledger.IsQuarantined(7, kStart));
     CPPUNIT_ASSERT(!ledger.IsQuarantined(8, kStart));
   }
 
   void OldCountsChangeNothing() {
-    CrashLedger ledger("a");
-    ledger.OnCount({7, "b", 2, 0}, kStart);
-    ledger.OnCount({7, "b", 1, 0}, kStart);
+    CrashLedger ledger(kSelf);
+    ledger.OnCount({7, kPeer, 2, 0}, kStart);
+    ledger.OnCount({7, kPeer, 1, 0}, kStart);
     CPPUNIT_ASSERT(!ledger.IsQuarantined(7, kStart));
     CPPUNIT_ASSERT_EQUAL(2, ledger.TakeCounts(9, kStart).front().crashes);
   }
 
+  void CrashesAfterARestartOfTheirHostCount() {
+    CrashLedger other(kSelf);
+    for (Incarnation lifetime = 0; lifetime < 3; ++lifetime) {
+      CrashLedger restarted(kPeer + lifetime);
+      restarted.OnCrash(7, kStart);
+      for (const CrashCount& count : restarted.TakeCounts(kMessage, kStart)) {
+        other.OnCount(count, kStart);
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(3, other.Total(7));
+    CPPUNIT_ASSERT(other.IsQuarantined(7, kStart));
+  }
+
   void NewCrashIsToldNextBesideManyOlder() {
     CPPUNIT_ASSERT(rc::check("new crash", [] {
-      CrashLedger ledger("a");
+      CrashLedger ledger(kSelf);
       const auto older = *rc::gen::container<std::set<uint64_t>>(
           100, rc::gen::arbitrary<uint64_t>());
       const auto fresh = *rc::gen::arbitrary<uint64_t>();
@@ -146,7 +162,7 @@
   }
 
   void EveryCrashIsToldInTurn() {
-    CrashLedger ledger("a");
+    CrashLedger ledger(kSelf);
     for (uint64_t i = 0; i < 100; ++i) ledger.OnCrash(i, kStart);
     std::set<uint64_t> told;
     for (size_t i = 0; i < 100; i += kMessage) {
@@ -156,9 +172,9 @@
   }
 
   void QuarantinedRequestsAreInEveryMessage() {
-    CrashLedger ledger("a");
+    CrashLedger ledger(kSelf);
     for (uint64_t i = 0; i < 100; ++i) ledger.OnCrash(i, kStart);
-    ledger.OnCount({200, "b", 3, 0}, kStart);
+    ledger.OnCount({200, kPeer, 3, 0}, kStart);
     for (int i = 0; i < 20; ++i) {
       CPPUNIT_ASSERT(Told(ledger, absl::Seconds(1)).count(200) == 1);
     }
@@ -166,8 +182,8 @@
 
   // A count that hosts tell each other must not stay young for ever.
   void CrashesAreForgottenEverywhereAtTheSameTime() {
-    CrashLedger first("a");
-    CrashLedger second("b");
+    CrashLedger first(kSelf);
+    CrashLedger second(kPeer);
     for (int i = 0; i < 3; ++i) first.OnCrash(7, kStart);
     const absl::Time late = kStart + absl::Minutes(9);
     for (const CrashCount& count : first.TakeCounts(kMessage, late)) {
@@ -182,11 +198,11 @@
 
   void FullLedgerDropsTheOldestCrash() {
     constexpr uint64_t kMany = 5000;
-    CrashLedger ledger("a");
+    CrashLedger ledger(kSelf);
     for (int i = 0; i < 3; ++i) ledger.OnCrash(kMany, kStart);
     for (uint64_t i = 0; i < kMany; ++i) {
       ledger.OnCrash(i, kStart + absl::Milliseconds(static_cast<double>(i)));
-      ledger.OnCount({kMany, "b", static_cast<int>(i) + 1, 0},
+      ledger.OnCount({kMany, kPeer, static_cast<int>(i) + 1, 0},
                      kStart + absl::Milliseconds(static_cast<double>(i)));
     }
     CPPUNIT_ASSERT(ledger.size() <= 4096);
--- a/libs/tier/src/fleet_link.cc
+++ b/libs/tier/src/fleet_link.cc
@@ -175,7 +175,7 @@
     if (!log_budget_.Take("crash", kCrashLogLines, now)) continue;
     LogInfo(quarantined ? "request quarantined" : "crash counted elsewhere",
             {{"fingerprint", ToHex(count.fingerprint)},
-             {"counted_by", count.host},
+             {"counted_by", ToHex(count.incarnation)},
              {"crashes", crashes},
              {"told_by", sender.host}});
   }
