Stop requests under way when they are quarantined

What callers saw: a request that had crashed three targets was still sent to second targets, and hung until its timeout, where it was under way when the third crash became known.

Cause: quarantine was looked up only as a request comes in; retries, hedges and sends that wait for a connection were not asked again. The class: a decision taken once and not revised when the belief behind it changes.

Change: whoever learns of a quarantine, here or from a peer, ends the requests of this kind: their sends are cancelled and the caller gets 502, as they may have run.

--- a/libs/tier/include/tier/fleet_link.h
+++ b/libs/tier/include/tier/fleet_link.h
@@ -42,6 +42,8 @@
     std::function<void(absl::Duration age)> regained;
     /// @return what this host saw of targets since it was last asked.
     std::function<std::vector<TargetEvidence>(size_t limit)> take_evidence;
+    /// Crashes that others counted quarantine a request from now on.
+    std::function<void(uint64_t fingerprint)> quarantined;
     /// A peer of the own failure domain tells what it saw.
     std::function<void(const std::vector<TargetEvidence>&)> evidence;
   };
--- a/libs/tier/include/tier/query_plane.h
+++ b/libs/tier/include/tier/query_plane.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "absl/container/flat_hash_map.h"
+#include "absl/container/flat_hash_set.h"
 #include "dispatch/answer_timing.h"
 #include "dispatch/crash_ledger.h"
 #include "dispatch/policy.h"
@@ -22,6 +23,10 @@
 
 namespace cherrydyke {
 
+/// @return what a request and the same request sent again have in common: the
+/// caller's address without its port, the path with the query, and the body.
+uint64_t RequestFingerprint(const engine::HttpRequest& request);
+
 /// Serves callers' requests: finds the route, runs the request over its
 /// targets, and answers. One thread.
 class QueryPlane {
@@ -47,7 +52,10 @@
 
   void OnRequest(std::shared_ptr<engine::ServerExchange> exchange);
 
-  size_t running() const { return running_; }
+  /// A request is quarantined from now on: ends those of its kind that run.
+  void OnQuarantined(uint64_t fingerprint);
+
+  size_t running() const { return running_.size(); }
   /// @return lines left out since the last call, by kind.
   std::map<std::string, int> TakeDroppedLines() {
     return log_budget_.TakeDropped();
@@ -72,6 +80,8 @@
               RefusalReason reason, bool ran);
   void Arm(const RequestPtr& request);
   void OnLeft(const RequestPtr& request);
+  /// Ends a request without an answer of its targets.
+  void Abort(const RequestPtr& request);
   /// @return each attempt for a part that has no answer: service, target, when
   /// it was sent and the status it got, 0 for none.
   static std::string UnansweredAttempts(const Request& request);
@@ -92,7 +102,7 @@
   std::mt19937_64 random_;
   std::shared_ptr<const RouteTable> routes_;
   absl::flat_hash_map<RouteName, WeightedSpreader> spreaders_;
-  size_t running_ = 0;
+  absl::flat_hash_set<RequestPtr> running_;
 };
 
 }  // namespace cherrydyke
--- a/libs/tier/src/fleet_link.cc
+++ b/libs/tier/src/fleet_link.cc
@@ -170,6 +170,7 @@
     const int known = crashes_.Total(count.fingerprint);
     const bool quarantined = crashes_.OnCount(count, now);
     const int crashes = crashes_.Total(count.fingerprint);
+    if (quarantined) hooks_.quarantined(count.fingerprint);
     quarantined_any = quarantined_any || quarantined;
     if (crashes == known) continue;
     if (!log_budget_.Take("crash", kCrashLogLines, now)) continue;
--- a/libs/tier/src/query_plane.cc
+++ b/libs/tier/src/query_plane.cc
@@ -44,14 +44,13 @@
   return peer.substr(0, peer.rfind(':'));
 }
 
-/// What makes two requests the same request sent again.
-uint64_t Fingerprint(const engine::HttpRequest& request) {
+}  // namespace
+
+uint64_t RequestFingerprint(const engine::HttpRequest& request) {
   return StableHash(absl::StrCat(request.method, " ", request.target, "\n",
                                  HostOf(request.peer), "\n", request.body));
 }
 
-}  // namespace
-
 struct QueryPlane::Request {
   struct Attempt {
     TargetId target;
@@ -105,7 +104,7 @@
   if (route == nullptr) {
     return Refuse(*exchange, call->request_id, RefusalReason::kNoRoute, false);
   }
-  const uint64_t fingerprint = Fingerprint(exchange->request());
+  const uint64_t fingerprint = RequestFingerprint(exchange->request());
   if (crashes_.IsQuarantined(fingerprint, loop_.Now())) {
     return Refuse(*exchange, call->request_id, RefusalReason::kQuarantined,
                   false);
@@ -125,7 +124,7 @@
   request->exchange->OnLeft([this, weak = std::weak_ptr<Request>(request)] {
     if (const auto left = weak.lock()) OnLeft(left);
   });
-  ++running_;
+  running_.insert(request);
   const int64_t passed_over = targets_.counts().no_room;
   const RunActions actions = request->run->Start(loop_.Now());
   request->overloaded = targets_.counts().no_room > passed_over;
@@ -284,17 +283,33 @@
 
 void QueryPlane::OnLeft(const RequestPtr& request) {
   if (request->run->done()) return;
-  loop_.Cancel(request->timer);
-  --running_;
   metrics_.counter("cherrydyke_callers_left_total").Add();
+  Abort(request);
+  LogOutcome(*request, "caller_left", 0);
+}
+
+void QueryPlane::Abort(const RequestPtr& request) {
+  running_.erase(request);
   Perform(request, request->run->Abort());
   loop_.Cancel(request->timer);
-  LogOutcome(*request, "caller_left", 0);
+}
+
+void QueryPlane::OnQuarantined(uint64_t fingerprint) {
+  std::vector<RequestPtr> stopped;
+  for (const RequestPtr& request : running_) {
+    if (request->fingerprint == fingerprint) stopped.push_back(request);
+  }
+  for (const RequestPtr& request : stopped) {
+    Abort(request);
+    Refuse(*request->exchange, request->call.request_id,
+           RefusalReason::kQuarantined, true);
+    LogOutcome(*request, "quarantined", 0);
+  }
 }
 
 void QueryPlane::Conclude(const RequestPtr& request, ConclusionKind kind) {
   loop_.Cancel(request->timer);
-  --running_;
+  running_.erase(request);
   const RequestRun& run = *request->run;
   switch (kind) {
     case ConclusionKind::kAnswer:
--- a/libs/tier/src/tier_node.cc
+++ b/libs/tier/src/tier_node.cc
@@ -100,6 +100,7 @@
          regained_at_ = std::max(regained_at_, loop_.Now() - age);
        },
        [this](size_t limit) { return targets_.TakeEvidence(limit); },
+       [this](uint64_t fingerprint) { queries_.OnQuarantined(fingerprint); },
        [this](const std::vector<TargetEvidence>& evidence) {
          targets_.OnEvidence(evidence);
        }});
@@ -216,6 +217,10 @@
               {"crashes", crashes_.Total(fingerprint)},
               {"quarantined", quarantined}});
   metrics_.counter("cherrydyke_crashes_total").Add();
+  if (quarantined) {
+    // Its requests may wait for connections of the pool that reports this.
+    timers_.Post([this, fingerprint] { queries_.OnQuarantined(fingerprint); });
+  }
   fleet_.Gossip();
 }
 
