Blame a request for a crash only where it got no answer

What callers saw: after many targets had crashed at once, requests that had been under way there, and were being answered by other targets, were ended and refused for ten minutes.

Cause: every request at a target that ended was counted, and a fan-out with parts at three targets that crashed in the same moment was quarantined. The class: a correlation taken for a cause. It also filled the ledgers with requests that nobody sends again.

Change: a crash counts once the request has ended without an answer for that part. A request that crashes whatever runs it never gets one; one that merely stood by is answered by the next target. Before that nothing is counted, so a request is at most its own deadline later, which is shorter than contactMs.

--- a/libs/tier/include/tier/query_plane.h
+++ b/libs/tier/include/tier/query_plane.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
@@ -38,6 +39,8 @@
     CrashLedger& crashes;
     Metrics& metrics;
     Policy policy;
+    /// A crash under a request was counted.
+    std::function<void()> on_crash_counted;
   };
 
   explicit QueryPlane(Parts parts);
@@ -72,8 +75,15 @@
   void OnResult(const RequestPtr& request, size_t attempt,
                 engine::ExchangeResult result);
   TargetReply Interpret(engine::ExchangeResult result) const;
-  void Learn(const Request& request, size_t attempt, const TargetReply& reply,
-             engine::ExchangeStatus status);
+  void Learn(const RequestPtr& request, size_t attempt,
+             const TargetReply& reply, engine::ExchangeStatus status);
+  /// A target crashed while it ran an attempt. Counts against a request only
+  /// once it has ended without an answer for that part: whatever is under way
+  /// at a target when it crashes is lost, and does not crash the next one.
+  void OnCrash(const RequestPtr& request, size_t attempt);
+  void CountCrash(const Request& request, size_t attempt);
+  /// The request is over; what has crashed under it is settled.
+  void Retire(const RequestPtr& request);
   void Conclude(const RequestPtr& request, ConclusionKind kind);
   void Answer(const RequestPtr& request);
   void Refuse(engine::ServerExchange& exchange, const std::string& request_id,
@@ -96,6 +106,7 @@
   CrashLedger& crashes_;
   Metrics& metrics_;
   const Policy policy_;
+  const std::function<void()> on_crash_counted_;
   LogBudget log_budget_;
   ReturnSchedule returns_;
   AnswerTiming timing_;
--- a/libs/tier/include/tier/target_set.h
+++ b/libs/tier/include/tier/target_set.h
@@ -50,17 +50,9 @@
 /// learned of each; chooses one for each send.
 class TargetSet : public Placement {
  public:
-  /// Told of beliefs that change here.
-  class Observer {
-   public:
-    virtual ~Observer() = default;
-    /// A target crashed while it ran the request of this fingerprint.
-    virtual void OnCrash(uint64_t fingerprint, const TargetId& target) = 0;
-  };
-
   TargetSet(engine::EventLoop& loop, Locality locality, FleetBounds bounds,
             engine::ClientOptions options, const HostTable& hosts,
-            Policy policy, Observer& observer);
+            Policy policy);
   ~TargetSet() override;
 
   /// Replaces the list of targets.
@@ -94,8 +86,9 @@
   void OnWrongTarget(const TargetId& target);
   void OnOverdue(const TargetId& target, absl::Time sent_at);
   void OnLoad(const TargetId& target, TargetLoad load);
-  /// A connection broke while the request ran, which a crash may explain.
-  void OnLostRequest(const TargetId& target, uint64_t fingerprint);
+  /// A connection broke while a request ran, which a crash may explain.
+  /// @param on_crash called if it turns out that the target crashed.
+  void OnLostRequest(const TargetId& target, std::function<void()> on_crash);
 
   /// @return what was seen of targets since the last call.
   std::vector<TargetEvidence> TakeEvidence(size_t limit);
@@ -132,7 +125,6 @@
   const Policy policy_;
   const engine::ClientOptions options_;
   FleetShares shares_;
-  Observer& observer_;
   ExtraBudget budget_;
   TargetOrders orders_;
   SendCounts counts_;
--- a/libs/tier/include/tier/tier_node.h
+++ b/libs/tier/include/tier/tier_node.h
@@ -52,8 +52,7 @@
 
 /// One host of the tier: everything between its callers and its targets, on
 /// one loop.
-class TierNode : private PublishedSource::Listener,
-                 private TargetSet::Observer {
+class TierNode : private PublishedSource::Listener {
  public:
   TierNode(engine::EventLoop& loop, TierSettings settings, TierFaces faces);
 
@@ -69,7 +68,6 @@
  private:
   void OnPublished(bool config, bool targets) override;
   void OnSourceRegained() override;
-  void OnCrash(uint64_t fingerprint, const TargetId& target) override;
 
   /// Decides whether this host reads the configuration service itself.
   void ChooseReader();
--- a/libs/tier/src/query_plane.cc
+++ b/libs/tier/src/query_plane.cc
@@ -72,6 +72,8 @@
   /// Whether targets had too much to do when it began.
   bool overloaded = false;
   std::vector<Attempt> attempts;
+  /// Attempts under which targets have crashed.
+  std::vector<size_t> crashed;
   engine::TimerId timer = 0;
   absl::Time timer_at = absl::InfiniteFuture();
 };
@@ -83,6 +85,7 @@
       crashes_(parts.crashes),
       metrics_(parts.metrics),
       policy_(parts.policy),
+      on_crash_counted_(std::move(parts.on_crash_counted)),
       returns_(policy_.retry_after, policy_.retry_after_spread),
       timing_(policy_.answer_margin, policy_.answer_spare),
       random_(NewIncarnation()) {}
@@ -229,14 +232,14 @@
   return reply;
 }
 
-void QueryPlane::Learn(const Request& request, size_t index,
+void QueryPlane::Learn(const RequestPtr& request, size_t index,
                        const TargetReply& reply,
                        engine::ExchangeStatus status) {
-  const Request::Attempt& attempt = request.attempts[index];
+  const Request::Attempt& attempt = request->attempts[index];
   targets_.OnEnded(attempt.target,
-                   SignOf(reply, status, request.run->running(index)),
+                   SignOf(reply, status, request->run->running(index)),
                    loop_.Now() - attempt.sent_at,
-                   request.route->latency_objective - policy_.answer_margin);
+                   request->route->latency_objective - policy_.answer_margin);
   if (reply.load) targets_.OnLoad(attempt.target, *reply.load);
   if (reply.end == AttemptEnd::kWrongTarget) {
     targets_.OnWrongTarget(attempt.target);
@@ -244,11 +247,47 @@
   if (status == engine::ExchangeStatus::kLost) {
     metrics_.counter("cherrydyke_lost_answers_total").Add();
     if (log_budget_.Take("lost", policy_.log_lines, loop_.Now())) {
-      LogInfo("answer lost", {{"request", request.call.request_id},
+      LogInfo("answer lost", {{"request", request->call.request_id},
                               {"target", attempt.target},
-                              {"fingerprint", ToHex(request.fingerprint)}});
+                              {"fingerprint", ToHex(request->fingerprint)}});
     }
-    targets_.OnLostRequest(attempt.target, request.fingerprint);
+    targets_.OnLostRequest(attempt.target,
+                           [this, request, index] { OnCrash(request, index); });
+  }
+}
+
+void QueryPlane::OnCrash(const RequestPtr& request, size_t index) {
+  const bool answered = request->run->answered(index);
+  LogWarning("target crashed during a request",
+             {{"target", request->attempts[index].target},
+              {"request", request->call.request_id},
+              {"fingerprint", ToHex(request->fingerprint)},
+              {"answered", answered}});
+  metrics_.counter("cherrydyke_crashes_total").Add();
+  if (answered) return;
+  if (!request->run->done()) return request->crashed.push_back(index);
+  CountCrash(*request, index);
+}
+
+void QueryPlane::CountCrash(const Request& request, size_t index) {
+  const uint64_t fingerprint = request.fingerprint;
+  const bool quarantined = crashes_.OnCrash(fingerprint, loop_.Now());
+  LogWarning(quarantined ? "request quarantined" : "crash counted",
+             {{"fingerprint", ToHex(fingerprint)},
+              {"request", request.call.request_id},
+              {"target", request.attempts[index].target},
+              {"crashes", crashes_.Total(fingerprint)}});
+  on_crash_counted_();
+  if (!quarantined) return;
+  // Requests of its kind may wait for the very pool that reports this.
+  timers_.Post([this, fingerprint] { OnQuarantined(fingerprint); });
+}
+
+void QueryPlane::Retire(const RequestPtr& request) {
+  loop_.Cancel(request->timer);
+  running_.erase(request);
+  for (const size_t index : std::exchange(request->crashed, {})) {
+    if (!request->run->answered(index)) CountCrash(*request, index);
   }
 }
 
@@ -256,7 +295,7 @@
                           engine::ExchangeResult result) {
   const engine::ExchangeStatus status = result.status;
   TargetReply reply = Interpret(std::move(result));
-  Learn(*request, index, reply, status);
+  Learn(request, index, reply, status);
   if (request->run->done()) return;
   const AttemptEnd end = reply.end;
   request->attempts[index].reply = std::move(reply);
@@ -289,9 +328,8 @@
 }
 
 void QueryPlane::Abort(const RequestPtr& request) {
-  running_.erase(request);
   Perform(request, request->run->Abort());
-  loop_.Cancel(request->timer);
+  Retire(request);
 }
 
 void QueryPlane::OnQuarantined(uint64_t fingerprint) {
@@ -308,8 +346,7 @@
 }
 
 void QueryPlane::Conclude(const RequestPtr& request, ConclusionKind kind) {
-  loop_.Cancel(request->timer);
-  running_.erase(request);
+  Retire(request);
   const RequestRun& run = *request->run;
   switch (kind) {
     case ConclusionKind::kAnswer:
--- a/libs/tier/src/target.cc
+++ b/libs/tier/src/target.cc
@@ -64,7 +64,7 @@
   const absl::Time now = set.loop_.Now();
   for (const Lost& entry : std::exchange(lost, {})) {
     if (now - entry.at > kCrashEvidenceTime) continue;
-    set.observer_.OnCrash(entry.fingerprint, info.id);
+    entry.on_crash();
   }
 }
 
--- a/libs/tier/src/target.h
+++ b/libs/tier/src/target.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <vector>
 
@@ -41,7 +42,7 @@
   /// Requests whose connections broke lately, not yet explained.
   struct Lost {
     absl::Time at;
-    uint64_t fingerprint;
+    std::function<void()> on_crash;
   };
   std::vector<Lost> lost;
 
--- a/libs/tier/src/target_set.cc
+++ b/libs/tier/src/target_set.cc
@@ -49,14 +49,13 @@
 
 TargetSet::TargetSet(engine::EventLoop& loop, Locality locality,
                      FleetBounds bounds, engine::ClientOptions options,
-                     const HostTable& hosts, Policy policy, Observer& observer)
+                     const HostTable& hosts, Policy policy)
     : loop_(loop),
       locality_(std::move(locality)),
       bounds_(bounds),
       policy_(policy),
       options_(std::move(options)),
       shares_(locality_, hosts),
-      observer_(observer),
       budget_(bounds, loop.Now(), policy) {
   shares_.Refresh(loop.Now());
   budget_.SetHosts(shares_.hosts());
@@ -379,9 +378,10 @@
   }
 }
 
-void TargetSet::OnLostRequest(const TargetId& id, uint64_t fingerprint) {
+void TargetSet::OnLostRequest(const TargetId& id,
+                              std::function<void()> on_crash) {
   if (Target* const target = Find(id)) {
-    target->lost.push_back({loop_.Now(), fingerprint});
+    target->lost.push_back({loop_.Now(), std::move(on_crash)});
     // A refused connection tells a crash from an answer that was lost.
     target->pool->Probe();
   }
--- a/libs/tier/src/tier_node.cc
+++ b/libs/tier/src/tier_node.cc
@@ -53,9 +53,9 @@
       crashes_(NewIncarnation()),
       targets_(loop, settings_.locality, settings_.bounds,
                TargetOptions(faces.callers, loop.Now()), hosts_,
-               settings_.policy, *this),
+               settings_.policy),
       queries_({loop, faces.callers, targets_, crashes_, metrics_,
-                settings_.policy}),
+                settings_.policy, [this] { fleet_.Gossip(); }}),
       fleet_(loop,
              {{settings_.locality.host, settings_.locality.failure_domain},
               settings_.fleet_port},
@@ -209,21 +209,6 @@
 
 void TierNode::OnSourceRegained() { regained_at_ = loop_.Now(); }
 
-void TierNode::OnCrash(uint64_t fingerprint, const TargetId& target) {
-  const bool quarantined = crashes_.OnCrash(fingerprint, loop_.Now());
-  LogWarning("target crashed during a request",
-             {{"target", target},
-              {"fingerprint", ToHex(fingerprint)},
-              {"crashes", crashes_.Total(fingerprint)},
-              {"quarantined", quarantined}});
-  metrics_.counter("cherrydyke_crashes_total").Add();
-  if (quarantined) {
-    // Its requests may wait for connections of the pool that reports this.
-    timers_.Post([this, fingerprint] { queries_.OnQuarantined(fingerprint); });
-  }
-  fleet_.Gossip();
-}
-
 bool TierNode::IsReady() const {
   return !stopping_since_ && queries_.has_routes() && targets_.size() > 0;
 }
