Keep looking for evidence of a crash until a lost answer is explained

What callers saw: a request went on crashing targets though each of its answers was lost in plain sight.

Cause: a lost answer counted as a crash only if the one connection attempt right after it was refused. That attempt was left out while another connection was being proved, and one that was still accepted by a process on its way down, or timed out, was not repeated. Whether a second attempt came was left to the connections that are kept warm. The class: absence of evidence after one look taken for evidence of absence.

Change: attempts go on every 150 ms for 3 s, until one is refused (a crash) or a connection opened since then stands (an answer lost by a living target; such entries are dropped now, which they were not). A target that turns connections away is not pressed.

Failed first: CrashIsSeenThoughTheFirstConnectionAfterItIsAccepted (12 targets crashed in six requests, none counted; 4 allowed) and LostAnswersOfLivingTargetsAreNotTakenForCrashes (a crash 0.7 s after the target had answered others was put to requests before).

--- a/libs/engine/src/connection_pool.cc
+++ b/libs/engine/src/connection_pool.cc
@@ -163,6 +163,13 @@
   if (Connecting() == 0 && open_connections() < limit_) Open();
 }
 
+bool ConnectionPool::HasOpenedSince(absl::Time time) const {
+  return std::any_of(
+      members_.begin(), members_.end(), [&](const Member& member) {
+        return member.began > time && member.connection->IsOpen();
+      });
+}
+
 int ConnectionPool::Connecting() const {
   return static_cast<int>(
       std::count_if(members_.begin(), members_.end(), [](const Member& member) {
--- a/libs/tier/src/target.cc
+++ b/libs/tier/src/target.cc
@@ -1,5 +1,6 @@
 #include "target.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "telemetry/log.h"
@@ -9,8 +10,12 @@
 
 /// Time to run a request assumed until latency was learned.
 constexpr absl::Duration kPriorWork = absl::Milliseconds(10);
-/// A refused connection this soon after a broken request shows a crash.
-constexpr absl::Duration kCrashEvidenceTime = absl::Milliseconds(1500);
+/// A refused connection this soon after a broken request shows a crash, unless
+/// another was accepted in between: as long as two attempts may take.
+constexpr absl::Duration kCrashEvidenceTime = absl::Seconds(3);
+/// Pause between attempts to connect that tell a crash from a lost answer: a
+/// process that ends may still accept connections while it resets others.
+constexpr absl::Duration kExplainPeriod = absl::Milliseconds(150);
 
 }  // namespace
 
@@ -47,7 +52,6 @@
 void TargetSet::Target::OnConnected() {
   if (!unreachable_) return;
   unreachable_ = false;
-  lost.clear();
   // What was away has started again, whatever its entry still says.
   const auto spec = set.orders_.services.find(info.service);
   const absl::Duration warmup = spec == set.orders_.services.end()
@@ -60,11 +64,33 @@
            {"cold_ms", absl::ToInt64Milliseconds(warmup)}});
 }
 
+void TargetSet::Target::OnLostRequest(std::function<void()> on_crash) {
+  lost_.push_back({set.loop_.Now(), std::move(on_crash)});
+  pool->Probe();
+  if (explaining_) return;
+  explaining_ = true;
+  timers_.RunAfter(kExplainPeriod, [this] { ExplainLost(); });
+}
+
+void TargetSet::Target::ExplainLost() {
+  const absl::Time now = set.loop_.Now();
+  lost_.erase(std::remove_if(lost_.begin(), lost_.end(),
+                             [&](const Lost& entry) {
+                               return now - entry.at > kCrashEvidenceTime ||
+                                      pool->HasOpenedSince(entry.at);
+                             }),
+              lost_.end());
+  explaining_ = !lost_.empty();
+  if (!explaining_) return;
+  // One that turns connections away is not pressed.
+  if (!pool->is_paused()) pool->Probe();
+  timers_.RunAfter(kExplainPeriod, [this] { ExplainLost(); });
+}
+
 void TargetSet::Target::ConfirmCrash() {
   const absl::Time now = set.loop_.Now();
-  for (const Lost& entry : std::exchange(lost, {})) {
-    if (now - entry.at > kCrashEvidenceTime) continue;
-    entry.on_crash();
+  for (const Lost& entry : std::exchange(lost_, {})) {
+    if (now - entry.at <= kCrashEvidenceTime) entry.on_crash();
   }
 }
 
--- a/libs/tier/src/target.h
+++ b/libs/tier/src/target.h
@@ -39,19 +39,28 @@
   bool wrong = false;
   std::unique_ptr<engine::ConnectionPool> pool;
 
-  /// Requests whose connections broke lately, not yet explained.
-  struct Lost {
-    absl::Time at;
-    std::function<void()> on_crash;
-  };
-  std::vector<Lost> lost;
+  /// A connection broke while a request ran: finds out whether the target
+  /// crashed.
+  /// @param on_crash called if it did.
+  void OnLostRequest(std::function<void()> on_crash);
 
  private:
   void OnConnectFailed(bool refused) override;
   void OnTurnedAway() override;
   void OnConnected() override;
   void ConfirmCrash();
+  /// Drops lost requests that are explained, and looks for evidence of the
+  /// others.
+  void ExplainLost();
 
+  /// Requests whose connections broke lately, not yet explained.
+  struct Lost {
+    absl::Time at;
+    std::function<void()> on_crash;
+  };
+  std::vector<Lost> lost_;
+  bool explaining_ = false;
+  engine::TimerScope timers_{set.loop_};
   bool unreachable_ = false;
 };
 
--- a/libs/tier/src/target_set.cc
+++ b/libs/tier/src/target_set.cc
@@ -381,9 +381,7 @@
 void TargetSet::OnLostRequest(const TargetId& id,
                               std::function<void()> on_crash) {
   if (Target* const target = Find(id)) {
-    target->lost.push_back({loop_.Now(), std::move(on_crash)});
-    // A refused connection tells a crash from an answer that was lost.
-    target->pool->Probe();
+    target->OnLostRequest(std::move(on_crash));
   }
 }
 
--- a/tests/support/raw_peers.cc
+++ b/tests/support/raw_peers.cc
@@ -152,6 +152,10 @@
 void RawServer::Stop() {
   error_code ignored;
   state_->acceptor.close(ignored);
+  ResetConnections();
+}
+
+void RawServer::ResetConnections() {
   for (const auto& connection : state_->connections) connection->Reset();
   state_->connections.clear();
 }
--- a/tests/support/raw_peers.h
+++ b/tests/support/raw_peers.h
@@ -54,6 +54,8 @@
   int accepted() const;
   /// Resets the next connections as soon as they are accepted.
   void TurnAway(int connections);
+  /// Resets every connection.
+  void ResetConnections();
   /// Stops to listen and resets every connection.
   void Stop();
 
