Tell evidence of targets that did not fit into a message next time

Found when looking for the cause of the crash counts elsewhere: of more than 150 failing targets the evidence told was cut to those with the most failures and, among equals, always to the smallest hashes; the rest was dropped each time. The same class: a bounded message that always carries the same part of a longer list. What does not fit now stays for the next message, where its sum goes before.

WhatDoesNotFitIsToldNextTime failed first: of 30 targets that fail as often 10 were ever told. dispatch_test passes.

--- a/libs/dispatch/src/target_evidence.cc
+++ b/libs/dispatch/src/target_evidence.cc
@@ -43,6 +43,10 @@
                    [](const TargetEvidence& a, const TargetEvidence& b) {
                      return a.failures > b.failures;
                    });
+  for (size_t index = limit; index < evidence.size(); ++index) {
+    const TargetEvidence& left = evidence[index];
+    entries_[left.target] = {left.answers, left.failures};
+  }
   if (evidence.size() > limit) evidence.resize(limit);
   return evidence;
 }
--- a/libs/dispatch/tests/target_evidence_test.cc
+++ b/libs/dispatch/tests/target_evidence_test.cc
@@ -2,6 +2,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <set>
+
 namespace cherrydyke {
 namespace {
 
@@ -19,6 +21,7 @@
   CPPUNIT_TEST_SUITE(TargetEvidenceTest);
   CPPUNIT_TEST(IsToldOnce);
   CPPUNIT_TEST(FailuresComeFirstWhereNotAllFit);
+  CPPUNIT_TEST(WhatDoesNotFitIsToldNextTime);
   CPPUNIT_TEST(AnswersOfTargetsThatNeverFailAreNotTold);
   CPPUNIT_TEST(CountsStayWithinTheirFields);
   CPPUNIT_TEST(OwnConnectionsSayNothingOfTheTarget);
@@ -48,6 +51,21 @@
     CPPUNIT_ASSERT_EQUAL(uint32_t{2}, told[1].target);
   }
 
+  void WhatDoesNotFitIsToldNextTime() {
+    EvidenceBook book;
+    const auto fail_all = [&] {
+      for (uint32_t target = 0; target < 30; ++target) {
+        book.Note(target, TargetSign::kLost);
+      }
+    };
+    std::set<uint32_t> told;
+    for (int message = 0; message < 3; ++message) {
+      fail_all();
+      for (const TargetEvidence& one : Take(book, 10)) told.insert(one.target);
+    }
+    CPPUNIT_ASSERT_EQUAL(size_t{30}, told.size());
+  }
+
   void AnswersOfTargetsThatNeverFailAreNotTold() {
     EvidenceBook book;
     for (const uint32_t target : {1, 2, 3}) {
