Heed what targets say of themselves: that they leave, or want time

Before: a leaving target was known from the store alone, drainMs later or never while the store is away; Retry-After of a target's 503 was one more sign of load.

A target that leaves gets nothing more from this host for the rest of its lifetime, which is told by id, address and start: not by its entry's state, nor by the entry lapsing and coming back. One that asks for time gets nothing until then; requests that wait for a connection there go elsewhere unsent, it starts again with one request at once, and hosts return spread over a quarter of the wait. What no target is left for is refused at once, with Retry-After by when enough targets open (reason targets_closed). An unreadable wait is ignored and logged, an endless one kept for an hour.

Not done here: hosts telling each other, stand-ins in the soak.

--- a/libs/dispatch/include/dispatch/concurrency_limit.h
+++ b/libs/dispatch/include/dispatch/concurrency_limit.h
@@ -18,6 +18,8 @@
   explicit ConcurrencyLimit(int connections);
 
   void SetConnections(int connections);
+  /// Begins anew with one request, as with a target that asked for time.
+  void Restart();
 
   /// A request was answered.
   /// @param spent time since it was given to the target, waiting included.
--- a/libs/dispatch/include/dispatch/request_run.h
+++ b/libs/dispatch/include/dispatch/request_run.h
@@ -101,6 +101,7 @@
   /// @return when `OnTimer` is to be called at the latest.
   absl::Time NextTimer() const;
   bool done() const { return done_; }
+  const RequestPlan& plan() const { return plan_; }
 
   /// @return for each part, the attempt that succeeded, if any.
   std::vector<std::optional<size_t>> Winners() const;
--- a/libs/dispatch/include/dispatch/return_schedule.h
+++ b/libs/dispatch/include/dispatch/return_schedule.h
@@ -1,10 +1,17 @@
 #pragma once
 
+#include <vector>
+
 #include "absl/time/time.h"
 #include "dispatch/sliding_count.h"
 
 namespace cherrydyke {
 
+/// @param opens when each part that has no target now has one again.
+/// @param spare how many of them the answer can do without.
+/// @return when enough have one; the infinite past if they do now.
+absl::Time WhenEnoughOpen(std::vector<absl::Time> opens, size_t spare);
+
 /// When refused callers are asked to come back: in the order in which they were
 /// refused, no faster than the host can serve them beside its new callers.
 ///
--- a/libs/dispatch/include/dispatch/target_evidence.h
+++ b/libs/dispatch/include/dispatch/target_evidence.h
@@ -39,8 +39,8 @@
 
   /// @param is_doubtful whether a target is known to fail at times: of others,
   /// answers are not worth telling.
-  /// @return the evidence that was not yet taken, at most `limit` targets of it,
-  /// failures first; the rest is left for the next call.
+  /// @return the evidence that was not yet taken, at most `limit` targets of
+  /// it, failures first; the rest is left for the next call.
   std::vector<TargetEvidence> Take(
       size_t limit, const std::function<bool(uint32_t target)>& is_doubtful);
 
--- a/libs/dispatch/src/concurrency_limit.cc
+++ b/libs/dispatch/src/concurrency_limit.cc
@@ -35,6 +35,8 @@
   most_ = most;
 }
 
+void ConcurrencyLimit::Restart() { limit_ = std::min(kLeast, most_); }
+
 void ConcurrencyLimit::OnAnswered(absl::Duration spent, absl::Duration useful,
                                   absl::Time now) {
   if (spent > useful) return OnGivenUp(spent, useful, now);
--- a/libs/dispatch/src/return_schedule.cc
+++ b/libs/dispatch/src/return_schedule.cc
@@ -15,6 +15,12 @@
 
 }  // namespace
 
+absl::Time WhenEnoughOpen(std::vector<absl::Time> opens, size_t spare) {
+  if (opens.size() <= spare) return absl::InfinitePast();
+  std::sort(opens.begin(), opens.end());
+  return opens[opens.size() - spare - 1];
+}
+
 ReturnSchedule::ReturnSchedule(absl::Duration usual, double spread)
     : usual_(usual), spread_(spread), answered_(kWindow, kBucket) {}
 
--- /dev/null
+++ b/libs/dispatch/tests/target_notices_test.cc
@@ -0,0 +1,101 @@
+#include "dispatch/target_notices.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+#include <vector>
+
+#include "dispatch/concurrency_limit.h"
+#include "dispatch/return_schedule.h"
+
+namespace cherrydyke {
+namespace {
+
+const absl::Time kNow = absl::UnixEpoch() + absl::Hours(1);
+const TargetLifetime kTarget = {"t1", "10.0.0.1:80", 7};
+
+}  // namespace
+
+class TargetNoticesTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(TargetNoticesTest);
+  CPPUNIT_TEST(LeavingHoldsForTheLifetime);
+  CPPUNIT_TEST(ClosureLastsAsLongAsTheLatestAnswerAsks);
+  CPPUNIT_TEST(ReturnsOfHostsAreSpread);
+  CPPUNIT_TEST(EndlessClosureEnds);
+  CPPUNIT_TEST(NoticesAreBounded);
+  CPPUNIT_TEST(ReopenedTargetGetsOneRequestAtFirst);
+  CPPUNIT_TEST(CallersReturnWhenEnoughPartsAreOpen);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void LeavingHoldsForTheLifetime() {
+    TargetNotices notices;
+    CPPUNIT_ASSERT(!notices.IsLeaving(kTarget));
+    CPPUNIT_ASSERT(notices.OnLeaving(kTarget, kNow));
+    CPPUNIT_ASSERT(!notices.OnLeaving(kTarget, kNow));
+    CPPUNIT_ASSERT(notices.IsLeaving(kTarget));
+    CPPUNIT_ASSERT(!notices.IsLeaving({"t1", "10.0.0.1:80", 8}));
+    CPPUNIT_ASSERT(!notices.IsLeaving({"t1", "10.0.0.2:80", 7}));
+    CPPUNIT_ASSERT(!notices.IsLeaving({"t2", "10.0.0.1:80", 7}));
+  }
+
+  void ClosureLastsAsLongAsTheLatestAnswerAsks() {
+    TargetNotices notices;
+    CPPUNIT_ASSERT(notices.OpensAt(kTarget) <= kNow);
+    notices.OnClosed(kTarget, absl::Seconds(5), 0, kNow);
+    notices.OnClosed(kTarget, absl::Seconds(1), 0, kNow + absl::Seconds(1));
+    CPPUNIT_ASSERT(notices.OpensAt(kTarget) == kNow + absl::Seconds(5));
+    notices.OnClosed(kTarget, absl::Seconds(5), 0, kNow + absl::Seconds(1));
+    CPPUNIT_ASSERT(notices.OpensAt(kTarget) == kNow + absl::Seconds(6));
+  }
+
+  void ReturnsOfHostsAreSpread() {
+    TargetNotices first;
+    TargetNotices last;
+    const absl::Duration wait = absl::Seconds(2);
+    CPPUNIT_ASSERT(first.OnClosed(kTarget, wait, 0, kNow) == kNow + wait);
+    CPPUNIT_ASSERT(last.OnClosed(kTarget, wait, 1, kNow) ==
+                   kNow + wait + absl::Milliseconds(500));
+  }
+
+  void EndlessClosureEnds() {
+    TargetNotices notices;
+    notices.OnClosed(kTarget, absl::InfiniteDuration(), 0, kNow);
+    CPPUNIT_ASSERT(notices.OpensAt(kTarget) == kNow + absl::Hours(1));
+  }
+
+  void NoticesAreBounded() {
+    TargetNotices notices;
+    for (int i = 0; i < 5000; ++i) {
+      notices.OnLeaving({std::to_string(i), "e", 1},
+                        kNow + absl::Milliseconds(i));
+    }
+    CPPUNIT_ASSERT_EQUAL(size_t{4096}, notices.size());
+    CPPUNIT_ASSERT(notices.IsLeaving({"4999", "e", 1}));
+  }
+
+  void ReopenedTargetGetsOneRequestAtFirst() {
+    ConcurrencyLimit limit(8);
+    limit.Restart();
+    CPPUNIT_ASSERT(limit.HasRoom(0));
+    CPPUNIT_ASSERT(!limit.HasRoom(1));
+    const absl::Duration useful = absl::Milliseconds(100);
+    limit.OnAnswered(absl::Milliseconds(5), useful, kNow);
+    CPPUNIT_ASSERT(limit.HasRoom(1));
+    CPPUNIT_ASSERT(!limit.HasRoom(2));
+  }
+
+  void CallersReturnWhenEnoughPartsAreOpen() {
+    const auto at = [](int seconds) { return kNow + absl::Seconds(seconds); };
+    const std::vector<absl::Time> parts = {at(9), at(3), at(5)};
+    CPPUNIT_ASSERT(WhenEnoughOpen(parts, 0) == at(9));
+    CPPUNIT_ASSERT(WhenEnoughOpen(parts, 1) == at(5));
+    CPPUNIT_ASSERT(WhenEnoughOpen(parts, 2) == at(3));
+    CPPUNIT_ASSERT(WhenEnoughOpen(parts, 3) == absl::InfinitePast());
+    CPPUNIT_ASSERT(WhenEnoughOpen({}, 0) == absl::InfinitePast());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TargetNoticesTest);
+
+}  // namespace cherrydyke
--- a/libs/engine/include/engine/client_connection.h
+++ b/libs/engine/include/engine/client_connection.h
@@ -29,6 +29,8 @@
 /// What came of one request.
 struct ExchangeResult {
   ExchangeStatus status = ExchangeStatus::kNotSent;
+  /// Unless the response is complete, its status and headers if they came
+  /// whole, and no body.
   HttpResponse response;
 };
 
@@ -116,6 +118,8 @@
   void OnEnd(bool clean);
   bool ParseResponse(bool at_end);
   void CompleteResponse();
+  /// @return status and headers of a response under way, if they are whole.
+  HttpResponse HeadSoFar() const;
   void ResetParser();
   /// Closes the connection, then reports the exchange.
   void Fail(ExchangeStatus status, HttpResponse response, bool by_peer);
--- a/libs/engine/include/engine/connection_pool.h
+++ b/libs/engine/include/engine/connection_pool.h
@@ -57,6 +57,9 @@
   /// this call.
   void Cancel(ExchangeId exchange, absl::Duration grace);
 
+  /// Reports requests that wait for a connection as not sent.
+  void FailWaiting();
+
   /// Opens a connection, if there is room for one, to learn whether the server
   /// still accepts any.
   void Probe();
@@ -97,7 +100,8 @@
   void Assign(Member& member, Waiting waiting);
   void Open();
   void Pump();
-  void FailWaiting();
+  /// As `FailWaiting`, unless connections stand that may still carry them.
+  void FailStranded();
   void OnTurnedAway();
   void ReportLater(std::function<void(ExchangeResult)> done,
                    ExchangeStatus status);
--- a/libs/engine/src/client_connection.cc
+++ b/libs/engine/src/client_connection.cc
@@ -162,12 +162,21 @@
   }
   if (error == http::error::need_more) return false;
   if (error) {
-    Fail(ExchangeStatus::kMalformed, {}, false);
+    Fail(ExchangeStatus::kMalformed, HeadSoFar(), false);
     return false;
   }
   return parser.is_done();
 }
 
+HttpResponse ClientConnection::HeadSoFar() const {
+  HttpResponse head;
+  const ResponseParser& parser = *socket_->parser;
+  if (!parser.is_header_done()) return head;
+  head.status = static_cast<int>(parser.get().result_int());
+  head.headers = CopyHeaders(parser.get());
+  return head;
+}
+
 void ClientConnection::CompleteResponse() {
   ResponseParser& parser = *socket_->parser;
   HttpResponse response;
@@ -213,7 +222,9 @@
   if (state_ == State::kBusy && clean && ParseResponse(true)) {
     return CompleteResponse();
   }
-  if (state_ == State::kBusy) return Fail(ExchangeStatus::kLost, {}, true);
+  if (state_ == State::kBusy) {
+    return Fail(ExchangeStatus::kLost, HeadSoFar(), true);
+  }
   CloseSocket(true);
 }
 
@@ -226,7 +237,8 @@
 }
 
 void ClientConnection::BreakOff() {
-  if (state_ == State::kBusy) Fail(ExchangeStatus::kBrokenOff, {}, false);
+  if (state_ != State::kBusy) return;
+  Fail(ExchangeStatus::kBrokenOff, HeadSoFar(), false);
 }
 
 void ClientConnection::Close() {
--- a/libs/engine/src/connection_pool.cc
+++ b/libs/engine/src/connection_pool.cc
@@ -63,7 +63,7 @@
     queue_.pop_front();
     Assign(*idle, std::move(next));
   }
-  if (is_paused()) return FailWaiting();
+  if (is_paused()) return FailStranded();
   while (Connecting() < static_cast<int>(queue_.size()) &&
          open_connections() < limit_) {
     Open();
@@ -207,7 +207,7 @@
   members_.erase(members_.begin() + (member - members_.data()));
   if (!was_open) {
     if (listener_ != nullptr) listener_->OnConnectFailed(by_peer);
-    return FailWaiting();
+    return FailStranded();
   }
   if (by_peer && !connection.has_served()) OnTurnedAway();
   timers_.Post([this] { Pump(); });
@@ -218,12 +218,14 @@
   open_after_ = loop_.Now() + open_pause_;
   doubtful_until_ = loop_.Now() + kDoubtTime;
   if (listener_ != nullptr) listener_->OnTurnedAway();
-  FailWaiting();
+  FailStranded();
+}
+
+void ConnectionPool::FailStranded() {
+  if (members_.empty()) FailWaiting();
 }
 
 void ConnectionPool::FailWaiting() {
-  // Those that are open or being opened may still carry them.
-  if (!members_.empty()) return;
   std::deque<Waiting> failed;
   failed.swap(queue_);
   for (Waiting& entry : failed) {
--- a/libs/tier/include/tier/caller_face.h
+++ b/libs/tier/include/tier/caller_face.h
@@ -35,6 +35,13 @@
   /// The target's signature of its answer.
   std::string stamp;
   std::optional<TargetLoad> load;
+  /// Whether the target says that it leaves.
+  bool leaving = false;
+  /// How long the target, which turned the request away, wants nothing more
+  /// from this host; zero where it does not say.
+  absl::Duration wait;
+  /// It stated a wait that cannot be read or is no time ahead.
+  bool is_wait_malformed = false;
 };
 
 /// Why the tier answers a request itself.
@@ -46,6 +53,8 @@
   kNoTarget,
   /// As `kNoTarget`, because targets have as much as they answer in time.
   kOverloaded,
+  /// As `kNoTarget`, because all targets have asked for time.
+  kTargetsClosed,
   kTargetsFailed,
   kDeadline,
 };
--- a/libs/tier/include/tier/query_plane.h
+++ b/libs/tier/include/tier/query_plane.h
@@ -77,6 +77,8 @@
   TargetReply Interpret(engine::ExchangeResult result) const;
   void Learn(const RequestPtr& request, size_t attempt,
              const TargetReply& reply, engine::ExchangeStatus status);
+  /// Takes what a target says of itself.
+  void Heed(const Request& request, size_t attempt, const TargetReply& reply);
   /// A target crashed while it ran an attempt. Counts against a request only
   /// once it has ended without an answer for that part: whatever is under way
   /// at a target when it crashes is lost, and does not crash the next one.
@@ -87,7 +89,13 @@
   void Conclude(const RequestPtr& request, ConclusionKind kind);
   void Answer(const RequestPtr& request);
   void Refuse(engine::ServerExchange& exchange, const std::string& request_id,
-              RefusalReason reason, bool ran);
+              RefusalReason reason, bool ran) {
+    Refuse(exchange, request_id, reason, ran, RetryAfter(reason));
+  }
+  void Refuse(engine::ServerExchange& exchange, const std::string& request_id,
+              RefusalReason reason, bool ran, absl::Duration retry_after);
+  /// Refuses what has not run for want of targets.
+  void RefuseUnplaced(const Request& request);
   void Arm(const RequestPtr& request);
   void OnLeft(const RequestPtr& request);
   /// Ends a request without an answer of its targets.
@@ -98,6 +106,8 @@
   void LogOutcome(const Request& request, const std::string& outcome,
                   size_t missing);
   absl::Duration RetryAfter(RefusalReason reason);
+  /// @return a random number in [0, 1).
+  double Draw();
 
   engine::EventLoop& loop_;
   engine::TimerScope timers_{loop_};
--- a/libs/tier/include/tier/target_set.h
+++ b/libs/tier/include/tier/target_set.h
@@ -17,6 +17,7 @@
 #include "dispatch/replica_choice.h"
 #include "dispatch/target_evidence.h"
 #include "dispatch/target_health.h"
+#include "dispatch/target_notices.h"
 #include "dispatch/types.h"
 #include "engine/connection_pool.h"
 #include "membership/fleet_shares.h"
@@ -86,6 +87,18 @@
   void OnWrongTarget(const TargetId& target);
   void OnOverdue(const TargetId& target, absl::Time sent_at);
   void OnLoad(const TargetId& target, TargetLoad load);
+  /// An answer said that the target leaves: it gets nothing more.
+  /// @param sent_at when the request was sent, which tells the lifetime.
+  /// @return whether this is news.
+  bool OnLeaving(const TargetId& target, absl::Time sent_at);
+  /// The target turned a request away and wants nothing for a time.
+  /// @param draw a random number in [0, 1).
+  /// @return when it may be used again, or nothing if it is gone by now.
+  std::optional<absl::Time> OnClosed(const TargetId& target, absl::Time sent_at,
+                                     absl::Duration wait, double draw);
+  /// @return when a service has a target again whose targets have all asked for
+  /// time; the infinite past for any other service.
+  absl::Time OpensAt(const ServiceName& service) const;
   /// A connection broke while a request ran, which a crash may explain.
   /// @param on_crash called if it turns out that the target crashed.
   void OnLostRequest(const TargetId& target, std::function<void()> on_crash);
@@ -111,6 +124,9 @@
   bool MayUse(const Target& target, const PlacementNeed& need,
               absl::Time now) const;
   bool IsExcluded(const Target& target, const PlacementNeed& need) const;
+  /// @return the target that a request was sent to, if its lifetime still
+  /// stands in the list.
+  Target* FindAsOf(const TargetId& id, absl::Time sent_at) const;
   ReplicaState StateOf(const Target& target, absl::Time now) const;
   /// Divides what targets bear among the hosts that may use them.
   void DivideAll();
@@ -129,6 +145,7 @@
   TargetOrders orders_;
   SendCounts counts_;
   EvidenceBook evidence_;
+  TargetNotices notices_;
   absl::flat_hash_map<TargetId, TargetPtr> targets_;
   /// The same by the hash under which hosts tell each other of them.
   absl::flat_hash_map<uint32_t, Target*> by_hash_;
--- a/libs/tier/src/caller_face.cc
+++ b/libs/tier/src/caller_face.cc
@@ -16,6 +16,8 @@
       return "no_target";
     case RefusalReason::kOverloaded:
       return "overloaded";
+    case RefusalReason::kTargetsClosed:
+      return "targets_closed";
     case RefusalReason::kTargetsFailed:
       return "targets_failed";
     case RefusalReason::kDeadline:
--- a/libs/tier/src/query_plane.cc
+++ b/libs/tier/src/query_plane.cc
@@ -229,6 +229,10 @@
   reply.end = result.status == engine::ExchangeStatus::kNotSent
                   ? AttemptEnd::kNotSent
                   : AttemptEnd::kUnknown;
+  if (!result.response.headers.empty()) {
+    // Of an answer that is not whole only this is trusted.
+    reply.leaving = face_.ReadReply(std::move(result.response)).leaving;
+  }
   return reply;
 }
 
@@ -241,6 +245,7 @@
                    loop_.Now() - attempt.sent_at,
                    request->route->latency_objective - policy_.answer_margin);
   if (reply.load) targets_.OnLoad(attempt.target, *reply.load);
+  Heed(*request, index, reply);
   if (reply.end == AttemptEnd::kWrongTarget) {
     targets_.OnWrongTarget(attempt.target);
   }
@@ -256,6 +261,33 @@
   }
 }
 
+void QueryPlane::Heed(const Request& request, size_t index,
+                      const TargetReply& reply) {
+  const Request::Attempt& attempt = request.attempts[index];
+  const std::string& id = request.call.request_id;
+  if (reply.leaving && targets_.OnLeaving(attempt.target, attempt.sent_at)) {
+    metrics_.counter("cherrydyke_targets_leaving_total").Add();
+    LogInfo("target leaves", {{"target", attempt.target}, {"request", id}});
+  }
+  if (reply.is_wait_malformed &&
+      log_budget_.Take("malformed wait", policy_.log_lines, loop_.Now())) {
+    LogWarning("unreadable wait of a target ignored",
+               {{"target", attempt.target}, {"request", id}});
+  }
+  if (reply.wait <= absl::ZeroDuration()) return;
+  const auto opens_at =
+      targets_.OnClosed(attempt.target, attempt.sent_at, reply.wait, Draw());
+  if (!opens_at) return;
+  metrics_.counter("cherrydyke_targets_closed_total").Add();
+  if (!log_budget_.Take("closed", policy_.log_lines, loop_.Now())) return;
+  LogInfo(
+      "target closed for a time",
+      {{"target", attempt.target},
+       {"request", id},
+       {"stated_ms", absl::ToInt64Milliseconds(reply.wait)},
+       {"opens_in_ms", absl::ToInt64Milliseconds(*opens_at - loop_.Now())}});
+}
+
 void QueryPlane::OnCrash(const RequestPtr& request, size_t index) {
   const bool answered = request->run->answered(index);
   LogWarning("target crashed during a request",
@@ -356,10 +388,7 @@
           std::move(request->attempts[run.relayed()].reply.response)));
       return LogOutcome(*request, "target_failure", 0);
     case ConclusionKind::kNotRun:
-      Refuse(*request->exchange, request->call.request_id,
-             request->overloaded ? RefusalReason::kOverloaded
-                                 : RefusalReason::kNoTarget,
-             false);
+      RefuseUnplaced(*request);
       return LogOutcome(*request, "not_run", 0);
     case ConclusionKind::kFailed:
       Refuse(*request->exchange, request->call.request_id,
@@ -395,27 +424,53 @@
   LogOutcome(*request, missing == 0 ? kAnswered : kAnsweredInPart, missing);
 }
 
+void QueryPlane::RefuseUnplaced(const Request& request) {
+  std::vector<absl::Time> opens;
+  for (const ServiceName& service : request.run->plan().services) {
+    const absl::Time opens_at = targets_.OpensAt(service);
+    if (opens_at > loop_.Now()) opens.push_back(opens_at);
+  }
+  const RequestPlan& plan = request.run->plan();
+  const absl::Time enough =
+      WhenEnoughOpen(std::move(opens), plan.services.size() - plan.needed);
+  if (enough > loop_.Now()) {
+    return Refuse(*request.exchange, request.call.request_id,
+                  RefusalReason::kTargetsClosed, false,
+                  enough - loop_.Now() + returns_.Usual(Draw()));
+  }
+  Refuse(*request.exchange, request.call.request_id,
+         request.overloaded ? RefusalReason::kOverloaded
+                            : RefusalReason::kNoTarget,
+         false);
+}
+
+double QueryPlane::Draw() {
+  return std::uniform_real_distribution<double>(0, 1)(random_);
+}
+
 absl::Duration QueryPlane::RetryAfter(RefusalReason reason) {
-  const double draw = std::uniform_real_distribution<double>(0, 1)(random_);
+  const double draw = Draw();
   return reason == RefusalReason::kOverloaded ? returns_.Next(draw, loop_.Now())
                                               : returns_.Usual(draw);
 }
 
 void QueryPlane::Refuse(engine::ServerExchange& exchange,
                         const std::string& request_id, RefusalReason reason,
-                        bool ran) {
+                        bool ran, absl::Duration retry_after) {
   metrics_
       .counter("cherrydyke_refusals_total",
                absl::StrCat("reason=\"", ReasonName(reason), "\""))
       .Add();
   if (log_budget_.Take("refused", policy_.log_lines, loop_.Now())) {
-    LogInfo("request refused", {{"request", request_id},
-                                {"target", exchange.request().target},
-                                {"reason", ReasonName(reason)},
-                                {"ran", ran},
-                                {"config_version", version()}});
+    LogInfo("request refused",
+            {{"request", request_id},
+             {"target", exchange.request().target},
+             {"reason", ReasonName(reason)},
+             {"ran", ran},
+             {"retry_after_ms", absl::ToInt64Milliseconds(retry_after)},
+             {"config_version", version()}});
   }
-  exchange.Respond(face_.Refuse(request_id, reason, ran, RetryAfter(reason)));
+  exchange.Respond(face_.Refuse(request_id, reason, ran, retry_after));
 }
 
 std::string QueryPlane::UnansweredAttempts(const Request& request) {
--- a/libs/tier/src/target.cc
+++ b/libs/tier/src/target.cc
@@ -26,7 +26,8 @@
       hash(static_cast<uint32_t>(StableHash(info.id))),
       distance(from_here),
       round_trip(trip),
-      health(trip, kPriorWork) {
+      health(trip, kPriorWork),
+      listed_at(owner.loop_.Now()) {
   pool = std::make_unique<engine::ConnectionPool>(
       owner.loop_, info.endpoint, owner.options_, connection_limit,
       static_cast<engine::ConnectionPool::Listener*>(this));
@@ -66,7 +67,7 @@
 
 void TargetSet::Target::OnLostRequest(std::function<void()> on_crash) {
   lost_.push_back({set.loop_.Now(), std::move(on_crash)});
-  pool->Probe();
+  if (set.loop_.Now() >= opens_at) pool->Probe();
   if (explaining_) return;
   explaining_ = true;
   timers_.RunAfter(kExplainPeriod, [this] { ExplainLost(); });
@@ -82,8 +83,8 @@
               lost_.end());
   explaining_ = !lost_.empty();
   if (!explaining_) return;
-  // One that turns connections away is not pressed.
-  if (!pool->is_paused()) pool->Probe();
+  // One that turns connections away or asked for time is not pressed.
+  if (!pool->is_paused() && now >= opens_at) pool->Probe();
   timers_.RunAfter(kExplainPeriod, [this] { ExplainLost(); });
 }
 
--- a/libs/tier/src/target.h
+++ b/libs/tier/src/target.h
@@ -14,6 +14,9 @@
          absl::Duration trip);
 
   bool IsCold(absl::Time now) const { return now < cold_until; }
+  TargetLifetime lifetime() const {
+    return {info.id, info.endpoint, info.born_ms};
+  }
 
   TargetSet& set;
   TargetInfo info;
@@ -37,6 +40,12 @@
   absl::Time gone_at = absl::InfiniteFuture();
   /// Another target has its address.
   bool wrong = false;
+  /// It has said so in an answer.
+  bool leaving = false;
+  /// Until then it wants nothing.
+  absl::Time opens_at = absl::InfinitePast();
+  /// When this host first heard of this lifetime.
+  const absl::Time listed_at;
   std::unique_ptr<engine::ConnectionPool> pool;
 
   /// A connection broke while a request ran: finds out whether the target
--- a/libs/tier/src/target_set.cc
+++ b/libs/tier/src/target_set.cc
@@ -120,6 +120,10 @@
   }
   const bool drains = target->info.draining && same_lifetime;
   target->info = std::move(info);
+  if (!same_lifetime) {
+    target->leaving = notices_.IsLeaving(target->lifetime());
+    target->opens_at = notices_.OpensAt(target->lifetime());
+  }
   // Nobody who leaves comes back in the same lifetime.
   if (drains && target->info.born_ms) target->info.draining = true;
   target->gone_at = absl::InfiniteFuture();
@@ -247,6 +251,7 @@
   if (target.info.draining || target.wrong || now >= target.gone_at) {
     return false;
   }
+  if (target.leaving || now < target.opens_at) return false;
   if (target.connection_limit == 0) return false;
   if (orders_.evacuated.count(target.info.failure_domain) > 0) return false;
   return !IsExcluded(target, need);
@@ -378,6 +383,50 @@
   }
 }
 
+TargetSet::Target* TargetSet::FindAsOf(const TargetId& id,
+                                       absl::Time sent_at) const {
+  Target* const target = Find(id);
+  return target == nullptr || sent_at < target->listed_at ? nullptr : target;
+}
+
+bool TargetSet::OnLeaving(const TargetId& id, absl::Time sent_at) {
+  Target* const target = FindAsOf(id, sent_at);
+  if (target == nullptr) return false;
+  if (!notices_.OnLeaving(target->lifetime(), loop_.Now())) return false;
+  target->leaving = true;
+  target->pool->FailWaiting();
+  return true;
+}
+
+std::optional<absl::Time> TargetSet::OnClosed(const TargetId& id,
+                                              absl::Time sent_at,
+                                              absl::Duration wait,
+                                              double draw) {
+  Target* const target = FindAsOf(id, sent_at);
+  if (target == nullptr) return std::nullopt;
+  target->opens_at =
+      notices_.OnClosed(target->lifetime(), wait, draw, loop_.Now());
+  target->concurrency.Restart();
+  target->pool->FailWaiting();
+  return target->opens_at;
+}
+
+absl::Time TargetSet::OpensAt(const ServiceName& service) const {
+  const auto found = by_service_.find(service);
+  if (found == by_service_.end()) return absl::InfinitePast();
+  const absl::Time now = loop_.Now();
+  absl::Time earliest = absl::InfiniteFuture();
+  for (const Target* target : found->second) {
+    // What would keep it from use even then does not count.
+    if (MayUse(*target, {}, std::max(now, target->opens_at))) {
+      earliest = std::min(earliest, target->opens_at);
+    }
+  }
+  return earliest > now && earliest < absl::InfiniteFuture()
+             ? earliest
+             : absl::InfinitePast();
+}
+
 void TargetSet::OnLostRequest(const TargetId& id,
                               std::function<void()> on_crash) {
   if (Target* const target = Find(id)) {
