Tell hosts of a failure domain which targets leave or want time, as a hint

A host learns of a leaving or closed target by one request of its own each; of a large failure domain most would still ask it. What a target said of itself now goes with the evidence that hosts of a failure domain tell each other every 250 ms: one byte more an entry, told once, within the same bytes a second; with the time that is left, so that it ends by itself.

It is a hint: the other host asks the target after the others, as one that may be gone, and uses it where there is none. Only an answer to itself closes it. Whether closing on a hint would be better was not measured.

--- a/libs/dispatch/src/replica_choice.cc
+++ b/libs/dispatch/src/replica_choice.cc
@@ -9,7 +9,7 @@
 constexpr absl::Duration kSuspectCost = absl::Seconds(2);
 /// Added for a cold replica, which is slow and bears little.
 constexpr absl::Duration kColdCost = absl::Milliseconds(400);
-/// Added for a replica that may be gone.
+/// Added for a replica that may be gone, or is closed for another host.
 constexpr absl::Duration kMissingCost = absl::Seconds(1);
 
 }  // namespace
@@ -22,7 +22,7 @@
   if (!replica.connected) cost += replica.round_trip;
   if (health.IsSuspect(now)) cost += kSuspectCost;
   if (replica.cold) cost += kColdCost;
-  if (replica.missing) cost += kMissingCost;
+  if (replica.missing || replica.closed_elsewhere) cost += kMissingCost;
   return cost;
 }
 
--- a/libs/dispatch/tests/load_model.cc
+++ b/libs/dispatch/tests/load_model.cc
@@ -112,9 +112,10 @@
     book_.Note(HashOf(name), sign);
   }
   std::vector<TargetEvidence> TakeEvidence(absl::Time now) {
-    return book_.Take(kMostTold, [&](uint32_t target) {
+    const auto is_doubtful = [&](uint32_t target) {
       return health_.at(names_.at(target)).IsDoubtful(now);
-    });
+    };
+    return book_.Take(kMostTold, is_doubtful, now);
   }
   void OnEvidence(const std::vector<TargetEvidence>& told, absl::Time now) {
     for (const TargetEvidence& entry : told) {
--- a/libs/dispatch/tests/target_evidence_test.cc
+++ b/libs/dispatch/tests/target_evidence_test.cc
@@ -12,7 +12,8 @@
 constexpr size_t kNoLimit = 1000;
 
 std::vector<TargetEvidence> Take(EvidenceBook& book, size_t limit = kNoLimit) {
-  return book.Take(limit, [](uint32_t) { return true; });
+  return book.Take(
+      limit, [](uint32_t) { return true; }, kNow);
 }
 
 }  // namespace
@@ -22,6 +23,7 @@
   CPPUNIT_TEST(IsToldOnce);
   CPPUNIT_TEST(FailuresComeFirstWhereNotAllFit);
   CPPUNIT_TEST(WhatDoesNotFitIsToldNextTime);
+  CPPUNIT_TEST(ClosedTargetsAreToldOnceAndFirst);
   CPPUNIT_TEST(AnswersOfTargetsThatNeverFailAreNotTold);
   CPPUNIT_TEST(CountsStayWithinTheirFields);
   CPPUNIT_TEST(OwnConnectionsSayNothingOfTheTarget);
@@ -66,14 +68,27 @@
     CPPUNIT_ASSERT_EQUAL(size_t{30}, told.size());
   }
 
+  void ClosedTargetsAreToldOnceAndFirst() {
+    EvidenceBook book;
+    book.Note(1, TargetSign::kLost);
+    book.NoteClosed(2, kNow + absl::Milliseconds(1250));
+    book.NoteClosed(3, absl::InfiniteFuture());
+    book.NoteClosed(4, kNow - absl::Seconds(1));
+    const auto told = book.Take(
+        kNoLimit, [](uint32_t) { return false; }, kNow);
+    CPPUNIT_ASSERT(told == (std::vector<TargetEvidence>{
+                               {3, 0, 0, 255}, {2, 0, 0, 12}, {1, 0, 1, 0}}));
+    CPPUNIT_ASSERT(Take(book).empty());
+  }
+
   void AnswersOfTargetsThatNeverFailAreNotTold() {
     EvidenceBook book;
     for (const uint32_t target : {1, 2, 3}) {
       book.Note(target, TargetSign::kAnswered);
     }
     book.Note(3, TargetSign::kLost);
-    const auto told =
-        book.Take(kNoLimit, [](uint32_t target) { return target == 2; });
+    const auto told = book.Take(
+        kNoLimit, [](uint32_t target) { return target == 2; }, kNow);
     CPPUNIT_ASSERT(told == (std::vector<TargetEvidence>{{3, 1, 1}, {2, 1, 0}}));
     CPPUNIT_ASSERT(Take(book).empty());
   }
--- a/libs/tier/include/tier/target_set.h
+++ b/libs/tier/include/tier/target_set.h
@@ -21,6 +21,7 @@
 #include "dispatch/types.h"
 #include "engine/connection_pool.h"
 #include "membership/fleet_shares.h"
+#include "telemetry/log_budget.h"
 
 namespace cherrydyke {
 
@@ -108,6 +109,11 @@
   /// Another host of the failure domain tells what it saw of targets.
   void OnEvidence(const std::vector<TargetEvidence>& evidence);
 
+  /// @return lines left out since the last call, by kind.
+  std::map<std::string, int> TakeDroppedLines() {
+    return log_budget_.TakeDropped();
+  }
+
   size_t size() const { return targets_.size(); }
   int open_connections() const;
   const SendCounts& counts() const { return counts_; }
@@ -144,6 +150,7 @@
   ExtraBudget budget_;
   TargetOrders orders_;
   SendCounts counts_;
+  LogBudget log_budget_;
   EvidenceBook evidence_;
   TargetNotices notices_;
   absl::flat_hash_map<TargetId, TargetPtr> targets_;
--- a/libs/tier/src/fleet_link.cc
+++ b/libs/tier/src/fleet_link.cc
@@ -31,7 +31,7 @@
 /// Size of a message without evidence, headers of the network included, and of
 /// the evidence of one target.
 constexpr size_t kMessageBytes = 150;
-constexpr size_t kEvidenceEntryBytes = 6;
+constexpr size_t kEvidenceEntryBytes = 7;
 /// How long a host waits for the configuration service, or for the reader of
 /// its group, before it asks another peer that knows more.
 constexpr absl::Duration kLagTolerance = absl::Milliseconds(700);
--- a/libs/tier/src/target.h
+++ b/libs/tier/src/target.h
@@ -44,6 +44,8 @@
   bool leaving = false;
   /// Until then it wants nothing.
   absl::Time opens_at = absl::InfinitePast();
+  /// As `opens_at`, for a host that told this one.
+  absl::Time closed_elsewhere_until = absl::InfinitePast();
   /// When this host first heard of this lifetime.
   const absl::Time listed_at;
   std::unique_ptr<engine::ConnectionPool> pool;
--- a/libs/tier/src/target_set.cc
+++ b/libs/tier/src/target_set.cc
@@ -266,6 +266,7 @@
   state.connected = target.pool->open_connections() > 0;
   state.cold = target.IsCold(now);
   state.missing = target.gone_at != absl::InfiniteFuture();
+  state.closed_elsewhere = now < target.closed_elsewhere_until;
   state.failure_cost = policy_.failure_cost;
   state.prefer_near = policy_.prefer_near;
   return state;
@@ -348,10 +349,11 @@
 
 std::vector<TargetEvidence> TargetSet::TakeEvidence(size_t limit) {
   const absl::Time now = loop_.Now();
-  return evidence_.Take(limit, [&](uint32_t target) {
+  const auto is_doubtful = [&](uint32_t target) {
     const auto found = by_hash_.find(target);
     return found != by_hash_.end() && found->second->health.IsDoubtful(now);
-  });
+  };
+  return evidence_.Take(limit, is_doubtful, now);
 }
 
 void TargetSet::OnEvidence(const std::vector<TargetEvidence>& evidence) {
@@ -359,7 +361,17 @@
   for (const TargetEvidence& told : evidence) {
     const auto found = by_hash_.find(told.target);
     if (found == by_hash_.end()) continue;
-    found->second->health.OnTold(told.answers, told.failures, now);
+    Target& target = *found->second;
+    target.health.OnTold(told.answers, told.failures, now);
+    if (told.closed_ds == 0) continue;
+    if (now >= target.closed_elsewhere_until &&
+        log_budget_.Take("closed elsewhere", policy_.log_lines, now)) {
+      LogInfo("target closed for another host",
+              {{"target", target.info.id},
+               {"for_ms", absl::ToInt64Milliseconds(told.closed())}});
+    }
+    target.closed_elsewhere_until =
+        std::max(target.closed_elsewhere_until, now + told.closed());
   }
 }
 
@@ -394,6 +406,7 @@
   if (target == nullptr) return false;
   if (!notices_.OnLeaving(target->lifetime(), loop_.Now())) return false;
   target->leaving = true;
+  evidence_.NoteClosed(target->hash, absl::InfiniteFuture());
   target->pool->FailWaiting();
   return true;
 }
@@ -406,6 +419,7 @@
   if (target == nullptr) return std::nullopt;
   target->opens_at =
       notices_.OnClosed(target->lifetime(), wait, draw, loop_.Now());
+  evidence_.NoteClosed(target->hash, target->opens_at);
   target->concurrency.Restart();
   target->pool->FailWaiting();
   return target->opens_at;
--- a/libs/tier/src/tier_node.cc
+++ b/libs/tier/src/tier_node.cc
@@ -152,7 +152,8 @@
   const auto& [same_domain, same_region, other_region] = sends.by_distance;
   int64_t left_out = TakeDroppedLines();
   for (const auto& dropped :
-       {queries_.TakeDroppedLines(), fleet_.TakeDroppedLines()}) {
+       {queries_.TakeDroppedLines(), targets_.TakeDroppedLines(),
+        fleet_.TakeDroppedLines()}) {
     for (const auto& [kind, lines] : dropped) left_out += lines;
   }
   LogInfo("load", {{"running", queries_.running()},
