--- a/libs/dispatch/include/dispatch/crash_ledger.h
+++ b/libs/dispatch/include/dispatch/crash_ledger.h
@@ -51,7 +51,7 @@
   bool IsQuarantined(uint64_t fingerprint, absl::Time now) const;
 
   /// @return crashes counted of a request by all hosts.
-  int Total(uint64_t fingerprint) const;
+  int64_t Total(uint64_t fingerprint) const;
   /// @return requests of which a crash is counted.
   size_t size() const { return suspects_.size(); }
 
@@ -70,7 +70,7 @@
     /// Messages that have told of it since its counts last changed.
     int told = 0;
 
-    int Total() const;
+    int64_t Total() const;
   };
   using Suspects = std::map<uint64_t, Suspect>;
 
--- a/libs/dispatch/src/crash_ledger.cc
+++ b/libs/dispatch/src/crash_ledger.cc
@@ -18,8 +18,8 @@
 
 CrashLedger::CrashLedger(Incarnation self) : self_(self) {}
 
-int CrashLedger::Suspect::Total() const {
-  int total = 0;
+int64_t CrashLedger::Suspect::Total() const {
+  int64_t total = 0;
   for (const auto& [incarnation, crashes] : counts) total += crashes;
   return total;
 }
@@ -71,7 +71,7 @@
          now - found->second.last_crash < kQuarantineTime;
 }
 
-int CrashLedger::Total(uint64_t fingerprint) const {
+int64_t CrashLedger::Total(uint64_t fingerprint) const {
   const auto found = suspects_.find(fingerprint);
   return found == suspects_.end() ? 0 : found->second.Total();
 }
@@ -106,7 +106,7 @@
       most.emplace_back(crashes, incarnation);
     }
     std::sort(most.rbegin(), most.rend());
-    int told = 0;
+    int64_t told = 0;
     for (const auto& [crashes, incarnation] : most) {
       if (counts.size() == limit) return;
       counts.push_back({fingerprint, incarnation, crashes,
--- a/libs/dispatch/src/target_notices.cc
+++ b/libs/dispatch/src/target_notices.cc
@@ -5,8 +5,7 @@
 namespace cherrydyke {
 namespace {
 
-/// Lifetimes kept, several times the targets of the largest deployment's
-/// service; each takes some hundred bytes.
+/// Lifetimes kept; each takes some hundred bytes.
 constexpr size_t kCapacity = 4096;
 /// Longest closure: one that is stated longer is taken for a fault.
 constexpr absl::Duration kLongestClosure = absl::Hours(1);
--- a/libs/dispatch/tests/tables_test.cc
+++ b/libs/dispatch/tests/tables_test.cc
@@ -140,7 +140,7 @@
         other.OnCount(count, kStart);
       }
     }
-    CPPUNIT_ASSERT_EQUAL(3, other.Total(7));
+    CPPUNIT_ASSERT_EQUAL(int64_t{3}, other.Total(7));
     CPPUNIT_ASSERT(other.IsQuarantined(7, kStart));
   }
 
--- a/libs/tier/include/tier/query_plane.h
+++ b/libs/tier/include/tier/query_plane.h
@@ -39,7 +39,7 @@
     CrashLedger& crashes;
     Metrics& metrics;
     Policy policy;
-    /// A crash under a request was counted.
+    /// Crashes under a request were counted.
     std::function<void()> on_crash_counted;
   };
 
@@ -77,8 +77,9 @@
   TargetReply Interpret(engine::ExchangeResult result) const;
   void Learn(const RequestPtr& request, size_t attempt,
              const TargetReply& reply, engine::ExchangeStatus status);
-  /// Takes what a target says of itself.
-  void Heed(const Request& request, size_t attempt, const TargetReply& reply);
+  /// Applies what a target says of itself in an answer.
+  void ApplyNotices(const Request& request, size_t attempt,
+                    const TargetReply& reply);
   /// A target crashed while it ran an attempt. Counts against a request only
   /// once it has ended without an answer for that part: whatever is under way
   /// at a target when it crashes is lost, and does not crash the next one.
--- a/libs/tier/src/fleet_link.cc
+++ b/libs/tier/src/fleet_link.cc
@@ -167,9 +167,9 @@
   }
   bool quarantined_any = false;
   for (const CrashCount& count : message.crashes) {
-    const int known = crashes_.Total(count.fingerprint);
+    const int64_t known = crashes_.Total(count.fingerprint);
     const bool quarantined = crashes_.OnCount(count, now);
-    const int crashes = crashes_.Total(count.fingerprint);
+    const int64_t crashes = crashes_.Total(count.fingerprint);
     if (quarantined) hooks_.quarantined(count.fingerprint);
     quarantined_any = quarantined_any || quarantined;
     if (crashes == known) continue;
--- a/libs/tier/src/query_plane.cc
+++ b/libs/tier/src/query_plane.cc
@@ -245,7 +245,7 @@
                    loop_.Now() - attempt.sent_at,
                    request->route->latency_objective - policy_.answer_margin);
   if (reply.load) targets_.OnLoad(attempt.target, *reply.load);
-  Heed(*request, index, reply);
+  ApplyNotices(*request, index, reply);
   if (reply.end == AttemptEnd::kWrongTarget) {
     targets_.OnWrongTarget(attempt.target);
   }
@@ -261,12 +261,13 @@
   }
 }
 
-void QueryPlane::Heed(const Request& request, size_t index,
-                      const TargetReply& reply) {
+void QueryPlane::ApplyNotices(const Request& request, size_t index,
+                              const TargetReply& reply) {
   const Request::Attempt& attempt = request.attempts[index];
   const std::string& id = request.call.request_id;
   if (reply.leaving && targets_.OnLeaving(attempt.target, attempt.sent_at)) {
     metrics_.counter("cherrydyke_targets_leaving_total").Add();
+    // Once in the lifetime of each target.
     LogInfo("target leaves", {{"target", attempt.target}, {"request", id}});
   }
   if (reply.is_wait_malformed &&
@@ -290,26 +291,31 @@
 
 void QueryPlane::OnCrash(const RequestPtr& request, size_t index) {
   const bool answered = request->run->answered(index);
-  LogWarning("target crashed during a request",
-             {{"target", request->attempts[index].target},
-              {"request", request->call.request_id},
-              {"fingerprint", ToHex(request->fingerprint)},
-              {"answered", answered}});
+  if (log_budget_.Take("crashed", policy_.log_lines, loop_.Now())) {
+    LogWarning("target crashed during a request",
+               {{"target", request->attempts[index].target},
+                {"request", request->call.request_id},
+                {"fingerprint", ToHex(request->fingerprint)},
+                {"answered", answered}});
+  }
   metrics_.counter("cherrydyke_crashes_total").Add();
   if (answered) return;
   if (!request->run->done()) return request->crashed.push_back(index);
   CountCrash(*request, index);
+  on_crash_counted_();
 }
 
 void QueryPlane::CountCrash(const Request& request, size_t index) {
   const uint64_t fingerprint = request.fingerprint;
   const bool quarantined = crashes_.OnCrash(fingerprint, loop_.Now());
-  LogWarning(quarantined ? "request quarantined" : "crash counted",
-             {{"fingerprint", ToHex(fingerprint)},
-              {"request", request.call.request_id},
-              {"target", request.attempts[index].target},
-              {"crashes", crashes_.Total(fingerprint)}});
-  on_crash_counted_();
+  const std::string line =
+      quarantined ? "request quarantined" : "crash counted";
+  if (log_budget_.Take(line, policy_.log_lines, loop_.Now())) {
+    LogWarning(line, {{"fingerprint", ToHex(fingerprint)},
+                      {"request", request.call.request_id},
+                      {"target", request.attempts[index].target},
+                      {"crashes", crashes_.Total(fingerprint)}});
+  }
   if (!quarantined) return;
   // Requests of its kind may wait for the very pool that reports this.
   timers_.Post([this, fingerprint] { OnQuarantined(fingerprint); });
@@ -318,9 +324,13 @@
 void QueryPlane::Retire(const RequestPtr& request) {
   loop_.Cancel(request->timer);
   running_.erase(request);
+  bool counted = false;
   for (const size_t index : std::exchange(request->crashed, {})) {
-    if (!request->run->answered(index)) CountCrash(*request, index);
+    if (request->run->answered(index)) continue;
+    CountCrash(*request, index);
+    counted = true;
   }
+  if (counted) on_crash_counted_();
 }
 
 void QueryPlane::OnResult(const RequestPtr& request, size_t index,
