Explain lost answers by any connection that stands

A process that has ended holds no connection, so that any connection that stands 150 ms after the loss, old or new, shows that the target lives; most targets have one, and no further attempt is made.

--- a/libs/engine/include/engine/connection_pool.h
+++ b/libs/engine/include/engine/connection_pool.h
@@ -67,8 +67,8 @@
   /// @return whether the server has just turned a connection away, so that none
   /// is opened for requests.
   bool is_paused() const { return loop_.Now() < open_after_; }
-  /// @return whether a connection that was begun after that time is open.
-  bool HasOpenedSince(absl::Time time) const;
+  /// @return whether a connection is established.
+  bool IsConnected() const;
   int open_connections() const { return static_cast<int>(members_.size()); }
 
  private:
--- a/libs/engine/src/connection_pool.cc
+++ b/libs/engine/src/connection_pool.cc
@@ -163,11 +163,10 @@
   if (Connecting() == 0 && open_connections() < limit_) Open();
 }
 
-bool ConnectionPool::HasOpenedSince(absl::Time time) const {
+bool ConnectionPool::IsConnected() const {
   return std::any_of(
-      members_.begin(), members_.end(), [&](const Member& member) {
-        return member.began > time && member.connection->IsOpen();
-      });
+      members_.begin(), members_.end(),
+      [](const Member& member) { return member.connection->IsOpen(); });
 }
 
 int ConnectionPool::Connecting() const {
--- a/libs/tier/src/target.cc
+++ b/libs/tier/src/target.cc
@@ -75,10 +75,13 @@
 
 void TargetSet::Target::ExplainLost() {
   const absl::Time now = set.loop_.Now();
+  // A process that has ended holds no connection for so long.
+  const bool is_alive = pool->IsConnected();
   lost_.erase(std::remove_if(lost_.begin(), lost_.end(),
                              [&](const Lost& entry) {
-                               return now - entry.at > kCrashEvidenceTime ||
-                                      pool->HasOpenedSince(entry.at);
+                               const absl::Duration age = now - entry.at;
+                               return age > kCrashEvidenceTime ||
+                                      (is_alive && age >= kExplainPeriod);
                              }),
               lost_.end());
   explaining_ = !lost_.empty();
