Log why targets are passed over; count services without an alternative

A refusal for want of targets (no_target) did not tell whether the targets that were left were silent, closed, full, outside of the allowed regions, or simply had no connection left for this host. Each obstacle is now counted for the request (passed_over), as a metric, and in the load line. The load line also tells how many services in use have fewer than two targets open to this host.

--- /dev/null
+++ b/libs/dispatch/include/dispatch/obstacle.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+namespace cherrydyke {
+
+/// Why a target gets no request.
+enum class Obstacle : uint8_t {
+  /// It drains, or has said that it leaves.
+  kLeaving,
+  /// Its entry is gone.
+  kGone,
+  /// Another target has its address.
+  kWrongAddress,
+  /// It has asked for time.
+  kClosed,
+  /// Its connections are divided among other hosts.
+  kNoConnection,
+  /// Its failure domain is evacuated.
+  kEvacuated,
+  /// It stands outside of the allowed regions.
+  kOtherRegion,
+  /// The request has been there.
+  kTried,
+  /// It is cold, and this host's part of what it bears is used up.
+  kCold,
+  /// It has as much of this host's work as it answers in time.
+  kNoRoom,
+  /// It does not answer.
+  kSilent,
+};
+constexpr size_t kObstacles = static_cast<size_t>(Obstacle::kSilent) + 1;
+
+/// @return the obstacle in words joined by underscores.
+const char* ObstacleName(Obstacle obstacle);
+
+/// How often targets were passed over, by reason.
+class ObstacleCounts {
+ public:
+  void Add(Obstacle obstacle) { ++counts_[static_cast<size_t>(obstacle)]; }
+  int64_t of(Obstacle obstacle) const {
+    return counts_[static_cast<size_t>(obstacle)];
+  }
+
+  ObstacleCounts& operator+=(const ObstacleCounts& other);
+  ObstacleCounts operator-(const ObstacleCounts& other) const;
+
+  /// @return as `silent=3 no_room=1`; empty if nothing was passed over.
+  std::string ToString() const;
+
+  friend bool operator==(const ObstacleCounts& a, const ObstacleCounts& b) {
+    return a.counts_ == b.counts_;
+  }
+
+ private:
+  std::array<int64_t, kObstacles> counts_{};
+};
+
+}  // namespace cherrydyke
--- a/libs/tier/include/tier/query_plane.h
+++ b/libs/tier/include/tier/query_plane.h
@@ -70,6 +70,9 @@
 
   RequestPlan MakePlan(const Route& route, const Call& call,
                        const engine::ServerExchange& exchange);
+  /// Takes one step of a request's run, and notes which targets it passes over.
+  RunActions Step(Request& request,
+                  const std::function<RunActions(RequestRun&)>& step);
   void Perform(const RequestPtr& request, const RunActions& actions);
   void SendAttempt(const RequestPtr& request, const AttemptSend& send);
   void OnResult(const RequestPtr& request, size_t attempt,
--- a/libs/tier/include/tier/target_set.h
+++ b/libs/tier/include/tier/target_set.h
@@ -13,6 +13,7 @@
 #include "dispatch/cold_allowance.h"
 #include "dispatch/concurrency_limit.h"
 #include "dispatch/extra_budget.h"
+#include "dispatch/obstacle.h"
 #include "dispatch/placement.h"
 #include "dispatch/replica_choice.h"
 #include "dispatch/target_evidence.h"
@@ -44,8 +45,8 @@
   int64_t cold = 0;
   /// Extra sends for which the budget had no room.
   int64_t over_budget = 0;
-  /// Targets passed over because this host has enough there.
-  int64_t no_room = 0;
+  /// Targets passed over.
+  ObstacleCounts passed_over;
 };
 
 /// The targets that this host knows, with their connections and what it has
@@ -115,6 +116,13 @@
   }
 
   size_t size() const { return targets_.size(); }
+  /// @return services in use, and those of them that have fewer than two
+  /// targets that this host may use.
+  struct ServiceCounts {
+    int in_use = 0;
+    int without_alternative = 0;
+  };
+  ServiceCounts CountServices() const;
   int open_connections() const;
   const SendCounts& counts() const { return counts_; }
 
@@ -129,7 +137,15 @@
   void KeepWarm();
   bool MayUse(const Target& target, const PlacementNeed& need,
               absl::Time now) const;
-  bool IsExcluded(const Target& target, const PlacementNeed& need) const;
+  /// @return why a target may not be used, or nothing if it may.
+  std::optional<Obstacle> ObstacleTo(const Target& target,
+                                     const PlacementNeed& need,
+                                     absl::Time now) const;
+  /// @return why a target that may be used gets nothing more now.
+  std::optional<Obstacle> LimitOf(Target& target, const PlacementNeed& need,
+                                  absl::Time now) const;
+  static bool WasTried(const Target& target, const PlacementNeed& need);
+  bool IsInAllowedRegion(const Target& target, const PlacementNeed& need) const;
   /// @return the target that a request was sent to, if its lifetime still
   /// stands in the list.
   Target* FindAsOf(const TargetId& id, absl::Time sent_at) const;
--- a/libs/tier/src/query_plane.cc
+++ b/libs/tier/src/query_plane.cc
@@ -71,6 +71,8 @@
   std::unique_ptr<RequestRun> run;
   /// Whether targets had too much to do when it began.
   bool overloaded = false;
+  /// Targets that were passed over for it.
+  ObstacleCounts passed_over;
   std::vector<Attempt> attempts;
   /// Attempts under which targets have crashed.
   std::vector<size_t> crashed;
@@ -128,12 +130,29 @@
     if (const auto left = weak.lock()) OnLeft(left);
   });
   running_.insert(request);
-  const int64_t passed_over = targets_.counts().no_room;
-  const RunActions actions = request->run->Start(loop_.Now());
-  request->overloaded = targets_.counts().no_room > passed_over;
+  const RunActions actions = Step(
+      *request, [this](RequestRun& run) { return run.Start(loop_.Now()); });
+  request->overloaded = request->passed_over.of(Obstacle::kNoRoom) > 0;
   Perform(request, actions);
 }
 
+RunActions QueryPlane::Step(
+    Request& request, const std::function<RunActions(RequestRun&)>& step) {
+  const ObstacleCounts before = targets_.counts().passed_over;
+  RunActions actions = step(*request.run);
+  const ObstacleCounts met = targets_.counts().passed_over - before;
+  request.passed_over += met;
+  for (size_t i = 0; i < kObstacles; ++i) {
+    const auto obstacle = static_cast<Obstacle>(i);
+    if (met.of(obstacle) == 0) continue;
+    metrics_
+        .counter("cherrydyke_targets_passed_over_total",
+                 absl::StrCat("reason=\"", ObstacleName(obstacle), "\""))
+        .Add(static_cast<uint64_t>(met.of(obstacle)));
+  }
+  return actions;
+}
+
 RequestPlan QueryPlane::MakePlan(const Route& route, const Call& call,
                                  const engine::ServerExchange& exchange) {
   const absl::Time received_at = exchange.received_at();
@@ -341,7 +360,9 @@
   if (request->run->done()) return;
   const AttemptEnd end = reply.end;
   request->attempts[index].reply = std::move(reply);
-  Perform(request, request->run->OnEnded(index, end, loop_.Now()));
+  Perform(request, Step(*request, [&](RequestRun& run) {
+            return run.OnEnded(index, end, loop_.Now());
+          }));
 }
 
 void QueryPlane::Arm(const RequestPtr& request) {
@@ -351,7 +372,9 @@
   request->timer_at = next;
   request->timer = timers_.RunAt(next, [this, request, next] {
     request->timer_at = absl::InfiniteFuture();
-    Perform(request, request->run->OnTimer(loop_.Now()));
+    Perform(request, Step(*request, [this](RequestRun& run) {
+              return run.OnTimer(loop_.Now());
+            }));
     // An answer that was due is given by now.
     if (request->run->done() && next == request->answer_at) {
       const absl::Duration late = loop_.Now() - next;
@@ -519,6 +542,7 @@
                    {"missing", missing}};
   if (outcome != kAnswered) {
     fields.emplace_back("unanswered", UnansweredAttempts(request));
+    fields.emplace_back("passed_over", request.passed_over.ToString());
   }
   LogInfo("request done", fields);
 }
--- a/libs/tier/src/target_set.cc
+++ b/libs/tier/src/target_set.cc
@@ -231,30 +231,54 @@
   }
 }
 
-bool TargetSet::IsExcluded(const Target& target,
-                           const PlacementNeed& need) const {
-  if (need.exclude != nullptr &&
-      std::find(need.exclude->begin(), need.exclude->end(), target.info.id) !=
-          need.exclude->end()) {
-    return true;
-  }
+bool TargetSet::WasTried(const Target& target, const PlacementNeed& need) {
+  return need.exclude != nullptr &&
+         std::find(need.exclude->begin(), need.exclude->end(),
+                   target.info.id) != need.exclude->end();
+}
+
+bool TargetSet::IsInAllowedRegion(const Target& target,
+                                  const PlacementNeed& need) const {
   if (need.allowed_regions == nullptr || need.allowed_regions->empty()) {
-    return false;
+    return true;
   }
   const RegionName region = locality_.RegionOf(target.info.failure_domain);
   return std::find(need.allowed_regions->begin(), need.allowed_regions->end(),
-                   region) == need.allowed_regions->end();
+                   region) != need.allowed_regions->end();
+}
+
+std::optional<Obstacle> TargetSet::ObstacleTo(const Target& target,
+                                              const PlacementNeed& need,
+                                              absl::Time now) const {
+  if (target.info.draining || target.leaving) return Obstacle::kLeaving;
+  if (now >= target.gone_at) return Obstacle::kGone;
+  if (target.wrong) return Obstacle::kWrongAddress;
+  if (now < target.opens_at) return Obstacle::kClosed;
+  if (target.connection_limit == 0) return Obstacle::kNoConnection;
+  if (orders_.evacuated.count(target.info.failure_domain) > 0) {
+    return Obstacle::kEvacuated;
+  }
+  if (!IsInAllowedRegion(target, need)) return Obstacle::kOtherRegion;
+  if (WasTried(target, need)) return Obstacle::kTried;
+  return std::nullopt;
 }
 
 bool TargetSet::MayUse(const Target& target, const PlacementNeed& need,
                        absl::Time now) const {
-  if (target.info.draining || target.wrong || now >= target.gone_at) {
-    return false;
+  return !ObstacleTo(target, need, now);
+}
+
+std::optional<Obstacle> TargetSet::LimitOf(Target& target,
+                                           const PlacementNeed& need,
+                                           absl::Time now) const {
+  if (target.IsCold(now) && !target.cold.MaySend(target.cold_share, now)) {
+    return Obstacle::kCold;
+  }
+  if (policy_.limit_concurrency && !need.is_last_chance &&
+      !target.concurrency.HasRoom(target.health.outstanding())) {
+    return Obstacle::kNoRoom;
   }
-  if (target.leaving || now < target.opens_at) return false;
-  if (target.connection_limit == 0) return false;
-  if (orders_.evacuated.count(target.info.failure_domain) > 0) return false;
-  return !IsExcluded(target, need);
+  return std::nullopt;
 }
 
 ReplicaState TargetSet::StateOf(const Target& target, absl::Time now) const {
@@ -279,20 +303,23 @@
   std::vector<Target*> usable;
   std::vector<ReplicaState> states;
   for (Target* target : found->second) {
-    if (!MayUse(*target, need, now)) continue;
-    if (target->IsCold(now) && !target->cold.MaySend(target->cold_share, now)) {
-      continue;
-    }
-    if (policy_.limit_concurrency && !need.is_last_chance &&
-        !target->concurrency.HasRoom(target->health.outstanding())) {
-      ++counts_.no_room;
+    std::optional<Obstacle> obstacle = ObstacleTo(*target, need, now);
+    if (!obstacle) obstacle = LimitOf(*target, need, now);
+    if (obstacle) {
+      counts_.passed_over.Add(*obstacle);
       continue;
     }
     usable.push_back(target);
     states.push_back(StateOf(*target, now));
   }
   const std::optional<ReplicaChoice> choice = ChooseReplica(states, now);
-  if (!choice) return std::nullopt;
+  if (!choice) {
+    // All that is left is silent.
+    for (size_t i = 0; i < usable.size(); ++i) {
+      counts_.passed_over.Add(Obstacle::kSilent);
+    }
+    return std::nullopt;
+  }
   if (need.extra == ExtraUse::kHelpful &&
       now + choice->cost > need.useful_until) {
     return std::nullopt;
@@ -448,6 +475,21 @@
   }
 }
 
+TargetSet::ServiceCounts TargetSet::CountServices() const {
+  const absl::Time now = loop_.Now();
+  ServiceCounts counts;
+  for (const auto& [service, used_at] : used_at_) {
+    const auto found = by_service_.find(service);
+    if (now - used_at > kWarmTime || found == by_service_.end()) continue;
+    ++counts.in_use;
+    const auto usable = std::count_if(
+        found->second.begin(), found->second.end(),
+        [&](const Target* target) { return MayUse(*target, {}, now); });
+    if (usable < 2) ++counts.without_alternative;
+  }
+  return counts;
+}
+
 int TargetSet::open_connections() const {
   int open = 0;
   for (const auto& [id, target] : targets_) {
--- a/libs/tier/src/tier_node.cc
+++ b/libs/tier/src/tier_node.cc
@@ -156,18 +156,22 @@
         fleet_.TakeDroppedLines()}) {
     for (const auto& [kind, lines] : dropped) left_out += lines;
   }
-  LogInfo("load", {{"running", queries_.running()},
-                   {"caller_connections", callers_.connections()},
-                   {"target_connections", targets_.open_connections()},
-                   {"sends_same_domain", same_domain},
-                   {"sends_same_region", same_region},
-                   {"sends_other_region", other_region},
-                   {"sends_extra", sends.extra},
-                   {"sends_suspect", sends.suspect},
-                   {"sends_cold", sends.cold},
-                   {"over_budget", sends.over_budget},
-                   {"no_room", sends.no_room},
-                   {"lines_left_out", left_out}});
+  const TargetSet::ServiceCounts services = targets_.CountServices();
+  LogInfo("load",
+          {{"running", queries_.running()},
+           {"caller_connections", callers_.connections()},
+           {"target_connections", targets_.open_connections()},
+           {"sends_same_domain", same_domain},
+           {"sends_same_region", same_region},
+           {"sends_other_region", other_region},
+           {"sends_extra", sends.extra},
+           {"sends_suspect", sends.suspect},
+           {"sends_cold", sends.cold},
+           {"over_budget", sends.over_budget},
+           {"passed_over", sends.passed_over.ToString()},
+           {"services", services.in_use},
+           {"services_without_alternative", services.without_alternative},
+           {"lines_left_out", left_out}});
 }
 
 void TierNode::ApplyConfig() {
