Reproduce a region that cannot use the targets of other regions

A fleet of 295 hosts, three targets of each service with 195 connections each: a host whose region has lost its targets finds one for 18 of 30 services, both when the targets have left the list and when they are silent.

--- /dev/null
+++ b/libs/tier/tests/target_set_test.cc
@@ -0,0 +1,163 @@
+#include "tier/target_set.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "base/clock.h"
+
+namespace cherrydyke {
+namespace {
+
+constexpr int kServices = 30;
+constexpr int kMaxConnections = 195;
+const std::map<FailureDomainName, RegionName> kRegions = {
+    {"a1", "a"}, {"a2", "a"}, {"b1", "b"},
+    {"b2", "b"}, {"c1", "c"}, {"c2", "c"}};
+/// Hosts of each failure domain; targets stand in the first of each region.
+const std::map<FailureDomainName, int> kHosts = {
+    {"a1", 45}, {"a2", 53}, {"b1", 46}, {"b2", 46}, {"c1", 55}, {"c2", 50}};
+const std::vector<FailureDomainName> kTargetDomains = {"a1", "b1", "c1"};
+
+std::vector<KnownHost> AllHosts() {
+  std::vector<KnownHost> hosts;
+  for (const auto& [domain, count] : kHosts) {
+    for (int i = 0; i < count; ++i) {
+      hosts.push_back({absl::StrCat(domain, "-", i), domain});
+    }
+  }
+  return hosts;
+}
+
+ServiceName ServiceOf(int number) { return absl::StrCat("s", number); }
+
+TargetId TargetOf(int service, const FailureDomainName& domain) {
+  return absl::StrCat(ServiceOf(service), "-", domain);
+}
+
+std::vector<TargetInfo> TargetsIn(
+    const std::vector<FailureDomainName>& domains) {
+  std::vector<TargetInfo> targets;
+  for (int service = 0; service < kServices; ++service) {
+    for (const FailureDomainName& domain : domains) {
+      TargetInfo info;
+      info.id = TargetOf(service, domain);
+      info.service = ServiceOf(service);
+      info.endpoint = "127.0.0.1:1";
+      info.failure_domain = domain;
+      info.slots = 7;
+      targets.push_back(info);
+    }
+  }
+  return targets;
+}
+
+/// One host of a fleet with three targets of each service.
+class Host {
+ public:
+  Host(ManualClock& clock, const KnownHost& self)
+      : clock_(clock),
+        table_(self, {}, HostTable::Options(), clock.Now()),
+        set_(loop_, {self.host, self.failure_domain, kRegions}, FleetBounds(),
+             {}, table_, Policy()) {
+    for (const KnownHost& other : AllHosts()) {
+      if (other.host == self.host) continue;
+      table_.OnNews({other, 1, NewsRole::kFollows, {}}, clock.Now());
+    }
+    clock_.Advance(absl::Seconds(5));
+    TargetOrders orders;
+    for (int service = 0; service < kServices; ++service) {
+      ServiceSpec spec;
+      spec.name = ServiceOf(service);
+      spec.max_connections = kMaxConnections;
+      orders.services[spec.name] = spec;
+    }
+    set_.SetOrders(std::move(orders));
+    set_.OnHostsChanged();
+    set_.SetTargets(TargetsIn(kTargetDomains), absl::ZeroDuration());
+  }
+
+  TargetSet& set() { return set_; }
+
+  /// @return the target that a first send goes to.
+  std::optional<TargetId> Place(int service) {
+    PlacementNeed need;
+    need.service = ServiceOf(service);
+    const auto placed = set_.Place(need, clock_.Now());
+    if (!placed) return std::nullopt;
+    set_.Unplace(placed->target);
+    return placed->target;
+  }
+
+  int CountPlaced() {
+    int placed = 0;
+    for (int service = 0; service < kServices; ++service) {
+      if (Place(service)) ++placed;
+    }
+    return placed;
+  }
+
+  void Silence(const FailureDomainName& domain) {
+    for (int trial = 0; trial < 3; ++trial) {
+      for (int service = 0; service < kServices; ++service) {
+        set_.OnOverdue(TargetOf(service, domain), clock_.Now());
+      }
+      clock_.Advance(absl::Milliseconds(350));
+    }
+    for (int service = 0; service < kServices; ++service) {
+      set_.OnOverdue(TargetOf(service, domain), clock_.Now());
+    }
+  }
+
+ private:
+  ManualClock& clock_;
+  engine::EventLoop loop_{clock_};
+  HostTable table_;
+  TargetSet set_;
+};
+
+}  // namespace
+
+class TargetSetTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(TargetSetTest);
+  CPPUNIT_TEST(RegionWithoutTargetsIsServedByOtherRegions);
+  CPPUNIT_TEST(RegionWithSilentTargetsIsServedByOtherRegions);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void RegionWithoutTargetsIsServedByOtherRegions() {
+    CheckHosts([](Host& host) {
+      host.set().SetTargets(TargetsIn({"b1", "c1"}), absl::ZeroDuration());
+    });
+  }
+
+  void RegionWithSilentTargetsIsServedByOtherRegions() {
+    CheckHosts([](Host& host) { host.Silence("a1"); });
+  }
+
+ private:
+  /// Lets some hosts of the region `a` lose its targets.
+  void CheckHosts(const std::function<void(Host&)>& lose) {
+    for (const KnownHost& self : AllHosts()) {
+      if (kRegions.at(self.failure_domain) != "a") continue;
+      if (self.host.back() != '7') continue;
+      Host host(clock_, self);
+      CPPUNIT_ASSERT_EQUAL(kServices, host.CountPlaced());
+      lose(host);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(self.host, kServices, host.CountPlaced());
+    }
+  }
+
+  ManualClock clock_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TargetSetTest);
+
+}  // namespace cherrydyke
