Let hosts borrow connections at targets of which they have no share

What callers saw: where the targets of one failure domain were lost, its whole region was refused (503 no_target), though two targets of each shard stood in other regions.

Cause: a target's connections are divided nearest host first, as if every host could always use its nearest target. At 295 hosts and 175 connections a host has none at both other targets of 0.37 of the shards, for good, whoever needs them. Class of fault: a share that is divided for the ordinary case is also the limit in the failure that the spare part was meant for.

Now a host that has no target left for a service, or only a suspect one, borrows one connection at the nearest target that has room for all hosts to which it is the nearest of those left. Whether one may be had follows from failure domains and their sizes, not from messages.

Inside the cut the hosts reach only the half of the shards whose target stands with them.

--- a/libs/membership/include/membership/fleet_shares.h
+++ b/libs/membership/include/membership/fleet_shares.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "absl/time/time.h"
@@ -30,6 +31,14 @@
   int order = 0;
 };
 
+/// A target of a service, as a place to borrow a connection from.
+struct Lender {
+  TargetId target;
+  FailureDomainName failure_domain;
+  /// Whether this host wants a connection there, rather than only others.
+  bool is_wanted = false;
+};
+
 /// This host's parts of the limits that the fleet shares at each target, worked
 /// out from the hosts that it knows, without asking any. Hosts near a target
 /// come first: those of its failure domain, then those of its region. Pure.
@@ -54,6 +63,23 @@
   /// may all stand nearer.
   size_t LastPlace(const FleetRank& rank) const;
 
+  /// Chooses where a host that has no share of a target's connections may open
+  /// one all the same. Shares are divided as if every host could use its nearest
+  /// target; when that one fails its hosts, they need the others. The hosts of
+  /// each failure domain are counted at their nearest target that is left, and a
+  /// connection is lent where the target has room for all of those.
+  ///
+  /// Callers have no connection in use at most targets, so the parts of hosts
+  /// that do not need theirs are not set aside; a target that has too many all
+  /// the same turns the last ones away.
+  ///
+  /// @param targets those of the service that hosts can use.
+  /// @param connections what all hosts may have at each of them.
+  /// @return index of the nearest wanted target that has room, if there is one;
+  /// hosts choose evenly among equally near ones.
+  std::optional<size_t> ChooseLender(const std::vector<Lender>& targets,
+                                     double connections) const;
+
   /// @return units of a limit at a target that only the hosts keep.
   int StrictShareOf(double whole, const FleetRank& rank) const;
 
@@ -67,6 +93,9 @@
     uint64_t hash = 0;
   };
 
+  /// @return the hosts to which each of the targets is the nearest; hosts are
+  /// divided evenly among equally near ones.
+  std::vector<double> HostsNearest(const std::vector<Lender>& targets) const;
   /// @return the number of a failure domain.
   size_t NumberOf(const FailureDomainName& domain);
 
@@ -80,6 +109,8 @@
   /// Changes when the members' order does.
   int order_ = 1;
   std::vector<FailureDomainName> domains_;
+  /// How many of the members stand in each of them.
+  std::vector<int> domain_sizes_;
   int sharing_ = 1;
 };
 
--- a/libs/membership/src/fleet_shares.cc
+++ b/libs/membership/src/fleet_shares.cc
@@ -23,7 +23,10 @@
 size_t FleetShares::NumberOf(const FailureDomainName& domain) {
   const auto found = std::find(domains_.begin(), domains_.end(), domain);
   const auto number = static_cast<size_t>(found - domains_.begin());
-  if (found == domains_.end()) domains_.push_back(domain);
+  if (found == domains_.end()) {
+    domains_.push_back(domain);
+    domain_sizes_.push_back(0);
+  }
   return number;
 }
 
@@ -37,13 +40,16 @@
       });
   if (moved) {
     members_.clear();
+    std::fill(domain_sizes_.begin(), domain_sizes_.end(), 0);
     places_.clear();
     ++order_;
   }
   for (const KnownHost& host : known) {
     if (host.host == locality_.host) continue;
     if (!places_.try_emplace(host.host, host.failure_domain).second) continue;
-    members_.push_back({NumberOf(host.failure_domain), StableHash(host.host)});
+    const size_t domain = NumberOf(host.failure_domain);
+    members_.push_back({domain, StableHash(host.host)});
+    ++domain_sizes_[domain];
   }
 }
 
@@ -60,6 +66,55 @@
   return DivideShare(whole, sharing_, LastPlace(rank));
 }
 
+std::vector<double> FleetShares::HostsNearest(
+    const std::vector<Lender>& targets) const {
+  std::vector<double> hosts(targets.size(), 0);
+  const auto add = [&](const FailureDomainName& domain, int count) {
+    std::vector<size_t> nearest;
+    Distance least = Distance::kOtherRegion;
+    for (size_t index = 0; index < targets.size(); ++index) {
+      const Distance distance =
+          locality_.DistanceBetween(domain, targets[index].failure_domain);
+      if (distance > least) continue;
+      if (distance < least) nearest.clear();
+      least = distance;
+      nearest.push_back(index);
+    }
+    for (const size_t index : nearest) {
+      hosts[index] += static_cast<double>(count) /
+                      static_cast<double>(nearest.size());
+    }
+  };
+  for (size_t domain = 0; domain < domains_.size(); ++domain) {
+    add(domains_[domain], domain_sizes_[domain]);
+  }
+  add(locality_.failure_domain, 1);
+  // Hosts that are not known may stand anywhere.
+  const int known = static_cast<int>(members_.size()) + 1;
+  for (double& count : hosts) count += std::max(0, sharing_ - known);
+  return hosts;
+}
+
+std::optional<size_t> FleetShares::ChooseLender(
+    const std::vector<Lender>& targets, double connections) const {
+  const std::vector<double> hosts = HostsNearest(targets);
+  std::optional<size_t> best;
+  std::pair<Distance, uint64_t> best_order;
+  for (size_t index = 0; index < targets.size(); ++index) {
+    const Lender& lender = targets[index];
+    if (!lender.is_wanted || hosts[index] > connections) continue;
+    // The highest weight comes first.
+    const std::pair<Distance, uint64_t> order = {
+        locality_.DistanceBetween(locality_.failure_domain,
+                                  lender.failure_domain),
+        ~RendezvousWeight(StableHash(lender.target), own_hash_)};
+    if (best && best_order <= order) continue;
+    best = index;
+    best_order = order;
+  }
+  return best;
+}
+
 void FleetShares::Update(FleetRank& rank, const TargetId& target,
                          const FailureDomainName& domain) {
   if (rank.order != order_) rank = {0, 0, order_};
--- a/libs/membership/tests/fleet_shares_test.cc
+++ b/libs/membership/tests/fleet_shares_test.cc
@@ -50,6 +50,9 @@
   CPPUNIT_TEST(NearHostsComeFirst);
   CPPUNIT_TEST(PlacesKeptUpAreThoseCountedAnew);
   CPPUNIT_TEST(NothingIsCountedTwice);
+  CPPUNIT_TEST(NearestTargetWithRoomLends);
+  CPPUNIT_TEST(TargetThatItsOwnHostsFillLendsNothing);
+  CPPUNIT_TEST(BorrowersChooseEvenlyAmongEquallyNearTargets);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -114,6 +117,54 @@
     }));
   }
 
+  // 20 hosts, five in each failure domain.
+  static std::optional<size_t> Lend(int self,
+                                    const std::vector<Lender>& lenders,
+                                    double connections) {
+    HostTable table = TableOf(HostOf(self));
+    for (int other = 0; other < 20; ++other) {
+      if (other != self) Hear(table, HostOf(other));
+    }
+    FleetShares shares(LocalityOf(HostOf(self)), table);
+    shares.Refresh(kStart + absl::Seconds(10));
+    return shares.ChooseLender(lenders, connections);
+  }
+
+  void NearestTargetWithRoomLends() {
+    // Both targets in the regions of their own: b1 has 5 hosts, and half of the
+    // ten of region a.
+    const std::vector<Lender> lenders = {
+        {"t1", "b1", true}, {"t2", "a2", true}, {"t3", "c1", true}};
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, *Lend(0, lenders, 10));
+    const std::vector<Lender> unwanted = {
+        {"t1", "b1", true}, {"t2", "a2", false}, {"t3", "c1", false}};
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, *Lend(0, unwanted, 10));
+    CPPUNIT_ASSERT(!Lend(0, {}, 10));
+  }
+
+  void TargetThatItsOwnHostsFillLendsNothing() {
+    const std::vector<Lender> lenders = {{"t1", "b1", true},
+                                         {"t3", "c1", true}};
+    CPPUNIT_ASSERT(Lend(0, lenders, 10).has_value());
+    CPPUNIT_ASSERT(!Lend(0, lenders, 9));
+    // One target for all twenty.
+    CPPUNIT_ASSERT(Lend(0, {{"t1", "b1", true}}, 20).has_value());
+    CPPUNIT_ASSERT(!Lend(0, {{"t1", "b1", true}}, 19));
+  }
+
+  void BorrowersChooseEvenlyAmongEquallyNearTargets() {
+    int first = 0;
+    constexpr int kTargets = 200;
+    for (int target = 0; target < kTargets; ++target) {
+      const std::vector<Lender> lenders = {
+          {absl::StrCat("b", target), "b1", true},
+          {absl::StrCat("c", target), "c1", true}};
+      if (*Lend(0, lenders, 10) == 0) ++first;
+    }
+    CPPUNIT_ASSERT(first > kTargets / 3);
+    CPPUNIT_ASSERT(first < kTargets * 2 / 3);
+  }
+
   void NothingIsCountedTwice() {
     const KnownHost self = HostOf(0);
     HostTable table = TableOf(self);
--- a/libs/tier/include/tier/target_set.h
+++ b/libs/tier/include/tier/target_set.h
@@ -45,6 +45,8 @@
   int64_t cold = 0;
   /// Extra sends for which the budget had no room.
   int64_t over_budget = 0;
+  /// Connections borrowed at targets of which this host has no share.
+  int64_t borrowed = 0;
   /// Targets passed over.
   ObstacleCounts passed_over;
 };
@@ -144,6 +146,14 @@
   /// @return why a target that may be used gets nothing more now.
   std::optional<Obstacle> LimitOf(Target& target, const PlacementNeed& need,
                                   absl::Time now) const;
+  /// @return the target of a service at which this host may borrow a connection.
+  Target* FindLender(const std::vector<Target*>& targets,
+                     const PlacementNeed& need, absl::Time now) const;
+  /// Borrows a connection, if there is a target that lends one.
+  Target* Borrow(const std::vector<Target*>& targets, const PlacementNeed& need,
+                 absl::Time now);
+  /// Gives back connections that were borrowed and not used for long.
+  void ReturnBorrowed(absl::Time now);
   static bool WasTried(const Target& target, const PlacementNeed& need);
   bool IsInAllowedRegion(const Target& target, const PlacementNeed& need) const;
   /// @return the target that a request was sent to, if its lifetime still
--- a/libs/tier/src/target.h
+++ b/libs/tier/src/target.h
@@ -33,6 +33,8 @@
   /// This host's place among those that share the target's limits.
   FleetRank rank;
   int connection_limit = 1;
+  /// Until then this host has one connection beyond its share of none.
+  absl::Time borrowed_until = absl::InfinitePast();
   /// Whether a connection may be kept open that only a hedge would use.
   bool may_keep_spare = true;
   ConcurrencyLimit concurrency{connection_limit};
--- a/libs/tier/src/target_set.cc
+++ b/libs/tier/src/target_set.cc
@@ -28,6 +28,10 @@
 /// which still run there end with their answers: longer than any request.
 constexpr absl::Duration kRetireTime = absl::Seconds(10);
 
+/// How long a borrowed connection is kept after its last request: a host of a
+/// large fleet asks each service once in some seconds.
+constexpr absl::Duration kBorrowTime = absl::Seconds(10);
+
 /// How often, and for how long after its last request, a service has open
 /// connections kept.
 constexpr absl::Duration kWarmPeriod = absl::Milliseconds(500);
@@ -181,6 +185,9 @@
   const double connections = kConnectionPart * spec->second.max_connections;
   target.connection_limit =
       std::min(shares_.ShareOf(connections, target.rank), kMaxConnections);
+  if (target.connection_limit == 0 && loop_.Now() < target.borrowed_until) {
+    target.connection_limit = 1;
+  }
   target.may_keep_spare =
       shares_.LastPlace(target.rank) <
       static_cast<size_t>(kSparePart * spec->second.max_connections);
@@ -210,10 +217,16 @@
 
 void TargetSet::KeepWarm() {
   const absl::Time now = loop_.Now();
+  ReturnBorrowed(now);
   for (const auto& [service, used_at] : used_at_) {
     const auto found = by_service_.find(service);
     if (now - used_at > kWarmTime || found == by_service_.end()) continue;
     std::vector<std::pair<absl::Duration, Target*>> ranked;
+    const bool all_silent = std::none_of(
+        found->second.begin(), found->second.end(), [&](const Target* target) {
+          return MayUse(*target, {}, now) && !target->health.IsDark(now);
+        });
+    if (all_silent) Borrow(found->second, {}, now);
     for (Target* target : found->second) {
       if (!MayUse(*target, {}, now) || target->IsCold(now)) continue;
       ranked.emplace_back(ReplicaCost(StateOf(*target, now), now), target);
@@ -254,12 +267,12 @@
   if (now >= target.gone_at) return Obstacle::kGone;
   if (target.wrong) return Obstacle::kWrongAddress;
   if (now < target.opens_at) return Obstacle::kClosed;
-  if (target.connection_limit == 0) return Obstacle::kNoConnection;
   if (orders_.evacuated.count(target.info.failure_domain) > 0) {
     return Obstacle::kEvacuated;
   }
   if (!IsInAllowedRegion(target, need)) return Obstacle::kOtherRegion;
   if (WasTried(target, need)) return Obstacle::kTried;
+  if (target.connection_limit == 0) return Obstacle::kNoConnection;
   return std::nullopt;
 }
 
@@ -312,7 +325,14 @@
     usable.push_back(target);
     states.push_back(StateOf(*target, now));
   }
-  const std::optional<ReplicaChoice> choice = ChooseReplica(states, now);
+  std::optional<ReplicaChoice> choice = ChooseReplica(states, now);
+  if (!choice || states[choice->index].health->IsSuspect(now)) {
+    if (Target* const lender = Borrow(found->second, need, now)) {
+      usable.push_back(lender);
+      states.push_back(StateOf(*lender, now));
+      choice = ChooseReplica(states, now);
+    }
+  }
   if (!choice) {
     // All that is left is silent.
     for (size_t i = 0; i < usable.size(); ++i) {
@@ -329,6 +349,9 @@
     ++counts_.over_budget;
     return std::nullopt;
   }
+  if (best->borrowed_until != absl::InfinitePast()) {
+    best->borrowed_until = now + kBorrowTime;
+  }
   Count(*best, need.extra.has_value(), now);
   best->cold.OnSent(now);
   const Placed placed{best->info.id,
@@ -338,6 +361,57 @@
   return placed;
 }
 
+TargetSet::Target* TargetSet::FindLender(const std::vector<Target*>& targets,
+                                         const PlacementNeed& need,
+                                         absl::Time now) const {
+  std::vector<Target*> usable;
+  std::vector<Lender> lenders;
+  bool any = false;
+  for (Target* target : targets) {
+    const std::optional<Obstacle> own = ObstacleTo(*target, need, now);
+    const std::optional<Obstacle> of_all = ObstacleTo(*target, {}, now);
+    const bool is_wanted =
+        own == Obstacle::kNoConnection && !LimitOf(*target, need, now);
+    const bool is_usable = !of_all || of_all == Obstacle::kNoConnection;
+    if (!is_usable || target->health.IsDark(now)) continue;
+    usable.push_back(target);
+    lenders.push_back({target->info.id, target->info.failure_domain, is_wanted});
+    any = any || is_wanted;
+  }
+  if (!any) return nullptr;
+  const auto spec = orders_.services.find(usable.front()->info.service);
+  if (spec == orders_.services.end()) return nullptr;
+  const std::optional<size_t> lender = shares_.ChooseLender(
+      lenders, kConnectionPart * spec->second.max_connections);
+  return lender ? usable[*lender] : nullptr;
+}
+
+TargetSet::Target* TargetSet::Borrow(const std::vector<Target*>& targets,
+                                     const PlacementNeed& need,
+                                     absl::Time now) {
+  Target* const lender = FindLender(targets, need, now);
+  if (lender == nullptr) return nullptr;
+  lender->borrowed_until = now + kBorrowTime;
+  Divide(*lender);
+  ++counts_.borrowed;
+  if (log_budget_.Take("borrowed", policy_.log_lines, now)) {
+    LogInfo("connection borrowed",
+            {{"target", lender->info.id}, {"service", lender->info.service}});
+  }
+  return lender;
+}
+
+void TargetSet::ReturnBorrowed(absl::Time now) {
+  for (auto& [id, target] : targets_) {
+    if (target->borrowed_until == absl::InfinitePast()) continue;
+    if (now < target->borrowed_until || target->health.outstanding() > 0) {
+      continue;
+    }
+    target->borrowed_until = absl::InfinitePast();
+    Divide(*target);
+  }
+}
+
 void TargetSet::Count(const Target& target, bool extra, absl::Time now) {
   ++counts_.by_distance[static_cast<size_t>(target.distance)];
   if (extra) ++counts_.extra;
@@ -482,9 +556,11 @@
     const auto found = by_service_.find(service);
     if (now - used_at > kWarmTime || found == by_service_.end()) continue;
     ++counts.in_use;
-    const auto usable = std::count_if(
-        found->second.begin(), found->second.end(),
-        [&](const Target* target) { return MayUse(*target, {}, now); });
+    auto usable = std::count_if(
+        found->second.begin(), found->second.end(), [&](const Target* target) {
+          return MayUse(*target, {}, now) && !target->health.IsDark(now);
+        });
+    if (FindLender(found->second, {}, now) != nullptr) ++usable;
     if (usable < 2) ++counts.without_alternative;
   }
   return counts;
--- a/libs/tier/src/tier_node.cc
+++ b/libs/tier/src/tier_node.cc
@@ -168,6 +168,7 @@
            {"sends_suspect", sends.suspect},
            {"sends_cold", sends.cold},
            {"over_budget", sends.over_budget},
+           {"borrowed", sends.borrowed},
            {"passed_over", sends.passed_over.ToString()},
            {"services", services.in_use},
            {"services_without_alternative", services.without_alternative},
