--- a/libs/tier/tests/target_set_test.cc
+++ b/libs/tier/tests/target_set_test.cc
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -59,6 +60,18 @@
   return targets;
 }
 
+TargetOrders Orders(std::set<FailureDomainName> evacuated) {
+  TargetOrders orders;
+  orders.evacuated = std::move(evacuated);
+  for (int service = 0; service < kServices; ++service) {
+    ServiceSpec spec;
+    spec.name = ServiceOf(service);
+    spec.max_connections = kMaxConnections;
+    orders.services[spec.name] = spec;
+  }
+  return orders;
+}
+
 FleetBounds Bounds() {
   FleetBounds bounds;
   bounds.retry_slack = 10'000;
@@ -78,14 +91,7 @@
       table_.OnNews({other, 1, NewsRole::kFollows, {}}, clock.Now());
     }
     clock_.Advance(absl::Seconds(15));
-    TargetOrders orders;
-    for (int service = 0; service < kServices; ++service) {
-      ServiceSpec spec;
-      spec.name = ServiceOf(service);
-      spec.max_connections = kMaxConnections;
-      orders.services[spec.name] = spec;
-    }
-    set_.SetOrders(std::move(orders));
+    set_.SetOrders(Orders({}));
     set_.OnHostsChanged();
     set_.SetTargets(TargetsIn(kTargetDomains), absl::ZeroDuration());
   }
@@ -135,6 +141,7 @@
   CPPUNIT_TEST_SUITE(TargetSetTest);
   CPPUNIT_TEST(RegionWithoutTargetsIsServedByOtherRegions);
   CPPUNIT_TEST(RegionWithSilentTargetsIsServedByOtherRegions);
+  CPPUNIT_TEST(RegionOfAnEvacuatedDomainIsServedByOtherRegions);
   CPPUNIT_TEST(HostsThatLostTheirTargetsFitTheOthers);
   CPPUNIT_TEST(NothingIsBorrowedWhileTheOwnTargetAnswers);
   CPPUNIT_TEST(HedgeOfAHostWithoutASecondShareGoesElsewhere);
@@ -152,6 +159,10 @@
     CheckHosts([](Host& host) { host.Silence("a1"); });
   }
 
+  void RegionOfAnEvacuatedDomainIsServedByOtherRegions() {
+    CheckHosts([](Host& host) { host.set().SetOrders(Orders({"a1"})); });
+  }
+
   void HostsThatLostTheirTargetsFitTheOthers() {
     std::map<TargetId, int> hosts;
     for (const KnownHost& self : AllHosts()) {
