--- a/libs/membership/include/membership/fleet_shares.h
+++ b/libs/membership/include/membership/fleet_shares.h
@@ -64,19 +64,19 @@
   size_t LastPlace(const FleetRank& rank) const;
 
   /// Chooses where a host that has no share of a target's connections may open
-  /// one all the same. Shares are divided as if every host could use its nearest
-  /// target; when that one fails its hosts, they need the others. The hosts of
-  /// each failure domain are counted at their nearest target that is left, and a
-  /// connection is lent where the target has room for all of those.
+  /// one all the same. Shares are divided as if every host could use its
+  /// nearest target; when that one fails its hosts, they need the others. The
+  /// hosts of each failure domain are counted at their nearest target that is
+  /// left, and a connection is lent where the target has room for all of those.
   ///
-  /// Callers have no connection in use at most targets, so the parts of hosts
-  /// that do not need theirs are not set aside; a target that has too many all
-  /// the same turns the last ones away.
+  /// Shares that hosts hold at targets farther away are not set aside, as only
+  /// hedges use them. Should a target get too many connections all the same, it
+  /// turns the last ones away.
   ///
   /// @param targets those of the service that hosts can use.
   /// @param connections what all hosts may have at each of them.
-  /// @return index of the nearest wanted target that has room, if there is one;
-  /// hosts choose evenly among equally near ones.
+  /// @return index of the nearest wanted target that has room, if there is one.
+  /// Hosts spread evenly over equally near ones.
   std::optional<size_t> ChooseLender(const std::vector<Lender>& targets,
                                      double connections) const;
 
--- a/libs/tier/include/tier/query_plane.h
+++ b/libs/tier/include/tier/query_plane.h
@@ -9,6 +9,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/container/flat_hash_set.h"
+#include "absl/functional/function_ref.h"
 #include "dispatch/answer_timing.h"
 #include "dispatch/crash_ledger.h"
 #include "dispatch/policy.h"
@@ -72,7 +73,7 @@
                        const engine::ServerExchange& exchange);
   /// Takes one step of a request's run, and notes which targets it passes over.
   RunActions Step(Request& request,
-                  const std::function<RunActions(RequestRun&)>& step);
+                  absl::FunctionRef<RunActions(RequestRun&)> step);
   void Perform(const RequestPtr& request, const RunActions& actions);
   void SendAttempt(const RequestPtr& request, const AttemptSend& send);
   void OnResult(const RequestPtr& request, size_t attempt,
--- a/libs/tier/include/tier/target_set.h
+++ b/libs/tier/include/tier/target_set.h
@@ -51,6 +51,14 @@
   ObstacleCounts passed_over;
 };
 
+/// Services by what is left to ask.
+struct ServiceCounts {
+  /// Asked for lately.
+  int in_use = 0;
+  /// Of those: with fewer than two targets that this host can ask.
+  int without_alternative = 0;
+};
+
 /// The targets that this host knows, with their connections and what it has
 /// learned of each; chooses one for each send.
 class TargetSet : public Placement {
@@ -118,12 +126,6 @@
   }
 
   size_t size() const { return targets_.size(); }
-  /// @return services in use, and those of them that have fewer than two
-  /// targets that this host may use.
-  struct ServiceCounts {
-    int in_use = 0;
-    int without_alternative = 0;
-  };
   ServiceCounts CountServices() const;
   int open_connections() const;
   const SendCounts& counts() const { return counts_; }
@@ -139,6 +141,8 @@
   void KeepWarm();
   bool MayUse(const Target& target, const PlacementNeed& need,
               absl::Time now) const;
+  /// @return whether a target may be used and is not known to be silent.
+  bool CanServe(const Target& target, absl::Time now) const;
   /// @return why a target may not be used, or nothing if it may.
   std::optional<Obstacle> ObstacleTo(const Target& target,
                                      const PlacementNeed& need,
@@ -146,7 +150,8 @@
   /// @return why a target that may be used gets nothing more now.
   std::optional<Obstacle> LimitOf(Target& target, const PlacementNeed& need,
                                   absl::Time now) const;
-  /// @return the target of a service at which this host may borrow a connection.
+  /// @return the target of a service at which this host may borrow a
+  /// connection.
   Target* FindLender(const std::vector<Target*>& targets,
                      const PlacementNeed& need, absl::Time now) const;
   /// Borrows a connection, if there is a target that lends one.
--- a/libs/tier/src/query_plane.cc
+++ b/libs/tier/src/query_plane.cc
@@ -136,8 +136,8 @@
   Perform(request, actions);
 }
 
-RunActions QueryPlane::Step(
-    Request& request, const std::function<RunActions(RequestRun&)>& step) {
+RunActions QueryPlane::Step(Request& request,
+                            absl::FunctionRef<RunActions(RequestRun&)> step) {
   const ObstacleCounts before = targets_.counts().passed_over;
   RunActions actions = step(*request.run);
   const ObstacleCounts met = targets_.counts().passed_over - before;
--- a/libs/tier/src/target_set.cc
+++ b/libs/tier/src/target_set.cc
@@ -222,11 +222,11 @@
     const auto found = by_service_.find(service);
     if (now - used_at > kWarmTime || found == by_service_.end()) continue;
     std::vector<std::pair<absl::Duration, Target*>> ranked;
-    const bool all_silent = std::none_of(
-        found->second.begin(), found->second.end(), [&](const Target* target) {
-          return MayUse(*target, {}, now) && !target->health.IsDark(now);
-        });
-    if (all_silent) Borrow(found->second, {}, now);
+    if (std::none_of(
+            found->second.begin(), found->second.end(),
+            [&](const Target* target) { return CanServe(*target, now); })) {
+      Borrow(found->second, {}, now);
+    }
     for (Target* target : found->second) {
       if (!MayUse(*target, {}, now) || target->IsCold(now)) continue;
       ranked.emplace_back(ReplicaCost(StateOf(*target, now), now), target);
@@ -281,6 +281,10 @@
   return !ObstacleTo(target, need, now);
 }
 
+bool TargetSet::CanServe(const Target& target, absl::Time now) const {
+  return MayUse(target, {}, now) && !target.health.IsDark(now);
+}
+
 std::optional<Obstacle> TargetSet::LimitOf(Target& target,
                                            const PlacementNeed& need,
                                            absl::Time now) const {
@@ -375,7 +379,8 @@
     const bool is_usable = !of_all || of_all == Obstacle::kNoConnection;
     if (!is_usable || target->health.IsDark(now)) continue;
     usable.push_back(target);
-    lenders.push_back({target->info.id, target->info.failure_domain, is_wanted});
+    lenders.push_back(
+        {target->info.id, target->info.failure_domain, is_wanted});
     any = any || is_wanted;
   }
   if (!any) return nullptr;
@@ -549,7 +554,7 @@
   }
 }
 
-TargetSet::ServiceCounts TargetSet::CountServices() const {
+ServiceCounts TargetSet::CountServices() const {
   const absl::Time now = loop_.Now();
   ServiceCounts counts;
   for (const auto& [service, used_at] : used_at_) {
@@ -557,9 +562,8 @@
     if (now - used_at > kWarmTime || found == by_service_.end()) continue;
     ++counts.in_use;
     auto usable = std::count_if(
-        found->second.begin(), found->second.end(), [&](const Target* target) {
-          return MayUse(*target, {}, now) && !target->health.IsDark(now);
-        });
+        found->second.begin(), found->second.end(),
+        [&](const Target* target) { return CanServe(*target, now); });
     if (FindLender(found->second, {}, now) != nullptr) ++usable;
     if (usable < 2) ++counts.without_alternative;
   }
--- a/libs/tier/src/tier_node.cc
+++ b/libs/tier/src/tier_node.cc
@@ -156,7 +156,7 @@
         fleet_.TakeDroppedLines()}) {
     for (const auto& [kind, lines] : dropped) left_out += lines;
   }
-  const TargetSet::ServiceCounts services = targets_.CountServices();
+  const ServiceCounts services = targets_.CountServices();
   LogInfo("load",
           {{"running", queries_.running()},
            {"caller_connections", callers_.connections()},
