--- a/libs/membership/src/fleet_shares.cc
+++ b/libs/membership/src/fleet_shares.cc
@@ -81,8 +81,8 @@
       nearest.push_back(index);
     }
     for (const size_t index : nearest) {
-      hosts[index] += static_cast<double>(count) /
-                      static_cast<double>(nearest.size());
+      hosts[index] +=
+          static_cast<double>(count) / static_cast<double>(nearest.size());
     }
   };
   for (size_t domain = 0; domain < domains_.size(); ++domain) {
