Look for a lender only where a share is lacking; count obstacles once a request

A send whose best target is suspect looked for a lender also where every target has a connection for this host, as at each small deployment, and FindLender asked for each target's obstacle twice. The metric of targets passed over was looked up by name in every step of a request, about 200 in a fan-out; it is added once, when the request ends. Behaviour is unchanged but for when the metric grows.

--- a/libs/dispatch/include/dispatch/obstacle.h
+++ b/libs/dispatch/include/dispatch/obstacle.h
@@ -40,7 +40,9 @@
 /// How often targets were passed over, by reason.
 class ObstacleCounts {
  public:
-  void Add(Obstacle obstacle) { ++counts_[static_cast<size_t>(obstacle)]; }
+  void Add(Obstacle obstacle, size_t times = 1) {
+    counts_[static_cast<size_t>(obstacle)] += static_cast<int64_t>(times);
+  }
   int64_t of(Obstacle obstacle) const {
     return counts_[static_cast<size_t>(obstacle)];
   }
--- a/libs/tier/include/tier/query_plane.h
+++ b/libs/tier/include/tier/query_plane.h
@@ -108,6 +108,7 @@
   /// @return each attempt for a part that has no answer: service, target, when
   /// it was sent and the status it got, 0 for none.
   static std::string UnansweredAttempts(const Request& request);
+  void CountPassedOver(const ObstacleCounts& passed_over);
   void LogOutcome(const Request& request, const std::string& outcome,
                   size_t missing);
   absl::Duration RetryAfter(RefusalReason reason);
--- a/libs/tier/src/query_plane.cc
+++ b/libs/tier/src/query_plane.cc
@@ -140,16 +140,7 @@
                             absl::FunctionRef<RunActions(RequestRun&)> step) {
   const ObstacleCounts before = targets_.counts().passed_over;
   RunActions actions = step(*request.run);
-  const ObstacleCounts met = targets_.counts().passed_over - before;
-  request.passed_over += met;
-  for (size_t i = 0; i < kObstacles; ++i) {
-    const auto obstacle = static_cast<Obstacle>(i);
-    if (met.of(obstacle) == 0) continue;
-    metrics_
-        .counter("cherrydyke_targets_passed_over_total",
-                 absl::StrCat("reason=\"", ObstacleName(obstacle), "\""))
-        .Add(static_cast<uint64_t>(met.of(obstacle)));
-  }
+  request.passed_over += targets_.counts().passed_over - before;
   return actions;
 }
 
@@ -521,12 +512,25 @@
   return text;
 }
 
+void QueryPlane::CountPassedOver(const ObstacleCounts& passed_over) {
+  for (size_t i = 0; i < kObstacles; ++i) {
+    const auto obstacle = static_cast<Obstacle>(i);
+    const int64_t times = passed_over.of(obstacle);
+    if (times == 0) continue;
+    metrics_
+        .counter("cherrydyke_targets_passed_over_total",
+                 absl::StrCat("reason=\"", ObstacleName(obstacle), "\""))
+        .Add(static_cast<uint64_t>(times));
+  }
+}
+
 void QueryPlane::LogOutcome(const Request& request, const std::string& outcome,
                             size_t missing) {
   metrics_
       .counter("cherrydyke_requests_total",
                absl::StrCat("outcome=\"", outcome, "\""))
       .Add();
+  CountPassedOver(request.passed_over);
   const absl::Duration took = loop_.Now() - request.exchange->received_at();
   metrics_.summary("cherrydyke_request_ms")
       .Observe(absl::ToDoubleMilliseconds(took));
--- a/libs/tier/src/target_set.cc
+++ b/libs/tier/src/target_set.cc
@@ -319,18 +319,20 @@
   if (found == by_service_.end()) return std::nullopt;
   std::vector<Target*> usable;
   std::vector<ReplicaState> states;
+  bool may_borrow = false;
   for (Target* target : found->second) {
     std::optional<Obstacle> obstacle = ObstacleTo(*target, need, now);
     if (!obstacle) obstacle = LimitOf(*target, need, now);
     if (obstacle) {
       counts_.passed_over.Add(*obstacle);
+      may_borrow = may_borrow || obstacle == Obstacle::kNoConnection;
       continue;
     }
     usable.push_back(target);
     states.push_back(StateOf(*target, now));
   }
   std::optional<ReplicaChoice> choice = ChooseReplica(states, now);
-  if (!choice || states[choice->index].health->IsSuspect(now)) {
+  if (may_borrow && (!choice || states[choice->index].health->IsSuspect(now))) {
     if (Target* const lender = Borrow(found->second, need, now)) {
       usable.push_back(lender);
       states.push_back(StateOf(*lender, now));
@@ -339,9 +341,7 @@
   }
   if (!choice) {
     // All that is left is silent.
-    for (size_t i = 0; i < usable.size(); ++i) {
-      counts_.passed_over.Add(Obstacle::kSilent);
-    }
+    counts_.passed_over.Add(Obstacle::kSilent, usable.size());
     return std::nullopt;
   }
   if (need.extra == ExtraUse::kHelpful &&
@@ -372,12 +372,13 @@
   std::vector<Lender> lenders;
   bool any = false;
   for (Target* target : targets) {
-    const std::optional<Obstacle> own = ObstacleTo(*target, need, now);
-    const std::optional<Obstacle> of_all = ObstacleTo(*target, {}, now);
+    const std::optional<Obstacle> obstacle = ObstacleTo(*target, {}, now);
+    const bool lacks_connection = obstacle == Obstacle::kNoConnection;
+    if (obstacle && !lacks_connection) continue;
+    if (target->health.IsDark(now)) continue;
     const bool is_wanted =
-        own == Obstacle::kNoConnection && !LimitOf(*target, need, now);
-    const bool is_usable = !of_all || of_all == Obstacle::kNoConnection;
-    if (!is_usable || target->health.IsDark(now)) continue;
+        lacks_connection && IsInAllowedRegion(*target, need) &&
+        !WasTried(*target, need) && !LimitOf(*target, need, now);
     usable.push_back(target);
     lenders.push_back(
         {target->info.id, target->info.failure_domain, is_wanted});
