Log attempts without a response and lost answers that no crash explains

So far nothing told a request whose targets went silent from one that was slow, nor an answer lost at a live target from a crash that was not found.

--- a/libs/tier/src/request_handler.cc
+++ b/libs/tier/src/request_handler.cc
@@ -270,6 +270,15 @@
   if (reply.result == AttemptResult::kWrongTarget) {
     targets_.OnWrongTarget(attempt.target);
   }
+  if (status == engine::ExchangeStatus::kAborted &&
+      !request->run->answered(index) &&
+      log_rate_limiter_.TryAcquire("aborted", policy_.log_lines, loop_.Now())) {
+    LogInfo("attempt ended without a response",
+            {{"request", request->caller_request.request_id},
+             {"target", attempt.target},
+             {"fingerprint", ToHex(request->fingerprint)},
+             {"ms", absl::ToInt64Milliseconds(loop_.Now() - attempt.sent_at)}});
+  }
   if (status == engine::ExchangeStatus::kConnectionLost) {
     metrics_.counter("cherrydyke_lost_answers_total").Add();
     if (log_rate_limiter_.TryAcquire("lost", policy_.log_lines, loop_.Now())) {
--- a/libs/tier/src/target.cc
+++ b/libs/tier/src/target.cc
@@ -80,6 +80,7 @@
   const absl::Time now = set.loop_.Now();
   // A connection to a terminated process does not stay established this long.
   const bool is_alive = pool->IsConnected();
+  const size_t pending = lost_requests_.size();
   lost_requests_.erase(
       std::remove_if(lost_requests_.begin(), lost_requests_.end(),
                      [&](const LostRequest& entry) {
@@ -88,6 +89,12 @@
                               (is_alive && age >= kCrashProbePeriod);
                      }),
       lost_requests_.end());
+  if (lost_requests_.size() < pending) {
+    LogInfo("lost answers not explained by a crash",
+            {{"target", info.id},
+             {"answers", pending - lost_requests_.size()},
+             {"connected", is_alive}});
+  }
   probing_for_crash_ = !lost_requests_.empty();
   if (!probing_for_crash_) return;
   // A target that closes new connections or asked for a backoff is not probed.
