Recognise a crash under a request by any sign, not by a refused connection only

Cause: the evidence was of one kind, had to be found by the listed target, and was dropped when that target was removed or replaced; attempts given up were never looked into, and those of removed targets never ended.

CrashDetector decides for every attempt without a response whether the instance crashed under it: by a refused connection, one that times out while the rest of the failure domain responds, an entry that goes without notice, or another instance in its place. Removed instances are kept for their running requests, so that cancelling and judging these still works.

--- a/libs/tier/include/tier/request_handler.h
+++ b/libs/tier/include/tier/request_handler.h
@@ -85,6 +85,9 @@
   TargetResponse Interpret(engine::ExchangeResult result) const;
   void RecordResult(const RequestPtr& request, size_t attempt,
                     const TargetResponse& reply, engine::ExchangeStatus status);
+  /// Finds out whether the target crashed under an attempt without a response.
+  void ExplainMissingResponse(const RequestPtr& request, size_t attempt,
+                              AttemptLoss loss);
   /// Applies a shutdown or backoff that a target announced in a response.
   void ApplyNotices(const Request& request, size_t attempt,
                     const TargetResponse& reply);
--- a/libs/tier/include/tier/target_set.h
+++ b/libs/tier/include/tier/target_set.h
@@ -12,6 +12,7 @@
 #include "absl/time/time.h"
 #include "dispatch/cold_send_limiter.h"
 #include "dispatch/concurrency_limit.h"
+#include "dispatch/crash_detector.h"
 #include "dispatch/exclusion_reason.h"
 #include "dispatch/replica_choice.h"
 #include "dispatch/retry_budget.h"
@@ -91,8 +92,9 @@
   engine::ExchangeId Send(const TargetId& target, engine::PoolRequest request);
   /// Undoes `Select` for a send that was never made.
   void ReleaseSelection(const TargetId& target);
-  void Cancel(const TargetId& target, engine::ExchangeId exchange,
-              absl::Duration grace);
+  /// Cancels an exchange that was sent at `sent_at`.
+  void Cancel(const TargetId& target, absl::Time sent_at,
+              engine::ExchangeId exchange, absl::Duration grace);
 
   /// Records the end of an exchange in the target's health and concurrency
   /// limit.
@@ -120,9 +122,14 @@
   /// @return for a service whose usable targets are all backing off, when the
   /// first of them may be used again; otherwise the infinite past.
   absl::Time EarliestBackoffEnd(const ServiceName& service) const;
-  /// A connection was lost while a request ran, possibly because of a crash.
-  /// @param on_crash called if the target is found to have crashed.
-  void OnConnectionLost(const TargetId& target, std::function<void()> on_crash);
+  /// A request sent at `sent_at` got a complete response from this target.
+  void OnResponse(const TargetId& target, absl::Time sent_at);
+  /// An attempt sent at `sent_at` ended without a response, possibly because
+  /// the target crashed.
+  /// @param on_verdict called at most once; not if the instance was removed
+  /// too long ago.
+  void OnUnanswered(const TargetId& target, absl::Time sent_at,
+                    AttemptLoss loss, CrashDetector::OnVerdict on_verdict);
 
   /// @return health reports of at most `limit` targets, collected since the
   /// last call.
@@ -181,6 +188,11 @@
   /// @return the target to which a request was sent at `sent_at`, or null if
   /// that instance is no longer listed.
   Target* FindInstance(const TargetId& id, absl::Time sent_at) const;
+  /// Like `FindInstance`, but also finds instances removed recently.
+  Target* FindCurrentOrRetired(const TargetId& id, absl::Time sent_at) const;
+  /// @return whether a target of the failure domain has responded recently, so
+  /// that the network path to the domain works.
+  bool HasRecentResponse(const FailureDomainName& domain) const;
   ReplicaState StateOf(const Target& target, absl::Time now) const;
   void UpdateAllLimits();
   /// Recomputes this host's shares of a target's connections and cold requests.
@@ -202,6 +214,10 @@
   HealthReportCollector report_collector_;
   TargetNotices notices_;
   absl::flat_hash_map<TargetId, TargetPtr> targets_;
+  /// Removed instances whose running requests may not have ended yet.
+  absl::flat_hash_map<TargetId, std::vector<TargetPtr>> retired_targets_;
+  /// When a target of each failure domain last responded.
+  absl::flat_hash_map<FailureDomainName, absl::Time> responded_at_;
   /// The targets by the id hash that health reports refer to.
   absl::flat_hash_map<uint32_t, Target*> targets_by_hash_;
   /// When each service last had a request.
--- a/libs/tier/src/request_handler.cc
+++ b/libs/tier/src/request_handler.cc
@@ -201,7 +201,8 @@
         request->route->idempotent
             ? policy_.cancel_grace
             : std::max(request->deadline - loop_.Now(), policy_.cancel_grace);
-    targets_.Cancel(cancelled.target, cancelled.exchange, grace);
+    targets_.Cancel(cancelled.target, cancelled.sent_at, cancelled.exchange,
+                    grace);
   }
   for (const AttemptSend& send : actions.send) SendAttempt(request, send);
   if (actions.outcome) {
@@ -270,26 +271,46 @@
   if (reply.result == AttemptResult::kWrongTarget) {
     targets_.OnWrongTarget(attempt.target);
   }
+  if (status == engine::ExchangeStatus::kComplete &&
+      reply.result != AttemptResult::kWrongTarget) {
+    targets_.OnResponse(attempt.target, attempt.sent_at);
+  }
+  if (status == engine::ExchangeStatus::kConnectionLost) {
+    metrics_.counter("cherrydyke_lost_answers_total").Add();
+    ExplainMissingResponse(request, index, AttemptLoss::kConnectionLost);
+  }
   if (status == engine::ExchangeStatus::kAborted &&
-      !request->run->answered(index) &&
-      log_rate_limiter_.TryAcquire("aborted", policy_.log_lines, loop_.Now())) {
-    LogInfo("attempt ended without a response",
+      !request->run->answered(index)) {
+    ExplainMissingResponse(request, index, AttemptLoss::kAbandoned);
+  }
+}
+
+void RequestHandler::ExplainMissingResponse(const RequestPtr& request,
+                                            size_t index, AttemptLoss loss) {
+  const Request::Attempt& attempt = request->attempts[index];
+  const std::string line = loss == AttemptLoss::kConnectionLost
+                               ? "connection to target lost before the response"
+                               : "attempt ended without a response";
+  if (log_rate_limiter_.TryAcquire(line, policy_.log_lines, loop_.Now())) {
+    LogInfo(line,
             {{"request", request->caller_request.request_id},
              {"target", attempt.target},
              {"fingerprint", ToHex(request->fingerprint)},
              {"ms", absl::ToInt64Milliseconds(loop_.Now() - attempt.sent_at)}});
   }
-  if (status == engine::ExchangeStatus::kConnectionLost) {
-    metrics_.counter("cherrydyke_lost_answers_total").Add();
-    if (log_rate_limiter_.TryAcquire("lost", policy_.log_lines, loop_.Now())) {
-      LogInfo("connection to target lost before the response",
-              {{"request", request->caller_request.request_id},
-               {"target", attempt.target},
-               {"fingerprint", ToHex(request->fingerprint)}});
-    }
-    targets_.OnConnectionLost(
-        attempt.target, [this, request, index] { OnCrash(request, index); });
-  }
+  targets_.OnUnanswered(
+      attempt.target, attempt.sent_at, loss,
+      [this, request, index](CrashVerdict verdict) {
+        if (verdict == CrashVerdict::kCrashed) return OnCrash(request, index);
+        if (!log_rate_limiter_.TryAcquire("no crash", policy_.log_lines,
+                                          loop_.Now())) {
+          return;
+        }
+        LogInfo("missing response not explained by a crash",
+                {{"request", request->caller_request.request_id},
+                 {"target", request->attempts[index].target},
+                 {"survived", verdict == CrashVerdict::kSurvived}});
+      });
 }
 
 void RequestHandler::ApplyNotices(const Request& request, size_t index,
--- a/libs/tier/src/target.cc
+++ b/libs/tier/src/target.cc
@@ -10,10 +10,6 @@
 
 /// Time to serve a request, assumed until latencies have been measured.
 constexpr absl::Duration kInitialServiceTime = absl::Milliseconds(10);
-/// A connection refused within this time after a lost request indicates a
-/// crash, unless one was accepted in between: long enough for two attempts
-/// to connect.
-constexpr absl::Duration kCrashDetectionWindow = absl::Seconds(3);
 /// Period of attempts to connect that tell a crash from a lost response: a
 /// process that is terminating may still accept connections while it resets
 /// others.
@@ -44,7 +40,8 @@
         {{"target", info.id}, {"service", info.service}, {"refused", refused}});
   }
   unreachable_ = true;
-  if (refused) ReportCrash();
+  crash_detector_.OnConnectFailed(
+      refused, set.HasRecentResponse(info.failure_domain), now);
   health.OnOverdue(now, now);
 }
 
@@ -54,6 +51,7 @@
 }
 
 void TargetSet::Target::OnConnected() {
+  crash_detector_.OnConnected(set.loop_.Now());
   if (!unreachable_) return;
   unreachable_ = false;
   // The target has restarted, even if its entry does not yet say so.
@@ -68,45 +66,36 @@
            {"cold_ms", absl::ToInt64Milliseconds(warmup)}});
 }
 
-void TargetSet::Target::OnConnectionLost(std::function<void()> on_crash) {
-  lost_requests_.push_back({set.loop_.Now(), std::move(on_crash)});
-  if (set.loop_.Now() >= backoff_until) pool->Probe();
-  if (probing_for_crash_) return;
-  probing_for_crash_ = true;
+void TargetSet::Target::OnUnanswered(AttemptLoss loss, absl::Time sent_at,
+                                     CrashDetector::OnVerdict on_verdict) {
+  const absl::Time now = set.loop_.Now();
+  crash_detector_.OnUnanswered(loss, sent_at, now, std::move(on_verdict));
+  if (!crash_detector_.HasPending()) return;
+  if (now >= backoff_until) pool->Probe();
+  if (std::exchange(probing_for_crash_, true)) return;
   timers_.RunAfter(kCrashProbePeriod, [this] { ProbeForCrash(); });
 }
 
+void TargetSet::Target::OnResponse() {
+  crash_detector_.OnResponse(set.loop_.Now());
+}
+
+void TargetSet::Target::OnInstanceEnded() {
+  crash_detector_.OnInstanceEnded(info.draining || leaving, pool->IsConnected(),
+                                  set.loop_.Now());
+}
+
 void TargetSet::Target::ProbeForCrash() {
   const absl::Time now = set.loop_.Now();
-  // A connection to a terminated process does not stay established this long.
-  const bool is_alive = pool->IsConnected();
-  const size_t pending = lost_requests_.size();
-  lost_requests_.erase(
-      std::remove_if(lost_requests_.begin(), lost_requests_.end(),
-                     [&](const LostRequest& entry) {
-                       const absl::Duration age = now - entry.at;
-                       return age > kCrashDetectionWindow ||
-                              (is_alive && age >= kCrashProbePeriod);
-                     }),
-      lost_requests_.end());
-  if (lost_requests_.size() < pending) {
-    LogInfo("lost answers not explained by a crash",
-            {{"target", info.id},
-             {"answers", pending - lost_requests_.size()},
-             {"connected", is_alive}});
-  }
-  probing_for_crash_ = !lost_requests_.empty();
+  crash_detector_.OnPoll(pool->IsConnected(), now);
+  probing_for_crash_ = crash_detector_.HasPending();
   if (!probing_for_crash_) return;
   // A target that closes new connections or asked for a backoff is not probed.
-  if (!pool->is_backing_off() && now >= backoff_until) pool->Probe();
-  timers_.RunAfter(kCrashProbePeriod, [this] { ProbeForCrash(); });
-}
-
-void TargetSet::Target::ReportCrash() {
-  const absl::Time now = set.loop_.Now();
-  for (const LostRequest& entry : std::exchange(lost_requests_, {})) {
-    if (now - entry.at <= kCrashDetectionWindow) entry.on_crash();
+  if (crash_detector_.NeedsProbe() && !pool->is_backing_off() &&
+      now >= backoff_until) {
+    pool->Probe();
   }
+  timers_.RunAfter(kCrashProbePeriod, [this] { ProbeForCrash(); });
 }
 
 }  // namespace cherrydyke
--- a/libs/tier/src/target.h
+++ b/libs/tier/src/target.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <vector>
 
+#include "dispatch/crash_detector.h"
 #include "tier/target_set.h"
 
 namespace cherrydyke {
@@ -52,26 +53,21 @@
   const absl::Time first_listed_at;
   std::unique_ptr<engine::ConnectionPool> pool;
 
-  /// A connection was lost while a request ran: probes whether the target
-  /// crashed.
-  /// @param on_crash called if it did.
-  void OnConnectionLost(std::function<void()> on_crash);
+  /// Finds out whether the target crashed under an attempt without a response.
+  void OnUnanswered(AttemptLoss loss, absl::Time sent_at,
+                    CrashDetector::OnVerdict on_verdict);
+  void OnResponse();
+  /// The instance is no longer listed, or another one was found in its place.
+  void OnInstanceEnded();
 
  private:
   void OnConnectFailed(bool refused) override;
   void OnClosedBeforeResponse() override;
   void OnConnected() override;
-  void ReportCrash();
-  /// Drops lost requests that a crash can no longer explain and probes the
-  /// target for the others.
+  /// Polls the crash detector and probes the target while it needs evidence.
   void ProbeForCrash();
 
-  /// A request whose connection was lost for a reason not yet known.
-  struct LostRequest {
-    absl::Time at;
-    std::function<void()> on_crash;
-  };
-  std::vector<LostRequest> lost_requests_;
+  CrashDetector crash_detector_;
   bool probing_for_crash_ = false;
   engine::TimerScope timers_{set.loop_};
   bool unreachable_ = false;
--- a/libs/tier/src/target_set.cc
+++ b/libs/tier/src/target_set.cc
@@ -168,8 +168,14 @@
   if (hashed != targets_by_hash_.end() && hashed->second == target.get()) {
     targets_by_hash_.erase(hashed);
   }
-  loop_.RunAfter(kRetirementTime,
-                 [kept = std::shared_ptr<Target>(std::move(target))] {});
+  target->OnInstanceEnded();
+  const TargetId id = target->info.id;
+  retired_targets_[id].push_back(std::move(target));
+  timers_.RunAfter(kRetirementTime, [this, id] {
+    std::vector<TargetPtr>& retired = retired_targets_[id];
+    retired.erase(retired.begin());
+    if (retired.empty()) retired_targets_.erase(id);
+  });
 }
 
 void TargetSet::SetConfig(TargetConfig config) {
@@ -456,9 +462,11 @@
   if (Target* const target = Find(id)) target->health.OnSendCancelled();
 }
 
-void TargetSet::Cancel(const TargetId& id, engine::ExchangeId exchange,
-                       absl::Duration grace) {
-  if (Target* const target = Find(id)) target->pool->Cancel(exchange, grace);
+void TargetSet::Cancel(const TargetId& id, absl::Time sent_at,
+                       engine::ExchangeId exchange, absl::Duration grace) {
+  if (Target* const target = FindCurrentOrRetired(id, sent_at)) {
+    target->pool->Cancel(exchange, grace);
+  }
 }
 
 void TargetSet::OnEnded(const TargetId& id, TargetOutcome outcome,
@@ -511,6 +519,7 @@
   Target* const target = Find(id);
   if (target == nullptr) return;
   target->has_wrong_address = true;
+  target->OnInstanceEnded();
   LogInfo("another target responded at the address of target",
           {{"target", id}, {"endpoint", target->info.endpoint}});
 }
@@ -534,6 +543,32 @@
                                                                 : target;
 }
 
+TargetSet::Target* TargetSet::FindCurrentOrRetired(const TargetId& id,
+                                                   absl::Time sent_at) const {
+  if (Target* const target = FindInstance(id, sent_at)) return target;
+  const auto retired = retired_targets_.find(id);
+  if (retired == retired_targets_.end()) return nullptr;
+  const auto instance =
+      std::find_if(retired->second.rbegin(), retired->second.rend(),
+                   [&](const TargetPtr& target) {
+                     return sent_at >= target->first_listed_at;
+                   });
+  return instance == retired->second.rend() ? nullptr : instance->get();
+}
+
+bool TargetSet::HasRecentResponse(const FailureDomainName& domain) const {
+  const auto found = responded_at_.find(domain);
+  return found != responded_at_.end() &&
+         loop_.Now() - found->second < options_.connect_timeout;
+}
+
+void TargetSet::OnResponse(const TargetId& id, absl::Time sent_at) {
+  Target* const target = FindCurrentOrRetired(id, sent_at);
+  if (target == nullptr) return;
+  responded_at_[target->info.failure_domain] = loop_.Now();
+  target->OnResponse();
+}
+
 bool TargetSet::OnLeaving(const TargetId& id, absl::Time sent_at) {
   Target* const target = FindInstance(id, sent_at);
   if (target == nullptr) return false;
@@ -574,10 +609,11 @@
              : absl::InfinitePast();
 }
 
-void TargetSet::OnConnectionLost(const TargetId& id,
-                                 std::function<void()> on_crash) {
-  if (Target* const target = Find(id)) {
-    target->OnConnectionLost(std::move(on_crash));
+void TargetSet::OnUnanswered(const TargetId& id, absl::Time sent_at,
+                             AttemptLoss loss,
+                             CrashDetector::OnVerdict on_verdict) {
+  if (Target* const target = FindCurrentOrRetired(id, sent_at)) {
+    target->OnUnanswered(loss, sent_at, std::move(on_verdict));
   }
 }
 
--- a/tests/support/raw_peers.cc
+++ b/tests/support/raw_peers.cc
@@ -1,5 +1,7 @@
 #include "support/raw_peers.h"
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <array>
 #include <utility>
@@ -121,6 +123,7 @@
           connection->Read([state](Connection& from) {
             const std::string new_bytes =
                 from.received().substr(from.handled_bytes);
+            if (state->is_silent) return;
             if (new_bytes.find("\r\n\r\n") == std::string::npos) return;
             from.handled_bytes = from.received().size();
             state->on_request(from, new_bytes);
@@ -134,6 +137,8 @@
   Endpoint endpoint;
   int accepted = 0;
   int connections_to_reset = 0;
+  bool is_silent = false;
+  std::vector<tcp::socket> queue_fillers;
   std::vector<std::shared_ptr<Connection>> connections;
 };
 
@@ -158,6 +163,24 @@
   ResetConnections();
 }
 
+void RawServer::FallSilent() {
+  error_code ignored;
+  state_->is_silent = true;
+  state_->acceptor.cancel(ignored);
+  // The kernel drops connection attempts while the accept queue is full.
+  state_->acceptor.listen(0, ignored);
+  constexpr int kConnectionsToFillQueue = 2;
+  for (int i = 0; i < kConnectionsToFillQueue; ++i) {
+    tcp::socket& filler = state_->queue_fillers.emplace_back(
+        state_->acceptor.get_executor(), tcp::v4());
+    filler.non_blocking(true);
+    // Does not wait, unlike the member function `connect`.
+    const tcp::endpoint address = state_->acceptor.local_endpoint(ignored);
+    (void)::connect(filler.native_handle(), address.data(),
+                    static_cast<socklen_t>(address.size()));
+  }
+}
+
 void RawServer::ResetConnections() {
   for (const auto& connection : state_->connections) connection->Reset();
   state_->connections.clear();
--- a/tests/support/raw_peers.h
+++ b/tests/support/raw_peers.h
@@ -62,6 +62,9 @@
   void ResetConnections();
   /// Stops listening and resets all open connections.
   void Stop();
+  /// From now on nothing is read or written, and connection attempts get no
+  /// reply, as if the server had lost power.
+  void FallSilent();
 
  private:
   struct State;
