Give requests that have crashed targets fewer attempts

After all hosts have lost their processes nothing is known of a request that crashes targets. Each arrival was sent up to the route's attempts times before the host looked at the count again, so the count went beyond the three that quarantine needs: four targets at two attempts, up to five at three.

A request may now have only so many attempts as crashes are missing to its quarantine, and at least one.

--- a/libs/dispatch/include/dispatch/crash_tracker.h
+++ b/libs/dispatch/include/dispatch/crash_tracker.h
@@ -51,6 +51,11 @@
 
   bool IsQuarantined(uint64_t fingerprint, absl::Time now) const;
 
+  /// @return how many attempts a request may have, so that one which crashes
+  /// each target that runs it is quarantined before it crashes more targets
+  /// than that takes: at most `attempts`, and at least one.
+  int LimitAttempts(uint64_t fingerprint, int attempts) const;
+
   /// @return the crashes of the request on all hosts.
   int64_t Total(uint64_t fingerprint) const;
   /// @return the number of tracked requests.
--- a/libs/dispatch/src/crash_tracker.cc
+++ b/libs/dispatch/src/crash_tracker.cc
@@ -72,6 +72,11 @@
          now - found->second.last_crash < kQuarantineDuration;
 }
 
+int CrashTracker::LimitAttempts(uint64_t fingerprint, int attempts) const {
+  const int64_t left = kCrashesToQuarantine - Total(fingerprint);
+  return static_cast<int>(std::clamp<int64_t>(left, 1, std::max(1, attempts)));
+}
+
 int64_t CrashTracker::Total(uint64_t fingerprint) const {
   const auto found = records_.find(fingerprint);
   return found == records_.end() ? 0 : found->second.Total();
--- a/libs/dispatch/tests/tables_test.cc
+++ b/libs/dispatch/tests/tables_test.cc
@@ -47,6 +47,7 @@
   CPPUNIT_TEST(WeightsHoldOverAShortRun);
   CPPUNIT_TEST(MergesLikeASort);
   CPPUNIT_TEST(CrashesOfAllHostsAddUp);
+  CPPUNIT_TEST(SuspectRequestsGetFewerAttempts);
   CPPUNIT_TEST(LowerCountsAreIgnored);
   CPPUNIT_TEST(CrashesBeforeAndAfterAHostRestartAddUp);
   CPPUNIT_TEST(NewCrashIsInTheNextMessage);
@@ -125,6 +126,19 @@
     CPPUNIT_ASSERT(!tracker.IsQuarantined(8, kStart));
   }
 
+  void SuspectRequestsGetFewerAttempts() {
+    CrashTracker tracker(kSelf);
+    const auto attempts_after = [&](int crashes) {
+      for (int i = 0; i < crashes; ++i) tracker.OnCrash(7, kStart);
+      return tracker.LimitAttempts(7, 3);
+    };
+    CPPUNIT_ASSERT_EQUAL(3, attempts_after(0));
+    CPPUNIT_ASSERT_EQUAL(2, attempts_after(1));
+    CPPUNIT_ASSERT_EQUAL(1, attempts_after(1));
+    CPPUNIT_ASSERT_EQUAL(1, attempts_after(1));
+    CPPUNIT_ASSERT_EQUAL(1, tracker.LimitAttempts(8, 0));
+  }
+
   void LowerCountsAreIgnored() {
     CrashTracker tracker(kSelf);
     tracker.MergeCount({7, kPeer, 2, 0}, kStart);
--- a/libs/tier/src/request_handler.cc
+++ b/libs/tier/src/request_handler.cc
@@ -127,6 +127,7 @@
   request->target_head =
       protocol_.TargetRequestHead(request->exchange->request());
   RequestPlan plan = MakePlan(*route, *parsed, *request->exchange);
+  plan.max_attempts = crashes_.LimitAttempts(fingerprint, plan.max_attempts);
   for (const ServiceName& service : plan.services) targets_.OnRequest(service);
   request->deadline = plan.deadline;
   request->answer_at = plan.answer_at;
