Gossip requests one crash short of quarantine first, and new quarantines for 2 s

In a large fleet the counts of one request at several hosts did not meet in time: after a crash of many targets each host knows dozens of requests with one crash, a message carries twelve, and a host gossips every 2 s. A quarantine was told once to a few random hosts; some of them stayed without it.

Half of each message is now reserved for requests with two crashes or more, and a new quarantine goes out in every round for 2 s.

--- a/libs/dispatch/include/dispatch/crash_tracker.h
+++ b/libs/dispatch/include/dispatch/crash_tracker.h
@@ -50,6 +50,9 @@
   bool MergeCount(const CrashCount& count, absl::Time now);
 
   bool IsQuarantined(uint64_t fingerprint, absl::Time now) const;
+  /// @return whether a request was quarantined recently, so that other hosts
+  /// may not know it yet.
+  bool HasNewQuarantine(absl::Time now) const;
 
   /// @return how many attempts a request may have, so that one which crashes
   /// each target that runs it is quarantined before it crashes more targets
@@ -64,7 +67,8 @@
   /// Chooses the counts for the next gossip message and marks them as sent.
   /// Requests sent least often since their last crash go first, so that a new
   /// crash is in the next message and every request in one of the next few.
-  /// Half of the message is reserved for quarantined requests.
+  /// Half of the message is reserved for requests that are quarantined or one
+  /// crash short of it.
   /// @return at most `limit` counts.
   std::vector<CrashCount> TakeCountsToGossip(size_t limit, absl::Time now);
 
@@ -91,6 +95,8 @@
 
   const Incarnation self_;
   Records records_;
+  /// When a request last became quarantined on this host.
+  absl::Time last_quarantined_at_ = absl::InfinitePast();
 };
 
 }  // namespace cherrydyke
--- a/libs/dispatch/src/crash_tracker.cc
+++ b/libs/dispatch/src/crash_tracker.cc
@@ -9,11 +9,17 @@
 /// Crashes after which a request is quarantined. Two may be a coincidence, as
 /// an unrelated crash counts against every request that was running.
 constexpr int kCrashesToQuarantine = 3;
+/// Crashes from which the counts of a request are gossiped first: after an
+/// ordinary crash there are many requests with one.
+constexpr int kCrashesToGossipFirst = kCrashesToQuarantine - 1;
 /// Time after the last crash for which crashes count and the request is
 /// refused.
 constexpr absl::Duration kQuarantineDuration = absl::Minutes(10);
 /// Maximum number of tracked requests, at a few hundred bytes each.
 constexpr size_t kMaxRecords = 4096;
+/// How long a new quarantine is gossiped in every round: a rumour that is sent
+/// once to a few random hosts misses some of them.
+constexpr absl::Duration kNewQuarantineTime = absl::Seconds(2);
 
 }  // namespace
 
@@ -48,7 +54,13 @@
   record.last_crash = std::max(record.last_crash, at);
   record.times_sent = 0;
   if (records_.size() > kMaxRecords) EvictOldest();
-  return !was_quarantined && IsQuarantined(fingerprint, now);
+  if (was_quarantined || !IsQuarantined(fingerprint, now)) return false;
+  last_quarantined_at_ = now;
+  return true;
+}
+
+bool CrashTracker::HasNewQuarantine(absl::Time now) const {
+  return now - last_quarantined_at_ < kNewQuarantineTime;
 }
 
 void CrashTracker::EvictOldest() {
@@ -85,14 +97,14 @@
 std::vector<CrashCount> CrashTracker::TakeCountsToGossip(size_t limit,
                                                          absl::Time now) {
   DropExpired(now);
-  std::vector<Records::pointer> quarantined;
+  std::vector<Records::pointer> urgent;
   std::vector<Records::pointer> others;
   for (auto& entry : records_) {
-    const bool is_quarantined = entry.second.Total() >= kCrashesToQuarantine;
-    (is_quarantined ? quarantined : others).push_back(&entry);
+    const bool is_urgent = entry.second.Total() >= kCrashesToGossipFirst;
+    (is_urgent ? urgent : others).push_back(&entry);
   }
   std::vector<CrashCount> counts;
-  Append(quarantined, others.empty() ? limit : limit / 2, now, counts);
+  Append(urgent, others.empty() ? limit : limit / 2, now, counts);
   Append(others, limit, now, counts);
   return counts;
 }
--- a/libs/dispatch/tests/tables_test.cc
+++ b/libs/dispatch/tests/tables_test.cc
@@ -2,9 +2,13 @@
 #include <rapidcheck.h>
 
 #include <algorithm>
+#include <functional>
 #include <map>
+#include <random>
 #include <set>
+#include <vector>
 
+#include "absl/strings/str_cat.h"
 #include "dispatch/crash_tracker.h"
 #include "dispatch/route_table.h"
 #include "dispatch/target_health.h"
@@ -53,6 +57,7 @@
   CPPUNIT_TEST(NewCrashIsInTheNextMessage);
   CPPUNIT_TEST(EveryCrashIsGossipedInTurn);
   CPPUNIT_TEST(QuarantinedRequestsAreInEveryMessage);
+  CPPUNIT_TEST(QuarantineReachesEveryHostOfALargeFleet);
   CPPUNIT_TEST(CrashesExpireOnAllHostsAtTheSameTime);
   CPPUNIT_TEST(FullTrackerEvictsTheOldestCrash);
   CPPUNIT_TEST(OverdueTargetIsSuspectUntilItAnswers);
@@ -200,6 +205,20 @@
     }
   }
 
+  // All hosts must know of a quarantine within the time that the platform
+  // allows a fleet of that size.
+  void QuarantineReachesEveryHostOfALargeFleet() {
+    for (uint32_t seed = 0; seed < 5; ++seed) {
+      for (const auto& [hosts, limit] :
+           {std::pair<size_t, absl::Duration>(88, absl::Seconds(6)),
+            std::pair<size_t, absl::Duration>(295, absl::Seconds(8))}) {
+        // Two hosts use both attempts just after other targets have crashed.
+        CheckQuarantineDelay(hosts, {2, 2}, absl::ZeroDuration(), limit, seed);
+        CheckQuarantineDelay(hosts, {1, 1, 1}, absl::Minutes(1), limit, seed);
+      }
+    }
+  }
+
   // Guards against counts whose age restarts each time that they are gossiped,
   // so that they never expire.
   void CrashesExpireOnAllHostsAtTheSameTime() {
@@ -218,6 +237,68 @@
     CPPUNIT_ASSERT_EQUAL(size_t{0}, second.size());
   }
 
+  // @param crashes of one request, at one host each.
+  // @param age of the crashes of other requests, which all hosts know.
+  static void CheckQuarantineDelay(size_t hosts,
+                                   const std::vector<int>& crashes,
+                                   absl::Duration age, absl::Duration limit,
+                                   uint32_t seed) {
+    constexpr uint64_t kBadRequest = 1000;
+    constexpr absl::Duration kRound = absl::Milliseconds(500);
+    constexpr size_t kRoundsPerDigest = 4;
+    constexpr size_t kFanout = 2;
+    constexpr double kLossRatio = 0.01;
+    std::mt19937 random(seed);
+    std::vector<CrashTracker> trackers;
+    for (size_t host = 0; host < hosts; ++host) {
+      trackers.emplace_back(kPeer + host);
+      for (uint64_t other = 0; other < 60; ++other) {
+        trackers[host].MergeCount({other, kSelf, 1, 0}, kStart - age);
+      }
+      for (int i = 0; i < 5 && age > absl::ZeroDuration(); ++i) {
+        trackers[host].TakeCountsToGossip(kMessageCounts, kStart - age);
+      }
+    }
+    absl::Time now = kStart;
+    const std::function<void(size_t)> gossip = [&](size_t from) {
+      const std::vector<CrashCount> counts =
+          trackers[from].TakeCountsToGossip(kMessageCounts, now);
+      for (size_t i = 0; i < kFanout; ++i) {
+        const size_t to = random() % hosts;
+        if (to == from || random() < kLossRatio * std::mt19937::max()) continue;
+        bool quarantined_any = false;
+        for (const CrashCount& count : counts) {
+          if (trackers[to].MergeCount(count, now)) quarantined_any = true;
+        }
+        if (quarantined_any) gossip(to);
+      }
+    };
+    for (size_t host = 0; host < crashes.size(); ++host) {
+      for (int i = 0; i < crashes[host]; ++i) {
+        trackers[host].OnCrash(kBadRequest, now);
+      }
+      gossip(host);
+    }
+    size_t uninformed = hosts;
+    for (size_t round = 0; uninformed > 0; ++round, now += kRound) {
+      CPPUNIT_ASSERT_MESSAGE(
+          absl::StrCat(crashes.size(), " of ", hosts, " hosts, seed ", seed,
+                       ": ", uninformed, " uninformed after ",
+                       absl::ToDoubleSeconds(now - kStart), " s"),
+          now - kStart <= limit);
+      for (size_t host = 0; host < hosts; ++host) {
+        if ((round + host) % kRoundsPerDigest == 0 ||
+            trackers[host].HasNewQuarantine(now)) {
+          gossip(host);
+        }
+      }
+      uninformed = static_cast<size_t>(std::count_if(
+          trackers.begin(), trackers.end(), [&](const CrashTracker& tracker) {
+            return !tracker.IsQuarantined(kBadRequest, now);
+          }));
+    }
+  }
+
   void FullTrackerEvictsTheOldestCrash() {
     constexpr uint64_t kManyRequests = 5000;
     CrashTracker tracker(kSelf);
--- a/libs/tier/src/fleet_gossip.cc
+++ b/libs/tier/src/fleet_gossip.cc
@@ -102,8 +102,10 @@
     callbacks_.on_hosts_changed();
   }
   const bool includes_hosts = hosts_.ShouldSendDigest(round_++, now);
-  if (includes_hosts) {
-    Send(hosts_.GossipPeers(now, random_), hosts_.BuildDigest(now, random_));
+  if (includes_hosts || crashes_.HasNewQuarantine(now)) {
+    Send(hosts_.GossipPeers(now, random_),
+         includes_hosts ? hosts_.BuildDigest(now, random_)
+                        : std::vector<HostLastSeen>());
   }
   const std::vector<HostId> downstream = DownstreamHosts();
   Send(downstream, includes_hosts && !downstream.empty()
