Keep quarantined requests when the crash tracker is full

4,096 requests are remembered, and the one with the oldest crash was evicted, quarantined or not.

FullTrackerKeepsQuarantinedRequests failed before.

--- a/libs/dispatch/src/crash_tracker.cc
+++ b/libs/dispatch/src/crash_tracker.cc
@@ -64,10 +64,15 @@
 }
 
 void CrashTracker::EvictOldest() {
+  // Quarantined requests last: many requests are counted once in a crash of
+  // many targets.
+  const auto order = [](const Records::value_type& entry) {
+    return std::make_pair(entry.second.Total() >= kCrashesToQuarantine,
+                          entry.second.last_crash);
+  };
   records_.erase(std::min_element(
-      records_.begin(), records_.end(), [](const auto& a, const auto& b) {
-        return a.second.last_crash < b.second.last_crash;
-      }));
+      records_.begin(), records_.end(),
+      [&](const auto& a, const auto& b) { return order(a) < order(b); }));
 }
 
 void CrashTracker::DropExpired(absl::Time now) {
--- a/libs/dispatch/tests/tables_test.cc
+++ b/libs/dispatch/tests/tables_test.cc
@@ -60,6 +60,7 @@
   CPPUNIT_TEST(QuarantineReachesEveryHostOfALargeFleet);
   CPPUNIT_TEST(CrashesExpireOnAllHostsAtTheSameTime);
   CPPUNIT_TEST(FullTrackerEvictsTheOldestCrash);
+  CPPUNIT_TEST(FullTrackerKeepsQuarantinedRequests);
   CPPUNIT_TEST(OverdueTargetIsSuspectUntilItAnswers);
   CPPUNIT_TEST(OverdueRequestIsIgnoredAfterALaterAnswer);
   CPPUNIT_TEST(OutstandingRequestsAreNeverNegative);
@@ -313,6 +314,15 @@
         tracker.IsQuarantined(kManyRequests, kStart + absl::Minutes(1)));
   }
 
+  void FullTrackerKeepsQuarantinedRequests() {
+    constexpr uint64_t kBadRequest = 10'000;
+    CrashTracker tracker(kSelf);
+    for (int i = 0; i < 3; ++i) tracker.OnCrash(kBadRequest, kStart);
+    const absl::Time later = kStart + absl::Minutes(1);
+    for (uint64_t i = 0; i < 5000; ++i) tracker.OnCrash(i, later);
+    CPPUNIT_ASSERT(tracker.IsQuarantined(kBadRequest, later));
+  }
+
   void OverdueTargetIsSuspectUntilItAnswers() {
     TargetHealth health(absl::ZeroDuration(), absl::Milliseconds(10));
     health.OnSent();
