--- a/libs/dispatch/tests/tables_test.cc
+++ b/libs/dispatch/tests/tables_test.cc
@@ -248,7 +248,7 @@
     constexpr absl::Duration kRound = absl::Milliseconds(500);
     constexpr size_t kRoundsPerDigest = 4;
     constexpr size_t kFanout = 2;
-    constexpr double kLossRatio = 0.01;
+    std::bernoulli_distribution is_lost(0.01);
     std::mt19937 random(seed);
     std::vector<CrashTracker> trackers;
     for (size_t host = 0; host < hosts; ++host) {
@@ -266,7 +266,7 @@
           trackers[from].TakeCountsToGossip(kMessageCounts, now);
       for (size_t i = 0; i < kFanout; ++i) {
         const size_t to = random() % hosts;
-        if (to == from || random() < kLossRatio * std::mt19937::max()) continue;
+        if (to == from || is_lost(random)) continue;
         bool quarantined_any = false;
         for (const CrashCount& count : counts) {
           if (trackers[to].MergeCount(count, now)) quarantined_any = true;
