Send a target no more than the request rate that it states

A target short of capacity states in its responses (Server-Limit) how many requests per second it takes from all hosts together. Callers lost little, the targets could not recover.

Each host limits itself to its share: whole requests in a window of 4.4 s, divided by rank over all hosts that may exist, as the rate of cold targets is, so that the sum holds without messages and in a partition. Hosts without a share use other targets. All sends pass the limit in TargetSet::LimitReached, retries and hedges too; what no target can take is refused at once. The rate belongs to the instance and holds until a success states none.

TargetGetsTheRateThatItStatedFromAllHosts failed before (1185 requests in 4 s where 35 are allowed). FleetsOfAnySizeKeepTheRate plays 1 to 2,900 hosts.

--- a/libs/dispatch/include/dispatch/exclusion_reason.h
+++ b/libs/dispatch/include/dispatch/exclusion_reason.h
@@ -29,6 +29,8 @@
   kCold,
   /// This host's concurrency limit for it is reached.
   kNoRoom,
+  /// This host's share of the request rate that it stated is used up.
+  kStatedRate,
   /// It does not answer, and a half-open probe of it is not due yet or a
   /// request
   /// to it is still outstanding.
--- a/libs/dispatch/include/dispatch/target_notices.h
+++ b/libs/dispatch/include/dispatch/target_notices.h
@@ -7,6 +7,7 @@
 
 #include "absl/time/time.h"
 #include "base/ids.h"
+#include "dispatch/stated_rate_limiter.h"
 
 namespace cherrydyke {
 
@@ -29,9 +30,9 @@
 };
 
 /// Notices that target instances sent in their responses to this host: that the
-/// instance is leaving, which is final, or that it wants no requests for a time
-/// (backoff). They are kept apart from the list of targets, whose entries may
-/// be outdated, or expire and reappear.
+/// instance is leaving, which is final, that it wants no requests for a time
+/// (backoff), or how many it takes per second. They are kept apart from the
+/// list of targets, whose entries may be outdated, or expire and reappear.
 ///
 ///     if (notices.OnLeaving(instance, now)) StopUsing(target);
 ///
@@ -51,16 +52,22 @@
   absl::Time OnBackoff(const TargetInstance& target, absl::Duration wait,
                        double random_fraction, absl::Time now);
 
+  /// Records the request rate that the instance stated, or that it states none.
+  void OnRate(const TargetInstance& target, std::optional<StatedRate> rate,
+              absl::Time now);
+
   bool IsLeaving(const TargetInstance& target) const;
   /// @return when the target may be used again; a time in the past if it may be
   /// used now.
   absl::Time BackoffUntil(const TargetInstance& target) const;
+  std::optional<StatedRate> RateOf(const TargetInstance& target) const;
   size_t size() const { return notices_.size(); }
 
  private:
   struct Notice {
     bool leaving = false;
     absl::Time backoff_until = absl::InfinitePast();
+    std::optional<StatedRate> rate;
     absl::Time updated_at;
   };
 
--- a/libs/dispatch/src/exclusion_reason.cc
+++ b/libs/dispatch/src/exclusion_reason.cc
@@ -26,6 +26,8 @@
       return "cold";
     case ExclusionReason::kNoRoom:
       return "no_room";
+    case ExclusionReason::kStatedRate:
+      return "stated_rate";
     case ExclusionReason::kUnresponsive:
       return "silent";
   }
--- a/libs/dispatch/src/target_notices.cc
+++ b/libs/dispatch/src/target_notices.cc
@@ -47,6 +47,17 @@
   return notice.backoff_until;
 }
 
+void TargetNotices::OnRate(const TargetInstance& target,
+                           std::optional<StatedRate> rate, absl::Time now) {
+  FindOrAdd(target, now).rate = rate;
+}
+
+std::optional<StatedRate> TargetNotices::RateOf(
+    const TargetInstance& target) const {
+  const auto found = notices_.find(target);
+  return found == notices_.end() ? std::nullopt : found->second.rate;
+}
+
 bool TargetNotices::IsLeaving(const TargetInstance& target) const {
   const auto found = notices_.find(target);
   return found != notices_.end() && found->second.leaving;
--- a/libs/tier/include/tier/protocol_adapter.h
+++ b/libs/tier/include/tier/protocol_adapter.h
@@ -42,6 +42,11 @@
   absl::Duration backoff;
   /// Whether the target stated a backoff that is not a non-negative number.
   bool is_backoff_malformed = false;
+  /// Requests per second that the target takes from all hosts together, if it
+  /// states a limit.
+  std::optional<double> rate;
+  /// Whether the target stated a limit that is not a non-negative number.
+  bool is_rate_malformed = false;
 };
 
 /// Why a host answers a request itself instead of with a target's response.
--- a/libs/tier/include/tier/target_set.h
+++ b/libs/tier/include/tier/target_set.h
@@ -16,6 +16,7 @@
 #include "dispatch/exclusion_reason.h"
 #include "dispatch/replica_choice.h"
 #include "dispatch/retry_budget.h"
+#include "dispatch/stated_rate_limiter.h"
 #include "dispatch/target_health.h"
 #include "dispatch/target_health_report.h"
 #include "dispatch/target_notices.h"
@@ -119,6 +120,13 @@
                                       absl::Time sent_at,
                                       absl::Duration backoff,
                                       double random_fraction);
+  /// A response stated the request rate that the target takes from all hosts
+  /// together, or stated none.
+  /// @param sent_at as for `OnLeaving`.
+  /// @param random_fraction a random number in [0, 1).
+  /// @return whether the rate was set, changed or lifted.
+  bool OnStatedRate(const TargetId& target, absl::Time sent_at,
+                    std::optional<double> per_second, double random_fraction);
   /// @return for a service whose usable targets are all backing off, when the
   /// first of them may be used again; otherwise the infinite past.
   absl::Time EarliestBackoffEnd(const ServiceName& service) const;
@@ -194,6 +202,9 @@
   /// that the network path to the domain works.
   bool HasRecentResponse(const FailureDomainName& domain) const;
   ReplicaState StateOf(const Target& target, absl::Time now) const;
+  /// @return requests per window that this host may send to the target by the
+  /// rate that the target stated.
+  int ShareOfStatedRate(const Target& target) const;
   void UpdateAllLimits();
   /// Recomputes this host's shares of a target's connections and cold requests.
   void UpdateLimits(Target& target);
--- a/libs/tier/src/request_handler.cc
+++ b/libs/tier/src/request_handler.cc
@@ -139,7 +139,9 @@
   running_.insert(request);
   const RunActions actions = Advance(
       *request, [this](RequestRun& run) { return run.Start(loop_.Now()); });
-  request->overloaded = request->passed_over.of(ExclusionReason::kNoRoom) > 0;
+  request->overloaded =
+      request->passed_over.of(ExclusionReason::kNoRoom) > 0 ||
+      request->passed_over.of(ExclusionReason::kStatedRate) > 0;
   Perform(request, actions);
 }
 
@@ -269,6 +271,7 @@
                    request->route->latency_objective - policy_.answer_margin);
   if (reply.load) targets_.OnLoad(attempt.target, *reply.load);
   ApplyNotices(*request, index, reply);
+  ApplyStatedRate(*request, index, reply, status);
   if (reply.result == AttemptResult::kWrongTarget) {
     targets_.OnWrongTarget(attempt.target);
   }
@@ -345,6 +348,31 @@
             absl::ToInt64Milliseconds(*backoff_until - loop_.Now())}});
 }
 
+void RequestHandler::ApplyStatedRate(const Request& request, size_t index,
+                                     const TargetResponse& reply,
+                                     engine::ExchangeStatus status) {
+  if (status != engine::ExchangeStatus::kComplete ||
+      reply.result == AttemptResult::kWrongTarget) {
+    return;
+  }
+  const Request::Attempt& attempt = request.attempts[index];
+  if (reply.is_rate_malformed) {
+    if (log_rate_limiter_.TryAcquire("malformed rate", policy_.log_lines,
+                                     loop_.Now())) {
+      LogWarning("malformed request rate of target ignored",
+                 {{"target", attempt.target},
+                  {"request", request.caller_request.request_id}});
+    }
+    return;
+  }
+  // Only a success shows that the target needs no limit any more.
+  if (!reply.rate && reply.result != AttemptResult::kSuccess) return;
+  if (targets_.OnStatedRate(attempt.target, attempt.sent_at, reply.rate,
+                            RandomFraction())) {
+    metrics_.counter("cherrydyke_target_rate_changes_total").Add();
+  }
+}
+
 void RequestHandler::OnCrash(const RequestPtr& request, size_t index) {
   const bool answered = request->run->answered(index);
   if (log_rate_limiter_.TryAcquire("crashed", policy_.log_lines, loop_.Now())) {
--- a/libs/tier/src/target.h
+++ b/libs/tier/src/target.h
@@ -28,6 +28,7 @@
   const absl::Duration round_trip;
   TargetHealth health;
   ColdSendLimiter cold_limiter;
+  StatedRateLimiter stated_rate;
   absl::Time cold_until = absl::InfinitePast();
   /// Requests per second that this host may send while the target is cold.
   int cold_share_per_s = 0;
--- a/libs/tier/src/target_set.cc
+++ b/libs/tier/src/target_set.cc
@@ -133,6 +133,9 @@
   if (!same_instance) {
     target->leaving = notices_.IsLeaving(target->instance());
     target->backoff_until = notices_.BackoffUntil(target->instance());
+    if (const auto rate = notices_.RateOf(target->instance())) {
+      target->stated_rate.Restore(*rate, {shares_.hosts(), 0}, now);
+    }
   }
   // An instance that has begun to drain never serves again.
   if (was_draining && target->info.start_time_ms) target->info.draining = true;
@@ -318,9 +321,17 @@
       !target.concurrency.HasRoom(target.health.outstanding())) {
     return ExclusionReason::kNoRoom;
   }
+  if (target.stated_rate.rate() &&
+      !target.stated_rate.MaySend(ShareOfStatedRate(target), now)) {
+    return ExclusionReason::kStatedRate;
+  }
   return std::nullopt;
 }
 
+int TargetSet::ShareOfStatedRate(const Target& target) const {
+  return shares_.StrictShareOf(target.stated_rate.Quota(), target.rank);
+}
+
 ReplicaState TargetSet::StateOf(const Target& target, absl::Time now) const {
   ReplicaState state;
   state.health = &target.health;
@@ -384,6 +395,7 @@
   }
   CountSend(*best, criteria.retry_priority.has_value(), now);
   best->cold_limiter.OnSent(now);
+  best->stated_rate.OnSent(now);
   const SelectedTarget selected{
       best->info.id, best->health.OverdueAfter(now, policy_.hedge_deviations),
       choice->cost, choice->next_cost};
@@ -593,6 +605,29 @@
   return target->backoff_until;
 }
 
+bool TargetSet::OnStatedRate(const TargetId& id, absl::Time sent_at,
+                             std::optional<double> per_second,
+                             double random_fraction) {
+  Target* const target = FindInstance(id, sent_at);
+  if (target == nullptr) return false;
+  const absl::Time now = loop_.Now();
+  const bool had_rate = target->stated_rate.rate().has_value();
+  const bool changed = target->stated_rate.OnResponse(
+      per_second, sent_at, {shares_.hosts(), random_fraction}, now);
+  if (had_rate || changed) {
+    notices_.OnRate(target->instance(), target->stated_rate.rate(), now);
+  }
+  if (changed && log_rate_limiter_.TryAcquire("rate", policy_.log_lines, now)) {
+    LogInfo(per_second ? "target stated a request rate"
+                       : "target lifted its request rate",
+            {{"target", id},
+             {"per_second", per_second.value_or(0)},
+             {"share", ShareOfStatedRate(*target)},
+             {"hosts", shares_.hosts()}});
+  }
+  return changed;
+}
+
 absl::Time TargetSet::EarliestBackoffEnd(const ServiceName& service) const {
   const auto found = targets_by_service_.find(service);
   if (found == targets_by_service_.end()) return absl::InfinitePast();
