Count a crash once for a request, whatever the number of its copies and hosts

Callers of a query that many send at once were refused for ten minutes (quarantined) after one target had ended: each copy that was running on it added a crash, on each host.

Cause: crashes were counted per attempt, by host incarnation, while quarantine is meant for requests that have crashed three targets. A record now holds the set of target instances, merged by gossip: a report names the instance, several reports of one crash are one. The set needs no incarnations, so a restarted host cannot count twice either.

--- a/libs/dispatch/src/crash_tracker.cc
+++ b/libs/dispatch/src/crash_tracker.cc
@@ -15,6 +15,8 @@
 /// Time after the last crash for which crashes count and the request is
 /// refused.
 constexpr absl::Duration kQuarantineDuration = absl::Minutes(10);
+/// Maximum number of targets kept for a request, those that crashed last.
+constexpr int kMaxTargets = kCrashesToQuarantine;
 /// Maximum number of tracked requests, at a few hundred bytes each.
 constexpr size_t kMaxRecords = 4096;
 /// How long a new quarantine is gossiped in every round: a rumour that is sent
@@ -23,34 +25,30 @@
 
 }  // namespace
 
-CrashTracker::CrashTracker(Incarnation self) : self_(self) {}
-
-int64_t CrashTracker::Record::Total() const {
-  int64_t total = 0;
-  for (const auto& [incarnation, crashes] : counts) total += crashes;
-  return total;
-}
-
-bool CrashTracker::OnCrash(uint64_t fingerprint, absl::Time now) {
-  const auto found = records_.find(fingerprint);
-  const int known = found == records_.end() ? 0 : found->second.counts[self_];
-  return Update(fingerprint, self_, known + 1, now, now);
+bool CrashTracker::OnCrash(uint64_t fingerprint, uint32_t target,
+                           absl::Time now) {
+  return Add(fingerprint, target, now, now);
 }
 
-bool CrashTracker::MergeCount(const CrashCount& count, absl::Time now) {
-  const absl::Duration age = absl::Milliseconds(count.age_ms);
+bool CrashTracker::Merge(const CrashReport& report, absl::Time now) {
+  const absl::Duration age = absl::Milliseconds(report.age_ms);
   if (age < absl::ZeroDuration() || age >= kQuarantineDuration) return false;
-  return Update(count.fingerprint, count.incarnation, count.crashes, now - age,
-                now);
+  return Add(report.fingerprint, report.target, now - age, now);
 }
 
-bool CrashTracker::Update(uint64_t fingerprint, Incarnation incarnation,
-                          int crashes, absl::Time at, absl::Time now) {
+bool CrashTracker::Add(uint64_t fingerprint, uint32_t target, absl::Time at,
+                       absl::Time now) {
   const bool was_quarantined = IsQuarantined(fingerprint, now);
   Record& record = records_[fingerprint];
-  int& known = record.counts[incarnation];
-  if (crashes <= known) return false;
-  known = crashes;
+  if (!record.crashed_at.try_emplace(target, at).second) return false;
+  if (record.Total() > kMaxTargets) {
+    const auto oldest = std::min_element(
+        record.crashed_at.begin(), record.crashed_at.end(),
+        [](const auto& a, const auto& b) { return a.second < b.second; });
+    const bool is_news = oldest->first != target;
+    record.crashed_at.erase(oldest);
+    if (!is_news) return false;
+  }
   record.last_crash = std::max(record.last_crash, at);
   record.times_sent = 0;
   if (records_.size() > kMaxRecords) EvictOldest();
@@ -90,17 +88,17 @@
 }
 
 int CrashTracker::LimitAttempts(uint64_t fingerprint, int attempts) const {
-  const int64_t left = kCrashesToQuarantine - Total(fingerprint);
-  return static_cast<int>(std::clamp<int64_t>(left, 1, std::max(1, attempts)));
+  return std::clamp(kCrashesToQuarantine - Total(fingerprint), 1,
+                    std::max(1, attempts));
 }
 
-int64_t CrashTracker::Total(uint64_t fingerprint) const {
+int CrashTracker::Total(uint64_t fingerprint) const {
   const auto found = records_.find(fingerprint);
   return found == records_.end() ? 0 : found->second.Total();
 }
 
-std::vector<CrashCount> CrashTracker::TakeCountsToGossip(size_t limit,
-                                                         absl::Time now) {
+std::vector<CrashReport> CrashTracker::TakeReportsToGossip(size_t limit,
+                                                           absl::Time now) {
   DropExpired(now);
   std::vector<Records::pointer> urgent;
   std::vector<Records::pointer> others;
@@ -108,14 +106,14 @@
     const bool is_urgent = entry.second.Total() >= kCrashesToGossipFirst;
     (is_urgent ? urgent : others).push_back(&entry);
   }
-  std::vector<CrashCount> counts;
-  Append(urgent, others.empty() ? limit : limit / 2, now, counts);
-  Append(others, limit, now, counts);
-  return counts;
+  std::vector<CrashReport> reports;
+  Append(urgent, others.empty() ? limit : limit / 2, now, reports);
+  Append(others, limit, now, reports);
+  return reports;
 }
 
 void CrashTracker::Append(std::vector<Records::pointer>& records, size_t limit,
-                          absl::Time now, std::vector<CrashCount>& counts) {
+                          absl::Time now, std::vector<CrashReport>& reports) {
   const size_t selected = std::min(records.size(), limit);
   std::partial_sort(
       records.begin(), records.begin() + static_cast<std::ptrdiff_t>(selected),
@@ -125,19 +123,11 @@
       });
   for (size_t index = 0; index < selected; ++index) {
     auto& [fingerprint, record] = *records[index];
-    std::vector<std::pair<int, Incarnation>> by_count;
-    for (const auto& [incarnation, crashes] : record.counts) {
-      by_count.emplace_back(crashes, incarnation);
-    }
-    std::sort(by_count.rbegin(), by_count.rend());
-    int64_t crashes_sent = 0;
-    for (const auto& [crashes, incarnation] : by_count) {
-      if (counts.size() == limit) return;
-      counts.push_back({fingerprint, incarnation, crashes,
-                        static_cast<int32_t>(absl::ToInt64Milliseconds(
-                            now - record.last_crash))});
-      // These counts are enough for other hosts to quarantine the request.
-      if ((crashes_sent += crashes) >= kCrashesToQuarantine) break;
+    for (const auto& [target, at] : record.crashed_at) {
+      if (reports.size() == limit) return;
+      reports.push_back(
+          {fingerprint, target,
+           static_cast<int32_t>(absl::ToInt64Milliseconds(now - at))});
     }
     ++record.times_sent;
   }
--- a/libs/tier/include/tier/gossip_message.h
+++ b/libs/tier/include/tier/gossip_message.h
@@ -17,7 +17,7 @@
   MembershipUpdate membership_update;
   Revision config_revision = 0;
   Revision targets_revision = 0;
-  std::vector<CrashCount> crashes;
+  std::vector<CrashReport> crashes;
   /// The sender's recent observations of targets.
   std::vector<TargetHealthReport> reports;
 
--- a/libs/tier/include/tier/target_set.h
+++ b/libs/tier/include/tier/target_set.h
@@ -88,6 +88,10 @@
   std::optional<SelectedTarget> Select(const SelectionCriteria& criteria,
                                        absl::Time now) override;
 
+  /// @return a hash of the listed instance of the target, the same on all
+  /// hosts; 0 if the target is not listed.
+  uint32_t InstanceHash(const TargetId& target) const;
+
   /// Sends a request to the target that `Select` chose for it.
   /// @return 0 if the target no longer exists; `done` is then not called.
   engine::ExchangeId Send(const TargetId& target, engine::PoolRequest request);
--- a/libs/tier/src/fleet_gossip.cc
+++ b/libs/tier/src/fleet_gossip.cc
@@ -15,8 +15,8 @@
 /// Period of gossip rounds, which also serve as heartbeats of readers and
 /// relays to their downstream hosts.
 constexpr absl::Duration kGossipPeriod = absl::Milliseconds(500);
-/// Crash counts in one message, which has to fit a datagram.
-constexpr size_t kMaxCrashCounts = 12;
+/// Crash reports in one message, which has to fit a datagram.
+constexpr size_t kMaxCrashReports = 12;
 /// Log lines per second about crashes that other hosts counted.
 constexpr int kCrashLogLinesPerS = 20;
 /// How often health reports of targets are sent, to how many hosts, and of how
@@ -155,7 +155,7 @@
       hosts_.Role(callbacks_.is_reading(), loop_.Now()), std::move(ages)};
   message.config_revision = config_.newest_revision();
   message.targets_revision = targets_.newest_revision();
-  message.crashes = crashes_.TakeCountsToGossip(kMaxCrashCounts, loop_.Now());
+  message.crashes = crashes_.TakeReportsToGossip(kMaxCrashReports, loop_.Now());
   message.reports = std::move(health_reports);
   const std::string datagram = EncodeGossipMessage(message);
   for (const HostId& recipient : recipients) {
@@ -176,18 +176,18 @@
     Send({sender.host}, hosts_.BuildDigest(now, random_));
   }
   bool quarantined_any = false;
-  for (const CrashCount& count : message.crashes) {
-    const int64_t known = crashes_.Total(count.fingerprint);
-    const bool quarantined = crashes_.MergeCount(count, now);
-    const int64_t crashes = crashes_.Total(count.fingerprint);
-    if (quarantined) callbacks_.on_quarantined(count.fingerprint);
+  for (const CrashReport& report : message.crashes) {
+    const int known = crashes_.Total(report.fingerprint);
+    const bool quarantined = crashes_.Merge(report, now);
+    const int crashes = crashes_.Total(report.fingerprint);
+    if (quarantined) callbacks_.on_quarantined(report.fingerprint);
     quarantined_any = quarantined_any || quarantined;
     if (crashes == known) continue;
     if (!log_rate_limiter_.TryAcquire("crash", kCrashLogLinesPerS, now))
       continue;
     LogInfo(quarantined ? "request quarantined" : "crash counted elsewhere",
-            {{"fingerprint", ToHex(count.fingerprint)},
-             {"counted_by", ToHex(count.incarnation)},
+            {{"fingerprint", ToHex(report.fingerprint)},
+             {"target_hash", ToHex(report.target)},
              {"crashes", crashes},
              {"told_by", sender.host}});
   }
--- a/libs/tier/src/gossip_message.cc
+++ b/libs/tier/src/gossip_message.cc
@@ -35,7 +35,7 @@
   Revision targets_revision = 0;
   std::vector<FailureDomainName> domains;
   std::vector<PackedAge> ages;
-  std::vector<CrashCount> crashes;
+  std::vector<CrashReport> crashes;
   std::vector<TargetHealthReport> reports;
 
   template <typename Archive>
--- a/libs/tier/src/request_handler.cc
+++ b/libs/tier/src/request_handler.cc
@@ -55,6 +55,8 @@
 struct RequestHandler::Request {
   struct Attempt {
     TargetId target;
+    /// Identifies the target instance on all hosts.
+    uint32_t instance_hash = 0;
     engine::ExchangeId exchange = 0;
     absl::Time sent_at;
     /// The parsed response, once it has arrived.
@@ -222,6 +224,7 @@
       std::max(request->attempts.size(), send.attempt + 1));
   Request::Attempt& attempt = request->attempts[send.attempt];
   attempt.target = send.target;
+  attempt.instance_hash = targets_.InstanceHash(send.target);
   attempt.sent_at = now;
   const engine::HttpRequest& http_request = request->exchange->request();
   engine::PoolRequest out;
@@ -391,13 +394,15 @@
 
 void RequestHandler::CountCrash(const Request& request, size_t index) {
   const uint64_t fingerprint = request.fingerprint;
-  const bool quarantined = crashes_.OnCrash(fingerprint, loop_.Now());
+  const uint32_t instance = request.attempts[index].instance_hash;
+  const bool quarantined = crashes_.OnCrash(fingerprint, instance, loop_.Now());
   const std::string line =
       quarantined ? "request quarantined" : "crash counted";
   if (log_rate_limiter_.TryAcquire(line, policy_.log_lines, loop_.Now())) {
     LogWarning(line, {{"fingerprint", ToHex(fingerprint)},
                       {"request", request.caller_request.request_id},
                       {"target", request.attempts[index].target},
+                      {"target_hash", ToHex(instance)},
                       {"crashes", crashes_.Total(fingerprint)}});
   }
   if (!quarantined) return;
--- a/libs/tier/src/target_set.cc
+++ b/libs/tier/src/target_set.cc
@@ -4,6 +4,7 @@
 #include <limits>
 #include <utility>
 
+#include "absl/strings/str_cat.h"
 #include "target.h"
 #include "telemetry/log.h"
 
@@ -464,6 +465,14 @@
   if (target.IsCold(now)) ++counts_.cold;
 }
 
+uint32_t TargetSet::InstanceHash(const TargetId& id) const {
+  const Target* const target = Find(id);
+  if (target == nullptr) return 0;
+  return static_cast<uint32_t>(
+      StableHash(absl::StrCat(id, "\n", target->info.endpoint, "\n",
+                              target->info.start_time_ms.value_or(0))));
+}
+
 engine::ExchangeId TargetSet::Send(const TargetId& id,
                                    engine::PoolRequest request) {
   Target* const target = Find(id);
