Do not blame a request for the silence of a target that was silent before it

A request sent to a target that had not answered for a second counted a crash when the target's connections timed out, although it cannot have caused that.

The hash of an instance is computed once for each instance, not for each send.

--- a/libs/dispatch/include/dispatch/crash_detector.h
+++ b/libs/dispatch/include/dispatch/crash_detector.h
@@ -35,14 +35,22 @@
 /// target's failure domain is known to work; in a partition all its targets are
 /// silent. Pure: time is an argument.
 ///
-///     detector.OnUnanswered(loss, sent_at, now, [](CrashVerdict) { ... });
-///     if (detector.NeedsProbe(now)) pool.Probe();
+///     detector.OnUnanswered(attempt, now, [](CrashVerdict) { ... });
+///     if (detector.NeedsProbe()) pool.Probe();
 class CrashDetector {
  public:
   using OnVerdict = std::function<void(CrashVerdict)>;
 
+  /// An attempt that got no response.
+  struct Attempt {
+    AttemptLoss loss = AttemptLoss::kConnectionLost;
+    absl::Time sent_at;
+    /// Since when the target answers nothing; infinite if it answers.
+    absl::Time silent_since = absl::InfiniteFuture();
+  };
+
   /// @param on_verdict called once, possibly from within this call.
-  void OnUnanswered(AttemptLoss loss, absl::Time sent_at, absl::Time now,
+  void OnUnanswered(const Attempt& attempt, absl::Time now,
                     OnVerdict on_verdict);
   /// The instance sent a complete response.
   void OnResponse(absl::Time now);
--- a/libs/dispatch/include/dispatch/target_health.h
+++ b/libs/dispatch/include/dispatch/target_health.h
@@ -87,6 +87,10 @@
   /// @return whether the recent failure rate is high enough to affect requests.
   bool HasElevatedFailureRate(absl::Time now) const;
 
+  /// @return the start of the current period without answers; infinite if
+  /// there is none.
+  absl::Time unresponsive_since() const { return unresponsive_since_; }
+
   int outstanding() const { return outstanding_; }
 
  private:
@@ -105,7 +109,6 @@
   double failures_ = 0;
   absl::Time counts_updated_at_ = absl::InfinitePast();
   absl::Time last_answer_at_ = absl::InfinitePast();
-  /// Start of the current period without answers; infinite if there is none.
   absl::Time unresponsive_since_ = absl::InfiniteFuture();
   absl::Time suspect_until_ = absl::InfinitePast();
   absl::Duration probe_backoff_;
--- a/libs/dispatch/src/crash_detector.cc
+++ b/libs/dispatch/src/crash_detector.cc
@@ -12,6 +12,9 @@
 /// A target that has sent nothing for this long while an attempt ran is silent:
 /// longer than the specified pause of targets.
 constexpr absl::Duration kSilenceTime = absl::Milliseconds(300);
+/// An attempt that was sent to a target which had been silent for longer than
+/// this did not cause the silence.
+constexpr absl::Duration kMaxPriorSilence = absl::Seconds(1);
 /// Time to decide about an attempt: the entry of a process that has ended
 /// expires within it.
 constexpr absl::Duration kDecisionTime = absl::Seconds(6);
@@ -31,8 +34,9 @@
   for (const OnVerdict& on_verdict : callbacks) on_verdict(verdict);
 }
 
-void CrashDetector::OnUnanswered(AttemptLoss loss, absl::Time sent_at,
-                                 absl::Time now, OnVerdict on_verdict) {
+void CrashDetector::OnUnanswered(const Attempt& attempt, absl::Time now,
+                                 OnVerdict on_verdict) {
+  const auto& [loss, sent_at, silent_since] = attempt;
   const absl::Time last_sign = std::max(last_response_at_, last_connected_at_);
   if (ended_at_) {
     return on_verdict(last_sign > *ended_at_ ? CrashVerdict::kSurvived
@@ -42,6 +46,9 @@
     const bool is_silent =
         last_response_at_ <= sent_at || now - last_response_at_ >= kSilenceTime;
     if (!is_silent) return on_verdict(CrashVerdict::kSurvived);
+    if (sent_at - silent_since > kMaxPriorSilence) {
+      return on_verdict(CrashVerdict::kUnexplained);
+    }
     if (last_timeout_at_ > sent_at && last_timeout_at_ > last_sign) {
       return on_verdict(CrashVerdict::kCrashed);
     }
--- a/libs/dispatch/tests/crash_detector_test.cc
+++ b/libs/dispatch/tests/crash_detector_test.cc
@@ -19,6 +19,7 @@
   CPPUNIT_TEST(TimeoutIsACrashOnlyIfThePathWorks);
   CPPUNIT_TEST(TimeoutBeforeTheAttemptWasAbandonedIsEnough);
   CPPUNIT_TEST(SilentConnectionIsNoSignOfLife);
+  CPPUNIT_TEST(RequestSentToSilentTargetIsNotBlamed);
   CPPUNIT_TEST(ResponsiveTargetSurvived);
   CPPUNIT_TEST(LaterCrashIsNotBlamedOnLostAnswers);
   CPPUNIT_TEST(RestartedProcessIsACrash);
@@ -58,6 +59,16 @@
     CheckVerdict(CrashVerdict::kCrashed);
   }
 
+  void RequestSentToSilentTargetIsNotBlamed() {
+    silent_since_ = kSent - absl::Milliseconds(1500);
+    Lose(AttemptLoss::kAbandoned, kAbandoned);
+    CheckVerdict(CrashVerdict::kUnexplained);
+    silent_since_ = kSent - absl::Milliseconds(500);
+    Lose(AttemptLoss::kAbandoned, kAbandoned);
+    detector_.OnConnectFailed(false, true, kAbandoned + absl::Seconds(1));
+    CheckVerdict(CrashVerdict::kCrashed);
+  }
+
   void ResponsiveTargetSurvived() {
     detector_.OnResponse(kAbandoned - absl::Milliseconds(100));
     Lose(AttemptLoss::kAbandoned, kAbandoned);
@@ -113,9 +124,9 @@
 
  private:
   void Lose(AttemptLoss loss, absl::Time at) {
-    detector_.OnUnanswered(loss, kSent, at, [this](CrashVerdict verdict) {
-      verdicts_.push_back(verdict);
-    });
+    detector_.OnUnanswered(
+        {loss, kSent, silent_since_}, at,
+        [this](CrashVerdict verdict) { verdicts_.push_back(verdict); });
   }
 
   // Checks for exactly one verdict since the last check.
@@ -126,6 +137,7 @@
   }
 
   CrashDetector detector_;
+  absl::Time silent_since_ = absl::InfiniteFuture();
   std::vector<CrashVerdict> verdicts_;
 };
 
--- a/libs/tier/src/target.cc
+++ b/libs/tier/src/target.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "absl/strings/str_cat.h"
 #include "telemetry/log.h"
 
 namespace cherrydyke {
@@ -23,6 +24,9 @@
     : set(owner),
       info(std::move(target_info)),
       id_hash(static_cast<uint32_t>(StableHash(info.id))),
+      instance_hash(static_cast<uint32_t>(
+          StableHash(absl::StrCat(info.id, "\n", info.endpoint, "\n",
+                                  info.start_time_ms.value_or(0))))),
       distance(target_distance),
       round_trip(assumed_round_trip),
       health(assumed_round_trip, kInitialServiceTime),
@@ -69,7 +73,8 @@
 void TargetSet::Target::OnUnanswered(AttemptLoss loss, absl::Time sent_at,
                                      CrashDetector::OnVerdict on_verdict) {
   const absl::Time now = set.loop_.Now();
-  crash_detector_.OnUnanswered(loss, sent_at, now, std::move(on_verdict));
+  crash_detector_.OnUnanswered({loss, sent_at, health.unresponsive_since()},
+                               now, std::move(on_verdict));
   if (!crash_detector_.HasPending()) return;
   if (now >= backoff_until) pool->Probe();
   if (std::exchange(probing_for_crash_, true)) return;
--- a/libs/tier/src/target.h
+++ b/libs/tier/src/target.h
@@ -23,6 +23,8 @@
   TargetInfo info;
   /// Identifies the target in health reports exchanged between hosts.
   const uint32_t id_hash;
+  /// Identifies this instance in crash reports exchanged between hosts.
+  const uint32_t instance_hash;
   const Distance distance;
   /// Network round trip assumed from the target's distance.
   const absl::Duration round_trip;
--- a/libs/tier/src/target_set.cc
+++ b/libs/tier/src/target_set.cc
@@ -4,7 +4,6 @@
 #include <limits>
 #include <utility>
 
-#include "absl/strings/str_cat.h"
 #include "target.h"
 #include "telemetry/log.h"
 
@@ -467,10 +466,7 @@
 
 uint32_t TargetSet::InstanceHash(const TargetId& id) const {
   const Target* const target = Find(id);
-  if (target == nullptr) return 0;
-  return static_cast<uint32_t>(
-      StableHash(absl::StrCat(id, "\n", target->info.endpoint, "\n",
-                              target->info.start_time_ms.value_or(0))));
+  return target == nullptr ? 0 : target->instance_hash;
 }
 
 engine::ExchangeId TargetSet::Send(const TargetId& id,
