Gossip quarantined requests before those one crash short of quarantine

Both shared half of each message. When all copies of a shard fall silent, each fan-out that is running counts two crashes, and a quarantine among hundreds of them waited for its turn. Quarantines have half of the message again, requests one crash short of it a quarter.

QuarantineReachesEveryHostOfALargeFleet passes unchanged.

--- a/libs/dispatch/include/dispatch/crash_tracker.h
+++ b/libs/dispatch/include/dispatch/crash_tracker.h
@@ -65,8 +65,9 @@
   /// Chooses the reports for the next gossip message and marks them as sent.
   /// Requests sent least often since their last crash go first, so that a new
   /// crash is in the next message and every request in one of the next few.
-  /// Half of the message is reserved for requests that are quarantined or one
-  /// crash short of it.
+  /// Half of the message is reserved for quarantined requests, and a quarter
+  /// for those that are one crash short of it: after a crash of many targets,
+  /// most requests have one.
   /// @return at most `limit` reports.
   std::vector<CrashReport> TakeReportsToGossip(size_t limit, absl::Time now);
 
--- a/libs/dispatch/src/crash_tracker.cc
+++ b/libs/dispatch/src/crash_tracker.cc
@@ -9,9 +9,6 @@
 /// Crashes after which a request is quarantined. Two may be a coincidence, as
 /// an unrelated crash counts against every request that was running.
 constexpr int kCrashesToQuarantine = 3;
-/// Crashes from which the counts of a request are gossiped first: after an
-/// ordinary crash there are many requests with one.
-constexpr int kCrashesToGossipFirst = kCrashesToQuarantine - 1;
 /// Time after the last crash for which crashes count and the request is
 /// refused.
 constexpr absl::Duration kQuarantineDuration = absl::Minutes(10);
@@ -100,14 +97,20 @@
 std::vector<CrashReport> CrashTracker::TakeReportsToGossip(size_t limit,
                                                            absl::Time now) {
   DropExpired(now);
-  std::vector<Records::pointer> urgent;
+  std::vector<Records::pointer> quarantined;
+  std::vector<Records::pointer> suspects;
   std::vector<Records::pointer> others;
   for (auto& entry : records_) {
-    const bool is_urgent = entry.second.Total() >= kCrashesToGossipFirst;
-    (is_urgent ? urgent : others).push_back(&entry);
+    const int total = entry.second.Total();
+    (total >= kCrashesToQuarantine       ? quarantined
+     : total >= kCrashesToQuarantine - 1 ? suspects
+                                         : others)
+        .push_back(&entry);
   }
   std::vector<CrashReport> reports;
-  Append(urgent, others.empty() ? limit : limit / 2, now, reports);
+  const bool only_quarantined = suspects.empty() && others.empty();
+  Append(quarantined, only_quarantined ? limit : limit / 2, now, reports);
+  Append(suspects, others.empty() ? limit : limit * 3 / 4, now, reports);
   Append(others, limit, now, reports);
   return reports;
 }
--- a/libs/dispatch/tests/tables_test.cc
+++ b/libs/dispatch/tests/tables_test.cc
@@ -65,6 +65,7 @@
   CPPUNIT_TEST(NewCrashIsInTheNextMessage);
   CPPUNIT_TEST(EveryCrashIsGossipedInTurn);
   CPPUNIT_TEST(QuarantinedRequestsAreInEveryMessage);
+  CPPUNIT_TEST(QuarantineIsGossipedBesideManySuspects);
   CPPUNIT_TEST(QuarantineReachesEveryHostOfALargeFleet);
   CPPUNIT_TEST(CrashesExpireOnAllHostsAtTheSameTime);
   CPPUNIT_TEST(FullTrackerEvictsTheOldestCrash);
@@ -217,6 +218,19 @@
     }
   }
 
+  void QuarantineIsGossipedBesideManySuspects() {
+    CrashTracker tracker;
+    CrashThreeTargets(tracker, 200);
+    for (uint64_t i = 0; i < 100; ++i) {
+      tracker.OnCrash(i, kTarget, kStart + absl::Seconds(1));
+      tracker.OnCrash(i, kSecondTarget, kStart + absl::Seconds(1));
+    }
+    for (int i = 0; i < 20; ++i) {
+      CPPUNIT_ASSERT(GossipedRequests(tracker, absl::Seconds(1)).count(200) ==
+                     1);
+    }
+  }
+
   // All hosts must know of a quarantine within the time that the platform
   // allows a fleet of that size.
   void QuarantineReachesEveryHostOfALargeFleet() {
