Judge crashes of an instance that is listed again at its address

After a 421 from another instance the crash detector held the instance for ended, also when its entry had been published again: later losses there were taken for survived as soon as it had responded once. Found by reading; InstanceListedAgainCanCrash tests it.

--- a/libs/dispatch/include/dispatch/crash_detector.h
+++ b/libs/dispatch/include/dispatch/crash_detector.h
@@ -66,6 +66,9 @@
   /// @param is_connected whether a process at its address keeps a connection
   /// established; that process is then another instance.
   void OnInstanceEnded(bool announced, bool is_connected, absl::Time now);
+  /// The instance is listed at its address again, after another one had
+  /// responded there.
+  void OnListedAgain() { ended_at_.reset(); }
   /// Decides the attempts for which time is evidence.
   /// @param is_connected whether a connection to the instance is established.
   void OnPoll(bool is_connected, absl::Time now);
--- a/libs/dispatch/tests/crash_detector_test.cc
+++ b/libs/dispatch/tests/crash_detector_test.cc
@@ -25,6 +25,7 @@
   CPPUNIT_TEST(RestartedProcessIsACrash);
   CPPUNIT_TEST(AnnouncedShutdownIsNoCrash);
   CPPUNIT_TEST(RemovedTargetThatStillRespondsSurvived);
+  CPPUNIT_TEST(InstanceListedAgainCanCrash);
   CPPUNIT_TEST(UndecidedAttemptsExpire);
   CPPUNIT_TEST_SUITE_END();
 
@@ -113,6 +114,15 @@
     CheckVerdict(CrashVerdict::kSurvived);
   }
 
+  void InstanceListedAgainCanCrash() {
+    detector_.OnInstanceEnded(false, true, kSent - absl::Seconds(2));
+    detector_.OnListedAgain();
+    detector_.OnResponse(kSent - absl::Seconds(1));
+    Lose(AttemptLoss::kConnectionLost, kLost);
+    detector_.OnConnectFailed(true, true, kLost + absl::Milliseconds(1));
+    CheckVerdict(CrashVerdict::kCrashed);
+  }
+
   void UndecidedAttemptsExpire() {
     Lose(AttemptLoss::kAbandoned, kAbandoned);
     detector_.OnPoll(false, kAbandoned + absl::Seconds(5));
--- a/libs/tier/src/target.h
+++ b/libs/tier/src/target.h
@@ -62,6 +62,9 @@
   void OnResponse();
   /// The instance is no longer listed, or another one was found in its place.
   void OnInstanceEnded();
+  /// The entry was published again after another instance was found in its
+  /// place.
+  void OnListedAgain() { crash_detector_.OnListedAgain(); }
 
  private:
   void OnConnectFailed(bool refused) override;
--- a/libs/tier/src/target_set.cc
+++ b/libs/tier/src/target_set.cc
@@ -140,7 +140,7 @@
   // An instance that has begun to drain never serves again.
   if (was_draining && target->info.start_time_ms) target->info.draining = true;
   target->expires_at = absl::InfiniteFuture();
-  target->has_wrong_address = false;
+  if (std::exchange(target->has_wrong_address, false)) target->OnListedAgain();
   target->cold_until = target->info.warmup_left > absl::ZeroDuration()
                            ? now + target->info.warmup_left
                            : absl::InfinitePast();
