Do not blame a request for crashes that targets have answered lately

A query that callers send all the time is running whenever a target ends, and now and then gets no answer there; after three crashes within ten minutes it was quarantined on every host.

A request whose parts were all answered within the last 30 to 60 s is not counted: one that crashes each target which runs it is never answered. Requests answered are kept for two periods, at most 8,192 each.

RecentlyAnsweredRequestIsNotBlamed tests it.

--- a/libs/dispatch/src/crash_tracker.cc
+++ b/libs/dispatch/src/crash_tracker.cc
@@ -16,14 +16,38 @@
 constexpr int kMaxTargets = kCrashesToQuarantine;
 /// Maximum number of tracked requests, at a few hundred bytes each.
 constexpr size_t kMaxRecords = 4096;
+/// Period in which answered requests are collected, and their maximum number:
+/// a request is not blamed for one to two periods after it was answered.
+constexpr absl::Duration kAnsweredPeriod = absl::Seconds(30);
+constexpr size_t kMaxAnswered = 8192;
 /// How long a new quarantine is gossiped in every round: a rumour that is sent
 /// once to a few random hosts misses some of them.
 constexpr absl::Duration kNewQuarantineTime = absl::Seconds(2);
 
 }  // namespace
 
+void CrashTracker::OnAnswered(uint64_t fingerprint, absl::Time now) {
+  if (now - answered_since_ >= kAnsweredPeriod ||
+      answered_.size() >= kMaxAnswered) {
+    const bool is_outdated = now - answered_since_ >= 2 * kAnsweredPeriod;
+    answered_before_.swap(answered_);
+    answered_.clear();
+    if (is_outdated) answered_before_.clear();
+    answered_since_ = now;
+  }
+  answered_.insert(fingerprint);
+}
+
+bool CrashTracker::WasAnsweredRecently(uint64_t fingerprint,
+                                       absl::Time now) const {
+  return now - answered_since_ < 2 * kAnsweredPeriod &&
+         (answered_.contains(fingerprint) ||
+          answered_before_.contains(fingerprint));
+}
+
 bool CrashTracker::OnCrash(uint64_t fingerprint, uint32_t target,
                            absl::Time now) {
+  if (WasAnsweredRecently(fingerprint, now)) return false;
   return Add(fingerprint, target, now, now);
 }
 
--- a/libs/dispatch/tests/tables_test.cc
+++ b/libs/dispatch/tests/tables_test.cc
@@ -61,6 +61,7 @@
   CPPUNIT_TEST(CrashesOfAllHostsAddUp);
   CPPUNIT_TEST(SuspectRequestsGetFewerAttempts);
   CPPUNIT_TEST(CrashOfOneTargetCountsOnce);
+  CPPUNIT_TEST(RecentlyAnsweredRequestIsNotBlamed);
   CPPUNIT_TEST(CrashesBeforeAndAfterAHostRestartAddUp);
   CPPUNIT_TEST(NewCrashIsInTheNextMessage);
   CPPUNIT_TEST(EveryCrashIsGossipedInTurn);
@@ -166,6 +167,24 @@
                          tracker.TakeReportsToGossip(9, kStart).size());
   }
 
+  // A request that callers send all the time is running whenever a target
+  // crashes.
+  void RecentlyAnsweredRequestIsNotBlamed() {
+    CrashTracker tracker;
+    for (uint64_t request = 0; request < 100'000; ++request) {
+      tracker.OnAnswered(request, kStart);
+    }
+    tracker.OnAnswered(7, kStart);
+    CrashThreeTargets(tracker, 7);
+    CPPUNIT_ASSERT(!tracker.IsQuarantined(7, kStart));
+    CPPUNIT_ASSERT_EQUAL(0, tracker.Total(7));
+    CrashThreeTargets(tracker, 200'000);
+    CPPUNIT_ASSERT(tracker.IsQuarantined(200'000, kStart));
+    const absl::Time later = kStart + absl::Minutes(2);
+    tracker.OnCrash(7, kTarget, later);
+    CPPUNIT_ASSERT_EQUAL(1, tracker.Total(7));
+  }
+
   void CrashesBeforeAndAfterAHostRestartAddUp() {
     CrashTracker other;
     for (const uint32_t target : {kTarget, kSecondTarget, kThirdTarget}) {
--- a/libs/tier/src/request_handler.cc
+++ b/libs/tier/src/request_handler.cc
@@ -508,6 +508,10 @@
 void RequestHandler::SendResponse(const RequestPtr& request) {
   retry_after_scheduler_.OnAnswered(loop_.Now());
   const auto winners = request->run->Winners();
+  if (std::all_of(winners.begin(), winners.end(),
+                  [](const auto& winner) { return winner.has_value(); })) {
+    crashes_.OnAnswered(request->fingerprint, loop_.Now());
+  }
   if (!request->route->IsFanout()) {
     request->exchange->Respond(protocol_.Relay(
         std::move(request->attempts[*winners.front()].reply.response)));
