Ignore reports of crashes for requests that this host has answered lately

A host that has just started knows of no answer; it counts crashes of a query that all callers send, and its reports quarantined the query on the hosts that answer it. RecentlyAnsweredRequestIsNotBlamed, extended by such reports, failed before.

--- a/libs/dispatch/src/crash_tracker.cc
+++ b/libs/dispatch/src/crash_tracker.cc
@@ -47,7 +47,6 @@
 
 bool CrashTracker::OnCrash(uint64_t fingerprint, uint32_t target,
                            absl::Time now) {
-  if (WasAnsweredRecently(fingerprint, now)) return false;
   return Add(fingerprint, target, now, now);
 }
 
@@ -59,6 +58,7 @@
 
 bool CrashTracker::Add(uint64_t fingerprint, uint32_t target, absl::Time at,
                        absl::Time now) {
+  if (WasAnsweredRecently(fingerprint, now)) return false;
   const bool was_quarantined = IsQuarantined(fingerprint, now);
   Record& record = records_[fingerprint];
   if (!record.crashed_at.try_emplace(target, at).second) return false;
--- a/libs/dispatch/tests/tables_test.cc
+++ b/libs/dispatch/tests/tables_test.cc
@@ -176,6 +176,10 @@
     }
     tracker.OnAnswered(7, kStart);
     CrashThreeTargets(tracker, 7);
+    // A host that has just started knows of no answer and counts them.
+    for (const uint32_t target : {kTarget, kSecondTarget, kThirdTarget}) {
+      tracker.Merge({7, target, 0}, kStart);
+    }
     CPPUNIT_ASSERT(!tracker.IsQuarantined(7, kStart));
     CPPUNIT_ASSERT_EQUAL(0, tracker.Total(7));
     CrashThreeTargets(tracker, 200'000);
