--- a/libs/tier/include/tier/request_handler.h
+++ b/libs/tier/include/tier/request_handler.h
@@ -91,11 +91,10 @@
   /// Applies a shutdown or backoff that a target announced in a response.
   void ApplyNotices(const Request& request, size_t attempt,
                     const TargetResponse& reply);
-  /// Applies the request rate that a target stated in a response, or that it
-  /// stated none.
+  /// Applies the request rate that the target stated in a complete response, or
+  /// that it stated none.
   void ApplyStatedRate(const Request& request, size_t attempt,
-                       const TargetResponse& reply,
-                       engine::ExchangeStatus status);
+                       const TargetResponse& reply);
   /// A target crashed while it ran an attempt. The crash counts against the
   /// request only if the request ends without a response for that part: a crash
   /// loses all requests in flight at the target, and the innocent ones succeed
--- a/libs/tier/src/request_handler.cc
+++ b/libs/tier/src/request_handler.cc
@@ -274,13 +274,13 @@
                    request->route->latency_objective - policy_.answer_margin);
   if (reply.load) targets_.OnLoad(attempt.target, *reply.load);
   ApplyNotices(*request, index, reply);
-  ApplyStatedRate(*request, index, reply, status);
   if (reply.result == AttemptResult::kWrongTarget) {
     targets_.OnWrongTarget(attempt.target);
   }
   if (status == engine::ExchangeStatus::kComplete &&
       reply.result != AttemptResult::kWrongTarget) {
     targets_.OnResponse(attempt.target, attempt.sent_at);
+    ApplyStatedRate(*request, index, reply);
   }
   if (status == engine::ExchangeStatus::kConnectionLost) {
     metrics_.counter("cherrydyke_lost_answers_total").Add();
@@ -352,12 +352,7 @@
 }
 
 void RequestHandler::ApplyStatedRate(const Request& request, size_t index,
-                                     const TargetResponse& reply,
-                                     engine::ExchangeStatus status) {
-  if (status != engine::ExchangeStatus::kComplete ||
-      reply.result == AttemptResult::kWrongTarget) {
-    return;
-  }
+                                     const TargetResponse& reply) {
   const Request::Attempt& attempt = request.attempts[index];
   if (reply.is_rate_malformed) {
     if (log_rate_limiter_.TryAcquire("malformed rate", policy_.log_lines,
