Detect that a host is partitioned from all targets, and log it

The logs could not tell when a host last had a response from any target, how many were silent then, or whether new connections worked, so nothing told a partitioned host from one whose targets fail. No request is treated otherwise yet.

PartitionDetector: half of the targets recently sent requests fall silent together and none responds; then six probes, spread over failure domains, tell whether new connections work. Ruled out: counting single targets (they pause together at quiet hosts), health by failure domain (a lost domain would count).

--- a/libs/tier/include/tier/target_set.h
+++ b/libs/tier/include/tier/target_set.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -43,6 +44,8 @@
   int64_t extra = 0;
   /// Sends to targets suspected to be down.
   int64_t suspect = 0;
+  /// Health reports of targets sent to other hosts.
+  int64_t health_reports = 0;
   /// Sends to cold targets.
   int64_t cold = 0;
   /// Extra sends not made because the retry budget was used up.
@@ -61,6 +64,8 @@
   int without_alternative = 0;
 };
 
+class PartitionMonitor;
+
 /// The targets known to this host, with their connection pools, health and
 /// limits; chooses a target for each send.
 class TargetSet : public TargetSelector {
@@ -155,6 +160,8 @@
   }
 
   size_t size() const { return targets_.size(); }
+  /// @return whether this host takes itself for cut off from all targets.
+  bool IsPartitioned() const;
   ServiceCounts CountServices() const;
   int open_connections() const;
   const SendCounts& counts() const { return counts_; }
@@ -213,6 +220,11 @@
   /// Recomputes this host's shares of a target's connections and cold requests.
   void UpdateLimits(Target& target);
   void CountSend(const Target& target, bool extra, absl::Time now);
+  /// No connection could be opened to a target that has none open.
+  void OnUnconnected(const Target& target);
+  /// @return endpoints of targets in different failure domains that are
+  /// expected to accept connections.
+  std::vector<Endpoint> ChooseProbes(size_t limit);
   Target* Find(const TargetId& id) const;
 
   engine::EventLoop& loop_;
@@ -238,6 +250,8 @@
   /// When each service last had a request.
   absl::flat_hash_map<ServiceName, absl::Time> last_used_at_;
   absl::flat_hash_map<ServiceName, std::vector<Target*>> targets_by_service_;
+  std::mt19937_64 random_;
+  std::unique_ptr<PartitionMonitor> partition_monitor_;
 };
 
 }  // namespace cherrydyke
--- /dev/null
+++ b/libs/tier/src/partition_monitor.cc
@@ -0,0 +1,134 @@
+#include "partition_monitor.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "telemetry/log.h"
+
+namespace cherrydyke {
+namespace {
+
+/// Targets probed in one round, and how long each may take to accept the
+/// connection: several round trips between regions.
+constexpr size_t kProbesPerRound = 6;
+constexpr absl::Duration kProbeTimeout = absl::Milliseconds(250);
+constexpr absl::Duration kPollPeriod = absl::Milliseconds(50);
+
+const char* StateName(PathState state) {
+  switch (state) {
+    case PathState::kConnected:
+      return "targets reached again";
+    case PathState::kSuspected:
+      return "targets fell silent together";
+    case PathState::kPartitioned:
+      return "partitioned from all targets";
+  }
+  return "unknown";
+}
+
+engine::ClientOptions ProbeOptions() {
+  engine::ClientOptions options;
+  options.connect_timeout = kProbeTimeout;
+  return options;
+}
+
+}  // namespace
+
+PartitionMonitor::PartitionMonitor(engine::EventLoop& loop, Callbacks callbacks)
+    : loop_(loop), callbacks_(std::move(callbacks)) {}
+
+PartitionMonitor::~PartitionMonitor() {
+  for (const auto& probe : probes_) {
+    probe->Detach();
+    probe->Close();
+  }
+}
+
+void PartitionMonitor::OnSent(uint32_t target) {
+  detector_.OnSent(target, loop_.Now());
+}
+
+void PartitionMonitor::OnResponse() {
+  detector_.OnResponse(loop_.Now());
+  ApplyState();
+}
+
+void PartitionMonitor::OnUnanswered(uint32_t target) {
+  detector_.OnUnanswered(target, loop_.Now());
+  ApplyState();
+}
+
+void PartitionMonitor::OnUnconnected(uint32_t target, bool any_connected) {
+  detector_.OnUnconnected(target, any_connected, loop_.Now());
+  ApplyState();
+}
+
+void PartitionMonitor::ApplyState() {
+  const PathState state = detector_.state();
+  if (state == applied_state_) return;
+  const absl::Time now = loop_.Now();
+  if (state != PathState::kConnected) applied_since_ = detector_.silent_since();
+  const PartitionEvidence evidence = detector_.evidence();
+  Fields fields = {
+      {"silent_ms", absl::ToInt64Milliseconds(now - applied_since_)},
+      {"silent_targets", evidence.silent_targets},
+      {"unconnected_targets", evidence.unconnected_targets},
+      {"recent_targets", evidence.recent_targets},
+      {"probes_connected", evidence.probes_connected},
+      {"probes_failed", evidence.probes_failed}};
+  if (evidence.last_contact_at != absl::InfinitePast()) {
+    fields.emplace_back(
+        "last_contact_ms_ago",
+        absl::ToInt64Milliseconds(now - evidence.last_contact_at));
+  }
+  LogInfo(StateName(state), fields);
+  applied_state_ = state;
+  callbacks_.on_change(state, applied_since_);
+  if (state != PathState::kConnected && !std::exchange(polling_, true)) {
+    // The event that is being handled may be that of a connection pool.
+    timers_.Post([this] { Poll(); });
+  }
+}
+
+void PartitionMonitor::Poll() {
+  polling_ = detector_.state() != PathState::kConnected;
+  if (!polling_) return;
+  if (detector_.StartProbeRound(loop_.Now())) StartRound();
+  timers_.RunAfter(kPollPeriod, [this] { Poll(); });
+}
+
+void PartitionMonitor::StartRound() {
+  for (const Endpoint& endpoint : callbacks_.choose_probes(kProbesPerRound)) {
+    probes_.push_back(std::make_shared<engine::ClientConnection>(
+        loop_, endpoint, ProbeOptions(),
+        static_cast<engine::ClientConnection::Observer*>(this)));
+  }
+  if (probes_.empty()) return detector_.OnRoundEnded(loop_.Now());
+  for (const auto& probe : std::vector(probes_)) probe->Connect();
+}
+
+void PartitionMonitor::OnOpened(engine::ClientConnection& connection) {
+  EndProbe(connection, true);
+}
+
+void PartitionMonitor::OnClosed(engine::ClientConnection& connection,
+                                bool /*was_open*/, bool /*by_peer*/) {
+  EndProbe(connection, false);
+}
+
+void PartitionMonitor::EndProbe(engine::ClientConnection& connection,
+                                bool connected) {
+  const auto probe = std::find_if(
+      probes_.begin(), probes_.end(),
+      [&](const auto& entry) { return entry.get() == &connection; });
+  if (probe == probes_.end()) return;
+  const auto ended = std::move(*probe);
+  probes_.erase(probe);
+  ended->Detach();
+  ended->Close();
+  detector_.OnProbeEnded(connected, loop_.Now());
+  if (probes_.empty()) detector_.OnRoundEnded(loop_.Now());
+  ApplyState();
+}
+
+}  // namespace cherrydyke
--- /dev/null
+++ b/libs/tier/src/partition_monitor.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "dispatch/partition_detector.h"
+#include "engine/client_connection.h"
+
+namespace cherrydyke {
+
+/// Runs a `PartitionDetector`: opens the connections with which it probes
+/// targets and logs what it finds.
+class PartitionMonitor : private engine::ClientConnection::Observer {
+ public:
+  struct Callbacks {
+    /// @return the endpoints of at most `limit` targets to probe, in different
+    /// failure domains if possible.
+    std::function<std::vector<Endpoint>(size_t limit)> choose_probes;
+    /// The path to the targets was lost, or works again.
+    /// @param since when the targets had fallen silent.
+    std::function<void(PathState state, absl::Time since)> on_change;
+  };
+
+  PartitionMonitor(engine::EventLoop& loop, Callbacks callbacks);
+  ~PartitionMonitor() override;
+
+  void OnSent(uint32_t target);
+  void OnResponse();
+  void OnUnanswered(uint32_t target);
+  void OnUnconnected(uint32_t target, bool any_connected);
+
+  PathState state() const { return detector_.state(); }
+  absl::Time silent_since() const { return detector_.silent_since(); }
+
+ private:
+  void OnOpened(engine::ClientConnection& connection) override;
+  void OnIdle(engine::ClientConnection& /*connection*/) override {}
+  void OnClosed(engine::ClientConnection& connection, bool was_open,
+                bool by_peer) override;
+
+  void Poll();
+  void StartRound();
+  /// Reports the result of a probe and ends its connection.
+  void EndProbe(engine::ClientConnection& connection, bool connected);
+  void ApplyState();
+
+  engine::EventLoop& loop_;
+  engine::TimerScope timers_{loop_};
+  const Callbacks callbacks_;
+  PartitionDetector detector_;
+  PathState applied_state_ = PathState::kConnected;
+  absl::Time applied_since_;
+  std::vector<std::shared_ptr<engine::ClientConnection>> probes_;
+  bool polling_ = false;
+};
+
+}  // namespace cherrydyke
--- a/libs/tier/src/target.cc
+++ b/libs/tier/src/target.cc
@@ -47,6 +47,7 @@
   crash_detector_.OnConnectFailed(
       refused, set.HasRecentResponse(info.failure_domain), now);
   health.OnOverdue(now, now);
+  if (!pool->IsConnected()) set.OnUnconnected(*this);
 }
 
 void TargetSet::Target::OnClosedBeforeResponse() {
--- a/libs/tier/src/target_set.cc
+++ b/libs/tier/src/target_set.cc
@@ -4,6 +4,8 @@
 #include <limits>
 #include <utility>
 
+#include "membership/domain_sample.h"
+#include "partition_monitor.h"
 #include "target.h"
 #include "telemetry/log.h"
 
@@ -61,7 +63,12 @@
       policy_(policy),
       options_(std::move(options)),
       shares_(locality_, hosts),
-      retry_budget_(bounds, loop.Now(), policy) {
+      retry_budget_(bounds, loop.Now(), policy),
+      random_(NewIncarnation()),
+      partition_monitor_(std::make_unique<PartitionMonitor>(
+          loop, PartitionMonitor::Callbacks{
+                    [this](size_t limit) { return ChooseProbes(limit); },
+                    [](PathState, absl::Time) {}})) {
   shares_.Refresh(loop.Now());
   retry_budget_.SetHostCount(shares_.hosts());
   timers_.Every(kKeepWarmPeriod, [this] { KeepConnectionsWarm(); });
@@ -462,6 +469,34 @@
   if (extra) ++counts_.extra;
   if (target.health.IsSuspect(now)) ++counts_.suspect;
   if (target.IsCold(now)) ++counts_.cold;
+  partition_monitor_->OnSent(target.id_hash);
+}
+
+bool TargetSet::IsPartitioned() const {
+  return partition_monitor_->state() == PathState::kPartitioned;
+}
+
+void TargetSet::OnUnconnected(const Target& target) {
+  const bool any_connected = std::any_of(
+      targets_.begin(), targets_.end(),
+      [](const auto& entry) { return entry.second->pool->IsConnected(); });
+  partition_monitor_->OnUnconnected(target.id_hash, any_connected);
+}
+
+std::vector<Endpoint> TargetSet::ChooseProbes(size_t limit) {
+  std::vector<const Target*> candidates;
+  std::vector<FailureDomainName> domains;
+  for (const auto& [id, target] : targets_) {
+    const bool is_listed = target->expires_at == absl::InfiniteFuture();
+    if (!is_listed || target->info.draining || target->leaving) continue;
+    candidates.push_back(target.get());
+    domains.push_back(target->info.failure_domain);
+  }
+  std::vector<Endpoint> endpoints;
+  for (const size_t index : SampleAcrossDomains(domains, limit, random_)) {
+    endpoints.push_back(candidates[index]->info.endpoint);
+  }
+  return endpoints;
 }
 
 uint32_t TargetSet::InstanceHash(const TargetId& id) const {
@@ -493,6 +528,9 @@
   const absl::Time now = loop_.Now();
   target->health.OnEnded(outcome, latency, now);
   report_collector_.RecordOutcome(target->id_hash, outcome);
+  if (outcome == TargetOutcome::kLost) {
+    partition_monitor_->OnUnanswered(target->id_hash);
+  }
   if (outcome == TargetOutcome::kAnswered) {
     target->concurrency.OnAnswered(latency, useful_latency, now);
   } else if (outcome == TargetOutcome::kCancelled ||
@@ -508,7 +546,9 @@
     return found != targets_by_hash_.end() &&
            found->second->health.HasElevatedFailureRate(now);
   };
-  return report_collector_.TakeReports(limit, is_failing, now);
+  auto reports = report_collector_.TakeReports(limit, is_failing, now);
+  counts_.health_reports += static_cast<int64_t>(reports.size());
+  return reports;
 }
 
 void TargetSet::OnHealthReports(
@@ -542,8 +582,11 @@
 }
 
 void TargetSet::OnOverdue(const TargetId& id, absl::Time sent_at) {
-  if (Target* const target = Find(id)) {
-    target->health.OnOverdue(sent_at, loop_.Now());
+  Target* const target = Find(id);
+  if (target == nullptr) return;
+  target->health.OnOverdue(sent_at, loop_.Now());
+  if (target->health.unresponsive_since() != absl::InfiniteFuture()) {
+    partition_monitor_->OnUnanswered(target->id_hash);
   }
 }
 
@@ -583,6 +626,7 @@
   Target* const target = FindCurrentOrRetired(id, sent_at);
   if (target == nullptr) return;
   responded_at_[target->info.failure_domain] = loop_.Now();
+  partition_monitor_->OnResponse();
   target->OnResponse();
 }
 
--- a/libs/tier/src/tier_host.cc
+++ b/libs/tier/src/tier_host.cc
@@ -132,6 +132,8 @@
   metrics_.Gauge("cherrydyke_known_hosts", [this] {
     return static_cast<double>(hosts_.FleetSizeUpperBound(loop_.Now()));
   });
+  metrics_.Gauge("cherrydyke_partitioned",
+                 [this] { return targets_.IsPartitioned() ? 1.0 : 0.0; });
   metrics_.Gauge("cherrydyke_crash_suspects",
                  [this] { return static_cast<double>(crashes_.size()); });
   metrics_.Gauge("cherrydyke_config_version", [this] {
@@ -174,6 +176,7 @@
            {"sends_other_region", other_region},
            {"sends_extra", sends.extra},
            {"sends_suspect", sends.suspect},
+           {"health_reports", sends.health_reports},
            {"sends_cold", sends.cold},
            {"over_budget", sends.over_budget},
            {"borrowed", sends.borrowed},
