Do not take a host's own partition for crashes of targets

Callers saw 503 with reason quarantined for ten minutes, at every host, for requests that had been under way when one host's connections to all targets were reset: each connection that was lost and refused again counted as a crash, three of them quarantined the request, and gossip spread it.

Cause: evidence about the host's own links read as evidence about targets. A time-out already counts only if the path works; a refusal counted always.

Failed connections now count only while the path is not in doubt.

--- a/libs/dispatch/include/dispatch/partition_detector.h
+++ b/libs/dispatch/include/dispatch/partition_detector.h
@@ -68,6 +68,10 @@
   void OnRoundEnded(absl::Time now);
 
   PathState state() const { return state_; }
+  /// @return whether failures of connections and requests tell something about
+  /// targets: the path is not in doubt, and no failure can be left over from a
+  /// partition that has just ended.
+  bool IsPathTrusted(absl::Time now) const;
   /// @return since when targets are silent together; infinite if they are not.
   absl::Time silent_since() const { return silent_since_; }
   PartitionEvidence evidence() const;
--- a/libs/dispatch/src/partition_detector.cc
+++ b/libs/dispatch/src/partition_detector.cc
@@ -20,6 +20,9 @@
 /// rounds to end, up to a maximum.
 constexpr absl::Duration kFlapTime = absl::Seconds(10);
 constexpr int kMaxGoodRounds = 4;
+/// Time after a partition in which connection attempts made during it may still
+/// fail.
+constexpr absl::Duration kSettlingTime = absl::Milliseconds(500);
 
 }  // namespace
 
@@ -50,8 +53,12 @@
                                       absl::Time now) {
   unconnected_.insert(target);
   // Requests on connections that live on tell whether the path works.
-  if (state_ == PathState::kConnected && !any_connected &&
-      unconnected_.size() >= kMinSilentTargets) {
+  if (state_ != PathState::kConnected || any_connected) return;
+  const auto without_response =
+      std::count_if(unconnected_.begin(), unconnected_.end(),
+                    [&](uint32_t other) { return !silent_.contains(other); });
+  if (silent_.size() + static_cast<size_t>(without_response) >=
+      kMinSilentTargets) {
     Suspect(now);
   }
 }
@@ -114,6 +121,10 @@
   });
 }
 
+bool PartitionDetector::IsPathTrusted(absl::Time now) const {
+  return state_ == PathState::kConnected && now - restored_at_ >= kSettlingTime;
+}
+
 PartitionEvidence PartitionDetector::evidence() const {
   return {silent_.size(),    unconnected_.size(), sent_at_.size(),
           probes_connected_, probes_failed_,      last_contact_at_};
--- a/libs/tier/src/partition_monitor.h
+++ b/libs/tier/src/partition_monitor.h
@@ -31,6 +31,7 @@
   void OnUnconnected(uint32_t target, bool any_connected);
 
   PathState state() const { return detector_.state(); }
+  bool IsPathTrusted() const { return detector_.IsPathTrusted(loop_.Now()); }
   absl::Time silent_since() const { return detector_.silent_since(); }
 
  private:
--- a/libs/tier/src/target.cc
+++ b/libs/tier/src/target.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "partition_monitor.h"
 #include "telemetry/log.h"
 
 namespace cherrydyke {
@@ -44,10 +45,12 @@
         {{"target", info.id}, {"service", info.service}, {"refused", refused}});
   }
   unreachable_ = true;
-  crash_detector_.OnConnectFailed(
-      refused, set.HasRecentResponse(info.failure_domain), now);
   health.OnOverdue(now, now);
   if (!pool->IsConnected()) set.OnUnconnected(*this);
+  if (set.partition_monitor_->IsPathTrusted()) {
+    crash_detector_.OnConnectFailed(
+        refused, set.HasRecentResponse(info.failure_domain), now);
+  }
 }
 
 void TargetSet::Target::OnClosedBeforeResponse() {
