Do not take targets for restarted or failing after a partition of this host

Cause: a target that could not be connected to counts as restarted once it can, whoever's path was lost. Now a failure that began with the partition is explained by it: no cold time, and silence and failure counts since then are forgotten when the path is back. A target that did restart says so in its entry.

Three targets that are silent together now start probes, not four: a host whose requests go to one service knows no more of them.

--- a/libs/dispatch/src/partition_detector.cc
+++ b/libs/dispatch/src/partition_detector.cc
@@ -7,7 +7,7 @@
 
 /// Fewer silent targets are no sign of a partition: a request often waits for
 /// several targets that pause at the same time.
-constexpr size_t kMinSilentTargets = 4;
+constexpr size_t kMinSilentTargets = 3;
 /// Part of the recently used targets that must be silent.
 constexpr double kMinSilentPart = 0.5;
 /// How long a target counts as recently used.
--- a/libs/dispatch/src/target_health.cc
+++ b/libs/dispatch/src/target_health.cc
@@ -101,6 +101,18 @@
   MarkSuspect(now);
 }
 
+void TargetHealth::OnPathRestored(absl::Time lost_at) {
+  if (unresponsive_since_ == absl::InfiniteFuture() ||
+      unresponsive_since_ < lost_at) {
+    return;
+  }
+  unresponsive_since_ = absl::InfiniteFuture();
+  suspect_until_ = absl::InfinitePast();
+  probe_backoff_ = absl::ZeroDuration();
+  requests_ = 0;
+  failures_ = 0;
+}
+
 void TargetHealth::MarkSuspect(absl::Time now) {
   if (now < suspect_until_) return;
   probe_backoff_ =
--- a/libs/tier/include/tier/target_set.h
+++ b/libs/tier/include/tier/target_set.h
@@ -222,6 +222,9 @@
   void CountSend(const Target& target, bool extra, absl::Time now);
   /// No connection could be opened to a target that has none open.
   void OnUnconnected(const Target& target);
+  /// The path to all targets works again.
+  /// @param lost_at when they had fallen silent.
+  void OnPathRestored(absl::Time lost_at);
   /// @return endpoints of targets in different failure domains that are
   /// expected to accept connections.
   std::vector<Endpoint> ChooseProbes(size_t limit);
--- a/libs/tier/src/partition_monitor.cc
+++ b/libs/tier/src/partition_monitor.cc
@@ -82,8 +82,12 @@
         absl::ToInt64Milliseconds(now - evidence.last_contact_at));
   }
   LogInfo(StateName(state), fields);
-  applied_state_ = state;
-  callbacks_.on_change(state, applied_since_);
+  const PathState previous = std::exchange(applied_state_, state);
+  if (state == PathState::kPartitioned) {
+    callbacks_.on_partitioned(applied_since_);
+  } else if (previous == PathState::kPartitioned) {
+    callbacks_.on_restored(applied_since_);
+  }
   if (state != PathState::kConnected && !std::exchange(polling_, true)) {
     // The event that is being handled may be that of a connection pool.
     timers_.Post([this] { Poll(); });
--- a/libs/tier/src/partition_monitor.h
+++ b/libs/tier/src/partition_monitor.h
@@ -17,9 +17,10 @@
     /// @return the endpoints of at most `limit` targets to probe, in different
     /// failure domains if possible.
     std::function<std::vector<Endpoint>(size_t limit)> choose_probes;
-    /// The path to the targets was lost, or works again.
-    /// @param since when the targets had fallen silent.
-    std::function<void(PathState state, absl::Time since)> on_change;
+    /// This host takes itself for partitioned, or not any more.
+    /// @param lost_at when the targets had fallen silent.
+    std::function<void(absl::Time lost_at)> on_partitioned;
+    std::function<void(absl::Time lost_at)> on_restored;
   };
 
   PartitionMonitor(engine::EventLoop& loop, Callbacks callbacks);
--- a/libs/tier/src/target.cc
+++ b/libs/tier/src/target.cc
@@ -16,6 +16,9 @@
 /// process that is terminating may still accept connections while it resets
 /// others.
 constexpr absl::Duration kCrashProbePeriod = absl::Milliseconds(150);
+/// Time from the first failures until a partition is suspected on a host with
+/// few requests.
+constexpr absl::Duration kMaxSuspicionDelay = absl::Seconds(2);
 
 }  // namespace
 
@@ -39,12 +42,12 @@
 
 void TargetSet::Target::OnConnectFailed(bool refused) {
   const absl::Time now = set.loop_.Now();
-  if (!unreachable_) {
+  if (unreachable_since_ == absl::InfiniteFuture()) {
+    unreachable_since_ = now;
     LogInfo(
         "target unreachable",
         {{"target", info.id}, {"service", info.service}, {"refused", refused}});
   }
-  unreachable_ = true;
   health.OnOverdue(now, now);
   if (!pool->IsConnected()) set.OnUnconnected(*this);
   if (set.partition_monitor_->IsPathTrusted()) {
@@ -59,15 +62,21 @@
 }
 
 void TargetSet::Target::OnConnected() {
-  crash_detector_.OnConnected(set.loop_.Now());
-  if (!unreachable_) return;
-  unreachable_ = false;
-  // The target has restarted, even if its entry does not yet say so.
+  const absl::Time now = set.loop_.Now();
+  crash_detector_.OnConnected(now);
+  const absl::Time since =
+      std::exchange(unreachable_since_, absl::InfiniteFuture());
+  if (since == absl::InfiniteFuture()) return;
+  const bool explained =
+      set.IsPartitioned() &&
+      since >= set.partition_monitor_->silent_since() - kMaxSuspicionDelay;
+  absl::Duration warmup;
   const auto spec = set.config_.services.find(info.service);
-  const absl::Duration warmup = spec == set.config_.services.end()
-                                    ? absl::ZeroDuration()
-                                    : spec->second.warmup;
-  cold_until = std::max(cold_until, set.loop_.Now() + warmup);
+  if (!explained && spec != set.config_.services.end()) {
+    // The target has restarted, even if its entry does not yet say so.
+    warmup = spec->second.warmup;
+  }
+  cold_until = std::max(cold_until, now + warmup);
   LogInfo("target reachable again",
           {{"target", info.id},
            {"service", info.service},
@@ -89,6 +98,15 @@
   crash_detector_.OnResponse(set.loop_.Now());
 }
 
+void TargetSet::Target::OnPathRestored(absl::Time lost_at) {
+  const absl::Time earliest = lost_at - kMaxSuspicionDelay;
+  if (unreachable_since_ != absl::InfiniteFuture() &&
+      unreachable_since_ >= earliest) {
+    unreachable_since_ = absl::InfiniteFuture();
+  }
+  health.OnPathRestored(earliest);
+}
+
 void TargetSet::Target::OnInstanceEnded() {
   crash_detector_.OnInstanceEnded(info.draining || leaving, pool->IsConnected(),
                                   set.loop_.Now());
--- a/libs/tier/src/target.h
+++ b/libs/tier/src/target.h
@@ -60,6 +60,9 @@
   void OnUnanswered(AttemptLoss loss, absl::Time sent_at,
                     CrashDetector::OnVerdict on_verdict);
   void OnResponse();
+  /// The path to all targets works again after it was lost: this target's
+  /// silence since then is explained.
+  void OnPathRestored(absl::Time lost_at);
   /// The instance is no longer listed, or another one was found in its place.
   void OnInstanceEnded();
   /// The entry was published again after another instance was found in its
@@ -76,7 +79,8 @@
   CrashDetector crash_detector_;
   bool probing_for_crash_ = false;
   engine::TimerScope timers_{set.loop_};
-  bool unreachable_ = false;
+  /// Since when connection attempts fail; infinite if they do not.
+  absl::Time unreachable_since_ = absl::InfiniteFuture();
 };
 
 }  // namespace cherrydyke
--- a/libs/tier/src/target_set.cc
+++ b/libs/tier/src/target_set.cc
@@ -68,7 +68,8 @@
       partition_monitor_(std::make_unique<PartitionMonitor>(
           loop, PartitionMonitor::Callbacks{
                     [this](size_t limit) { return ChooseProbes(limit); },
-                    [](PathState, absl::Time) {}})) {
+                    [](absl::Time) {},
+                    [this](absl::Time lost_at) { OnPathRestored(lost_at); }})) {
   shares_.Refresh(loop.Now());
   retry_budget_.SetHostCount(shares_.hosts());
   timers_.Every(kKeepWarmPeriod, [this] { KeepConnectionsWarm(); });
@@ -483,6 +484,10 @@
   partition_monitor_->OnUnconnected(target.id_hash, any_connected);
 }
 
+void TargetSet::OnPathRestored(absl::Time lost_at) {
+  for (auto& [id, target] : targets_) target->OnPathRestored(lost_at);
+}
+
 std::vector<Endpoint> TargetSet::ChooseProbes(size_t limit) {
   std::vector<const Target*> candidates;
   std::vector<FailureDomainName> domains;
