Do not report targets that fell silent together as failing

A partitioned host whose connections were reset told up to 24 hosts of its failure domain that each target had failed, and these avoid failing targets.

--- a/libs/tier/src/target_set.cc
+++ b/libs/tier/src/target_set.cc
@@ -552,6 +552,8 @@
            found->second->health.HasElevatedFailureRate(now);
   };
   auto reports = report_collector_.TakeReports(limit, is_failing, now);
+  // Failures of the own path say nothing about the targets.
+  if (!partition_monitor_->IsPathTrusted()) return {};
   counts_.health_reports += static_cast<int64_t>(reports.size());
   return reports;
 }
--- a/libs/tier/tests/target_set_test.cc
+++ b/libs/tier/tests/target_set_test.cc
@@ -148,6 +148,7 @@
   CPPUNIT_TEST(NothingIsBorrowedWhileOwnTargetResponds);
   CPPUNIT_TEST(HedgeWithoutASecondShareIsPlaced);
   CPPUNIT_TEST(UnusedBorrowedConnectionIsReturned);
+  CPPUNIT_TEST(TargetsLostTogetherAreNotReportedAsFailing);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -218,6 +219,26 @@
     CPPUNIT_ASSERT_EQUAL(2 * first, host.set().counts().borrowed);
   }
 
+  void TargetsLostTogetherAreNotReportedAsFailing() {
+    constexpr size_t kLimit = 100;
+    Host host(clock_, {"a2-1", "a2"});
+    const auto lose = [&](int services) {
+      for (int service = 0; service < services; ++service) {
+        SelectionCriteria criteria;
+        criteria.service = ServiceOf(service);
+        const auto sent = host.set().Select(criteria, clock_.Now());
+        CPPUNIT_ASSERT(sent.has_value());
+        host.set().OnEnded(sent->target, TargetOutcome::kLost,
+                           absl::Milliseconds(5), absl::Milliseconds(100));
+      }
+    };
+    lose(1);
+    CPPUNIT_ASSERT_EQUAL(size_t{1},
+                         host.set().TakeHealthReports(kLimit).size());
+    lose(kServiceCount);
+    CPPUNIT_ASSERT(host.set().TakeHealthReports(kLimit).empty());
+  }
+
  private:
   /// Checks that hosts of region `a` select targets for all services before and
   /// after the region's targets have become unusable.
