--- a/libs/tier/include/tier/fleet_gossip.h
+++ b/libs/tier/include/tier/fleet_gossip.h
@@ -26,7 +26,8 @@
  public:
   struct Options {
     KnownHost self;
-    /// UDP port of gossip and TCP port of transfers, the same on all hosts.
+    /// UDP port of gossip and TCP port of the hosts' HTTP servers, the same on
+    /// all hosts.
     int port = 0;
   };
   struct Callbacks {
@@ -56,10 +57,16 @@
               CrashTracker& crashes, PublishedItems& config,
               PublishedItems& targets);
 
-  /// Binds the ports and starts the gossip rounds.
-  /// @return an error if a port cannot be bound.
+  /// Path of the requests that `ServeTransfer` handles.
+  static constexpr char kTransferPath[] = "/published/";
+
+  /// Binds the port and starts the gossip rounds.
+  /// @return an error if the port cannot be bound.
   Status Start(Callbacks callbacks);
 
+  /// Responds to a peer that fetches published items.
+  void ServeTransfer(engine::ServerExchange& exchange);
+
   /// Sends gossip at once instead of in the next round, as after a crash.
   void Gossip();
 
@@ -82,7 +89,6 @@
             std::vector<HostLastSeen> ages,
             std::vector<TargetHealthReport> health_reports = {});
   void OnDatagram(const std::string& datagram);
-  void ServeTransfer(engine::ServerExchange& exchange);
   /// Fetches published items newer than the own ones, unless a fetch is under
   /// way.
   void FetchFrom(const HostId& peer);
@@ -98,7 +104,6 @@
   PublishedItems& config_;
   PublishedItems& targets_;
   engine::DatagramSocket datagram_socket_;
-  engine::HttpServer http_server_;
   std::map<HostId, std::unique_ptr<engine::AsyncHttpClient>> transfer_clients_;
   std::mt19937_64 random_;
   LogRateLimiter log_rate_limiter_;
--- a/libs/tier/include/tier/tier_host.h
+++ b/libs/tier/include/tier/tier_host.h
@@ -79,6 +79,7 @@
   void ApplyTargets();
   void LogLoad();
   bool IsReady() const;
+  void ServeFleet(const std::shared_ptr<engine::ServerExchange>& exchange);
   void ServeReadiness(engine::ServerExchange& exchange);
   void ServeMetrics(engine::ServerExchange& exchange);
   void ContinueShutdown();
@@ -97,6 +98,8 @@
   RequestHandler request_handler_;
   FleetGossip gossip_;
   engine::ServerLimits limits_;
+  /// Serves requests of other hosts.
+  engine::HttpServer fleet_server_;
   engine::HttpServer caller_server_;
   engine::HttpServer readiness_server_;
   engine::HttpServer metrics_server_;
--- a/libs/tier/src/fleet_gossip.cc
+++ b/libs/tier/src/fleet_gossip.cc
@@ -39,7 +39,6 @@
 constexpr absl::Duration kLagTolerance = absl::Milliseconds(700);
 constexpr absl::Duration kTransferTimeout = absl::Seconds(1);
 constexpr absl::Duration kConnectTimeout = absl::Milliseconds(500);
-constexpr char kTransferPath[] = "/published/";
 
 struct Transfer {
   std::vector<PublishedItem> config;
@@ -67,11 +66,6 @@
       targets_(targets),
       datagram_socket_(loop,
                        [this](const std::string& bytes) { OnDatagram(bytes); }),
-      http_server_(
-          loop, [] { return engine::ServerLimits(); },
-          [this](const std::shared_ptr<engine::ServerExchange>& exchange) {
-            ServeTransfer(*exchange);
-          }),
       random_(NewIncarnation()),
       sharing_hosts_(hosts.FleetSizeUpperBound(loop.Now())) {}
 
@@ -83,7 +77,6 @@
   callbacks_ = std::move(callbacks);
   const Endpoint own = EndpointOf(options_.self.host);
   if (Status bound = datagram_socket_.Bind(own); GetError(bound)) return bound;
-  if (Status bound = http_server_.Listen(own); GetError(bound)) return bound;
   RunGossipRound();
   timers_.Every(kGossipPeriod, [this] { RunGossipRound(); });
   timers_.Every(kHealthReportPeriod, [this] { SendHealthReports(); });
--- a/libs/tier/src/tier_host.cc
+++ b/libs/tier/src/tier_host.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "absl/strings/str_cat.h"
 #include "telemetry/log.h"
 
 namespace cherrydyke {
@@ -61,6 +62,11 @@
               {{settings_.locality.host, settings_.locality.failure_domain},
                settings_.fleet_port},
               hosts_, crashes_, config_items_, target_items_),
+      fleet_server_(
+          loop, [] { return engine::ServerLimits(); },
+          [this](const std::shared_ptr<engine::ServerExchange>& exchange) {
+            ServeFleet(exchange);
+          }),
       caller_server_(
           loop, [this] { return limits_; },
           [this](std::shared_ptr<engine::ServerExchange> exchange) {
@@ -111,6 +117,9 @@
          targets_.OnHealthReports(health_reports);
        }});
   if (GetError(gossip_started)) return gossip_started;
+  const Endpoint fleet_endpoint =
+      absl::StrCat(settings_.locality.host, ":", settings_.fleet_port);
+  if (Status s = fleet_server_.Listen(fleet_endpoint); GetError(s)) return s;
   adapters_.source.Start(config_items_, target_items_, *this);
   timers_.Every(kReaderCheckPeriod, [this] { UpdateReaderRole(); });
   timers_.Every(kLoadLogPeriod, [this] { LogLoad(); });
@@ -235,6 +244,11 @@
          targets_.size() > 0;
 }
 
+void TierHost::ServeFleet(
+    const std::shared_ptr<engine::ServerExchange>& exchange) {
+  gossip_.ServeTransfer(*exchange);
+}
+
 void TierHost::ServeReadiness(engine::ServerExchange& exchange) {
   engine::HttpResponse response;
   response.status = IsReady() ? 200 : 503;
