Hand requests to a host that reaches the targets

Cause: a host could place a request at targets only; one observer's failure to reach them was the end of the request. Class: a single path, with no second way and no distinction between a dead end and a dead target.

A host that cannot reach enough of a request's services hands the whole request to a peer, over HTTP on the hosts' own port, and passes its response on. It asks six hosts (near, and in other failure domains and regions) for offers from the first suspicion on, only while needed. Decisions are in handover_choice: what has been tried travels along; an unsafe request that may have run is not handed over; nearest peers first, of two the one with less to do; none with an older configuration, out of the allowed regions, or without the services. A peer handles it as its own callers' (quarantine, routes, limits), never hands it on, and takes none while its timers are late. A request goes to one host that may have begun it; what is lost there is 502 or 504. Without a peer a partitioned host refuses at once.

Weighed: parts handed over one by one (ten to ninety messages a request instead of one, and two hosts' budgets for one request); readiness with closed connections (open connections stay, unread requests on them fail, and with most of a failure domain out the balancer uses all of it).

--- a/libs/dispatch/include/dispatch/request_run.h
+++ b/libs/dispatch/include/dispatch/request_run.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "absl/time/time.h"
+#include "dispatch/handover_choice.h"
 #include "dispatch/target_selector.h"
 #include "dispatch/types.h"
 
@@ -29,6 +30,8 @@
   absl::Time deadline;
   /// Allowed regions of targets; empty for all.
   std::vector<RegionName> allowed_regions;
+  /// Targets that may have run the request before it was handed to this host.
+  TriedTargets tried;
 };
 
 /// Result of one attempt.
@@ -121,6 +124,8 @@
   bool answered(size_t attempt) const {
     return parts_[attempts_[attempt].part].winner.has_value();
   }
+  /// @return the targets that have run or may have run the request.
+  TriedTargets Tried() const;
   /// @return the number of attempts that ran or may have run.
   size_t maybe_run() const { return maybe_run_; }
 
@@ -129,6 +134,7 @@
     size_t part = 0;
     TargetId target;
     bool running = true;
+    bool may_have_run = true;
   };
   struct Part {
     std::optional<size_t> winner;
@@ -144,6 +150,8 @@
     std::optional<size_t> failure;
   };
 
+  /// Sends the first request of this host for a part.
+  bool SendFirst(size_t part, absl::Time now, RunActions& actions);
   bool Send(size_t part, std::optional<RetryPriority> priority, absl::Time now,
             RunActions& actions);
   void Retry(size_t part, absl::Time now, RunActions& actions);
@@ -162,6 +170,8 @@
   size_t succeeded_parts_ = 0;
   size_t failed_parts_ = 0;
   size_t maybe_run_ = 0;
+  /// Attempts made before the request was handed to this host.
+  size_t tried_before_ = 0;
   size_t relayed_ = 0;
   bool done_ = false;
 };
--- a/libs/dispatch/include/dispatch/target_health.h
+++ b/libs/dispatch/include/dispatch/target_health.h
@@ -60,6 +60,9 @@
   /// paused or down.
   void OnOverdue(absl::Time sent_at, absl::Time now);
   void OnLoad(TargetLoad load, absl::Time now);
+  /// A connection was established after attempts had failed: the next request
+  /// may be sent at once, as a half-open probe.
+  void OnConnected(absl::Time now);
   /// The path to all targets was lost for a time and works again: forgets the
   /// failures, and the silence if it began no earlier than `lost_at`.
   void OnPathRestored(absl::Time lost_at);
--- a/libs/dispatch/src/request_run.cc
+++ b/libs/dispatch/src/request_run.cc
@@ -17,24 +17,49 @@
 RequestRun::RequestRun(RequestPlan plan, TargetSelector& target_selector)
     : plan_(std::move(plan)),
       target_selector_(target_selector),
-      parts_(plan_.services.size()) {}
+      parts_(plan_.services.size()) {
+  for (size_t index = 0; index < parts_.size(); ++index) {
+    const auto found = plan_.tried.find(plan_.services[index]);
+    if (found == plan_.tried.end()) continue;
+    Part& part = parts_[index];
+    part.tried = found->second;
+    part.executions = static_cast<int>(part.tried.size());
+    part.arrivals = part.executions;
+    maybe_run_ += part.tried.size();
+  }
+  tried_before_ = maybe_run_;
+}
 
 RunActions RequestRun::Start(absl::Time now) {
   RunActions actions;
   for (size_t part = 0; part < parts_.size(); ++part) {
-    if (!Send(part, std::nullopt, now, actions)) MarkFailed(parts_[part]);
+    if (!SendFirst(part, now, actions)) MarkFailed(parts_[part]);
   }
   if (parts_.size() - failed_parts_ < plan_.min_parts) {
     // None of these sends has been made yet.
     actions.send.clear();
-    maybe_run_ = 0;
-    Finish(RequestOutcome::kNotRun, actions);
+    for (Attempt& attempt : attempts_) attempt.may_have_run = false;
+    maybe_run_ = tried_before_;
+    Finish(maybe_run_ == 0 ? RequestOutcome::kNotRun : RequestOutcome::kFailed,
+           actions);
     return actions;
   }
   CheckCompletion(now, actions);
   return actions;
 }
 
+bool RequestRun::SendFirst(size_t index, absl::Time now, RunActions& actions) {
+  const Part& part = parts_[index];
+  const bool may_run =
+      plan_.idempotent ? part.executions < plan_.max_attempts : maybe_run_ == 0;
+  if (!may_run) return false;
+  // A part that was sent before the request was handed over is an extra send.
+  return Send(index,
+              part.arrivals == 0 ? std::nullopt
+                                 : std::make_optional(RetryPriority::kRequired),
+              now, actions);
+}
+
 bool RequestRun::Send(size_t index, std::optional<RetryPriority> priority,
                       absl::Time now, RunActions& actions) {
   Part& part = parts_[index];
@@ -119,6 +144,7 @@
       [[fallthrough]];
     case AttemptResult::kNotRun:
     case AttemptResult::kWrongTarget:
+      attempt.may_have_run = false;
       --part.executions;
       --maybe_run_;
       Retry(index, now, actions);
@@ -232,6 +258,15 @@
   return next;
 }
 
+TriedTargets RequestRun::Tried() const {
+  TriedTargets tried = plan_.tried;
+  for (const Attempt& attempt : attempts_) {
+    if (!attempt.may_have_run) continue;
+    tried[plan_.services[attempt.part]].push_back(attempt.target);
+  }
+  return tried;
+}
+
 std::vector<std::optional<size_t>> RequestRun::Winners() const {
   std::vector<std::optional<size_t>> winners;
   winners.reserve(parts_.size());
--- a/libs/dispatch/src/target_health.cc
+++ b/libs/dispatch/src/target_health.cc
@@ -101,6 +101,10 @@
   MarkSuspect(now);
 }
 
+void TargetHealth::OnConnected(absl::Time now) {
+  suspect_until_ = std::min(suspect_until_, now);
+}
+
 void TargetHealth::OnPathRestored(absl::Time lost_at) {
   if (unresponsive_since_ == absl::InfiniteFuture() ||
       unresponsive_since_ < lost_at) {
--- a/libs/membership/include/membership/host_table.h
+++ b/libs/membership/include/membership/host_table.h
@@ -228,6 +228,8 @@
 
   /// @return hosts that any host has seen within the liveness timeout.
   std::vector<HostId> LivePeers(absl::Time now) const;
+  /// @return the same hosts with their failure domains.
+  std::vector<KnownHost> LiveHosts(absl::Time now) const;
 
  private:
   struct Peer {
--- a/libs/membership/src/host_table.cc
+++ b/libs/membership/src/host_table.cc
@@ -56,6 +56,14 @@
   return live;
 }
 
+std::vector<KnownHost> HostTable::LiveHosts(absl::Time now) const {
+  std::vector<KnownHost> live;
+  for (const HostId& host : LivePeers(now)) {
+    live.push_back({host, peers_.at(host).failure_domain});
+  }
+  return live;
+}
+
 bool HostTable::IsDomainPeer(const HostId& peer) const {
   return peers_.at(peer).failure_domain == self_.failure_domain;
 }
--- /dev/null
+++ b/libs/tier/include/tier/handover_client.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "dispatch/handover_choice.h"
+#include "dispatch/policy.h"
+#include "engine/connection_pool.h"
+#include "engine/http_server.h"
+#include "membership/host_table.h"
+#include "telemetry/log_rate_limiter.h"
+#include "telemetry/metrics.h"
+#include "tier/protocol_adapter.h"
+
+namespace cherrydyke {
+
+class HandoverPeers;
+
+/// A caller's request that this host cannot send to targets.
+struct OutgoingHandover {
+  std::shared_ptr<engine::ServerExchange> exchange;
+  std::string request_id;
+  HandoverCriteria criteria;
+  /// The service that was chosen for the request; empty for a fan-out.
+  ServiceName service;
+  TriedTargets tried;
+  bool idempotent = false;
+  /// When the caller must have a response.
+  absl::Time deadline;
+  /// Called instead of a response if no peer has given one.
+  std::function<void(RefusalReason reason, bool may_have_run)> on_failed;
+};
+
+/// Hands whole requests of callers to other hosts, which run them as those of
+/// their own callers, and passes the responses on.
+///
+/// A request is handed to at most one host that may have begun it: if that one
+/// gives no response, the request may have run. A host that takes none, or
+/// cannot be connected to, has not begun it, and one other host is tried.
+class HandoverClient {
+ public:
+  struct Dependencies {
+    engine::EventLoop& loop;
+    const ProtocolAdapter& protocol;
+    const HostTable& hosts;
+    Metrics& metrics;
+    Policy policy;
+    Locality locality;
+    /// Port of the hosts' HTTP servers.
+    int fleet_port = 0;
+  };
+
+  explicit HandoverClient(Dependencies dependencies);
+  ~HandoverClient();
+
+  /// Looks for peers, as this host may soon have to hand requests over.
+  void Prepare();
+
+  /// Hands a request over. The response goes to its exchange.
+  /// @return false if there is no host to hand it to; nothing was done then.
+  bool Start(OutgoingHandover outgoing);
+
+  /// @return requests handed over that have no response yet.
+  size_t running() const { return running_; }
+  /// @return log lines dropped since the last call, by kind.
+  std::map<std::string, int> TakeDroppedLines() {
+    return log_rate_limiter_.TakeDroppedCounts();
+  }
+
+ private:
+  struct Handover;
+  using HandoverPtr = std::shared_ptr<Handover>;
+
+  /// @return false if there is no host to send it to.
+  bool SendToPeer(const HandoverPtr& handover);
+  void OnResult(const HandoverPtr& handover, engine::ExchangeResult result);
+  void OnRejected(const HandoverPtr& handover, const std::string& reason,
+                  absl::Duration exclusion);
+  void OnDeadline(const HandoverPtr& handover);
+  void OnCallerDisconnected(const HandoverPtr& handover);
+  /// Ends a handover: logs and counts it.
+  void Finish(const HandoverPtr& handover, const std::string& outcome);
+
+  engine::EventLoop& loop_;
+  engine::TimerScope timers_{loop_};
+  const ProtocolAdapter& protocol_;
+  Metrics& metrics_;
+  const Policy policy_;
+  std::unique_ptr<HandoverPeers> peers_;
+  LogRateLimiter log_rate_limiter_;
+  size_t running_ = 0;
+};
+
+}  // namespace cherrydyke
--- a/libs/tier/include/tier/request_handler.h
+++ b/libs/tier/include/tier/request_handler.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 
@@ -20,6 +21,8 @@
 #include "engine/http_server.h"
 #include "telemetry/log_rate_limiter.h"
 #include "telemetry/metrics.h"
+#include "tier/handover_client.h"
+#include "tier/handover_origin.h"
 #include "tier/protocol_adapter.h"
 #include "tier/target_set.h"
 
@@ -39,6 +42,7 @@
     const ProtocolAdapter& protocol;
     TargetSet& targets;
     CrashTracker& crashes;
+    HandoverClient& handovers;
     Metrics& metrics;
     Policy policy;
     /// Called after crashes of a request were counted.
@@ -56,7 +60,16 @@
     return routes_ == nullptr ? 0 : routes_->version();
   }
 
-  void OnRequest(std::shared_ptr<engine::ServerExchange> exchange);
+  /// Handles a request of this host's own callers.
+  void OnRequest(std::shared_ptr<engine::ServerExchange> exchange) {
+    Handle(std::move(exchange), std::nullopt);
+  }
+  /// Handles a request that another host handed over. It is not handed over
+  /// again.
+  void OnHandedOver(std::shared_ptr<engine::ServerExchange> exchange,
+                    HandoverOrigin origin) {
+    Handle(std::move(exchange), std::move(origin));
+  }
 
   /// A request became quarantined: aborts the running ones with its
   /// fingerprint.
@@ -73,8 +86,25 @@
   struct Request;
   using RequestPtr = std::shared_ptr<Request>;
 
+  void Handle(std::shared_ptr<engine::ServerExchange> exchange,
+              std::optional<HandoverOrigin> origin);
   RequestPlan MakePlan(const Route& route, const CallerRequest& caller_request,
-                       const engine::ServerExchange& exchange);
+                       const engine::ServerExchange& exchange,
+                       const std::optional<HandoverOrigin>& origin);
+  /// @return the service that gets a request of a route without fan-out.
+  ServiceName ChooseBackend(const Route& route,
+                            const std::optional<HandoverOrigin>& origin);
+  /// @return whether too few of the request's services can be reached from this
+  /// host.
+  bool IsOutOfReach(const RequestPlan& plan) const;
+  /// Hands a request to another host.
+  /// @return false if that is not possible; nothing was done then.
+  bool HandOver(const std::shared_ptr<engine::ServerExchange>& exchange,
+                const CallerRequest& caller_request, const RequestPlan& plan,
+                TriedTargets tried);
+  /// Hands over a request that ended without a response because targets are out
+  /// of this host's reach.
+  bool HandOverUnserved(const Request& request);
   /// Runs one step of a request and counts the targets passed over in it.
   RunActions Advance(Request& request,
                      absl::FunctionRef<RunActions(RequestRun&)> step);
@@ -134,6 +164,7 @@
   const ProtocolAdapter& protocol_;
   TargetSet& targets_;
   CrashTracker& crashes_;
+  HandoverClient& handovers_;
   Metrics& metrics_;
   const Policy policy_;
   const std::function<void()> on_crash_counted_;
--- a/libs/tier/include/tier/target_set.h
+++ b/libs/tier/include/tier/target_set.h
@@ -160,8 +160,27 @@
   }
 
   size_t size() const { return targets_.size(); }
-  /// @return whether this host takes itself for cut off from all targets.
+  /// Sets callbacks for changes of the path to all targets.
+  /// @param on_suspected the path may be lost.
+  /// @param on_partitioned this host takes itself for partitioned.
+  void OnPathLoss(std::function<void()> on_suspected,
+                  std::function<void()> on_partitioned) {
+    on_suspected_ = std::move(on_suspected);
+    on_partitioned_ = std::move(on_partitioned);
+  }
+  /// @return whether this host takes itself for partitioned from all targets.
   bool IsPartitioned() const;
+  /// @return whether it may be.
+  bool IsPathInDoubt() const;
+  /// @return false if the service has targets that this host may use and none
+  /// of them can be reached.
+  bool CanReach(const ServiceName& service) const;
+  /// Keeps trying to connect to the service's targets as after a request.
+  void MarkInUse(const ServiceName& service) {
+    last_used_at_[service] = loop_.Now();
+  }
+  /// @return hashes of the services in use that cannot be reached.
+  std::vector<uint32_t> UnreachableServices() const;
   ServiceCounts CountServices() const;
   int open_connections() const;
   const SendCounts& counts() const { return counts_; }
@@ -177,6 +196,8 @@
   void Retire(TargetPtr target);
   /// Opens connections to the targets to which requests and hedges would go.
   void KeepConnectionsWarm();
+  /// @return whether requests to the target are expected to get through.
+  bool IsInReach(const Target& target, absl::Time now) const;
   bool IsUsable(const Target& target, const SelectionCriteria& criteria,
                 absl::Time now) const;
   /// @return whether a target may be used and is not known to be unresponsive.
@@ -255,6 +276,8 @@
   absl::flat_hash_map<ServiceName, std::vector<Target*>> targets_by_service_;
   std::mt19937_64 random_;
   std::unique_ptr<PartitionMonitor> partition_monitor_;
+  std::function<void()> on_suspected_;
+  std::function<void()> on_partitioned_;
 };
 
 }  // namespace cherrydyke
--- a/libs/tier/include/tier/tier_host.h
+++ b/libs/tier/include/tier/tier_host.h
@@ -9,6 +9,8 @@
 #include "absl/time/time.h"
 #include "base/clock.h"
 #include "tier/fleet_gossip.h"
+#include "tier/handover_client.h"
+#include "tier/handover_server.h"
 #include "tier/protocol_adapter.h"
 #include "tier/published_source.h"
 #include "tier/request_handler.h"
@@ -71,6 +73,7 @@
   void OnPublished(bool config, bool targets) override;
   void OnSourceRecovered() override;
 
+  void MeasureLateness();
   /// Decides whether this host reads the configuration service itself.
   void UpdateReaderRole();
   /// Applies changed published items.
@@ -79,6 +82,8 @@
   void ApplyTargets();
   void LogLoad();
   bool IsReady() const;
+  /// @return what this host offers to hosts that cannot reach targets.
+  HandoverOffer MakeHandoverOffer() const;
   void ServeFleet(const std::shared_ptr<engine::ServerExchange>& exchange);
   void ServeReadiness(engine::ServerExchange& exchange);
   void ServeMetrics(engine::ServerExchange& exchange);
@@ -95,7 +100,9 @@
   HostTable hosts_;
   CrashTracker crashes_;
   TargetSet targets_;
+  HandoverClient handovers_;
   RequestHandler request_handler_;
+  HandoverServer handover_server_;
   FleetGossip gossip_;
   engine::ServerLimits limits_;
   /// Serves requests of other hosts.
@@ -105,6 +112,9 @@
   engine::HttpServer metrics_server_;
   absl::Time source_recovered_at_ = absl::InfinitePast();
   std::optional<absl::Time> shutdown_started_at_;
+  /// When `UpdateReaderRole` is to run next, and how late it last ran.
+  absl::Time next_check_at_ = absl::InfiniteFuture();
+  absl::Duration lateness_;
 };
 
 }  // namespace cherrydyke
--- /dev/null
+++ b/libs/tier/src/handover_peers.cc
@@ -0,0 +1,189 @@
+#include "handover_peers.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "telemetry/log.h"
+#include "tier/handover_message.h"
+
+namespace cherrydyke {
+namespace {
+
+/// How often peers are asked for offers, and how long an answer may take.
+constexpr absl::Duration kAskPeriod = absl::Milliseconds(300);
+constexpr absl::Duration kAskTimeout = absl::Milliseconds(250);
+/// Peers with offers that are enough, and hosts asked at the same time while
+/// there are fewer.
+constexpr size_t kWantedPeers = 4;
+constexpr size_t kAskedHosts = 6;
+/// How long peers are looked for after the last need.
+constexpr absl::Duration kNeedTime = absl::Seconds(3);
+/// Time after which a host without an offer may be replaced by another.
+constexpr absl::Duration kOfferWaitTime = absl::Seconds(2);
+constexpr absl::Duration kConnectTimeout = absl::Milliseconds(300);
+constexpr int kMaxConnectionsPerPeer = 33;
+
+engine::ClientOptions PeerOptions() {
+  engine::ClientOptions options;
+  options.connect_timeout = kConnectTimeout;
+  return options;
+}
+
+}  // namespace
+
+HandoverPeers::HandoverPeers(engine::EventLoop& loop, Locality locality,
+                             int port, const HostTable& hosts)
+    : loop_(loop),
+      locality_(std::move(locality)),
+      port_(port),
+      hosts_(hosts),
+      random_(NewIncarnation()) {}
+
+std::string HandoverPeers::RequestHead(const char* method, const char* path,
+                                       const HostId& peer, size_t body_bytes) {
+  return absl::StrCat(method, " ", path, " HTTP/1.1\r\nHost: ", peer,
+                      "\r\nContent-Length: ", body_bytes, "\r\n\r\n");
+}
+
+void HandoverPeers::Prepare() {
+  needed_until_ = loop_.Now() + kNeedTime;
+  if (std::exchange(polling_, true)) return;
+  // The caller may be handling an event of one of the pools.
+  timers_.Post([this] { Poll(); });
+}
+
+void HandoverPeers::Poll() {
+  RemoveUnusedPeers();
+  polling_ = loop_.Now() < needed_until_ || !peers_.empty();
+  if (!polling_) return;
+  if (loop_.Now() < needed_until_) {
+    AddPeers();
+    for (auto& [host, peer] : peers_) Ask(host, peer);
+  }
+  timers_.RunAfter(kAskPeriod, [this] { Poll(); });
+}
+
+void HandoverPeers::RemoveUnusedPeers() {
+  const absl::Time now = loop_.Now();
+  for (auto entry = peers_.begin(); entry != peers_.end();) {
+    const auto& [candidate, pool, added_at, asking] = entry->second;
+    const absl::Time last_use = std::max(added_at, candidate.offered_at);
+    const bool is_unused =
+        now - last_use > kOfferWaitTime ||
+        (!candidate.offer.available && now - added_at > kOfferWaitTime) ||
+        now >= needed_until_;
+    if (is_unused && !asking && candidate.in_flight == 0) {
+      entry = peers_.erase(entry);
+    } else {
+      ++entry;
+    }
+  }
+}
+
+void HandoverPeers::AddPeers() {
+  const absl::Time now = loop_.Now();
+  const auto offers = std::count_if(
+      peers_.begin(), peers_.end(),
+      [](const auto& entry) { return entry.second.candidate.offer.available; });
+  if (static_cast<size_t>(offers) >= kWantedPeers) return;
+  std::vector<KnownHost> others;
+  std::vector<FailureDomainName> domains;
+  for (KnownHost& host : hosts_.LiveHosts(now)) {
+    if (peers_.count(host.host) > 0) continue;
+    domains.push_back(host.failure_domain);
+    others.push_back(std::move(host));
+  }
+  for (const size_t index :
+       SampleHandoverPeers(domains, locality_, kAskedHosts, random_)) {
+    const KnownHost& host = others[index];
+    Peer& peer = peers_[host.host];
+    peer.candidate.region = locality_.RegionOf(host.failure_domain);
+    peer.candidate.distance = locality_.DistanceBetween(
+        locality_.failure_domain, host.failure_domain);
+    peer.added_at = now;
+    peer.pool = std::make_unique<engine::ConnectionPool>(
+        loop_, absl::StrCat(host.host, ":", port_), PeerOptions(),
+        kMaxConnectionsPerPeer, nullptr);
+  }
+}
+
+void HandoverPeers::Ask(const HostId& host, Peer& peer) {
+  if (std::exchange(peer.asking, true)) return;
+  engine::PoolRequest request;
+  request.exchange.write = [host] {
+    return RequestHead("GET", kHandoverOfferPath, host, 0);
+  };
+  request.exchange.done = [this, host](engine::ExchangeResult result) {
+    OnOffer(host, result);
+  };
+  const engine::ExchangeId exchange = peer.pool->Send(std::move(request));
+  timers_.RunAfter(kAskTimeout, [this, host, exchange] {
+    const auto found = peers_.find(host);
+    if (found == peers_.end()) return;
+    found->second.pool->Cancel(exchange, absl::ZeroDuration());
+  });
+}
+
+void HandoverPeers::OnOffer(const HostId& host,
+                            const engine::ExchangeResult& result) {
+  const auto found = peers_.find(host);
+  if (found == peers_.end()) return;
+  Peer& peer = found->second;
+  peer.asking = false;
+  HandoverOffer offer;
+  if (result.status == engine::ExchangeStatus::kComplete) {
+    const Result<HandoverOffer> decoded =
+        DecodeHandoverOffer(result.response.body);
+    // A host of a version without handover answers otherwise.
+    if (result.response.status == 200 && GetError(decoded) == nullptr) {
+      offer = GetValue(decoded);
+    }
+  }
+  if (offer.available != peer.candidate.offer.available) {
+    LogInfo(offer.available ? "peer takes over requests"
+                            : "peer takes over no requests",
+            {{"peer", host},
+             {"config_version", offer.config_version},
+             {"unreachable_services", offer.unreachable_services.size()},
+             {"running", offer.running}});
+  }
+  peer.candidate.offer = std::move(offer);
+  if (peer.candidate.offer.available) peer.candidate.offered_at = loop_.Now();
+}
+
+std::optional<HostId> HandoverPeers::Choose(const HandoverCriteria& criteria) {
+  std::vector<HostId> hosts;
+  std::vector<HandoverCandidate> candidates;
+  for (const auto& [host, peer] : peers_) {
+    hosts.push_back(host);
+    candidates.push_back(peer.candidate);
+  }
+  const std::optional<size_t> chosen =
+      ChooseHandoverPeer(candidates, criteria, loop_.Now(), random_);
+  if (!chosen) return std::nullopt;
+  return hosts[*chosen];
+}
+
+engine::ExchangeId HandoverPeers::Send(const HostId& host,
+                                       engine::PoolRequest request) {
+  Peer& peer = peers_.at(host);
+  ++peer.candidate.in_flight;
+  request.exchange.done = [this, host, done = std::move(request.exchange.done)](
+                              engine::ExchangeResult result) {
+    --peers_.at(host).candidate.in_flight;
+    done(std::move(result));
+  };
+  return peer.pool->Send(std::move(request));
+}
+
+void HandoverPeers::Cancel(const HostId& host, engine::ExchangeId exchange) {
+  peers_.at(host).pool->Cancel(exchange, absl::ZeroDuration());
+}
+
+void HandoverPeers::Exclude(const HostId& host, absl::Duration time) {
+  peers_.at(host).candidate.excluded_until = loop_.Now() + time;
+}
+
+}  // namespace cherrydyke
--- /dev/null
+++ b/libs/tier/src/handover_peers.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+
+#include "dispatch/handover_choice.h"
+#include "engine/connection_pool.h"
+#include "membership/host_table.h"
+
+namespace cherrydyke {
+
+/// The hosts to which this one can hand requests. Asks a few live hosts for
+/// offers while they are needed, and keeps connections to those only.
+class HandoverPeers {
+ public:
+  HandoverPeers(engine::EventLoop& loop, Locality locality, int port,
+                const HostTable& hosts);
+
+  /// Looks for peers from now on, until not called for some seconds.
+  void Prepare();
+
+  /// @return a peer that can run the request, or nothing.
+  std::optional<HostId> Choose(const HandoverCriteria& criteria);
+
+  /// Sends a request to a peer returned by `Choose`.
+  /// @param done as for `ConnectionPool::Send`.
+  engine::ExchangeId Send(const HostId& peer, engine::PoolRequest request);
+  /// Cancels an exchange at once.
+  void Cancel(const HostId& peer, engine::ExchangeId exchange);
+
+  /// Excludes a peer for some time.
+  void Exclude(const HostId& peer, absl::Duration time);
+
+  /// @return the HTTP request line and headers of a request to a peer, with the
+  /// empty line.
+  static std::string RequestHead(const char* method, const char* path,
+                                 const HostId& peer, size_t body_bytes);
+
+ private:
+  struct Peer {
+    HandoverCandidate candidate;
+    std::unique_ptr<engine::ConnectionPool> pool;
+    absl::Time added_at;
+    bool asking = false;
+  };
+
+  void Poll();
+  void AddPeers();
+  void RemoveUnusedPeers();
+  void Ask(const HostId& host, Peer& peer);
+  void OnOffer(const HostId& host, const engine::ExchangeResult& result);
+
+  engine::EventLoop& loop_;
+  engine::TimerScope timers_{loop_};
+  const Locality locality_;
+  const int port_;
+  const HostTable& hosts_;
+  std::mt19937_64 random_;
+  std::map<HostId, Peer> peers_;
+  absl::Time needed_until_ = absl::InfinitePast();
+  bool polling_ = false;
+};
+
+}  // namespace cherrydyke
--- a/libs/tier/src/partition_monitor.cc
+++ b/libs/tier/src/partition_monitor.cc
@@ -83,8 +83,10 @@
   }
   LogInfo(StateName(state), fields);
   const PathState previous = std::exchange(applied_state_, state);
-  if (state == PathState::kPartitioned) {
-    callbacks_.on_partitioned(applied_since_);
+  if (state == PathState::kSuspected) {
+    callbacks_.on_suspected();
+  } else if (state == PathState::kPartitioned) {
+    callbacks_.on_partitioned();
   } else if (previous == PathState::kPartitioned) {
     callbacks_.on_restored(applied_since_);
   }
--- a/libs/tier/src/partition_monitor.h
+++ b/libs/tier/src/partition_monitor.h
@@ -17,9 +17,12 @@
     /// @return the endpoints of at most `limit` targets to probe, in different
     /// failure domains if possible.
     std::function<std::vector<Endpoint>(size_t limit)> choose_probes;
-    /// This host takes itself for partitioned, or not any more.
+    /// The path to the targets may be lost.
+    std::function<void()> on_suspected;
+    /// This host takes itself for partitioned.
+    std::function<void()> on_partitioned;
+    /// It does not any more.
     /// @param lost_at when the targets had fallen silent.
-    std::function<void(absl::Time lost_at)> on_partitioned;
     std::function<void(absl::Time lost_at)> on_restored;
   };
 
--- a/libs/tier/src/request_handler.cc
+++ b/libs/tier/src/request_handler.cc
@@ -72,6 +72,8 @@
   absl::Time deadline;
   absl::Time answer_at;
   std::unique_ptr<RequestRun> run;
+  /// Whether another host handed the request to this one.
+  bool is_handed_over = false;
   /// Whether targets were at their concurrency limits when the request started.
   bool overloaded = false;
   /// Targets that were not used for the request, by reason.
@@ -88,6 +90,7 @@
       protocol_(dependencies.protocol),
       targets_(dependencies.targets),
       crashes_(dependencies.crashes),
+      handovers_(dependencies.handovers),
       metrics_(dependencies.metrics),
       policy_(dependencies.policy),
       on_crash_counted_(std::move(dependencies.on_crash_counted)),
@@ -101,24 +104,37 @@
   routes_ = std::move(routes);
 }
 
-void RequestHandler::OnRequest(
-    std::shared_ptr<engine::ServerExchange> exchange) {
+void RequestHandler::Handle(std::shared_ptr<engine::ServerExchange> exchange,
+                            std::optional<HandoverOrigin> origin) {
+  const bool ran = origin && !origin->tried.empty();
   const std::optional<CallerRequest> parsed =
       protocol_.ParseCallerRequest(exchange->request());
-  if (!parsed) return Refuse(*exchange, "", RefusalReason::kMalformed, false);
+  if (!parsed) return Refuse(*exchange, "", RefusalReason::kMalformed, ran);
   if (!has_routes()) {
     return Refuse(*exchange, parsed->request_id,
-                  RefusalReason::kNoConfiguration, false);
+                  RefusalReason::kNoConfiguration, ran);
   }
   const Route* const route = routes_->Find(parsed->host, parsed->path);
   if (route == nullptr) {
-    return Refuse(*exchange, parsed->request_id, RefusalReason::kNoRoute,
-                  false);
+    return Refuse(*exchange, parsed->request_id, RefusalReason::kNoRoute, ran);
   }
   const uint64_t fingerprint = RequestFingerprint(exchange->request());
   if (crashes_.IsQuarantined(fingerprint, loop_.Now())) {
     return Refuse(*exchange, parsed->request_id, RefusalReason::kQuarantined,
-                  false);
+                  ran);
+  }
+  RequestPlan plan = MakePlan(*route, *parsed, *exchange, origin);
+  plan.max_attempts = crashes_.LimitAttempts(fingerprint, plan.max_attempts);
+  if (!origin && IsOutOfReach(plan)) {
+    if (HandOver(exchange, *parsed, plan, {})) {
+      metrics_.counter("cherrydyke_requests_total", "outcome=\"handed_over\"")
+          .Add();
+      return;
+    }
+    if (targets_.IsPartitioned()) {
+      return Refuse(*exchange, parsed->request_id, RefusalReason::kNoTarget,
+                    false);
+    }
   }
   const auto request = std::make_shared<Request>();
   request->exchange = std::move(exchange);
@@ -126,11 +142,21 @@
   request->route = route;
   request->caller_request = *parsed;
   request->fingerprint = fingerprint;
+  request->is_handed_over = origin.has_value();
   request->target_head =
       protocol_.TargetRequestHead(request->exchange->request());
-  RequestPlan plan = MakePlan(*route, *parsed, *request->exchange);
-  plan.max_attempts = crashes_.LimitAttempts(fingerprint, plan.max_attempts);
-  for (const ServiceName& service : plan.services) targets_.OnRequest(service);
+  if (origin && log_rate_limiter_.TryAcquire("taken over", policy_.log_lines,
+                                             loop_.Now())) {
+    LogInfo("request taken over", {{"request", parsed->request_id},
+                                   {"from", origin->from},
+                                   {"tried_services", origin->tried.size()}});
+  }
+  // A request that was sent to targets before counts at the host that did so.
+  if (!ran) {
+    for (const ServiceName& service : plan.services) {
+      targets_.OnRequest(service);
+    }
+  }
   request->deadline = plan.deadline;
   request->answer_at = plan.answer_at;
   request->run = std::make_unique<RequestRun>(std::move(plan), targets_);
@@ -147,6 +173,52 @@
   Perform(request, actions);
 }
 
+bool RequestHandler::IsOutOfReach(const RequestPlan& plan) const {
+  const auto unreachable = std::count_if(
+      plan.services.begin(), plan.services.end(),
+      [&](const ServiceName& service) { return !targets_.CanReach(service); });
+  return static_cast<size_t>(unreachable) >
+         plan.services.size() - plan.min_parts;
+}
+
+bool RequestHandler::HandOver(
+    const std::shared_ptr<engine::ServerExchange>& exchange,
+    const CallerRequest& caller_request, const RequestPlan& plan,
+    TriedTargets tried) {
+  // Connections to the targets must be there when they can be reached again.
+  for (const ServiceName& service : plan.services) targets_.MarkInUse(service);
+  OutgoingHandover outgoing;
+  outgoing.exchange = exchange;
+  outgoing.request_id = caller_request.request_id;
+  outgoing.criteria = {version(), plan.services,
+                       plan.services.size() - plan.min_parts,
+                       plan.allowed_regions};
+  if (!plan.is_fanout) outgoing.service = plan.services.front();
+  outgoing.tried = std::move(tried);
+  outgoing.idempotent = plan.idempotent;
+  outgoing.deadline = plan.deadline;
+  outgoing.on_failed = [this, exchange, id = caller_request.request_id](
+                           RefusalReason reason, bool may_have_run) {
+    Refuse(*exchange, id, reason, may_have_run);
+  };
+  if (!handovers_.Start(std::move(outgoing))) return false;
+  return true;
+}
+
+bool RequestHandler::HandOverUnserved(const Request& request) {
+  const RequestPlan& plan = request.run->plan();
+  if (request.is_handed_over || !IsOutOfReach(plan)) return false;
+  TriedTargets tried = request.run->Tried();
+  if (!MayHandOver(plan.services, tried, plan.idempotent, plan.min_parts,
+                   plan.max_attempts) ||
+      !HandOver(request.exchange, request.caller_request, plan,
+                std::move(tried))) {
+    return false;
+  }
+  LogOutcome(request, "handed_over", 0);
+  return true;
+}
+
 RunActions RequestHandler::Advance(
     Request& request, absl::FunctionRef<RunActions(RequestRun&)> step) {
   const ExclusionCounts before = targets_.counts().passed_over;
@@ -155,9 +227,10 @@
   return actions;
 }
 
-RequestPlan RequestHandler::MakePlan(const Route& route,
-                                     const CallerRequest& caller_request,
-                                     const engine::ServerExchange& exchange) {
+RequestPlan RequestHandler::MakePlan(
+    const Route& route, const CallerRequest& caller_request,
+    const engine::ServerExchange& exchange,
+    const std::optional<HandoverOrigin>& origin) {
   const absl::Time received_at = exchange.received_at();
   const engine::CallerConnectionInfo path = exchange.connection_info();
   RequestPlan plan;
@@ -173,8 +246,7 @@
     plan.min_parts =
         std::max<size_t>(1, static_cast<size_t>(std::ceil(needed - 1e-9)));
   } else {
-    const size_t chosen = spreaders_[route.name].Next(route.backends);
-    plan.services = {route.backends[chosen].service};
+    plan.services = {ChooseBackend(route, origin)};
   }
   const absl::Duration time_left =
       std::min(caller_request.time_left.value_or(route.timeout), route.timeout);
@@ -187,9 +259,20 @@
                                                path.is_new_connection))
           : received_at;
   plan.hedges = policy_.hedges;
+  if (origin) plan.tried = origin->tried;
   return plan;
 }
 
+ServiceName RequestHandler::ChooseBackend(
+    const Route& route, const std::optional<HandoverOrigin>& origin) {
+  if (origin) {
+    for (const WeightedService& backend : route.backends) {
+      if (backend.service == origin->service) return backend.service;
+    }
+  }
+  return route.backends[spreaders_[route.name].Next(route.backends)].service;
+}
+
 void RequestHandler::Perform(const RequestPtr& request,
                              const RunActions& actions) {
   for (const size_t attempt : actions.overdue) {
@@ -487,9 +570,11 @@
           std::move(request->attempts[run.relayed()].reply.response)));
       return LogOutcome(*request, "target_failure", 0);
     case RequestOutcome::kNotRun:
+      if (HandOverUnserved(*request)) return;
       RefuseForLackOfTargets(*request);
       return LogOutcome(*request, "not_run", 0);
     case RequestOutcome::kFailed:
+      if (HandOverUnserved(*request)) return;
       Refuse(*request->exchange, request->caller_request.request_id,
              RefusalReason::kTargetsFailed, true);
       return LogOutcome(*request, "targets_failed", 0);
--- a/libs/tier/src/target.cc
+++ b/libs/tier/src/target.cc
@@ -67,6 +67,7 @@
   const absl::Time since =
       std::exchange(unreachable_since_, absl::InfiniteFuture());
   if (since == absl::InfiniteFuture()) return;
+  health.OnConnected(now);
   const bool explained =
       set.IsPartitioned() &&
       since >= set.partition_monitor_->silent_since() - kMaxSuspicionDelay;
--- a/libs/tier/src/target.h
+++ b/libs/tier/src/target.h
@@ -59,6 +59,10 @@
   /// Finds out whether the target crashed under an attempt without a response.
   void OnUnanswered(AttemptLoss loss, absl::Time sent_at,
                     CrashDetector::OnVerdict on_verdict);
+  /// @return whether the last attempt to connect failed.
+  bool is_unreachable() const {
+    return unreachable_since_ != absl::InfiniteFuture();
+  }
   void OnResponse();
   /// The path to all targets works again after it was lost: this target's
   /// silence since then is explained.
--- a/libs/tier/src/target_set.cc
+++ b/libs/tier/src/target_set.cc
@@ -4,6 +4,7 @@
 #include <limits>
 #include <utility>
 
+#include "dispatch/handover_choice.h"
 #include "membership/domain_sample.h"
 #include "partition_monitor.h"
 #include "target.h"
@@ -68,7 +69,12 @@
       partition_monitor_(std::make_unique<PartitionMonitor>(
           loop, PartitionMonitor::Callbacks{
                     [this](size_t limit) { return ChooseProbes(limit); },
-                    [](absl::Time) {},
+                    [this] {
+                      if (on_suspected_) on_suspected_();
+                    },
+                    [this] {
+                      if (on_partitioned_) on_partitioned_();
+                    },
                     [this](absl::Time lost_at) { OnPathRestored(lost_at); }})) {
   shares_.Refresh(loop.Now());
   retry_budget_.SetHostCount(shares_.hosts());
@@ -229,9 +235,8 @@
 }
 
 void TargetSet::OnRequest(const ServiceName& service) {
-  const absl::Time now = loop_.Now();
-  retry_budget_.OnRequest(service, now);
-  last_used_at_[service] = now;
+  retry_budget_.OnRequest(service, loop_.Now());
+  MarkInUse(service);
 }
 
 void TargetSet::Prewarm(const std::vector<ServiceName>& services) {
@@ -477,6 +482,42 @@
   return partition_monitor_->state() == PathState::kPartitioned;
 }
 
+bool TargetSet::IsPathInDoubt() const {
+  return partition_monitor_->state() != PathState::kConnected;
+}
+
+bool TargetSet::IsInReach(const Target& target, absl::Time now) const {
+  const bool is_unconnectable =
+      target.is_unreachable() && !target.pool->IsConnected();
+  return !is_unconnectable && !target.health.IsUnresponsive(now);
+}
+
+bool TargetSet::CanReach(const ServiceName& service) const {
+  if (IsPartitioned()) return false;
+  const auto found = targets_by_service_.find(service);
+  if (found == targets_by_service_.end()) return true;
+  const absl::Time now = loop_.Now();
+  bool any_usable = false;
+  for (const Target* target : found->second) {
+    const auto exclusion = ExclusionReasonFor(*target, {}, now);
+    if (exclusion && exclusion != ExclusionReason::kNoConnection) continue;
+    if (IsInReach(*target, now)) return true;
+    any_usable = true;
+  }
+  return !any_usable;
+}
+
+std::vector<uint32_t> TargetSet::UnreachableServices() const {
+  const absl::Time now = loop_.Now();
+  std::vector<uint32_t> unreachable;
+  for (const auto& [service, last_used_at] : last_used_at_) {
+    if (now - last_used_at <= kServiceInUseTime && !CanReach(service)) {
+      unreachable.push_back(HandoverServiceHash(service));
+    }
+  }
+  return unreachable;
+}
+
 void TargetSet::OnUnconnected(const Target& target) {
   const bool any_connected = std::any_of(
       targets_.begin(), targets_.end(),
@@ -486,6 +527,7 @@
 
 void TargetSet::OnPathRestored(absl::Time lost_at) {
   for (auto& [id, target] : targets_) target->OnPathRestored(lost_at);
+  KeepConnectionsWarm();
 }
 
 std::vector<Endpoint> TargetSet::ChooseProbes(size_t limit) {
--- a/libs/tier/src/tier_host.cc
+++ b/libs/tier/src/tier_host.cc
@@ -36,6 +36,16 @@
   return options;
 }
 
+// The limits of the port between hosts: a request that is handed over contains
+// the caller's header and body.
+engine::ServerLimits FleetServerLimits(const engine::ServerLimits& callers) {
+  constexpr uint64_t kEnvelopeBytes = 64U << 10U;
+  engine::ServerLimits limits;
+  limits.max_body_bytes =
+      callers.max_body_bytes + callers.max_header_bytes + kEnvelopeBytes;
+  return limits;
+}
+
 HostTable::Options HostOptions(const Locality& locality) {
   HostTable::Options options;
   for (const auto& [domain, region] : locality.regions) {
@@ -56,14 +66,25 @@
       targets_(loop, settings_.locality, settings_.bounds,
                TargetOptions(adapters.protocol, loop.Now()), hosts_,
                settings_.policy),
-      request_handler_({loop, adapters.protocol, targets_, crashes_, metrics_,
-                        settings_.policy, [this] { gossip_.Gossip(); }}),
+      handovers_({loop, adapters.protocol, hosts_, metrics_, settings_.policy,
+                  settings_.locality, settings_.fleet_port}),
+      request_handler_({loop, adapters.protocol, targets_, crashes_, handovers_,
+                        metrics_, settings_.policy,
+                        [this] { gossip_.Gossip(); }}),
+      handover_server_(
+          loop, metrics_, settings_.policy,
+          {[this] { return MakeHandoverOffer(); }, [this] { return lateness_; },
+           [this](std::shared_ptr<engine::ServerExchange> exchange,
+                  HandoverOrigin origin) {
+             request_handler_.OnHandedOver(std::move(exchange),
+                                           std::move(origin));
+           }}),
       gossip_(loop,
               {{settings_.locality.host, settings_.locality.failure_domain},
                settings_.fleet_port},
               hosts_, crashes_, config_items_, target_items_),
       fleet_server_(
-          loop, [] { return engine::ServerLimits(); },
+          loop, [this] { return FleetServerLimits(limits_); },
           [this](const std::shared_ptr<engine::ServerExchange>& exchange) {
             ServeFleet(exchange);
           }),
@@ -121,7 +142,11 @@
       absl::StrCat(settings_.locality.host, ":", settings_.fleet_port);
   if (Status s = fleet_server_.Listen(fleet_endpoint); GetError(s)) return s;
   adapters_.source.Start(config_items_, target_items_, *this);
-  timers_.Every(kReaderCheckPeriod, [this] { UpdateReaderRole(); });
+  targets_.OnPathLoss([this] { handovers_.Prepare(); }, [] {});
+  timers_.Every(kReaderCheckPeriod, [this] {
+    MeasureLateness();
+    UpdateReaderRole();
+  });
   timers_.Every(kLoadLogPeriod, [this] { LogLoad(); });
   return OkStatus();
 }
@@ -172,6 +197,7 @@
   int64_t dropped_lines = TakeDroppedLines();
   for (const auto& dropped :
        {request_handler_.TakeDroppedLines(), targets_.TakeDroppedLines(),
+        handovers_.TakeDroppedLines(), handover_server_.TakeDroppedLines(),
         gossip_.TakeDroppedLines()}) {
     for (const auto& [kind, lines] : dropped) dropped_lines += lines;
   }
@@ -228,6 +254,12 @@
                               {"revision", target_items_.newest_revision()}});
 }
 
+void TierHost::MeasureLateness() {
+  const absl::Time now = loop_.Now();
+  lateness_ = std::max(now - next_check_at_, absl::ZeroDuration());
+  next_check_at_ = now + kReaderCheckPeriod;
+}
+
 void TierHost::UpdateReaderRole() {
   const bool is_empty = config_items_.newest_revision() == 0 ||
                         target_items_.newest_revision() == 0;
@@ -246,9 +278,20 @@
 
 void TierHost::ServeFleet(
     const std::shared_ptr<engine::ServerExchange>& exchange) {
+  if (HandoverServer::Handles(exchange->request())) {
+    return handover_server_.Serve(exchange);
+  }
   gossip_.ServeTransfer(*exchange);
 }
 
+HandoverOffer TierHost::MakeHandoverOffer() const {
+  HandoverOffer offer;
+  offer.available = IsReady() && !targets_.IsPathInDoubt();
+  offer.config_version = request_handler_.version();
+  offer.unreachable_services = targets_.UnreachableServices();
+  return offer;
+}
+
 void TierHost::ServeReadiness(engine::ServerExchange& exchange) {
   engine::HttpResponse response;
   response.status = IsReady() ? 200 : 503;
@@ -278,8 +321,9 @@
     caller_server_.CloseIdle();
     const bool out_of_time =
         elapsed >= settings_.shutdown_grace - kShutdownReserve;
-    if (request_handler_.running() == 0 || out_of_time) {
-      LogInfo("stopped", {{"running", request_handler_.running()},
+    const size_t running = request_handler_.running() + handovers_.running();
+    if (running == 0 || out_of_time) {
+      LogInfo("stopped", {{"running", running},
                           {"after_ms", absl::ToInt64Milliseconds(elapsed)}});
       return loop_.Stop();
     }
