End requests under way when the partition is known

Cause: what the host knows about its path did not reach requests under way; each waited for its own targets. Once the host takes itself for partitioned, queued sends are reported as not sent, and idempotent requests end with the parts that they have, are handed over with what was tried, or fail with 502 while there is time to repeat them. A request that must not run twice goes on waiting: its target may still answer. No target is selected meanwhile.

--- a/libs/dispatch/include/dispatch/request_run.h
+++ b/libs/dispatch/include/dispatch/request_run.h
@@ -99,6 +99,10 @@
   RunActions Start(absl::Time now);
   RunActions OnEnded(size_t attempt, AttemptResult result, absl::Time now);
   RunActions OnTimer(absl::Time now);
+  /// No target can be reached any more: ends the run with the parts that it
+  /// has, or without an answer. A request that must not run twice goes on, as
+  /// its attempt may still be answered.
+  RunActions OnPathLost();
   /// Ends the run without an answer, for example if the caller disconnected.
   RunActions Abort();
 
--- a/libs/dispatch/src/request_run.cc
+++ b/libs/dispatch/src/request_run.cc
@@ -241,6 +241,15 @@
   actions.outcome = outcome;
 }
 
+RunActions RequestRun::OnPathLost() {
+  RunActions actions;
+  if (done_ || !plan_.idempotent) return actions;
+  Finish(succeeded_parts_ >= plan_.min_parts ? RequestOutcome::kAnswer
+                                             : FailureOutcome(),
+         actions);
+  return actions;
+}
+
 RunActions RequestRun::Abort() {
   RunActions actions;
   if (!done_) Finish(RequestOutcome::kFailed, actions);
--- a/libs/dispatch/tests/request_run_test.cc
+++ b/libs/dispatch/tests/request_run_test.cc
@@ -83,6 +83,8 @@
   CPPUNIT_TEST(RelaysTheFailureOfASingleTarget);
   CPPUNIT_TEST(RequiredRetryIsMarkedAsRequired);
   CPPUNIT_TEST(OnlyARequiredRetryIsALastChance);
+  CPPUNIT_TEST(HandedOverRequestGetsItsRemainingAttempts);
+  CPPUNIT_TEST(LostPathEndsIdempotentRequestWithWhatItHas);
   CPPUNIT_TEST(InvariantsHoldUnderRandomEvents);
   CPPUNIT_TEST_SUITE_END();
 
@@ -261,6 +263,39 @@
                    RetryPriority::kRequired);
   }
 
+  void HandedOverRequestGetsItsRemainingAttempts() {
+    RequestPlan plan = Fanout(3, 2);
+    plan.tried = {{"s0", {"s0/0", "s0/1"}}, {"s1", {"s1/0"}}};
+    RequestRun run(plan, target_selector_);
+    const RunActions start = run.Start(kStart);
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, start.send.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("s1/1"), start.send[0].target);
+    CPPUNIT_ASSERT_EQUAL(std::string("s2/0"), start.send[1].target);
+    // Only the part that was sent before counts as an extra send.
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, target_selector_.priorities_.size());
+    RequestPlan unsafe = Single(false);
+    unsafe.tried = {{"s0", {"s0/0"}}};
+    RequestRun refused(unsafe, target_selector_);
+    const RunActions actions = refused.Start(kStart);
+    CPPUNIT_ASSERT(actions.send.empty());
+    CPPUNIT_ASSERT(actions.outcome == RequestOutcome::kFailed);
+  }
+
+  void LostPathEndsIdempotentRequestWithWhatItHas() {
+    RequestRun complete(Fanout(3, 2), target_selector_);
+    complete.Start(kStart);
+    complete.OnEnded(0, AttemptResult::kSuccess, kStart);
+    complete.OnEnded(1, AttemptResult::kSuccess, kStart);
+    CPPUNIT_ASSERT(complete.OnPathLost().outcome == RequestOutcome::kAnswer);
+    RequestRun lacking(Fanout(3, 2), target_selector_);
+    lacking.Start(kStart);
+    CPPUNIT_ASSERT(lacking.OnPathLost().outcome == RequestOutcome::kFailed);
+    RequestRun unsafe(Single(false), target_selector_);
+    unsafe.Start(kStart);
+    CPPUNIT_ASSERT(!unsafe.OnPathLost().outcome.has_value());
+    CPPUNIT_ASSERT(!unsafe.done());
+  }
+
   void InvariantsHoldUnderRandomEvents() {
     CPPUNIT_ASSERT(rc::check("invariants of a run", [] {
       FakeTargetSelector target_selector;
@@ -271,10 +306,20 @@
           Fanout(shards, *rc::gen::inRange<size_t>(1, shards + 1));
       plan.is_fanout = shards > 1;
       plan.idempotent = idempotent;
-      RequestRun run(plan, target_selector);
-      std::set<size_t> running;
       std::map<size_t, std::set<TargetId>> maybe_ran;
       size_t ran_or_may = 0;
+      for (size_t part = 0; part < shards; ++part) {
+        const int tried = *rc::gen::inRange(0, idempotent ? 3 : 2);
+        for (int replica = 0; replica < tried; ++replica) {
+          const TargetId target =
+              plan.services[part] + "/" + std::to_string(replica);
+          plan.tried[plan.services[part]].push_back(target);
+          maybe_ran[part].insert(target);
+          ++ran_or_may;
+        }
+      }
+      RequestRun run(plan, target_selector);
+      std::set<size_t> running;
       std::optional<RequestOutcome> outcome;
       absl::Time now = kStart;
       const auto apply = [&](const RunActions& actions) {
@@ -295,6 +340,10 @@
       apply(run.Start(now));
       for (int step = 0; step < 60 && !outcome; ++step) {
         now += absl::Milliseconds(*rc::gen::inRange(0, 40));
+        if (*rc::gen::inRange(0, 30) == 0) {
+          apply(run.OnPathLost());
+          continue;
+        }
         if (running.empty() || *rc::gen::arbitrary<bool>()) {
           now = std::max(now, std::min(run.NextTimer(), plan.deadline));
           apply(run.OnTimer(now));
@@ -316,6 +365,13 @@
       if (!outcome) apply(run.OnTimer(plan.deadline));
       RC_ASSERT(outcome.has_value());
       RC_ASSERT(outcome != RequestOutcome::kNotRun || ran_or_may == 0);
+      const TriedTargets reported = run.Tried();
+      for (const auto& [part, targets] : maybe_ran) {
+        const auto found = reported.find(plan.services[part]);
+        const std::vector<TargetId> none;
+        const auto& tried = found == reported.end() ? none : found->second;
+        RC_ASSERT(std::set<TargetId>(tried.begin(), tried.end()) == targets);
+      }
     }));
   }
 
--- a/libs/tier/include/tier/request_handler.h
+++ b/libs/tier/include/tier/request_handler.h
@@ -75,6 +75,10 @@
   /// fingerprint.
   void OnQuarantined(uint64_t fingerprint);
 
+  /// This host takes itself for partitioned from all targets: ends the running
+  /// requests that would only wait for their deadlines.
+  void OnPartitioned();
+
   /// @return requests in flight.
   size_t running() const { return running_.size(); }
   /// @return log lines dropped since the last call, by kind.
--- a/libs/tier/include/tier/target_set.h
+++ b/libs/tier/include/tier/target_set.h
@@ -100,6 +100,8 @@
   /// Sends a request to the target that `Select` chose for it.
   /// @return 0 if the target no longer exists; `done` is then not called.
   engine::ExchangeId Send(const TargetId& target, engine::PoolRequest request);
+  /// Reports all requests that wait for connections as not sent.
+  void FailQueued();
   /// Undoes `Select` for a send that was never made.
   void ReleaseSelection(const TargetId& target);
   /// Cancels an exchange that was sent at `sent_at`.
--- a/libs/tier/src/request_handler.cc
+++ b/libs/tier/src/request_handler.cc
@@ -559,6 +559,18 @@
   }
 }
 
+void RequestHandler::OnPartitioned() {
+  targets_.FailQueued();
+  // The results of queued attempts come first: these have certainly not run.
+  timers_.Post([this] {
+    if (!targets_.IsPartitioned()) return;
+    const std::vector<RequestPtr> waiting(running_.begin(), running_.end());
+    for (const RequestPtr& request : waiting) {
+      Perform(request, request->run->OnPathLost());
+    }
+  });
+}
+
 void RequestHandler::Conclude(const RequestPtr& request, RequestOutcome kind) {
   FinishRequest(request);
   const RequestRun& run = *request->run;
--- a/libs/tier/src/target_set.cc
+++ b/libs/tier/src/target_set.cc
@@ -364,6 +364,11 @@
     const SelectionCriteria& criteria, absl::Time now) {
   const auto found = targets_by_service_.find(criteria.service);
   if (found == targets_by_service_.end()) return std::nullopt;
+  if (IsPartitioned()) {
+    counts_.passed_over.Add(ExclusionReason::kUnresponsive,
+                            found->second.size());
+    return std::nullopt;
+  }
   std::vector<Target*> usable;
   std::vector<ReplicaState> states;
   bool may_borrow = false;
@@ -557,6 +562,10 @@
   return target == nullptr ? 0 : target->pool->Send(std::move(request));
 }
 
+void TargetSet::FailQueued() {
+  for (auto& [id, target] : targets_) target->pool->FailQueued();
+}
+
 void TargetSet::ReleaseSelection(const TargetId& id) {
   if (Target* const target = Find(id)) target->health.OnSendCancelled();
 }
--- a/libs/tier/src/tier_host.cc
+++ b/libs/tier/src/tier_host.cc
@@ -142,7 +142,8 @@
       absl::StrCat(settings_.locality.host, ":", settings_.fleet_port);
   if (Status s = fleet_server_.Listen(fleet_endpoint); GetError(s)) return s;
   adapters_.source.Start(config_items_, target_items_, *this);
-  targets_.OnPathLoss([this] { handovers_.Prepare(); }, [] {});
+  targets_.OnPathLoss([this] { handovers_.Prepare(); },
+                      [this] { request_handler_.OnPartitioned(); });
   timers_.Every(kReaderCheckPeriod, [this] {
     MeasureLateness();
     UpdateReaderRole();
