Explain requests that were handed over from the logs of both hosts

cherrydyke-ctl explain took a request's last line for its end; a handed-over one ends at the other host, and lines about lost attempts follow later, so it said 'no log line states the outcome'. It now takes the outcome of the host that ran the request, shows the state changes of both hosts, and knows the lines of partitions and offers.

--- a/tools/ctl/src/log_explanation.cc
+++ b/tools/ctl/src/log_explanation.cc
@@ -88,6 +88,7 @@
       {"not_run", "refused: too few parts had a target, nothing was sent"},
       {"targets_failed", "failed: enough answers could no longer be received"},
       {"deadline", "its deadline passed before enough answers were received"},
+      {"handed_over", "handed to another host"},
       {"caller_left", "the caller disconnected before the response"},
       {"no_configuration", "refused: this host had no configuration yet"},
       {"no_route", "refused: no configured route matches its path"},
@@ -142,6 +143,11 @@
                                                  "store answers again",
                                                  "limits divided anew",
                                                  "no news from peer",
+                                                 "targets fell silent together",
+                                                 "partitioned from all targets",
+                                                 "targets reached again",
+                                                 "peer takes over requests",
+                                                 "peer takes over no requests",
                                                  "stopping",
                                                  "started"};
   return messages.count(TextOf(line.fields, "msg")) > 0;
@@ -180,8 +186,9 @@
 }
 
 // Formats the state changes around the request: those of its unanswered targets
-// logged by any host, and those of the host that handled it.
-std::string FormatStateChanges(const LogLines& log, const LogLine& last) {
+// logged by any host, and those of the hosts that handled it.
+std::string FormatStateChanges(const LogLines& log, const LogLine& last,
+                               const std::set<std::string>& hosts) {
   std::set<std::string> targets;
   for (const UnansweredAttempt& attempt : ParseUnansweredAttempts(last)) {
     targets.insert(attempt.target);
@@ -193,8 +200,7 @@
         IsRequestLine(line))
       continue;
     const bool is_own_host_change =
-        IsHostStateChange(line) &&
-        TextOf(line.fields, "host") == TextOf(last.fields, "host");
+        IsHostStateChange(line) && hosts.count(TextOf(line.fields, "host")) > 0;
     if (is_own_host_change ||
         targets.count(TextOf(line.fields, "target")) > 0) {
       changes.push_back(&line);
@@ -212,6 +218,17 @@
                       FormatLines(changes, last.time));
 }
 
+// @return the line that states the outcome: at the last host if the request was
+// handed over, otherwise the last line.
+const LogLine& OutcomeLine(const std::vector<const LogLine*>& request_lines) {
+  const auto found = std::find_if(
+      request_lines.rbegin(), request_lines.rend(), [](const LogLine* line) {
+        const std::string outcome = TextOf(line->fields, "outcome");
+        return !outcome.empty() && outcome != "handed_over";
+      });
+  return found == request_lines.rend() ? *request_lines.back() : **found;
+}
+
 }  // namespace
 
 void LogLines::Read(std::istream& input) {
@@ -248,13 +265,17 @@
                                 log.lines().size(), " lines read, ",
                                 log.unreadable_count(), kRequestNotFoundHint)};
   }
-  const LogLine& last = *request_lines.back();
+  std::set<std::string> hosts;
+  for (const LogLine* line : request_lines) {
+    hosts.insert(TextOf(line->fields, "host"));
+  }
+  const LogLine& last = OutcomeLine(request_lines);
   return {true,
           absl::StrCat("request ", request_id, ": ",
                        DescribeResult(TextOf(last.fields, "outcome"), reason),
                        "\n", FormatLines(request_lines, last.time),
                        FormatUnansweredAttempts(log, last),
-                       FormatStateChanges(log, last))};
+                       FormatStateChanges(log, last, hosts))};
 }
 
 }  // namespace cherrydyke
--- a/tools/ctl/tests/log_explanation_test.cc
+++ b/tools/ctl/tests/log_explanation_test.cc
@@ -40,6 +40,7 @@
   CPPUNIT_TEST(CountsOtherRequestsUnansweredBySameTarget);
   CPPUNIT_TEST(ShowsTargetChangesOfAnyHostAndOwnHostChanges);
   CPPUNIT_TEST(ExplainsRefusedRequest);
+  CPPUNIT_TEST(ExplainsRequestThatWasHandedOver);
   CPPUNIT_TEST(CountsLinesReadIfRequestIsNotFound);
   CPPUNIT_TEST_SUITE_END();
 
@@ -81,6 +82,24 @@
         Contains(explanation, "no configured route matches its path"));
   }
 
+  void ExplainsRequestThatWasHandedOver() {
+    std::istringstream input(
+        R"({"time":"2026-08-03T15:13:33.500000Z","host":"a1","msg":"partitioned from all targets","probes_failed":6}
+{"time":"2026-08-03T15:13:34.000000Z","host":"a1","msg":"request handed over","request":"f4","peer":"10.1.0.12"}
+{"time":"2026-08-03T15:13:34.001000Z","host":"a2","msg":"request taken over","request":"f4","from":"10.1.0.11:4000"}
+{"time":"2026-08-03T15:13:34.050000Z","host":"a2","msg":"request done","request":"f4","outcome":"answered_in_part","unanswered":"nyba/i-04e3+0ms:0"}
+{"time":"2026-08-03T15:13:34.051000Z","host":"a1","msg":"handover done","request":"f4","handover":"answered"}
+)");
+    LogLines log;
+    log.Read(input);
+    const LogExplanation explanation = ExplainRequest(log, "f4");
+    CPPUNIT_ASSERT_MESSAGE(
+        explanation.text,
+        Contains(explanation, "request f4: answered without some parts"));
+    CPPUNIT_ASSERT(Contains(explanation, "i-04e3 of nyba, sent after 0 ms"));
+    CPPUNIT_ASSERT(Contains(explanation, "partitioned from all targets"));
+  }
+
   void CountsLinesReadIfRequestIsNotFound() {
     const LogExplanation explanation = Explain("f9");
     CPPUNIT_ASSERT(!explanation.found);
