--- a/libs/tier/include/tier/handover_client.h
+++ b/libs/tier/include/tier/handover_client.h
@@ -75,7 +75,8 @@
 
   /// @return false if there is no host to send it to.
   bool SendToPeer(const HandoverPtr& handover);
-  void OnResult(const HandoverPtr& handover, engine::ExchangeResult result);
+  void OnResult(const HandoverPtr& handover,
+                const engine::ExchangeResult& result);
   void OnRejected(const HandoverPtr& handover, const std::string& reason,
                   absl::Duration exclusion);
   void OnDeadline(const HandoverPtr& handover);
--- a/libs/tier/src/handover_client.cc
+++ b/libs/tier/src/handover_client.cc
@@ -85,8 +85,9 @@
                                       body.size()) +
            body;
   };
-  request.exchange.done = [this, handover](engine::ExchangeResult result) {
-    OnResult(handover, std::move(result));
+  request.exchange.done = [this,
+                           handover](const engine::ExchangeResult& result) {
+    OnResult(handover, result);
   };
   if (!outgoing.idempotent) request.max_idle_time = kMaxConnectionIdleTime;
   handover->exchange = peers_->Send(*peer, std::move(request));
@@ -103,7 +104,7 @@
 }
 
 void HandoverClient::OnResult(const HandoverPtr& handover,
-                              engine::ExchangeResult result) {
+                              const engine::ExchangeResult& result) {
   if (handover->ended) return;
   if (result.status == engine::ExchangeStatus::kNotSent) {
     return OnRejected(handover, "not_connected", kConnectExclusion);
--- a/libs/tier/src/handover_message.cc
+++ b/libs/tier/src/handover_message.cc
@@ -69,7 +69,7 @@
   return packed;
 }
 
-std::vector<engine::HttpHeader> Unpack(PackedHeaders packed) {
+std::vector<engine::HttpHeader> Unpack(PackedHeaders&& packed) {
   std::vector<engine::HttpHeader> headers;
   headers.reserve(packed.size());
   for (auto& [name, value] : packed) {
--- a/libs/tier/src/handover_peers.cc
+++ b/libs/tier/src/handover_peers.cc
@@ -115,7 +115,7 @@
   request.exchange.write = [host] {
     return RequestHead("GET", kHandoverOfferPath, host, 0);
   };
-  request.exchange.done = [this, host](engine::ExchangeResult result) {
+  request.exchange.done = [this, host](const engine::ExchangeResult& result) {
     OnOffer(host, result);
   };
   const engine::ExchangeId exchange = peer.pool->Send(std::move(request));
