--- /dev/null
+++ b/libs/tier/src/target_reach.cc
@@ -0,0 +1,69 @@
+// The parts of `TargetSet` that concern the network path to the targets.
+
+#include <algorithm>
+
+#include "membership/domain_sample.h"
+#include "partition_monitor.h"
+#include "target.h"
+#include "tier/target_set.h"
+
+namespace cherrydyke {
+
+bool TargetSet::IsPartitioned() const {
+  return partition_monitor_->state() == PathState::kPartitioned;
+}
+
+bool TargetSet::IsPathInDoubt() const {
+  return partition_monitor_->state() != PathState::kConnected;
+}
+
+bool TargetSet::IsInReach(const Target& target, absl::Time now) const {
+  const bool is_unconnectable =
+      target.is_unreachable() && !target.pool->IsConnected();
+  return !is_unconnectable && !target.health.IsUnresponsive(now);
+}
+
+bool TargetSet::CanReach(const ServiceName& service) const {
+  if (IsPartitioned()) return false;
+  const auto found = targets_by_service_.find(service);
+  if (found == targets_by_service_.end()) return true;
+  const absl::Time now = loop_.Now();
+  bool any_usable = false;
+  for (const Target* target : found->second) {
+    const auto exclusion = ExclusionReasonFor(*target, {}, now);
+    if (exclusion && exclusion != ExclusionReason::kNoConnection) continue;
+    if (IsInReach(*target, now)) return true;
+    any_usable = true;
+  }
+  return !any_usable;
+}
+
+void TargetSet::OnUnconnected(const Target& target) {
+  const bool any_connected = std::any_of(
+      targets_.begin(), targets_.end(),
+      [](const auto& entry) { return entry.second->pool->IsConnected(); });
+  partition_monitor_->OnUnconnected(target.id_hash, any_connected);
+}
+
+void TargetSet::OnPathRestored(absl::Time lost_at) {
+  for (auto& [id, target] : targets_) target->OnPathRestored(lost_at);
+  KeepConnectionsWarm();
+}
+
+std::vector<Endpoint> TargetSet::ChooseProbes(size_t limit) {
+  std::vector<const Target*> candidates;
+  std::vector<FailureDomainName> domains;
+  for (const auto& [id, target] : targets_) {
+    const bool is_listed = target->expires_at == absl::InfiniteFuture();
+    if (!is_listed || target->info.draining || target->leaving) continue;
+    candidates.push_back(target.get());
+    domains.push_back(target->info.failure_domain);
+  }
+  std::vector<Endpoint> endpoints;
+  for (const size_t index : SampleAcrossDomains(domains, limit, random_)) {
+    endpoints.push_back(candidates[index]->info.endpoint);
+  }
+  return endpoints;
+}
+
+}  // namespace cherrydyke
--- a/libs/tier/src/target_set.cc
+++ b/libs/tier/src/target_set.cc
@@ -5,7 +5,6 @@
 #include <utility>
 
 #include "dispatch/handover_choice.h"
-#include "membership/domain_sample.h"
 #include "partition_monitor.h"
 #include "target.h"
 #include "telemetry/log.h"
@@ -483,35 +482,6 @@
   partition_monitor_->OnSent(target.id_hash);
 }
 
-bool TargetSet::IsPartitioned() const {
-  return partition_monitor_->state() == PathState::kPartitioned;
-}
-
-bool TargetSet::IsPathInDoubt() const {
-  return partition_monitor_->state() != PathState::kConnected;
-}
-
-bool TargetSet::IsInReach(const Target& target, absl::Time now) const {
-  const bool is_unconnectable =
-      target.is_unreachable() && !target.pool->IsConnected();
-  return !is_unconnectable && !target.health.IsUnresponsive(now);
-}
-
-bool TargetSet::CanReach(const ServiceName& service) const {
-  if (IsPartitioned()) return false;
-  const auto found = targets_by_service_.find(service);
-  if (found == targets_by_service_.end()) return true;
-  const absl::Time now = loop_.Now();
-  bool any_usable = false;
-  for (const Target* target : found->second) {
-    const auto exclusion = ExclusionReasonFor(*target, {}, now);
-    if (exclusion && exclusion != ExclusionReason::kNoConnection) continue;
-    if (IsInReach(*target, now)) return true;
-    any_usable = true;
-  }
-  return !any_usable;
-}
-
 std::vector<uint32_t> TargetSet::UnreachableServices() const {
   const absl::Time now = loop_.Now();
   std::vector<uint32_t> unreachable;
@@ -523,34 +493,6 @@
   return unreachable;
 }
 
-void TargetSet::OnUnconnected(const Target& target) {
-  const bool any_connected = std::any_of(
-      targets_.begin(), targets_.end(),
-      [](const auto& entry) { return entry.second->pool->IsConnected(); });
-  partition_monitor_->OnUnconnected(target.id_hash, any_connected);
-}
-
-void TargetSet::OnPathRestored(absl::Time lost_at) {
-  for (auto& [id, target] : targets_) target->OnPathRestored(lost_at);
-  KeepConnectionsWarm();
-}
-
-std::vector<Endpoint> TargetSet::ChooseProbes(size_t limit) {
-  std::vector<const Target*> candidates;
-  std::vector<FailureDomainName> domains;
-  for (const auto& [id, target] : targets_) {
-    const bool is_listed = target->expires_at == absl::InfiniteFuture();
-    if (!is_listed || target->info.draining || target->leaving) continue;
-    candidates.push_back(target.get());
-    domains.push_back(target->info.failure_domain);
-  }
-  std::vector<Endpoint> endpoints;
-  for (const size_t index : SampleAcrossDomains(domains, limit, random_)) {
-    endpoints.push_back(candidates[index]->info.endpoint);
-  }
-  return endpoints;
-}
-
 uint32_t TargetSet::InstanceHash(const TargetId& id) const {
   const Target* const target = Find(id);
   return target == nullptr ? 0 : target->instance_hash;
