--- a/libs/tier/src/request_handler.cc
+++ b/libs/tier/src/request_handler.cc
@@ -201,8 +201,7 @@
                            RefusalReason reason, bool may_have_run) {
     Refuse(*exchange, id, reason, may_have_run);
   };
-  if (!handovers_.Start(std::move(outgoing))) return false;
-  return true;
+  return handovers_.Start(std::move(outgoing));
 }
 
 bool RequestHandler::HandOverUnserved(const Request& request) {
