Keep the event loop's timers while its last handlers are destroyed

Cause: the loop's members were destroyed timers first, context last. Handlers of connections that were still being opened hold the last references to them, and their destructors cancel a timer in a map that no longer existed. Tasks are now destroyed while the context lives, and the context while the (empty) maps do.

Test: LoopOutlivesTheObjectsInItsHandlers ended with "free(): unaligned chunk detected in tcache 2" before, in two of two runs; passes now.

--- a/libs/engine/src/event_loop.cc
+++ b/libs/engine/src/event_loop.cc
@@ -1,5 +1,6 @@
 #include "engine/event_loop.h"
 
+#include <utility>
 #include <vector>
 
 #include "boost/asio/io_context.hpp"
@@ -23,7 +24,15 @@
       context_(std::make_unique<boost::asio::io_context>(1)),
       asio_state_(std::make_unique<AsioState>(*context_)) {}
 
-EventLoop::~EventLoop() = default;
+EventLoop::~EventLoop() {
+  // Tasks and handlers may hold the last references to connections, which
+  // cancel timers and use the context when they are destroyed.
+  auto tasks = std::exchange(timers_, {});
+  deadlines_.clear();
+  tasks.clear();
+  asio_state_.reset();
+  context_.reset();
+}
 
 TimerId EventLoop::RunAt(absl::Time when, Task task) {
   const TimerId timer = ++last_timer_id_;
--- a/libs/engine/tests/connection_pool_test.cc
+++ b/libs/engine/tests/connection_pool_test.cc
@@ -41,9 +41,24 @@
   CPPUNIT_TEST(SendsNothingOnUnverifiedConnection);
   CPPUNIT_TEST(ReplacesConnectionIdleBeyondMaxIdleTime);
   CPPUNIT_TEST(HonoursKeepAliveTimeoutHeader);
+  CPPUNIT_TEST(LoopOutlivesTheObjectsInItsHandlers);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  void LoopOutlivesTheObjectsInItsHandlers() {
+    const BootClock clock;
+    auto loop = std::make_unique<EventLoop>(clock);
+    EventLoop& raw = *loop;
+    const auto cancel_when_destroyed = [&raw] {
+      const TimerId timer = raw.RunAfter(absl::Hours(1), [] {});
+      return std::shared_ptr<void>(nullptr,
+                                   [&raw, timer](void*) { raw.Cancel(timer); });
+    };
+    raw.Post([held = cancel_when_destroyed()] {});
+    raw.RunAfter(absl::Hours(1), [held = cancel_when_destroyed()] {});
+    loop.reset();
+  }
+
   void ReusesConnection() {
     StartServer(
         [](RawConnection& c, const std::string&) { c.Write(OkResponse("a")); });
