Review case 1: a late answer without an id goes to another consumer

Shows rule MIXED broken: bytes after a complete answer that look like a second one without the request's id are taken for the answer to the next request on that connection.

--- a/review/stand_ins/http.cc
+++ b/review/stand_ins/http.cc
@@ -12,6 +12,7 @@
 #include <cstdlib>
 #include <sstream>
 #include <thread>
+#include <utility>
 
 #include "record.h"
 
@@ -178,35 +179,68 @@
 
 HttpServer::HttpServer(const std::string& ip, Handler handler)
     : handler_(std::move(handler)), address_{ip, 0} {
-  listener_ = socket(AF_INET, SOCK_STREAM, 0);
+  Listen();
+}
+
+void HttpServer::Listen() {
+  const int listener = socket(AF_INET, SOCK_STREAM, 0);
+  const int on = 1;
+  setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
   sockaddr_in address = ToSocketAddress(address_);
-  if (bind(listener_, reinterpret_cast<sockaddr*>(&address), sizeof(address)) !=
+  if (bind(listener, reinterpret_cast<sockaddr*>(&address), sizeof(address)) !=
           0 ||
-      listen(listener_, kBacklog) != 0) {
+      listen(listener, kBacklog) != 0) {
     // The case can't run.
     _exit(2);
   }
   socklen_t size = sizeof(address);
-  getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
+  getsockname(listener, reinterpret_cast<sockaddr*>(&address), &size);
   address_.port = ntohs(address.sin_port);
-  std::thread([this] { Accept(); }).detach();
+  const std::lock_guard<std::mutex> lock(mutex_);
+  listener_ = listener;
+  std::thread([this, listener] { Accept(listener); }).detach();
+}
+
+void HttpServer::Stop() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  // Ends the pending calls of the threads, which then close the sockets.
+  shutdown(listener_, SHUT_RDWR);
+  for (const int connection : connections_) shutdown(connection, SHUT_RDWR);
 }
 
-void HttpServer::Accept() {
+void HttpServer::Restart() { Listen(); }
+
+void HttpServer::Accept(int listener) {
   while (true) {
-    const int connection = accept(listener_, nullptr, nullptr);
-    if (connection < 0) return;
+    const int connection = accept(listener, nullptr, nullptr);
+    if (connection < 0) break;
     const int on = 1;
     setsockopt(connection, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    const linger reset = {1, 0};
+    setsockopt(connection, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      connections_.insert(connection);
+    }
     std::thread([this, connection] { Serve(connection); }).detach();
   }
+  close(listener);
 }
 
-void HttpServer::Serve(int connection) const {
+void HttpServer::Serve(int connection) {
   std::string buffer;
+  std::string late_copy;
   while (const auto request = ReadRequest(connection, buffer)) {
-    if (!SendAll(connection, Serialize(handler_(*request)))) break;
+    if (!SendAll(connection, std::exchange(late_copy, ""))) break;
+    HttpResponse response = handler_(*request);
+    if (response.is_crash || !SendAll(connection, Serialize(response))) break;
+    if (response.is_repeated_late) {
+      response.headers.erase(response.headers.begin());
+      late_copy = Serialize(response);
+    }
   }
+  const std::lock_guard<std::mutex> lock(mutex_);
+  connections_.erase(connection);
   close(connection);
 }
 
--- a/review/stand_ins/http.h
+++ b/review/stand_ins/http.h
@@ -3,7 +3,9 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -34,6 +36,11 @@
   int status = 200;
   std::vector<std::pair<std::string, std::string>> headers;
   std::string body;
+  /// Whether a faulty server sends a copy of the response, without the first
+  /// header, when the next request arrives on the connection.
+  bool is_repeated_late = false;
+  /// Whether the server's process crashes instead of responding.
+  bool is_crash = false;
 };
 
 /// What a client saw of one request on a connection of its own.
@@ -50,8 +57,7 @@
   int64_t ended_at_ms = 0;
 };
 
-/// HTTP/1.1 server with keep-alive and one thread per connection. It runs until
-/// the process ends.
+/// HTTP/1.1 server with keep-alive and one thread per connection.
 class HttpServer {
  public:
   using Handler = std::function<HttpResponse(const HttpRequest&)>;
@@ -60,14 +66,22 @@
   HttpServer(const std::string& ip, Handler handler);
 
   const Address& address() const { return address_; }
+  /// Refuses connections and ends all that are open, as if the process had
+  /// crashed.
+  void Stop();
+  /// Listens again on the same port.
+  void Restart();
 
  private:
-  void Accept();
-  void Serve(int connection) const;
+  void Listen();
+  void Accept(int listener);
+  void Serve(int connection);
 
   Handler handler_;
   Address address_;
+  std::mutex mutex_;
   int listener_ = -1;
+  std::set<int> connections_;
 };
 
 /// How fast a client reads a response.
--- a/review/stand_ins/target.cc
+++ b/review/stand_ins/target.cc
@@ -29,6 +29,7 @@
               [this](const HttpRequest& request) { return Handle(request); }) {}
 
 void Target::SendHeartbeat() {
+  if (is_down_) return;
   store_.Put(StoreKey(),
              "{\"service\":\"" + options_.service + "\",\"address\":\"" +
                  server_.address().ToString() + "\",\"zone\":\"" +
@@ -61,6 +62,13 @@
     number = runs_.size();
   }
   record_.Write("target " + options_.id + " runs " + request_id);
+  if (CrashesOn(request.target)) {
+    ReleaseSlot();
+    Crash();
+    HttpResponse crash;
+    crash.is_crash = true;
+    return crash;
+  }
   SleepUntil(NowMs() + options_.work_ms);
   ReleaseSlot();
   const int every = fail_every_;
@@ -68,11 +76,45 @@
   const int status = fails ? failure_status_.load() : 200;
   record_.Write("target " + options_.id + " answers " + request_id + " with " +
                 std::to_string(status));
-  const size_t bytes = !fails ? options_.response_bytes : 0;
-  return {status,
-          {{"Cherrydyke-Request-Id", request_id},
-           {"Cherrydyke-Server-Stamp", options_.id + "." + request_id}},
-          std::string(bytes, 'x')};
+  HttpResponse response;
+  response.status = status;
+  response.headers = {
+      {"Cherrydyke-Request-Id", request_id},
+      {"Cherrydyke-Server-Stamp", options_.id + "." + request_id}};
+  response.body = std::string(fails ? 0 : options_.response_bytes, 'x');
+  const int repeat_every = repeat_every_;
+  if (repeat_every > 0 && number % static_cast<size_t>(repeat_every) == 0) {
+    response.is_repeated_late = true;
+    record_.Write("target " + options_.id + " will send a late copy of " +
+                  request_id);
+  }
+  return response;
+}
+
+bool Target::CrashesOn(const std::string& path) const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return !crash_path_.empty() && path == crash_path_;
+}
+
+void Target::CrashOn(const std::string& path, int64_t back_after_ms) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  crash_path_ = path;
+  back_after_ms_ = back_after_ms;
+}
+
+void Target::Crash() {
+  if (is_down_.exchange(true)) return;
+  record_.Write("target " + options_.id + " crashes");
+  server_.Stop();
+  std::thread([this] {
+    SleepUntil(NowMs() + back_after_ms_);
+    born_ms_ = UnixMs();
+    sequence_ = 0;
+    server_.Restart();
+    is_down_ = false;
+    SendHeartbeat();
+    record_.Write("target " + options_.id + " is back");
+  }).detach();
 }
 
 void Target::AcquireSlot() {
--- a/review/stand_ins/target.h
+++ b/review/stand_ins/target.h
@@ -49,23 +49,36 @@
     failure_status_ = status;
     fail_every_ = every;
   }
+  /// Sends a second, late copy of part of the responses from now on, without
+  /// the request's id.
+  /// @param every the numbers of these requests are multiples of this.
+  void RepeatResponses(int every) { repeat_every_ = every; }
+  /// From now on, requests for a path crash the process when they begin to run;
+  /// it is back under the same id after the given time.
+  void CrashOn(const std::string& path, int64_t back_after_ms);
   /// @return all runs so far.
   std::vector<Run> Runs() const;
 
  private:
   HttpResponse Handle(const HttpRequest& request);
   HttpResponse RunRequest(const HttpRequest& request);
+  bool CrashesOn(const std::string& path) const;
+  void Crash();
   void AcquireSlot();
   void ReleaseSlot();
 
   const Options options_;
   Store& store_;
   Record& record_;
-  const int64_t born_ms_;
+  std::atomic<int64_t> born_ms_;
+  std::atomic<bool> is_down_{false};
   std::atomic<int> failure_status_{500};
   std::atomic<int> fail_every_{0};
-  int sequence_ = 0;
+  std::atomic<int> repeat_every_{0};
+  std::atomic<int> sequence_{0};
   mutable std::mutex mutex_;
+  std::string crash_path_;
+  int64_t back_after_ms_ = 0;
   std::condition_variable slot_freed_;
   int running_ = 0;
   std::vector<Run> runs_;
