Review case 5: stopping hosts take requests until they exit

Shows rule LOST broken; the former case 2, now with the two SIGTERMs a second apart, as roll_term gives them.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+exec bash "$(dirname "$0")/../run-case.sh" 5
