Do not relay a target's 408, 429 or 503 for a request that ran once

Callers of requests that must not run twice got a target's own 503 for requests that it had run. The platform's protocol makes that status a promise that the request has not run, so a caller may have it done again.

Cause: attempts ended as 'failed' whatever the status, and the one path that relays failures passes all of them on. Ruled out: second sends and the tier's own refusals.

A failure with such a status and without the mark 'not executed' is now kMisleadingFailure; RequestRun relays it only if the request may run again, else the caller gets a 502 without the stamp. A host that handed a request over checks the response of its peer too, as one of the last landing relays it.

--- a/libs/dispatch/include/dispatch/request_run.h
+++ b/libs/dispatch/include/dispatch/request_run.h
@@ -45,6 +45,8 @@
   kWrongTarget,
   /// The target ran it and answered with an error.
   kFailure,
+  /// As `kFailure`, with a status that tells callers that it did not run.
+  kMisleadingFailure,
   /// There is no answer; it may have run.
   kUnknown,
 };
@@ -89,7 +91,9 @@
 /// parts. A request that can no longer get these fails immediately.
 ///
 /// A request that is not idempotent has at most one attempt that may have run:
-/// it is retried only if the previous attempt certainly did not run.
+/// it is retried only if the previous attempt certainly did not run. Its
+/// caller relies on statuses that deny a run, so a misleading failure of its
+/// target is not relayed.
 ///
 /// Pure: the time is an argument of each event.
 class RequestRun {
--- a/libs/dispatch/src/request_run.cc
+++ b/libs/dispatch/src/request_run.cc
@@ -149,6 +149,10 @@
       --maybe_run_;
       Retry(index, now, actions);
       break;
+    case AttemptResult::kMisleadingFailure:
+      if (plan_.idempotent) part.failure = attempt_index;
+      Retry(index, now, actions);
+      break;
     case AttemptResult::kFailure:
       part.failure = attempt_index;
       Retry(index, now, actions);
--- a/libs/dispatch/tests/request_run_test.cc
+++ b/libs/dispatch/tests/request_run_test.cc
@@ -81,6 +81,7 @@
   CPPUNIT_TEST(NonIdempotentRequestIsNotHedged);
   CPPUNIT_TEST(OnlyRequestsThatDidNotRunAreReportedAsNotRun);
   CPPUNIT_TEST(RelaysTheFailureOfASingleTarget);
+  CPPUNIT_TEST(MisleadingFailureIsRelayedOnlyIfTheRequestMayRunAgain);
   CPPUNIT_TEST(RequiredRetryIsMarkedAsRequired);
   CPPUNIT_TEST(OnlyARequiredRetryIsALastChance);
   CPPUNIT_TEST(HandedOverRequestGetsItsRemainingAttempts);
@@ -235,6 +236,20 @@
     CPPUNIT_ASSERT_EQUAL(size_t{0}, run.relayed());
   }
 
+  // Guards against callers repeating a request that has run (REFUSED).
+  void MisleadingFailureIsRelayedOnlyIfTheRequestMayRunAgain() {
+    for (const bool idempotent : {false, true}) {
+      target_selector_.replicas_ = 1;
+      RequestRun run(Single(idempotent), target_selector_);
+      run.Start(kStart);
+      const RunActions last =
+          run.OnEnded(0, AttemptResult::kMisleadingFailure, kStart);
+      CPPUNIT_ASSERT(last.send.empty());
+      CPPUNIT_ASSERT(last.outcome == (idempotent ? RequestOutcome::kRelayFailure
+                                                 : RequestOutcome::kFailed));
+    }
+  }
+
   void OnlyARequiredRetryIsALastChance() {
     // One of three parts is unavailable, so both others are required.
     target_selector_.unavailable_services_ = {"s2"};
--- a/libs/tier/include/tier/protocol_adapter.h
+++ b/libs/tier/include/tier/protocol_adapter.h
@@ -110,8 +110,11 @@
       const std::string& request_id, RefusalReason reason, bool ran,
       absl::Duration retry_after) const = 0;
 
-  /// @return whether the response promises that the request did not run.
-  virtual bool PromisesNotRun(const engine::HttpResponse& response) const = 0;
+  /// @return whether the status tells callers that the request did not run.
+  virtual bool DeniesRun(const engine::HttpResponse& response) const = 0;
+
+  /// @return whether a target signed the response, having run the request.
+  virtual bool IsFromTarget(const engine::HttpResponse& response) const = 0;
 
   /// @return name of the header in which targets echo the request id.
   virtual std::string request_id_header() const = 0;
--- a/libs/tier/src/handover_client.cc
+++ b/libs/tier/src/handover_client.cc
@@ -125,7 +125,14 @@
   if (!reply->accepted) {
     return OnRejected(handover, reply->rejection, kRejectionExclusion);
   }
-  const bool refused = protocol_.PromisesNotRun(reply->response);
+  const bool denies_run = protocol_.DeniesRun(reply->response);
+  const bool from_target = protocol_.IsFromTarget(reply->response);
+  if (denies_run && from_target && !handover->outgoing.idempotent) {
+    // Hosts of earlier versions relay such failures of targets.
+    Finish(handover, "misleading");
+    return handover->outgoing.on_failed(RefusalReason::kTargetsFailed, true);
+  }
+  const bool refused = denies_run && !from_target;
   if (refused) peers_->Exclude(handover->peer, kRejectionExclusion);
   Finish(handover, refused ? "refused" : "answered");
   handover->outgoing.exchange->Respond(std::move(reply->response));
--- a/libs/tier/src/request_handler.cc
+++ b/libs/tier/src/request_handler.cc
@@ -34,6 +34,7 @@
     case AttemptResult::kWrongTarget:
       return TargetOutcome::kRejected;
     case AttemptResult::kFailure:
+    case AttemptResult::kMisleadingFailure:
       return TargetOutcome::kFailed;
     case AttemptResult::kUnknown:
       return TargetOutcome::kLost;
