--- a/libs/tier/include/tier/published_items.h
+++ b/libs/tier/include/tier/published_items.h
@@ -34,24 +34,27 @@
 /// kept as tombstones.
 class PublishedItems {
  public:
-  /// Merges changes of single keys.
+  /// Merges the changes after a revision up to which none is missing here, in
+  /// full up to the newest one given.
   /// @return whether any item changed.
   bool Merge(const std::vector<PublishedItem>& items);
 
   /// Merges a complete listing. Keys that it lacks and that were last changed
   /// at or before revision `as_of` are removed.
+  /// @param as_of the revision that the whole listing reflects at least; some
+  /// items may be newer, while other changes of the same time are missing.
   /// @return whether any item changed.
   bool MergeSnapshot(const std::vector<PublishedItem>& items, Revision as_of);
 
   /// @return the item, or null if it is absent or removed.
   const PublishedItem* Find(const std::string& key) const;
 
-  /// @return the items that changed after `revision`, tombstones included.
+  /// @return the items that changed after `revision`, tombstones included, up
+  /// to the complete revision.
   std::vector<PublishedItem> ChangesAfter(Revision revision) const;
 
-  /// @return the newest revision of any item. No change up to it is missing, as
-  /// changes arrive in order of revision.
-  Revision newest_revision() const { return newest_revision_; }
+  /// @return the newest revision of an item up to which no change is missing.
+  Revision complete_revision() const { return complete_revision_; }
 
   const std::map<std::string, PublishedItem>& items() const { return items_; }
 
@@ -59,7 +62,7 @@
   bool MergeOne(const PublishedItem& item);
 
   std::map<std::string, PublishedItem> items_;
-  Revision newest_revision_ = 0;
+  Revision complete_revision_ = 0;
 };
 
 }  // namespace cherrydyke
--- a/libs/tier/src/fleet_gossip.cc
+++ b/libs/tier/src/fleet_gossip.cc
@@ -146,8 +146,8 @@
   message.membership_update = {
       options_.self, hosts_.known_hosts(),
       hosts_.Role(callbacks_.is_reading(), loop_.Now()), std::move(ages)};
-  message.config_revision = config_.newest_revision();
-  message.targets_revision = targets_.newest_revision();
+  message.config_revision = config_.complete_revision();
+  message.targets_revision = targets_.complete_revision();
   message.crashes = crashes_.TakeReportsToGossip(kMaxCrashReports, loop_.Now());
   message.reports = std::move(health_reports);
   const std::string datagram = EncodeGossipMessage(message);
@@ -194,7 +194,7 @@
   // domain has a reader gets them from that one; others fetch at once from any
   // peer.
   const bool is_empty =
-      config_.newest_revision() == 0 || targets_.newest_revision() == 0;
+      config_.complete_revision() == 0 || targets_.complete_revision() == 0;
   const bool is_other_domain =
       sender.failure_domain != options_.self.failure_domain;
   const bool waits =
@@ -204,8 +204,8 @@
 }
 
 bool FleetGossip::IsBehind(const GossipMessage& message) const {
-  return message.config_revision > config_.newest_revision() ||
-         message.targets_revision > targets_.newest_revision();
+  return message.config_revision > config_.complete_revision() ||
+         message.targets_revision > targets_.complete_revision();
 }
 
 void FleetGossip::FetchFrom(const HostId& peer) {
@@ -217,8 +217,8 @@
                                                        kConnectTimeout);
   }
   const std::string path =
-      absl::StrCat(kTransferPath, config_.newest_revision(), "/",
-                   targets_.newest_revision());
+      absl::StrCat(kTransferPath, config_.complete_revision(), "/",
+                   targets_.complete_revision());
   client->Get(path, kTransferTimeout,
               [this, peer](Result<engine::HttpResponse> result) {
                 fetching_ = false;
@@ -242,8 +242,8 @@
                         {{"peer", peer},
                          {"config_items", transfer.config.size()},
                          {"target_items", transfer.targets.size()},
-                         {"config_revision", config_.newest_revision()},
-                         {"targets_revision", targets_.newest_revision()}});
+                         {"config_revision", config_.complete_revision()},
+                         {"targets_revision", targets_.complete_revision()}});
                 callbacks_.on_published_changed(config, targets);
                 // Downstream hosts fetch the changes from this host.
                 NotifyDownstream();
--- a/libs/tier/src/published_items.cc
+++ b/libs/tier/src/published_items.cc
@@ -11,28 +11,33 @@
     if (item.revision <= known->second.revision) return false;
     known->second = item;
   }
-  newest_revision_ = std::max(newest_revision_, item.revision);
   return true;
 }
 
 bool PublishedItems::Merge(const std::vector<PublishedItem>& items) {
   bool changed = false;
-  for (const PublishedItem& item : items) changed |= MergeOne(item);
+  for (const PublishedItem& item : items) {
+    changed |= MergeOne(item);
+    complete_revision_ = std::max(complete_revision_, item.revision);
+  }
   return changed;
 }
 
 bool PublishedItems::MergeSnapshot(const std::vector<PublishedItem>& items,
                                    Revision as_of) {
-  bool changed = Merge(items);
+  bool changed = false;
   std::set<std::string> present;
-  for (const PublishedItem& item : items) present.insert(item.key);
+  for (const PublishedItem& item : items) {
+    changed |= MergeOne(item);
+    present.insert(item.key);
+  }
   for (auto& [key, item] : items_) {
-    if (item.removed || item.revision > as_of || present.count(key) > 0) {
-      continue;
+    if (item.revision > as_of) continue;
+    if (!item.removed && present.count(key) == 0) {
+      item = {key, "", as_of, true};
+      changed = true;
     }
-    item = {key, "", as_of, true};
-    newest_revision_ = std::max(newest_revision_, as_of);
-    changed = true;
+    complete_revision_ = std::max(complete_revision_, item.revision);
   }
   return changed;
 }
@@ -47,7 +52,9 @@
     Revision revision) const {
   std::vector<PublishedItem> changes;
   for (const auto& [key, item] : items_) {
-    if (item.revision > revision) changes.push_back(item);
+    if (item.revision > revision && item.revision <= complete_revision_) {
+      changes.push_back(item);
+    }
   }
   return changes;
 }
--- a/libs/tier/src/tier_host.cc
+++ b/libs/tier/src/tier_host.cc
@@ -228,14 +228,14 @@
   if (const Error* error = GetError(decoded)) {
     LogError("configuration refused",
              {{"error", error->message},
-              {"revision", config_items_.newest_revision()}});
+              {"revision", config_items_.complete_revision()}});
     return;
   }
   OperatorConfig& config = GetValue(decoded);
   if (config.routes == nullptr) return;
   LogInfo("configuration in force",
           {{"version", config.routes->version()},
-           {"revision", config_items_.newest_revision()},
+           {"revision", config_items_.complete_revision()},
            {"routes", config.routes->routes().size()},
            {"services", config.routes->services().size()},
            {"evacuated", config.evacuated.size()}});
@@ -252,7 +252,7 @@
       adapters_.decoder.DecodeTargets(target_items_),
       may_have_expired ? kExpiredEntryGrace : absl::ZeroDuration());
   LogInfo("targets changed", {{"targets", targets_.size()},
-                              {"revision", target_items_.newest_revision()}});
+                              {"revision", target_items_.complete_revision()}});
 }
 
 void TierHost::MeasureLateness() {
@@ -262,8 +262,8 @@
 }
 
 void TierHost::UpdateReaderRole() {
-  const bool is_empty = config_items_.newest_revision() == 0 ||
-                        target_items_.newest_revision() == 0;
+  const bool is_empty = config_items_.complete_revision() == 0 ||
+                        target_items_.complete_revision() == 0;
   const bool was_reading = adapters_.source.IsReading();
   adapters_.source.SetReading(hosts_.ShouldRead(is_empty, loop_.Now()));
   // Keeps the hosts that are next in line from starting to read as well.
--- a/libs/tier/tests/fleet_model.cc
+++ b/libs/tier/tests/fleet_model.cc
@@ -182,7 +182,7 @@
     message.to = id;
     message.from_domain = host.domain;
     message.news = news;
-    message.revision = host.items.newest_revision();
+    message.revision = host.items.complete_revision();
     SendMessage(std::move(message));
   }
 }
@@ -217,7 +217,7 @@
   if (host->table->OnMembershipUpdate(message.news, now_)) {
     SendGossip(*host, {message.news.from.host}, true);
   }
-  if (message.revision <= host->items.newest_revision()) return;
+  if (message.revision <= host->items.complete_revision()) return;
   Host* const peer = Find(message.news.from.host);
   if (peer == nullptr || !IsActive(*peer) ||
       IsBlocked(host->domain, peer->domain)) {
@@ -227,13 +227,14 @@
   reply.to = host->self.host;
   reply.from_domain = peer->domain;
   reply.carries_items = true;
-  reply.items = peer->items.ChangesAfter(host->items.newest_revision());
+  reply.items = peer->items.ChangesAfter(host->items.complete_revision());
   SendMessage(std::move(reply));
 }
 
 void FleetModel::Read(Host& host) {
   host.next_read_at = now_ + kReadPeriod;
-  if (!host.table->ShouldRead(host.items.newest_revision() == 0, now_)) return;
+  if (!host.table->ShouldRead(host.items.complete_revision() == 0, now_))
+    return;
   host.is_store_answering = !IsBlocked(host.domain, kStoreDomain) &&
                             !IsBlocked(kStoreDomain, host.domain);
   ++store_calls_;
@@ -243,32 +244,32 @@
   reply.to = host.self.host;
   reply.from_domain = kStoreDomain;
   reply.carries_items = true;
-  reply.items = store_.ChangesAfter(host.items.newest_revision());
+  reply.items = store_.ChangesAfter(host.items.complete_revision());
   SendMessage(std::move(reply));
 }
 
 void FleetModel::PublishChange() {
-  const Revision revision = store_.newest_revision() + 1;
+  const Revision revision = store_.complete_revision() + 1;
   const std::string key = absl::StrCat("key", random_() % kKeyCount);
   store_.Merge({{key, absl::StrCat(revision), revision, WithProbability(0.1)}});
 }
 
 void FleetModel::Merge(Host& host, const std::vector<PublishedItem>& items) {
   const std::map<std::string, PublishedItem> before = host.items.items();
-  const Revision prior = host.items.newest_revision();
+  const Revision prior = host.items.complete_revision();
   if (host.items.Merge(items)) NotifyDownstream(host);
-  if (host.items.newest_revision() < prior) Fail("newest revision decreased");
+  if (host.items.complete_revision() < prior) Fail("newest revision decreased");
   for (const auto& [key, item] : before) {
     if (host.items.items().at(key).revision < item.revision) {
       Fail(absl::StrCat(key, " reverted to an older revision"));
     }
   }
   for (const auto& [key, published] : store_.items()) {
-    if (published.revision > host.items.newest_revision()) continue;
+    if (published.revision > host.items.complete_revision()) continue;
     const auto found = host.items.items().find(key);
     if (found == host.items.items().end() || !(found->second == published)) {
       Fail(absl::StrCat(host.self.host, " has newest revision ",
-                        host.items.newest_revision(), " but lacks ", key,
+                        host.items.complete_revision(), " but lacks ", key,
                         " of revision ", published.revision));
     }
   }
