Tell peers of removals that left no tombstone

A host that had been behind could keep a removed target for good, and a stale listing could bring one back. Neither was seen at the users; a property test for the fault before found both.

Cause: a host that lists the keys after a removal has no tombstone for it, so its changes after an earlier revision lack the removal; the host that asked counted it as known all the same. And a key without tombstone looked new when a stale page listed it.

PublishedItems now keeps the revision up to which nothing is missing, and answers a host that asks from before its first listing with all items. Absent keys are taken only from changes after that revision.

--- a/libs/tier/include/tier/published_items.h
+++ b/libs/tier/include/tier/published_items.h
@@ -28,16 +28,30 @@
   }
 };
 
+/// Changes of published keys that one host tells another.
+struct PublishedChanges {
+  std::vector<PublishedItem> items;
+  /// Revision up to which no change is missing in them.
+  Revision as_of = 0;
+  /// Whether the items are all keys, so that a key that they lack is removed.
+  bool is_snapshot = false;
+
+  friend bool operator==(const PublishedChanges& a, const PublishedChanges& b) {
+    return std::tie(a.items, a.as_of, a.is_snapshot) ==
+           std::tie(b.items, b.as_of, b.is_snapshot);
+  }
+};
+
 /// A replica of the keys that the configuration service has published under one
 /// prefix, updated from the service itself or from peers. A key never reverts
 /// to an older revision, in whatever order updates arrive; removed keys are
-/// kept as tombstones.
+/// kept as tombstones, but for those that were removed before they were listed.
 class PublishedItems {
  public:
-  /// Merges the changes after a revision up to which none is missing here, in
-  /// full up to the newest one given.
+  /// Merges the changes after a revision up to which none is missing here.
+  /// @param as_of revision up to which none is missing among them.
   /// @return whether any item changed.
-  bool Merge(const std::vector<PublishedItem>& items);
+  bool Merge(const std::vector<PublishedItem>& items, Revision as_of);
 
   /// Merges a complete listing. Keys that it lacks and that were last changed
   /// at or before revision `as_of` are removed.
@@ -46,23 +60,35 @@
   /// @return whether any item changed.
   bool MergeSnapshot(const std::vector<PublishedItem>& items, Revision as_of);
 
+  /// Merges what another host's `ChangesAfter` has returned.
+  /// @return whether any item changed.
+  bool Merge(const PublishedChanges& changes);
+
   /// @return the item, or null if it is absent or removed.
   const PublishedItem* Find(const std::string& key) const;
 
-  /// @return the items that changed after `revision`, tombstones included, up
-  /// to the complete revision.
-  std::vector<PublishedItem> ChangesAfter(Revision revision) const;
+  /// @return the changes after `revision`, tombstones included, up to
+  /// `known_until`; all items if keys may have been removed after `revision`
+  /// that were never known here.
+  PublishedChanges ChangesAfter(Revision revision) const;
 
   /// @return the newest revision of an item up to which no change is missing.
   Revision complete_revision() const { return complete_revision_; }
+  /// @return the revision of the service up to which no change is missing.
+  Revision known_until() const { return known_until_; }
 
   const std::map<std::string, PublishedItem>& items() const { return items_; }
 
  private:
-  bool MergeOne(const PublishedItem& item);
+  /// @param known revision up to which no change was missing before.
+  bool MergeOne(const PublishedItem& item, Revision known);
+  void RaiseCompleteRevision(Revision revision);
 
   std::map<std::string, PublishedItem> items_;
   Revision complete_revision_ = 0;
+  Revision known_until_ = 0;
+  /// Keys removed up to this revision may have left no tombstone here.
+  Revision first_listed_ = 0;
 };
 
 }  // namespace cherrydyke
--- a/libs/tier/src/fleet_gossip.cc
+++ b/libs/tier/src/fleet_gossip.cc
@@ -6,8 +6,8 @@
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
-#include "archive.h"
 #include "telemetry/log.h"
+#include "tier/transfer_message.h"
 
 namespace cherrydyke {
 namespace {
@@ -40,19 +40,6 @@
 constexpr absl::Duration kTransferTimeout = absl::Seconds(1);
 constexpr absl::Duration kConnectTimeout = absl::Milliseconds(500);
 
-struct Transfer {
-  std::vector<PublishedItem> config;
-  std::vector<PublishedItem> targets;
-  /// Time since the configuration service last recovered from an outage, as far
-  /// as the sender knows.
-  int64_t source_recovery_age_ms = 0;
-
-  template <typename Archive>
-  void serialize(Archive& archive) {
-    archive(config, targets, source_recovery_age_ms);
-  }
-};
-
 }  // namespace
 
 FleetGossip::FleetGossip(engine::EventLoop& loop, Options options,
@@ -216,32 +203,38 @@
     client = std::make_unique<engine::AsyncHttpClient>(loop_, EndpointOf(peer),
                                                        kConnectTimeout);
   }
+  const Revision config_from = config_.known_until();
+  const Revision targets_from = targets_.known_until();
   const std::string path =
-      absl::StrCat(kTransferPath, config_.complete_revision(), "/",
-                   targets_.complete_revision());
+      absl::StrCat(kTransferPath, config_from, "/", targets_from);
   client->Get(path, kTransferTimeout,
-              [this, peer](Result<engine::HttpResponse> result) {
+              [this, peer, config_from,
+               targets_from](Result<engine::HttpResponse> result) {
                 fetching_ = false;
                 behind_since_ = absl::InfiniteFuture();
                 const Error* error = GetError(result);
-                Result<Transfer> decoded =
+                Result<TransferMessage> decoded =
                     error != nullptr
-                        ? Result<Transfer>(*error)
-                        : DecodeArchive<Transfer>(GetValue(result).body);
+                        ? Result<TransferMessage>(*error)
+                        : DecodeTransferMessage(GetValue(result).body);
                 if (error = GetError(decoded); error != nullptr) {
                   LogWarning("no news from peer",
                              {{"peer", peer}, {"error", error->message}});
                   return;
                 }
-                const Transfer& transfer = GetValue(decoded);
-                callbacks_.on_source_recovered(
-                    absl::Milliseconds(transfer.source_recovery_age_ms));
+                TransferMessage& transfer = GetValue(decoded);
+                // All changes are all keys, whatever the peer's version.
+                if (config_from == 0) transfer.config.is_snapshot = true;
+                if (targets_from == 0) transfer.targets.is_snapshot = true;
+                callbacks_.on_source_recovered(transfer.source_recovery_age);
                 const bool config = config_.Merge(transfer.config);
                 const bool targets = targets_.Merge(transfer.targets);
                 LogInfo("published items fetched from peer",
                         {{"peer", peer},
-                         {"config_items", transfer.config.size()},
-                         {"target_items", transfer.targets.size()},
+                         {"config_items", transfer.config.items.size()},
+                         {"target_items", transfer.targets.items.size()},
+                         {"snapshot", transfer.config.is_snapshot ||
+                                          transfer.targets.is_snapshot},
                          {"config_revision", config_.complete_revision()},
                          {"targets_revision", targets_.complete_revision()}});
                 callbacks_.on_published_changed(config, targets);
@@ -260,9 +253,9 @@
   if (path.size() == 4 && absl::SimpleAtoi(path[2], &config) &&
       absl::SimpleAtoi(path[3], &targets)) {
     response.status = 200;
-    response.body = EncodeArchive(
-        Transfer{config_.ChangesAfter(config), targets_.ChangesAfter(targets),
-                 absl::ToInt64Milliseconds(callbacks_.source_recovery_age())});
+    response.body = EncodeTransferMessage({config_.ChangesAfter(config),
+                                           targets_.ChangesAfter(targets),
+                                           callbacks_.source_recovery_age()});
   }
   exchange.Respond(std::move(response));
 }
--- a/libs/tier/tests/fleet_model.cc
+++ b/libs/tier/tests/fleet_model.cc
@@ -213,7 +213,7 @@
     return;
   }
   ++steps_;
-  if (message.carries_items) return Merge(*host, message.items);
+  if (message.carries_items) return Merge(*host, message.changes);
   if (host->table->OnMembershipUpdate(message.news, now_)) {
     SendGossip(*host, {message.news.from.host}, true);
   }
@@ -227,7 +227,7 @@
   reply.to = host->self.host;
   reply.from_domain = peer->domain;
   reply.carries_items = true;
-  reply.items = peer->items.ChangesAfter(host->items.complete_revision());
+  reply.changes = peer->items.ChangesAfter(host->items.known_until());
   SendMessage(std::move(reply));
 }
 
@@ -244,20 +244,21 @@
   reply.to = host.self.host;
   reply.from_domain = kStoreDomain;
   reply.carries_items = true;
-  reply.items = store_.ChangesAfter(host.items.complete_revision());
+  reply.changes = store_.ChangesAfter(host.items.known_until());
   SendMessage(std::move(reply));
 }
 
 void FleetModel::PublishChange() {
   const Revision revision = store_.complete_revision() + 1;
   const std::string key = absl::StrCat("key", random_() % kKeyCount);
-  store_.Merge({{key, absl::StrCat(revision), revision, WithProbability(0.1)}});
+  store_.Merge({{key, absl::StrCat(revision), revision, WithProbability(0.1)}},
+               revision);
 }
 
-void FleetModel::Merge(Host& host, const std::vector<PublishedItem>& items) {
+void FleetModel::Merge(Host& host, const PublishedChanges& changes) {
   const std::map<std::string, PublishedItem> before = host.items.items();
   const Revision prior = host.items.complete_revision();
-  if (host.items.Merge(items)) NotifyDownstream(host);
+  if (host.items.Merge(changes)) NotifyDownstream(host);
   if (host.items.complete_revision() < prior) Fail("newest revision decreased");
   for (const auto& [key, item] : before) {
     if (host.items.items().at(key).revision < item.revision) {
--- a/libs/tier/tests/fleet_model.h
+++ b/libs/tier/tests/fleet_model.h
@@ -79,7 +79,7 @@
     Revision revision = 0;
     /// Whether it carries published items instead of a membership update.
     bool carries_items = false;
-    std::vector<PublishedItem> items;
+    PublishedChanges changes;
 
     friend bool operator>(const Message& a, const Message& b) {
       return std::tie(a.at, a.sequence) > std::tie(b.at, b.sequence);
@@ -105,7 +105,7 @@
   void SendGossip(Host& host, const std::vector<HostId>& to,
                   bool includes_hosts);
   void Deliver(Message message);
-  void Merge(Host& host, const std::vector<PublishedItem>& items);
+  void Merge(Host& host, const PublishedChanges& changes);
   void PublishChange();
   void InjectFault();
   void Kill(Host& host);
