End every request of a host that shuts down with an answer

Callers whose failure domain had fewer than half of its hosts in rotation got connections closed without an answer: the platform then sends new connections to stopping hosts too, which took requests until they exited and cut those under way.

Cause: the shutdown only asked whether something was running, and exited at the end of the grace period in any case; a response being written did not count as running. Ruled out: the announcement (two checks fit in it), the targets (all answered), a crash (the log said 'stopped').

ShutdownSchedule decides what is still taken, when what hangs is answered, and when the process exits. Requests that cannot end in time are refused as not run; those that hang at the end are answered and logged one by one; the process exits when all responses are written.

--- a/libs/dispatch/include/dispatch/request_run.h
+++ b/libs/dispatch/include/dispatch/request_run.h
@@ -110,6 +110,8 @@
   /// Ends the run without an answer, for example if the caller disconnected.
   RunActions Abort();
 
+  /// @return whether the request could be answered with the parts it has.
+  bool CanAnswer() const { return succeeded_parts_ >= plan_.min_parts; }
   /// @return the latest time at which `OnTimer` must be called.
   absl::Time NextTimer() const;
   bool done() const { return done_; }
--- /dev/null
+++ b/libs/dispatch/src/shutdown_schedule.cc
@@ -0,0 +1,36 @@
+#include "dispatch/shutdown_schedule.h"
+
+#include <algorithm>
+
+namespace cherrydyke {
+namespace {
+
+/// Time in which the load balancer has checked the host's readiness twice and
+/// callers have learned of the shutdown.
+constexpr absl::Duration kAnnounceTime = absl::Milliseconds(2600);
+/// Time before the end of the grace period that is left for writing the last
+/// responses, and for exiting.
+constexpr absl::Duration kWriteReserve = absl::Milliseconds(400);
+constexpr absl::Duration kExitReserve = absl::Milliseconds(100);
+/// A request that may be repeated is taken if this many times its latency
+/// objective is left, though its deadline is later.
+constexpr int kMinObjectivesLeft = 2;
+
+}  // namespace
+
+ShutdownSchedule::ShutdownSchedule(absl::Time start, absl::Duration grace)
+    : announced_at_(start + kAnnounceTime),
+      requests_end_(start + std::max(grace - kWriteReserve, grace / 2)),
+      exit_(start + std::max(grace - kExitReserve, grace / 2)) {}
+
+std::optional<absl::Time> ShutdownSchedule::Admit(const LateRequest& request,
+                                                  absl::Time now) const {
+  if (IsAnnouncing(now) || request.deadline <= requests_end_) {
+    return request.deadline;
+  }
+  const absl::Duration needed = kMinObjectivesLeft * request.latency_objective;
+  if (!request.idempotent || now + needed > requests_end_) return std::nullopt;
+  return requests_end_;
+}
+
+}  // namespace cherrydyke
--- a/libs/engine/include/engine/http_server.h
+++ b/libs/engine/include/engine/http_server.h
@@ -87,12 +87,19 @@
   /// Makes the server close each connection after its next response.
   void CloseAfterResponses();
 
-  /// Closes connections on which no request is being read or handled.
+  /// Closes connections on which no request is being read or handled. One whose
+  /// next request has arrived but was not read yet stays open.
   void CloseIdle();
 
+  /// Stops listening: new connections are refused.
+  void StopAccepting();
+
   /// @return requests that were read and have no response yet.
   size_t requests_in_flight() const;
   size_t connection_count() const;
+  /// @return connections on which a request is being read or handled, or whose
+  /// response is being written or read by the caller.
+  size_t busy_connections() const;
 
   /// State shared between the server and its connections.
   struct State;
--- a/libs/engine/src/http_server.cc
+++ b/libs/engine/src/http_server.cc
@@ -1,5 +1,6 @@
 #include "engine/http_server.h"
 
+#include <algorithm>
 #include <memory>
 #include <utility>
 
@@ -66,20 +67,22 @@
 }
 
 void HttpServer::Accept() {
-  state_->acceptor.async_accept(
-      [this, state = state_](const boost::system::error_code& error,
-                             asio::ip::tcp::socket socket) {
-        if (error == asio::error::operation_aborted) return;
-        if (error) {
-          timers_.RunAfter(kAcceptRetryDelay, [this] { Accept(); });
-          return;
-        }
-        auto connection =
-            std::make_shared<ServerConnection>(state, std::move(socket));
-        state->connections.push_back(connection);
-        connection->Start();
-        Accept();
-      });
+  state_->acceptor.async_accept([this, state = state_](
+                                    const boost::system::error_code& error,
+                                    asio::ip::tcp::socket socket) {
+    if (error == asio::error::operation_aborted || !state->acceptor.is_open()) {
+      return;
+    }
+    if (error) {
+      timers_.RunAfter(kAcceptRetryDelay, [this] { Accept(); });
+      return;
+    }
+    auto connection =
+        std::make_shared<ServerConnection>(state, std::move(socket));
+    state->connections.push_back(connection);
+    connection->Start();
+    Accept();
+  });
 }
 
 void HttpServer::Sweep() {
@@ -103,6 +106,20 @@
   }
 }
 
+void HttpServer::StopAccepting() {
+  boost::system::error_code ignored;
+  state_->acceptor.close(ignored);
+}
+
+size_t HttpServer::busy_connections() const {
+  const auto& all = state_->connections;
+  return static_cast<size_t>(
+      std::count_if(all.begin(), all.end(), [](const auto& entry) {
+        const auto connection = entry.lock();
+        return connection != nullptr && connection->IsBusy();
+      }));
+}
+
 size_t HttpServer::requests_in_flight() const {
   return state_->requests_in_flight;
 }
--- a/libs/engine/src/server_connection.cc
+++ b/libs/engine/src/server_connection.cc
@@ -254,7 +254,11 @@
 }
 
 void ServerConnection::CloseIfIdle() {
-  if (phase_ == Phase::kIdle) Close();
+  if (phase_ != Phase::kIdle) return;
+  error_code error;
+  // Closing with unread bytes would reset the connection.
+  if (socket_.available(error) > 0 && !error) return;
+  Close();
 }
 
 void ServerConnection::Close() {
--- a/libs/engine/src/server_connection.h
+++ b/libs/engine/src/server_connection.h
@@ -41,6 +41,11 @@
   /// has passed.
   void CheckTimeout(absl::Time now);
   void CloseIfIdle();
+  /// @return whether a request is being read or handled, or its response is on
+  /// its way.
+  bool IsBusy() const {
+    return phase_ != Phase::kIdle && phase_ != Phase::kClosed;
+  }
   void Close();
 
   const HttpRequest& request() const override { return request_; }
--- a/libs/engine/tests/http_server_test.cc
+++ b/libs/engine/tests/http_server_test.cc
@@ -1,6 +1,9 @@
 #include "engine/http_server.h"
 
+#include <arpa/inet.h>
 #include <cppunit/extensions/HelperMacros.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <deque>
 #include <memory>
@@ -8,6 +11,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "boost/system/system_error.hpp"
 #include "support/raw_peers.h"
 
 namespace cherrydyke::engine {
@@ -16,6 +20,7 @@
 constexpr char kHostHeader[] = "Host: a\r\n";
 /// Below the ephemeral port range, and not used by another test.
 constexpr char kEndpoint[] = "127.0.0.1:17411";
+constexpr uint16_t kPort = 17411;
 
 std::string Get(const std::string& path, const std::string& headers = "") {
   return "GET " + path + " HTTP/1.1\r\n" + kHostHeader + headers + "\r\n";
@@ -37,6 +42,8 @@
   CPPUNIT_TEST(ReportsCallerDisconnectDuringRequest);
   CPPUNIT_TEST(TimesOutSlowHeadersAndIdleConnections);
   CPPUNIT_TEST(ClosesConnectionsAfterResponsesWhenStopping);
+  CPPUNIT_TEST(ConnectionIsBusyUntilItsResponseIsWritten);
+  CPPUNIT_TEST(IdleConnectionWithAnUnreadRequestStaysOpen);
   CPPUNIT_TEST(HandlesPipelinedFloodOneRequestAtATime);
   CPPUNIT_TEST(SurvivesRandomBytes);
   CPPUNIT_TEST_SUITE_END();
@@ -156,6 +163,48 @@
     CPPUNIT_ASSERT(Contains(caller->received(), "last"));
   }
 
+  // Guards against a process that exits while it writes a response (LOST).
+  void ConnectionIsBusyUntilItsResponseIsWritten() {
+    constexpr size_t kBytes = 30U << 20U;
+    const int caller = ConnectWithoutReading();
+    CPPUNIT_ASSERT(WaitForRequests(1));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, server_->busy_connections());
+    Respond(0, std::string(kBytes, 'x'));
+    RunFor(loop_, absl::Milliseconds(100));
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, server_->requests_in_flight());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, server_->busy_connections());
+    std::string buffer(kBytes, 0);
+    size_t received = 0;
+    CPPUNIT_ASSERT(RunUntil(loop_, [&] {
+      const ssize_t bytes =
+          recv(caller, buffer.data(), buffer.size(), MSG_DONTWAIT);
+      if (bytes > 0) received += static_cast<size_t>(bytes);
+      return received > kBytes;
+    }));
+    CPPUNIT_ASSERT(
+        RunUntil(loop_, [&] { return server_->busy_connections() == 0; }));
+    close(caller);
+  }
+
+  // Guards against closing a connection on which a request has just arrived.
+  void IdleConnectionWithAnUnreadRequestStaysOpen() {
+    const auto caller = Connect();
+    caller->Write(Get("/1"));
+    CPPUNIT_ASSERT(WaitForRequests(1));
+    Respond(0, "one");
+    CPPUNIT_ASSERT(WaitForResponse(*caller, "one"));
+    const auto idle = Connect();
+    RunFor(loop_, absl::Milliseconds(20));
+    caller->Write(Get("/2"));
+    server_->CloseIdle();
+    server_->StopAccepting();
+    CPPUNIT_ASSERT(WaitForRequests(2));
+    Respond(1, "two");
+    CPPUNIT_ASSERT(WaitForResponse(*caller, "two"));
+    CPPUNIT_ASSERT(RunUntil(loop_, [&] { return idle->closed_by_peer(); }));
+    CPPUNIT_ASSERT_THROW(Connect(), boost::system::system_error);
+  }
+
   void HandlesPipelinedFloodOneRequestAtATime() {
     const auto caller = Connect();
     std::string flood;
@@ -188,6 +237,22 @@
   }
 
  private:
+  // Sends a request on a blocking socket that the test reads itself.
+  static int ConnectWithoutReading() {
+    const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(kPort);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    CPPUNIT_ASSERT_EQUAL(
+        0, connect(descriptor, reinterpret_cast<const sockaddr*>(&address),
+                   sizeof(address)));
+    const std::string request = Get("/large");
+    CPPUNIT_ASSERT_EQUAL(static_cast<ssize_t>(request.size()),
+                         send(descriptor, request.data(), request.size(), 0));
+    return descriptor;
+  }
+
   std::shared_ptr<RawConnection> Connect() {
     return RawConnect(loop_, kEndpoint);
   }
--- a/libs/tier/include/tier/handover_client.h
+++ b/libs/tier/include/tier/handover_client.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "dispatch/handover_choice.h"
@@ -62,8 +63,11 @@
   /// @return false if there is no host to hand it to; nothing was done then.
   bool Start(OutgoingHandover outgoing);
 
+  /// Ends all handovers without waiting for their peers, for a shutdown.
+  void EndRunning();
+
   /// @return requests handed over that have no response yet.
-  size_t running() const { return running_; }
+  size_t running() const { return running_.size(); }
   /// @return log lines dropped since the last call, by kind.
   std::map<std::string, int> TakeDroppedLines() {
     return log_rate_limiter_.TakeDroppedCounts();
@@ -91,7 +95,7 @@
   const Policy policy_;
   std::unique_ptr<HandoverPeers> peers_;
   LogRateLimiter log_rate_limiter_;
-  size_t running_ = 0;
+  std::set<HandoverPtr> running_;
 };
 
 }  // namespace cherrydyke
--- a/libs/tier/include/tier/protocol_adapter.h
+++ b/libs/tier/include/tier/protocol_adapter.h
@@ -62,6 +62,8 @@
   kTargetsBackedOff,
   kTargetsFailed,
   kDeadline,
+  /// This host shuts down and could not end the request in time.
+  kShutdown,
 };
 
 /// @return the reason in snake_case, as metrics, logs and responses show it.
--- a/libs/tier/include/tier/request_handler.h
+++ b/libs/tier/include/tier/request_handler.h
@@ -17,6 +17,7 @@
 #include "dispatch/request_run.h"
 #include "dispatch/retry_after_scheduler.h"
 #include "dispatch/route_table.h"
+#include "dispatch/shutdown_schedule.h"
 #include "dispatch/top_records.h"
 #include "engine/http_server.h"
 #include "telemetry/log_rate_limiter.h"
@@ -79,6 +80,13 @@
   /// requests that would only wait for their deadlines.
   void OnPartitioned();
 
+  /// From now on, requests are taken as the schedule permits.
+  void BeginShutdown(const ShutdownSchedule& schedule) { shutdown_ = schedule; }
+
+  /// Ends all running requests for the shutdown: with the parts that they have
+  /// if these are enough, otherwise without a target's response.
+  void EndRunning();
+
   /// @return requests in flight.
   size_t running() const { return running_.size(); }
   /// @return log lines dropped since the last call, by kind.
@@ -177,6 +185,7 @@
   AnswerMarginEstimator answer_margin_;
   std::mt19937_64 random_;
   std::shared_ptr<const RouteTable> routes_;
+  std::optional<ShutdownSchedule> shutdown_;
   absl::flat_hash_map<RouteName, WeightedRoundRobin> spreaders_;
   absl::flat_hash_set<RequestPtr> running_;
 };
--- a/libs/tier/include/tier/tier_host.h
+++ b/libs/tier/include/tier/tier_host.h
@@ -8,6 +8,7 @@
 
 #include "absl/time/time.h"
 #include "base/clock.h"
+#include "dispatch/shutdown_schedule.h"
 #include "tier/fleet_gossip.h"
 #include "tier/handover_client.h"
 #include "tier/handover_server.h"
@@ -87,6 +88,8 @@
   void ServeFleet(const std::shared_ptr<engine::ServerExchange>& exchange);
   void ServeReadiness(engine::ServerExchange& exchange);
   void ServeMetrics(engine::ServerExchange& exchange);
+  /// Ends what is due to end in the shutdown; stops the loop once all responses
+  /// are written, or when the process has to exit.
   void ContinueShutdown();
   void RegisterGauges();
 
@@ -111,7 +114,8 @@
   engine::HttpServer readiness_server_;
   engine::HttpServer metrics_server_;
   absl::Time source_recovered_at_ = absl::InfinitePast();
-  std::optional<absl::Time> shutdown_started_at_;
+  absl::Time shutdown_started_at_ = absl::InfiniteFuture();
+  std::optional<ShutdownSchedule> shutdown_;
   /// When `UpdateReaderRole` is to run next, and how late it last ran.
   absl::Time next_check_at_ = absl::InfiniteFuture();
   absl::Duration lateness_;
--- a/libs/tier/src/handover_client.cc
+++ b/libs/tier/src/handover_client.cc
@@ -54,7 +54,7 @@
   handover->outgoing = std::move(outgoing);
   handover->started_at = loop_.Now();
   if (!SendToPeer(handover)) return false;
-  ++running_;
+  running_.insert(handover);
   handover->outgoing.exchange->OnDisconnect(
       [this, weak = std::weak_ptr<Handover>(handover)] {
         if (const auto alive = weak.lock()) OnCallerDisconnected(alive);
@@ -162,6 +162,15 @@
   handover->outgoing.on_failed(RefusalReason::kDeadline, true);
 }
 
+void HandoverClient::EndRunning() {
+  const std::set<HandoverPtr> ended = running_;
+  for (const HandoverPtr& handover : ended) {
+    peers_->Cancel(handover->peer, handover->exchange);
+    Finish(handover, "shutdown");
+    handover->outgoing.on_failed(RefusalReason::kShutdown, true);
+  }
+}
+
 void HandoverClient::OnCallerDisconnected(const HandoverPtr& handover) {
   if (handover->ended) return;
   peers_->Cancel(handover->peer, handover->exchange);
@@ -171,7 +180,7 @@
 void HandoverClient::Finish(const HandoverPtr& handover,
                             const std::string& outcome) {
   handover->ended = true;
-  --running_;
+  running_.erase(handover);
   loop_.Cancel(handover->deadline_timer);
   metrics_
       .counter("cherrydyke_handovers_total",
--- a/libs/tier/src/protocol_adapter.cc
+++ b/libs/tier/src/protocol_adapter.cc
@@ -22,6 +22,8 @@
       return "targets_failed";
     case RefusalReason::kDeadline:
       return "deadline";
+    case RefusalReason::kShutdown:
+      return "shutdown";
   }
   return "unknown";
 }
--- a/libs/tier/src/request_handler.cc
+++ b/libs/tier/src/request_handler.cc
@@ -126,6 +126,17 @@
   }
   RequestPlan plan = MakePlan(*route, *parsed, *exchange, origin);
   plan.max_attempts = crashes_.LimitAttempts(fingerprint, plan.max_attempts);
+  if (shutdown_) {
+    const std::optional<absl::Time> deadline = shutdown_->Admit(
+        {plan.idempotent, plan.deadline, route->latency_objective},
+        loop_.Now());
+    if (!deadline) {
+      return Refuse(*exchange, parsed->request_id, RefusalReason::kShutdown,
+                    ran);
+    }
+    plan.deadline = *deadline;
+    plan.answer_at = std::min(plan.answer_at, *deadline);
+  }
   if (!origin && IsOutOfReach(plan)) {
     if (HandOver(exchange, *parsed, plan, {})) {
       metrics_.counter("cherrydyke_requests_total", "outcome=\"handed_over\"")
@@ -571,6 +582,29 @@
   });
 }
 
+void RequestHandler::EndRunning() {
+  const std::vector<RequestPtr> ended(running_.begin(), running_.end());
+  for (const RequestPtr& request : ended) {
+    RequestRun& run = *request->run;
+    if (run.CanAnswer()) {
+      Perform(request, run.OnPathLost());
+      continue;
+    }
+    const bool may_have_run = run.maybe_run() > 0;
+    // Not rate limited: at most one line for each request of a shutdown.
+    LogWarning("request ended by the shutdown",
+               {{"request", request->caller_request.request_id},
+                {"ms", absl::ToInt64Milliseconds(
+                           loop_.Now() - request->exchange->received_at())},
+                {"ran", may_have_run},
+                {"unanswered", UnansweredAttempts(*request)}});
+    Abort(request);
+    Refuse(*request->exchange, request->caller_request.request_id,
+           RefusalReason::kShutdown, may_have_run);
+    LogOutcome(*request, "shutdown", 0);
+  }
+}
+
 void RequestHandler::Conclude(const RequestPtr& request, RequestOutcome kind) {
   FinishRequest(request);
   const RequestRun& run = *request->run;
--- a/libs/tier/src/tier_host.cc
+++ b/libs/tier/src/tier_host.cc
@@ -11,12 +11,6 @@
 /// Entries of live targets that expired during an outage of the configuration
 /// service are registered again within this time after its recovery.
 constexpr absl::Duration kExpiredEntryGrace = absl::Milliseconds(2200);
-/// How long a host that shuts down goes on accepting requests: until the load
-/// balancer has checked its readiness twice and callers have learned of the
-/// shutdown.
-constexpr absl::Duration kShutdownAnnounceTime = absl::Milliseconds(2600);
-/// Reserve at the end of the shutdown grace period.
-constexpr absl::Duration kShutdownReserve = absl::Milliseconds(400);
 /// How often a host decides whether to read the configuration service.
 constexpr absl::Duration kReaderCheckPeriod = absl::Milliseconds(250);
 /// How often the counters of the host are logged.
@@ -273,8 +267,7 @@
 void TierHost::OnSourceRecovered() { source_recovered_at_ = loop_.Now(); }
 
 bool TierHost::IsReady() const {
-  return !shutdown_started_at_ && request_handler_.has_routes() &&
-         targets_.size() > 0;
+  return !shutdown_ && request_handler_.has_routes() && targets_.size() > 0;
 }
 
 void TierHost::ServeFleet(
@@ -308,28 +301,37 @@
 }
 
 void TierHost::BeginShutdown() {
-  if (shutdown_started_at_) return;
+  if (shutdown_) return;
   shutdown_started_at_ = loop_.Now();
+  shutdown_.emplace(shutdown_started_at_, settings_.shutdown_grace);
   LogInfo("stopping", {{"running", request_handler_.running()},
+                       {"handed_over", handovers_.running()},
+                       {"taken_over", handover_server_.running()},
                        {"connections", caller_server_.connection_count()}});
+  request_handler_.BeginShutdown(*shutdown_);
   caller_server_.CloseAfterResponses();
   ContinueShutdown();
 }
 
 void TierHost::ContinueShutdown() {
-  const absl::Duration elapsed = loop_.Now() - *shutdown_started_at_;
-  if (elapsed >= kShutdownAnnounceTime) {
-    caller_server_.CloseIdle();
-    const bool out_of_time =
-        elapsed >= settings_.shutdown_grace - kShutdownReserve;
-    const size_t running = request_handler_.running() + handovers_.running();
-    if (running == 0 || out_of_time) {
-      LogInfo("stopped", {{"running", running},
-                          {"after_ms", absl::ToInt64Milliseconds(elapsed)}});
-      return loop_.Stop();
-    }
-  }
   timers_.RunAfter(kShutdownPollPeriod, [this] { ContinueShutdown(); });
+  const absl::Time now = loop_.Now();
+  if (shutdown_->IsAnnouncing(now) && now < shutdown_->requests_end()) return;
+  caller_server_.CloseIdle();
+  if (now >= shutdown_->requests_end()) {
+    request_handler_.EndRunning();
+    handovers_.EndRunning();
+  }
+  const size_t running = request_handler_.running() + handovers_.running();
+  if (running > 0) return;
+  caller_server_.StopAccepting();
+  const size_t unwritten =
+      caller_server_.busy_connections() + fleet_server_.busy_connections();
+  if (unwritten > 0 && now < shutdown_->exit()) return;
+  LogInfo("stopped", {{"unwritten", unwritten},
+                      {"after_ms",
+                       absl::ToInt64Milliseconds(now - shutdown_started_at_)}});
+  loop_.Stop();
 }
 
 }  // namespace cherrydyke
