Hold the newest configuration that callers have seen through a peer

Cause: a partitioned host hands requests to peers, which run them by their own configuration. One peer may be ahead of the host and the next one not, so that its callers see a newer and then an older one, or a route that was confined to a region run outside it again.

A reply now names the version by which the request ran. The host asks no peer with an older one any more, and handles nothing by an older one itself. It fetches published items at once from a peer that is ahead, and a peer that rejects a request as too new fetches them from its sender. The version is a new last field, which hosts of the landing before ignore; for their replies their last offer counts.

--- a/libs/tier/include/tier/fleet_gossip.h
+++ b/libs/tier/include/tier/fleet_gossip.h
@@ -79,6 +79,10 @@
     return log_rate_limiter_.TakeDroppedCounts();
   }
 
+  /// Fetches published items newer than the own ones, unless a fetch is under
+  /// way.
+  void FetchFrom(const HostId& peer);
+
  private:
   void RunGossipRound();
   /// Sends health reports of targets to random hosts of the own failure domain.
@@ -89,9 +93,6 @@
             std::vector<HostLastSeen> ages,
             std::vector<TargetHealthReport> health_reports = {});
   void OnDatagram(const std::string& datagram);
-  /// Fetches published items newer than the own ones, unless a fetch is under
-  /// way.
-  void FetchFrom(const HostId& peer);
   Endpoint EndpointOf(const HostId& host) const;
   /// @return whether the sender has newer published items than this host.
   bool IsBehind(const GossipMessage& message) const;
--- a/libs/tier/include/tier/handover_client.h
+++ b/libs/tier/include/tier/handover_client.h
@@ -42,6 +42,9 @@
 /// cannot be connected to, has not begun it, and one other host is tried.
 class HandoverClient {
  public:
+  using VersionCallback =
+      std::function<void(const HostId& peer, int64_t config_version)>;
+
   struct Dependencies {
     engine::EventLoop& loop;
     const ProtocolAdapter& protocol;
@@ -51,6 +54,8 @@
     Locality locality;
     /// Port of the hosts' HTTP servers.
     int fleet_port = 0;
+    /// Called with the version of the configuration that a peer uses.
+    VersionCallback on_version;
   };
 
   explicit HandoverClient(Dependencies dependencies);
@@ -66,6 +71,10 @@
   /// Ends all handovers without waiting for their peers, for a shutdown.
   void EndRunning();
 
+  /// @return the newest configuration by which a peer has run a request of this
+  /// host's callers. Its callers must not see an older one again.
+  int64_t seen_version() const { return seen_version_; }
+
   /// @return requests handed over that have no response yet.
   size_t running() const { return running_.size(); }
   /// @return log lines dropped since the last call, by kind.
@@ -81,6 +90,9 @@
   bool SendToPeer(const HandoverPtr& handover);
   void OnResult(const HandoverPtr& handover,
                 const engine::ExchangeResult& result);
+  /// @param version of the configuration by which the peer ran the request; 0
+  /// if it did not tell.
+  void OnVersion(const Handover& handover, int64_t version);
   void OnRejected(const HandoverPtr& handover, const std::string& reason,
                   absl::Duration exclusion);
   void OnDeadline(const HandoverPtr& handover);
@@ -94,8 +106,10 @@
   Metrics& metrics_;
   const Policy policy_;
   std::unique_ptr<HandoverPeers> peers_;
+  const VersionCallback on_version_;
   LogRateLimiter log_rate_limiter_;
   std::set<HandoverPtr> running_;
+  int64_t seen_version_ = 0;
 };
 
 }  // namespace cherrydyke
--- a/libs/tier/include/tier/handover_message.h
+++ b/libs/tier/include/tier/handover_message.h
@@ -47,10 +47,13 @@
   std::string rejection;
   /// The response for the caller, if it did.
   engine::HttpResponse response;
+  /// The configuration by which it ran the request; 0 from hosts of versions
+  /// that do not tell.
+  int64_t config_version = 0;
 
   friend bool operator==(const HandoverReply& a, const HandoverReply& b) {
-    return std::tie(a.accepted, a.rejection, a.response) ==
-           std::tie(b.accepted, b.rejection, b.response);
+    return std::tie(a.accepted, a.rejection, a.response, a.config_version) ==
+           std::tie(b.accepted, b.rejection, b.response, b.config_version);
   }
 };
 
--- a/libs/tier/include/tier/handover_server.h
+++ b/libs/tier/include/tier/handover_server.h
@@ -26,6 +26,8 @@
     /// Handles an accepted request.
     std::function<void(std::shared_ptr<engine::ServerExchange>, HandoverOrigin)>
         handle;
+    /// Called with a host whose configuration is newer than this host's.
+    std::function<void(const HostId&)> on_newer_configuration;
   };
 
   HandoverServer(engine::EventLoop& loop, Metrics& metrics, Policy policy,
--- a/libs/tier/src/handover_client.cc
+++ b/libs/tier/src/handover_client.cc
@@ -1,5 +1,6 @@
 #include "tier/handover_client.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -42,7 +43,9 @@
       policy_(dependencies.policy),
       peers_(std::make_unique<HandoverPeers>(
           dependencies.loop, std::move(dependencies.locality),
-          dependencies.fleet_port, dependencies.hosts)) {}
+          dependencies.fleet_port, dependencies.hosts,
+          dependencies.on_version)),
+      on_version_(std::move(dependencies.on_version)) {}
 
 HandoverClient::~HandoverClient() = default;
 
@@ -66,7 +69,9 @@
 }
 
 bool HandoverClient::SendToPeer(const HandoverPtr& handover) {
-  const OutgoingHandover& outgoing = handover->outgoing;
+  OutgoingHandover& outgoing = handover->outgoing;
+  outgoing.criteria.config_version =
+      std::max(outgoing.criteria.config_version, seen_version_);
   const std::optional<HostId> peer = peers_->Choose(outgoing.criteria);
   if (!peer) return false;
   handover->peer = *peer;
@@ -125,6 +130,7 @@
   if (!reply->accepted) {
     return OnRejected(handover, reply->rejection, kRejectionExclusion);
   }
+  OnVersion(*handover, reply->config_version);
   const bool denies_run = protocol_.DeniesRun(reply->response);
   const bool from_target = protocol_.IsFromTarget(reply->response);
   if (denies_run && from_target && !handover->outgoing.idempotent) {
@@ -138,6 +144,20 @@
   handover->outgoing.exchange->Respond(std::move(reply->response));
 }
 
+void HandoverClient::OnVersion(const Handover& handover, int64_t version) {
+  if (version == 0) version = peers_->OfferedVersion(handover.peer);
+  if (version > seen_version_ &&
+      version > handover.outgoing.criteria.config_version) {
+    LogInfo("peer has run a request by a newer configuration",
+            {{"request", handover.outgoing.request_id},
+             {"peer", handover.peer},
+             {"config_version", version},
+             {"asked_for", handover.outgoing.criteria.config_version}});
+  }
+  seen_version_ = std::max(seen_version_, version);
+  on_version_(handover.peer, version);
+}
+
 void HandoverClient::OnRejected(const HandoverPtr& handover,
                                 const std::string& reason,
                                 absl::Duration exclusion) {
--- a/libs/tier/src/handover_message.cc
+++ b/libs/tier/src/handover_message.cc
@@ -50,6 +50,17 @@
   }
 };
 
+struct VersionedReply {
+  PackedReply reply;
+  int64_t config_version = 0;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    // Hosts of earlier versions read the reply and ignore the rest.
+    archive(reply, config_version);
+  }
+};
+
 struct PackedOffer {
   bool available = false;
   int64_t config_version = 0;
@@ -146,18 +157,24 @@
 
 std::string EncodeHandoverReply(const HandoverReply& reply) {
   return EncodeArchive(
-      PackedReply{reply.accepted, reply.rejection, reply.response.status,
-                  Pack(reply.response.headers), reply.response.body});
+      VersionedReply{{reply.accepted, reply.rejection, reply.response.status,
+                      Pack(reply.response.headers), reply.response.body},
+                     reply.config_version});
 }
 
 Result<HandoverReply> DecodeHandoverReply(const std::string& bytes) {
-  Result<PackedReply> decoded = DecodeArchive<PackedReply>(bytes);
-  if (const Error* error = GetError(decoded)) return *error;
-  PackedReply& packed = GetValue(decoded);
+  Result<VersionedReply> decoded = DecodeArchive<VersionedReply>(bytes);
+  if (GetError(decoded) != nullptr) {
+    Result<PackedReply> earlier = DecodeArchive<PackedReply>(bytes);
+    if (const Error* error = GetError(earlier)) return *error;
+    decoded = VersionedReply{std::move(GetValue(earlier)), 0};
+  }
+  auto& [packed, config_version] = GetValue(decoded);
   return HandoverReply{packed.accepted,
                        std::move(packed.rejection),
                        {packed.status, Unpack(std::move(packed.headers)),
-                        std::move(packed.body)}};
+                        std::move(packed.body)},
+                       config_version};
 }
 
 std::string EncodeHandoverOffer(const HandoverOffer& offer) {
--- a/libs/tier/src/handover_peers.cc
+++ b/libs/tier/src/handover_peers.cc
@@ -34,11 +34,13 @@
 }  // namespace
 
 HandoverPeers::HandoverPeers(engine::EventLoop& loop, Locality locality,
-                             int port, const HostTable& hosts)
+                             int port, const HostTable& hosts,
+                             VersionCallback on_version)
     : loop_(loop),
       locality_(std::move(locality)),
       port_(port),
       hosts_(hosts),
+      on_version_(std::move(on_version)),
       random_(NewIncarnation()) {}
 
 std::string HandoverPeers::RequestHead(const char* method, const char* path,
@@ -149,8 +151,11 @@
              {"unreachable_services", offer.unreachable_services.size()},
              {"running", offer.running}});
   }
+  const int64_t version = offer.config_version;
   peer.candidate.offer = std::move(offer);
-  if (peer.candidate.offer.available) peer.candidate.offered_at = loop_.Now();
+  if (!peer.candidate.offer.available) return;
+  peer.candidate.offered_at = loop_.Now();
+  on_version_(host, version);
 }
 
 std::optional<HostId> HandoverPeers::Choose(const HandoverCriteria& criteria) {
@@ -182,6 +187,10 @@
   peers_.at(host).pool->Cancel(exchange, absl::ZeroDuration());
 }
 
+int64_t HandoverPeers::OfferedVersion(const HostId& host) const {
+  return peers_.at(host).candidate.offer.config_version;
+}
+
 void HandoverPeers::Exclude(const HostId& host, absl::Duration time) {
   peers_.at(host).candidate.excluded_until = loop_.Now() + time;
 }
--- a/libs/tier/src/handover_peers.h
+++ b/libs/tier/src/handover_peers.h
@@ -9,6 +9,7 @@
 #include "dispatch/handover_choice.h"
 #include "engine/connection_pool.h"
 #include "membership/host_table.h"
+#include "tier/handover_client.h"
 
 namespace cherrydyke {
 
@@ -16,8 +17,10 @@
 /// offers while they are needed, and keeps connections to those only.
 class HandoverPeers {
  public:
+  using VersionCallback = HandoverClient::VersionCallback;
+
   HandoverPeers(engine::EventLoop& loop, Locality locality, int port,
-                const HostTable& hosts);
+                const HostTable& hosts, VersionCallback on_version);
 
   /// Looks for peers from now on, until not called for some seconds.
   void Prepare();
@@ -31,6 +34,9 @@
   /// Cancels an exchange at once.
   void Cancel(const HostId& peer, engine::ExchangeId exchange);
 
+  /// @return the version of the configuration that a peer last told.
+  int64_t OfferedVersion(const HostId& peer) const;
+
   /// Excludes a peer for some time.
   void Exclude(const HostId& peer, absl::Duration time);
 
@@ -58,6 +64,7 @@
   const Locality locality_;
   const int port_;
   const HostTable& hosts_;
+  const VersionCallback on_version_;
   std::mt19937_64 random_;
   std::map<HostId, Peer> peers_;
   absl::Time needed_until_ = absl::InfinitePast();
--- a/libs/tier/src/handover_server.cc
+++ b/libs/tier/src/handover_server.cc
@@ -13,9 +13,11 @@
 class HandoverExchange : public engine::ServerExchange {
  public:
   HandoverExchange(std::shared_ptr<engine::ServerExchange> outer,
-                   HandoverRequest handover, std::shared_ptr<int> running)
+                   HandoverRequest handover, int64_t config_version,
+                   std::shared_ptr<int> running)
       : outer_(std::move(outer)),
         handover_(std::move(handover)),
+        config_version_(config_version),
         running_(std::move(running)) {
     ++*running_;
   }
@@ -38,7 +40,8 @@
     End();
     engine::HttpResponse reply;
     reply.status = 200;
-    reply.body = EncodeHandoverReply({true, "", std::move(response)});
+    reply.body =
+        EncodeHandoverReply({true, "", std::move(response), config_version_});
     outer_->Respond(std::move(reply));
   }
   void OnDisconnect(std::function<void()> callback) override {
@@ -52,6 +55,7 @@
 
   const std::shared_ptr<engine::ServerExchange> outer_;
   const HandoverRequest handover_;
+  const int64_t config_version_;
   const std::shared_ptr<int> running_;
   bool ended_ = false;
 };
@@ -104,6 +108,8 @@
   const HandoverOffer offer = callbacks_.offer();
   if (!offer.available) return Reject(*exchange, "not_available");
   if (offer.config_version < handover.config_version) {
+    const std::string& peer = exchange->request().peer;
+    callbacks_.on_newer_configuration(peer.substr(0, peer.rfind(':')));
     return Reject(*exchange, "older_configuration");
   }
   if (!HasRoomToTakeOver(running(), callbacks_.lateness())) {
@@ -113,7 +119,7 @@
   HandoverOrigin origin{exchange->request().peer, handover.service,
                         handover.tried};
   const auto taken = std::make_shared<HandoverExchange>(
-      exchange, std::move(handover), running_);
+      exchange, std::move(handover), offer.config_version, running_);
   callbacks_.handle(taken, std::move(origin));
 }
 
@@ -129,7 +135,7 @@
   }
   engine::HttpResponse response;
   response.status = 200;
-  response.body = EncodeHandoverReply({false, reason, {}});
+  response.body = EncodeHandoverReply({false, reason, {}, 0});
   exchange.Respond(std::move(response));
 }
 
--- a/libs/tier/src/request_handler.cc
+++ b/libs/tier/src/request_handler.cc
@@ -115,8 +115,14 @@
     return Refuse(*exchange, parsed->request_id,
                   RefusalReason::kNoConfiguration, ran);
   }
+  // Callers have seen the effect of a newer configuration through a peer.
+  const bool is_outdated = !origin && handovers_.seen_version() > version();
   const Route* const route = routes_->Find(parsed->host, parsed->path);
   if (route == nullptr) {
+    if (is_outdated) {
+      return Refuse(*exchange, parsed->request_id,
+                    RefusalReason::kNoConfiguration, false);
+    }
     return Refuse(*exchange, parsed->request_id, RefusalReason::kNoRoute, ran);
   }
   const uint64_t fingerprint = RequestFingerprint(exchange->request());
@@ -137,12 +143,16 @@
     plan.deadline = *deadline;
     plan.answer_at = std::min(plan.answer_at, *deadline);
   }
-  if (!origin && IsOutOfReach(plan)) {
+  if (is_outdated || (!origin && IsOutOfReach(plan))) {
     if (HandOver(exchange, *parsed, plan, {})) {
       metrics_.counter("cherrydyke_requests_total", "outcome=\"handed_over\"")
           .Add();
       return;
     }
+    if (is_outdated) {
+      return Refuse(*exchange, parsed->request_id,
+                    RefusalReason::kNoConfiguration, false);
+    }
     if (targets_.IsPartitioned()) {
       return Refuse(*exchange, parsed->request_id, RefusalReason::kNoTarget,
                     false);
--- a/libs/tier/src/tier_host.cc
+++ b/libs/tier/src/tier_host.cc
@@ -61,7 +61,12 @@
                TargetOptions(adapters.protocol, loop.Now()), hosts_,
                settings_.policy),
       handovers_({loop, adapters.protocol, hosts_, metrics_, settings_.policy,
-                  settings_.locality, settings_.fleet_port}),
+                  settings_.locality, settings_.fleet_port,
+                  [this](const HostId& peer, int64_t version) {
+                    if (version > request_handler_.version()) {
+                      gossip_.FetchFrom(peer);
+                    }
+                  }}),
       request_handler_({loop, adapters.protocol, targets_, crashes_, handovers_,
                         metrics_, settings_.policy,
                         [this] { gossip_.Gossip(); }}),
@@ -72,7 +77,8 @@
                   HandoverOrigin origin) {
              request_handler_.OnHandedOver(std::move(exchange),
                                            std::move(origin));
-           }}),
+           },
+           [this](const HostId& peer) { gossip_.FetchFrom(peer); }}),
       gossip_(loop,
               {{settings_.locality.host, settings_.locality.failure_domain},
                settings_.fleet_port},
--- a/libs/tier/tests/handover_message_test.cc
+++ b/libs/tier/tests/handover_message_test.cc
@@ -2,6 +2,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include "absl/strings/escaping.h"
+#include "absl/strings/match.h"
 #include "rapidcheck.h"
 
 namespace cherrydyke {
@@ -22,6 +24,11 @@
   return handover;
 }
 
+/// The reply of a host that does not tell the version of its configuration.
+constexpr char kEarlierReply[] =
+    "01010000000000000000c8000000010000000000000005000000000000005374616d700100"
+    "0000000000007302000000000000006f6b";
+
 bool IsAccepted(const HandoverRequest& handover) {
   return GetError(DecodeHandoverRequest(EncodeHandoverRequest(handover))) ==
          nullptr;
@@ -32,6 +39,7 @@
 class HandoverMessageTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(HandoverMessageTest);
   CPPUNIT_TEST(MessagesRoundTrip);
+  CPPUNIT_TEST(ReplyIsUnderstoodAcrossVersions);
   CPPUNIT_TEST(RejectsTruncatedAndRandomBytes);
   CPPUNIT_TEST(RejectsRequestsThatCallersCouldNotSend);
   CPPUNIT_TEST_SUITE_END();
@@ -42,10 +50,10 @@
         DecodeHandoverRequest(EncodeHandoverRequest(Example()));
     CPPUNIT_ASSERT(GetValue(request) == Example());
     const HandoverReply reply = {
-        true, "", {200, {{"Stamp", "s"}}, std::string("\0\1", 2)}};
+        true, "", {200, {{"Stamp", "s"}}, std::string("\0\1", 2)}, 9};
     CPPUNIT_ASSERT(GetValue(DecodeHandoverReply(EncodeHandoverReply(reply))) ==
                    reply);
-    const HandoverReply rejection = {false, "no_room", {}};
+    const HandoverReply rejection = {false, "no_room", {}, 0};
     CPPUNIT_ASSERT(GetValue(DecodeHandoverReply(
                        EncodeHandoverReply(rejection))) == rejection);
     const HandoverOffer offer = {true, 7, {1, 4'000'000'000}, 3};
@@ -53,6 +61,18 @@
                    offer);
   }
 
+  // Hosts of two versions run side by side while hosts are upgraded in turn.
+  void ReplyIsUnderstoodAcrossVersions() {
+    const std::string earlier = absl::HexStringToBytes(kEarlierReply);
+    HandoverReply reply = {true, "", {200, {{"Stamp", "s"}}, "ok"}, 0};
+    const auto decoded = DecodeHandoverReply(earlier);
+    CPPUNIT_ASSERT(GetError(decoded) == nullptr);
+    CPPUNIT_ASSERT(GetValue(decoded) == reply);
+    // Earlier versions ignore what follows the fields that they know.
+    reply.config_version = 12;
+    CPPUNIT_ASSERT(absl::StartsWith(EncodeHandoverReply(reply), earlier));
+  }
+
   void RejectsTruncatedAndRandomBytes() {
     CPPUNIT_ASSERT(rc::check([] {
       const auto bytes =
