Ask peers with an older offer last instead of never

Partitioned hosts refused their callers while the configuration changed every third of a second: each change made all peers ineligible until they were asked again, up to 0.3 s later.

A peer compares the configurations when the request arrives, so an older offer now only makes it the last choice; after a rejection for that reason it fetches the newer one and is asked again after 50 ms.

--- a/libs/dispatch/include/dispatch/handover_choice.h
+++ b/libs/dispatch/include/dispatch/handover_choice.h
@@ -62,7 +62,7 @@
 /// Requirements of one request that is to be handed over.
 struct HandoverCriteria {
   /// The configuration by which it was accepted: a host with an older one might
-  /// run what is no longer allowed.
+  /// run what is no longer allowed, and rejects it.
   int64_t config_version = 0;
   std::vector<ServiceName> services;
   /// How many of the services may be out of the peer's reach.
@@ -71,13 +71,16 @@
   std::vector<RegionName> allowed_regions;
 };
 
-/// @return whether the candidate can run the request, as far as known.
+/// @return whether the candidate can run the request, as far as known. An older
+/// configuration in its offer does not exclude it, as it may have a newer one
+/// by now.
 bool CanTakeOver(const HandoverCandidate& candidate,
                  const HandoverCriteria& criteria, absl::Time now);
 
 /// Chooses the peer that a request is handed to: one of the nearest that can
-/// run it; of two random ones that with fewer requests, so that the peers share
-/// the load even if their offers are a little old.
+/// run it, preferably one known to have a configuration that is not older; of
+/// two random ones that with fewer requests, so that the peers share the load
+/// even if their offers are a little old.
 /// @return the index of the candidate, or nothing if none can run it.
 std::optional<size_t> ChooseHandoverPeer(
     const std::vector<HandoverCandidate>& candidates,
--- a/libs/dispatch/src/handover_choice.cc
+++ b/libs/dispatch/src/handover_choice.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 #include "membership/domain_sample.h"
 
@@ -42,8 +43,7 @@
                  const HandoverCriteria& criteria, absl::Time now) {
   if (!candidate.offer.available || now < candidate.excluded_until ||
       now - candidate.offered_at > kOfferValidity ||
-      candidate.in_flight >= kMaxInFlightPerPeer ||
-      candidate.offer.config_version < criteria.config_version) {
+      candidate.in_flight >= kMaxInFlightPerPeer) {
     return false;
   }
   const auto& regions = criteria.allowed_regions;
@@ -65,15 +65,19 @@
 std::optional<size_t> ChooseHandoverPeer(
     const std::vector<HandoverCandidate>& candidates,
     const HandoverCriteria& criteria, absl::Time now, std::mt19937_64& random) {
+  const auto rank = [&](size_t index) {
+    const HandoverCandidate& candidate = candidates[index];
+    return std::make_pair(
+        candidate.offer.config_version < criteria.config_version,
+        candidate.distance);
+  };
   std::vector<size_t> nearest;
   for (size_t index = 0; index < candidates.size(); ++index) {
     if (!CanTakeOver(candidates[index], criteria, now)) continue;
-    if (!nearest.empty() &&
-        candidates[index].distance < candidates[nearest.front()].distance) {
+    if (!nearest.empty() && rank(index) < rank(nearest.front())) {
       nearest.clear();
     }
-    if (nearest.empty() ||
-        candidates[index].distance == candidates[nearest.front()].distance) {
+    if (nearest.empty() || rank(index) == rank(nearest.front())) {
       nearest.push_back(index);
     }
   }
--- a/libs/tier/include/tier/handover_message.h
+++ b/libs/tier/include/tier/handover_message.h
@@ -13,6 +13,8 @@
 /// Paths on the hosts' own port.
 inline constexpr char kHandoverPath[] = "/handover";
 inline constexpr char kHandoverOfferPath[] = "/handover/offer";
+/// Reason of a host that rejects a request because its configuration is older.
+inline constexpr char kRejectedAsOutdated[] = "older_configuration";
 
 /// A caller's request that one host hands to another.
 struct HandoverRequest {
--- a/libs/tier/src/handover_client.cc
+++ b/libs/tier/src/handover_client.cc
@@ -15,6 +15,8 @@
 /// connection to it could be opened.
 constexpr absl::Duration kRejectionExclusion = absl::Milliseconds(200);
 constexpr absl::Duration kConnectExclusion = absl::Seconds(1);
+/// As above, for one that fetches a newer configuration from this host.
+constexpr absl::Duration kOutdatedExclusion = absl::Milliseconds(50);
 /// Hosts that a request is offered to, if the first one does not take it.
 constexpr int kMaxTries = 2;
 /// Longest idle time of a connection for a request that must not run twice: a
@@ -128,7 +130,10 @@
     return handover->outgoing.on_failed(RefusalReason::kTargetsFailed, true);
   }
   if (!reply->accepted) {
-    return OnRejected(handover, reply->rejection, kRejectionExclusion);
+    return OnRejected(handover, reply->rejection,
+                      reply->rejection == kRejectedAsOutdated
+                          ? kOutdatedExclusion
+                          : kRejectionExclusion);
   }
   OnVersion(*handover, reply->config_version);
   const bool denies_run = protocol_.DeniesRun(reply->response);
--- a/libs/tier/src/handover_server.cc
+++ b/libs/tier/src/handover_server.cc
@@ -110,7 +110,7 @@
   if (offer.config_version < handover.config_version) {
     const std::string& peer = exchange->request().peer;
     callbacks_.on_newer_configuration(peer.substr(0, peer.rfind(':')));
-    return Reject(*exchange, "older_configuration");
+    return Reject(*exchange, kRejectedAsOutdated);
   }
   if (!HasRoomToTakeOver(running(), callbacks_.lateness())) {
     return Reject(*exchange, "no_room");
