Accept what waits in the backlog before a stopping host closes its port

By the log the host stopped listening right after its last request; a connection in the listen backlog was reset, with its request unread.

StopAccepting accepts the waiting connections first, an accept that had completed is no longer dropped, unread requests count as busy, and the exit comes one poll later at the earliest.

--- a/libs/engine/include/engine/http_server.h
+++ b/libs/engine/include/engine/http_server.h
@@ -91,7 +91,8 @@
   /// next request has arrived but was not read yet stays open.
   void CloseIdle();
 
-  /// Stops listening: new connections are refused.
+  /// Stops listening: new connections are refused. Those that wait to be
+  /// accepted are.
   void StopAccepting();
 
   /// @return requests that were read and have no response yet.
--- a/libs/engine/src/http_server.cc
+++ b/libs/engine/src/http_server.cc
@@ -20,6 +20,14 @@
 /// Number of connections that may wait to be accepted.
 constexpr int kListenBacklog = 1024;
 
+void AddConnection(const std::shared_ptr<HttpServer::State>& state,
+                   asio::ip::tcp::socket socket) {
+  auto connection =
+      std::make_shared<ServerConnection>(state, std::move(socket));
+  state->connections.push_back(connection);
+  connection->Start();
+}
+
 }  // namespace
 
 HttpServer::State::State(EventLoop& event_loop)
@@ -70,6 +78,7 @@
   state_->acceptor.async_accept([this, state = state_](
                                     const boost::system::error_code& error,
                                     asio::ip::tcp::socket socket) {
+    if (!error) AddConnection(state, std::move(socket));
     if (error == asio::error::operation_aborted || !state->acceptor.is_open()) {
       return;
     }
@@ -77,10 +86,6 @@
       timers_.RunAfter(kAcceptRetryDelay, [this] { Accept(); });
       return;
     }
-    auto connection =
-        std::make_shared<ServerConnection>(state, std::move(socket));
-    state->connections.push_back(connection);
-    connection->Start();
     Accept();
   });
 }
@@ -107,8 +112,18 @@
 }
 
 void HttpServer::StopAccepting() {
+  asio::ip::tcp::acceptor& acceptor = state_->acceptor;
+  if (!acceptor.is_open()) return;
+  // Closing would reset connections in the backlog, with the requests on them.
+  boost::system::error_code error;
+  acceptor.non_blocking(true, error);
+  while (!error) {
+    asio::ip::tcp::socket socket(state_->loop.context());
+    acceptor.accept(socket, error);
+    if (!error) AddConnection(state_, std::move(socket));
+  }
   boost::system::error_code ignored;
-  state_->acceptor.close(ignored);
+  acceptor.close(ignored);
 }
 
 size_t HttpServer::busy_connections() const {
--- a/libs/engine/src/server_connection.cc
+++ b/libs/engine/src/server_connection.cc
@@ -253,12 +253,15 @@
   Close();
 }
 
-void ServerConnection::CloseIfIdle() {
-  if (phase_ != Phase::kIdle) return;
+bool ServerConnection::IsBusy() const {
+  if (phase_ != Phase::kIdle) return phase_ != Phase::kClosed;
   error_code error;
+  return socket_.available(error) > 0 && !error;
+}
+
+void ServerConnection::CloseIfIdle() {
   // Closing with unread bytes would reset the connection.
-  if (socket_.available(error) > 0 && !error) return;
-  Close();
+  if (phase_ == Phase::kIdle && !IsBusy()) Close();
 }
 
 void ServerConnection::Close() {
--- a/libs/engine/src/server_connection.h
+++ b/libs/engine/src/server_connection.h
@@ -41,11 +41,9 @@
   /// has passed.
   void CheckTimeout(absl::Time now);
   void CloseIfIdle();
-  /// @return whether a request is being read or handled, or its response is on
-  /// its way.
-  bool IsBusy() const {
-    return phase_ != Phase::kIdle && phase_ != Phase::kClosed;
-  }
+  /// @return whether a request has arrived or is being handled, or its response
+  /// is on its way.
+  bool IsBusy() const;
   void Close();
 
   const HttpRequest& request() const override { return request_; }
--- a/libs/engine/tests/http_server_test.cc
+++ b/libs/engine/tests/http_server_test.cc
@@ -44,6 +44,7 @@
   CPPUNIT_TEST(ClosesConnectionsAfterResponsesWhenStopping);
   CPPUNIT_TEST(ConnectionIsBusyUntilItsResponseIsWritten);
   CPPUNIT_TEST(IdleConnectionWithAnUnreadRequestStaysOpen);
+  CPPUNIT_TEST(ConnectionInTheBacklogIsServedWhenAcceptingStops);
   CPPUNIT_TEST(HandlesPipelinedFloodOneRequestAtATime);
   CPPUNIT_TEST(SurvivesRandomBytes);
   CPPUNIT_TEST_SUITE_END();
@@ -205,6 +206,16 @@
     CPPUNIT_ASSERT_THROW(Connect(), boost::system::system_error);
   }
 
+  // Guards against resetting a request that waits in the listen backlog.
+  void ConnectionInTheBacklogIsServedWhenAcceptingStops() {
+    const auto caller = Connect();
+    caller->Write(Get("/1"));
+    server_->StopAccepting();
+    CPPUNIT_ASSERT(WaitForRequests(1));
+    Respond(0, "one");
+    CPPUNIT_ASSERT(WaitForResponse(*caller, "one"));
+  }
+
   void HandlesPipelinedFloodOneRequestAtATime() {
     const auto caller = Connect();
     std::string flood;
--- a/libs/tier/include/tier/tier_host.h
+++ b/libs/tier/include/tier/tier_host.h
@@ -116,6 +116,7 @@
   absl::Time source_recovered_at_ = absl::InfinitePast();
   absl::Time shutdown_started_at_ = absl::InfiniteFuture();
   std::optional<ShutdownSchedule> shutdown_;
+  bool stopped_accepting_ = false;
   /// When `UpdateReaderRole` is to run next, and how late it last ran.
   absl::Time next_check_at_ = absl::InfiniteFuture();
   absl::Duration lateness_;
--- a/libs/tier/src/tier_host.cc
+++ b/libs/tier/src/tier_host.cc
@@ -330,7 +330,10 @@
   }
   const size_t running = request_handler_.running() + handovers_.running();
   if (running > 0) return;
-  caller_server_.StopAccepting();
+  if (!std::exchange(stopped_accepting_, true)) {
+    // Requests on the last connections accepted may still be on their way.
+    return caller_server_.StopAccepting();
+  }
   const size_t unwritten =
       caller_server_.busy_connections() + fleet_server_.busy_connections();
   if (unwritten > 0 && now < shutdown_->exit()) return;
