Ask RequestRun::CanAnswer wherever the minimum of parts is compared

No behaviour changes. dispatch_test 138 passed; the formatter is clean. No other test was run for it.

--- a/libs/dispatch/src/request_run.cc
+++ b/libs/dispatch/src/request_run.cc
@@ -189,7 +189,7 @@
   RunActions actions;
   if (done_) return actions;
   if (now >= plan_.deadline) {
-    const bool enough = succeeded_parts_ >= plan_.min_parts;
+    const bool enough = CanAnswer();
     Finish(enough            ? RequestOutcome::kAnswer
            : maybe_run_ == 0 ? RequestOutcome::kNotRun
                              : RequestOutcome::kTimedOut,
@@ -215,7 +215,7 @@
   if (done_) return;
   const bool all_parts_ended =
       succeeded_parts_ + failed_parts_ == parts_.size();
-  const bool enough = succeeded_parts_ >= plan_.min_parts;
+  const bool enough = CanAnswer();
   if (enough && (all_parts_ended || now >= plan_.answer_at)) {
     return Finish(RequestOutcome::kAnswer, actions);
   }
@@ -248,9 +248,7 @@
 RunActions RequestRun::OnPathLost() {
   RunActions actions;
   if (done_ || !plan_.idempotent) return actions;
-  Finish(succeeded_parts_ >= plan_.min_parts ? RequestOutcome::kAnswer
-                                             : FailureOutcome(),
-         actions);
+  Finish(CanAnswer() ? RequestOutcome::kAnswer : FailureOutcome(), actions);
   return actions;
 }
 
@@ -265,8 +263,7 @@
   if (done_) return absl::InfiniteFuture();
   absl::Time next = plan_.deadline;
   // With enough parts, the request waits for the others only until `answer_at`.
-  if (succeeded_parts_ >= plan_.min_parts)
-    next = std::min(next, plan_.answer_at);
+  if (CanAnswer()) next = std::min(next, plan_.answer_at);
   for (const Part& part : parts_) next = std::min(next, part.overdue_at);
   return next;
 }
