Log the size and the duration of a transfer between hosts

The logs showed that transfers timed out but not how many bytes they had nor how long one that succeeded took, which tells a link that is shared by many large copies from a reader that does not answer. No logic is changed.

--- a/libs/tier/src/fleet_gossip.cc
+++ b/libs/tier/src/fleet_gossip.cc
@@ -208,10 +208,12 @@
   const std::string path =
       absl::StrCat(kTransferPath, config_from, "/", targets_from);
   client->Get(path, kTransferTimeout,
-              [this, peer, config_from,
-               targets_from](Result<engine::HttpResponse> result) {
+              [this, peer, config_from, targets_from,
+               started_at = loop_.Now()](Result<engine::HttpResponse> result) {
                 fetching_ = false;
                 behind_since_ = absl::InfiniteFuture();
+                const int64_t elapsed_ms =
+                    absl::ToInt64Milliseconds(loop_.Now() - started_at);
                 const Error* error = GetError(result);
                 Result<TransferMessage> decoded =
                     error != nullptr
@@ -219,7 +221,9 @@
                         : DecodeTransferMessage(GetValue(result).body);
                 if (error = GetError(decoded); error != nullptr) {
                   LogWarning("no news from peer",
-                             {{"peer", peer}, {"error", error->message}});
+                             {{"peer", peer},
+                              {"error", error->message},
+                              {"ms", elapsed_ms}});
                   return;
                 }
                 TransferMessage& transfer = GetValue(decoded);
@@ -231,6 +235,8 @@
                 const bool targets = targets_.Merge(transfer.targets);
                 LogInfo("published items fetched from peer",
                         {{"peer", peer},
+                         {"ms", elapsed_ms},
+                         {"bytes", GetValue(result).body.size()},
                          {"config_items", transfer.config.items.size()},
                          {"target_items", transfer.targets.items.size()},
                          {"snapshot", transfer.config.is_snapshot ||
