Limit the time of a transfer by its progress, not by its size

Cause: a response had one time limit for all of it, 1 s between hosts and 0.8 s from the store, whatever its size. The hosts of a failure domain fetch a new configuration at the same time from the one that reads the store. 13 copies of 260 kB share its link of 20 Mbit/s for over a second, all of them time out together and start again from the first byte.

Now the limits are for the first byte, for a pause between two parts, and a generous one for the whole. A peer or store that falls silent is noticed as soon as before.

--- a/libs/engine/include/engine/async_http_client.h
+++ b/libs/engine/include/engine/async_http_client.h
@@ -2,13 +2,29 @@
 
 #include <functional>
 #include <memory>
+#include <string>
+#include <utility>
+#include <vector>
 
+#include "absl/time/time.h"
 #include "base/result.h"
 #include "engine/connection_pool.h"
 
 namespace cherrydyke::engine {
 
-/// Asynchronous HTTP client of one server with a timeout for each request.
+/// Time limits of a request. The time that a response takes depends on its size
+/// and on the link, so a response that goes on arriving is given more time than
+/// one that does not arrive.
+struct ResponseTimeouts {
+  /// Longest time until the first byte of the response.
+  absl::Duration first_byte;
+  /// Longest time between two parts of the response.
+  absl::Duration stall;
+  /// Longest time until the end of the response.
+  absl::Duration total;
+};
+
+/// Asynchronous HTTP client of one server with timeouts for each request.
 /// Reuses keep-alive connections and closes the connection of a request that
 /// times out.
 class AsyncHttpClient {
@@ -20,11 +36,23 @@
 
   /// Sends `GET target`.
   /// @param done receives the response, whatever its status code; `kTimeout` if
-  /// it is not complete within `timeout`; or `kUnavailable` if the connection
+  /// one of the time limits was exceeded; or `kUnavailable` if the connection
   /// failed or the response was malformed.
-  void Get(const std::string& target, absl::Duration timeout, Done done);
+  void Get(const std::string& target, const ResponseTimeouts& timeouts,
+           Done done) {
+    Get(target, {}, timeouts, std::move(done));
+  }
+  /// As above, with further request headers.
+  void Get(const std::string& target, const std::vector<HttpHeader>& headers,
+           const ResponseTimeouts& timeouts, Done done);
 
  private:
+  struct PendingCall;
+
+  /// Ends the call if a time limit is exceeded, otherwise looks again when the
+  /// next one can be.
+  void CheckTimeouts(const std::shared_ptr<PendingCall>& call);
+
   EventLoop& loop_;
   TimerScope timers_{loop_};
   const Endpoint endpoint_;
--- a/libs/engine/include/engine/client_connection.h
+++ b/libs/engine/include/engine/client_connection.h
@@ -47,6 +47,8 @@
   /// response that carries a different one is discarded and the next one is
   /// awaited. Not checked if empty or if the response has no such header.
   std::string expected_id;
+  /// Called when bytes of the response arrive; may be null.
+  std::function<void()> on_progress;
   std::function<void(ExchangeResult)> done;
 };
 
--- a/libs/engine/src/async_http_client.cc
+++ b/libs/engine/src/async_http_client.cc
@@ -1,5 +1,6 @@
 #include "engine/async_http_client.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -27,19 +28,41 @@
       pool_(loop, std::move(endpoint), MakeClientOptions(connect_timeout),
             kMaxConnections, nullptr) {}
 
-void AsyncHttpClient::Get(const std::string& target, absl::Duration timeout,
-                          Done done) {
-  struct PendingCall {
-    ExchangeId exchange = 0;
-    TimerId timer = 0;
-    Done done;
-  };
+struct AsyncHttpClient::PendingCall {
+  ResponseTimeouts timeouts;
+  ExchangeId exchange = 0;
+  TimerId timer = 0;
+  absl::Time started_at;
+  /// When the last bytes of the response arrived.
+  absl::Time progress_at = absl::InfinitePast();
+  Done done;
+
+  absl::Time TimesOutAt() const {
+    const absl::Time stalled_at = progress_at == absl::InfinitePast()
+                                      ? started_at + timeouts.first_byte
+                                      : progress_at + timeouts.stall;
+    return std::min(stalled_at, started_at + timeouts.total);
+  }
+};
+
+void AsyncHttpClient::Get(const std::string& target,
+                          const std::vector<HttpHeader>& headers,
+                          const ResponseTimeouts& timeouts, Done done) {
   const auto call = std::make_shared<PendingCall>();
+  call->timeouts = timeouts;
+  call->started_at = loop_.Now();
   call->done = std::move(done);
   PoolRequest request;
-  request.exchange.write = [this, target] {
-    return absl::StrCat("GET ", target, " HTTP/1.1\r\nHost: ", endpoint_,
-                        "\r\n\r\n");
+  request.exchange.write = [this, target, headers] {
+    std::string head =
+        absl::StrCat("GET ", target, " HTTP/1.1\r\nHost: ", endpoint_, "\r\n");
+    for (const HttpHeader& header : headers) {
+      absl::StrAppend(&head, header.name, ": ", header.value, "\r\n");
+    }
+    return head + "\r\n";
+  };
+  request.exchange.on_progress = [this, call] {
+    call->progress_at = loop_.Now();
   };
   request.exchange.done = [this, call](ExchangeResult result) {
     if (!call->done) return;
@@ -52,14 +75,25 @@
                  absl::StrCat("no complete HTTP response from ", endpoint_)});
     }
   };
-  call->timer = timers_.RunAfter(timeout, [this, call] {
-    const Done done = std::exchange(call->done, nullptr);
-    pool_.Cancel(call->exchange, absl::ZeroDuration());
-    done(Error{ErrorCode::kTimeout,
-               absl::StrCat("HTTP request timed out without a response from ",
-                            endpoint_)});
-  });
   call->exchange = pool_.Send(std::move(request));
+  CheckTimeouts(call);
+}
+
+void AsyncHttpClient::CheckTimeouts(const std::shared_ptr<PendingCall>& call) {
+  if (loop_.Now() < call->TimesOutAt()) {
+    call->timer = timers_.RunAt(call->TimesOutAt(),
+                                [this, call] { CheckTimeouts(call); });
+    return;
+  }
+  const Done done = std::exchange(call->done, nullptr);
+  pool_.Cancel(call->exchange, absl::ZeroDuration());
+  const bool has_begun = call->progress_at != absl::InfinitePast();
+  done(Error{ErrorCode::kTimeout,
+             absl::StrCat(has_begun ? "HTTP response stopped arriving or took "
+                                      "too long from "
+                                    : "HTTP request timed out without a "
+                                      "response from ",
+                          endpoint_)});
 }
 
 }  // namespace cherrydyke::engine
--- a/libs/engine/src/client_connection.cc
+++ b/libs/engine/src/client_connection.cc
@@ -143,6 +143,7 @@
 void ClientConnection::OnBytes() {
   // Unsolicited bytes cannot be attributed to a request.
   if (state_ != State::kBusy) return CloseSocket(true);
+  if (exchange_.on_progress) exchange_.on_progress();
   while (state_ == State::kBusy && ParseResponse(false)) CompleteResponse();
 }
 
--- /dev/null
+++ b/libs/engine/tests/async_http_client_test.cc
@@ -0,0 +1,108 @@
+#include "engine/async_http_client.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "absl/strings/str_cat.h"
+#include "base/clock.h"
+#include "support/raw_peers.h"
+
+namespace cherrydyke::engine {
+namespace {
+
+constexpr ResponseTimeouts kTimeouts = {
+    absl::Milliseconds(200), absl::Milliseconds(200), absl::Seconds(1)};
+constexpr absl::Duration kConnectTimeout = absl::Milliseconds(500);
+constexpr absl::Duration kPartPeriod = absl::Milliseconds(50);
+
+}  // namespace
+
+class AsyncHttpClientTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(AsyncHttpClientTest);
+  CPPUNIT_TEST(ResponseThatGoesOnArrivingIsNotCutOff);
+  CPPUNIT_TEST(ResponseThatStopsArrivingTimesOut);
+  CPPUNIT_TEST(ResponseThatNeverEndsTimesOut);
+  CPPUNIT_TEST(SilentServerTimesOut);
+  CPPUNIT_TEST(SendsFurtherHeaders);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void ResponseThatGoesOnArrivingIsNotCutOff() {
+    constexpr int kParts = 10;
+    const auto result = GetInParts(kParts, kParts);
+    CPPUNIT_ASSERT(GetError(result) == nullptr);
+    CPPUNIT_ASSERT_EQUAL(std::string(kParts, 'x'), GetValue(result).body);
+  }
+
+  void ResponseThatStopsArrivingTimesOut() {
+    const absl::Time started = loop_.Now();
+    CPPUNIT_ASSERT(IsTimeout(GetInParts(10, 3)));
+    CPPUNIT_ASSERT(loop_.Now() - started < kTimeouts.total);
+  }
+
+  void ResponseThatNeverEndsTimesOut() {
+    const absl::Time started = loop_.Now();
+    CPPUNIT_ASSERT(IsTimeout(GetInParts(1000, 1000)));
+    CPPUNIT_ASSERT(loop_.Now() - started >= kTimeouts.total);
+  }
+
+  void SilentServerTimesOut() {
+    RawServer server(loop_, [](RawConnection&, const std::string&) {});
+    CPPUNIT_ASSERT(IsTimeout(Get(server)));
+  }
+
+  void SendsFurtherHeaders() {
+    std::string received;
+    RawServer server(loop_, [&](RawConnection& c, const std::string& bytes) {
+      received = bytes;
+      c.Write(OkResponse("x"));
+    });
+    Get(server, {{"Accept-Encoding", "a"}});
+    CPPUNIT_ASSERT_EQUAL(std::string("a"),
+                         HeaderOf(received, "Accept-Encoding"));
+  }
+
+ private:
+  // Requests a response of `length` bytes of which one a period arrives until
+  // `sent` have.
+  Result<HttpResponse> GetInParts(int length, int sent) {
+    RawConnection* connection = nullptr;
+    RawServer server(loop_, [&](RawConnection& c, const std::string&) {
+      connection = &c;
+      c.Write(absl::StrCat("HTTP/1.1 200 OK\r\nContent-Length: ", length,
+                           "\r\n\r\n"));
+    });
+    int parts = 0;
+    TimerScope timers(loop_);
+    timers.Every(kPartPeriod, [&] {
+      if (connection == nullptr || parts++ >= sent) return;
+      connection->Write("x");
+    });
+    return Get(server);
+  }
+
+  Result<HttpResponse> Get(const RawServer& server,
+                           const std::vector<HttpHeader>& headers = {}) {
+    AsyncHttpClient client(loop_, server.endpoint(), kConnectTimeout);
+    std::optional<Result<HttpResponse>> result;
+    client.Get("/x", headers, kTimeouts,
+               [&](Result<HttpResponse> got) { result = std::move(got); });
+    CPPUNIT_ASSERT(RunUntil(loop_, [&] { return result.has_value(); }));
+    return std::move(*result);
+  }
+
+  static bool IsTimeout(const Result<HttpResponse>& result) {
+    const Error* const error = GetError(result);
+    return error != nullptr && error->code == ErrorCode::kTimeout;
+  }
+
+  BootClock clock_;
+  EventLoop loop_{clock_};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(AsyncHttpClientTest);
+
+}  // namespace cherrydyke::engine
--- a/libs/tier/src/fleet_gossip.cc
+++ b/libs/tier/src/fleet_gossip.cc
@@ -37,7 +37,10 @@
 /// How long a host whose published items are stale waits for the configuration
 /// service or the reader of its group before it fetches them from another peer.
 constexpr absl::Duration kLagTolerance = absl::Milliseconds(700);
-constexpr absl::Duration kTransferTimeout = absl::Seconds(1);
+/// The hosts of a group fetch a change at the same time, so that its bytes
+/// share the sender's link with as many copies.
+constexpr engine::ResponseTimeouts kTransferTimeouts = {
+    absl::Seconds(1), absl::Seconds(1), absl::Seconds(10)};
 constexpr absl::Duration kConnectTimeout = absl::Milliseconds(500);
 
 }  // namespace
@@ -207,7 +210,7 @@
   const Revision targets_from = targets_.known_until();
   const std::string path =
       absl::StrCat(kTransferPath, config_from, "/", targets_from);
-  client->Get(path, kTransferTimeout,
+  client->Get(path, kTransferTimeouts,
               [this, peer, config_from, targets_from,
                started_at = loop_.Now()](Result<engine::HttpResponse> result) {
                 fetching_ = false;
@@ -220,10 +223,9 @@
                         ? Result<TransferMessage>(*error)
                         : DecodeTransferMessage(GetValue(result).body);
                 if (error = GetError(decoded); error != nullptr) {
-                  LogWarning("no news from peer",
-                             {{"peer", peer},
-                              {"error", error->message},
-                              {"ms", elapsed_ms}});
+                  LogWarning("no news from peer", {{"peer", peer},
+                                                   {"error", error->message},
+                                                   {"ms", elapsed_ms}});
                   return;
                 }
                 TransferMessage& transfer = GetValue(decoded);
