Compress what hosts fetch from each other

A host asks with Accept-Encoding: deflate; the answer says Content-Encoding. Hosts of earlier versions ignore the header and answer as before, and ask without it, so that they get what they know. The encoded answer is kept for 200 ms, as the hosts of a group ask for the same at the same time.

--- a/libs/tier/include/tier/fleet_gossip.h
+++ b/libs/tier/include/tier/fleet_gossip.h
@@ -5,6 +5,8 @@
 #include <memory>
 #include <random>
 #include <string>
+#include <tuple>
+#include <utility>
 #include <vector>
 
 #include "dispatch/crash_tracker.h"
@@ -84,7 +86,29 @@
   void FetchFrom(const HostId& peer);
 
  private:
+  /// What a host asks for: the changes after these revisions.
+  struct TransferRequest {
+    Revision config = 0;
+    Revision targets = 0;
+    bool compress = false;
+
+    friend bool operator==(const TransferRequest& a, const TransferRequest& b) {
+      return std::tie(a.config, a.targets, a.compress) ==
+             std::tie(b.config, b.targets, b.compress);
+    }
+  };
+  struct EncodedTransfer {
+    TransferRequest request;
+    /// Revisions of configuration and targets known when it was encoded.
+    std::pair<Revision, Revision> known;
+    absl::Time encoded_at = absl::InfinitePast();
+    std::string body;
+  };
+
   void RunGossipRound();
+  /// @return the response body, which is kept for the next host that asks for
+  /// the same.
+  const std::string& EncodeTransfer(const TransferRequest& request);
   /// Sends health reports of targets to random hosts of the own failure domain.
   void SendHealthReports();
   /// @return the hosts to which this one disseminates published items.
@@ -109,6 +133,7 @@
   std::mt19937_64 random_;
   LogRateLimiter log_rate_limiter_;
   Callbacks callbacks_;
+  EncodedTransfer last_transfer_;
   absl::Time behind_since_ = absl::InfiniteFuture();
   bool fetching_ = false;
   int round_ = 0;
--- a/libs/tier/src/fleet_gossip.cc
+++ b/libs/tier/src/fleet_gossip.cc
@@ -7,6 +7,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
 #include "telemetry/log.h"
+#include "tier/compression.h"
 #include "tier/transfer_message.h"
 
 namespace cherrydyke {
@@ -42,6 +43,29 @@
 constexpr engine::ResponseTimeouts kTransferTimeouts = {
     absl::Seconds(1), absl::Seconds(1), absl::Seconds(10)};
 constexpr absl::Duration kConnectTimeout = absl::Milliseconds(500);
+/// Negotiates compressed transfers: hosts of earlier versions ignore the header
+/// of the request and answer without compression.
+constexpr char kAcceptHeader[] = "Accept-Encoding";
+constexpr char kEncodingHeader[] = "Content-Encoding";
+constexpr char kCompressed[] = "deflate";
+/// Largest transfer after decompression.
+constexpr size_t kMaxTransferBytes = 64U << 20U;
+/// How long an encoded transfer is sent to further hosts that lack the same
+/// changes: these ask at the same time.
+constexpr absl::Duration kTransferReuseTime = absl::Milliseconds(200);
+
+Result<TransferMessage> ReadTransfer(const engine::HttpResponse& response) {
+  const std::string* const encoding =
+      FindHeader(response.headers, kEncodingHeader);
+  if (encoding == nullptr) return DecodeTransferMessage(response.body);
+  if (*encoding != kCompressed) {
+    return Error{ErrorCode::kInvalidInput,
+                 absl::StrCat("unknown content encoding ", *encoding)};
+  }
+  const Result<std::string> body = Decompress(response.body, kMaxTransferBytes);
+  if (const Error* error = GetError(body)) return *error;
+  return DecodeTransferMessage(GetValue(body));
+}
 
 }  // namespace
 
@@ -210,7 +234,7 @@
   const Revision targets_from = targets_.known_until();
   const std::string path =
       absl::StrCat(kTransferPath, config_from, "/", targets_from);
-  client->Get(path, kTransferTimeouts,
+  client->Get(path, {{kAcceptHeader, kCompressed}}, kTransferTimeouts,
               [this, peer, config_from, targets_from,
                started_at = loop_.Now()](Result<engine::HttpResponse> result) {
                 fetching_ = false;
@@ -219,9 +243,8 @@
                     absl::ToInt64Milliseconds(loop_.Now() - started_at);
                 const Error* error = GetError(result);
                 Result<TransferMessage> decoded =
-                    error != nullptr
-                        ? Result<TransferMessage>(*error)
-                        : DecodeTransferMessage(GetValue(result).body);
+                    error != nullptr ? Result<TransferMessage>(*error)
+                                     : ReadTransfer(GetValue(result));
                 if (error = GetError(decoded); error != nullptr) {
                   LogWarning("no news from peer", {{"peer", peer},
                                                    {"error", error->message},
@@ -261,11 +284,30 @@
   if (path.size() == 4 && absl::SimpleAtoi(path[2], &config) &&
       absl::SimpleAtoi(path[3], &targets)) {
     response.status = 200;
-    response.body = EncodeTransferMessage({config_.ChangesAfter(config),
-                                           targets_.ChangesAfter(targets),
-                                           callbacks_.source_recovery_age()});
+    const std::string* const accepted =
+        FindHeader(exchange.request().headers, kAcceptHeader);
+    const bool compress = accepted != nullptr && *accepted == kCompressed;
+    if (compress) response.headers.push_back({kEncodingHeader, kCompressed});
+    response.body = EncodeTransfer({config, targets, compress});
   }
   exchange.Respond(std::move(response));
 }
 
+const std::string& FleetGossip::EncodeTransfer(const TransferRequest& request) {
+  const absl::Time now = loop_.Now();
+  const auto known =
+      std::make_pair(config_.known_until(), targets_.known_until());
+  if (last_transfer_.request == request && last_transfer_.known == known &&
+      now - last_transfer_.encoded_at < kTransferReuseTime) {
+    return last_transfer_.body;
+  }
+  std::string body =
+      EncodeTransferMessage({config_.ChangesAfter(request.config),
+                             targets_.ChangesAfter(request.targets),
+                             callbacks_.source_recovery_age()});
+  if (request.compress) body = Compress(body);
+  last_transfer_ = {request, known, now, std::move(body)};
+  return last_transfer_.body;
+}
+
 }  // namespace cherrydyke
