Keep two tests of time limits from depending on the load of the machine

At a load of 38 on 8 cores, engine_test failed in 3 of 9 runs. Traced in two: CancelledRequestIsAbortedAfterGracePeriod looked after a sleep of 20 ms whether a grace period of 40 ms had not passed, and the sleep took longer. It now measures that the abort comes after the whole grace period, which is stricter. The third was not kept: its output was cut off.

--- a/libs/engine/tests/async_http_client_test.cc
+++ b/libs/engine/tests/async_http_client_test.cc
@@ -13,8 +13,8 @@
 namespace cherrydyke::engine {
 namespace {
 
-constexpr ResponseTimeouts kTimeouts = {
-    absl::Milliseconds(200), absl::Milliseconds(200), absl::Seconds(1)};
+constexpr ResponseTimeouts kTimeouts = {absl::Seconds(1), absl::Seconds(1),
+                                        absl::Milliseconds(2500)};
 constexpr absl::Duration kConnectTimeout = absl::Milliseconds(500);
 constexpr absl::Duration kPartPeriod = absl::Milliseconds(50);
 
@@ -31,7 +31,7 @@
 
  public:
   void ResponseThatGoesOnArrivingIsNotCutOff() {
-    constexpr int kParts = 10;
+    constexpr int kParts = 30;
     const auto result = GetInParts(kParts, kParts);
     CPPUNIT_ASSERT(GetError(result) == nullptr);
     CPPUNIT_ASSERT_EQUAL(std::string(kParts, 'x'), GetValue(result).body);
--- a/libs/engine/tests/connection_pool_test.cc
+++ b/libs/engine/tests/connection_pool_test.cc
@@ -217,10 +217,12 @@
     std::optional<ExchangeStatus> status;
     const ExchangeId id = SendRecordingStatus(status);
     CPPUNIT_ASSERT(RunUntil(loop_, [&] { return waiting != nullptr; }));
-    pool_->Cancel(id, absl::Milliseconds(40));
-    RunFor(loop_, absl::Milliseconds(20));
+    const absl::Duration grace = absl::Milliseconds(40);
+    const absl::Time cancelled_at = loop_.Now();
+    pool_->Cancel(id, grace);
     CPPUNIT_ASSERT(!status.has_value());
     CPPUNIT_ASSERT(RunUntil(loop_, [&] { return waiting->closed_by_peer(); }));
+    CPPUNIT_ASSERT(loop_.Now() - cancelled_at >= grace);
     CPPUNIT_ASSERT(status == ExchangeStatus::kAborted);
   }
 
