Close an idle connection only when no request has arrived on it

Cause: the idle timeout closed a connection although the next request lay unread in the kernel (after a pause of the process), which resets it. And closing idle connections at a stop dropped a request that had been read but whose handler still waited in the loop; the count of unread bytes is then 0.

The pending read is cancelled instead; its handler closes the connection if nothing has arrived, else the request is served.

Before: UnreadRequestSurvivesTheIdleTimeout and RequestThatWasJustReadSurvivesClosingIdleConnections fail (2 of 15 in HttpServerTest).

--- a/libs/engine/src/server_connection.cc
+++ b/libs/engine/src/server_connection.cc
@@ -4,6 +4,8 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <utility>
+
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/string_view.h"
@@ -98,7 +100,11 @@
       [self = shared_from_this()](const error_code& error, size_t bytes) {
         self->reading_ = false;
         if (self->phase_ == Phase::kClosed) return;
+        if (error == asio::error::operation_aborted) {
+          return self->OnReadCancelled();
+        }
         if (error) return self->OnPeerClosed();
+        self->closing_when_quiet_ = false;
         self->input_.commit(bytes);
         if (self->phase_ == Phase::kIdle || self->phase_ == Phase::kReading) {
           self->OnBytes();
@@ -250,6 +256,7 @@
   if (phase_ == Phase::kRunning || phase_ == Phase::kClosed) return;
   if (now < deadline_) return;
   if (phase_ == Phase::kReading) return Reject(408);
+  if (phase_ == Phase::kIdle) return CloseIfIdle();
   Close();
 }
 
@@ -261,7 +268,20 @@
 
 void ServerConnection::CloseIfIdle() {
   // Closing with unread bytes would reset the connection.
-  if (phase_ == Phase::kIdle && !IsBusy()) Close();
+  if (phase_ != Phase::kIdle || IsBusy()) return;
+  if (!reading_) return Close();
+  // A request may have been read whose handler waits in the loop; cancelling
+  // does not affect it. Otherwise `OnReadCancelled` closes the connection.
+  closing_when_quiet_ = true;
+  error_code ignored;
+  socket_.cancel(ignored);
+}
+
+void ServerConnection::OnReadCancelled() {
+  if (std::exchange(closing_when_quiet_, false)) {
+    if (phase_ == Phase::kIdle && !IsBusy()) return Close();
+  }
+  Read();
 }
 
 void ServerConnection::Close() {
--- a/libs/engine/src/server_connection.h
+++ b/libs/engine/src/server_connection.h
@@ -74,6 +74,8 @@
   void Write(const std::shared_ptr<std::string>& bytes, bool keep);
   void OnWritten(bool keep);
   void OnPeerClosed();
+  /// Closes the connection if it is still idle, or reads on.
+  void OnReadCancelled();
 
   std::shared_ptr<HttpServer::State> state_;
   boost::asio::ip::tcp::socket socket_;
@@ -82,6 +84,8 @@
   Phase phase_ = Phase::kIdle;
   bool reading_ = false;
   bool peer_closed_ = false;
+  /// Whether the pending read was cancelled to close the idle connection.
+  bool closing_when_quiet_ = false;
   bool keep_alive_ = true;
   /// Whether the last response is sent, so that received bytes are discarded
   /// until the caller closes the connection.
--- a/libs/engine/tests/http_server_test.cc
+++ b/libs/engine/tests/http_server_test.cc
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "absl/time/clock.h"
 #include "base/clock.h"
 #include "boost/system/system_error.hpp"
 #include "support/raw_peers.h"
@@ -45,6 +46,8 @@
   CPPUNIT_TEST(ConnectionIsBusyUntilItsResponseIsWritten);
   CPPUNIT_TEST(IdleConnectionWithAnUnreadRequestStaysOpen);
   CPPUNIT_TEST(ConnectionInTheBacklogIsServedWhenAcceptingStops);
+  CPPUNIT_TEST(RequestThatWasJustReadSurvivesClosingIdleConnections);
+  CPPUNIT_TEST(UnreadRequestSurvivesTheIdleTimeout);
   CPPUNIT_TEST(HandlesPipelinedFloodOneRequestAtATime);
   CPPUNIT_TEST(SurvivesRandomBytes);
   CPPUNIT_TEST_SUITE_END();
@@ -216,6 +219,37 @@
     CPPUNIT_ASSERT(WaitForResponse(*caller, "one"));
   }
 
+  // Guards against dropping a request that was read while its connection was
+  // accepted, and is not yet handled when idle connections are closed.
+  void RequestThatWasJustReadSurvivesClosingIdleConnections() {
+    const auto caller = Connect();
+    caller->Write(Get("/1"));
+    server_->StopAccepting();
+    server_->CloseIdle();
+    CPPUNIT_ASSERT(WaitForRequests(1));
+    Respond(0, "one");
+    CPPUNIT_ASSERT(WaitForResponse(*caller, "one"));
+  }
+
+  // Guards against resetting a request that arrived before the check of the
+  // idle timeout, in a process that was paused or busy.
+  void UnreadRequestSurvivesTheIdleTimeout() {
+    const auto caller = Connect();
+    caller->Write(Get("/1"));
+    CPPUNIT_ASSERT(WaitForRequests(1));
+    Respond(0, "one");
+    CPPUNIT_ASSERT(WaitForResponse(*caller, "one"));
+    const auto idle = Connect();
+    RunFor(loop_, absl::Milliseconds(20));
+    // Runs in the same turn of the loop as the check, just before it.
+    loop_.RunAfter(absl::ZeroDuration(), [&] { caller->Write(Get("/2")); });
+    absl::SleepFor(limits_.idle_timeout + absl::Milliseconds(300));
+    CPPUNIT_ASSERT(WaitForRequests(2));
+    Respond(1, "two");
+    CPPUNIT_ASSERT(WaitForResponse(*caller, "two"));
+    CPPUNIT_ASSERT(RunUntil(loop_, [&] { return idle->closed_by_peer(); }));
+  }
+
   void HandlesPipelinedFloodOneRequestAtATime() {
     const auto caller = Connect();
     std::string flood;
