Ask another peer while one sends its items slowly

A second and third fetch may start 0.7 s after the one before, from other peers; one that failed is not asked again for 1 s. The limit for receiving is counted from the first byte, and 3 s for the store, as no other host reads in its place until then.

--- a/libs/engine/include/engine/async_http_client.h
+++ b/libs/engine/include/engine/async_http_client.h
@@ -20,8 +20,8 @@
   absl::Duration first_byte;
   /// Longest time between two parts of the response.
   absl::Duration stall;
-  /// Longest time until the end of the response.
-  absl::Duration total;
+  /// Longest time from the first byte to the end of the response.
+  absl::Duration receive;
 };
 
 /// Asynchronous HTTP client of one server with timeouts for each request.
--- a/libs/engine/src/async_http_client.cc
+++ b/libs/engine/src/async_http_client.cc
@@ -33,15 +33,16 @@
   ExchangeId exchange = 0;
   TimerId timer = 0;
   absl::Time started_at;
-  /// When the last bytes of the response arrived.
-  absl::Time progress_at = absl::InfinitePast();
+  /// When the first and the last bytes of the response arrived.
+  absl::Time first_byte_at = absl::InfiniteFuture();
+  absl::Time progress_at;
   Done done;
 
+  bool HasBegun() const { return first_byte_at != absl::InfiniteFuture(); }
   absl::Time TimesOutAt() const {
-    const absl::Time stalled_at = progress_at == absl::InfinitePast()
-                                      ? started_at + timeouts.first_byte
-                                      : progress_at + timeouts.stall;
-    return std::min(stalled_at, started_at + timeouts.total);
+    if (!HasBegun()) return started_at + timeouts.first_byte;
+    return std::min(progress_at + timeouts.stall,
+                    first_byte_at + timeouts.receive);
   }
 };
 
@@ -63,6 +64,7 @@
   };
   request.exchange.on_progress = [this, call] {
     call->progress_at = loop_.Now();
+    call->first_byte_at = std::min(call->first_byte_at, call->progress_at);
   };
   request.exchange.done = [this, call](ExchangeResult result) {
     if (!call->done) return;
@@ -87,13 +89,13 @@
   }
   const Done done = std::exchange(call->done, nullptr);
   pool_.Cancel(call->exchange, absl::ZeroDuration());
-  const bool has_begun = call->progress_at != absl::InfinitePast();
-  done(Error{ErrorCode::kTimeout,
-             absl::StrCat(has_begun ? "HTTP response stopped arriving or took "
+  done(Error{
+      ErrorCode::kTimeout,
+      absl::StrCat(call->HasBegun() ? "HTTP response stopped arriving or took "
                                       "too long from "
                                     : "HTTP request timed out without a "
                                       "response from ",
-                          endpoint_)});
+                   endpoint_)});
 }
 
 }  // namespace cherrydyke::engine
--- a/libs/tier/src/fleet_gossip.cc
+++ b/libs/tier/src/fleet_gossip.cc
@@ -48,8 +48,13 @@
 constexpr char kAcceptHeader[] = "Accept-Encoding";
 constexpr char kEncodingHeader[] = "Content-Encoding";
 constexpr char kCompressed[] = "deflate";
-/// Largest transfer after decompression.
-constexpr size_t kMaxTransferBytes = 64U << 20U;
+/// Largest transfer after decompression, as without compression.
+constexpr size_t kMaxTransferBytes = 16U << 20U;
+/// Transfers under way at the same time: a peer that sends slowly does not keep
+/// this host from asking another one.
+constexpr size_t kMaxFetches = 3;
+/// How long a peer that failed to send its items is not asked again.
+constexpr absl::Duration kFailedPeerPause = absl::Seconds(1);
 /// How long an encoded transfer is sent to further hosts that lack the same
 /// changes: these ask at the same time.
 constexpr absl::Duration kTransferReuseTime = absl::Milliseconds(200);
@@ -222,9 +227,19 @@
          message.targets_revision > targets_.complete_revision();
 }
 
+bool FleetGossip::MayFetchFrom(const HostId& peer) const {
+  const absl::Time now = loop_.Now();
+  const auto excluded = excluded_until_.find(peer);
+  if (excluded != excluded_until_.end() && now < excluded->second) return false;
+  return fetches_.count(peer) == 0 && fetches_.size() < kMaxFetches &&
+         std::all_of(fetches_.begin(), fetches_.end(), [&](const auto& fetch) {
+           return now - fetch.second >= kLagTolerance;
+         });
+}
+
 void FleetGossip::FetchFrom(const HostId& peer) {
-  if (fetching_) return;
-  fetching_ = true;
+  if (!MayFetchFrom(peer)) return;
+  fetches_[peer] = loop_.Now();
   std::unique_ptr<engine::AsyncHttpClient>& client = transfer_clients_[peer];
   if (client == nullptr) {
     client = std::make_unique<engine::AsyncHttpClient>(loop_, EndpointOf(peer),
@@ -237,7 +252,7 @@
   client->Get(path, {{kAcceptHeader, kCompressed}}, kTransferTimeouts,
               [this, peer, config_from, targets_from,
                started_at = loop_.Now()](Result<engine::HttpResponse> result) {
-                fetching_ = false;
+                fetches_.erase(peer);
                 behind_since_ = absl::InfiniteFuture();
                 const int64_t elapsed_ms =
                     absl::ToInt64Milliseconds(loop_.Now() - started_at);
@@ -246,6 +261,7 @@
                     error != nullptr ? Result<TransferMessage>(*error)
                                      : ReadTransfer(GetValue(result));
                 if (error = GetError(decoded); error != nullptr) {
+                  excluded_until_[peer] = loop_.Now() + kFailedPeerPause;
                   LogWarning("no news from peer", {{"peer", peer},
                                                    {"error", error->message},
                                                    {"ms", elapsed_ms}});
