Read the next request, not old bytes, behind pipelined requests

Cause: reads wrote into the free space of the buffer of received bytes. While a read was pending, consuming the last pipelined request reset that buffer to its start, so the bytes of the read went elsewhere than the bytes then taken for new: the next request on the connection was replaced by old bytes of the buffer, whole requests among them. A caller who had pipelined got the answer to an older request, which ran again, whether it may be repeated or not.

Reads now have a buffer of their own.

Before: ReadsWhatFollowsPipelinedRequests sees /2 again instead of /3.

--- a/libs/engine/src/server_connection.cc
+++ b/libs/engine/src/server_connection.cc
@@ -21,8 +21,6 @@
 namespace http = boost::beast::http;
 using boost::system::error_code;
 
-/// Buffer size of one read, in bytes; a usual request fits.
-constexpr size_t kReadBytes = 4096;
 /// Bytes of pipelined requests that are buffered while one is handled; beyond
 /// that, reading pauses.
 constexpr size_t kMaxPipelinedBytes = 32U << 10U;
@@ -96,7 +94,7 @@
   if (phase_ == Phase::kRunning && input_.size() >= kMaxPipelinedBytes) return;
   reading_ = true;
   socket_.async_read_some(
-      input_.prepare(kReadBytes),
+      asio::buffer(read_buffer_),
       [self = shared_from_this()](const error_code& error, size_t bytes) {
         self->reading_ = false;
         if (self->phase_ == Phase::kClosed) return;
@@ -105,7 +103,9 @@
         }
         if (error) return self->OnPeerClosed();
         self->closing_when_quiet_ = false;
-        self->input_.commit(bytes);
+        self->input_.commit(
+            asio::buffer_copy(self->input_.prepare(bytes),
+                              asio::buffer(self->read_buffer_, bytes)));
         if (self->phase_ == Phase::kIdle || self->phase_ == Phase::kReading) {
           self->OnBytes();
         } else if (self->lingering_) {
--- a/libs/engine/src/server_connection.h
+++ b/libs/engine/src/server_connection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <list>
 #include <memory>
 #include <optional>
@@ -57,6 +58,9 @@
   }
 
  private:
+  /// Buffer size of one read, in bytes; a usual request fits.
+  static constexpr size_t kReadBytes = 4096;
+
   enum class Phase { kIdle, kReading, kRunning, kWriting, kClosed };
   using Parser =
       boost::beast::http::request_parser<boost::beast::http::string_body>;
@@ -79,6 +83,9 @@
 
   std::shared_ptr<HttpServer::State> state_;
   boost::asio::ip::tcp::socket socket_;
+  /// Separate from `input_`, whose free space moves when a pipelined request is
+  /// consumed while a read is pending.
+  std::array<char, kReadBytes> read_buffer_{};
   boost::beast::flat_buffer input_;
   std::optional<Parser> parser_;
   Phase phase_ = Phase::kIdle;
--- a/libs/engine/tests/http_server_test.cc
+++ b/libs/engine/tests/http_server_test.cc
@@ -36,6 +36,7 @@
 class HttpServerTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(HttpServerTest);
   CPPUNIT_TEST(AnswersPipelinedRequestsInOrder);
+  CPPUNIT_TEST(ReadsWhatFollowsPipelinedRequests);
   CPPUNIT_TEST(ReadsChunkedBodies);
   CPPUNIT_TEST(SendsContinueForExpectedBody);
   CPPUNIT_TEST(RejectsOversizedAndMalformedRequests);
@@ -86,6 +87,20 @@
                    caller->received().find("two"));
   }
 
+  // Guards against handling old bytes of the buffer as the next request.
+  void ReadsWhatFollowsPipelinedRequests() {
+    const auto caller = Connect();
+    caller->Write(Get("/1") + Get("/2"));
+    for (size_t i = 0; i < 2; ++i) {
+      CPPUNIT_ASSERT(WaitForRequests(i + 1));
+      Respond(i, "x");
+    }
+    RunFor(loop_, absl::Milliseconds(30));
+    caller->Write(Get("/3"));
+    CPPUNIT_ASSERT(WaitForRequests(3));
+    CPPUNIT_ASSERT_EQUAL(std::string("/3"), exchanges_[2]->request().target);
+  }
+
   void ReadsChunkedBodies() {
     const auto caller = Connect();
     caller->Write("POST /c HTTP/1.1\r\n" + std::string(kHostHeader) +
