Handle signals before the host listens

Cause: the handlers of SIGTERM, SIGINT and SIGHUP were set after the ready line; until then a signal ended the process. SIGHUP right after the ready line, as when the settings change in that moment, ended a host that callers had connected to.

--- a/daemons/tier/main.cc
+++ b/daemons/tier/main.cc
@@ -82,6 +82,11 @@
   const platform::JsonDecoder decoder;
   platform::StoreClient store(loop, settings.store_endpoint);
   TierHost host(loop, settings.tier, {face, decoder, store});
+  // Before callers can connect: a signal without a handler ends the process.
+  SettingsWatcher watcher(path, host);
+  loop.OnSignal(SIGTERM, [&] { host.BeginShutdown(); });
+  loop.OnSignal(SIGINT, [&] { host.BeginShutdown(); });
+  loop.OnSignal(SIGHUP, [&] { watcher.Reload(); });
   if (const Status started = host.Start(); GetError(started) != nullptr) {
     LogError("host failed to start", {{"error", GetError(started)->message}});
     return 1;
@@ -90,10 +95,6 @@
   LogInfo("started", {{"version", CHERRYDYKE_VERSION},
                       {"callers", settings.tier.caller_endpoint},
                       {"store", settings.store_endpoint}});
-  SettingsWatcher watcher(path, host);
-  loop.OnSignal(SIGTERM, [&] { host.BeginShutdown(); });
-  loop.OnSignal(SIGINT, [&] { host.BeginShutdown(); });
-  loop.OnSignal(SIGHUP, [&] { watcher.Reload(); });
   engine::TimerScope timers(loop);
   timers.Every(kSettingsCheckPeriod, [&] { watcher.Check(); });
   loop.Run();
