Ask several seeds while no peer is known

Cause: a host without peers wrote to one random seed per gossip round of 0.5 s. If that seed was down or in another region, it waited for the store although a peer in its own domain could have answered within 2 ms. Ruled out: handing such requests over to a peer, as a ready peer gives the configuration just as soon.

Now a host that knows no live peer writes to up to three seeds, and the first that answers is asked. A start of all hosts sends up to three datagrams a host instead of one, until a peer is known.

membership_test 34 of 34 (the two new tests failed before), fleet_model_test 7 of 7 with the fix; platform_test was not run.

--- a/libs/membership/include/membership/host_table.h
+++ b/libs/membership/include/membership/host_table.h
@@ -190,7 +190,8 @@
   /// @return whether this round sends digests to random peers.
   bool ShouldSendDigest(int round, absl::Time now) const;
 
-  /// @return random peers, and a seed, for one gossip round.
+  /// @return random peers, and a seed, for one gossip round; several seeds if
+  /// no peer is known to be live.
   std::vector<HostId> GossipPeers(absl::Time now,
                                   std::mt19937_64& random) const;
 
--- a/libs/membership/src/host_table.cc
+++ b/libs/membership/src/host_table.cc
@@ -1,9 +1,16 @@
 #include "membership/host_table.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace cherrydyke {
+namespace {
+
+/// Seeds per gossip round of a host that knows no live peer.
+constexpr size_t kBootstrapSeeds = 3;
+
+}  // namespace
 
 HostTable::HostTable(KnownHost self, std::vector<HostId> seeds, Options options,
                      absl::Time started)
@@ -257,6 +264,14 @@
 std::vector<HostId> HostTable::GossipPeers(absl::Time now,
                                            std::mt19937_64& random) const {
   std::vector<HostId> peers = LivePeers(now);
+  if (peers.empty()) {
+    // A host that has just started needs the configuration before it can serve.
+    // Some seeds may be down, and the nearest one answers first.
+    std::vector<HostId> seeds;
+    std::sample(seeds_.begin(), seeds_.end(), std::back_inserter(seeds),
+                kBootstrapSeeds, random);
+    return seeds;
+  }
   std::shuffle(peers.begin(), peers.end(), random);
   // One of them is in the own failure domain, if any peer there is live: the
   // choice of readers and relays relies on hosts knowing their own domain well.
--- a/libs/membership/tests/host_table_test.cc
+++ b/libs/membership/tests/host_table_test.cc
@@ -42,6 +42,8 @@
   CPPUNIT_TEST(RepliesToSendersThatKnowFewerHosts);
   CPPUNIT_TEST(FleetSizeNeverDropsBelowKnownHosts);
   CPPUNIT_TEST(GossipsWithASeedEvenIfOthersAreLive);
+  CPPUNIT_TEST(HostThatKnowsNoPeerGossipsWithSeveralSeeds);
+  CPPUNIT_TEST(LongListsOfSeedsAreSampled);
   CPPUNIT_TEST(SilentHostsAreKnownButNotLive);
   CPPUNIT_TEST(MembershipConvergesThroughOneSeed);
   CPPUNIT_TEST(ReadsUntilAnEarlierHostOfItsGroupDoes);
@@ -139,6 +141,34 @@
                    (std::vector<HostId>{"b", "seed"}));
   }
 
+  void HostThatKnowsNoPeerGossipsWithSeveralSeeds() {
+    // One seed may be down, or far away while another is near.
+    const HostTable table = Table("a", {"a", "down", "far", "near"});
+    for (int seed = 0; seed < 20; ++seed) {
+      std::mt19937_64 random(seed);
+      std::vector<HostId> peers = table.GossipPeers(kStart, random);
+      std::sort(peers.begin(), peers.end());
+      CPPUNIT_ASSERT(peers == (std::vector<HostId>{"down", "far", "near"}));
+    }
+  }
+
+  void LongListsOfSeedsAreSampled() {
+    constexpr int kSeeds = 50;
+    std::vector<HostId> seeds;
+    for (int i = 0; i < kSeeds; ++i) seeds.push_back(Name(i));
+    const HostTable table = Table("a", seeds);
+    std::set<HostId> asked;
+    std::mt19937_64 random(1);
+    for (int round = 0; round < 200; ++round) {
+      const std::vector<HostId> peers = table.GossipPeers(kStart, random);
+      CPPUNIT_ASSERT_EQUAL(size_t{3}, peers.size());
+      const std::set<HostId> distinct(peers.begin(), peers.end());
+      CPPUNIT_ASSERT_EQUAL(size_t{3}, distinct.size());
+      asked.insert(peers.begin(), peers.end());
+    }
+    CPPUNIT_ASSERT_EQUAL(size_t{kSeeds}, asked.size());
+  }
+
   void SilentHostsAreKnownButNotLive() {
     HostTable table = Table("a");
     table.OnMembershipUpdate(Update("b", kFollower, {{"old", "z", 60'000}}),
