Let a slow transfer not keep a host from a faster peer

Cause: a host fetched from one peer at a time, and since transfers are limited by their progress one may take 10 s. A peer whose link passes a few bytes each second kept a host in touch from a version for longer than configApplyMs (4 s at the small sites, 6 s at the grown ones), though other peers had it.

Now a transfer that has run for 1.5 s no longer keeps the host from another peer that tells of news; two at most run at a time, as they share the host's own link. Merging is idempotent: the store and a peer were merged side by side before.

Not run: the other tests of platform_test and fleet_model_test.

--- a/libs/tier/include/tier/fleet_gossip.h
+++ b/libs/tier/include/tier/fleet_gossip.h
@@ -81,8 +81,8 @@
     return log_rate_limiter_.TakeDroppedCounts();
   }
 
-  /// Fetches published items newer than the own ones, unless a fetch is under
-  /// way.
+  /// Fetches published items newer than the own ones, unless a fetch from that
+  /// peer, or one that may still end soon, is under way.
   void FetchFrom(const HostId& peer);
 
  private:
@@ -118,6 +118,7 @@
             std::vector<TargetHealthReport> health_reports = {});
   void OnDatagram(const std::string& datagram);
   Endpoint EndpointOf(const HostId& host) const;
+  bool CanFetchFrom(const HostId& peer) const;
   /// @return whether the sender has newer published items than this host.
   bool IsBehind(const GossipMessage& message) const;
 
@@ -135,7 +136,8 @@
   Callbacks callbacks_;
   EncodedTransfer last_transfer_;
   absl::Time behind_since_ = absl::InfiniteFuture();
-  bool fetching_ = false;
+  /// Peers from which published items are being fetched, and since when.
+  std::map<HostId, absl::Time> fetches_;
   int round_ = 0;
   /// Token bucket of health report traffic.
   double health_report_allowance_bytes_ = 0;
--- a/libs/tier/src/fleet_gossip.cc
+++ b/libs/tier/src/fleet_gossip.cc
@@ -43,6 +43,11 @@
 constexpr engine::ResponseTimeouts kTransferTimeouts = {
     absl::Seconds(1), absl::Seconds(1), absl::Seconds(10)};
 constexpr absl::Duration kConnectTimeout = absl::Milliseconds(500);
+/// A transfer that takes longer than this does not keep the host from fetching
+/// from another peer: its time limit exceeds the seconds within which changes
+/// must take effect. At most two run at a time, as they share the host's link.
+constexpr absl::Duration kSlowTransferTime = absl::Milliseconds(1500);
+constexpr size_t kMaxFetches = 2;
 /// Negotiates compressed transfers: hosts of earlier versions ignore the header
 /// of the request and answer without compression.
 constexpr char kAcceptHeader[] = "Accept-Encoding";
@@ -222,9 +227,17 @@
          message.targets_revision > targets_.complete_revision();
 }
 
+bool FleetGossip::CanFetchFrom(const HostId& peer) const {
+  if (fetches_.count(peer) > 0 || fetches_.size() >= kMaxFetches) return false;
+  const absl::Time now = loop_.Now();
+  return std::all_of(fetches_.begin(), fetches_.end(), [&](const auto& fetch) {
+    return now - fetch.second >= kSlowTransferTime;
+  });
+}
+
 void FleetGossip::FetchFrom(const HostId& peer) {
-  if (fetching_) return;
-  fetching_ = true;
+  if (!CanFetchFrom(peer)) return;
+  fetches_[peer] = loop_.Now();
   std::unique_ptr<engine::AsyncHttpClient>& client = transfer_clients_[peer];
   if (client == nullptr) {
     client = std::make_unique<engine::AsyncHttpClient>(loop_, EndpointOf(peer),
@@ -237,7 +250,7 @@
   client->Get(path, {{kAcceptHeader, kCompressed}}, kTransferTimeouts,
               [this, peer, config_from, targets_from,
                started_at = loop_.Now()](Result<engine::HttpResponse> result) {
-                fetching_ = false;
+                fetches_.erase(peer);
                 behind_since_ = absl::InfiniteFuture();
                 const int64_t elapsed_ms =
                     absl::ToInt64Milliseconds(loop_.Now() - started_at);
