Exit by the end of the grace period on a slow host

planned_work_soak_test failed in the whole run of the tests and in 1 of 4 runs after it: a host that runs 25 ms of every 100 (imitated with SIGSTOP) had not exited 6 s after SIGTERM, so that it would have been killed.

Cause: with a response unwritten, the exit at 5.9 s was looked for every 0.1 s, so that the last look could be at 5.99 s, later still on such a host. The poll now meets the time of the exit.

--- a/libs/tier/src/tier_host.cc
+++ b/libs/tier/src/tier_host.cc
@@ -1,5 +1,6 @@
 #include "tier/tier_host.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -320,8 +321,13 @@
 }
 
 void TierHost::ContinueShutdown() {
-  timers_.RunAfter(kShutdownPollPeriod, [this] { ContinueShutdown(); });
   const absl::Time now = loop_.Now();
+  // A poll that misses the time of the exit leaves none for a slow host.
+  absl::Time next_poll_at = now + kShutdownPollPeriod;
+  if (now < shutdown_->exit()) {
+    next_poll_at = std::min(next_poll_at, shutdown_->exit());
+  }
+  timers_.RunAt(next_poll_at, [this] { ContinueShutdown(); });
   if (shutdown_->IsAnnouncing(now) && now < shutdown_->requests_end()) return;
   caller_server_.CloseIdle();
   if (now >= shutdown_->requests_end()) {
