--- a/libs/tier/include/tier/fleet_gossip.h
+++ b/libs/tier/include/tier/fleet_gossip.h
@@ -118,7 +118,7 @@
             std::vector<TargetHealthReport> health_reports = {});
   void OnDatagram(const std::string& datagram);
   Endpoint EndpointOf(const HostId& host) const;
-  bool MayFetchFrom(const HostId& peer) const;
+  bool CanFetchFrom(const HostId& peer) const;
   /// @return whether the sender has newer published items than this host.
   bool IsBehind(const GossipMessage& message) const;
 
--- a/libs/tier/src/fleet_gossip.cc
+++ b/libs/tier/src/fleet_gossip.cc
@@ -227,7 +227,7 @@
          message.targets_revision > targets_.complete_revision();
 }
 
-bool FleetGossip::MayFetchFrom(const HostId& peer) const {
+bool FleetGossip::CanFetchFrom(const HostId& peer) const {
   const absl::Time now = loop_.Now();
   const auto excluded = excluded_until_.find(peer);
   if (excluded != excluded_until_.end() && now < excluded->second) return false;
@@ -238,7 +238,7 @@
 }
 
 void FleetGossip::FetchFrom(const HostId& peer) {
-  if (!MayFetchFrom(peer)) return;
+  if (!CanFetchFrom(peer)) return;
   fetches_[peer] = loop_.Now();
   std::unique_ptr<engine::AsyncHttpClient>& client = transfer_clients_[peer];
   if (client == nullptr) {
