Take requests that run once while a stopping host has time for them

Cause: ShutdownSchedule asked for a deadline within the host's time, and the deadline of such a request (3 s) never is, though it takes 60 ms.

They are taken now while four latency objectives are left, twice what others need: a request that is ended has an unknown outcome, which is worse here than a refusal.

--- a/libs/dispatch/src/shutdown_schedule.cc
+++ b/libs/dispatch/src/shutdown_schedule.cc
@@ -13,9 +13,11 @@
 /// the shutdown late, and wakes late to exit.
 constexpr absl::Duration kWriteReserve = absl::Milliseconds(550);
 constexpr absl::Duration kExitReserve = absl::Milliseconds(250);
-/// A request that may be repeated is taken if this many times its latency
-/// objective is left, though its deadline is later.
+/// A request whose deadline is later is taken if this many times its latency
+/// objective is left. It is more for one that must not be repeated: if it is
+/// ended, its caller cannot know whether it has run.
 constexpr int kMinObjectivesLeft = 2;
+constexpr int kMinObjectivesLeftToRunOnce = 4;
 
 }  // namespace
 
@@ -29,8 +31,11 @@
   if (IsAnnouncing(now) || request.deadline <= requests_end_) {
     return request.deadline;
   }
-  const absl::Duration needed = kMinObjectivesLeft * request.latency_objective;
-  if (!request.idempotent || now + needed > requests_end_) return std::nullopt;
+  const int objectives =
+      request.idempotent ? kMinObjectivesLeft : kMinObjectivesLeftToRunOnce;
+  if (now + objectives * request.latency_objective > requests_end_) {
+    return std::nullopt;
+  }
   return requests_end_;
 }
 
