Drop responses without an identifier where the server echoes it

Cause: a response without the identifier counted as the expected one, for the sake of servers that don't echo it. A connection now remembers that its server has, and a response without it is dropped like one with another identifier: the right one is awaited. A server that has never echoed one is believed as before. Closing the connection instead was considered: the request would be lost though its response is about to come.

--- a/libs/engine/include/engine/client_connection.h
+++ b/libs/engine/include/engine/client_connection.h
@@ -45,7 +45,8 @@
   bool is_head = false;
   /// Identifier that the response echoes in `ClientOptions::id_header`. A
   /// response that carries a different one is discarded and the next one is
-  /// awaited. Not checked if empty or if the response has no such header.
+  /// awaited; so is one without, if the server has echoed an identifier on the
+  /// connection before. Not checked if empty.
   std::string expected_id;
   /// Called when bytes of the response arrive; may be null.
   std::function<void()> on_progress;
@@ -129,6 +130,9 @@
   void OnReadError(bool is_eof);
   bool ParseResponse(bool at_end);
   void CompleteResponse();
+  /// @param id identifier in the response, or null.
+  /// @return whether the response is that to the running exchange.
+  bool IsExpected(const std::string* id);
   /// @return status code and headers of the current response if they were
   /// received in full, otherwise an empty response.
   HttpResponse ReceivedHead() const;
@@ -149,6 +153,7 @@
   /// Whether a part of the request has not been handed to the kernel yet.
   bool writing_ = false;
   bool has_received_response_ = false;
+  bool has_echoed_id_ = false;
   TimerId connect_timer_ = 0;
   absl::Time last_active_at_;
   absl::Duration server_idle_timeout_ = absl::InfiniteDuration();
--- a/libs/engine/src/client_connection.cc
+++ b/libs/engine/src/client_connection.cc
@@ -191,9 +191,7 @@
   response.body = std::move(parser.get().body());
   const std::string* const id =
       FindHeader(response.headers, options_.id_header);
-  const bool has_other_id = id != nullptr && !exchange_.expected_id.empty() &&
-                            *id != exchange_.expected_id;
-  if (interim || has_other_id) return ResetParser();
+  if (interim || !IsExpected(id)) return ResetParser();
   UpdateServerIdleTimeout(response);
   last_active_at_ = loop_.Now();
   has_received_response_ = true;
@@ -210,6 +208,13 @@
   if (state_ == State::kIdle && observer_ != nullptr) observer_->OnIdle(*this);
 }
 
+bool ClientConnection::IsExpected(const std::string* id) {
+  if (exchange_.expected_id.empty()) return true;
+  if (id == nullptr) return !has_echoed_id_;
+  has_echoed_id_ = has_echoed_id_ || *id == exchange_.expected_id;
+  return *id == exchange_.expected_id;
+}
+
 void ClientConnection::UpdateServerIdleTimeout(const HttpResponse& response) {
   const std::string* const header = FindHeader(response.headers, "Keep-Alive");
   if (header == nullptr) return;
--- a/libs/engine/tests/connection_pool_test.cc
+++ b/libs/engine/tests/connection_pool_test.cc
@@ -31,6 +31,8 @@
   CPPUNIT_TEST(DistinguishesLostFromMalformedResponses);
   CPPUNIT_TEST(RefusedConnectionMeansNotSent);
   CPPUNIT_TEST(DropsResponsesToOtherRequests);
+  CPPUNIT_TEST(DropsResponsesThatLackTheIdentifierOnceEchoed);
+  CPPUNIT_TEST(TakesResponsesOfServersThatEchoNoIdentifier);
   CPPUNIT_TEST(ClosesConnectionOnUnsolicitedBytes);
   CPPUNIT_TEST(ClosesConnectionOnResponseBeforeRequestIsSent);
   CPPUNIT_TEST(RespectsConnectionLimitAndQueueOrder);
@@ -131,6 +133,32 @@
     CPPUNIT_ASSERT_EQUAL(std::string("mine"), SendAndWait("2")->response.body);
   }
 
+  // A faulty server may repeat an earlier response without its identifier
+  // (MIXED).
+  void DropsResponsesThatLackTheIdentifierOnceEchoed() {
+    int round = 0;
+    StartServer([&](RawConnection& c, const std::string&) {
+      const std::string id = std::to_string(++round);
+      if (round > 1) c.Write(OkResponse("repeated"));
+      c.Write(OkResponse("of " + id, "X-Id: " + id + "\r\n"));
+    });
+    for (const std::string id : {"1", "2", "3"}) {
+      CPPUNIT_ASSERT_EQUAL("of " + id, SendAndWait(id)->response.body);
+    }
+    CPPUNIT_ASSERT_EQUAL(1, server_->accepted());
+    // A request that expects no identifier takes any response.
+    CPPUNIT_ASSERT_EQUAL(std::string("repeated"), SendAndWait()->response.body);
+  }
+
+  void TakesResponsesOfServersThatEchoNoIdentifier() {
+    StartServer(
+        [](RawConnection& c, const std::string&) { c.Write(OkResponse("a")); });
+    for (const std::string id : {"1", "2"}) {
+      CPPUNIT_ASSERT_EQUAL(std::string("a"), SendAndWait(id)->response.body);
+    }
+    CPPUNIT_ASSERT_EQUAL(1, server_->accepted());
+  }
+
   void ClosesConnectionOnUnsolicitedBytes() {
     StartServer([](RawConnection& c, const std::string&) {
       c.Write(OkResponse("a") + OkResponse("stray"));
