--- a/libs/dispatch/include/dispatch/handover_choice.h
+++ b/libs/dispatch/include/dispatch/handover_choice.h
@@ -71,9 +71,27 @@
   std::vector<RegionName> allowed_regions;
 };
 
-/// @return whether the candidate can run the request, as far as known. An older
-/// configuration in its offer does not exclude it, as it may have a newer one
-/// by now.
+/// Why a candidate cannot run a request.
+enum class HandoverObstacle {
+  kNoOffer,
+  kUnavailable,
+  kExcluded,
+  kBusy,
+  kOtherRegion,
+  kLacksServices,
+};
+
+/// @return the name of an obstacle in log lines.
+const char* HandoverObstacleName(HandoverObstacle obstacle);
+
+/// @return the first obstacle found to the candidate's running the request, as
+/// far as known; nothing if it can. An older configuration in its offer is
+/// none, as it may have a newer one by now.
+std::optional<HandoverObstacle> FindHandoverObstacle(
+    const HandoverCandidate& candidate, const HandoverCriteria& criteria,
+    absl::Time now);
+
+/// @return whether there is no obstacle.
 bool CanTakeOver(const HandoverCandidate& candidate,
                  const HandoverCriteria& criteria, absl::Time now);
 
--- a/libs/dispatch/src/handover_choice.cc
+++ b/libs/dispatch/src/handover_choice.cc
@@ -39,27 +39,56 @@
   return static_cast<uint32_t>(StableHash(service));
 }
 
-bool CanTakeOver(const HandoverCandidate& candidate,
-                 const HandoverCriteria& criteria, absl::Time now) {
-  if (!candidate.offer.available || now < candidate.excluded_until ||
-      now - candidate.offered_at > kOfferValidity ||
-      candidate.in_flight >= kMaxInFlightPerPeer) {
-    return false;
+const char* HandoverObstacleName(HandoverObstacle obstacle) {
+  switch (obstacle) {
+    case HandoverObstacle::kNoOffer:
+      return "no_offer";
+    case HandoverObstacle::kUnavailable:
+      return "unavailable";
+    case HandoverObstacle::kExcluded:
+      return "excluded";
+    case HandoverObstacle::kBusy:
+      return "busy";
+    case HandoverObstacle::kOtherRegion:
+      return "other_region";
+    case HandoverObstacle::kLacksServices:
+      return "lacks_services";
+  }
+  return "";
+}
+
+std::optional<HandoverObstacle> FindHandoverObstacle(
+    const HandoverCandidate& candidate, const HandoverCriteria& criteria,
+    absl::Time now) {
+  if (now - candidate.offered_at > kOfferValidity) {
+    return HandoverObstacle::kNoOffer;
+  }
+  if (!candidate.offer.available) return HandoverObstacle::kUnavailable;
+  if (now < candidate.excluded_until) return HandoverObstacle::kExcluded;
+  if (candidate.in_flight >= kMaxInFlightPerPeer) {
+    return HandoverObstacle::kBusy;
   }
   const auto& regions = criteria.allowed_regions;
   if (!regions.empty() && std::find(regions.begin(), regions.end(),
                                     candidate.region) == regions.end()) {
-    return false;
+    return HandoverObstacle::kOtherRegion;
   }
   const auto& unreachable = candidate.offer.unreachable_services;
-  if (unreachable.empty()) return true;
   const auto missing = std::count_if(
       criteria.services.begin(), criteria.services.end(),
       [&](const ServiceName& service) {
         return std::find(unreachable.begin(), unreachable.end(),
                          HandoverServiceHash(service)) != unreachable.end();
       });
-  return static_cast<size_t>(missing) <= criteria.dispensable_services;
+  if (static_cast<size_t>(missing) > criteria.dispensable_services) {
+    return HandoverObstacle::kLacksServices;
+  }
+  return std::nullopt;
+}
+
+bool CanTakeOver(const HandoverCandidate& candidate,
+                 const HandoverCriteria& criteria, absl::Time now) {
+  return !FindHandoverObstacle(candidate, criteria, now);
 }
 
 std::optional<size_t> ChooseHandoverPeer(
--- a/libs/dispatch/tests/handover_choice_test.cc
+++ b/libs/dispatch/tests/handover_choice_test.cc
@@ -16,6 +16,7 @@
   CPPUNIT_TEST(RequestThatMayHaveRunIsHandedOverOnlyIfIdempotent);
   CPPUNIT_TEST(RequestWithoutAttemptsLeftIsNotHandedOver);
   CPPUNIT_TEST(PeerThatCannotRunTheRequestIsNotChosen);
+  CPPUNIT_TEST(ObstacleOfAPeerIsNamed);
   CPPUNIT_TEST(PeerWithAnOlderOfferIsTheLastChoice);
   CPPUNIT_TEST(RequestStaysInAllowedRegions);
   CPPUNIT_TEST(NearestPeerWithRoomIsChosen);
@@ -60,6 +61,36 @@
     CPPUNIT_ASSERT(CanTakeOver(lacking, criteria, now_));
   }
 
+  void ObstacleOfAPeerIsNamed() {
+    const auto obstacle = [this](const HandoverCandidate& candidate,
+                                 const HandoverCriteria& criteria) {
+      const auto found = FindHandoverObstacle(candidate, criteria, now_);
+      return std::string(found ? HandoverObstacleName(*found) : "none");
+    };
+    CPPUNIT_ASSERT_EQUAL(std::string("none"),
+                         obstacle(Candidate(), Criteria()));
+    CPPUNIT_ASSERT_EQUAL(std::string("no_offer"), obstacle({}, Criteria()));
+    HandoverCandidate candidate = Candidate();
+    candidate.offer.available = false;
+    CPPUNIT_ASSERT_EQUAL(std::string("unavailable"),
+                         obstacle(candidate, Criteria()));
+    candidate = Candidate();
+    candidate.excluded_until = now_ + absl::Milliseconds(1);
+    CPPUNIT_ASSERT_EQUAL(std::string("excluded"),
+                         obstacle(candidate, Criteria()));
+    candidate = Candidate();
+    candidate.in_flight = 1000;
+    CPPUNIT_ASSERT_EQUAL(std::string("busy"), obstacle(candidate, Criteria()));
+    candidate = Candidate();
+    candidate.offer.unreachable_services = {HandoverServiceHash("b")};
+    CPPUNIT_ASSERT_EQUAL(std::string("lacks_services"),
+                         obstacle(candidate, Criteria()));
+    HandoverCriteria criteria = Criteria();
+    criteria.allowed_regions = {"south"};
+    CPPUNIT_ASSERT_EQUAL(std::string("other_region"),
+                         obstacle(Candidate(), criteria));
+  }
+
   // Guards against refusing callers while changes follow each other faster than
   // offers (RECOVER). The peer compares the configurations when it is asked.
   void PeerWithAnOlderOfferIsTheLastChoice() {
--- a/libs/tier/include/tier/handover_client.h
+++ b/libs/tier/include/tier/handover_client.h
@@ -88,6 +88,7 @@
 
   /// @return false if there is no host to send it to.
   bool SendToPeer(const HandoverPtr& handover);
+  void LogLackOfPeers(const OutgoingHandover& outgoing);
   void OnResult(const HandoverPtr& handover,
                 const engine::ExchangeResult& result);
   /// @param version of the configuration by which the peer ran the request; 0
--- a/libs/tier/src/handover_client.cc
+++ b/libs/tier/src/handover_client.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
 #include "handover_peers.h"
 #include "telemetry/log.h"
 #include "tier/handover_message.h"
@@ -75,7 +76,10 @@
   outgoing.criteria.config_version =
       std::max(outgoing.criteria.config_version, seen_version_);
   const std::optional<HostId> peer = peers_->Choose(outgoing.criteria);
-  if (!peer) return false;
+  if (!peer) {
+    LogLackOfPeers(outgoing);
+    return false;
+  }
   handover->peer = *peer;
   ++handover->tries;
   engine::PoolRequest request;
@@ -110,6 +114,19 @@
   return true;
 }
 
+void HandoverClient::LogLackOfPeers(const OutgoingHandover& outgoing) {
+  if (!log_rate_limiter_.TryAcquire("no peer", policy_.log_lines,
+                                    loop_.Now())) {
+    return;
+  }
+  LogInfo("no peer can take the request over",
+          {{"request", outgoing.request_id},
+           {"config_version", outgoing.criteria.config_version},
+           {"peers_by_obstacle",
+            absl::StrJoin(peers_->CountObstacles(outgoing.criteria), ",",
+                          absl::PairFormatter("="))}});
+}
+
 void HandoverClient::OnResult(const HandoverPtr& handover,
                               const engine::ExchangeResult& result) {
   if (handover->ended) return;
--- a/libs/tier/src/handover_peers.cc
+++ b/libs/tier/src/handover_peers.cc
@@ -171,6 +171,17 @@
   return hosts[*chosen];
 }
 
+std::map<std::string, int> HandoverPeers::CountObstacles(
+    const HandoverCriteria& criteria) const {
+  std::map<std::string, int> counts;
+  for (const auto& [host, peer] : peers_) {
+    const auto obstacle =
+        FindHandoverObstacle(peer.candidate, criteria, loop_.Now());
+    if (obstacle) ++counts[HandoverObstacleName(*obstacle)];
+  }
+  return counts;
+}
+
 engine::ExchangeId HandoverPeers::Send(const HostId& host,
                                        engine::PoolRequest request) {
   Peer& peer = peers_.at(host);
--- a/libs/tier/src/handover_peers.h
+++ b/libs/tier/src/handover_peers.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <string>
 
 #include "dispatch/handover_choice.h"
 #include "engine/connection_pool.h"
@@ -28,6 +29,11 @@
   /// @return a peer that can run the request, or nothing.
   std::optional<HostId> Choose(const HandoverCriteria& criteria);
 
+  /// @return why none of the peers can run the request: the number of peers by
+  /// the name of their obstacle.
+  std::map<std::string, int> CountObstacles(
+      const HandoverCriteria& criteria) const;
+
   /// Sends a request to a peer returned by `Choose`.
   /// @param done as for `ConnectionPool::Send`.
   engine::ExchangeId Send(const HostId& peer, engine::PoolRequest request);
