--- a/libs/engine/src/client_connection.cc
+++ b/libs/engine/src/client_connection.cc
@@ -230,8 +230,9 @@
 
 void ClientConnection::OnReadError(bool is_eof) {
   if (state_ == State::kBusy && is_eof && ParseResponse(true)) {
-    return CompleteResponse();
+    CompleteResponse();
   }
+  // Also if that response was not the one expected.
   if (state_ == State::kBusy) {
     return CloseAndFinish(ExchangeStatus::kConnectionLost, ReceivedHead(),
                           true);
--- a/libs/engine/tests/connection_pool_test.cc
+++ b/libs/engine/tests/connection_pool_test.cc
@@ -32,6 +32,7 @@
   CPPUNIT_TEST(RefusedConnectionMeansNotSent);
   CPPUNIT_TEST(DropsResponsesToOtherRequests);
   CPPUNIT_TEST(DropsResponsesThatLackTheIdentifierOnceEchoed);
+  CPPUNIT_TEST(DroppedResponseThatEndsTheConnectionLosesTheRequest);
   CPPUNIT_TEST(TakesResponsesOfServersThatEchoNoIdentifier);
   CPPUNIT_TEST(ClosesConnectionOnUnsolicitedBytes);
   CPPUNIT_TEST(ClosesConnectionOnResponseBeforeRequestIsSent);
@@ -150,6 +151,20 @@
     CPPUNIT_ASSERT_EQUAL(std::string("repeated"), SendAndWait()->response.body);
   }
 
+  void DroppedResponseThatEndsTheConnectionLosesTheRequest() {
+    int round = 0;
+    StartServer([&](RawConnection& c, const std::string&) {
+      if (++round == 1) {
+        c.Write(OkResponse("of 1", "X-Id: 1\r\n"));
+      } else {
+        c.Write("HTTP/1.1 200 OK\r\n\r\nto the end");
+        c.Close();
+      }
+    });
+    SendAndWait("1");
+    CPPUNIT_ASSERT(SendAndWait("2")->status == ExchangeStatus::kConnectionLost);
+  }
+
   void TakesResponsesOfServersThatEchoNoIdentifier() {
     StartServer(
         [](RawConnection& c, const std::string&) { c.Write(OkResponse("a")); });
