Count peers that take nothing over as unavailable

Found by the review: only available offers were stamped with their time, so that a peer that had said for 1.5 s that it takes nothing over counted as without an offer in the new log line. Which peers are chosen does not change: the flag excludes them.

--- a/libs/tier/src/handover_peers.cc
+++ b/libs/tier/src/handover_peers.cc
@@ -153,9 +153,9 @@
   }
   const int64_t version = offer.config_version;
   peer.candidate.offer = std::move(offer);
-  if (!peer.candidate.offer.available) return;
+  if (result.status != engine::ExchangeStatus::kComplete) return;
   peer.candidate.offered_at = loop_.Now();
-  on_version_(host, version);
+  if (peer.candidate.offer.available) on_version_(host, version);
 }
 
 std::optional<HostId> HandoverPeers::Choose(const HandoverCriteria& criteria) {
