End requests and exit at the times of the schedule

Found by the review: polls came each 0.1 s from SIGTERM, so that requests were ended up to 0.1 s after the time for it, and less than 300 ms were left to write responses. A host that was stalled past the exit, or has a grace period of 0.5 s or less, polled once more. Polls meet both times now, and the last one exits.

--- a/libs/dispatch/src/shutdown_schedule.cc
+++ b/libs/dispatch/src/shutdown_schedule.cc
@@ -8,11 +8,11 @@
 /// Time in which the load balancer has checked the host's readiness twice and
 /// callers have learned of the shutdown.
 constexpr absl::Duration kAnnounceTime = absl::Milliseconds(2600);
-/// Time before the end of the grace period that is left for writing the last
-/// responses, and for exiting: a host that is short of processor time learns of
-/// the shutdown late, and wakes late to exit.
-constexpr absl::Duration kWriteReserve = absl::Milliseconds(550);
+/// Time before the end of the grace period that is left for exiting. A host
+/// that is short of processor time learns of the shutdown late, and wakes late.
 constexpr absl::Duration kExitReserve = absl::Milliseconds(250);
+/// The same with the time for writing the last responses, 300 ms.
+constexpr absl::Duration kWriteReserve = absl::Milliseconds(550);
 /// A request whose deadline is later is taken if this many times its latency
 /// objective is left. It is more for one that must not be repeated: if it is
 /// ended, its caller cannot know whether it has run.
--- a/libs/tier/src/tier_host.cc
+++ b/libs/tier/src/tier_host.cc
@@ -322,10 +322,11 @@
 
 void TierHost::ContinueShutdown() {
   const absl::Time now = loop_.Now();
-  // A poll that misses the time of the exit leaves none for a slow host.
+  // Polls that miss these times leave too little for responses to be written
+  // and, on a slow host, for the exit.
   absl::Time next_poll_at = now + kShutdownPollPeriod;
-  if (now < shutdown_->exit()) {
-    next_poll_at = std::min(next_poll_at, shutdown_->exit());
+  for (const absl::Time at : {shutdown_->requests_end(), shutdown_->exit()}) {
+    if (now < at) next_poll_at = std::min(next_poll_at, at);
   }
   timers_.RunAt(next_poll_at, [this] { ContinueShutdown(); });
   if (shutdown_->IsAnnouncing(now) && now < shutdown_->requests_end()) return;
@@ -337,8 +338,9 @@
   const size_t running = request_handler_.running() + handovers_.running();
   if (running > 0) return;
   if (!std::exchange(stopped_accepting_, true)) {
+    caller_server_.StopAccepting();
     // Requests on the last connections accepted may still be on their way.
-    return caller_server_.StopAccepting();
+    if (now < shutdown_->exit()) return;
   }
   const size_t unwritten =
       caller_server_.busy_connections() + fleet_server_.busy_connections();
