--- a/libs/dispatch/src/shutdown_schedule.cc
+++ b/libs/dispatch/src/shutdown_schedule.cc
@@ -8,13 +8,16 @@
 /// Time in which the load balancer has checked the host's readiness twice and
 /// callers have learned of the shutdown.
 constexpr absl::Duration kAnnounceTime = absl::Milliseconds(2600);
-/// Time before the end of the grace period that is left for writing the last
-/// responses, and for exiting.
-constexpr absl::Duration kWriteReserve = absl::Milliseconds(400);
-constexpr absl::Duration kExitReserve = absl::Milliseconds(100);
-/// A request that may be repeated is taken if this many times its latency
-/// objective is left, though its deadline is later.
+/// Time before the end of the grace period that is left for exiting. A host
+/// that is short of processor time learns of the shutdown late, and wakes late.
+constexpr absl::Duration kExitReserve = absl::Milliseconds(250);
+/// The same with the time for writing the last responses, 300 ms.
+constexpr absl::Duration kWriteReserve = absl::Milliseconds(550);
+/// A request whose deadline is later is taken if this many times its latency
+/// objective is left. It is more for one that must not be repeated: if it is
+/// ended, its caller cannot know whether it has run.
 constexpr int kMinObjectivesLeft = 2;
+constexpr int kMinObjectivesLeftToRunOnce = 4;
 
 }  // namespace
 
@@ -28,8 +31,11 @@
   if (IsAnnouncing(now) || request.deadline <= requests_end_) {
     return request.deadline;
   }
-  const absl::Duration needed = kMinObjectivesLeft * request.latency_objective;
-  if (!request.idempotent || now + needed > requests_end_) return std::nullopt;
+  const int objectives =
+      request.idempotent ? kMinObjectivesLeft : kMinObjectivesLeftToRunOnce;
+  if (now + objectives * request.latency_objective > requests_end_) {
+    return std::nullopt;
+  }
   return requests_end_;
 }
 
--- a/libs/engine/src/client_connection.cc
+++ b/libs/engine/src/client_connection.cc
@@ -122,7 +122,6 @@
 
 void ClientConnection::ResetParser() {
   socket_->parser.emplace();
-  socket_->parser->eager(true);
   socket_->parser->header_limit(kMaxResponseHeaderBytes);
   socket_->parser->body_limit(options_.max_body_bytes);
   socket_->parser->skip(exchange_.is_head);
@@ -157,6 +156,9 @@
     if (error) return false;
   } else {
     while (socket_->input.size() > 0 && !parser.is_done()) {
+      // An eager parser loses the error of a body that is too long if more
+      // bytes follow the header.
+      parser.eager(parser.is_header_done());
       const size_t used = parser.put(socket_->input.data(), error);
       socket_->input.consume(used);
       if (error || used == 0) break;
@@ -189,9 +191,7 @@
   response.body = std::move(parser.get().body());
   const std::string* const id =
       FindHeader(response.headers, options_.id_header);
-  const bool has_other_id = id != nullptr && !exchange_.expected_id.empty() &&
-                            *id != exchange_.expected_id;
-  if (interim || has_other_id) return ResetParser();
+  if (interim || !IsExpected(id)) return ResetParser();
   UpdateServerIdleTimeout(response);
   last_active_at_ = loop_.Now();
   has_received_response_ = true;
@@ -208,6 +208,13 @@
   if (state_ == State::kIdle && observer_ != nullptr) observer_->OnIdle(*this);
 }
 
+bool ClientConnection::IsExpected(const std::string* id) {
+  if (exchange_.expected_id.empty()) return true;
+  if (id == nullptr) return !has_echoed_id_;
+  has_echoed_id_ = has_echoed_id_ || *id == exchange_.expected_id;
+  return *id == exchange_.expected_id;
+}
+
 void ClientConnection::UpdateServerIdleTimeout(const HttpResponse& response) {
   const std::string* const header = FindHeader(response.headers, "Keep-Alive");
   if (header == nullptr) return;
@@ -223,8 +230,9 @@
 
 void ClientConnection::OnReadError(bool is_eof) {
   if (state_ == State::kBusy && is_eof && ParseResponse(true)) {
-    return CompleteResponse();
+    CompleteResponse();
   }
+  // Also if that response was not the one expected.
   if (state_ == State::kBusy) {
     return CloseAndFinish(ExchangeStatus::kConnectionLost, ReceivedHead(),
                           true);
--- a/libs/engine/tests/connection_pool_test.cc
+++ b/libs/engine/tests/connection_pool_test.cc
@@ -17,6 +17,7 @@
   ClientOptions options;
   options.connect_timeout = absl::Milliseconds(300);
   options.id_header = "X-Id";
+  options.max_body_bytes = 4096;
   return options;
 }
 
@@ -30,6 +31,9 @@
   CPPUNIT_TEST(DistinguishesLostFromMalformedResponses);
   CPPUNIT_TEST(RefusedConnectionMeansNotSent);
   CPPUNIT_TEST(DropsResponsesToOtherRequests);
+  CPPUNIT_TEST(DropsResponsesThatLackTheIdentifierOnceEchoed);
+  CPPUNIT_TEST(DroppedResponseThatEndsTheConnectionLosesTheRequest);
+  CPPUNIT_TEST(TakesResponsesOfServersThatEchoNoIdentifier);
   CPPUNIT_TEST(ClosesConnectionOnUnsolicitedBytes);
   CPPUNIT_TEST(ClosesConnectionOnResponseBeforeRequestIsSent);
   CPPUNIT_TEST(RespectsConnectionLimitAndQueueOrder);
@@ -111,6 +115,9 @@
         ExchangeStatus::kConnectionLost);
     CPPUNIT_ASSERT(status_after("no protocol at all\r\n\r\n") ==
                    ExchangeStatus::kMalformed);
+    CPPUNIT_ASSERT(
+        status_after("HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\n" +
+                     std::string(5000, 'x')) == ExchangeStatus::kMalformed);
   }
 
   void RefusedConnectionMeansNotSent() {
@@ -127,6 +134,46 @@
     CPPUNIT_ASSERT_EQUAL(std::string("mine"), SendAndWait("2")->response.body);
   }
 
+  // A faulty server may repeat an earlier response without its identifier
+  // (MIXED).
+  void DropsResponsesThatLackTheIdentifierOnceEchoed() {
+    int round = 0;
+    StartServer([&](RawConnection& c, const std::string&) {
+      const std::string id = std::to_string(++round);
+      if (round > 1) c.Write(OkResponse("repeated"));
+      c.Write(OkResponse("of " + id, "X-Id: " + id + "\r\n"));
+    });
+    for (const std::string id : {"1", "2", "3"}) {
+      CPPUNIT_ASSERT_EQUAL("of " + id, SendAndWait(id)->response.body);
+    }
+    CPPUNIT_ASSERT_EQUAL(1, server_->accepted());
+    // A request that expects no identifier takes any response.
+    CPPUNIT_ASSERT_EQUAL(std::string("repeated"), SendAndWait()->response.body);
+  }
+
+  void DroppedResponseThatEndsTheConnectionLosesTheRequest() {
+    int round = 0;
+    StartServer([&](RawConnection& c, const std::string&) {
+      if (++round == 1) {
+        c.Write(OkResponse("of 1", "X-Id: 1\r\n"));
+      } else {
+        c.Write("HTTP/1.1 200 OK\r\n\r\nto the end");
+        c.Close();
+      }
+    });
+    SendAndWait("1");
+    CPPUNIT_ASSERT(SendAndWait("2")->status == ExchangeStatus::kConnectionLost);
+  }
+
+  void TakesResponsesOfServersThatEchoNoIdentifier() {
+    StartServer(
+        [](RawConnection& c, const std::string&) { c.Write(OkResponse("a")); });
+    for (const std::string id : {"1", "2"}) {
+      CPPUNIT_ASSERT_EQUAL(std::string("a"), SendAndWait(id)->response.body);
+    }
+    CPPUNIT_ASSERT_EQUAL(1, server_->accepted());
+  }
+
   void ClosesConnectionOnUnsolicitedBytes() {
     StartServer([](RawConnection& c, const std::string&) {
       c.Write(OkResponse("a") + OkResponse("stray"));
