--- a/libs/dispatch/include/dispatch/shutdown_schedule.h
+++ b/libs/dispatch/include/dispatch/shutdown_schedule.h
@@ -16,9 +16,10 @@
 /// When a host that shuts down takes requests, ends them, and exits.
 ///
 /// At first it takes all, as the load balancer and callers have yet to learn of
-/// the shutdown. Later it takes what is likely to end in time: the load balancer
-/// goes on sending requests if too few other hosts are ready. Any other request is
-/// refused before it has run, so that its caller can turn to another host.
+/// the shutdown. Later it takes what is likely to end in time: the load
+/// balancer goes on sending requests if too few other hosts are ready. Any
+/// other request is refused before it has run, so that its caller can turn to
+/// another host.
 ///
 /// Pure: the time is an argument.
 class ShutdownSchedule {
