--- a/libs/engine/src/client_connection.cc
+++ b/libs/engine/src/client_connection.cc
@@ -211,8 +211,9 @@
 bool ClientConnection::IsExpected(const std::string* id) {
   if (exchange_.expected_id.empty()) return true;
   if (id == nullptr) return !has_echoed_id_;
-  has_echoed_id_ = has_echoed_id_ || *id == exchange_.expected_id;
-  return *id == exchange_.expected_id;
+  if (*id != exchange_.expected_id) return false;
+  has_echoed_id_ = true;
+  return true;
 }
 
 void ClientConnection::UpdateServerIdleTimeout(const HttpResponse& response) {
