Log and measure how current a host's published items are, and on whom it relies

Change, no decision differs: readers prove when a read began, gossip passes the proof on (new last fields, which earlier versions ignore; three hops at most, so that a proof which circles does not become fresher), and a host counts a peer's proof only once it has that peer's items. New lines: source of published items changed, behind a peer (a tenth of the bound), published items may be outdated. New metrics: cherrydyke_published_age_seconds, _behind_seconds, cherrydyke_store_reader. Settings: the bounds within which changes take effect ([change_deadlines]).

--- a/libs/membership/include/membership/host_table.h
+++ b/libs/membership/include/membership/host_table.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <random>
 #include <string>
 #include <tuple>
@@ -60,6 +61,17 @@
   kReader,
 };
 
+/// @return its name in log lines.
+const char* ToString(DisseminationRole role);
+
+/// A peer because of whose role a host does not read the configuration service.
+struct UpdateSource {
+  HostId host;
+  DisseminationRole role = DisseminationRole::kFollower;
+  /// Time since its last message.
+  absl::Duration heard_ago;
+};
+
 /// What a host sends about itself and about the hosts that it knows.
 struct MembershipUpdate {
   KnownHost from;
@@ -200,6 +212,10 @@
   /// @return this host's current role.
   DisseminationRole Role(bool is_reading, absl::Time now) const;
 
+  /// @return the peer because of whose role this host does not read the
+  /// configuration service, if there is one.
+  std::optional<UpdateSource> FindUpdateSource(absl::Time now) const;
+
   /// @return whether another host of the own failure domain was an active
   /// reader within the reader timeout.
   bool HasDomainReader(absl::Time now) const;
@@ -269,6 +285,7 @@
   bool IsDomainPeer(const HostId& peer) const;
   /// Another live host of the own failure domain, compared with this one.
   struct DomainPeer {
+    HostId host;
     const Peer* peer = nullptr;
     /// Whether it ranks before this host.
     bool is_earlier = false;
@@ -280,12 +297,15 @@
                             absl::Duration timeout, absl::Time now);
   bool ShouldRead(const std::vector<DomainPeer>& peers, bool has_no_data,
                   absl::Time now) const;
-  /// @return whether an earlier host of the own group sends updates to this
-  /// host.
+  /// @return whether the peer is an earlier host of the own group that says
+  /// that it sends updates to this host.
+  bool IsGroupSource(const DomainPeer& peer, absl::Time now) const;
   bool HasGroupSource(const std::vector<DomainPeer>& peers,
                       absl::Time now) const;
   /// @param only_earlier whether to count only hosts that rank before this one.
-  /// @return whether another group of the own failure domain has a reader.
+  /// @return whether the peer reads in another group of the own failure domain.
+  bool IsReaderInOtherGroup(const DomainPeer& peer, bool only_earlier,
+                            absl::Time now) const;
   bool HasReaderInOtherGroup(const std::vector<DomainPeer>& peers,
                              bool only_earlier, absl::Time now) const;
   bool HasReaderInOtherDomain(absl::Time now) const;
--- a/libs/membership/src/host_table.cc
+++ b/libs/membership/src/host_table.cc
@@ -12,6 +12,24 @@
 
 }  // namespace
 
+const char* ToString(DisseminationRole role) {
+  switch (role) {
+    case DisseminationRole::kFollower:
+      return "follower";
+    case DisseminationRole::kStandby:
+      return "standby";
+    case DisseminationRole::kRetryingReader:
+      return "retrying_reader";
+    case DisseminationRole::kForwarder:
+      return "forwarder";
+    case DisseminationRole::kRelay:
+      return "relay";
+    case DisseminationRole::kReader:
+      return "reader";
+  }
+  return "unknown";
+}
+
 HostTable::HostTable(KnownHost self, std::vector<HostId> seeds, Options options,
                      absl::Time started)
     : self_(std::move(self)),
@@ -122,8 +140,8 @@
   std::vector<DomainPeer> peers;
   for (const ReaderRank& rank : ranks) {
     if (rank == own) continue;
-    peers.push_back(
-        {&peers_.at(rank.host), rank < own, rank.group == own.group});
+    peers.push_back({rank.host, &peers_.at(rank.host), rank < own,
+                     rank.group == own.group});
   }
   return peers;
 }
@@ -141,27 +159,47 @@
   });
 }
 
+bool HostTable::IsGroupSource(const DomainPeer& peer, absl::Time now) const {
+  const absl::Duration timeout = options_.reader_timeout;
+  return peer.is_earlier && peer.is_same_group &&
+         (HasRecentRole(*peer.peer, DisseminationRole::kReader, timeout, now) ||
+          HasRecentRole(*peer.peer, DisseminationRole::kRelay, timeout, now));
+}
+
 bool HostTable::HasGroupSource(const std::vector<DomainPeer>& peers,
                                absl::Time now) const {
-  const absl::Duration timeout = options_.reader_timeout;
   return std::any_of(peers.begin(), peers.end(), [&](const DomainPeer& peer) {
-    return peer.is_earlier && peer.is_same_group &&
-           (HasRecentRole(*peer.peer, DisseminationRole::kReader, timeout,
-                          now) ||
-            HasRecentRole(*peer.peer, DisseminationRole::kRelay, timeout, now));
+    return IsGroupSource(peer, now);
   });
 }
 
-bool HostTable::HasReaderInOtherGroup(const std::vector<DomainPeer>& peers,
-                                      bool only_earlier, absl::Time now) const {
+bool HostTable::IsReaderInOtherGroup(const DomainPeer& peer, bool only_earlier,
+                                     absl::Time now) const {
   const absl::Duration timeout =
       options_.reader_timeout + options_.takeover_grace;
+  return !peer.is_same_group && (peer.is_earlier || !only_earlier) &&
+         HasRecentRole(*peer.peer, DisseminationRole::kReader, timeout, now);
+}
+
+bool HostTable::HasReaderInOtherGroup(const std::vector<DomainPeer>& peers,
+                                      bool only_earlier, absl::Time now) const {
   return std::any_of(peers.begin(), peers.end(), [&](const DomainPeer& peer) {
-    return !peer.is_same_group && (peer.is_earlier || !only_earlier) &&
-           HasRecentRole(*peer.peer, DisseminationRole::kReader, timeout, now);
+    return IsReaderInOtherGroup(peer, only_earlier, now);
   });
 }
 
+std::optional<UpdateSource> HostTable::FindUpdateSource(absl::Time now) const {
+  const std::vector<DomainPeer> peers = DomainPeers(now);
+  const auto source =
+      std::find_if(peers.begin(), peers.end(), [&](const DomainPeer& peer) {
+        return IsGroupSource(peer, now) ||
+               IsReaderInOtherGroup(peer, true, now);
+      });
+  if (source == peers.end()) return std::nullopt;
+  return UpdateSource{source->host, source->peer->role,
+                      now - source->peer->last_message};
+}
+
 bool HostTable::HasReaderInOtherDomain(absl::Time now) const {
   return std::any_of(peers_.begin(), peers_.end(), [&](const auto& entry) {
     const Peer& peer = entry.second;
--- a/libs/tier/include/tier/fleet_gossip.h
+++ b/libs/tier/include/tier/fleet_gossip.h
@@ -16,6 +16,8 @@
 #include "membership/host_table.h"
 #include "telemetry/log_rate_limiter.h"
 #include "tier/gossip_message.h"
+#include "tier/pending_proofs.h"
+#include "tier/published_freshness.h"
 #include "tier/published_items.h"
 
 namespace cherrydyke {
@@ -57,7 +59,7 @@
 
   FleetGossip(engine::EventLoop& loop, Options options, HostTable& hosts,
               CrashTracker& crashes, PublishedItems& config,
-              PublishedItems& targets);
+              PublishedItems& targets, PublishedFreshness& freshness);
 
   /// Path of the requests that `ServeTransfer` handles.
   static constexpr char kTransferPath[] = "/published/";
@@ -81,6 +83,15 @@
     return log_rate_limiter_.TakeDroppedCounts();
   }
 
+  /// @return since when this host knows that a peer has newer published items;
+  /// the infinite future if it knows of none.
+  absl::Time behind_since() const { return pending_proofs_.behind_since(); }
+  /// @return that peer, or "".
+  HostId ahead_peer() const { return pending_proofs_.peer(); }
+
+  /// Published items were merged.
+  void OnItemsMerged() { ApplyProofs(); }
+
   /// Fetches published items newer than the own ones, unless a fetch has just
   /// begun or the peer has just failed to send them.
   void FetchFrom(const HostId& peer);
@@ -119,6 +130,8 @@
   void OnDatagram(const std::string& datagram);
   Endpoint EndpointOf(const HostId& host) const;
   bool CanFetchFrom(const HostId& peer) const;
+  /// Uses the proofs of peers whose items this host has by now.
+  void ApplyProofs();
   /// @return whether the sender has newer published items than this host.
   bool IsBehind(const GossipMessage& message) const;
 
@@ -129,6 +142,8 @@
   CrashTracker& crashes_;
   PublishedItems& config_;
   PublishedItems& targets_;
+  PublishedFreshness& freshness_;
+  PendingProofs pending_proofs_;
   engine::DatagramSocket datagram_socket_;
   std::map<HostId, std::unique_ptr<engine::AsyncHttpClient>> transfer_clients_;
   std::mt19937_64 random_;
--- /dev/null
+++ b/libs/tier/include/tier/freshness_log.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "absl/time/time.h"
+#include "membership/host_table.h"
+#include "tier/fleet_gossip.h"
+#include "tier/published_freshness.h"
+
+namespace cherrydyke {
+
+/// Logs how current this host's published items are, and on whom it relies for
+/// them: a line when either changes.
+class FreshnessLog {
+ public:
+  /// @param bound time within which changes must take effect.
+  FreshnessLog(const HostTable& hosts, const PublishedFreshness& freshness,
+               const FleetGossip& gossip, absl::Duration bound)
+      : hosts_(hosts), freshness_(freshness), gossip_(gossip), bound_(bound) {}
+
+  /// @param is_reading whether this host reads the configuration service and
+  /// gets responses.
+  void Update(bool is_reading, absl::Time now);
+
+ private:
+  void UpdateRole(bool is_reading, absl::Time now);
+  void UpdateBehind(absl::Time now);
+  void UpdateAge(absl::Time now);
+
+  const HostTable& hosts_;
+  const PublishedFreshness& freshness_;
+  const FleetGossip& gossip_;
+  const absl::Duration bound_;
+  absl::Time started_ = absl::InfinitePast();
+  DisseminationRole role_ = DisseminationRole::kFollower;
+  HostId source_;
+  bool is_behind_ = false;
+  bool is_outdated_ = false;
+};
+
+}  // namespace cherrydyke
--- a/libs/tier/include/tier/gossip_message.h
+++ b/libs/tier/include/tier/gossip_message.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -9,6 +10,7 @@
 #include "dispatch/crash_tracker.h"
 #include "dispatch/target_health_report.h"
 #include "membership/host_table.h"
+#include "tier/published_freshness.h"
 
 namespace cherrydyke {
 
@@ -20,17 +22,21 @@
   std::vector<CrashReport> crashes;
   /// The sender's recent observations of targets.
   std::vector<TargetHealthReport> reports;
+  /// Proof of how current the items of these revisions are; hosts of earlier
+  /// versions send none.
+  std::optional<ReadProof> proof;
 
   friend bool operator==(const GossipMessage& a, const GossipMessage& b) {
     return std::tie(a.membership_update, a.config_revision, a.targets_revision,
-                    a.crashes, a.reports) ==
+                    a.crashes, a.reports, a.proof) ==
            std::tie(b.membership_update, b.config_revision, b.targets_revision,
-                    b.crashes, b.reports);
+                    b.crashes, b.reports, b.proof);
   }
 };
 
 /// @return the serialized datagram.
 std::string EncodeGossipMessage(const GossipMessage& message);
+/// Decodes a message of this version, or of one whose messages lack the proof.
 /// @return the message, or `kInvalidInput` if the datagram is malformed.
 Result<GossipMessage> DecodeGossipMessage(const std::string& datagram);
 
--- /dev/null
+++ b/libs/tier/include/tier/published_freshness.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <array>
+#include <optional>
+#include <tuple>
+
+#include "absl/time/time.h"
+
+namespace cherrydyke {
+
+/// Proof that a host has every change that the configuration service had
+/// published when some read of it began.
+struct ReadProof {
+  /// Time since that read began.
+  absl::Duration age;
+  /// Hosts that have passed the proof on; 0 for a read by the host itself.
+  int hops = 0;
+
+  friend bool operator==(const ReadProof& a, const ReadProof& b) {
+    return std::tie(a.age, a.hops) == std::tie(b.age, b.hops);
+  }
+};
+
+/// Bounds the age of a host's published items by evidence: a read of the
+/// configuration service by the host itself, or the proof of such a read passed
+/// on by a peer whose items the host has. That a peer is alive and says that it
+/// reads proves nothing.
+///
+/// Proofs of peers do not count the time that they were on their way. The limit
+/// of hops bounds the sum of these times, also where hosts pass proofs in a
+/// circle.
+///
+/// Pure: time is an argument.
+class PublishedFreshness {
+ public:
+  struct Options {
+    /// Peers whose freshest proof is older than this do not keep a host from
+    /// reading the configuration service itself.
+    absl::Duration max_peer_age = absl::Milliseconds(2400);
+    /// Time after a failed call in which a host that only reads because its
+    /// peers prove nothing does not call again.
+    absl::Duration retry_pause = absl::Seconds(3);
+  };
+
+  /// @param started when the host started: peers are given the time from then.
+  PublishedFreshness(Options options, absl::Time started);
+
+  /// A read by this host returned every change published before it began.
+  /// @param started_at when the read began.
+  void OnRead(absl::Time started_at);
+  /// A read by this host failed.
+  void OnReadFailed(absl::Time now) { read_failed_at_ = now; }
+  /// This host has every item of a peer that sent a proof.
+  /// @param received_at when the proof arrived.
+  void OnPeerProof(const ReadProof& proof, absl::Time received_at);
+
+  /// @return the time up to which this host has every published change; the
+  /// infinite past if that was never proven.
+  absl::Time current_until() const;
+  /// @return the time up to which peers have proven so, or the start.
+  absl::Time peers_current_until() const;
+  /// @return the proof to pass on to peers, if there is one.
+  std::optional<ReadProof> ProofForPeers(absl::Time now) const;
+
+  /// @return whether this host has to read the configuration service itself,
+  /// whatever other hosts say that they do.
+  bool ShouldReadItself(absl::Time now) const;
+
+  const Options& options() const { return options_; }
+
+ private:
+  /// A proof that has passed this many hosts is not passed on.
+  static constexpr int kMaxHops = 3;
+
+  const Options options_;
+  const absl::Time started_;
+  absl::Time read_failed_at_ = absl::InfinitePast();
+  /// The freshest proof by the number of hops that it took.
+  std::array<absl::Time, kMaxHops + 1> current_until_;
+};
+
+}  // namespace cherrydyke
--- a/libs/tier/include/tier/published_source.h
+++ b/libs/tier/include/tier/published_source.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "absl/time/time.h"
 #include "dispatch/route_table.h"
 #include "dispatch/types.h"
 #include "engine/http_server.h"
@@ -21,6 +22,11 @@
     virtual ~Listener() = default;
     /// The items passed to `Start` have changed.
     virtual void OnPublished(bool config, bool targets) = 0;
+    /// Every change that was published before `started_at`, when the read
+    /// began, is in the items.
+    virtual void OnRead(absl::Time started_at) = 0;
+    /// A call failed.
+    virtual void OnReadFailed() = 0;
     /// The service responds again after an outage.
     virtual void OnSourceRecovered() = 0;
   };
--- a/libs/tier/include/tier/tier_host.h
+++ b/libs/tier/include/tier/tier_host.h
@@ -10,9 +10,11 @@
 #include "base/clock.h"
 #include "dispatch/shutdown_schedule.h"
 #include "tier/fleet_gossip.h"
+#include "tier/freshness_log.h"
 #include "tier/handover_client.h"
 #include "tier/handover_server.h"
 #include "tier/protocol_adapter.h"
+#include "tier/published_freshness.h"
 #include "tier/published_source.h"
 #include "tier/request_handler.h"
 #include "tier/target_set.h"
@@ -35,14 +37,16 @@
   Policy policy;
   /// Time between the termination signal and the kill.
   absl::Duration shutdown_grace = absl::Seconds(6);
+  /// Time within which every published change must take effect on every host.
+  absl::Duration change_deadline = absl::Seconds(4);
 
   friend bool operator==(const TierSettings& a, const TierSettings& b) {
     return std::tie(a.locality, a.caller_endpoint, a.ready_endpoint,
                     a.metrics_endpoint, a.fleet_port, a.seeds, a.bounds,
-                    a.policy, a.shutdown_grace) ==
+                    a.policy, a.shutdown_grace, a.change_deadline) ==
            std::tie(b.locality, b.caller_endpoint, b.ready_endpoint,
                     b.metrics_endpoint, b.fleet_port, b.seeds, b.bounds,
-                    b.policy, b.shutdown_grace);
+                    b.policy, b.shutdown_grace, b.change_deadline);
   }
 };
 
@@ -72,6 +76,8 @@
 
  private:
   void OnPublished(bool config, bool targets) override;
+  void OnRead(absl::Time started_at) override;
+  void OnReadFailed() override;
   void OnSourceRecovered() override;
 
   void MeasureLateness();
@@ -92,6 +98,12 @@
   /// are written, or when the process has to exit.
   void ContinueShutdown();
   void RegisterGauges();
+  /// @return time since this host was proven to have every published change,
+  /// or since its start.
+  absl::Duration PublishedAge() const;
+  /// @return time since this host knows that a peer has newer items; zero if it
+  /// knows of none.
+  absl::Duration TimeBehind() const;
 
   engine::EventLoop& loop_;
   engine::TimerScope timers_{loop_};
@@ -101,12 +113,15 @@
   PublishedItems config_items_;
   PublishedItems target_items_;
   HostTable hosts_;
+  const absl::Time started_;
+  PublishedFreshness freshness_;
   CrashTracker crashes_;
   TargetSet targets_;
   HandoverClient handovers_;
   RequestHandler request_handler_;
   HandoverServer handover_server_;
   FleetGossip gossip_;
+  FreshnessLog freshness_log_;
   engine::ServerLimits limits_;
   /// Serves requests of other hosts.
   engine::HttpServer fleet_server_;
--- a/libs/tier/src/archive.h
+++ b/libs/tier/src/archive.h
@@ -41,6 +41,8 @@
     if (elements > left_.size()) throw cereal::Exception("length too large");
   }
 
+  bool IsAtEnd() const { return left_.empty(); }
+
  private:
   static constexpr uint8_t kLittleEndian = 1;
 
@@ -89,14 +91,25 @@
   return out.str();
 }
 
+/// What may follow the bytes of a value.
+enum class TrailingBytes {
+  /// Anything: the last fields of a later version.
+  kIgnore,
+  kReject,
+};
+
 /// @return the value, or `kInvalidInput` if the bytes do not encode one.
 template <typename T>
-Result<T> DecodeArchive(const std::string& bytes) {
+Result<T> DecodeArchive(const std::string& bytes,
+                        TrailingBytes trailing = TrailingBytes::kIgnore) {
   T value;
   // Cereal reports malformed input only by exceptions.
   try {
     BoundedInputArchive archive(bytes);
     archive(value);
+    if (trailing == TrailingBytes::kReject && !archive.IsAtEnd()) {
+      return Error{ErrorCode::kInvalidInput, "unexpected trailing bytes"};
+    }
   } catch (const std::exception& error) {
     return Error{ErrorCode::kInvalidInput, error.what()};
   }
--- a/libs/tier/src/fleet_gossip.cc
+++ b/libs/tier/src/fleet_gossip.cc
@@ -76,13 +76,15 @@
 
 FleetGossip::FleetGossip(engine::EventLoop& loop, Options options,
                          HostTable& hosts, CrashTracker& crashes,
-                         PublishedItems& config, PublishedItems& targets)
+                         PublishedItems& config, PublishedItems& targets,
+                         PublishedFreshness& freshness)
     : loop_(loop),
       options_(std::move(options)),
       hosts_(hosts),
       crashes_(crashes),
       config_(config),
       targets_(targets),
+      freshness_(freshness),
       datagram_socket_(loop,
                        [this](const std::string& bytes) { OnDatagram(bytes); }),
       random_(NewIncarnation()),
@@ -169,6 +171,7 @@
   message.targets_revision = targets_.complete_revision();
   message.crashes = crashes_.TakeReportsToGossip(kMaxCrashReports, loop_.Now());
   message.reports = std::move(health_reports);
+  message.proof = freshness_.ProofForPeers(loop_.Now());
   const std::string datagram = EncodeGossipMessage(message);
   for (const HostId& recipient : recipients) {
     datagram_socket_.Send(EndpointOf(recipient), datagram);
@@ -207,6 +210,10 @@
   // targets.
   if (quarantined_any) Gossip();
   if (!message.reports.empty()) callbacks_.on_health_reports(message.reports);
+  pending_proofs_.Add({sender.host, message.config_revision,
+                       message.targets_revision, message.proof},
+                      now);
+  ApplyProofs();
   if (!IsBehind(message)) return;
   behind_since_ = std::min(behind_since_, now);
   // A reader gets the changes from the service soon, and a host whose failure
@@ -222,6 +229,11 @@
   if (!waits || now - behind_since_ >= kLagTolerance) FetchFrom(sender.host);
 }
 
+void FleetGossip::ApplyProofs() {
+  pending_proofs_.Apply(config_.known_until(), targets_.known_until(),
+                        freshness_);
+}
+
 bool FleetGossip::IsBehind(const GossipMessage& message) const {
   return message.config_revision > config_.complete_revision() ||
          message.targets_revision > targets_.complete_revision();
@@ -284,6 +296,7 @@
                                           transfer.targets.is_snapshot},
                          {"config_revision", config_.complete_revision()},
                          {"targets_revision", targets_.complete_revision()}});
+                ApplyProofs();
                 callbacks_.on_published_changed(config, targets);
                 // Downstream hosts fetch the changes from this host.
                 NotifyDownstream();
--- /dev/null
+++ b/libs/tier/src/freshness_log.cc
@@ -0,0 +1,79 @@
+#include "tier/freshness_log.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "telemetry/log.h"
+
+namespace cherrydyke {
+namespace {
+
+/// A host that knows of newer items for this part of the bound says so.
+constexpr double kBehindRatio = 0.1;
+/// Items that were not proven current for this part of the bound are reported
+/// as possibly outdated.
+constexpr double kOutdatedRatio = 0.75;
+
+}  // namespace
+
+void FreshnessLog::Update(bool is_reading, absl::Time now) {
+  if (started_ == absl::InfinitePast()) started_ = now;
+  UpdateRole(is_reading, now);
+  UpdateBehind(now);
+  UpdateAge(now);
+}
+
+void FreshnessLog::UpdateRole(bool is_reading, absl::Time now) {
+  const DisseminationRole role = hosts_.Role(is_reading, now);
+  const auto source = is_reading ? std::nullopt : hosts_.FindUpdateSource(now);
+  const HostId host = source ? source->host : "";
+  if (role == role_ && host == source_) return;
+  LogInfo(
+      "source of published items changed",
+      {{"role", ToString(role)},
+       {"before", ToString(role_)},
+       {"relies_on", host},
+       {"its_role", source ? ToString(source->role) : ""},
+       {"heard_ms", source ? absl::ToInt64Milliseconds(source->heard_ago) : -1},
+       {"peers_age_ms",
+        absl::ToInt64Milliseconds(now - freshness_.peers_current_until())}});
+  role_ = role;
+  source_ = host;
+}
+
+void FreshnessLog::UpdateBehind(absl::Time now) {
+  const absl::Time since = gossip_.behind_since();
+  const bool is_behind = now - since > kBehindRatio * bound_;
+  if (is_behind == is_behind_) return;
+  is_behind_ = is_behind;
+  if (!is_behind) {
+    LogInfo("no longer behind a peer", {});
+    return;
+  }
+  LogWarning("behind a peer",
+             {{"peer", gossip_.ahead_peer()},
+              {"behind_ms", absl::ToInt64Milliseconds(now - since)},
+              {"role", ToString(role_)},
+              {"relies_on", source_}});
+}
+
+void FreshnessLog::UpdateAge(absl::Time now) {
+  const absl::Time current_until =
+      std::max(freshness_.current_until(), started_);
+  const bool is_outdated = now - current_until > kOutdatedRatio * bound_;
+  if (is_outdated == is_outdated_) return;
+  is_outdated_ = is_outdated;
+  const auto age_ms = absl::ToInt64Milliseconds(now - current_until);
+  if (!is_outdated) {
+    LogInfo("published items are proven current again", {{"age_ms", age_ms}});
+    return;
+  }
+  LogWarning("published items may be outdated",
+             {{"age_ms", age_ms},
+              {"peers_age_ms", absl::ToInt64Milliseconds(
+                                   now - freshness_.peers_current_until())},
+              {"role", ToString(role_)},
+              {"relies_on", source_}});
+}
+
+}  // namespace cherrydyke
--- a/libs/tier/src/gossip_message.cc
+++ b/libs/tier/src/gossip_message.cc
@@ -25,7 +25,8 @@
   }
 };
 
-/// Wire format of a `GossipMessage`.
+/// Wire format of a `GossipMessage` without the proof, and the whole format of
+/// earlier versions.
 struct PackedMessage {
   HostId host;
   FailureDomainName failure_domain;
@@ -45,6 +46,21 @@
   }
 };
 
+/// Wire format of a `GossipMessage`. Hosts of earlier versions read its first
+/// part and ignore the rest.
+struct PackedMessageWithProof {
+  PackedMessage message;
+  /// `kNoProof` if there is none.
+  int64_t proof_age_ms = 0;
+  uint8_t proof_hops = 0;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(message, proof_age_ms, proof_hops);
+  }
+};
+
+constexpr int64_t kNoProof = -1;
 constexpr int64_t kMsPerDs = 100;
 
 std::optional<PackedAge> Pack(const HostLastSeen& age,
@@ -81,14 +97,31 @@
   for (const HostLastSeen& age : message.membership_update.hosts) {
     if (const auto one = Pack(age, packed.domains)) packed.ages.push_back(*one);
   }
-  return EncodeArchive(packed);
+  if (!message.proof) {
+    return EncodeArchive(
+        PackedMessageWithProof{std::move(packed), kNoProof, 0});
+  }
+  // Rounded up: a proof must not become fresher on its way.
+  const int64_t age_ms = absl::ToInt64Milliseconds(
+      absl::Ceil(message.proof->age, absl::Milliseconds(1)));
+  return EncodeArchive(PackedMessageWithProof{
+      std::move(packed), age_ms, static_cast<uint8_t>(message.proof->hops)});
 }
 
 Result<GossipMessage> DecodeGossipMessage(const std::string& datagram) {
-  Result<PackedMessage> decoded = DecodeArchive<PackedMessage>(datagram);
-  if (const Error* error = GetError(decoded)) return *error;
-  PackedMessage& packed = GetValue(decoded);
+  Result<PackedMessageWithProof> decoded =
+      DecodeArchive<PackedMessageWithProof>(datagram);
+  if (GetError(decoded) != nullptr) {
+    Result<PackedMessage> earlier =
+        DecodeArchive<PackedMessage>(datagram, TrailingBytes::kReject);
+    if (const Error* error = GetError(earlier)) return *error;
+    decoded = PackedMessageWithProof{std::move(GetValue(earlier)), kNoProof, 0};
+  }
+  auto& [packed, proof_age_ms, proof_hops] = GetValue(decoded);
   GossipMessage message;
+  if (proof_age_ms >= 0) {
+    message.proof = ReadProof{absl::Milliseconds(proof_age_ms), proof_hops};
+  }
   message.membership_update.from.host = std::move(packed.host);
   message.membership_update.from.failure_domain =
       std::move(packed.failure_domain);
--- a/libs/tier/src/settings_file.cc
+++ b/libs/tier/src/settings_file.cc
@@ -1,5 +1,6 @@
 #include "tier/settings_file.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace cherrydyke {
@@ -9,6 +10,7 @@
 /// Far above the limits of any installation; catches a wrong unit.
 constexpr double kMaxFleetLimit = 1e6;
 constexpr double kMaxTimeS = 3600;
+constexpr double kMsPerS = 1000;
 
 std::vector<HostId> HostsOf(const std::vector<Endpoint>& endpoints) {
   std::vector<HostId> hosts;
@@ -26,6 +28,18 @@
   value = absl::Seconds(seconds);
 }
 
+/// Reads the deadlines of the kinds of changes; each is optional, and the
+/// tightest counts.
+void ReadChangeDeadlines(SettingsReader& reader, absl::Duration& deadline) {
+  absl::Duration tightest = absl::InfiniteDuration();
+  for (const char* const key : {"config_ms", "drain_ms", "evacuate_ms"}) {
+    double ms = 0;
+    reader.Number("change_deadlines", key, ms, 1, kMaxTimeS * kMsPerS);
+    if (ms > 0) tightest = std::min(tightest, absl::Milliseconds(ms));
+  }
+  if (tightest != absl::InfiniteDuration()) deadline = tightest;
+}
+
 void ReadLimits(SettingsReader& reader, FleetLimits& bounds) {
   Seconds(reader, "limits", "retry_window_s", bounds.retry_window);
   for (const auto& [key, value] :
@@ -70,6 +84,7 @@
   reader.String("platform", "address", settings.store_endpoint, true);
   ReadLimits(reader, tier.bounds);
   Seconds(reader, "shutdown", "grace_s", tier.shutdown_grace);
+  ReadChangeDeadlines(reader, tier.change_deadline);
   reader.RejectUnknownKeys();
   if (!errors.empty()) return errors;
   return settings;
--- a/libs/tier/src/tier_host.cc
+++ b/libs/tier/src/tier_host.cc
@@ -58,6 +58,8 @@
       adapters_(adapters),
       hosts_({settings_.locality.host, settings_.locality.failure_domain},
              settings_.seeds, HostOptions(settings_.locality), loop.Now()),
+      started_(loop.Now()),
+      freshness_({}, started_),
       targets_(loop, settings_.locality, settings_.bounds,
                TargetOptions(adapters.protocol, loop.Now()), hosts_,
                settings_.policy),
@@ -83,7 +85,8 @@
       gossip_(loop,
               {{settings_.locality.host, settings_.locality.failure_domain},
                settings_.fleet_port},
-              hosts_, crashes_, config_items_, target_items_),
+              hosts_, crashes_, config_items_, target_items_, freshness_),
+      freshness_log_(hosts_, freshness_, gossip_, settings_.change_deadline),
       fleet_server_(
           loop, [this] { return FleetServerLimits(limits_); },
           [this](const std::shared_ptr<engine::ServerExchange>& exchange) {
@@ -175,6 +178,21 @@
   metrics_.Gauge("cherrydyke_config_version", [this] {
     return static_cast<double>(request_handler_.version());
   });
+  // One read covers configuration and targets, so both have the same age.
+  metrics_.Gauge("cherrydyke_published_age_seconds",
+                 [this] { return absl::ToDoubleSeconds(PublishedAge()); });
+  metrics_.Gauge("cherrydyke_published_behind_seconds",
+                 [this] { return absl::ToDoubleSeconds(TimeBehind()); });
+  metrics_.Gauge("cherrydyke_store_reader",
+                 [this] { return adapters_.source.IsReading() ? 1.0 : 0.0; });
+}
+
+absl::Duration TierHost::PublishedAge() const {
+  return loop_.Now() - std::max(freshness_.current_until(), started_);
+}
+
+absl::Duration TierHost::TimeBehind() const {
+  return std::max(loop_.Now() - gossip_.behind_since(), absl::ZeroDuration());
 }
 
 void TierHost::OnPublished(bool config, bool targets) {
@@ -184,6 +202,13 @@
   gossip_.NotifyDownstream();
 }
 
+void TierHost::OnRead(absl::Time started_at) {
+  freshness_.OnRead(started_at);
+  gossip_.OnItemsMerged();
+}
+
+void TierHost::OnReadFailed() { freshness_.OnReadFailed(loop_.Now()); }
+
 void TierHost::ApplyPublished(bool config, bool targets) {
   const bool was_ready = IsReady();
   if (targets) ApplyTargets();
@@ -220,6 +245,10 @@
            {"passed_over", sends.passed_over.ToString()},
            {"services", services.in_use},
            {"services_without_alternative", services.without_alternative},
+           {"published_age_ms", absl::ToInt64Milliseconds(PublishedAge())},
+           {"behind_ms", absl::ToInt64Milliseconds(TimeBehind())},
+           {"role",
+            ToString(hosts_.Role(adapters_.source.IsReading(), loop_.Now()))},
            {"lines_left_out", dropped_lines}});
 }
 
@@ -237,6 +266,7 @@
   LogInfo("configuration in force",
           {{"version", config.routes->version()},
            {"revision", config_items_.complete_revision()},
+           {"age_ms", absl::ToInt64Milliseconds(PublishedAge())},
            {"routes", config.routes->routes().size()},
            {"services", config.routes->services().size()},
            {"evacuated", config.evacuated.size()}});
@@ -269,6 +299,7 @@
   adapters_.source.SetReading(hosts_.ShouldRead(is_empty, loop_.Now()));
   // Keeps the hosts that are next in line from starting to read as well.
   if (adapters_.source.IsReading() && !was_reading) gossip_.NotifyDownstream();
+  freshness_log_.Update(adapters_.source.IsReading(), loop_.Now());
 }
 
 void TierHost::OnSourceRecovered() { source_recovered_at_ = loop_.Now(); }
--- a/libs/tier/tests/settings_file_test.cc
+++ b/libs/tier/tests/settings_file_test.cc
@@ -55,6 +55,7 @@
 class SettingsFileTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(SettingsFileTest);
   CPPUNIT_TEST(ReadsEveryKey);
+  CPPUNIT_TEST(TightestChangeDeadlineCounts);
   CPPUNIT_TEST(EveryMissingKeyIsAnError);
   CPPUNIT_TEST(ErrorsNameLineKeyAndExpectation);
   CPPUNIT_TEST(MalformedAndMissingFilesAreErrors);
@@ -81,6 +82,20 @@
     CPPUNIT_ASSERT(*settings == expected);
   }
 
+  void TightestChangeDeadlineCounts() {
+    const auto deadline = [](const std::string& lines) {
+      const auto read = ParseTierSettings(
+          absl::StrCat(kSettings, "[change_deadlines]\n", lines), "t.toml");
+      const auto* settings = std::get_if<TierSettingsFile>(&read);
+      CPPUNIT_ASSERT(settings != nullptr);
+      return settings->tier.change_deadline;
+    };
+    CPPUNIT_ASSERT(deadline("") == absl::Seconds(4));
+    CPPUNIT_ASSERT(deadline("config_ms = 8000\n") == absl::Seconds(8));
+    CPPUNIT_ASSERT(deadline("config_ms = 8000\ndrain_ms = 6000\n"
+                            "evacuate_ms = 5000\n") == absl::Seconds(5));
+  }
+
   void EveryMissingKeyIsAnError() {
     const std::string text = kSettings;
     size_t begin = 0;
@@ -136,7 +151,19 @@
         ReadSettingsFile(CHERRYDYKE_DEPLOY_DIR "/tier.toml.template");
     const std::string filled = absl::StrReplaceAll(
         std::get<std::string>(text),
-        {{"{{#zones}}\n\"{{@}}\" = {{.|json}}\n{{/zones}}",
+        {{"{{#bounds.configApplyMs}}\n"
+          "config_ms = {{bounds.configApplyMs}}\n"
+          "{{/bounds.configApplyMs}}",
+          "config_ms = 4000"},
+         {"{{#bounds.drainMs}}\n"
+          "drain_ms = {{bounds.drainMs}}\n"
+          "{{/bounds.drainMs}}",
+          "drain_ms = 4000"},
+         {"{{#bounds.evacuateMs}}\n"
+          "evacuate_ms = {{bounds.evacuateMs}}\n"
+          "{{/bounds.evacuateMs}}",
+          "evacuate_ms = 5000"},
+         {"{{#zones}}\n\"{{@}}\" = {{.|json}}\n{{/zones}}",
           "\"a\" = \"north\"\n\"b\" = \"south\""},
          {"{{node|json}}", "\"front-a-1\""},
          {"{{zone|json}}", "\"a\""},
