Read the configuration service unless peers prove that a host is current (CONFIG, HOME, DRAIN, DENIED)

What callers see: at single hosts, for as long as a cut lasts, an older configuration than everywhere else, routes that are missing, and requests sent to targets that have left or are in an evacuated failure domain. Cause: a liveness claim of another host stood in for the freshness of the own data. A host left the reading to a peer while that one's datagrams said that it reads, relays or stands by; that its transfers fail, or that it has nothing, was compared with no bound (HostTable::HasGroupSource, ShouldStandBy). Fix: roles only save calls. A host counts as covered only while it has received, within 0.55 to 0.65 of the tightest bound, a peer's proof of a read, and has all items of it; otherwise it reads the service itself, whatever the roles say. After a failed call such a host waits 2.5 to 3.5 s, so that an outage of the service does not make the whole fleet call all the time.

--- a/libs/tier/include/tier/freshness_log.h
+++ b/libs/tier/include/tier/freshness_log.h
@@ -18,10 +18,12 @@
 
   /// @param is_reading whether this host reads the configuration service and
   /// gets responses.
-  void Update(bool is_reading, absl::Time now);
+  /// @param peers_prove_nothing whether it reads whatever other hosts do.
+  void Update(bool is_reading, bool peers_prove_nothing, absl::Time now);
 
  private:
   void UpdateRole(bool is_reading, absl::Time now);
+  void UpdatePeersProof(bool peers_prove_nothing, absl::Time now);
   void UpdateBehind(absl::Time now);
   void UpdateAge(absl::Time now);
 
@@ -32,6 +34,7 @@
   absl::Time started_ = absl::InfinitePast();
   DisseminationRole role_ = DisseminationRole::kFollower;
   HostId source_;
+  bool peers_prove_nothing_ = false;
   bool is_behind_ = false;
   bool is_outdated_ = false;
 };
--- a/libs/tier/src/freshness_log.cc
+++ b/libs/tier/src/freshness_log.cc
@@ -16,9 +16,11 @@
 
 }  // namespace
 
-void FreshnessLog::Update(bool is_reading, absl::Time now) {
+void FreshnessLog::Update(bool is_reading, bool peers_prove_nothing,
+                          absl::Time now) {
   if (started_ == absl::InfinitePast()) started_ = now;
   UpdateRole(is_reading, now);
+  UpdatePeersProof(peers_prove_nothing, now);
   UpdateBehind(now);
   UpdateAge(now);
 }
@@ -41,6 +43,20 @@
   source_ = host;
 }
 
+void FreshnessLog::UpdatePeersProof(bool peers_prove_nothing, absl::Time now) {
+  if (peers_prove_nothing == peers_prove_nothing_) return;
+  peers_prove_nothing_ = peers_prove_nothing;
+  const absl::Duration age = now - freshness_.peers_current_until();
+  LogInfo(
+      peers_prove_nothing
+          ? "peers do not prove that published items are current"
+          : "published items are left to peers",
+      {{"peers_age_ms", absl::ToInt64Milliseconds(age)},
+       {"max_ms", absl::ToInt64Milliseconds(freshness_.options().max_peer_age)},
+       {"role", ToString(role_)},
+       {"relies_on", source_}});
+}
+
 void FreshnessLog::UpdateBehind(absl::Time now) {
   const absl::Time since = gossip_.behind_since();
   const bool is_behind = now - since > kBehindRatio * bound_;
--- a/libs/tier/src/tier_host.cc
+++ b/libs/tier/src/tier_host.cc
@@ -1,6 +1,7 @@
 #include "tier/tier_host.h"
 
 #include <algorithm>
+#include <random>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -49,6 +50,30 @@
   return options;
 }
 
+/// Parts of the time within which changes must take effect. What is left covers
+/// the check of the age, a connection to the configuration service and a call.
+constexpr double kMinPeerAgeRatio = 0.55;
+constexpr double kMaxPeerAgeRatio = 0.65;
+/// Hosts retry within the time for which a restored path to the configuration
+/// service may go unnoticed.
+constexpr absl::Duration kMinRetryPause = absl::Milliseconds(2500);
+constexpr absl::Duration kMaxRetryPause = absl::Milliseconds(3500);
+
+/// Hosts differ, so that those which lose the same peer do not all call the
+/// configuration service at the same moment: the first one informs the others.
+PublishedFreshness::Options FreshnessOptions(absl::Duration change_deadline) {
+  std::mt19937_64 random(NewIncarnation());
+  std::uniform_real_distribution<double> fraction(0, 1);
+  PublishedFreshness::Options options;
+  options.max_peer_age =
+      change_deadline *
+      (kMinPeerAgeRatio +
+       fraction(random) * (kMaxPeerAgeRatio - kMinPeerAgeRatio));
+  options.retry_pause =
+      kMinRetryPause + fraction(random) * (kMaxRetryPause - kMinRetryPause);
+  return options;
+}
+
 }  // namespace
 
 TierHost::TierHost(engine::EventLoop& loop, TierSettings settings,
@@ -59,7 +84,7 @@
       hosts_({settings_.locality.host, settings_.locality.failure_domain},
              settings_.seeds, HostOptions(settings_.locality), loop.Now()),
       started_(loop.Now()),
-      freshness_({}, started_),
+      freshness_(FreshnessOptions(settings_.change_deadline), started_),
       targets_(loop, settings_.locality, settings_.bounds,
                TargetOptions(adapters.protocol, loop.Now()), hosts_,
                settings_.policy),
@@ -296,10 +321,13 @@
   const bool is_empty = config_items_.complete_revision() == 0 ||
                         target_items_.complete_revision() == 0;
   const bool was_reading = adapters_.source.IsReading();
-  adapters_.source.SetReading(hosts_.ShouldRead(is_empty, loop_.Now()));
+  const absl::Time now = loop_.Now();
+  const bool has_role = hosts_.ShouldRead(is_empty, now);
+  const bool peers_prove_nothing = freshness_.ShouldReadItself(now);
+  adapters_.source.SetReading(has_role || peers_prove_nothing);
   // Keeps the hosts that are next in line from starting to read as well.
   if (adapters_.source.IsReading() && !was_reading) gossip_.NotifyDownstream();
-  freshness_log_.Update(adapters_.source.IsReading(), loop_.Now());
+  freshness_log_.Update(adapters_.source.IsReading(), peers_prove_nothing, now);
 }
 
 void TierHost::OnSourceRecovered() { source_recovered_at_ = loop_.Now(); }
