--- a/daemons/tier/main.cc
+++ b/daemons/tier/main.cc
@@ -80,7 +80,8 @@
   engine::EventLoop loop(clock);
   const platform::HttpProtocolAdapter face;
   const platform::JsonDecoder decoder;
-  platform::StoreClient store(loop, settings.store_endpoint);
+  platform::StoreClient store(loop, settings.store_endpoint,
+                              settings.tier.change_deadline);
   TierHost host(loop, settings.tier, {face, decoder, store});
   // Before callers can connect: a signal without a handler ends the process.
   SettingsWatcher watcher(path, host);
