Keep entries that may have expired in an outage no longer than 2.2 s from its end (DRAIN)

What callers see: a target that left 1.9 s after the configuration service answered again is used for 2.2 s more, not for 0.3 s. Cause: each change of the targets within 2.2 s of the end of an outage began the whole 2.2 s anew. A peer's report of an outage has the same effect. Added to the longest wait for a change (3.4 s) it exceeded the 4 s of a leaving target.

--- a/libs/tier/src/tier_host.cc
+++ b/libs/tier/src/tier_host.cc
@@ -302,11 +302,10 @@
 }
 
 void TierHost::ApplyTargets() {
-  const bool may_have_expired =
-      loop_.Now() - source_recovered_at_ < kExpiredEntryGrace;
-  targets_.SetTargets(
-      adapters_.decoder.DecodeTargets(target_items_),
-      may_have_expired ? kExpiredEntryGrace : absl::ZeroDuration());
+  const absl::Duration grace =
+      source_recovered_at_ + kExpiredEntryGrace - loop_.Now();
+  targets_.SetTargets(adapters_.decoder.DecodeTargets(target_items_),
+                      std::max(grace, absl::ZeroDuration()));
   LogInfo("targets changed", {{"targets", targets_.size()},
                               {"revision", target_items_.complete_revision()}});
 }
