Open a new connection instead of using one that was idle for 2 s

What callers see: a host that calls the configuration service or a peer after a pause first waits for its time-out, if the network has dropped the idle connection without a word; found by the review, by reading. A host that begins to read because its peers prove nothing comes from just such a pause. Change: AsyncHttpClient passes max_idle_time to its pool.

--- a/libs/engine/src/async_http_client.cc
+++ b/libs/engine/src/async_http_client.cc
@@ -12,6 +12,9 @@
 /// Usually one request is in flight; the second connection carries a request
 /// that overlaps with another.
 constexpr int kMaxConnections = 2;
+/// A connection that was idle for longer may have fallen silent: a new one
+/// costs less than the time until that shows.
+constexpr absl::Duration kMaxIdleTime = absl::Seconds(2);
 
 ClientOptions MakeClientOptions(absl::Duration connect_timeout) {
   ClientOptions options;
@@ -54,6 +57,7 @@
   call->started_at = loop_.Now();
   call->done = std::move(done);
   PoolRequest request;
+  request.max_idle_time = kMaxIdleTime;
   request.exchange.write = [this, target, headers] {
     std::string head =
         absl::StrCat("GET ", target, " HTTP/1.1\r\nHost: ", endpoint_, "\r\n");
