Accept only proofs that a host's own knowledge does not contradict

(2) A proof counted although the host lacked a removal that its sender had seen only as a key missing from a listing. (3) A proof of an older revision, of a host that was frozen or is cut off, counted although the host knew of a newer one. (4) A host's own read came back from peers and ended its reading; it read and stopped in turn every 2 to 4 s. (5) A fresher proof that may not be passed on displaced one that may. (6) The datagram that announces a change carried the proof before it. Change: proofs name the reader, and count only for hosts that miss nothing up to the revision up to which their sender misses nothing; while a host lacks something that a peer told it of, no proof holds beyond that moment; own reads don't count when peers pass them back; the freshest proof of each number of hops is passed on; calls pause only after three failures in a row (2 to 3 s); proofs are sent at once, and peers must prove 0.5 to 0.6 of the bound. A host fetches when a peer misses nothing up to a later revision, and a failed fetch no longer begins the wait for another peer anew.

--- a/libs/tier/include/tier/fleet_gossip.h
+++ b/libs/tier/include/tier/fleet_gossip.h
@@ -89,8 +89,9 @@
   /// @return that peer, or "".
   HostId ahead_peer() const { return pending_proofs_.peer(); }
 
-  /// Published items were merged.
-  void OnItemsMerged() { ApplyProofs(); }
+  /// Published items were merged: uses the proofs of peers whose items this
+  /// host has by now.
+  void ApplyProofs();
 
   /// Fetches published items newer than the own ones, unless a fetch has just
   /// begun or the peer has just failed to send them.
@@ -130,10 +131,8 @@
   void OnDatagram(const std::string& datagram);
   Endpoint EndpointOf(const HostId& host) const;
   bool CanFetchFrom(const HostId& peer) const;
-  /// Uses the proofs of peers whose items this host has by now.
-  void ApplyProofs();
-  /// @return whether the sender has newer published items than this host.
-  bool IsBehind(const GossipMessage& message) const;
+  /// @return the revision up to which this host misses no change.
+  Revision KnownUntil() const;
 
   engine::EventLoop& loop_;
   engine::TimerScope timers_{loop_};
@@ -150,7 +149,6 @@
   LogRateLimiter log_rate_limiter_;
   Callbacks callbacks_;
   EncodedTransfer last_transfer_;
-  absl::Time behind_since_ = absl::InfiniteFuture();
   /// When the fetches under way began, and until when peers that failed to
   /// send their items are not asked again.
   std::map<HostId, absl::Time> fetches_;
--- a/libs/tier/include/tier/freshness_log.h
+++ b/libs/tier/include/tier/freshness_log.h
@@ -18,12 +18,11 @@
 
   /// @param is_reading whether this host reads the configuration service and
   /// gets responses.
-  /// @param peers_prove_nothing whether it reads whatever other hosts do.
-  void Update(bool is_reading, bool peers_prove_nothing, absl::Time now);
+  void Update(bool is_reading, absl::Time now);
 
  private:
   void UpdateRole(bool is_reading, absl::Time now);
-  void UpdatePeersProof(bool peers_prove_nothing, absl::Time now);
+  void UpdatePeersProof(absl::Time now);
   void UpdateBehind(absl::Time now);
   void UpdateAge(absl::Time now);
 
@@ -31,7 +30,6 @@
   const PublishedFreshness& freshness_;
   const FleetGossip& gossip_;
   const absl::Duration bound_;
-  absl::Time started_ = absl::InfinitePast();
   DisseminationRole role_ = DisseminationRole::kFollower;
   HostId source_;
   bool peers_prove_nothing_ = false;
--- a/libs/tier/include/tier/pending_proofs.h
+++ b/libs/tier/include/tier/pending_proofs.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <deque>
-#include <optional>
+#include <vector>
 
 #include "absl/time/time.h"
 #include "base/ids.h"
@@ -9,13 +9,14 @@
 
 namespace cherrydyke {
 
-/// Published items that a peer has and, if it sent one, its proof of how
-/// current they are.
+/// What a peer says of its published items.
 struct PeerItems {
   HostId peer;
-  Revision config = 0;
-  Revision targets = 0;
-  std::optional<ReadProof> proof;
+  /// Revision up to which it misses no change.
+  Revision revision = 0;
+  /// Its proofs of how current the items of this revision are; hosts of earlier
+  /// versions send none.
+  std::vector<ReadProof> proofs;
 };
 
 /// Keeps the proofs of peers that have newer published items than this host
@@ -26,10 +27,11 @@
  public:
   void Add(PeerItems items, absl::Time received_at);
 
-  /// Passes on the proofs of all items that this host has by now.
-  /// @param config revision up to which this host misses no configuration.
-  /// @param targets the same of the targets.
-  void Apply(Revision config, Revision targets, PublishedFreshness& freshness);
+  /// Passes on the proofs of all items that this host has by now. While it
+  /// lacks items of which a peer told it, no proof holds for a later time than
+  /// that.
+  /// @param revision up to which this host misses no change.
+  void Apply(Revision revision, PublishedFreshness& freshness);
 
   /// @return since when this host lacks items that a peer has; the infinite
   /// future if it lacks none.
--- a/libs/tier/include/tier/published_freshness.h
+++ b/libs/tier/include/tier/published_freshness.h
@@ -1,8 +1,9 @@
 #pragma once
 
 #include <array>
-#include <optional>
+#include <cstdint>
 #include <tuple>
+#include <vector>
 
 #include "absl/time/time.h"
 
@@ -15,9 +16,12 @@
   absl::Duration age;
   /// Hosts that have passed the proof on; 0 for a read by the host itself.
   int hops = 0;
+  /// Hash of the host that read.
+  uint32_t reader = 0;
 
   friend bool operator==(const ReadProof& a, const ReadProof& b) {
-    return std::tie(a.age, a.hops) == std::tie(b.age, b.hops);
+    return std::tie(a.age, a.hops, a.reader) ==
+           std::tie(b.age, b.hops, b.reader);
   }
 };
 
@@ -36,10 +40,12 @@
   struct Options {
     /// Peers whose freshest proof is older than this do not keep a host from
     /// reading the configuration service itself.
-    absl::Duration max_peer_age = absl::Milliseconds(2400);
-    /// Time after a failed call in which a host that only reads because its
-    /// peers prove nothing does not call again.
-    absl::Duration retry_pause = absl::Seconds(3);
+    absl::Duration max_peer_age;
+    /// A host that only reads because its peers prove nothing makes one call in
+    /// this time after several failed ones.
+    absl::Duration retry_pause;
+    /// Hash of this host, whose own reads peers may pass back to it.
+    uint32_t self = 0;
   };
 
   /// @param started when the host started: peers are given the time from then.
@@ -49,19 +55,25 @@
   /// @param started_at when the read began.
   void OnRead(absl::Time started_at);
   /// A read by this host failed.
-  void OnReadFailed(absl::Time now) { read_failed_at_ = now; }
+  void OnReadFailed(absl::Time now);
   /// This host has every item of a peer that sent a proof.
-  /// @param received_at when the proof arrived.
-  void OnPeerProof(const ReadProof& proof, absl::Time received_at);
+  /// @param proven_until the time of the read that the proof is of.
+  void OnPeerProof(const ReadProof& proof, absl::Time proven_until);
 
-  /// @return the time up to which this host has every published change; the
-  /// infinite past if that was never proven.
+  /// @return the time up to which this host has every published change, as far
+  /// as that is proven; its start if it never was.
   absl::Time current_until() const;
   /// @return the time up to which peers have proven so, or the start.
   absl::Time peers_current_until() const;
-  /// @return the proof to pass on to peers, if there is one.
-  std::optional<ReadProof> ProofForPeers(absl::Time now) const;
+  /// @return the proofs to pass on to peers: for each number of hops the
+  /// freshest one, unless one of fewer hops is as fresh. A fresher proof that
+  /// may not be passed on as often must not take the place of the others.
+  std::vector<ReadProof> ProofsForPeers(absl::Time now) const;
 
+  /// @return whether peers do not prove that this host is current.
+  bool PeersProveNothing(absl::Time now) const {
+    return now - peers_current_until() > options_.max_peer_age;
+  }
   /// @return whether this host has to read the configuration service itself,
   /// whatever other hosts say that they do.
   bool ShouldReadItself(absl::Time now) const;
@@ -71,12 +83,21 @@
  private:
   /// A proof that has passed this many hosts is not passed on.
   static constexpr int kMaxHops = 3;
+  /// Failed calls in a row after which calls pause.
+  static constexpr int kFailuresBeforePause = 3;
+
+  struct Proven {
+    absl::Time until = absl::InfinitePast();
+    uint32_t reader = 0;
+  };
 
   const Options options_;
   const absl::Time started_;
+  int read_failures_ = 0;
   absl::Time read_failed_at_ = absl::InfinitePast();
-  /// The freshest proof by the number of hops that it took.
-  std::array<absl::Time, kMaxHops + 1> current_until_;
+  /// The freshest proof by the number of hops that it took; the first one is of
+  /// this host's own reads.
+  std::array<Proven, kMaxHops + 1> proven_;
 };
 
 }  // namespace cherrydyke
--- a/libs/tier/include/tier/published_source.h
+++ b/libs/tier/include/tier/published_source.h
@@ -20,11 +20,14 @@
   class Listener {
    public:
     virtual ~Listener() = default;
-    /// The items passed to `Start` have changed.
-    virtual void OnPublished(bool config, bool targets) = 0;
-    /// Every change that was published before `started_at`, when the read
-    /// began, is in the items.
-    virtual void OnRead(absl::Time started_at) = 0;
+    /// A call succeeded, and the items passed to `Start` are up to date with
+    /// it.
+    /// @param current_until time before which nothing was published that they
+    /// lack; the infinite past if the call proves none.
+    /// @param config whether the operators' items have changed.
+    /// @param targets whether those of the targets have.
+    virtual void OnRead(absl::Time current_until, bool config,
+                        bool targets) = 0;
     /// A call failed.
     virtual void OnReadFailed() = 0;
     /// The service responds again after an outage.
--- a/libs/tier/include/tier/tier_host.h
+++ b/libs/tier/include/tier/tier_host.h
@@ -75,8 +75,7 @@
   void SetSeeds(const std::vector<HostId>& seeds) { hosts_.SetSeeds(seeds); }
 
  private:
-  void OnPublished(bool config, bool targets) override;
-  void OnRead(absl::Time started_at) override;
+  void OnRead(absl::Time current_until, bool config, bool targets) override;
   void OnReadFailed() override;
   void OnSourceRecovered() override;
 
@@ -98,8 +97,7 @@
   /// are written, or when the process has to exit.
   void ContinueShutdown();
   void RegisterGauges();
-  /// @return time since this host was proven to have every published change,
-  /// or since its start.
+  /// @return time since this host was proven to have every published change.
   absl::Duration PublishedAge() const;
   /// @return time since this host knows that a peer has newer items; zero if it
   /// knows of none.
@@ -113,7 +111,6 @@
   PublishedItems config_items_;
   PublishedItems target_items_;
   HostTable hosts_;
-  const absl::Time started_;
   PublishedFreshness freshness_;
   CrashTracker crashes_;
   TargetSet targets_;
--- a/libs/tier/src/fleet_gossip.cc
+++ b/libs/tier/src/fleet_gossip.cc
@@ -171,7 +171,8 @@
   message.targets_revision = targets_.complete_revision();
   message.crashes = crashes_.TakeReportsToGossip(kMaxCrashReports, loop_.Now());
   message.reports = std::move(health_reports);
-  message.proof = freshness_.ProofForPeers(loop_.Now());
+  message.known_until = KnownUntil();
+  message.proofs = freshness_.ProofsForPeers(loop_.Now());
   const std::string datagram = EncodeGossipMessage(message);
   for (const HostId& recipient : recipients) {
     datagram_socket_.Send(EndpointOf(recipient), datagram);
@@ -210,12 +211,9 @@
   // targets.
   if (quarantined_any) Gossip();
   if (!message.reports.empty()) callbacks_.on_health_reports(message.reports);
-  pending_proofs_.Add({sender.host, message.config_revision,
-                       message.targets_revision, message.proof},
-                      now);
+  pending_proofs_.Add({sender.host, message.known_until, message.proofs}, now);
   ApplyProofs();
-  if (!IsBehind(message)) return;
-  behind_since_ = std::min(behind_since_, now);
+  if (message.known_until <= KnownUntil()) return;
   // A reader gets the changes from the service soon, and a host whose failure
   // domain has a reader gets them from that one; others fetch at once from any
   // peer.
@@ -226,17 +224,15 @@
   const bool waits =
       !is_empty && (callbacks_.is_reading() ||
                     (is_other_domain && hosts_.HasDomainReader(now)));
-  if (!waits || now - behind_since_ >= kLagTolerance) FetchFrom(sender.host);
+  if (!waits || now - behind_since() >= kLagTolerance) FetchFrom(sender.host);
 }
 
-void FleetGossip::ApplyProofs() {
-  pending_proofs_.Apply(config_.known_until(), targets_.known_until(),
-                        freshness_);
+Revision FleetGossip::KnownUntil() const {
+  return std::min(config_.known_until(), targets_.known_until());
 }
 
-bool FleetGossip::IsBehind(const GossipMessage& message) const {
-  return message.config_revision > config_.complete_revision() ||
-         message.targets_revision > targets_.complete_revision();
+void FleetGossip::ApplyProofs() {
+  pending_proofs_.Apply(KnownUntil(), freshness_);
 }
 
 bool FleetGossip::CanFetchFrom(const HostId& peer) const {
@@ -265,7 +261,6 @@
               [this, peer, config_from, targets_from,
                started_at = loop_.Now()](Result<engine::HttpResponse> result) {
                 fetches_.erase(peer);
-                behind_since_ = absl::InfiniteFuture();
                 const int64_t elapsed_ms =
                     absl::ToInt64Milliseconds(loop_.Now() - started_at);
                 const Error* error = GetError(result);
--- a/libs/tier/src/freshness_log.cc
+++ b/libs/tier/src/freshness_log.cc
@@ -16,11 +16,9 @@
 
 }  // namespace
 
-void FreshnessLog::Update(bool is_reading, bool peers_prove_nothing,
-                          absl::Time now) {
-  if (started_ == absl::InfinitePast()) started_ = now;
+void FreshnessLog::Update(bool is_reading, absl::Time now) {
   UpdateRole(is_reading, now);
-  UpdatePeersProof(peers_prove_nothing, now);
+  UpdatePeersProof(now);
   UpdateBehind(now);
   UpdateAge(now);
 }
@@ -43,14 +41,15 @@
   source_ = host;
 }
 
-void FreshnessLog::UpdatePeersProof(bool peers_prove_nothing, absl::Time now) {
+void FreshnessLog::UpdatePeersProof(absl::Time now) {
+  const bool peers_prove_nothing = freshness_.PeersProveNothing(now);
   if (peers_prove_nothing == peers_prove_nothing_) return;
   peers_prove_nothing_ = peers_prove_nothing;
   const absl::Duration age = now - freshness_.peers_current_until();
   LogInfo(
       peers_prove_nothing
           ? "peers do not prove that published items are current"
-          : "published items are left to peers",
+          : "peers prove that published items are current",
       {{"peers_age_ms", absl::ToInt64Milliseconds(age)},
        {"max_ms", absl::ToInt64Milliseconds(freshness_.options().max_peer_age)},
        {"role", ToString(role_)},
@@ -74,8 +73,7 @@
 }
 
 void FreshnessLog::UpdateAge(absl::Time now) {
-  const absl::Time current_until =
-      std::max(freshness_.current_until(), started_);
+  const absl::Time current_until = freshness_.current_until();
   const bool is_outdated = now - current_until > kOutdatedRatio * bound_;
   if (is_outdated == is_outdated_) return;
   is_outdated_ = is_outdated;
--- a/libs/tier/src/pending_proofs.cc
+++ b/libs/tier/src/pending_proofs.cc
@@ -1,6 +1,7 @@
 #include "tier/pending_proofs.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace cherrydyke {
@@ -17,17 +18,20 @@
   pending_.push_back({std::move(items), received_at});
 }
 
-void PendingProofs::Apply(Revision config, Revision targets,
-                          PublishedFreshness& freshness) {
-  const auto is_known = [&](const Pending& pending) {
-    return pending.items.config <= config && pending.items.targets <= targets;
-  };
-  for (const Pending& pending : pending_) {
-    if (!is_known(pending) || !pending.items.proof) continue;
-    freshness.OnPeerProof(*pending.items.proof, pending.received_at);
+void PendingProofs::Apply(Revision revision, PublishedFreshness& freshness) {
+  const auto first_known = std::stable_partition(
+      pending_.begin(), pending_.end(), [&](const Pending& pending) {
+        return pending.items.revision > revision;
+      });
+  const std::vector<Pending> known(std::make_move_iterator(first_known),
+                                   std::make_move_iterator(pending_.end()));
+  pending_.erase(first_known, pending_.end());
+  for (const auto& [items, received_at] : known) {
+    for (const ReadProof& proof : items.proofs) {
+      freshness.OnPeerProof(proof,
+                            std::min(received_at - proof.age, behind_since()));
+    }
   }
-  pending_.erase(std::remove_if(pending_.begin(), pending_.end(), is_known),
-                 pending_.end());
 }
 
 absl::Time PendingProofs::behind_since() const {
--- a/libs/tier/src/published_freshness.cc
+++ b/libs/tier/src/published_freshness.cc
@@ -6,42 +6,57 @@
 
 PublishedFreshness::PublishedFreshness(Options options, absl::Time started)
     : options_(options), started_(started) {
-  current_until_.fill(absl::InfinitePast());
+  proven_.front().reader = options_.self;
 }
 
 void PublishedFreshness::OnRead(absl::Time started_at) {
-  current_until_.front() = std::max(current_until_.front(), started_at);
+  proven_.front().until = std::max(proven_.front().until, started_at);
+  read_failures_ = 0;
+}
+
+void PublishedFreshness::OnReadFailed(absl::Time now) {
+  ++read_failures_;
+  read_failed_at_ = now;
 }
 
 void PublishedFreshness::OnPeerProof(const ReadProof& proof,
-                                     absl::Time received_at) {
+                                     absl::Time proven_until) {
+  if (proof.reader == options_.self) return;
   if (proof.hops < 0 || proof.hops >= kMaxHops) return;
   if (proof.age < absl::ZeroDuration()) return;
-  absl::Time& known = current_until_.at(static_cast<size_t>(proof.hops) + 1);
-  known = std::max(known, received_at - proof.age);
+  Proven& proven = proven_.at(static_cast<size_t>(proof.hops) + 1);
+  if (proven_until > proven.until) proven = {proven_until, proof.reader};
 }
 
 absl::Time PublishedFreshness::current_until() const {
-  return *std::max_element(current_until_.begin(), current_until_.end());
+  return std::max(proven_.front().until, peers_current_until());
 }
 
 absl::Time PublishedFreshness::peers_current_until() const {
-  return std::max(started_, *std::max_element(current_until_.begin() + 1,
-                                              current_until_.end()));
+  absl::Time until = started_;
+  for (size_t hops = 1; hops < proven_.size(); ++hops) {
+    until = std::max(until, proven_.at(hops).until);
+  }
+  return until;
 }
 
-std::optional<ReadProof> PublishedFreshness::ProofForPeers(
+std::vector<ReadProof> PublishedFreshness::ProofsForPeers(
     absl::Time now) const {
-  const auto freshest =
-      std::max_element(current_until_.begin(), current_until_.end() - 1);
-  if (*freshest == absl::InfinitePast()) return std::nullopt;
-  return ReadProof{now - *freshest,
-                   static_cast<int>(freshest - current_until_.begin())};
+  std::vector<ReadProof> proofs;
+  absl::Time freshest = absl::InfinitePast();
+  for (int hops = 0; hops < kMaxHops; ++hops) {
+    const Proven& proven = proven_.at(static_cast<size_t>(hops));
+    if (proven.until <= freshest) continue;
+    freshest = proven.until;
+    proofs.push_back({now - proven.until, hops, proven.reader});
+  }
+  return proofs;
 }
 
 bool PublishedFreshness::ShouldReadItself(absl::Time now) const {
-  return now - peers_current_until() > options_.max_peer_age &&
-         now - read_failed_at_ >= options_.retry_pause;
+  const bool pauses = read_failures_ >= kFailuresBeforePause &&
+                      now - read_failed_at_ < options_.retry_pause;
+  return PeersProveNothing(now) && !pauses;
 }
 
 }  // namespace cherrydyke
--- a/libs/tier/src/tier_host.cc
+++ b/libs/tier/src/tier_host.cc
@@ -52,25 +52,26 @@
 
 /// Parts of the time within which changes must take effect. What is left covers
 /// the check of the age, a connection to the configuration service and a call.
-constexpr double kMinPeerAgeRatio = 0.55;
-constexpr double kMaxPeerAgeRatio = 0.65;
+constexpr double kMinPeerAgeRatio = 0.5;
+constexpr double kMaxPeerAgeRatio = 0.6;
 /// Hosts retry within the time for which a restored path to the configuration
 /// service may go unnoticed.
-constexpr absl::Duration kMinRetryPause = absl::Milliseconds(2500);
-constexpr absl::Duration kMaxRetryPause = absl::Milliseconds(3500);
+constexpr absl::Duration kMinRetryPause = absl::Milliseconds(2000);
+constexpr absl::Duration kMaxRetryPause = absl::Milliseconds(3000);
 
 /// Hosts differ, so that those which lose the same peer do not all call the
 /// configuration service at the same moment: the first one informs the others.
-PublishedFreshness::Options FreshnessOptions(absl::Duration change_deadline) {
+PublishedFreshness::Options FreshnessOptions(const TierSettings& settings) {
   std::mt19937_64 random(NewIncarnation());
   std::uniform_real_distribution<double> fraction(0, 1);
   PublishedFreshness::Options options;
   options.max_peer_age =
-      change_deadline *
+      settings.change_deadline *
       (kMinPeerAgeRatio +
        fraction(random) * (kMaxPeerAgeRatio - kMinPeerAgeRatio));
   options.retry_pause =
       kMinRetryPause + fraction(random) * (kMaxRetryPause - kMinRetryPause);
+  options.self = static_cast<uint32_t>(StableHash(settings.locality.host));
   return options;
 }
 
@@ -83,8 +84,7 @@
       adapters_(adapters),
       hosts_({settings_.locality.host, settings_.locality.failure_domain},
              settings_.seeds, HostOptions(settings_.locality), loop.Now()),
-      started_(loop.Now()),
-      freshness_(FreshnessOptions(settings_.change_deadline), started_),
+      freshness_(FreshnessOptions(settings_), loop.Now()),
       targets_(loop, settings_.locality, settings_.bounds,
                TargetOptions(adapters.protocol, loop.Now()), hosts_,
                settings_.policy),
@@ -213,25 +213,24 @@
 }
 
 absl::Duration TierHost::PublishedAge() const {
-  return loop_.Now() - std::max(freshness_.current_until(), started_);
+  return loop_.Now() - freshness_.current_until();
 }
 
 absl::Duration TierHost::TimeBehind() const {
   return std::max(loop_.Now() - gossip_.behind_since(), absl::ZeroDuration());
 }
 
-void TierHost::OnPublished(bool config, bool targets) {
-  ApplyPublished(config, targets);
-  UpdateReaderRole();
-  // Downstream hosts fetch the changes from this host.
+void TierHost::OnRead(absl::Time current_until, bool config, bool targets) {
+  freshness_.OnRead(current_until);
+  gossip_.ApplyProofs();
+  if (config || targets) {
+    ApplyPublished(config, targets);
+    UpdateReaderRole();
+  }
+  // Downstream hosts fetch the changes from this host, or are current with it.
   gossip_.NotifyDownstream();
 }
 
-void TierHost::OnRead(absl::Time started_at) {
-  freshness_.OnRead(started_at);
-  gossip_.OnItemsMerged();
-}
-
 void TierHost::OnReadFailed() { freshness_.OnReadFailed(loop_.Now()); }
 
 void TierHost::ApplyPublished(bool config, bool targets) {
@@ -321,12 +320,11 @@
                         target_items_.complete_revision() == 0;
   const bool was_reading = adapters_.source.IsReading();
   const absl::Time now = loop_.Now();
-  const bool has_role = hosts_.ShouldRead(is_empty, now);
-  const bool peers_prove_nothing = freshness_.ShouldReadItself(now);
-  adapters_.source.SetReading(has_role || peers_prove_nothing);
+  adapters_.source.SetReading(hosts_.ShouldRead(is_empty, now) ||
+                              freshness_.ShouldReadItself(now));
   // Keeps the hosts that are next in line from starting to read as well.
   if (adapters_.source.IsReading() && !was_reading) gossip_.NotifyDownstream();
-  freshness_log_.Update(adapters_.source.IsReading(), peers_prove_nothing, now);
+  freshness_log_.Update(adapters_.source.IsReading(), now);
 }
 
 void TierHost::OnSourceRecovered() { source_recovered_at_ = loop_.Now(); }
--- a/libs/tier/tests/pending_proofs_test.cc
+++ b/libs/tier/tests/pending_proofs_test.cc
@@ -8,8 +8,10 @@
 const absl::Time kStart = absl::UnixEpoch() + absl::Hours(1);
 constexpr absl::Duration kSecond = absl::Seconds(1);
 
-PeerItems Items(Revision config, Revision targets) {
-  return {"p", config, targets, ReadProof{kSecond, 0}};
+constexpr uint32_t kReader = 7;
+
+PeerItems Items(Revision revision) {
+  return {"p", revision, {{kSecond, 0, kReader}}};
 }
 
 }  // namespace
@@ -18,53 +20,64 @@
   CPPUNIT_TEST_SUITE(PendingProofsTest);
   CPPUNIT_TEST(ProofCountsOnceTheItemsAreThere);
   CPPUNIT_TEST(TellsSinceWhenTheHostIsBehind);
+  CPPUNIT_TEST(ProofDoesNotHoldBeyondTheNewsOfMissingItems);
   CPPUNIT_TEST(ItemsWithoutProofProveNothing);
   CPPUNIT_TEST(OldestStayWhenThereAreMany);
   CPPUNIT_TEST_SUITE_END();
 
  public:
   void ProofCountsOnceTheItemsAreThere() {
-    pending_.Add(Items(5, 7), kStart + 2 * kSecond);
-    pending_.Apply(5, 6, freshness_);
-    CPPUNIT_ASSERT(freshness_.current_until() == absl::InfinitePast());
-    pending_.Apply(4, 7, freshness_);
-    CPPUNIT_ASSERT(freshness_.current_until() == absl::InfinitePast());
-    pending_.Apply(5, 7, freshness_);
+    pending_.Add(Items(7), kStart + 2 * kSecond);
+    pending_.Apply(6, freshness_);
+    CPPUNIT_ASSERT(freshness_.current_until() == kStart);
+    pending_.Apply(7, freshness_);
     CPPUNIT_ASSERT(freshness_.current_until() == kStart + kSecond);
   }
 
   void TellsSinceWhenTheHostIsBehind() {
     CPPUNIT_ASSERT(pending_.behind_since() == absl::InfiniteFuture());
-    pending_.Add(Items(5, 5), kStart);
-    pending_.Add(Items(6, 5), kStart + kSecond);
+    pending_.Add(Items(5), kStart);
+    pending_.Add(Items(6), kStart + kSecond);
     CPPUNIT_ASSERT(pending_.behind_since() == kStart);
-    pending_.Apply(5, 5, freshness_);
+    pending_.Apply(5, freshness_);
     CPPUNIT_ASSERT(pending_.behind_since() == kStart + kSecond);
     CPPUNIT_ASSERT_EQUAL(HostId("p"), pending_.peer());
-    pending_.Apply(6, 5, freshness_);
+    pending_.Apply(6, freshness_);
     CPPUNIT_ASSERT(pending_.behind_since() == absl::InfiniteFuture());
   }
 
+  // Such a proof was delayed, or is of a host that was frozen.
+  void ProofDoesNotHoldBeyondTheNewsOfMissingItems() {
+    pending_.Add(Items(9), kStart + kSecond);
+    pending_.Add(Items(5), kStart + 20 * kSecond);
+    pending_.Apply(5, freshness_);
+    CPPUNIT_ASSERT(freshness_.current_until() == kStart + kSecond);
+    pending_.Apply(9, freshness_);
+    pending_.Add(Items(5), kStart + 21 * kSecond);
+    pending_.Apply(9, freshness_);
+    CPPUNIT_ASSERT(freshness_.current_until() == kStart + 20 * kSecond);
+  }
+
   void ItemsWithoutProofProveNothing() {
-    pending_.Add({"p", 5, 5, std::nullopt}, kStart);
-    pending_.Apply(5, 5, freshness_);
-    CPPUNIT_ASSERT(freshness_.current_until() == absl::InfinitePast());
+    pending_.Add({"p", 5, {}}, kStart + kSecond);
+    pending_.Apply(5, freshness_);
+    CPPUNIT_ASSERT(freshness_.current_until() == kStart);
   }
 
   void OldestStayWhenThereAreMany() {
     constexpr int kMany = 10'000;
     for (int i = 1; i <= kMany; ++i) {
-      pending_.Add(Items(i, i), kStart + i * kSecond);
+      pending_.Add(Items(i), kStart + i * kSecond);
     }
     CPPUNIT_ASSERT(pending_.behind_since() == kStart + kSecond);
-    pending_.Apply(kMany, kMany, freshness_);
+    pending_.Apply(kMany, freshness_);
     CPPUNIT_ASSERT(freshness_.current_until() ==
                    kStart + (kMany - 1) * kSecond);
     CPPUNIT_ASSERT(pending_.behind_since() == absl::InfiniteFuture());
   }
 
  private:
-  PublishedFreshness freshness_{{}, kStart};
+  PublishedFreshness freshness_{{kSecond, kSecond, 1}, kStart};
   PendingProofs pending_;
 };
 
--- a/libs/tier/tests/published_freshness_test.cc
+++ b/libs/tier/tests/published_freshness_test.cc
@@ -3,7 +3,6 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
 
-#include <algorithm>
 #include <vector>
 
 namespace cherrydyke {
@@ -11,22 +10,30 @@
 
 const absl::Time kStart = absl::UnixEpoch() + absl::Hours(1);
 constexpr absl::Duration kSecond = absl::Seconds(1);
+constexpr absl::Duration kMaxPeerAge = absl::Milliseconds(2200);
+constexpr absl::Duration kRetryPause = absl::Milliseconds(2500);
+constexpr uint32_t kSelf = 1;
+constexpr uint32_t kPeer = 2;
 
-PublishedFreshness Freshness() {
-  return {PublishedFreshness::Options(), kStart};
+PublishedFreshness Freshness(uint32_t self = kSelf) {
+  return {{kMaxPeerAge, kRetryPause, self}, kStart};
 }
 
+using Proofs = std::vector<ReadProof>;
+
 }  // namespace
 
 class PublishedFreshnessTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(PublishedFreshnessTest);
   CPPUNIT_TEST(NothingIsProvenAtTheStart);
   CPPUNIT_TEST(OwnReadsProveTheTimeAtWhichTheyBegan);
-  CPPUNIT_TEST(PeersProveTheAgeOfTheRead);
+  CPPUNIT_TEST(PeersProveTheTimeOfTheirReads);
   CPPUNIT_TEST(OlderProofsDoNotReplaceNewerOnes);
+  CPPUNIT_TEST(FresherProofsOfMoreHopsDoNotReplaceOthers);
   CPPUNIT_TEST(ReadsItselfWhenPeersProveNothing);
-  CPPUNIT_TEST(OwnReadsDoNotReplaceTheProofOfPeers);
-  CPPUNIT_TEST(PausesAfterAFailedRead);
+  CPPUNIT_TEST(OwnReadsDoNotCountAsProofOfPeers);
+  CPPUNIT_TEST(OneFailedCallDoesNotEndReading);
+  CPPUNIT_TEST(PausesAfterSeveralFailedCalls);
   CPPUNIT_TEST(MalformedProofsAreIgnored);
   CPPUNIT_TEST(ProofsThatCircleDoNotBecomeFresher);
   CPPUNIT_TEST_SUITE_END();
@@ -34,66 +41,88 @@
  public:
   void NothingIsProvenAtTheStart() {
     const PublishedFreshness freshness = Freshness();
-    CPPUNIT_ASSERT(freshness.current_until() == absl::InfinitePast());
-    CPPUNIT_ASSERT(!freshness.ProofForPeers(kStart));
+    CPPUNIT_ASSERT(freshness.current_until() == kStart);
+    CPPUNIT_ASSERT(freshness.ProofsForPeers(kStart).empty());
   }
 
   void OwnReadsProveTheTimeAtWhichTheyBegan() {
     PublishedFreshness freshness = Freshness();
     freshness.OnRead(kStart + kSecond);
     CPPUNIT_ASSERT(freshness.current_until() == kStart + kSecond);
-    CPPUNIT_ASSERT((ReadProof{2 * kSecond, 0}) ==
-                   freshness.ProofForPeers(kStart + 3 * kSecond));
+    CPPUNIT_ASSERT((Proofs{{2 * kSecond, 0, kSelf}}) ==
+                   freshness.ProofsForPeers(kStart + 3 * kSecond));
   }
 
-  void PeersProveTheAgeOfTheRead() {
+  void PeersProveTheTimeOfTheirReads() {
     PublishedFreshness freshness = Freshness();
-    freshness.OnPeerProof({kSecond, 1}, kStart + 5 * kSecond);
+    freshness.OnPeerProof({kSecond, 1, kPeer}, kStart + 4 * kSecond);
     CPPUNIT_ASSERT(freshness.current_until() == kStart + 4 * kSecond);
-    CPPUNIT_ASSERT((ReadProof{2 * kSecond, 2}) ==
-                   freshness.ProofForPeers(kStart + 6 * kSecond));
+    CPPUNIT_ASSERT((Proofs{{2 * kSecond, 2, kPeer}}) ==
+                   freshness.ProofsForPeers(kStart + 6 * kSecond));
   }
 
   void OlderProofsDoNotReplaceNewerOnes() {
     PublishedFreshness freshness = Freshness();
-    freshness.OnPeerProof({kSecond, 0}, kStart + 5 * kSecond);
-    freshness.OnPeerProof({3 * kSecond, 0}, kStart + 6 * kSecond);
+    freshness.OnPeerProof({kSecond, 0, kPeer}, kStart + 4 * kSecond);
+    freshness.OnPeerProof({3 * kSecond, 0, kPeer}, kStart + 3 * kSecond);
     freshness.OnRead(kStart + kSecond);
     CPPUNIT_ASSERT(freshness.current_until() == kStart + 4 * kSecond);
   }
 
+  void FresherProofsOfMoreHopsDoNotReplaceOthers() {
+    PublishedFreshness freshness = Freshness();
+    freshness.OnPeerProof({kSecond, 0, kPeer}, kStart + 4 * kSecond);
+    freshness.OnPeerProof({kSecond, 1, kPeer}, kStart + 5 * kSecond);
+    freshness.OnPeerProof({kSecond, 2, kPeer}, kStart + 6 * kSecond);
+    CPPUNIT_ASSERT((Proofs{{3 * kSecond, 1, kPeer}, {2 * kSecond, 2, kPeer}}) ==
+                   freshness.ProofsForPeers(kStart + 7 * kSecond));
+  }
+
   void ReadsItselfWhenPeersProveNothing() {
     PublishedFreshness freshness = Freshness();
-    const absl::Duration limit = freshness.options().max_peer_age;
-    CPPUNIT_ASSERT(!freshness.ShouldReadItself(kStart + limit));
-    CPPUNIT_ASSERT(freshness.ShouldReadItself(kStart + limit + kSecond));
-    freshness.OnPeerProof({kSecond / 2, 0}, kStart + limit + kSecond);
-    CPPUNIT_ASSERT(!freshness.ShouldReadItself(kStart + limit + kSecond));
+    const absl::Time later = kStart + kMaxPeerAge + kSecond;
+    CPPUNIT_ASSERT(!freshness.ShouldReadItself(kStart + kMaxPeerAge));
+    CPPUNIT_ASSERT(freshness.ShouldReadItself(later));
+    freshness.OnPeerProof({kSecond, 0, kPeer}, later - kSecond);
+    CPPUNIT_ASSERT(!freshness.ShouldReadItself(later));
   }
 
   // Otherwise a host that peers do not reach would stop reading after each
   // read, and start again when that one is too old.
-  void OwnReadsDoNotReplaceTheProofOfPeers() {
+  void OwnReadsDoNotCountAsProofOfPeers() {
     PublishedFreshness freshness = Freshness();
-    freshness.OnRead(kStart + 5 * kSecond);
-    CPPUNIT_ASSERT(freshness.ShouldReadItself(kStart + 5 * kSecond));
+    const absl::Time now = kStart + 5 * kSecond;
+    freshness.OnRead(now);
+    freshness.OnPeerProof({kSecond, 0, kSelf}, now);
+    CPPUNIT_ASSERT(freshness.ShouldReadItself(now));
   }
 
-  void PausesAfterAFailedRead() {
+  void OneFailedCallDoesNotEndReading() {
     PublishedFreshness freshness = Freshness();
-    const absl::Time failed_at = kStart + 5 * kSecond;
-    freshness.OnReadFailed(failed_at);
-    const absl::Duration pause = freshness.options().retry_pause;
-    CPPUNIT_ASSERT(!freshness.ShouldReadItself(failed_at + pause / 2));
-    CPPUNIT_ASSERT(freshness.ShouldReadItself(failed_at + pause));
+    const absl::Time now = kStart + 5 * kSecond;
+    freshness.OnReadFailed(now);
+    CPPUNIT_ASSERT(freshness.ShouldReadItself(now));
+  }
+
+  void PausesAfterSeveralFailedCalls() {
+    PublishedFreshness freshness = Freshness();
+    const absl::Time now = kStart + 5 * kSecond;
+    for (int i = 0; i < 3; ++i) freshness.OnReadFailed(now);
+    CPPUNIT_ASSERT(!freshness.ShouldReadItself(now + kRetryPause / 2));
+    CPPUNIT_ASSERT(freshness.PeersProveNothing(now + kRetryPause / 2));
+    CPPUNIT_ASSERT(freshness.ShouldReadItself(now + kRetryPause));
+    freshness.OnReadFailed(now + kRetryPause);
+    CPPUNIT_ASSERT(!freshness.ShouldReadItself(now + kRetryPause));
+    freshness.OnRead(now + kRetryPause);
+    CPPUNIT_ASSERT(freshness.ShouldReadItself(now + kRetryPause));
   }
 
   void MalformedProofsAreIgnored() {
     PublishedFreshness freshness = Freshness();
-    freshness.OnPeerProof({-kSecond, 0}, kStart);
-    freshness.OnPeerProof({kSecond, -1}, kStart);
-    freshness.OnPeerProof({kSecond, 1000}, kStart);
-    CPPUNIT_ASSERT(freshness.current_until() == absl::InfinitePast());
+    freshness.OnPeerProof({-kSecond, 0, kPeer}, kStart + kSecond);
+    freshness.OnPeerProof({kSecond, -1, kPeer}, kStart + kSecond);
+    freshness.OnPeerProof({kSecond, 1000, kPeer}, kStart + kSecond);
+    CPPUNIT_ASSERT(freshness.current_until() == kStart);
   }
 
   // One host reads once; then all pass on what they have at random, each
@@ -103,7 +132,10 @@
       constexpr size_t kHosts = 5;
       constexpr int kLongestDelayMs = 50;
       constexpr int kHops = 3;
-      std::vector<PublishedFreshness> hosts(kHosts, Freshness());
+      std::vector<PublishedFreshness> hosts;
+      for (uint32_t host = 0; host < kHosts; ++host) {
+        hosts.push_back(Freshness(host));
+      }
       const absl::Time read_at = kStart + kSecond;
       hosts[0].OnRead(read_at);
       absl::Time now = read_at;
@@ -112,10 +144,14 @@
       for (const int message : messages) {
         const auto from = static_cast<size_t>(message) % kHosts;
         const auto to = static_cast<size_t>(message) / kHosts % kHosts;
-        const auto proof = hosts[from].ProofForPeers(now);
+        const Proofs proofs = hosts[from].ProofsForPeers(now);
         now += absl::Milliseconds(message / 31 % kLongestDelayMs);
-        if (proof && from != to) hosts[to].OnPeerProof(*proof, now);
+        if (from == to) continue;
+        for (const ReadProof& proof : proofs) {
+          hosts[to].OnPeerProof(proof, now - proof.age);
+        }
       }
+      RC_ASSERT(hosts[0].current_until() == read_at);
       for (const PublishedFreshness& host : hosts) {
         RC_ASSERT(host.current_until() <=
                   read_at + kHops * absl::Milliseconds(kLongestDelayMs));
