--- a/tests/support/process.cc
+++ b/tests/support/process.cc
@@ -8,6 +8,8 @@
 #include <unistd.h>
 
 #include <array>
+#include <cstdlib>
+#include <utility>
 
 #include "absl/time/clock.h"
 
@@ -17,11 +19,17 @@
 constexpr int kReadyTimeoutMs = 20'000;
 constexpr absl::Duration kPollInterval = absl::Milliseconds(10);
 
+std::string ProgramFolder() {
+  const char* const folder = std::getenv("CHERRYDYKE_BIN_DIR");
+  return folder != nullptr ? folder : CHERRYDYKE_BIN_DIR;
+}
+
 }  // namespace
 
 Process::Process(const std::string& program, const std::string& config_file,
-                 const std::string& log_file) {
-  const std::string path = std::string(CHERRYDYKE_BIN_DIR) + "/" + program;
+                 const std::string& log_file,
+                 std::vector<std::string> environment) {
+  const std::string path = ProgramFolder() + "/" + program;
   std::array<int, 2> output{};
   if (pipe2(output.data(), O_CLOEXEC) != 0) return;
   posix_spawn_file_actions_t actions;
@@ -34,8 +42,14 @@
   std::string config = config_file;
   std::array<char*, 4> arguments = {path_argument.data(), config_flag.data(),
                                     config.data(), nullptr};
+  std::vector<char*> variables;
+  for (std::string& entry : environment) variables.push_back(entry.data());
+  for (char** entry = environ; *entry != nullptr; ++entry) {
+    variables.push_back(*entry);
+  }
+  variables.push_back(nullptr);
   if (posix_spawn(&pid_, path.c_str(), &actions, nullptr, arguments.data(),
-                  environ) != 0) {
+                  variables.data()) != 0) {
     pid_ = -1;
     exited_ = true;
   }
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -4,6 +4,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "absl/time/time.h"
 
@@ -14,11 +15,14 @@
  public:
   /// Starts a program of this build and waits for its first output on stdout,
   /// the ready line. After a failed start or a time-out, `ready()` is false.
-  /// @param program file name in the build's `bin` folder
+  /// @param program file name in the build's `bin` folder, or in the folder
+  /// that the environment variable CHERRYDYKE_BIN_DIR names
   /// @param config_file settings file, passed with `--config`
   /// @param log_file receives stderr, appended
+  /// @param environment entries `NAME=VALUE` beside this process's own
   Process(const std::string& program, const std::string& config_file,
-          const std::string& log_file);
+          const std::string& log_file,
+          std::vector<std::string> environment = {});
   ~Process();
   Process(const Process&) = delete;
   Process& operator=(const Process&) = delete;
