--- /dev/null
+++ b/libs/dispatch/include/dispatch/config_versions.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <cstdint>
+
+namespace cherrydyke {
+
+/// The versions of the configuration that bind one host, and what follows from
+/// them for its callers' requests and for those that hosts hand to each other.
+///
+/// The rule: a request is never run by a version older than one that its
+/// callers saw in force on the host that they are connected to, whichever host
+/// runs it. A host knows two such versions: the one by which it runs requests
+/// itself, and the newest one by which a peer has run a request of its callers.
+/// Whoever hands a request over states the least version, and whoever takes it
+/// over compares.
+class ConfigVersions {
+ public:
+  /// The host handles requests that arrive from now on by this version.
+  void SetInForce(int64_t version) { in_force_ = version; }
+  /// @return 0 before the first configuration.
+  int64_t in_force() const { return in_force_; }
+
+  /// A peer has run a request of this host's callers by a version.
+  /// @return whether that is newer than any that a peer did so by before.
+  bool OnRunByPeer(int64_t version);
+
+  /// @return whether the host may run its own callers' requests: they have seen
+  /// no newer version through a peer.
+  bool MayRunOwn() const { return in_force_ >= seen_through_peers_; }
+
+  /// @param accepted the version in force when this host began to hand the
+  /// request over.
+  /// @return the least version by which a peer may run the request.
+  int64_t LeastForPeers(int64_t accepted) const;
+
+  /// @param least version by which a request of another host's callers may be
+  /// run.
+  /// @return whether this host may take it over.
+  bool MayTakeOver(int64_t least) const { return in_force_ >= least; }
+
+  /// @return whether a peer that tells this version has a newer configuration
+  /// to fetch.
+  bool IsNews(int64_t version) const { return version > in_force_; }
+
+ private:
+  int64_t in_force_ = 0;
+  int64_t seen_through_peers_ = 0;
+};
+
+}  // namespace cherrydyke
--- a/libs/tier/include/tier/handover_client.h
+++ b/libs/tier/include/tier/handover_client.h
@@ -6,6 +6,7 @@
 #include <set>
 #include <string>
 
+#include "dispatch/config_versions.h"
 #include "dispatch/handover_choice.h"
 #include "dispatch/policy.h"
 #include "engine/connection_pool.h"
@@ -49,6 +50,7 @@
     engine::EventLoop& loop;
     const ProtocolAdapter& protocol;
     const HostTable& hosts;
+    ConfigVersions& versions;
     Metrics& metrics;
     Policy policy;
     Locality locality;
@@ -71,10 +73,6 @@
   /// Ends all handovers without waiting for their peers, for a shutdown.
   void EndRunning();
 
-  /// @return the newest configuration by which a peer has run a request of this
-  /// host's callers. Its callers must not see an older one again.
-  int64_t seen_version() const { return seen_version_; }
-
   /// @return requests handed over that have no response yet.
   size_t running() const { return running_.size(); }
   /// @return log lines dropped since the last call, by kind.
@@ -104,13 +102,13 @@
   engine::EventLoop& loop_;
   engine::TimerScope timers_{loop_};
   const ProtocolAdapter& protocol_;
+  ConfigVersions& versions_;
   Metrics& metrics_;
   const Policy policy_;
   std::unique_ptr<HandoverPeers> peers_;
   const VersionCallback on_version_;
   LogRateLimiter log_rate_limiter_;
   std::set<HandoverPtr> running_;
-  int64_t seen_version_ = 0;
 };
 
 }  // namespace cherrydyke
--- a/libs/tier/include/tier/handover_server.h
+++ b/libs/tier/include/tier/handover_server.h
@@ -4,6 +4,7 @@
 #include <memory>
 
 #include "absl/time/time.h"
+#include "dispatch/config_versions.h"
 #include "dispatch/policy.h"
 #include "engine/event_loop.h"
 #include "engine/http_server.h"
@@ -30,7 +31,8 @@
     std::function<void(const HostId&)> on_newer_configuration;
   };
 
-  HandoverServer(engine::EventLoop& loop, Metrics& metrics, Policy policy,
+  HandoverServer(engine::EventLoop& loop, Metrics& metrics,
+                 const ConfigVersions& versions, Policy policy,
                  Callbacks callbacks);
 
   /// @return whether the request is one for `Serve`.
@@ -51,6 +53,7 @@
 
   engine::EventLoop& loop_;
   Metrics& metrics_;
+  const ConfigVersions& versions_;
   const Policy policy_;
   const Callbacks callbacks_;
   LogRateLimiter log_rate_limiter_;
--- a/libs/tier/include/tier/request_handler.h
+++ b/libs/tier/include/tier/request_handler.h
@@ -12,6 +12,7 @@
 #include "absl/container/flat_hash_set.h"
 #include "absl/functional/function_ref.h"
 #include "dispatch/answer_margin_estimator.h"
+#include "dispatch/config_versions.h"
 #include "dispatch/crash_tracker.h"
 #include "dispatch/policy.h"
 #include "dispatch/request_run.h"
@@ -44,6 +45,7 @@
     TargetSet& targets;
     CrashTracker& crashes;
     HandoverClient& handovers;
+    ConfigVersions& versions;
     Metrics& metrics;
     Policy policy;
     /// Called after crashes of a request were counted.
@@ -56,10 +58,6 @@
   /// Sets the routes of requests received from now on.
   void SetRoutes(std::shared_ptr<const RouteTable> routes);
   bool has_routes() const { return routes_ != nullptr; }
-  /// @return version of the configuration in use, 0 if there is none.
-  int64_t version() const {
-    return routes_ == nullptr ? 0 : routes_->version();
-  }
 
   /// Handles a request of this host's own callers.
   void OnRequest(std::shared_ptr<engine::ServerExchange> exchange) {
@@ -177,6 +175,7 @@
   TargetSet& targets_;
   CrashTracker& crashes_;
   HandoverClient& handovers_;
+  ConfigVersions& versions_;
   Metrics& metrics_;
   const Policy policy_;
   const std::function<void()> on_crash_counted_;
--- a/libs/tier/include/tier/tier_host.h
+++ b/libs/tier/include/tier/tier_host.h
@@ -117,6 +117,7 @@
   PublishedFreshness freshness_;
   CrashTracker crashes_;
   TargetSet targets_;
+  ConfigVersions versions_;
   HandoverClient handovers_;
   RequestHandler request_handler_;
   HandoverServer handover_server_;
--- a/libs/tier/src/handover_client.cc
+++ b/libs/tier/src/handover_client.cc
@@ -42,6 +42,7 @@
 HandoverClient::HandoverClient(Dependencies dependencies)
     : loop_(dependencies.loop),
       protocol_(dependencies.protocol),
+      versions_(dependencies.versions),
       metrics_(dependencies.metrics),
       policy_(dependencies.policy),
       peers_(std::make_unique<HandoverPeers>(
@@ -74,7 +75,7 @@
 bool HandoverClient::SendToPeer(const HandoverPtr& handover) {
   OutgoingHandover& outgoing = handover->outgoing;
   outgoing.criteria.config_version =
-      std::max(outgoing.criteria.config_version, seen_version_);
+      versions_.LeastForPeers(outgoing.criteria.config_version);
   const std::optional<HostId> peer = peers_->Choose(outgoing.criteria);
   if (!peer) {
     LogLackOfPeers(outgoing);
@@ -168,7 +169,7 @@
 
 void HandoverClient::OnVersion(const Handover& handover, int64_t version) {
   if (version == 0) version = peers_->OfferedVersion(handover.peer);
-  if (version > seen_version_ &&
+  if (versions_.OnRunByPeer(version) &&
       version > handover.outgoing.criteria.config_version) {
     LogInfo("peer has run a request by a newer configuration",
             {{"request", handover.outgoing.request_id},
@@ -176,7 +177,6 @@
              {"config_version", version},
              {"asked_for", handover.outgoing.criteria.config_version}});
   }
-  seen_version_ = std::max(seen_version_, version);
   on_version_(handover.peer, version);
 }
 
--- a/libs/tier/src/handover_server.cc
+++ b/libs/tier/src/handover_server.cc
@@ -63,9 +63,11 @@
 }  // namespace
 
 HandoverServer::HandoverServer(engine::EventLoop& loop, Metrics& metrics,
-                               Policy policy, Callbacks callbacks)
+                               const ConfigVersions& versions, Policy policy,
+                               Callbacks callbacks)
     : loop_(loop),
       metrics_(metrics),
+      versions_(versions),
       policy_(policy),
       callbacks_(std::move(callbacks)) {}
 
@@ -107,7 +109,7 @@
   HandoverRequest& handover = GetValue(decoded);
   const HandoverOffer offer = callbacks_.offer();
   if (!offer.available) return Reject(*exchange, "not_available");
-  if (offer.config_version < handover.config_version) {
+  if (!versions_.MayTakeOver(handover.config_version)) {
     const std::string& peer = exchange->request().peer;
     callbacks_.on_newer_configuration(peer.substr(0, peer.rfind(':')));
     return Reject(*exchange, kRejectedAsOutdated);
--- a/libs/tier/src/request_handler.cc
+++ b/libs/tier/src/request_handler.cc
@@ -92,6 +92,7 @@
       targets_(dependencies.targets),
       crashes_(dependencies.crashes),
       handovers_(dependencies.handovers),
+      versions_(dependencies.versions),
       metrics_(dependencies.metrics),
       policy_(dependencies.policy),
       on_crash_counted_(std::move(dependencies.on_crash_counted)),
@@ -103,6 +104,7 @@
 
 void RequestHandler::SetRoutes(std::shared_ptr<const RouteTable> routes) {
   routes_ = std::move(routes);
+  versions_.SetInForce(routes_->version());
 }
 
 void RequestHandler::Handle(std::shared_ptr<engine::ServerExchange> exchange,
@@ -116,7 +118,7 @@
                   RefusalReason::kNoConfiguration, ran);
   }
   // Callers have seen the effect of a newer configuration through a peer.
-  const bool is_outdated = !origin && handovers_.seen_version() > version();
+  const bool is_outdated = !origin && !versions_.MayRunOwn();
   const Route* const route = routes_->Find(parsed->host, parsed->path);
   if (route == nullptr) {
     if (is_outdated) {
@@ -212,7 +214,7 @@
   OutgoingHandover outgoing;
   outgoing.exchange = exchange;
   outgoing.request_id = caller_request.request_id;
-  outgoing.criteria = {version(), plan.services,
+  outgoing.criteria = {versions_.in_force(), plan.services,
                        plan.services.size() - plan.min_parts,
                        plan.allowed_regions};
   if (!plan.is_fanout) outgoing.service = plan.services.front();
@@ -714,7 +716,7 @@
              {"reason", RefusalReasonName(reason)},
              {"ran", ran},
              {"retry_after_ms", absl::ToInt64Milliseconds(retry_after)},
-             {"config_version", version()}});
+             {"config_version", versions_.in_force()}});
   }
   exchange.Respond(
       protocol_.RefusalResponse(request_id, reason, ran, retry_after));
--- a/libs/tier/src/tier_host.cc
+++ b/libs/tier/src/tier_host.cc
@@ -88,18 +88,18 @@
       targets_(loop, settings_.locality, settings_.bounds,
                TargetOptions(adapters.protocol, loop.Now()), hosts_,
                settings_.policy),
-      handovers_({loop, adapters.protocol, hosts_, metrics_, settings_.policy,
-                  settings_.locality, settings_.fleet_port,
+      handovers_({loop, adapters.protocol, hosts_, versions_, metrics_,
+                  settings_.policy, settings_.locality, settings_.fleet_port,
                   [this](const HostId& peer, int64_t version) {
-                    if (version > request_handler_.version()) {
+                    if (versions_.IsNews(version)) {
                       gossip_.FetchFrom(peer);
                     }
                   }}),
       request_handler_({loop, adapters.protocol, targets_, crashes_, handovers_,
-                        metrics_, settings_.policy,
+                        versions_, metrics_, settings_.policy,
                         [this] { gossip_.Gossip(); }}),
       handover_server_(
-          loop, metrics_, settings_.policy,
+          loop, metrics_, versions_, settings_.policy,
           {[this] { return MakeHandoverOffer(); }, [this] { return lateness_; },
            [this](std::shared_ptr<engine::ServerExchange> exchange,
                   HandoverOrigin origin) {
@@ -200,9 +200,8 @@
                  [this] { return targets_.IsPartitioned() ? 1.0 : 0.0; });
   metrics_.Gauge("cherrydyke_crash_suspects",
                  [this] { return static_cast<double>(crashes_.size()); });
-  metrics_.Gauge("cherrydyke_config_version", [this] {
-    return static_cast<double>(request_handler_.version());
-  });
+  metrics_.Gauge("cherrydyke_config_version",
+                 [this] { return static_cast<double>(versions_.in_force()); });
   // One read covers configuration and targets, so both have the same age.
   metrics_.Gauge("cherrydyke_published_age_seconds",
                  [this] { return absl::ToDoubleSeconds(PublishedAge()); });
@@ -347,7 +346,7 @@
 HandoverOffer TierHost::MakeHandoverOffer() const {
   HandoverOffer offer;
   offer.available = IsReady() && !targets_.IsPathInDoubt();
-  offer.config_version = request_handler_.version();
+  offer.config_version = versions_.in_force();
   offer.unreachable_services = targets_.UnreachableServices();
   return offer;
 }
