--- a/libs/dispatch/include/dispatch/config_versions.h
+++ b/libs/dispatch/include/dispatch/config_versions.h
@@ -28,15 +28,17 @@
   /// no newer version through a peer.
   bool MayRunOwn() const { return in_force_ >= seen_through_peers_; }
 
-  /// @param accepted the version in force when this host began to hand the
-  /// request over.
-  /// @return the least version by which a peer may run the request.
-  int64_t LeastForPeers(int64_t accepted) const;
+  /// @return the least version by which a peer may run a request that is sent
+  /// to it now.
+  int64_t LeastForPeers() const;
 
+  /// A host that knows of a newer version than it has takes nothing over: that
+  /// version may exclude the regions to which it would send the request.
   /// @param least version by which a request of another host's callers may be
   /// run.
-  /// @return whether this host may take it over.
-  bool MayTakeOver(int64_t least) const { return in_force_ >= least; }
+  bool MayTakeOver(int64_t least) const {
+    return MayRunOwn() && in_force_ >= least;
+  }
 
   /// @return whether a peer that tells this version has a newer configuration
   /// to fetch.
--- a/libs/dispatch/src/config_versions.cc
+++ b/libs/dispatch/src/config_versions.cc
@@ -10,8 +10,8 @@
   return true;
 }
 
-int64_t ConfigVersions::LeastForPeers(int64_t accepted) const {
-  return std::max(accepted, seen_through_peers_);
+int64_t ConfigVersions::LeastForPeers() const {
+  return std::max(in_force_, seen_through_peers_);
 }
 
 }  // namespace cherrydyke
--- a/libs/tier/include/tier/handover_client.h
+++ b/libs/tier/include/tier/handover_client.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "dispatch/config_versions.h"
 #include "dispatch/handover_choice.h"
@@ -24,7 +25,11 @@
 struct OutgoingHandover {
   std::shared_ptr<engine::ServerExchange> exchange;
   std::string request_id;
+  /// The version and the regions are set anew before each try.
   HandoverCriteria criteria;
+  /// @return the regions that may receive the request by the configuration in
+  /// force; empty for all.
+  std::function<std::vector<RegionName>()> allowed_regions;
   /// The service that was chosen for the request; empty for a fan-out.
   ServiceName service;
   TriedTargets tried;
--- a/libs/tier/src/handover_client.cc
+++ b/libs/tier/src/handover_client.cc
@@ -74,8 +74,8 @@
 
 bool HandoverClient::SendToPeer(const HandoverPtr& handover) {
   OutgoingHandover& outgoing = handover->outgoing;
-  outgoing.criteria.config_version =
-      versions_.LeastForPeers(outgoing.criteria.config_version);
+  outgoing.criteria.config_version = versions_.LeastForPeers();
+  outgoing.criteria.allowed_regions = outgoing.allowed_regions();
   const std::optional<HostId> peer = peers_->Choose(outgoing.criteria);
   if (!peer) {
     LogLackOfPeers(outgoing);
@@ -85,7 +85,9 @@
   ++handover->tries;
   engine::PoolRequest request;
   request.exchange.write = [this, handover] {
-    const OutgoingHandover& sent = handover->outgoing;
+    OutgoingHandover& sent = handover->outgoing;
+    // A change may have come into force while the connection was opened.
+    sent.criteria.config_version = versions_.LeastForPeers();
     const engine::CallerConnectionInfo caller =
         sent.exchange->connection_info();
     const std::string body = EncodeHandoverRequest(
--- a/libs/tier/src/request_handler.cc
+++ b/libs/tier/src/request_handler.cc
@@ -217,6 +217,12 @@
   outgoing.criteria = {versions_.in_force(), plan.services,
                        plan.services.size() - plan.min_parts,
                        plan.allowed_regions};
+  outgoing.allowed_regions = [this, host = caller_request.host,
+                              path = caller_request.path,
+                              at_start = plan.allowed_regions] {
+    const Route* const route = routes_->Find(host, path);
+    return route == nullptr ? at_start : route->allowed_regions;
+  };
   if (!plan.is_fanout) outgoing.service = plan.services.front();
   outgoing.tried = std::move(tried);
   outgoing.idempotent = plan.idempotent;
--- a/libs/tier/src/tier_host.cc
+++ b/libs/tier/src/tier_host.cc
@@ -345,7 +345,8 @@
 
 HandoverOffer TierHost::MakeHandoverOffer() const {
   HandoverOffer offer;
-  offer.available = IsReady() && !targets_.IsPathInDoubt();
+  offer.available =
+      IsReady() && versions_.MayRunOwn() && !targets_.IsPathInDoubt();
   offer.config_version = versions_.in_force();
   offer.unreachable_services = targets_.UnreachableServices();
   return offer;
