--- a/libs/tier/include/tier/handover_client.h
+++ b/libs/tier/include/tier/handover_client.h
@@ -5,7 +5,9 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
+#include "dispatch/config_versions.h"
 #include "dispatch/handover_choice.h"
 #include "dispatch/policy.h"
 #include "engine/connection_pool.h"
@@ -23,7 +25,11 @@
 struct OutgoingHandover {
   std::shared_ptr<engine::ServerExchange> exchange;
   std::string request_id;
+  /// The version and the regions are set anew before each try.
   HandoverCriteria criteria;
+  /// @return the regions that may receive the request by the configuration in
+  /// force; empty for all.
+  std::function<std::vector<RegionName>()> allowed_regions;
   /// The service that was chosen for the request; empty for a fan-out.
   ServiceName service;
   TriedTargets tried;
@@ -49,6 +55,7 @@
     engine::EventLoop& loop;
     const ProtocolAdapter& protocol;
     const HostTable& hosts;
+    ConfigVersions& versions;
     Metrics& metrics;
     Policy policy;
     Locality locality;
@@ -71,10 +78,6 @@
   /// Ends all handovers without waiting for their peers, for a shutdown.
   void EndRunning();
 
-  /// @return the newest configuration by which a peer has run a request of this
-  /// host's callers. Its callers must not see an older one again.
-  int64_t seen_version() const { return seen_version_; }
-
   /// @return requests handed over that have no response yet.
   size_t running() const { return running_.size(); }
   /// @return log lines dropped since the last call, by kind.
@@ -104,13 +107,13 @@
   engine::EventLoop& loop_;
   engine::TimerScope timers_{loop_};
   const ProtocolAdapter& protocol_;
+  ConfigVersions& versions_;
   Metrics& metrics_;
   const Policy policy_;
   std::unique_ptr<HandoverPeers> peers_;
   const VersionCallback on_version_;
   LogRateLimiter log_rate_limiter_;
   std::set<HandoverPtr> running_;
-  int64_t seen_version_ = 0;
 };
 
 }  // namespace cherrydyke
