--- a/libs/tier/include/tier/published_freshness.h
+++ b/libs/tier/include/tier/published_freshness.h
@@ -84,7 +84,7 @@
   /// A proof that has passed this many hosts is not passed on.
   static constexpr int kMaxHops = 3;
   /// Failed calls in a row after which calls pause.
-  static constexpr int kFailuresBeforePause = 3;
+  static constexpr int kFailuresBeforePause = 2;
 
   struct Proven {
     absl::Time until = absl::InfinitePast();
--- a/libs/tier/src/tier_host.cc
+++ b/libs/tier/src/tier_host.cc
@@ -230,7 +230,11 @@
   gossip_.NotifyDownstream();
 }
 
-void TierHost::OnReadFailed() { freshness_.OnReadFailed(loop_.Now()); }
+void TierHost::OnReadFailed() {
+  freshness_.OnReadFailed(loop_.Now());
+  // Otherwise a host that is to pause would call once more before it does.
+  UpdateReaderRole();
+}
 
 void TierHost::ApplyPublished(bool config, bool targets) {
   const bool was_ready = IsReady();
