--- a/tests/whole_path/config_test.cc
+++ b/tests/whole_path/config_test.cc
@@ -114,7 +114,11 @@
                              kPropagationTimeout));
     const HttpJsonResponse first =
         cluster->Query("sofia-1", "fair", {{"term", "a"}});
-    CPPUNIT_ASSERT_EQUAL_MESSAGE(first.body.dump(), 200, first.status);
+    const json limits =
+        cluster->Get(cluster->EntryHttp("sofia-1"), "/v1/status")
+            .body["limits"];
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(first.body.dump() + " " + limits.dump(), 200,
+                                 first.status);
   }
 
   void DaemonStartedDuringOutageGetsPeerRevision() {
