--- a/tests/whole_path/faults_test.cc
+++ b/tests/whole_path/faults_test.cc
@@ -37,7 +37,7 @@
       for (const HostId& host : cluster->hosts()) {
         const HttpJsonResponse answer =
             cluster->Query(host, "desk", {{"term", "poison"}});
-        CPPUNIT_ASSERT_EQUAL(422, answer.status);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(answer.body.dump(), 422, answer.status);
         CPPUNIT_ASSERT(answer.body["outcome"] == "unknown");
         CPPUNIT_ASSERT(answer.body["retry_after_ms"].get<int>() > 0);
       }
