--- /dev/null
+++ b/libs/tier/tests/publishing_model.cc
@@ -0,0 +1,656 @@
+#include "publishing_model.h"
+
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+
+namespace cherrydyke {
+namespace {
+
+// The settings of FleetGossip.
+constexpr absl::Duration kGossipPeriod = absl::Milliseconds(500);
+constexpr absl::Duration kLagTolerance = absl::Milliseconds(700);
+constexpr absl::Duration kFailedPeerPause = absl::Seconds(1);
+constexpr absl::Duration kFetchTimeout = absl::Seconds(1);
+constexpr absl::Duration kWholeFetchTimeout = absl::Seconds(10);
+constexpr size_t kMaxFetches = 3;
+// The settings of TierHost.
+constexpr absl::Duration kReaderCheckPeriod = absl::Milliseconds(250);
+constexpr double kMinPeerAgeRatio = 0.55;
+constexpr double kMaxPeerAgeRatio = 0.65;
+constexpr absl::Duration kMinRetryPause = absl::Milliseconds(2500);
+constexpr absl::Duration kMaxRetryPause = absl::Milliseconds(3500);
+// The settings of StoreClient, and its watch before hosts used evidence.
+constexpr double kWatchRatio = 0.3;
+constexpr absl::Duration kMinWatchTime = absl::Milliseconds(100);
+constexpr absl::Duration kLongWatchTime = absl::Milliseconds(2500);
+constexpr absl::Duration kCallTimeout = absl::Milliseconds(800);
+constexpr absl::Duration kConnectTimeout = absl::Milliseconds(500);
+
+/// A host whose faults are over for so long is in touch.
+constexpr absl::Duration kSettleTime = absl::Seconds(5);
+constexpr absl::Duration kCheckPeriod = absl::Milliseconds(100);
+constexpr absl::Duration kMinTrip = absl::Milliseconds(1);
+constexpr absl::Duration kMaxTrip = absl::Milliseconds(20);
+constexpr double kUsualLoss = 0.01;
+constexpr double kLossOfLossyNetwork = 0.3;
+/// Hosts that pass on a proof.
+constexpr int kMaxHops = 3;
+constexpr int kKeyCount = 20;
+constexpr size_t kSeedCount = 3;
+constexpr size_t kTraceLines = 25;
+
+std::string Format(absl::Time time) {
+  return absl::FormatTime("%M:%E3S", time, absl::UTCTimeZone());
+}
+
+}  // namespace
+
+PublishingModel::PublishingModel(Options options, uint32_t seed)
+    : options_(options),
+      random_(seed),
+      now_(absl::UnixEpoch() + absl::Hours(1)),
+      store_stable_since_(now_),
+      lossy_until_(now_),
+      change_period_(options.change_period),
+      measured_since_(now_) {
+  for (size_t i = 0; i < options_.domains; ++i) {
+    domains_.push_back(absl::StrCat("d", i));
+  }
+  for (int i = 0; i < options_.hosts; ++i) {
+    auto host = std::make_unique<Host>();
+    host->index = hosts_.size();
+    host->self = {absl::StrCat("10.0.", i / 250, ".", i % 250 + 1),
+                  domains_[host->index % domains_.size()]};
+    host->frozen_until = host->faulty_until = now_;
+    host->refused_until = host->silent_until = absl::InfinitePast();
+    index_of_[host->self.host] = host->index;
+    hosts_.push_back(std::move(host));
+  }
+  Publish();
+  // The fleet runs for long already; its hosts know each other.
+  for (const auto& host : hosts_) Start(*host, now_ - absl::Hours(1));
+  IntroduceAllHosts();
+  ScheduleChange(change_generation_);
+  At(now_ + kSettleTime, [this] { Check(); });
+  if (options_.fault_period != absl::InfiniteDuration()) {
+    At(now_ + 2 * kSettleTime, [this] { InjectFault(); });
+  }
+}
+
+absl::Duration PublishingModel::Random(absl::Duration low,
+                                       absl::Duration high) {
+  return low +
+         (high - low) * std::uniform_real_distribution<double>(0, 1)(random_);
+}
+
+bool PublishingModel::WithProbability(double probability) {
+  return std::uniform_real_distribution<double>(0, 1)(random_) < probability;
+}
+
+void PublishingModel::At(absl::Time at, Action action) {
+  actions_.emplace(std::make_pair(std::max(at, now_), ++sequence_),
+                   std::move(action));
+}
+
+void PublishingModel::AtHost(const Host& host, absl::Duration delay,
+                             HostAction action) {
+  const int64_t sequence = ++sequence_;
+  actions_.emplace(std::make_pair(now_ + delay, sequence),
+                   [this, index = host.index, lifetime = host.lifetime,
+                    sequence, action = std::move(action)] {
+                     RunAtHost(index, lifetime, sequence, action);
+                   });
+}
+
+void PublishingModel::RunAtHost(size_t index, int64_t lifetime,
+                                int64_t sequence, const HostAction& action) {
+  Host& host = *hosts_[index];
+  if (host.lifetime != lifetime) return;
+  if (now_ < host.frozen_until) {
+    actions_.emplace(std::make_pair(host.frozen_until, sequence),
+                     [this, index, lifetime, sequence, action] {
+                       RunAtHost(index, lifetime, sequence, action);
+                     });
+    return;
+  }
+  action(host);
+}
+
+std::string PublishingModel::Run(absl::Duration duration) {
+  const absl::Time end = now_ + duration;
+  while (violation_.empty() && actions_.begin()->first.first <= end) {
+    auto node = actions_.extract(actions_.begin());
+    now_ = node.key().first;
+    node.mapped()();
+  }
+  now_ = end;
+  return violation_;
+}
+
+void PublishingModel::Start(Host& host, absl::Time table_started) {
+  ++host.lifetime;
+  std::vector<HostId> seeds;
+  for (size_t i = 0; i < kSeedCount; ++i) {
+    seeds.push_back(hosts_[random_() % hosts_.size()]->self.host);
+  }
+  HostTable::Options options;
+  options.domains = domains_;
+  host.table =
+      std::make_unique<HostTable>(host.self, seeds, options, table_started);
+  PublishedFreshness::Options freshness;
+  freshness.max_peer_age = Random(options_.bound * kMinPeerAgeRatio,
+                                  options_.bound * kMaxPeerAgeRatio);
+  freshness.retry_pause = Random(kMinRetryPause, kMaxRetryPause);
+  host.freshness = std::make_unique<PublishedFreshness>(freshness, now_);
+  host.items = {};
+  host.proofs = {};
+  host.schedule = {};
+  host.reading = false;
+  host.call_pending = true;
+  host.as_of = 0;
+  host.read_current_until = absl::InfinitePast();
+  host.behind_since = absl::InfiniteFuture();
+  host.fetches.clear();
+  host.excluded_until.clear();
+  AtHost(host, Random(kMinTrip, kGossipPeriod), [this](Host& started) {
+    Call(started);
+    RunGossipRound(started);
+    CheckRole(started);
+  });
+}
+
+void PublishingModel::IntroduceAllHosts() {
+  MembershipUpdate news;
+  news.known_hosts = static_cast<int>(hosts_.size());
+  for (const auto& host : hosts_) {
+    news.hosts.push_back({host->self.host, host->self.failure_domain, 0});
+  }
+  for (const auto& host : hosts_) {
+    news.from = hosts_[(host->index + 1) % hosts_.size()]->self;
+    host->table->OnMembershipUpdate(news, now_);
+  }
+}
+
+void PublishingModel::CheckRole(Host& host) {
+  UpdateReaderRole(host);
+  AtHost(host, kReaderCheckPeriod, [this](Host& same) { CheckRole(same); });
+}
+
+void PublishingModel::UpdateReaderRole(Host& host) {
+  const bool was_reading = IsReading(host);
+  bool reads = true;
+  if (options_.reads != Reads::kEachHost) {
+    reads = host.table->ShouldRead(host.items.complete_revision() == 0, now_) ||
+            (options_.reads == Reads::kByEvidence &&
+             host.freshness->ShouldReadItself(now_));
+  }
+  SetReading(host, reads);
+  if (IsReading(host) && !was_reading) NotifyDownstream(host);
+}
+
+bool PublishingModel::IsReading(const Host& host) const {
+  return host.reading && host.as_of > 0 && host.schedule.failures() == 0;
+}
+
+void PublishingModel::RunGossipRound(Host& host) {
+  const bool includes_hosts = host.table->ShouldSendDigest(host.round++, now_);
+  if (includes_hosts) {
+    SendGossip(host, host.table->GossipPeers(now_, random_),
+               host.table->BuildDigest(now_, random_));
+  }
+  const std::vector<HostId> downstream =
+      host.table->Recipients(host.table->Role(IsReading(host), now_), now_);
+  SendGossip(host, downstream,
+             includes_hosts && !downstream.empty()
+                 ? host.table->BuildDigest(now_, random_)
+                 : std::vector<HostLastSeen>());
+  AtHost(host, kGossipPeriod, [this](Host& same) { RunGossipRound(same); });
+}
+
+void PublishingModel::NotifyDownstream(Host& host) {
+  SendGossip(
+      host,
+      host.table->Recipients(host.table->Role(IsReading(host), now_), now_),
+      {});
+}
+
+void PublishingModel::SendGossip(Host& host, const std::vector<HostId>& to,
+                                 std::vector<HostLastSeen> ages) {
+  if (to.empty()) return;
+  auto gossip = std::make_shared<Gossip>();
+  gossip->news = {host.self, host.table->known_hosts(),
+                  host.table->Role(IsReading(host), now_), std::move(ages)};
+  gossip->revision = host.items.complete_revision();
+  gossip->proof = host.freshness->ProofForPeers(now_);
+  for (const HostId& id : to) {
+    const Host& peer = *hosts_[index_of_.at(id)];
+    const auto link = links_.find({host.index, peer.index});
+    if (link != links_.end() && now_ < link->second.no_datagrams_until)
+      continue;
+    if (WithProbability(now_ < lossy_until_ ? kLossOfLossyNetwork : kUsualLoss))
+      continue;
+    AtHost(peer, Random(kMinTrip, options_.max_delay),
+           [this, gossip](Host& receiver) { OnGossip(receiver, *gossip); });
+  }
+}
+
+void PublishingModel::OnGossip(Host& host, const Gossip& gossip) {
+  const KnownHost& sender = gossip.news.from;
+  if (host.table->OnMembershipUpdate(gossip.news, now_)) {
+    SendGossip(host, {sender.host}, host.table->BuildDigest(now_, random_));
+  }
+  host.proofs.Add({sender.host, gossip.revision, gossip.revision, gossip.proof},
+                  now_);
+  ApplyProofs(host);
+  if (gossip.revision <= host.items.complete_revision()) return;
+  host.behind_since = std::min(host.behind_since, now_);
+  const bool is_other_domain =
+      sender.failure_domain != host.self.failure_domain;
+  const bool waits = host.items.complete_revision() > 0 &&
+                     (IsReading(host) ||
+                      (is_other_domain && host.table->HasDomainReader(now_)));
+  if (!waits || now_ - host.behind_since >= kLagTolerance) {
+    FetchFrom(host, sender.host);
+  }
+}
+
+void PublishingModel::ApplyProofs(Host& host) {
+  host.proofs.Apply(host.items.known_until(), host.items.known_until(),
+                    *host.freshness);
+}
+
+void PublishingModel::FetchFrom(Host& host, const HostId& peer) {
+  const auto excluded = host.excluded_until.find(peer);
+  if (excluded != host.excluded_until.end() && now_ < excluded->second) return;
+  if (host.fetches.count(peer) > 0 || host.fetches.size() >= kMaxFetches)
+    return;
+  for (const auto& [other, fetch] : host.fetches) {
+    if (now_ - fetch.started_at < kLagTolerance) return;
+  }
+  const int64_t id = ++sequence_;
+  host.fetches[peer] = {id, now_};
+  const Host& source = *hosts_[index_of_.at(peer)];
+  const std::pair<size_t, size_t> way = {host.index, source.index};
+  const std::pair<size_t, size_t> back = {source.index, host.index};
+  const auto fail = [this, peer, id](Host& same) {
+    EndFetch(same, peer, id, nullptr);
+  };
+  const auto trickling = trickling_until_.find(way);
+  if (trickling != trickling_until_.end() && now_ < trickling->second) {
+    return AtHost(host, kWholeFetchTimeout, fail);
+  }
+  const auto is_cut = [this](const std::pair<size_t, size_t>& direction) {
+    const auto link = links_.find(direction);
+    return link != links_.end() && now_ < link->second.no_transfers_until;
+  };
+  if (is_cut(way) || is_cut(back)) {
+    return AtHost(host, WithProbability(0.5) ? kConnectTimeout : kFetchTimeout,
+                  fail);
+  }
+  AtHost(host, kFetchTimeout, fail);
+  const Revision from = host.items.known_until();
+  AtHost(source, Random(kMinTrip, kMaxTrip),
+         [this, peer, id, from, is_cut, way, back, index = host.index,
+          lifetime = host.lifetime](Host& serving) {
+           if (is_cut(way) || is_cut(back)) return;
+           Host& asking = *hosts_[index];
+           if (asking.lifetime != lifetime) return;
+           AtHost(asking, Random(kMinTrip, kMaxTrip),
+                  [this, peer, id, changes = serving.items.ChangesAfter(from)](
+                      Host& same) { EndFetch(same, peer, id, &changes); });
+         });
+}
+
+void PublishingModel::EndFetch(Host& host, const HostId& peer, int64_t id,
+                               const PublishedChanges* changes) {
+  const auto fetch = host.fetches.find(peer);
+  if (fetch == host.fetches.end() || fetch->second.id != id) return;
+  host.fetches.erase(fetch);
+  host.behind_since = absl::InfiniteFuture();
+  if (changes == nullptr) {
+    host.excluded_until[peer] = now_ + kFailedPeerPause;
+    return;
+  }
+  Merge(host, *changes);
+  ApplyProofs(host);
+  NotifyDownstream(host);
+}
+
+void PublishingModel::Merge(Host& host, const PublishedChanges& changes) {
+  const Revision before = host.items.known_until();
+  host.items.Merge(changes);
+  if (before == 0 || !IsInTouch(host)) return;
+  for (Revision known = before; known < host.items.known_until(); ++known) {
+    const absl::Time published = published_at_[static_cast<size_t>(known)];
+    if (published >= measured_since_) delays_.push_back(now_ - published);
+  }
+}
+
+void PublishingModel::SetReading(Host& host, bool reading) {
+  if (reading == host.reading) return;
+  host.reading = reading;
+  if (!reading || host.call_pending) return;
+  host.call_pending = true;
+  SkipChangesFromPeers(host);
+  ScheduleNextCall(host, absl::ZeroDuration());
+}
+
+void PublishingModel::SkipChangesFromPeers(Host& host) {
+  host.as_of = std::max(host.as_of, host.items.known_until());
+}
+
+void PublishingModel::ScheduleNextCall(Host& host, absl::Duration pause) {
+  AtHost(host, pause, [this](Host& same) {
+    same.call_pending = same.reading;
+    if (!same.call_pending) return;
+    if (same.schedule.failures() > 0) SkipChangesFromPeers(same);
+    Call(same);
+  });
+}
+
+void PublishingModel::Call(Host& host) {
+  host.read_started_at = now_;
+  absl::Duration wait = kLongWatchTime;
+  if (options_.reads == Reads::kByEvidence) {
+    const absl::Duration watch_time = kWatchRatio * options_.bound;
+    wait = absl::Floor(std::clamp(host.read_current_until + watch_time - now_,
+                                  kMinWatchTime, watch_time),
+                       absl::Milliseconds(1));
+  }
+  if (host.as_of == 0) wait = absl::ZeroDuration();
+  calls_.push_back(now_);
+  const int64_t call = ++host.call;
+  const bool is_refused = now_ < host.refused_until;
+  const bool is_lost =
+      std::exchange(host.loses_call, false) || now_ < host.silent_until;
+  AtHost(host, is_refused ? Random(kMinTrip, kMaxTrip) : wait + kCallTimeout,
+         [this, call](Host& same) { OnCallFailed(same, call); });
+  if (is_refused || is_lost) return;
+  At(now_ + Random(kMinTrip, kMaxTrip),
+     [this, index = host.index, call, after = host.as_of, wait] {
+       OnCallAtStore(index, call, after, wait);
+     });
+}
+
+void PublishingModel::OnCallAtStore(size_t index, int64_t call, Revision after,
+                                    absl::Duration wait) {
+  const Watcher watcher = {index, call, after};
+  if (wait == absl::ZeroDuration() || store_.known_until() > after) {
+    return Respond(watcher, wait);
+  }
+  const int64_t id = ++sequence_;
+  watchers_[id] = watcher;
+  At(now_ + wait, [this, id, wait] {
+    const auto found = watchers_.find(id);
+    if (found == watchers_.end()) return;
+    const Watcher ended = found->second;
+    watchers_.erase(found);
+    Respond(ended, wait);
+  });
+}
+
+void PublishingModel::Respond(const Watcher& watcher, absl::Duration wait) {
+  Host& host = *hosts_[watcher.host];
+  if (host.call != watcher.call) return;
+  if (now_ < host.refused_until || now_ < host.silent_until) return;
+  if (std::exchange(host.loses_call, false)) return;
+  AtHost(host, Random(kMinTrip, kMaxTrip),
+         [this, call = watcher.call, wait,
+          changes = store_.ChangesAfter(watcher.after)](Host& same) {
+           OnStoreResponse(same, call, wait, changes);
+         });
+}
+
+void PublishingModel::OnStoreResponse(Host& host, int64_t call,
+                                      absl::Duration wait,
+                                      const PublishedChanges& changes) {
+  if (host.call != call) return;
+  ++host.call;
+  host.schedule.OnSuccess();
+  const bool is_list = host.as_of == 0;
+  host.as_of = std::max(host.as_of, changes.as_of);
+  const Revision before = host.items.known_until();
+  Merge(host, changes);
+  if (host.items.known_until() > before) {
+    UpdateReaderRole(host);
+    NotifyDownstream(host);
+  }
+  const absl::Time end = host.read_started_at + wait;
+  const bool is_whole_watch = !is_list && changes.items.empty() && now_ >= end;
+  host.read_current_until = std::max(
+      host.read_current_until, is_whole_watch ? end : host.read_started_at);
+  host.freshness->OnRead(host.read_current_until);
+  ApplyProofs(host);
+  ScheduleNextCall(host, is_list || changes.items.empty()
+                             ? absl::ZeroDuration()
+                             : host.schedule.PauseAfterChanges(now_));
+}
+
+void PublishingModel::OnCallFailed(Host& host, int64_t call) {
+  if (host.call != call) return;
+  ++host.call;
+  host.freshness->OnReadFailed(now_);
+  ScheduleNextCall(host,
+                   host.schedule.PauseAfterFailure(
+                       std::uniform_real_distribution<double>(0, 1)(random_)));
+}
+
+void PublishingModel::Publish() {
+  const Revision revision = store_.known_until() + 1;
+  const std::string key = absl::StrCat("key", random_() % kKeyCount);
+  store_.Merge({{key, absl::StrCat(revision), revision, WithProbability(0.1)}},
+               revision);
+  published_at_.push_back(now_);
+  const std::map<int64_t, Watcher> watchers = std::exchange(watchers_, {});
+  for (const auto& [id, watcher] : watchers) {
+    Respond(watcher, absl::InfiniteDuration());
+  }
+}
+
+void PublishingModel::SetChangePeriod(absl::Duration period) {
+  change_period_ = period;
+  ScheduleChange(++change_generation_);
+}
+
+void PublishingModel::ScheduleChange(int64_t generation) {
+  if (change_period_ == absl::InfiniteDuration()) return;
+  At(now_ + change_period_ * 2 *
+                std::uniform_real_distribution<double>(0, 1)(random_),
+     [this, generation] {
+       if (generation != change_generation_) return;
+       Publish();
+       ScheduleChange(generation);
+     });
+}
+
+void PublishingModel::StopStore(absl::Duration duration, bool is_silent) {
+  const absl::Time until = now_ + duration;
+  for (const auto& host : hosts_) {
+    absl::Time& fault = is_silent ? host->silent_until : host->refused_until;
+    fault = std::max(fault, until);
+  }
+  store_stable_since_ = std::max(store_stable_since_, until);
+}
+
+void PublishingModel::CutLink(size_t from, size_t to, Cut cut,
+                              absl::Time until) {
+  Link& link = links_[{from, to}];
+  if (cut != Cut::kTransfers) link.no_datagrams_until = until;
+  if (cut != Cut::kDatagrams) link.no_transfers_until = until;
+}
+
+void PublishingModel::CutHost(size_t index, Cut cut, bool both_ways,
+                              absl::Time until) {
+  for (size_t other = 0; other < hosts_.size(); ++other) {
+    if (other == index) continue;
+    CutLink(index, other, cut, until);
+    if (both_ways) CutLink(other, index, cut, until);
+  }
+}
+
+void PublishingModel::CutReaders(Cut cut, absl::Duration duration) {
+  for (const auto& host : hosts_) {
+    if (!IsReading(*host)) continue;
+    CutHost(host->index, cut, true, now_ + duration);
+  }
+}
+
+void PublishingModel::Trace(const std::string& what) {
+  trace_.push_back(absl::StrCat(Format(now_), " ", what));
+  if (trace_.size() > kTraceLines) trace_.pop_front();
+}
+
+void PublishingModel::InjectFault() {
+  At(now_ + options_.fault_period * 2 *
+                std::uniform_real_distribution<double>(0, 1)(random_),
+     [this] { InjectFault(); });
+  const absl::Duration duration =
+      Random(absl::Milliseconds(300), absl::Seconds(20));
+  const absl::Time until = now_ + duration;
+  Host& host = *hosts_[random_() % hosts_.size()];
+  // Half of the faults concern a host that others rely on.
+  std::vector<size_t> readers;
+  for (const auto& candidate : hosts_) {
+    if (IsReading(*candidate)) readers.push_back(candidate->index);
+  }
+  Host& chosen = readers.empty() || WithProbability(0.5)
+                     ? host
+                     : *hosts_[readers[random_() % readers.size()]];
+  const auto cut = static_cast<Cut>(random_() % 3);
+  const std::string on = absl::StrCat(
+      " ", chosen.self.host, IsReading(chosen) ? " (reader)" : "", " for ",
+      absl::FormatDuration(absl::Floor(duration, absl::Milliseconds(1))));
+  const std::string what = absl::StrCat("cut ", static_cast<int>(cut), " of");
+  switch (random_() % 11) {
+    case 0:
+    case 1: {
+      Trace(absl::StrCat(what, " all links of", on));
+      CutHost(chosen.index, cut, true, until);
+      break;
+    }
+    case 2:
+      Trace(absl::StrCat(what, " all links out of", on));
+      CutHost(chosen.index, cut, false, until);
+      break;
+    case 3: {
+      const size_t other = random_() % hosts_.size();
+      Trace(
+          absl::StrCat(what, " link to ", hosts_[other]->self.host, " of", on));
+      CutLink(chosen.index, other, cut, until);
+      if (WithProbability(0.5)) CutLink(other, chosen.index, cut, until);
+      break;
+    }
+    case 4:
+      Trace(absl::StrCat("silent watch of", on));
+      chosen.loses_call = true;
+      break;
+    case 5:
+      Trace(absl::StrCat("store turns away", on));
+      (WithProbability(0.5) ? chosen.refused_until : chosen.silent_until) =
+          until;
+      chosen.faulty_until = std::max(chosen.faulty_until, until);
+      break;
+    case 6: {
+      if (!options_.freezes) break;
+      const absl::Duration freeze = std::min(duration, absl::Seconds(6));
+      Trace(absl::StrCat("freeze of", on));
+      longest_freeze_ = std::max(longest_freeze_, freeze);
+      chosen.frozen_until = std::max(chosen.frozen_until, now_ + freeze);
+      chosen.faulty_until = std::max(chosen.faulty_until, chosen.frozen_until);
+      break;
+    }
+    case 7:
+      Trace(absl::StrCat("restart of", on));
+      chosen.faulty_until = std::max(chosen.faulty_until, now_);
+      ++chosen.call;
+      Start(chosen, now_);
+      break;
+    case 8:
+      Trace("lossy network");
+      lossy_until_ = until;
+      break;
+    case 9:
+      Trace(absl::StrCat("transfers trickle from", on));
+      for (size_t other = 0; other < hosts_.size(); ++other) {
+        trickling_until_[{other, chosen.index}] = until;
+      }
+      break;
+    default:
+      Trace(absl::StrCat("store outage", on));
+      StopStore(std::min(duration, absl::Seconds(10)), WithProbability(0.5));
+  }
+}
+
+bool PublishingModel::IsInTouch(const Host& host) const {
+  return now_ - std::max(host.faulty_until, store_stable_since_) >= kSettleTime;
+}
+
+absl::Time PublishingModel::FirstMissing(const Host& host) const {
+  const auto known = static_cast<size_t>(host.items.known_until());
+  return known < published_at_.size() ? published_at_[known]
+                                      : absl::InfiniteFuture();
+}
+
+void PublishingModel::Check() {
+  At(now_ + kCheckPeriod, [this] { Check(); });
+  const absl::Duration max_error =
+      kMaxHops * options_.max_delay + longest_freeze_;
+  for (const auto& host : hosts_) {
+    const absl::Time missing = FirstMissing(*host);
+    std::string what;
+    if (host->freshness->current_until() > missing + max_error) {
+      what = " claims to be more current than it is";
+    }
+    if (!IsInTouch(*host)) continue;
+    if (measured_since_ <= now_) {
+      proof_ages_.push_back(now_ - host->freshness->current_until());
+    }
+    if (now_ - missing > options_.bound) what = " misses a change";
+    if (what.empty() || !violation_.empty()) continue;
+    violation_ = absl::StrCat(
+        Format(now_), " ", host->self.host, " in ", host->self.failure_domain,
+        what, " published at ", Format(missing), "; proof until ",
+        Format(host->freshness->current_until()), ", peers' until ",
+        Format(host->freshness->peers_current_until()),
+        host->reading ? ", reading" : "", ", failed calls ",
+        host->schedule.failures());
+    for (const std::string& line : trace_) {
+      absl::StrAppend(&violation_, "\n  ", line);
+    }
+  }
+}
+
+void PublishingModel::StartMeasuring() {
+  measured_since_ = now_;
+  calls_.clear();
+  delays_.clear();
+  proof_ages_.clear();
+}
+
+PublishingModel::Figures PublishingModel::Measured() {
+  Figures figures;
+  figures.calls_per_s = static_cast<double>(calls_.size()) /
+                        absl::ToDoubleSeconds(now_ - measured_since_);
+  size_t first = 0;
+  for (size_t i = 0; i < calls_.size(); ++i) {
+    while (calls_[first] <= calls_[i] - absl::Seconds(1)) ++first;
+    figures.max_calls_in_a_second = std::max(figures.max_calls_in_a_second,
+                                             static_cast<int>(i - first + 1));
+  }
+  figures.delays = delays_;
+  for (const auto& host : hosts_) {
+    if (!IsInTouch(*host)) continue;
+    for (auto i = static_cast<size_t>(host->items.known_until());
+         i < published_at_.size(); ++i) {
+      if (published_at_[i] < measured_since_) continue;
+      figures.delays.push_back(now_ - published_at_[i]);
+    }
+  }
+  std::sort(figures.delays.begin(), figures.delays.end());
+  figures.proof_ages = proof_ages_;
+  std::sort(figures.proof_ages.begin(), figures.proof_ages.end());
+  return figures;
+}
+
+}  // namespace cherrydyke
--- /dev/null
+++ b/libs/tier/tests/publishing_model.h
@@ -0,0 +1,208 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "membership/host_table.h"
+#include "tier/pending_proofs.h"
+#include "tier/poll_schedule.h"
+#include "tier/published_freshness.h"
+#include "tier/published_items.h"
+
+namespace cherrydyke {
+
+/// Simulates how published changes reach the hosts of a fleet: watches of the
+/// store, gossip and transfers between hosts, with links between single hosts
+/// cut, watches that fall silent, hosts that the store turns away, frozen and
+/// restarted hosts and outages of the store. The hosts use the tier's own
+/// decision code. The model checks that a host in touch with the store misses
+/// no change for longer than a bound, and that no host claims to be more
+/// current than it is.
+class PublishingModel {
+ public:
+  enum class Reads {
+    /// Hosts that peers do not prove to be current read the store themselves.
+    kByEvidence,
+    /// Hosts believe the roles that peers claim.
+    kByRole,
+    /// Each host watches the store.
+    kEachHost,
+  };
+  /// Which messages of a link between two hosts are lost.
+  enum class Cut { kDatagrams, kTransfers, kBoth };
+
+  struct Options {
+    size_t domains = 3;
+    int hosts = 8;
+    Reads reads = Reads::kByEvidence;
+    /// Time within which a change must reach the hosts in touch.
+    absl::Duration bound = absl::Seconds(4);
+    /// Mean time between changes; infinite for none.
+    absl::Duration change_period = absl::Seconds(1);
+    /// Mean time between random faults; infinite for none.
+    absl::Duration fault_period = absl::InfiniteDuration();
+    bool freezes = true;
+    /// Longest time of a datagram on its way.
+    absl::Duration max_delay = absl::Milliseconds(40);
+  };
+
+  /// What was seen since `StartMeasuring`.
+  struct Figures {
+    double calls_per_s = 0;
+    int max_calls_in_a_second = 0;
+    /// Time from a change to each host in touch, sorted. Changes that a host
+    /// still lacks count with the time since they were published.
+    std::vector<absl::Duration> delays;
+    /// Time up to which hosts in touch have proof, as an age, sorted.
+    std::vector<absl::Duration> proof_ages;
+  };
+
+  PublishingModel(Options options, uint32_t seed);
+
+  /// @return the first violation, or "".
+  std::string Run(absl::Duration duration);
+
+  void StartMeasuring();
+  Figures Measured();
+
+  void SetChangePeriod(absl::Duration period);
+  void StopStore(absl::Duration duration, bool is_silent);
+  /// Cuts all links between hosts that read the store and other hosts.
+  void CutReaders(Cut cut, absl::Duration duration);
+
+ private:
+  struct Fetch {
+    int64_t id = 0;
+    absl::Time started_at;
+  };
+  struct Host {
+    KnownHost self;
+    size_t index = 0;
+    int64_t lifetime = 0;
+    absl::Time frozen_until;
+    /// End of the last fault of the host itself or of its path to the store.
+    absl::Time faulty_until;
+    /// The store refuses calls, or does not respond to them, until these.
+    absl::Time refused_until;
+    absl::Time silent_until;
+    /// The next call, or the one under way, gets no response.
+    bool loses_call = false;
+    int round = 0;
+    std::unique_ptr<HostTable> table;
+    std::unique_ptr<PublishedFreshness> freshness;
+    PublishedItems items;
+    PendingProofs proofs;
+    // The state of StoreClient.
+    PollSchedule schedule;
+    bool reading = false;
+    bool call_pending = false;
+    int64_t call = 0;
+    Revision as_of = 0;
+    absl::Time read_started_at;
+    absl::Time read_current_until;
+    // The state of FleetGossip.
+    absl::Time behind_since;
+    std::map<HostId, Fetch> fetches;
+    std::map<HostId, absl::Time> excluded_until;
+  };
+  struct Gossip {
+    MembershipUpdate news;
+    Revision revision = 0;
+    std::optional<ReadProof> proof;
+  };
+  struct Watcher {
+    size_t host = 0;
+    int64_t call = 0;
+    Revision after = 0;
+  };
+  struct Link {
+    absl::Time no_datagrams_until = absl::InfinitePast();
+    absl::Time no_transfers_until = absl::InfinitePast();
+  };
+  using Action = std::function<void()>;
+  using HostAction = std::function<void(Host&)>;
+
+  void At(absl::Time at, Action action);
+  /// Runs the action at the host unless it has restarted; a frozen host runs it
+  /// later.
+  void AtHost(const Host& host, absl::Duration delay, HostAction action);
+  void RunAtHost(size_t index, int64_t lifetime, int64_t sequence,
+                 const HostAction& action);
+
+  void Start(Host& host, absl::Time table_started);
+  void IntroduceAllHosts();
+  void CheckRole(Host& host);
+  void UpdateReaderRole(Host& host);
+  bool IsReading(const Host& host) const;
+  void RunGossipRound(Host& host);
+  void NotifyDownstream(Host& host);
+  void SendGossip(Host& host, const std::vector<HostId>& to,
+                  std::vector<HostLastSeen> ages);
+  void OnGossip(Host& host, const Gossip& gossip);
+  void FetchFrom(Host& host, const HostId& peer);
+  void EndFetch(Host& host, const HostId& peer, int64_t id,
+                const PublishedChanges* changes);
+  void Merge(Host& host, const PublishedChanges& changes);
+  void ApplyProofs(Host& host);
+
+  void SetReading(Host& host, bool reading);
+  void ScheduleNextCall(Host& host, absl::Duration pause);
+  void SkipChangesFromPeers(Host& host);
+  void Call(Host& host);
+  void OnCallAtStore(size_t index, int64_t call, Revision after,
+                     absl::Duration wait);
+  void Respond(const Watcher& watcher, absl::Duration wait);
+  void OnStoreResponse(Host& host, int64_t call, absl::Duration wait,
+                       const PublishedChanges& changes);
+  void OnCallFailed(Host& host, int64_t call);
+
+  void Publish();
+  void ScheduleChange(int64_t generation);
+  void InjectFault();
+  void CutLink(size_t from, size_t to, Cut cut, absl::Time until);
+  void CutHost(size_t index, Cut cut, bool both_ways, absl::Time until);
+  void Trace(const std::string& what);
+  void Check();
+  bool IsInTouch(const Host& host) const;
+  /// @return when the first change that the host lacks was published; the
+  /// infinite future if it lacks none.
+  absl::Time FirstMissing(const Host& host) const;
+  absl::Duration Random(absl::Duration low, absl::Duration high);
+  bool WithProbability(double probability);
+
+  const Options options_;
+  std::mt19937_64 random_;
+  absl::Time now_;
+  int64_t sequence_ = 0;
+  std::map<std::pair<absl::Time, int64_t>, Action> actions_;
+  std::vector<FailureDomainName> domains_;
+  std::vector<std::unique_ptr<Host>> hosts_;
+  std::map<HostId, size_t> index_of_;
+  std::map<std::pair<size_t, size_t>, Link> links_;
+  std::map<std::pair<size_t, size_t>, absl::Time> trickling_until_;
+  PublishedItems store_;
+  std::vector<absl::Time> published_at_;
+  std::map<int64_t, Watcher> watchers_;
+  absl::Time store_stable_since_;
+  absl::Time lossy_until_;
+  absl::Duration change_period_;
+  int64_t change_generation_ = 0;
+  absl::Duration longest_freeze_;
+
+  std::deque<std::string> trace_;
+  std::string violation_;
+  absl::Time measured_since_;
+  std::vector<absl::Time> calls_;
+  std::vector<absl::Duration> delays_;
+  std::vector<absl::Duration> proof_ages_;
+};
+
+}  // namespace cherrydyke
--- /dev/null
+++ b/libs/tier/tests/publishing_model_test.cc
@@ -0,0 +1,187 @@
+#include "publishing_model.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <cstdlib>
+#include <iostream>
+
+namespace cherrydyke {
+namespace {
+
+using Reads = PublishingModel::Reads;
+
+constexpr uint32_t kSeed = 20261206;
+constexpr int kSeedsInCi = 10;
+constexpr int kSeedsOfManyHostsInCi = 2;
+constexpr absl::Duration kRunTime = absl::Minutes(2);
+constexpr absl::Duration kFaultPeriod = absl::Seconds(3);
+constexpr absl::Duration kBoundOfManyHosts = absl::Seconds(5);
+/// Hosts that have been running, each phase of a run for figures, and the time
+/// that a fault lasts in it.
+constexpr absl::Duration kWarmUp = absl::Seconds(15);
+constexpr absl::Duration kPhase = absl::Seconds(30);
+constexpr absl::Duration kFault = absl::Seconds(10);
+
+int64_t FromEnvironment(const char* name, int64_t fallback) {
+  const char* const text = std::getenv(name);
+  return text == nullptr ? fallback : std::atoll(text);
+}
+
+PublishingModel::Options ManyHosts() {
+  PublishingModel::Options options;
+  options.domains = 6;
+  options.hosts = 86;
+  options.bound = kBoundOfManyHosts;
+  return options;
+}
+
+PublishingModel::Options WithFaults(PublishingModel::Options options) {
+  options.fault_period = kFaultPeriod;
+  return options;
+}
+
+std::string RunSeeds(PublishingModel::Options options, int seeds,
+                     absl::Duration duration = kRunTime) {
+  const auto first =
+      static_cast<uint32_t>(FromEnvironment("CHERRYDYKE_MODEL_SEED", kSeed));
+  const int64_t count = FromEnvironment("CHERRYDYKE_MODEL_SEEDS", seeds);
+  for (uint32_t seed = first; seed < first + count; ++seed) {
+    PublishingModel model(options, seed);
+    const std::string violation = model.Run(duration);
+    if (violation.empty()) continue;
+    return "seed " + std::to_string(seed) + ": " + violation;
+  }
+  return "";
+}
+
+void PrintQuantiles(const char* name,
+                    const std::vector<absl::Duration>& sorted) {
+  std::cerr << ", " << name;
+  if (sorted.empty()) {
+    std::cerr << " none";
+    return;
+  }
+  for (const double quantile : {0.5, 0.99, 0.999, 1.0}) {
+    const auto index =
+        static_cast<size_t>(quantile * static_cast<double>(sorted.size() - 1));
+    std::cerr << " " << absl::ToInt64Milliseconds(sorted[index]);
+  }
+}
+
+void Print(const char* phase, const PublishingModel::Figures& figures) {
+  std::cerr << "  " << phase << ": " << figures.calls_per_s << " calls/s, "
+            << figures.max_calls_in_a_second << " at most in a second";
+  PrintQuantiles("delay ms p50 p99 p99.9 max", figures.delays);
+  PrintQuantiles("age of proof ms", figures.proof_ages);
+  std::cerr << "\n";
+}
+
+/// Prints figures of phases with and without changes and faults.
+/// @return the first violation, or "".
+std::string RunForFigures(PublishingModel::Options options) {
+  const auto seed =
+      static_cast<uint32_t>(FromEnvironment("CHERRYDYKE_MODEL_SEED", kSeed));
+  const absl::Duration phase = absl::Seconds(FromEnvironment(
+      "CHERRYDYKE_MODEL_PHASE_S", absl::ToInt64Seconds(kPhase)));
+  options.change_period = absl::InfiniteDuration();
+  PublishingModel model(options, seed);
+  std::cerr << "\n"
+            << options.hosts << " hosts, " << options.domains
+            << " domains, reads " << static_cast<int>(options.reads)
+            << ", seed " << seed << ", phases of " << phase << "\n";
+  std::string violation = model.Run(kWarmUp);
+  const auto measure = [&](const char* name, absl::Duration duration) {
+    if (violation.empty()) violation = model.Run(duration);
+    Print(name, model.Measured());
+  };
+  model.StartMeasuring();
+  measure("calm", phase);
+  model.SetChangePeriod(absl::Milliseconds(300));
+  model.StartMeasuring();
+  measure("a change each 0.3 s", phase);
+  model.StopStore(kFault, false);
+  model.StartMeasuring();
+  measure("store refuses calls", kFault);
+  model.StartMeasuring();
+  measure("10 s after it", kFault);
+  model.CutReaders(PublishingModel::Cut::kTransfers, phase);
+  model.StartMeasuring();
+  measure("transfers from readers cut", phase);
+  return violation;
+}
+
+}  // namespace
+
+/// Checks how current hosts are while they share their reads of the store.
+/// CHERRYDYKE_MODEL_SEED, CHERRYDYKE_MODEL_SEEDS (the number of runs),
+/// CHERRYDYKE_MODEL_HOSTS, CHERRYDYKE_MODEL_DOMAINS, CHERRYDYKE_MODEL_READS (0
+/// to 2) and CHERRYDYKE_MODEL_PHASE_S change the runs.
+class PublishingModelTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PublishingModelTest);
+  CPPUNIT_TEST(NoFaults);
+  CPPUNIT_TEST(Faults);
+  CPPUNIT_TEST(FaultsOfManyHosts);
+  CPPUNIT_TEST(FindsHostsThatBelieveTheRolesOfCutOffReaders);
+  CPPUNIT_TEST(ProofsAreNeverFresherThanTheTruth);
+  CPPUNIT_TEST(Figures);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void NoFaults() {
+    CPPUNIT_ASSERT_EQUAL(std::string(), RunSeeds({}, 1));
+    CPPUNIT_ASSERT_EQUAL(std::string(), RunSeeds(ManyHosts(), 1));
+  }
+  void Faults() {
+    CPPUNIT_ASSERT_EQUAL(std::string(), RunSeeds(WithFaults({}), kSeedsInCi));
+  }
+  void FaultsOfManyHosts() {
+    CPPUNIT_ASSERT_EQUAL(std::string(), RunSeeds(WithFaults(ManyHosts()),
+                                                 kSeedsOfManyHostsInCi));
+  }
+  void FindsHostsThatBelieveTheRolesOfCutOffReaders() {
+    PublishingModel::Options options;
+    options.reads = Reads::kByRole;
+    CPPUNIT_ASSERT(RunWithCutReaders(options).find("misses a change") !=
+                   std::string::npos);
+    options.reads = Reads::kByEvidence;
+    CPPUNIT_ASSERT_EQUAL(std::string(), RunWithCutReaders(options));
+  }
+  void ProofsAreNeverFresherThanTheTruth() {
+    CPPUNIT_ASSERT(rc::check("proofs under any faults", [] {
+      PublishingModel::Options options = WithFaults({});
+      options.freezes = false;
+      options.domains = *rc::gen::inRange<size_t>(1, 4);
+      options.hosts = *rc::gen::inRange(1, 13);
+      options.change_period = absl::Milliseconds(*rc::gen::inRange(100, 3000));
+      PublishingModel model(options, *rc::gen::arbitrary<uint32_t>());
+      RC_ASSERT(model.Run(absl::Seconds(40)) == "");
+    }));
+  }
+  void Figures() {
+    PublishingModel::Options options;
+    options.hosts =
+        static_cast<int>(FromEnvironment("CHERRYDYKE_MODEL_HOSTS", 8));
+    options.domains =
+        static_cast<size_t>(FromEnvironment("CHERRYDYKE_MODEL_DOMAINS", 3));
+    options.reads =
+        static_cast<Reads>(FromEnvironment("CHERRYDYKE_MODEL_READS", 0));
+    if (options.hosts >= ManyHosts().hosts) options.bound = kBoundOfManyHosts;
+    const std::string violation = RunForFigures(options);
+    if (options.reads == Reads::kByRole) return;
+    CPPUNIT_ASSERT_EQUAL(std::string(), violation);
+  }
+
+ private:
+  static std::string RunWithCutReaders(PublishingModel::Options options) {
+    PublishingModel model(options, kSeed);
+    const std::string violation = model.Run(kWarmUp);
+    if (!violation.empty()) return "before the cut: " + violation;
+    model.CutReaders(PublishingModel::Cut::kTransfers, kRunTime);
+    return model.Run(kRunTime);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PublishingModelTest);
+
+}  // namespace cherrydyke
