--- a/libs/tier/include/tier/published_freshness.h
+++ b/libs/tier/include/tier/published_freshness.h
@@ -48,8 +48,10 @@
   /// A read by this host returned every change published before it began.
   /// @param started_at when the read began.
   void OnRead(absl::Time started_at);
-  /// A read by this host failed.
-  void OnReadFailed(absl::Time now) { read_failed_at_ = now; }
+  /// A read by this host failed. While its last successful one is fresh, as
+  /// when one watch has fallen silent, the failure does not keep it from
+  /// calling again.
+  void OnReadFailed(absl::Time now);
   /// This host has every item of a peer that sent a proof.
   /// @param received_at when the proof arrived.
   void OnPeerProof(const ReadProof& proof, absl::Time received_at);
--- a/libs/tier/src/published_freshness.cc
+++ b/libs/tier/src/published_freshness.cc
@@ -13,6 +13,11 @@
   current_until_.front() = std::max(current_until_.front(), started_at);
 }
 
+void PublishedFreshness::OnReadFailed(absl::Time now) {
+  if (now - current_until_.front() > options_.max_peer_age)
+    read_failed_at_ = now;
+}
+
 void PublishedFreshness::OnPeerProof(const ReadProof& proof,
                                      absl::Time received_at) {
   if (proof.hops < 0 || proof.hops >= kMaxHops) return;
--- a/libs/tier/tests/publishing_model.cc
+++ b/libs/tier/tests/publishing_model.cc
@@ -362,11 +362,9 @@
   calls_.push_back(now_);
   const int64_t call = ++host.call;
   const bool is_refused = now_ < host.refused_until;
-  const bool is_lost =
-      std::exchange(host.loses_call, false) || now_ < host.silent_until;
   AtHost(host, is_refused ? Random(kMinTrip, kMaxTrip) : wait + kCallTimeout,
          [this, call](Host& same) { OnCallFailed(same, call); });
-  if (is_refused || is_lost) return;
+  if (is_refused || now_ < host.silent_until) return;
   At(now_ + Random(kMinTrip, kMaxTrip),
      [this, index = host.index, call, after = host.as_of, wait] {
        OnCallAtStore(index, call, after, wait);
@@ -394,7 +392,7 @@
   Host& host = *hosts_[watcher.host];
   if (host.call != watcher.call) return;
   if (now_ < host.refused_until || now_ < host.silent_until) return;
-  if (std::exchange(host.loses_call, false)) return;
+  if (host.loses_call) return;
   AtHost(host, Random(kMinTrip, kMaxTrip),
          [this, call = watcher.call, wait,
           changes = store_.ChangesAfter(watcher.after)](Host& same) {
@@ -430,6 +428,7 @@
 void PublishingModel::OnCallFailed(Host& host, int64_t call) {
   if (host.call != call) return;
   ++host.call;
+  host.loses_call = false;
   host.freshness->OnReadFailed(now_);
   ScheduleNextCall(host,
                    host.schedule.PauseAfterFailure(
@@ -542,6 +541,7 @@
       break;
     }
     case 4:
+      if (!IsReading(chosen) || now_ < chosen.silent_until) break;
       Trace(absl::StrCat("silent watch of", on));
       chosen.loses_call = true;
       break;
--- a/libs/tier/tests/publishing_model.h
+++ b/libs/tier/tests/publishing_model.h
@@ -93,7 +93,7 @@
     /// The store refuses calls, or does not respond to them, until these.
     absl::Time refused_until;
     absl::Time silent_until;
-    /// The next call, or the one under way, gets no response.
+    /// The call under way gets no response.
     bool loses_call = false;
     int round = 0;
     std::unique_ptr<HostTable> table;
