--- a/libs/tier/include/tier/gossip_message.h
+++ b/libs/tier/include/tier/gossip_message.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <optional>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -22,21 +21,21 @@
   std::vector<CrashReport> crashes;
   /// The sender's recent observations of targets.
   std::vector<TargetHealthReport> reports;
-  /// Proof of how current the items of these revisions are; hosts of earlier
+  /// Proofs of how current the items of these revisions are; hosts of earlier
   /// versions send none.
-  std::optional<ReadProof> proof;
+  std::vector<ReadProof> proofs;
 
   friend bool operator==(const GossipMessage& a, const GossipMessage& b) {
     return std::tie(a.membership_update, a.config_revision, a.targets_revision,
-                    a.crashes, a.reports, a.proof) ==
+                    a.crashes, a.reports, a.proofs) ==
            std::tie(b.membership_update, b.config_revision, b.targets_revision,
-                    b.crashes, b.reports, b.proof);
+                    b.crashes, b.reports, b.proofs);
   }
 };
 
 /// @return the serialized datagram.
 std::string EncodeGossipMessage(const GossipMessage& message);
-/// Decodes a message of this version, or of one whose messages lack the proof.
+/// Decodes a message of this version, or of one whose messages lack proofs.
 /// @return the message, or `kInvalidInput` if the datagram is malformed.
 Result<GossipMessage> DecodeGossipMessage(const std::string& datagram);
 
--- a/libs/tier/include/tier/pending_proofs.h
+++ b/libs/tier/include/tier/pending_proofs.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <deque>
-#include <optional>
+#include <vector>
 
 #include "absl/time/time.h"
 #include "base/ids.h"
@@ -9,13 +9,13 @@
 
 namespace cherrydyke {
 
-/// Published items that a peer has and, if it sent one, its proof of how
-/// current they are.
+/// Published items that a peer has and, if it sent any, its proofs of
+/// how current they are.
 struct PeerItems {
   HostId peer;
   Revision config = 0;
   Revision targets = 0;
-  std::optional<ReadProof> proof;
+  std::vector<ReadProof> proofs;
 };
 
 /// Keeps the proofs of peers that have newer published items than this host
--- a/libs/tier/include/tier/published_freshness.h
+++ b/libs/tier/include/tier/published_freshness.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include <array>
-#include <optional>
 #include <tuple>
+#include <vector>
 
 #include "absl/time/time.h"
 
@@ -61,8 +61,10 @@
   absl::Time current_until() const;
   /// @return the time up to which peers have proven so, or the start.
   absl::Time peers_current_until() const;
-  /// @return the proof to pass on to peers, if there is one.
-  std::optional<ReadProof> ProofForPeers(absl::Time now) const;
+  /// @return the proofs to pass on to peers: for each number of hops the
+  /// freshest one, unless one of fewer hops is as fresh. A fresher proof that
+  /// may not be passed on as often must not take the place of the others.
+  std::vector<ReadProof> ProofsForPeers(absl::Time now) const;
 
   /// @return whether this host has to read the configuration service itself,
   /// whatever other hosts say that they do.
--- a/libs/tier/src/fleet_gossip.cc
+++ b/libs/tier/src/fleet_gossip.cc
@@ -171,7 +171,7 @@
   message.targets_revision = targets_.complete_revision();
   message.crashes = crashes_.TakeReportsToGossip(kMaxCrashReports, loop_.Now());
   message.reports = std::move(health_reports);
-  message.proof = freshness_.ProofForPeers(loop_.Now());
+  message.proofs = freshness_.ProofsForPeers(loop_.Now());
   const std::string datagram = EncodeGossipMessage(message);
   for (const HostId& recipient : recipients) {
     datagram_socket_.Send(EndpointOf(recipient), datagram);
@@ -211,7 +211,7 @@
   if (quarantined_any) Gossip();
   if (!message.reports.empty()) callbacks_.on_health_reports(message.reports);
   pending_proofs_.Add({sender.host, message.config_revision,
-                       message.targets_revision, message.proof},
+                       message.targets_revision, message.proofs},
                       now);
   ApplyProofs();
   if (!IsBehind(message)) return;
--- a/libs/tier/src/gossip_message.cc
+++ b/libs/tier/src/gossip_message.cc
@@ -25,7 +25,7 @@
   }
 };
 
-/// Wire format of a `GossipMessage` without the proof, and the whole format of
+/// Wire format of a `GossipMessage` without proofs, and the whole format of
 /// earlier versions.
 struct PackedMessage {
   HostId host;
@@ -46,21 +46,28 @@
   }
 };
 
+struct PackedProof {
+  int64_t age_ms = 0;
+  uint8_t hops = 0;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(age_ms, hops);
+  }
+};
+
 /// Wire format of a `GossipMessage`. Hosts of earlier versions read its first
 /// part and ignore the rest.
-struct PackedMessageWithProof {
+struct PackedMessageWithProofs {
   PackedMessage message;
-  /// `kNoProof` if there is none.
-  int64_t proof_age_ms = 0;
-  uint8_t proof_hops = 0;
+  std::vector<PackedProof> proofs;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(message, proof_age_ms, proof_hops);
+    archive(message, proofs);
   }
 };
 
-constexpr int64_t kNoProof = -1;
 constexpr int64_t kMsPerDs = 100;
 
 std::optional<PackedAge> Pack(const HostLastSeen& age,
@@ -97,30 +104,30 @@
   for (const HostLastSeen& age : message.membership_update.hosts) {
     if (const auto one = Pack(age, packed.domains)) packed.ages.push_back(*one);
   }
-  if (!message.proof) {
-    return EncodeArchive(
-        PackedMessageWithProof{std::move(packed), kNoProof, 0});
+  std::vector<PackedProof> proofs;
+  for (const ReadProof& proof : message.proofs) {
+    // Rounded up: a proof must not become fresher on its way.
+    proofs.push_back({absl::ToInt64Milliseconds(
+                          absl::Ceil(proof.age, absl::Milliseconds(1))),
+                      static_cast<uint8_t>(proof.hops)});
   }
-  // Rounded up: a proof must not become fresher on its way.
-  const int64_t age_ms = absl::ToInt64Milliseconds(
-      absl::Ceil(message.proof->age, absl::Milliseconds(1)));
-  return EncodeArchive(PackedMessageWithProof{
-      std::move(packed), age_ms, static_cast<uint8_t>(message.proof->hops)});
+  return EncodeArchive(
+      PackedMessageWithProofs{std::move(packed), std::move(proofs)});
 }
 
 Result<GossipMessage> DecodeGossipMessage(const std::string& datagram) {
-  Result<PackedMessageWithProof> decoded =
-      DecodeArchive<PackedMessageWithProof>(datagram);
+  Result<PackedMessageWithProofs> decoded =
+      DecodeArchive<PackedMessageWithProofs>(datagram);
   if (GetError(decoded) != nullptr) {
     Result<PackedMessage> earlier =
         DecodeArchive<PackedMessage>(datagram, TrailingBytes::kReject);
     if (const Error* error = GetError(earlier)) return *error;
-    decoded = PackedMessageWithProof{std::move(GetValue(earlier)), kNoProof, 0};
+    decoded = PackedMessageWithProofs{std::move(GetValue(earlier)), {}};
   }
-  auto& [packed, proof_age_ms, proof_hops] = GetValue(decoded);
+  auto& [packed, proofs] = GetValue(decoded);
   GossipMessage message;
-  if (proof_age_ms >= 0) {
-    message.proof = ReadProof{absl::Milliseconds(proof_age_ms), proof_hops};
+  for (const PackedProof& proof : proofs) {
+    message.proofs.push_back({absl::Milliseconds(proof.age_ms), proof.hops});
   }
   message.membership_update.from.host = std::move(packed.host);
   message.membership_update.from.failure_domain =
--- a/libs/tier/src/pending_proofs.cc
+++ b/libs/tier/src/pending_proofs.cc
@@ -23,8 +23,10 @@
     return pending.items.config <= config && pending.items.targets <= targets;
   };
   for (const Pending& pending : pending_) {
-    if (!is_known(pending) || !pending.items.proof) continue;
-    freshness.OnPeerProof(*pending.items.proof, pending.received_at);
+    if (!is_known(pending)) continue;
+    for (const ReadProof& proof : pending.items.proofs) {
+      freshness.OnPeerProof(proof, pending.received_at);
+    }
   }
   pending_.erase(std::remove_if(pending_.begin(), pending_.end(), is_known),
                  pending_.end());
--- a/libs/tier/src/published_freshness.cc
+++ b/libs/tier/src/published_freshness.cc
@@ -35,13 +35,17 @@
                                               current_until_.end()));
 }
 
-std::optional<ReadProof> PublishedFreshness::ProofForPeers(
+std::vector<ReadProof> PublishedFreshness::ProofsForPeers(
     absl::Time now) const {
-  const auto freshest =
-      std::max_element(current_until_.begin(), current_until_.end() - 1);
-  if (*freshest == absl::InfinitePast()) return std::nullopt;
-  return ReadProof{now - *freshest,
-                   static_cast<int>(freshest - current_until_.begin())};
+  std::vector<ReadProof> proofs;
+  absl::Time freshest = absl::InfinitePast();
+  for (int hops = 0; hops < kMaxHops; ++hops) {
+    const absl::Time until = current_until_.at(static_cast<size_t>(hops));
+    if (until <= freshest) continue;
+    freshest = until;
+    proofs.push_back({now - until, hops});
+  }
+  return proofs;
 }
 
 bool PublishedFreshness::ShouldReadItself(absl::Time now) const {
--- a/libs/tier/tests/pending_proofs_test.cc
+++ b/libs/tier/tests/pending_proofs_test.cc
@@ -9,7 +9,7 @@
 constexpr absl::Duration kSecond = absl::Seconds(1);
 
 PeerItems Items(Revision config, Revision targets) {
-  return {"p", config, targets, ReadProof{kSecond, 0}};
+  return {"p", config, targets, {ReadProof{kSecond, 0}}};
 }
 
 }  // namespace
@@ -46,7 +46,7 @@
   }
 
   void ItemsWithoutProofProveNothing() {
-    pending_.Add({"p", 5, 5, std::nullopt}, kStart);
+    pending_.Add({"p", 5, 5, {}}, kStart);
     pending_.Apply(5, 5, freshness_);
     CPPUNIT_ASSERT(freshness_.current_until() == absl::InfinitePast());
   }
--- a/libs/tier/tests/published_freshness_test.cc
+++ b/libs/tier/tests/published_freshness_test.cc
@@ -9,6 +9,8 @@
 namespace cherrydyke {
 namespace {
 
+using Proofs = std::vector<ReadProof>;
+
 const absl::Time kStart = absl::UnixEpoch() + absl::Hours(1);
 constexpr absl::Duration kSecond = absl::Seconds(1);
 
@@ -27,6 +29,8 @@
   CPPUNIT_TEST(ReadsItselfWhenPeersProveNothing);
   CPPUNIT_TEST(OwnReadsDoNotReplaceTheProofOfPeers);
   CPPUNIT_TEST(PausesAfterAFailedRead);
+  CPPUNIT_TEST(AFailureAfterAFreshReadDoesNotPause);
+  CPPUNIT_TEST(FresherProofsDoNotReplaceThoseOfFewerHops);
   CPPUNIT_TEST(MalformedProofsAreIgnored);
   CPPUNIT_TEST(ProofsThatCircleDoNotBecomeFresher);
   CPPUNIT_TEST_SUITE_END();
@@ -35,23 +39,23 @@
   void NothingIsProvenAtTheStart() {
     const PublishedFreshness freshness = Freshness();
     CPPUNIT_ASSERT(freshness.current_until() == absl::InfinitePast());
-    CPPUNIT_ASSERT(!freshness.ProofForPeers(kStart));
+    CPPUNIT_ASSERT(freshness.ProofsForPeers(kStart).empty());
   }
 
   void OwnReadsProveTheTimeAtWhichTheyBegan() {
     PublishedFreshness freshness = Freshness();
     freshness.OnRead(kStart + kSecond);
     CPPUNIT_ASSERT(freshness.current_until() == kStart + kSecond);
-    CPPUNIT_ASSERT((ReadProof{2 * kSecond, 0}) ==
-                   freshness.ProofForPeers(kStart + 3 * kSecond));
+    CPPUNIT_ASSERT((Proofs{{2 * kSecond, 0}}) ==
+                   freshness.ProofsForPeers(kStart + 3 * kSecond));
   }
 
   void PeersProveTheAgeOfTheRead() {
     PublishedFreshness freshness = Freshness();
     freshness.OnPeerProof({kSecond, 1}, kStart + 5 * kSecond);
     CPPUNIT_ASSERT(freshness.current_until() == kStart + 4 * kSecond);
-    CPPUNIT_ASSERT((ReadProof{2 * kSecond, 2}) ==
-                   freshness.ProofForPeers(kStart + 6 * kSecond));
+    CPPUNIT_ASSERT((Proofs{{2 * kSecond, 2}}) ==
+                   freshness.ProofsForPeers(kStart + 6 * kSecond));
   }
 
   void OlderProofsDoNotReplaceNewerOnes() {
@@ -88,6 +92,31 @@
     CPPUNIT_ASSERT(freshness.ShouldReadItself(failed_at + pause));
   }
 
+  // A watch that fell silent once kept a host that peers do not reach from the
+  // service for longer than the bound.
+  void AFailureAfterAFreshReadDoesNotPause() {
+    PublishedFreshness freshness = Freshness();
+    const absl::Time read_at = kStart + 5 * kSecond;
+    const absl::Duration limit = freshness.options().max_peer_age;
+    freshness.OnRead(read_at);
+    freshness.OnReadFailed(read_at + limit);
+    CPPUNIT_ASSERT(freshness.ShouldReadItself(read_at + limit));
+    freshness.OnReadFailed(read_at + limit + kSecond);
+    CPPUNIT_ASSERT(!freshness.ShouldReadItself(read_at + limit + kSecond));
+  }
+
+  // A reader passed on only the slightly fresher proofs of other readers, which
+  // its relays may not pass on, so that all of their groups called the service.
+  void FresherProofsDoNotReplaceThoseOfFewerHops() {
+    PublishedFreshness freshness = Freshness();
+    const absl::Time now = kStart + 5 * kSecond;
+    freshness.OnRead(now - 2 * kSecond);
+    freshness.OnPeerProof({kSecond, 1}, now);
+    freshness.OnPeerProof({3 * kSecond, 0}, now);
+    CPPUNIT_ASSERT((Proofs{{2 * kSecond, 0}, {kSecond, 2}}) ==
+                   freshness.ProofsForPeers(now));
+  }
+
   void MalformedProofsAreIgnored() {
     PublishedFreshness freshness = Freshness();
     freshness.OnPeerProof({-kSecond, 0}, kStart);
@@ -112,9 +141,11 @@
       for (const int message : messages) {
         const auto from = static_cast<size_t>(message) % kHosts;
         const auto to = static_cast<size_t>(message) / kHosts % kHosts;
-        const auto proof = hosts[from].ProofForPeers(now);
+        const Proofs proofs = hosts[from].ProofsForPeers(now);
         now += absl::Milliseconds(message / 31 % kLongestDelayMs);
-        if (proof && from != to) hosts[to].OnPeerProof(*proof, now);
+        for (const ReadProof& proof : proofs) {
+          if (from != to) hosts[to].OnPeerProof(proof, now);
+        }
       }
       for (const PublishedFreshness& host : hosts) {
         RC_ASSERT(host.current_until() <=
--- a/libs/tier/tests/publishing_model.cc
+++ b/libs/tier/tests/publishing_model.cc
@@ -222,7 +222,7 @@
   gossip->news = {host.self, host.table->known_hosts(),
                   host.table->Role(IsReading(host), now_), std::move(ages)};
   gossip->revision = host.items.complete_revision();
-  gossip->proof = host.freshness->ProofForPeers(now_);
+  gossip->proofs = host.freshness->ProofsForPeers(now_);
   for (const HostId& id : to) {
     const Host& peer = *hosts_[index_of_.at(id)];
     const auto link = links_.find({host.index, peer.index});
@@ -240,8 +240,8 @@
   if (host.table->OnMembershipUpdate(gossip.news, now_)) {
     SendGossip(host, {sender.host}, host.table->BuildDigest(now_, random_));
   }
-  host.proofs.Add({sender.host, gossip.revision, gossip.revision, gossip.proof},
-                  now_);
+  host.proofs.Add(
+      {sender.host, gossip.revision, gossip.revision, gossip.proofs}, now_);
   ApplyProofs(host);
   if (gossip.revision <= host.items.complete_revision()) return;
   host.behind_since = std::min(host.behind_since, now_);
--- a/libs/tier/tests/publishing_model.h
+++ b/libs/tier/tests/publishing_model.h
@@ -116,7 +116,7 @@
   struct Gossip {
     MembershipUpdate news;
     Revision revision = 0;
-    std::optional<ReadProof> proof;
+    std::vector<ReadProof> proofs;
   };
   struct Watcher {
     size_t host = 0;
