Let a host whose call failed pause at once (calls in an outage)

A host that reads only because its peers prove nothing is to pause for about 3 s after a failed call, but the role is checked each 0.25 s and StoreClient calls again after 0.1 s: each try cost two calls.

--- a/libs/tier/src/tier_host.cc
+++ b/libs/tier/src/tier_host.cc
@@ -232,7 +232,11 @@
   gossip_.OnItemsMerged();
 }
 
-void TierHost::OnReadFailed() { freshness_.OnReadFailed(loop_.Now()); }
+void TierHost::OnReadFailed() {
+  freshness_.OnReadFailed(loop_.Now());
+  // Otherwise a host that is to pause would call once more before it does.
+  UpdateReaderRole();
+}
 
 void TierHost::ApplyPublished(bool config, bool targets) {
   const bool was_ready = IsReady();
