--- a/libs/tier/tests/publishing_model.cc
+++ b/libs/tier/tests/publishing_model.cc
@@ -430,6 +430,7 @@
   ++host.call;
   host.loses_call = false;
   host.freshness->OnReadFailed(now_);
+  UpdateReaderRole(host);
   ScheduleNextCall(host,
                    host.schedule.PauseAfterFailure(
                        std::uniform_real_distribution<double>(0, 1)(random_)));
@@ -541,7 +542,10 @@
       break;
     }
     case 4:
-      if (!IsReading(chosen) || now_ < chosen.silent_until) break;
+      // A call of a host that has not read for long is no watch.
+      if (!IsReading(chosen) ||
+          now_ - chosen.read_current_until > options_.bound * kWatchRatio)
+        break;
       Trace(absl::StrCat("silent watch of", on));
       chosen.loses_call = true;
       break;
