--- a/libs/tier/tests/publishing_model.cc
+++ b/libs/tier/tests/publishing_model.cc
@@ -496,6 +496,20 @@
   }
 }
 
+void PublishingModel::CutAll(Cut cut, absl::Duration duration) {
+  for (const auto& host : hosts_) {
+    CutHost(host->index, cut, false, now_ + duration);
+  }
+}
+
+bool PublishingModel::SilenceWatch(Host& host) {
+  // A call of a host that has not read for long is no watch.
+  const bool watches = IsReading(host) && now_ - host.read_current_until <=
+                                              options_.bound * kWatchRatio;
+  if (watches) host.loses_call = true;
+  return watches;
+}
+
 void PublishingModel::Trace(const std::string& what) {
   trace_.push_back(absl::StrCat(Format(now_), " ", what));
   if (trace_.size() > kTraceLines) trace_.pop_front();
@@ -542,12 +556,7 @@
       break;
     }
     case 4:
-      // A call of a host that has not read for long is no watch.
-      if (!IsReading(chosen) ||
-          now_ - chosen.read_current_until > options_.bound * kWatchRatio)
-        break;
-      Trace(absl::StrCat("silent watch of", on));
-      chosen.loses_call = true;
+      if (SilenceWatch(chosen)) Trace(absl::StrCat("silent watch of", on));
       break;
     case 5:
       Trace(absl::StrCat("store turns away", on));
--- a/libs/tier/tests/publishing_model.h
+++ b/libs/tier/tests/publishing_model.h
@@ -77,6 +77,10 @@
   void StopStore(absl::Duration duration, bool is_silent);
   /// Cuts all links between hosts that read the store and other hosts.
   void CutReaders(Cut cut, absl::Duration duration);
+  /// Cuts all links between hosts.
+  void CutAll(Cut cut, absl::Duration duration);
+  /// The watch of a host gets no response, if one is under way.
+  void SilenceWatch(size_t host) { SilenceWatch(*hosts_[host]); }
 
  private:
   struct Fetch {
@@ -169,6 +173,8 @@
   void InjectFault();
   void CutLink(size_t from, size_t to, Cut cut, absl::Time until);
   void CutHost(size_t index, Cut cut, bool both_ways, absl::Time until);
+  /// @return whether a watch was under way.
+  bool SilenceWatch(Host& host);
   void Trace(const std::string& what);
   void Check();
   bool IsInTouch(const Host& host) const;
--- a/libs/tier/tests/publishing_model_test.cc
+++ b/libs/tier/tests/publishing_model_test.cc
@@ -17,8 +17,16 @@
 constexpr absl::Duration kRunTime = absl::Minutes(2);
 constexpr absl::Duration kFaultPeriod = absl::Seconds(3);
 constexpr absl::Duration kBoundOfManyHosts = absl::Seconds(5);
-/// Hosts that have been running, each phase of a run for figures, and the time
-/// that a fault lasts in it.
+/// Tries to let a watch fall silent, one each second, the hosts in turn.
+constexpr int kSilentWatches = 600;
+constexpr absl::Duration kSecond = absl::Seconds(1);
+constexpr size_t kDomainsWithGroups = 3;
+constexpr uint32_t kCalmSeeds = 4;
+/// Calls in a second for each failure domain: a reader's, and those of hosts
+/// that lost a datagram.
+constexpr int kMaxCalmCallsPerReader = 4;
+/// Time before each run for figures, each phase of a run for figures, and the
+/// time that a fault lasts in it.
 constexpr absl::Duration kWarmUp = absl::Seconds(15);
 constexpr absl::Duration kPhase = absl::Seconds(30);
 constexpr absl::Duration kFault = absl::Seconds(10);
@@ -123,6 +131,8 @@
   CPPUNIT_TEST(Faults);
   CPPUNIT_TEST(FaultsOfManyHosts);
   CPPUNIT_TEST(FindsHostsThatBelieveTheRolesOfCutOffReaders);
+  CPPUNIT_TEST(SilentWatchesWhileTransfersAreCut);
+  CPPUNIT_TEST(CalmHostsLeaveTheStoreToTheReaders);
   CPPUNIT_TEST(ProofsAreNeverFresherThanTheTruth);
   CPPUNIT_TEST(Figures);
   CPPUNIT_TEST_SUITE_END();
@@ -147,6 +157,33 @@
     options.reads = Reads::kByEvidence;
     CPPUNIT_ASSERT_EQUAL(std::string(), RunWithCutReaders(options));
   }
+  // The pause after the failed watch exceeded the bound.
+  void SilentWatchesWhileTransfersAreCut() {
+    const PublishingModel::Options options;
+    PublishingModel model(options, kSeed);
+    CPPUNIT_ASSERT_EQUAL(std::string(), model.Run(kWarmUp));
+    model.CutAll(PublishingModel::Cut::kTransfers, kSilentWatches * kSecond);
+    for (int i = 0; i < kSilentWatches; ++i) {
+      CPPUNIT_ASSERT_EQUAL(std::string(), model.Run(kSecond));
+      model.SilenceWatch(static_cast<size_t>(i % options.hosts));
+    }
+  }
+  // One lost datagram made whole groups call, for as long as the readers'
+  // watches ended in an order that let foreign proofs displace the own ones.
+  void CalmHostsLeaveTheStoreToTheReaders() {
+    PublishingModel::Options options = ManyHosts();
+    options.domains = kDomainsWithGroups;
+    options.change_period = absl::InfiniteDuration();
+    for (uint32_t seed = 1; seed <= kCalmSeeds; ++seed) {
+      PublishingModel model(options, seed);
+      CPPUNIT_ASSERT_EQUAL(std::string(), model.Run(kWarmUp));
+      model.StartMeasuring();
+      CPPUNIT_ASSERT_EQUAL(std::string(), model.Run(kPhase));
+      CPPUNIT_ASSERT(model.Measured().max_calls_in_a_second <=
+                     kMaxCalmCallsPerReader *
+                         static_cast<int>(kDomainsWithGroups));
+    }
+  }
   void ProofsAreNeverFresherThanTheTruth() {
     CPPUNIT_ASSERT(rc::check("proofs under any faults", [] {
       PublishingModel::Options options = WithFaults({});
