Let a host call again at once if its last read is not older than the retry pause

The exemption by the age limit of peers' proofs was too short: a watch that begins after the pause between batches and falls silent fails up to 2.34 s after the last proof (bound 4 s).

--- a/libs/tier/include/tier/published_freshness.h
+++ b/libs/tier/include/tier/published_freshness.h
@@ -48,9 +48,8 @@
   /// A read by this host returned every change published before it began.
   /// @param started_at when the read began.
   void OnRead(absl::Time started_at);
-  /// A read by this host failed. While its last successful one is fresh, as
-  /// when one watch has fallen silent, the failure does not keep it from
-  /// calling again.
+  /// A read by this host failed. If its last successful one is not older than
+  /// `retry_pause`, as when one watch falls silent, it may call again at once.
   void OnReadFailed(absl::Time now);
   /// This host has every item of a peer that sent a proof.
   /// @param received_at when the proof arrived.
--- a/libs/tier/src/published_freshness.cc
+++ b/libs/tier/src/published_freshness.cc
@@ -14,7 +14,7 @@
 }
 
 void PublishedFreshness::OnReadFailed(absl::Time now) {
-  if (now - current_until_.front() > options_.max_peer_age)
+  if (now - current_until_.front() > options_.retry_pause)
     read_failed_at_ = now;
 }
 
--- a/libs/tier/tests/published_freshness_test.cc
+++ b/libs/tier/tests/published_freshness_test.cc
@@ -97,12 +97,12 @@
   void AFailureAfterAFreshReadDoesNotPause() {
     PublishedFreshness freshness = Freshness();
     const absl::Time read_at = kStart + 5 * kSecond;
-    const absl::Duration limit = freshness.options().max_peer_age;
+    const absl::Duration pause = freshness.options().retry_pause;
     freshness.OnRead(read_at);
-    freshness.OnReadFailed(read_at + limit);
-    CPPUNIT_ASSERT(freshness.ShouldReadItself(read_at + limit));
-    freshness.OnReadFailed(read_at + limit + kSecond);
-    CPPUNIT_ASSERT(!freshness.ShouldReadItself(read_at + limit + kSecond));
+    freshness.OnReadFailed(read_at + pause);
+    CPPUNIT_ASSERT(freshness.ShouldReadItself(read_at + pause));
+    freshness.OnReadFailed(read_at + pause + kSecond);
+    CPPUNIT_ASSERT(!freshness.ShouldReadItself(read_at + pause + kSecond));
   }
 
   // A reader passed on only the slightly fresher proofs of other readers, which
