Model: a lost call is over when its response was already on its way

The retry pause stays: by the sum a silent watch fails up to 2.34 s after the last proof, and the smallest age limit is 2.2 s.

--- a/libs/tier/tests/publishing_model.cc
+++ b/libs/tier/tests/publishing_model.cc
@@ -405,6 +405,7 @@
                                       const PublishedChanges& changes) {
   if (host.call != call) return;
   ++host.call;
+  host.loses_call = false;
   host.schedule.OnSuccess();
   const bool is_list = host.as_of == 0;
   host.as_of = std::max(host.as_of, changes.as_of);
