--- a/libs/dispatch/include/dispatch/handover_choice.h
+++ b/libs/dispatch/include/dispatch/handover_choice.h
@@ -53,6 +53,10 @@
   HandoverOffer offer;
   /// When the offer arrived.
   absl::Time offered_at = absl::InfinitePast();
+  /// When it last offered to take requests over.
+  absl::Time available_at = absl::InfinitePast();
+  /// Whether it did not answer when it was last asked or sent a request.
+  bool is_silent = false;
   /// Until when it gets nothing, because it rejected a request.
   absl::Time excluded_until = absl::InfinitePast();
   /// Requests that this host has handed to it and that have not ended.
@@ -74,6 +78,7 @@
 /// Why a candidate cannot run a request.
 enum class HandoverObstacle {
   kNoOffer,
+  kSilent,
   kUnavailable,
   kExcluded,
   kBusy,
@@ -84,6 +89,11 @@
 /// @return the name of an obstacle in log lines.
 const char* HandoverObstacleName(HandoverObstacle obstacle);
 
+/// @return whether a request may be sent to a host in the region.
+/// @param allowed_regions empty for all.
+bool MayReceive(const RegionName& region,
+                const std::vector<RegionName>& allowed_regions);
+
 /// @return the first obstacle found to the candidate's running the request, as
 /// far as known; nothing if it can. An older configuration in its offer is
 /// none, as it may have a newer one by now.
--- /dev/null
+++ b/libs/dispatch/include/dispatch/handover_wait.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <optional>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "dispatch/handover_choice.h"
+
+namespace cherrydyke {
+
+/// A request that a host without a path to targets has not begun, and that no
+/// peer can take over now.
+struct UnplacedRequest {
+  HandoverCriteria criteria;
+  absl::Time received_at;
+  absl::Time deadline;
+};
+
+/// Decides how long a request waits for a peer.
+///
+/// Hosts that took requests over until a moment ago and have fallen silent may
+/// be back in time: they are frozen or restart. A request waits for them only
+/// as long as its caller can still use a refusal. Hosts that answer and take
+/// nothing over are not waited for.
+/// @return until when it may wait; nothing if it is to be refused at once.
+std::optional<absl::Time> HandoverWaitEnd(
+    const std::vector<HandoverCandidate>& candidates,
+    const UnplacedRequest& request, absl::Time now);
+
+}  // namespace cherrydyke
--- a/libs/dispatch/src/handover_choice.cc
+++ b/libs/dispatch/src/handover_choice.cc
@@ -43,6 +43,8 @@
   switch (obstacle) {
     case HandoverObstacle::kNoOffer:
       return "no_offer";
+    case HandoverObstacle::kSilent:
+      return "silent";
     case HandoverObstacle::kUnavailable:
       return "unavailable";
     case HandoverObstacle::kExcluded:
@@ -57,20 +59,26 @@
   return "";
 }
 
+bool MayReceive(const RegionName& region,
+                const std::vector<RegionName>& allowed_regions) {
+  return allowed_regions.empty() ||
+         std::find(allowed_regions.begin(), allowed_regions.end(), region) !=
+             allowed_regions.end();
+}
+
 std::optional<HandoverObstacle> FindHandoverObstacle(
     const HandoverCandidate& candidate, const HandoverCriteria& criteria,
     absl::Time now) {
   if (now - candidate.offered_at > kOfferValidity) {
     return HandoverObstacle::kNoOffer;
   }
+  if (candidate.is_silent) return HandoverObstacle::kSilent;
   if (!candidate.offer.available) return HandoverObstacle::kUnavailable;
   if (now < candidate.excluded_until) return HandoverObstacle::kExcluded;
   if (candidate.in_flight >= kMaxInFlightPerPeer) {
     return HandoverObstacle::kBusy;
   }
-  const auto& regions = criteria.allowed_regions;
-  if (!regions.empty() && std::find(regions.begin(), regions.end(),
-                                    candidate.region) == regions.end()) {
+  if (!MayReceive(candidate.region, criteria.allowed_regions)) {
     return HandoverObstacle::kOtherRegion;
   }
   const auto& unreachable = candidate.offer.unreachable_services;
--- a/libs/tier/include/tier/handover_client.h
+++ b/libs/tier/include/tier/handover_client.h
@@ -3,12 +3,14 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
 #include "dispatch/config_versions.h"
 #include "dispatch/handover_choice.h"
+#include "dispatch/handover_wait.h"
 #include "dispatch/policy.h"
 #include "engine/connection_pool.h"
 #include "engine/http_server.h"
@@ -63,6 +65,9 @@
     int fleet_port = 0;
     /// Called with the version of the configuration that a peer uses.
     VersionCallback on_version;
+    /// Called when a peer begins to take requests over. It may be called while
+    /// this host handles a request.
+    std::function<void()> on_peer_available;
   };
 
   explicit HandoverClient(Dependencies dependencies);
@@ -75,6 +80,10 @@
   /// @return false if there is no host to hand it to; nothing was done then.
   bool Start(OutgoingHandover outgoing);
 
+  /// @return until when a request may wait for a host that can take it over;
+  /// nothing if it is to be refused at once.
+  std::optional<absl::Time> WaitEnd(const UnplacedRequest& request);
+
   /// Ends all handovers without waiting for their peers, for a shutdown.
   void EndRunning();
 
--- a/libs/tier/include/tier/request_handler.h
+++ b/libs/tier/include/tier/request_handler.h
@@ -35,6 +35,8 @@
 /// port.
 uint64_t RequestFingerprint(const engine::HttpRequest& request);
 
+class WaitingRequests;
+
 /// Serves callers' requests: finds the route, sends the request to targets with
 /// retries and hedges, and responds. Single-threaded.
 class RequestHandler {
@@ -79,7 +81,11 @@
   void OnPartitioned();
 
   /// From now on, requests are taken as the schedule permits.
-  void BeginShutdown(const ShutdownSchedule& schedule) { shutdown_ = schedule; }
+  void BeginShutdown(const ShutdownSchedule& schedule);
+
+  /// A peer takes requests over, or targets are reached again: handles the
+  /// requests that wait for that, soon.
+  void ResumeWaiting();
 
   /// Ends all running requests for the shutdown: with the parts that they have
   /// if these are enough, otherwise without a target's response.
@@ -87,6 +93,8 @@
 
   /// @return requests in flight.
   size_t running() const { return running_.size(); }
+  /// @return requests that wait for a peer.
+  size_t waiting() const;
   /// @return log lines dropped since the last call, by kind.
   std::map<std::string, int> TakeDroppedLines() {
     return log_rate_limiter_.TakeDroppedCounts();
@@ -112,6 +120,12 @@
   bool HandOver(const std::shared_ptr<engine::ServerExchange>& exchange,
                 const CallerRequest& caller_request, const RequestPlan& plan,
                 TriedTargets tried);
+  HandoverCriteria CriteriaOf(const RequestPlan& plan) const;
+  /// Lets a request that has not run wait for a peer.
+  /// @return false if it is to be refused at once.
+  bool WaitForPeer(const std::shared_ptr<engine::ServerExchange>& exchange,
+                   const std::string& request_id,
+                   const UnplacedRequest& request);
   /// Hands over a request that ended without a response because targets are out
   /// of this host's reach.
   bool HandOverUnserved(const Request& request);
@@ -187,6 +201,7 @@
   std::optional<ShutdownSchedule> shutdown_;
   absl::flat_hash_map<RouteName, WeightedRoundRobin> spreaders_;
   absl::flat_hash_set<RequestPtr> running_;
+  std::unique_ptr<WaitingRequests> waiting_;
 };
 
 }  // namespace cherrydyke
--- a/libs/tier/include/tier/target_set.h
+++ b/libs/tier/include/tier/target_set.h
@@ -165,10 +165,13 @@
   /// Sets callbacks for changes of the path to all targets.
   /// @param on_suspected the path may be lost.
   /// @param on_partitioned this host takes itself for partitioned.
-  void OnPathLoss(std::function<void()> on_suspected,
-                  std::function<void()> on_partitioned) {
+  /// @param on_restored it does not any more.
+  void OnPathChange(std::function<void()> on_suspected,
+                    std::function<void()> on_partitioned,
+                    std::function<void()> on_restored) {
     on_suspected_ = std::move(on_suspected);
     on_partitioned_ = std::move(on_partitioned);
+    on_restored_ = std::move(on_restored);
   }
   /// @return whether this host takes itself for partitioned from all targets.
   bool IsPartitioned() const;
@@ -280,6 +283,7 @@
   std::unique_ptr<PartitionMonitor> partition_monitor_;
   std::function<void()> on_suspected_;
   std::function<void()> on_partitioned_;
+  std::function<void()> on_restored_;
 };
 
 }  // namespace cherrydyke
--- a/libs/tier/src/handover_client.cc
+++ b/libs/tier/src/handover_client.cc
@@ -12,10 +12,10 @@
 namespace cherrydyke {
 namespace {
 
-/// How long a peer gets no requests after it took one no further, and after no
-/// connection to it could be opened.
+/// How long a peer gets no requests after it took one no further, and after it
+/// did not understand one.
 constexpr absl::Duration kRejectionExclusion = absl::Milliseconds(200);
-constexpr absl::Duration kConnectExclusion = absl::Seconds(1);
+constexpr absl::Duration kMalformedExclusion = absl::Seconds(1);
 /// As above, for one that fetches a newer configuration from this host.
 constexpr absl::Duration kOutdatedExclusion = absl::Milliseconds(50);
 /// Hosts that a request is offered to, if the first one does not take it.
@@ -47,8 +47,8 @@
       policy_(dependencies.policy),
       peers_(std::make_unique<HandoverPeers>(
           dependencies.loop, std::move(dependencies.locality),
-          dependencies.fleet_port, dependencies.hosts,
-          dependencies.on_version)),
+          dependencies.fleet_port, dependencies.hosts, dependencies.on_version,
+          std::move(dependencies.on_peer_available))),
       on_version_(std::move(dependencies.on_version)) {}
 
 HandoverClient::~HandoverClient() = default;
@@ -72,6 +72,11 @@
   return true;
 }
 
+std::optional<absl::Time> HandoverClient::WaitEnd(
+    const UnplacedRequest& request) {
+  return peers_->WaitEnd(request);
+}
+
 bool HandoverClient::SendToPeer(const HandoverPtr& handover) {
   OutgoingHandover& outgoing = handover->outgoing;
   outgoing.criteria.config_version = versions_.LeastForPeers();
@@ -134,11 +139,12 @@
                               const engine::ExchangeResult& result) {
   if (handover->ended) return;
   if (result.status == engine::ExchangeStatus::kNotSent) {
-    return OnRejected(handover, "not_connected", kConnectExclusion);
+    peers_->OnSilent(handover->peer);
+    return OnRejected(handover, "not_connected", absl::ZeroDuration());
   }
   const bool complete = result.status == engine::ExchangeStatus::kComplete;
   if (complete && result.response.status == kStatusBadRequest) {
-    return OnRejected(handover, "malformed", kConnectExclusion);
+    return OnRejected(handover, "malformed", kMalformedExclusion);
   }
   std::optional<HandoverReply> reply;
   if (complete && result.response.status == 200) {
--- a/libs/tier/src/handover_peers.cc
+++ b/libs/tier/src/handover_peers.cc
@@ -1,6 +1,7 @@
 #include "handover_peers.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 #include <vector>
 
@@ -14,6 +15,8 @@
 /// How often peers are asked for offers, and how long an answer may take.
 constexpr absl::Duration kAskPeriod = absl::Milliseconds(300);
 constexpr absl::Duration kAskTimeout = absl::Milliseconds(250);
+/// How often they are asked while requests wait for one.
+constexpr absl::Duration kUrgentAskPeriod = absl::Milliseconds(100);
 /// Peers with offers that are enough, and hosts asked at the same time while
 /// there are fewer.
 constexpr size_t kWantedPeers = 4;
@@ -35,12 +38,14 @@
 
 HandoverPeers::HandoverPeers(engine::EventLoop& loop, Locality locality,
                              int port, const HostTable& hosts,
-                             VersionCallback on_version)
+                             VersionCallback on_version,
+                             std::function<void()> on_available)
     : loop_(loop),
       locality_(std::move(locality)),
       port_(port),
       hosts_(hosts),
       on_version_(std::move(on_version)),
+      on_available_(std::move(on_available)),
       random_(NewIncarnation()) {}
 
 std::string HandoverPeers::RequestHead(const char* method, const char* path,
@@ -64,19 +69,19 @@
     AddPeers();
     for (auto& [host, peer] : peers_) Ask(host, peer);
   }
-  timers_.RunAfter(kAskPeriod, [this] { Poll(); });
+  timers_.RunAfter(loop_.Now() < awaited_until_ ? kUrgentAskPeriod : kAskPeriod,
+                   [this] { Poll(); });
 }
 
 void HandoverPeers::RemoveUnusedPeers() {
   const absl::Time now = loop_.Now();
   for (auto entry = peers_.begin(); entry != peers_.end();) {
-    const auto& [candidate, pool, added_at, asking] = entry->second;
-    const absl::Time last_use = std::max(added_at, candidate.offered_at);
+    const Peer& peer = entry->second;
+    const absl::Time last_use =
+        std::max(peer.added_at, peer.candidate.available_at);
     const bool is_unused =
-        now - last_use > kOfferWaitTime ||
-        (!candidate.offer.available && now - added_at > kOfferWaitTime) ||
-        now >= needed_until_;
-    if (is_unused && !asking && candidate.in_flight == 0) {
+        now - last_use > kOfferWaitTime || now >= needed_until_;
+    if (is_unused && !peer.asking && peer.candidate.in_flight == 0) {
       entry = peers_.erase(entry);
     } else {
       ++entry;
@@ -88,7 +93,7 @@
   const absl::Time now = loop_.Now();
   const auto offers = std::count_if(
       peers_.begin(), peers_.end(),
-      [](const auto& entry) { return entry.second.candidate.offer.available; });
+      [](const auto& entry) { return entry.second.takes_requests(); });
   if (static_cast<size_t>(offers) >= kWantedPeers) return;
   std::vector<KnownHost> others;
   std::vector<FailureDomainName> domains;
@@ -133,42 +138,55 @@
   const auto found = peers_.find(host);
   if (found == peers_.end()) return;
   Peer& peer = found->second;
+  HandoverCandidate& candidate = peer.candidate;
+  const bool took_requests = peer.takes_requests();
   peer.asking = false;
-  HandoverOffer offer;
-  if (result.status == engine::ExchangeStatus::kComplete) {
+  candidate.is_silent = result.status != engine::ExchangeStatus::kComplete;
+  if (!candidate.is_silent) {
     const Result<HandoverOffer> decoded =
         DecodeHandoverOffer(result.response.body);
     // A host of a version without handover answers otherwise.
-    if (result.response.status == 200 && GetError(decoded) == nullptr) {
-      offer = GetValue(decoded);
-    }
+    const bool is_offer =
+        result.response.status == 200 && GetError(decoded) == nullptr;
+    candidate.offer = is_offer ? GetValue(decoded) : HandoverOffer();
+    candidate.offered_at = loop_.Now();
+    if (candidate.offer.available) candidate.available_at = loop_.Now();
   }
-  if (offer.available != peer.candidate.offer.available) {
-    LogInfo(offer.available ? "peer takes over requests"
-                            : "peer takes over no requests",
-            {{"peer", host},
-             {"config_version", offer.config_version},
-             {"unreachable_services", offer.unreachable_services.size()},
-             {"running", offer.running}});
+  if (peer.takes_requests() != took_requests) {
+    LogInfo(
+        took_requests ? "peer takes over no requests"
+                      : "peer takes over requests",
+        {{"peer", host},
+         {"silent", candidate.is_silent},
+         {"config_version", candidate.offer.config_version},
+         {"unreachable_services", candidate.offer.unreachable_services.size()},
+         {"running", candidate.offer.running}});
   }
-  const int64_t version = offer.config_version;
-  peer.candidate.offer = std::move(offer);
-  if (result.status != engine::ExchangeStatus::kComplete) return;
-  peer.candidate.offered_at = loop_.Now();
-  if (peer.candidate.offer.available) on_version_(host, version);
+  if (!peer.takes_requests()) return;
+  on_version_(host, candidate.offer.config_version);
+  if (!took_requests) on_available_();
 }
 
-std::optional<HostId> HandoverPeers::Choose(const HandoverCriteria& criteria) {
-  std::vector<HostId> hosts;
+std::vector<HandoverCandidate> HandoverPeers::Candidates() const {
   std::vector<HandoverCandidate> candidates;
-  for (const auto& [host, peer] : peers_) {
-    hosts.push_back(host);
-    candidates.push_back(peer.candidate);
-  }
+  candidates.reserve(peers_.size());
+  for (const auto& [host, peer] : peers_) candidates.push_back(peer.candidate);
+  return candidates;
+}
+
+std::optional<HostId> HandoverPeers::Choose(const HandoverCriteria& criteria) {
   const std::optional<size_t> chosen =
-      ChooseHandoverPeer(candidates, criteria, loop_.Now(), random_);
+      ChooseHandoverPeer(Candidates(), criteria, loop_.Now(), random_);
   if (!chosen) return std::nullopt;
-  return hosts[*chosen];
+  return std::next(peers_.begin(), static_cast<std::ptrdiff_t>(*chosen))->first;
+}
+
+std::optional<absl::Time> HandoverPeers::WaitEnd(
+    const UnplacedRequest& request) {
+  const std::optional<absl::Time> end =
+      HandoverWaitEnd(Candidates(), request, loop_.Now());
+  if (end) awaited_until_ = std::max(awaited_until_, *end);
+  return end;
 }
 
 std::map<std::string, int> HandoverPeers::CountObstacles(
@@ -202,6 +220,10 @@
   return peers_.at(host).candidate.offer.config_version;
 }
 
+void HandoverPeers::OnSilent(const HostId& host) {
+  peers_.at(host).candidate.is_silent = true;
+}
+
 void HandoverPeers::Exclude(const HostId& host, absl::Duration time) {
   peers_.at(host).candidate.excluded_until = loop_.Now() + time;
 }
--- a/libs/tier/src/handover_peers.h
+++ b/libs/tier/src/handover_peers.h
@@ -6,8 +6,10 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <vector>
 
 #include "dispatch/handover_choice.h"
+#include "dispatch/handover_wait.h"
 #include "engine/connection_pool.h"
 #include "membership/host_table.h"
 #include "tier/handover_client.h"
@@ -20,8 +22,10 @@
  public:
   using VersionCallback = HandoverClient::VersionCallback;
 
+  /// @param on_available called when a peer begins to take requests over.
   HandoverPeers(engine::EventLoop& loop, Locality locality, int port,
-                const HostTable& hosts, VersionCallback on_version);
+                const HostTable& hosts, VersionCallback on_version,
+                std::function<void()> on_available);
 
   /// Looks for peers from now on, until not called for some seconds.
   void Prepare();
@@ -29,6 +33,10 @@
   /// @return a peer that can run the request, or nothing.
   std::optional<HostId> Choose(const HandoverCriteria& criteria);
 
+  /// @return until when a request that no peer can take over now may wait for
+  /// one; nothing if it is to be refused at once.
+  std::optional<absl::Time> WaitEnd(const UnplacedRequest& request);
+
   /// @return why none of the peers can run the request: the number of peers by
   /// the name of their obstacle.
   std::map<std::string, int> CountObstacles(
@@ -45,6 +53,8 @@
 
   /// Excludes a peer for some time.
   void Exclude(const HostId& peer, absl::Duration time);
+  /// A peer could not be connected to: excludes it until it answers again.
+  void OnSilent(const HostId& peer);
 
   /// @return the HTTP request line and headers of a request to a peer, with the
   /// empty line.
@@ -57,8 +67,14 @@
     std::unique_ptr<engine::ConnectionPool> pool;
     absl::Time added_at;
     bool asking = false;
+
+    bool takes_requests() const {
+      return candidate.offer.available && !candidate.is_silent;
+    }
   };
 
+  std::vector<HandoverCandidate> Candidates() const;
+
   void Poll();
   void AddPeers();
   void RemoveUnusedPeers();
@@ -71,9 +87,12 @@
   const int port_;
   const HostTable& hosts_;
   const VersionCallback on_version_;
+  const std::function<void()> on_available_;
   std::mt19937_64 random_;
   std::map<HostId, Peer> peers_;
   absl::Time needed_until_ = absl::InfinitePast();
+  /// Until when requests wait for a peer.
+  absl::Time awaited_until_ = absl::InfinitePast();
   bool polling_ = false;
 };
 
--- a/libs/tier/src/request_handler.cc
+++ b/libs/tier/src/request_handler.cc
@@ -6,6 +6,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "telemetry/log.h"
+#include "waiting_requests.h"
 
 namespace cherrydyke {
 namespace {
@@ -98,7 +99,11 @@
       on_crash_counted_(std::move(dependencies.on_crash_counted)),
       retry_after_scheduler_(policy_.retry_after, policy_.retry_after_spread),
       answer_margin_(policy_.answer_margin, policy_.answer_spare),
-      random_(NewIncarnation()) {}
+      random_(NewIncarnation()),
+      waiting_(std::make_unique<WaitingRequests>(
+          loop_, [this](std::shared_ptr<engine::ServerExchange> exchange) {
+            OnRequest(std::move(exchange));
+          })) {}
 
 RequestHandler::~RequestHandler() = default;
 
@@ -151,6 +156,13 @@
           .Add();
       return;
     }
+    const bool must_refuse = is_outdated || targets_.IsPartitioned();
+    if (must_refuse && !origin &&
+        WaitForPeer(
+            exchange, parsed->request_id,
+            {CriteriaOf(plan), exchange->received_at(), plan.deadline})) {
+      return;
+    }
     if (is_outdated) {
       return Refuse(*exchange, parsed->request_id,
                     RefusalReason::kNoConfiguration, false);
@@ -214,9 +226,7 @@
   OutgoingHandover outgoing;
   outgoing.exchange = exchange;
   outgoing.request_id = caller_request.request_id;
-  outgoing.criteria = {versions_.in_force(), plan.services,
-                       plan.services.size() - plan.min_parts,
-                       plan.allowed_regions};
+  outgoing.criteria = CriteriaOf(plan);
   outgoing.allowed_regions = [this, host = caller_request.host,
                               path = caller_request.path,
                               at_start = plan.allowed_regions] {
@@ -227,13 +237,49 @@
   outgoing.tried = std::move(tried);
   outgoing.idempotent = plan.idempotent;
   outgoing.deadline = plan.deadline;
-  outgoing.on_failed = [this, exchange, id = caller_request.request_id](
+  outgoing.on_failed = [this, exchange, id = caller_request.request_id,
+                        unplaced = UnplacedRequest{outgoing.criteria,
+                                                   exchange->received_at(),
+                                                   plan.deadline}](
                            RefusalReason reason, bool may_have_run) {
+    const bool may_wait = reason == RefusalReason::kNoTarget && !may_have_run;
+    if (may_wait && WaitForPeer(exchange, id, unplaced)) return;
     Refuse(*exchange, id, reason, may_have_run);
   };
   return handovers_.Start(std::move(outgoing));
 }
 
+HandoverCriteria RequestHandler::CriteriaOf(const RequestPlan& plan) const {
+  return {versions_.in_force(), plan.services,
+          plan.services.size() - plan.min_parts, plan.allowed_regions};
+}
+
+bool RequestHandler::WaitForPeer(
+    const std::shared_ptr<engine::ServerExchange>& exchange,
+    const std::string& request_id, const UnplacedRequest& request) {
+  if (shutdown_) return false;
+  const std::optional<absl::Time> until = handovers_.WaitEnd(request);
+  if (!until || !waiting_->Add(exchange, *until)) return false;
+  metrics_.counter("cherrydyke_requests_delayed_total").Add();
+  if (log_rate_limiter_.TryAcquire("waits", policy_.log_lines, loop_.Now())) {
+    LogInfo("request waits for a peer",
+            {{"request", request_id},
+             {"for_ms", absl::ToInt64Milliseconds(*until - loop_.Now())},
+             {"waiting", waiting_->size()},
+             {"config_version", request.criteria.config_version}});
+  }
+  return true;
+}
+
+void RequestHandler::BeginShutdown(const ShutdownSchedule& schedule) {
+  shutdown_ = schedule;
+  waiting_->ResumeAll();
+}
+
+void RequestHandler::ResumeWaiting() { waiting_->Resume(); }
+
+size_t RequestHandler::waiting() const { return waiting_->size(); }
+
 bool RequestHandler::HandOverUnserved(const Request& request) {
   const RequestPlan& plan = request.run->plan();
   if (request.is_handed_over || !IsOutOfReach(plan)) return false;
--- a/libs/tier/src/target_reach.cc
+++ b/libs/tier/src/target_reach.cc
@@ -48,6 +48,7 @@
 void TargetSet::OnPathRestored(absl::Time lost_at) {
   for (auto& [id, target] : targets_) target->OnPathRestored(lost_at);
   KeepConnectionsWarm();
+  if (on_restored_) on_restored_();
 }
 
 std::vector<Endpoint> TargetSet::ChooseProbes(size_t limit) {
--- a/libs/tier/src/tier_host.cc
+++ b/libs/tier/src/tier_host.cc
@@ -94,7 +94,8 @@
                     if (versions_.IsNews(version)) {
                       gossip_.FetchFrom(peer);
                     }
-                  }}),
+                  },
+                  [this] { request_handler_.ResumeWaiting(); }}),
       request_handler_({loop, adapters.protocol, targets_, crashes_, handovers_,
                         versions_, metrics_, settings_.policy,
                         [this] { gossip_.Gossip(); }}),
@@ -171,8 +172,9 @@
       absl::StrCat(settings_.locality.host, ":", settings_.fleet_port);
   if (Status s = fleet_server_.Listen(fleet_endpoint); GetError(s)) return s;
   adapters_.source.Start(config_items_, target_items_, *this);
-  targets_.OnPathLoss([this] { handovers_.Prepare(); },
-                      [this] { request_handler_.OnPartitioned(); });
+  targets_.OnPathChange([this] { handovers_.Prepare(); },
+                        [this] { request_handler_.OnPartitioned(); },
+                        [this] { request_handler_.ResumeWaiting(); });
   timers_.Every(kReaderCheckPeriod, [this] {
     MeasureLateness();
     UpdateReaderRole();
@@ -185,6 +187,9 @@
   metrics_.Gauge("cherrydyke_requests_running", [this] {
     return static_cast<double>(request_handler_.running());
   });
+  metrics_.Gauge("cherrydyke_requests_waiting", [this] {
+    return static_cast<double>(request_handler_.waiting());
+  });
   metrics_.Gauge("cherrydyke_targets",
                  [this] { return static_cast<double>(targets_.size()); });
   metrics_.Gauge("cherrydyke_target_connections", [this] {
