--- a/libs/tier/src/tier_host.cc
+++ b/libs/tier/src/tier_host.cc
@@ -13,6 +13,8 @@
 /// Entries of live targets that expired during an outage of the configuration
 /// service are registered again within this time after its recovery.
 constexpr absl::Duration kExpiredEntryGrace = absl::Milliseconds(2200);
+/// How soon the lateness of timers is measured again after it was large.
+constexpr absl::Duration kLatenessRecheckPeriod = absl::Milliseconds(50);
 /// How often a host decides whether to read the configuration service.
 constexpr absl::Duration kReaderCheckPeriod = absl::Milliseconds(250);
 /// How often the counters of the host are logged.
@@ -321,6 +323,12 @@
   const absl::Time now = loop_.Now();
   lateness_ = std::max(now - next_check_at_, absl::ZeroDuration());
   next_check_at_ = now + kReaderCheckPeriod;
+  if (lateness_ < kLatenessRecheckPeriod) return;
+  // A host that was frozen is late once; one without processor time remains so.
+  timers_.RunAfter(kLatenessRecheckPeriod,
+                   [this, due = now + kLatenessRecheckPeriod] {
+                     lateness_ = loop_.Now() - due;
+                   });
 }
 
 void TierHost::UpdateReaderRole() {
