Refuse at once where no peer answers: that host is cut off itself

A host that is cut off from its targets and from all hosts held its callers' requests for up to three quarters of their time while its peers seemed to have just fallen silent, though callers who are refused at once are served by other hosts.

--- a/libs/dispatch/include/dispatch/handover_wait.h
+++ b/libs/dispatch/include/dispatch/handover_wait.h
@@ -21,7 +21,8 @@
 /// Hosts that took requests over until a moment ago and have fallen silent may
 /// be back in time: they are frozen or restart. A request waits for them only
 /// as long as its caller can still use a refusal. Hosts that answer and take
-/// nothing over are not waited for.
+/// nothing over are not waited for. If no host answers, this one is cut off
+/// itself, and its callers are better served elsewhere.
 /// @return until when it may wait; nothing if it is to be refused at once.
 std::optional<absl::Time> HandoverWaitEnd(
     const std::vector<HandoverCandidate>& candidates,
