--- a/libs/dispatch/include/dispatch/handover_choice.h
+++ b/libs/dispatch/include/dispatch/handover_choice.h
@@ -55,8 +55,10 @@
   absl::Time offered_at = absl::InfinitePast();
   /// When it last offered to take requests over.
   absl::Time available_at = absl::InfinitePast();
-  /// Whether it did not answer when it was last asked or sent a request.
+  /// Whether it did not answer when it was last asked or sent a request, and
+  /// when that was last so.
   bool is_silent = false;
+  absl::Time silent_at = absl::InfinitePast();
   /// Until when it gets nothing, because it rejected a request.
   absl::Time excluded_until = absl::InfinitePast();
   /// Requests that this host has handed to it and that have not ended.
--- a/libs/dispatch/src/handover_wait.cc
+++ b/libs/dispatch/src/handover_wait.cc
@@ -7,36 +7,48 @@
 
 /// How long a silent host is expected back after its last offer.
 constexpr absl::Duration kMaxSilence = absl::Seconds(2);
-/// How long ago some host must have answered.
-constexpr absl::Duration kMaxAnswerAge = absl::Seconds(1);
+/// Time in which a host that is back catches up with its own callers.
+constexpr absl::Duration kReturnTime = absl::Milliseconds(300);
+/// How long ago some host must have been heard: two rounds of gossip.
+constexpr absl::Duration kMaxUnheardTime = absl::Seconds(1);
 /// Part of a request's time that may pass in waiting.
-constexpr double kMaxWaitRatio = 0.75;
+constexpr double kMaxWaitRatio = 0.5;
+/// Time after which a peer that runs as many requests of this host as it may
+/// is looked at again.
+constexpr absl::Duration kBusyTime = absl::Milliseconds(50);
 
 }  // namespace
 
+bool IsExpectedBack(const HandoverCandidate& candidate, absl::Time now) {
+  const bool is_returning = now - candidate.silent_at < kReturnTime;
+  return (candidate.is_silent || is_returning) &&
+         now < candidate.available_at + kMaxSilence;
+}
+
 std::optional<absl::Time> HandoverWaitEnd(
     const std::vector<HandoverCandidate>& candidates,
-    const UnplacedRequest& request, absl::Time now) {
-  const bool hears_peers =
-      std::any_of(candidates.begin(), candidates.end(),
-                  [now](const HandoverCandidate& candidate) {
-                    return !candidate.is_silent &&
-                           now - candidate.offered_at <= kMaxAnswerAge;
-                  });
-  if (!hears_peers) return std::nullopt;
+    const UnplacedRequest& request, absl::Time heard_at, absl::Time now) {
+  if (now - heard_at > kMaxUnheardTime) return std::nullopt;
   absl::Time expected_until = absl::InfinitePast();
+  absl::Time end = request.received_at +
+                   kMaxWaitRatio * (request.deadline - request.received_at);
   for (const HandoverCandidate& candidate : candidates) {
-    if (!candidate.is_silent ||
-        !MayReceive(candidate.region, request.criteria.allowed_regions)) {
+    if (!MayReceive(candidate.region, request.criteria.allowed_regions)) {
       continue;
     }
-    expected_until =
-        std::max(expected_until, candidate.available_at + kMaxSilence);
+    if (IsExpectedBack(candidate, now)) {
+      expected_until =
+          std::max(expected_until, candidate.available_at + kMaxSilence);
+    }
+    const auto obstacle =
+        FindHandoverObstacle(candidate, request.criteria, now);
+    if (obstacle == HandoverObstacle::kExcluded) {
+      end = std::min(end, candidate.excluded_until);
+    } else if (obstacle == HandoverObstacle::kBusy) {
+      end = std::min(end, now + kBusyTime);
+    }
   }
-  const absl::Time end =
-      std::min(expected_until,
-               request.received_at +
-                   kMaxWaitRatio * (request.deadline - request.received_at));
+  end = std::min(end, expected_until);
   if (end <= now) return std::nullopt;
   return end;
 }
--- a/libs/membership/include/membership/host_table.h
+++ b/libs/membership/include/membership/host_table.h
@@ -243,6 +243,9 @@
   /// @return every host ever known, this one included, sorted.
   std::vector<KnownHost> KnownHosts() const;
 
+  /// @return when the last message of any host arrived.
+  absl::Time last_message_at() const { return last_message_at_; }
+
   /// @return hosts that any host has seen within the liveness timeout.
   std::vector<HostId> LivePeers(absl::Time now) const;
   /// @return the same hosts with their failure domains.
@@ -325,6 +328,7 @@
   std::map<HostId, Peer> peers_;
   /// The highest host count that any peer has reported.
   int max_reported_hosts_ = 0;
+  absl::Time last_message_at_ = absl::InfinitePast();
   /// When this host last learned of a new host.
   absl::Time last_host_added_at_ = absl::InfinitePast();
   absl::Time first_contact_at_ = absl::InfiniteFuture();
--- a/libs/membership/src/host_table.cc
+++ b/libs/membership/src/host_table.cc
@@ -58,6 +58,7 @@
     update_source_lost_at_ = now;
   sender.role = update.role;
   sender.last_message = now;
+  last_message_at_ = now;
   if (update.role >= DisseminationRole::kForwarder)
     update_source_seen_at_ = now;
   for (const HostLastSeen& entry : update.hosts) {
--- a/libs/tier/include/tier/handover_client.h
+++ b/libs/tier/include/tier/handover_client.h
@@ -65,9 +65,9 @@
     int fleet_port = 0;
     /// Called with the version of the configuration that a peer uses.
     VersionCallback on_version;
-    /// Called when a peer begins to take requests over. It may be called while
-    /// this host handles a request.
-    std::function<void()> on_peer_available;
+    /// Called when other peers take requests over than before, or one that was
+    /// silent answers. It may be called while this host handles a request.
+    std::function<void()> on_peers_changed;
   };
 
   explicit HandoverClient(Dependencies dependencies);
--- a/libs/tier/include/tier/request_handler.h
+++ b/libs/tier/include/tier/request_handler.h
@@ -83,8 +83,8 @@
   /// From now on, requests are taken as the schedule permits.
   void BeginShutdown(const ShutdownSchedule& schedule);
 
-  /// A peer takes requests over, or targets are reached again: handles the
-  /// requests that wait for that, soon.
+  /// Peers or the path to targets have changed: handles the requests that wait
+  /// for that anew, soon.
   void ResumeWaiting();
 
   /// Ends all running requests for the shutdown: with the parts that they have
--- a/libs/tier/src/handover_client.cc
+++ b/libs/tier/src/handover_client.cc
@@ -48,7 +48,7 @@
       peers_(std::make_unique<HandoverPeers>(
           dependencies.loop, std::move(dependencies.locality),
           dependencies.fleet_port, dependencies.hosts, dependencies.on_version,
-          std::move(dependencies.on_peer_available))),
+          std::move(dependencies.on_peers_changed))),
       on_version_(std::move(dependencies.on_version)) {}
 
 HandoverClient::~HandoverClient() = default;
--- a/libs/tier/src/handover_peers.cc
+++ b/libs/tier/src/handover_peers.cc
@@ -15,8 +15,8 @@
 /// How often peers are asked for offers, and how long an answer may take.
 constexpr absl::Duration kAskPeriod = absl::Milliseconds(300);
 constexpr absl::Duration kAskTimeout = absl::Milliseconds(250);
-/// How often they are asked while requests wait for one.
-constexpr absl::Duration kUrgentAskPeriod = absl::Milliseconds(100);
+/// How often one is asked that is expected back while requests wait.
+constexpr absl::Duration kSilentAskPeriod = absl::Milliseconds(100);
 /// Peers with offers that are enough, and hosts asked at the same time while
 /// there are fewer.
 constexpr size_t kWantedPeers = 4;
@@ -39,13 +39,13 @@
 HandoverPeers::HandoverPeers(engine::EventLoop& loop, Locality locality,
                              int port, const HostTable& hosts,
                              VersionCallback on_version,
-                             std::function<void()> on_available)
+                             std::function<void()> on_change)
     : loop_(loop),
       locality_(std::move(locality)),
       port_(port),
       hosts_(hosts),
       on_version_(std::move(on_version)),
-      on_available_(std::move(on_available)),
+      on_change_(std::move(on_change)),
       random_(NewIncarnation()) {}
 
 std::string HandoverPeers::RequestHead(const char* method, const char* path,
@@ -69,8 +69,19 @@
     AddPeers();
     for (auto& [host, peer] : peers_) Ask(host, peer);
   }
-  timers_.RunAfter(loop_.Now() < awaited_until_ ? kUrgentAskPeriod : kAskPeriod,
-                   [this] { Poll(); });
+  timers_.RunAfter(kAskPeriod, [this] { Poll(); });
+}
+
+void HandoverPeers::PollSilent() {
+  timers_.RunAfter(kSilentAskPeriod, [this] {
+    polling_silent_ = false;
+    for (auto& [host, peer] : peers_) {
+      if (!IsExpectedBack(peer.candidate, loop_.Now())) continue;
+      Ask(host, peer);
+      polling_silent_ = true;
+    }
+    if (polling_silent_) PollSilent();
+  });
 }
 
 void HandoverPeers::RemoveUnusedPeers() {
@@ -126,10 +137,8 @@
     OnOffer(host, result);
   };
   const engine::ExchangeId exchange = peer.pool->Send(std::move(request));
-  timers_.RunAfter(kAskTimeout, [this, host, exchange] {
-    const auto found = peers_.find(host);
-    if (found == peers_.end()) return;
-    found->second.pool->Cancel(exchange, absl::ZeroDuration());
+  peer.ask_timer = timers_.RunAfter(kAskTimeout, [this, host, exchange] {
+    peers_.at(host).pool->Cancel(exchange, absl::ZeroDuration());
   });
 }
 
@@ -140,9 +149,13 @@
   Peer& peer = found->second;
   HandoverCandidate& candidate = peer.candidate;
   const bool took_requests = peer.takes_requests();
+  const bool was_silent = candidate.is_silent;
+  loop_.Cancel(peer.ask_timer);
   peer.asking = false;
   candidate.is_silent = result.status != engine::ExchangeStatus::kComplete;
-  if (!candidate.is_silent) {
+  if (candidate.is_silent) {
+    OnSilent(host);
+  } else {
     const Result<HandoverOffer> decoded =
         DecodeHandoverOffer(result.response.body);
     // A host of a version without handover answers otherwise.
@@ -162,9 +175,11 @@
          {"unreachable_services", candidate.offer.unreachable_services.size()},
          {"running", candidate.offer.running}});
   }
-  if (!peer.takes_requests()) return;
-  on_version_(host, candidate.offer.config_version);
-  if (!took_requests) on_available_();
+  if (peer.takes_requests()) {
+    on_version_(host, candidate.offer.config_version);
+  }
+  const bool is_back = was_silent && !candidate.is_silent;
+  if (is_back || peer.takes_requests() != took_requests) on_change_();
 }
 
 std::vector<HandoverCandidate> HandoverPeers::Candidates() const {
@@ -183,9 +198,14 @@
 
 std::optional<absl::Time> HandoverPeers::WaitEnd(
     const UnplacedRequest& request) {
+  const std::vector<HandoverCandidate> candidates = Candidates();
+  absl::Time heard_at = hosts_.last_message_at();
+  for (const HandoverCandidate& candidate : candidates) {
+    heard_at = std::max(heard_at, candidate.offered_at);
+  }
   const std::optional<absl::Time> end =
-      HandoverWaitEnd(Candidates(), request, loop_.Now());
-  if (end) awaited_until_ = std::max(awaited_until_, *end);
+      HandoverWaitEnd(candidates, request, heard_at, loop_.Now());
+  if (end && !std::exchange(polling_silent_, true)) PollSilent();
   return end;
 }
 
@@ -221,7 +241,9 @@
 }
 
 void HandoverPeers::OnSilent(const HostId& host) {
-  peers_.at(host).candidate.is_silent = true;
+  HandoverCandidate& candidate = peers_.at(host).candidate;
+  candidate.is_silent = true;
+  candidate.silent_at = loop_.Now();
 }
 
 void HandoverPeers::Exclude(const HostId& host, absl::Duration time) {
--- a/libs/tier/src/handover_peers.h
+++ b/libs/tier/src/handover_peers.h
@@ -22,10 +22,11 @@
  public:
   using VersionCallback = HandoverClient::VersionCallback;
 
-  /// @param on_available called when a peer begins to take requests over.
+  /// @param on_change called when a peer begins or ceases to take requests
+  /// over, and when one that was silent answers.
   HandoverPeers(engine::EventLoop& loop, Locality locality, int port,
                 const HostTable& hosts, VersionCallback on_version,
-                std::function<void()> on_available);
+                std::function<void()> on_change);
 
   /// Looks for peers from now on, until not called for some seconds.
   void Prepare();
@@ -67,6 +68,7 @@
     std::unique_ptr<engine::ConnectionPool> pool;
     absl::Time added_at;
     bool asking = false;
+    engine::TimerId ask_timer = 0;
 
     bool takes_requests() const {
       return candidate.offer.available && !candidate.is_silent;
@@ -76,6 +78,8 @@
   std::vector<HandoverCandidate> Candidates() const;
 
   void Poll();
+  /// Soon asks the silent peers that are expected back, and again.
+  void PollSilent();
   void AddPeers();
   void RemoveUnusedPeers();
   void Ask(const HostId& host, Peer& peer);
@@ -87,13 +91,12 @@
   const int port_;
   const HostTable& hosts_;
   const VersionCallback on_version_;
-  const std::function<void()> on_available_;
+  const std::function<void()> on_change_;
   std::mt19937_64 random_;
   std::map<HostId, Peer> peers_;
   absl::Time needed_until_ = absl::InfinitePast();
-  /// Until when requests wait for a peer.
-  absl::Time awaited_until_ = absl::InfinitePast();
   bool polling_ = false;
+  bool polling_silent_ = false;
 };
 
 }  // namespace cherrydyke
--- a/libs/tier/src/request_handler.cc
+++ b/libs/tier/src/request_handler.cc
@@ -110,6 +110,8 @@
 void RequestHandler::SetRoutes(std::shared_ptr<const RouteTable> routes) {
   routes_ = std::move(routes);
   versions_.SetInForce(routes_->version());
+  // Some may wait only because this host's configuration was outdated.
+  waiting_->Resume();
 }
 
 void RequestHandler::Handle(std::shared_ptr<engine::ServerExchange> exchange,
--- a/libs/tier/src/tier_host.cc
+++ b/libs/tier/src/tier_host.cc
@@ -13,7 +13,10 @@
 /// Entries of live targets that expired during an outage of the configuration
 /// service are registered again within this time after its recovery.
 constexpr absl::Duration kExpiredEntryGrace = absl::Milliseconds(2200);
-/// How soon the lateness of timers is measured again after it was large.
+/// Timers that are later than this after being punctual show that the host was
+/// frozen, not that it is short of processor time; how soon the lateness is
+/// measured again then.
+constexpr absl::Duration kMinFreezeTime = absl::Milliseconds(500);
 constexpr absl::Duration kLatenessRecheckPeriod = absl::Milliseconds(50);
 /// How often a host decides whether to read the configuration service.
 constexpr absl::Duration kReaderCheckPeriod = absl::Milliseconds(250);
@@ -321,10 +324,12 @@
 
 void TierHost::MeasureLateness() {
   const absl::Time now = loop_.Now();
+  const absl::Duration lateness_before = lateness_;
   lateness_ = std::max(now - next_check_at_, absl::ZeroDuration());
   next_check_at_ = now + kReaderCheckPeriod;
-  if (lateness_ < kLatenessRecheckPeriod) return;
-  // A host that was frozen is late once; one without processor time remains so.
+  if (lateness_ < kMinFreezeTime || lateness_before > kLatenessRecheckPeriod) {
+    return;
+  }
   timers_.RunAfter(kLatenessRecheckPeriod,
                    [this, due = now + kLatenessRecheckPeriod] {
                      lateness_ = loop_.Now() - due;
@@ -388,8 +393,8 @@
                        {"handed_over", handovers_.running()},
                        {"taken_over", handover_server_.running()},
                        {"connections", caller_server_.connection_count()}});
-  request_handler_.BeginShutdown(*shutdown_);
   caller_server_.CloseAfterResponses();
+  request_handler_.BeginShutdown(*shutdown_);
   ContinueShutdown();
 }
 
--- a/libs/tier/src/waiting_requests.cc
+++ b/libs/tier/src/waiting_requests.cc
@@ -6,8 +6,8 @@
 namespace cherrydyke {
 namespace {
 
-/// Bounds the memory of requests that wait.
 constexpr size_t kMaxWaiting = 256;
+constexpr size_t kMaxWaitingBodyBytes = 8U << 20U;
 /// How many waits end in each period.
 constexpr size_t kResumedAtOnce = 4;
 constexpr absl::Duration kResumePeriod = absl::Milliseconds(20);
@@ -25,13 +25,15 @@
 
 bool WaitingRequests::Add(std::shared_ptr<engine::ServerExchange> exchange,
                           absl::Time until) {
-  if (waiting_.size() >= kMaxWaiting) return false;
+  const size_t body_bytes = exchange->request().body.size();
+  if (waiting_.size() >= kMaxWaiting ||
+      body_bytes_ + body_bytes > kMaxWaitingBodyBytes) {
+    return false;
+  }
+  body_bytes_ += body_bytes;
   const auto entry = waiting_.insert(waiting_.end(), Waiting());
   entry->exchange = std::move(exchange);
-  entry->exchange->OnDisconnect([this, entry] {
-    loop_.Cancel(entry->timer);
-    waiting_.erase(entry);
-  });
+  entry->exchange->OnDisconnect([this, entry] { Remove(entry); });
   entry->timer = timers_.RunAt(until, [this, entry] { End(entry); });
   return true;
 }
@@ -58,10 +60,17 @@
   while (left-- > 0 && !waiting_.empty()) End(waiting_.begin());
 }
 
-void WaitingRequests::End(std::list<Waiting>::iterator entry) {
-  const auto exchange = std::move(entry->exchange);
+std::shared_ptr<engine::ServerExchange> WaitingRequests::Remove(
+    std::list<Waiting>::iterator entry) {
+  auto exchange = std::move(entry->exchange);
+  body_bytes_ -= exchange->request().body.size();
   loop_.Cancel(entry->timer);
   waiting_.erase(entry);
+  return exchange;
+}
+
+void WaitingRequests::End(std::list<Waiting>::iterator entry) {
+  const auto exchange = Remove(entry);
   exchange->OnDisconnect(nullptr);
   handle_(exchange);
 }
--- a/libs/tier/src/waiting_requests.h
+++ b/libs/tier/src/waiting_requests.h
@@ -42,6 +42,8 @@
 
   void ResumeSome();
   void EndFirst(size_t count);
+  std::shared_ptr<engine::ServerExchange> Remove(
+      std::list<Waiting>::iterator entry);
   void End(std::list<Waiting>::iterator entry);
 
   engine::EventLoop& loop_;
@@ -49,6 +51,7 @@
   const Handler handle_;
   /// In the order in which their waits began.
   std::list<Waiting> waiting_;
+  size_t body_bytes_ = 0;
   /// How many more waits are to end soon.
   size_t to_resume_ = 0;
 };
