Let an exchange be withdrawn at the moment of its sending

Exchange::write returns nothing to withdraw a request that must not be sent any more: no byte is written, the connection stays idle and takes the next request, and the result is kWithdrawn, which says nothing about the server. The pool asks before it assigns the connection, so that `done` is posted as for requests that fail in the queue.

--- a/libs/engine/include/engine/client_connection.h
+++ b/libs/engine/include/engine/client_connection.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "absl/time/time.h"
@@ -17,6 +18,9 @@
   kComplete,
   /// No byte of the request was sent.
   kNotSent,
+  /// As `kNotSent`: `Exchange::write` withdrew the request. This says nothing
+  /// about the server.
+  kWithdrawn,
   /// The connection ended after sending of the request had begun and before a
   /// complete response: the server may have executed the request.
   kConnectionLost,
@@ -39,8 +43,9 @@
 struct Exchange {
   /// Serializes head and body. Called when the request is sent: it may have
   /// waited for a connection, and the remaining time that it states must be
-  /// that at the time of sending.
-  std::function<std::string()> write;
+  /// that at the time of sending. Returns nothing to withdraw a request that
+  /// must not be sent any more.
+  std::function<std::optional<std::string>()> write;
   /// Whether the response has no body regardless of its headers (HEAD).
   bool is_head = false;
   /// Identifier that the response echoes in `ClientOptions::id_header`. A
@@ -96,7 +101,8 @@
   void Connect();
 
   /// Sends a request. Precondition: `IsIdle()`.
-  void Start(Exchange exchange);
+  /// @param bytes head and body, as serialized by `exchange.write`.
+  void Start(Exchange exchange, std::string bytes);
 
   /// Closes at once. The `done` of a running exchange is not called.
   void Close();
--- a/libs/engine/include/engine/connection_pool.h
+++ b/libs/engine/include/engine/connection_pool.h
@@ -103,6 +103,7 @@
   bool MustVerifyConnections() const;
   PooledConnection* Find(const ClientConnection& connection);
   PooledConnection* FindIdle(absl::Duration max_idle_time);
+  /// Sends a request on an idle connection, unless it is withdrawn.
   void Assign(PooledConnection& pooled, QueuedRequest queued);
   void Open();
   void SendQueued();
--- a/libs/engine/src/client_connection.cc
+++ b/libs/engine/src/client_connection.cc
@@ -105,15 +105,15 @@
       });
 }
 
-void ClientConnection::Start(Exchange exchange) {
+void ClientConnection::Start(Exchange exchange, std::string bytes) {
   state_ = State::kBusy;
   exchange_ = std::move(exchange);
   ResetParser();
   writing_ = true;
-  const auto bytes = std::make_shared<std::string>(exchange_.write());
+  const auto kept = std::make_shared<const std::string>(std::move(bytes));
   asio::async_write(
-      socket_->tcp, asio::buffer(*bytes),
-      [self = shared_from_this(), bytes](const error_code& error, size_t) {
+      socket_->tcp, asio::buffer(*kept),
+      [self = shared_from_this(), kept](const error_code& error, size_t) {
         // A failed write also fails the pending read, which may still deliver
         // a response that the server sent before it had read all the request.
         if (!error) self->writing_ = false;
--- a/libs/engine/src/connection_pool.cc
+++ b/libs/engine/src/connection_pool.cc
@@ -1,6 +1,8 @@
 #include "engine/connection_pool.h"
 
 #include <algorithm>
+#include <optional>
+#include <string>
 #include <utility>
 
 namespace cherrydyke::engine {
@@ -101,6 +103,11 @@
 }
 
 void ConnectionPool::Assign(PooledConnection& pooled, QueuedRequest queued) {
+  std::optional<std::string> bytes = queued.request.exchange.write();
+  if (!bytes) {
+    return PostResult(std::move(queued.request.exchange.done),
+                      ExchangeStatus::kWithdrawn);
+  }
   pooled.exchange = queued.id;
   const auto connection = pooled.connection;
   ClientConnection* const raw = connection.get();
@@ -116,7 +123,7 @@
         }
         done(std::move(result));
       };
-  connection->Start(std::move(queued.request.exchange));
+  connection->Start(std::move(queued.request.exchange), *std::move(bytes));
 }
 
 ConnectionPool::PooledConnection* ConnectionPool::Find(
--- a/libs/engine/tests/connection_pool_test.cc
+++ b/libs/engine/tests/connection_pool_test.cc
@@ -38,6 +38,7 @@
   CPPUNIT_TEST(ClosesConnectionOnResponseBeforeRequestIsSent);
   CPPUNIT_TEST(RespectsConnectionLimitAndQueueOrder);
   CPPUNIT_TEST(SerializesRequestWhenItIsSent);
+  CPPUNIT_TEST(RequestWithdrawnAtItsSendingLeavesTheConnectionToTheNext);
   CPPUNIT_TEST(CancelledRequestThatCompletesKeepsItsConnection);
   CPPUNIT_TEST(CancelledQueuedRequestIsNeverSent);
   CPPUNIT_TEST(CancelledRequestIsAbortedAfterGracePeriod);
@@ -239,6 +240,35 @@
     CPPUNIT_ASSERT(RunUntil(loop_, [&] { return serialized_at >= freed_at; }));
   }
 
+  // Guards against writing a body that must not be sent any more (HOME).
+  void RequestWithdrawnAtItsSendingLeavesTheConnectionToTheNext() {
+    std::vector<std::string> received;
+    StartServer([&](RawConnection& c, const std::string& request) {
+      received.push_back(request);
+      c.Write(OkResponse("a"));
+    });
+    pool_->SetLimit(1);
+    const auto withdrawn = [] { return std::optional<std::string>(); };
+    // On a connection that has yet to open, and then on an idle one.
+    for (int round = 0; round < 2; ++round) {
+      std::optional<ExchangeStatus> status;
+      PoolRequest request = Request("");
+      request.exchange.write = withdrawn;
+      request.exchange.done = [&](const ExchangeResult& result) {
+        status = result.status;
+      };
+      pool_->Send(std::move(request));
+      CPPUNIT_ASSERT(!status);
+      std::optional<ExchangeStatus> next;
+      SendRecordingStatus(next);
+      CPPUNIT_ASSERT(RunUntil(loop_, [&] { return status && next; }));
+      CPPUNIT_ASSERT(status == ExchangeStatus::kWithdrawn);
+      CPPUNIT_ASSERT(next == ExchangeStatus::kComplete);
+    }
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, received.size());
+    CPPUNIT_ASSERT_EQUAL(1, server_->accepted());
+  }
+
   void CancelledRequestThatCompletesKeepsItsConnection() {
     RawConnection* waiting = nullptr;
     int received = 0;
