Write no body to a peer whose region was excluded meanwhile (HOME)

A hand-over chose its peer by the regions in force, then waited for a connection (up to 300 ms) and wrote the body with the version in force, but whatever the regions were by then: a body could go to a host in a region that the configuration in force at the sender excluded.

The regions are now taken again when the body is written. If they exclude the peer the exchange is withdrawn: the peer was asked nothing, so it is neither silent nor excluded, and it was no try. The request goes to another peer, waits, or is refused as not run.

--- a/libs/tier/include/tier/handover_client.h
+++ b/libs/tier/include/tier/handover_client.h
@@ -27,7 +27,8 @@
 struct OutgoingHandover {
   std::shared_ptr<engine::ServerExchange> exchange;
   std::string request_id;
-  /// The version and the regions are set anew before each try.
+  /// The version and the regions are set anew before each try and when it is
+  /// sent.
   HandoverCriteria criteria;
   /// @return the regions that may receive the request by the configuration in
   /// force; empty for all.
@@ -108,6 +109,8 @@
   void OnVersion(const Handover& handover, int64_t version);
   void OnRejected(const HandoverPtr& handover, const std::string& reason,
                   absl::Duration exclusion);
+  /// The peer has not begun the request: tries another one or fails.
+  void OnNotTaken(const HandoverPtr& handover, const std::string& reason);
   void OnDeadline(const HandoverPtr& handover);
   void OnCallerDisconnected(const HandoverPtr& handover);
   /// Ends a handover: logs and counts it.
--- a/libs/tier/src/handover_client.cc
+++ b/libs/tier/src/handover_client.cc
@@ -89,10 +89,14 @@
   handover->peer = *peer;
   ++handover->tries;
   engine::PoolRequest request;
-  request.exchange.write = [this, handover] {
+  request.exchange.write = [this, handover]() -> std::optional<std::string> {
     OutgoingHandover& sent = handover->outgoing;
     // A change may have come into force while the connection was opened.
     sent.criteria.config_version = versions_.LeastForPeers();
+    sent.criteria.allowed_regions = sent.allowed_regions();
+    if (!peers_->MayReceiveBody(handover->peer, sent.criteria)) {
+      return std::nullopt;
+    }
     const engine::CallerConnectionInfo caller =
         sent.exchange->connection_info();
     const std::string body = EncodeHandoverRequest(
@@ -138,6 +142,11 @@
 void HandoverClient::OnResult(const HandoverPtr& handover,
                               const engine::ExchangeResult& result) {
   if (handover->ended) return;
+  if (result.status == engine::ExchangeStatus::kWithdrawn) {
+    // The peer was asked nothing, so that this was no try.
+    --handover->tries;
+    return OnNotTaken(handover, "region_excluded");
+  }
   if (result.status == engine::ExchangeStatus::kNotSent) {
     peers_->OnSilent(handover->peer);
     return OnRejected(handover, "not_connected", absl::ZeroDuration());
@@ -192,6 +201,11 @@
                                 const std::string& reason,
                                 absl::Duration exclusion) {
   peers_->Exclude(handover->peer, exclusion);
+  OnNotTaken(handover, reason);
+}
+
+void HandoverClient::OnNotTaken(const HandoverPtr& handover,
+                                const std::string& reason) {
   if (log_rate_limiter_.TryAcquire("rejected", policy_.log_lines,
                                    loop_.Now())) {
     LogInfo("peer did not take the request over",
--- a/libs/tier/src/handover_peers.cc
+++ b/libs/tier/src/handover_peers.cc
@@ -200,6 +200,11 @@
   return counts;
 }
 
+bool HandoverPeers::MayReceiveBody(const HostId& host,
+                                   const HandoverCriteria& criteria) const {
+  return MayReceive(peers_.at(host).candidate.region, criteria.allowed_regions);
+}
+
 engine::ExchangeId HandoverPeers::Send(const HostId& host,
                                        engine::PoolRequest request) {
   Peer& peer = peers_.at(host);
--- a/libs/tier/src/handover_peers.h
+++ b/libs/tier/src/handover_peers.h
@@ -42,6 +42,10 @@
   std::map<std::string, int> CountObstacles(
       const HandoverCriteria& criteria) const;
 
+  /// @return whether the body of a request may be sent to a peer.
+  bool MayReceiveBody(const HostId& peer,
+                      const HandoverCriteria& criteria) const;
+
   /// Sends a request to a peer returned by `Choose`.
   /// @param done as for `ConnectionPool::Send`.
   engine::ExchangeId Send(const HostId& peer, engine::PoolRequest request);
