Send nothing to regions excluded while a request is under way (HOME)

Regions were copied at a request's start and used for all later sends: retries, hedges and requests that waited in a target's queue (up to the request's time limit) went to regions that the configuration in force on the same host excluded.

RegionLimits: a target must be allowed by the regions of the start and by those of the configuration in force for the same host and path; if the route was removed, by the start alone. Services, attempts and limits still come from one version. The list is looked up only when the configuration has changed since the start. A request in a connection pool is checked again when it is written and withdrawn if need be: it has not run, counts nothing against the target, and is sent to another target or refused as not run. Hand-overs take their regions from the same class.

Remains: if no target is allowed by both lists, the request is refused as not run, not handled anew by the newer configuration.

--- a/libs/dispatch/include/dispatch/request_run.h
+++ b/libs/dispatch/include/dispatch/request_run.h
@@ -7,6 +7,7 @@
 
 #include "absl/time/time.h"
 #include "dispatch/handover_choice.h"
+#include "dispatch/region_limits.h"
 #include "dispatch/target_selector.h"
 #include "dispatch/types.h"
 
@@ -28,8 +29,8 @@
   absl::Time answer_at;
   /// When the request ends in any case.
   absl::Time deadline;
-  /// Allowed regions of targets; empty for all.
-  std::vector<RegionName> allowed_regions;
+  /// Allowed regions of targets, which newer configurations restrict.
+  RegionLimits regions;
   /// Targets that may have run the request before it was handed to this host.
   TriedTargets tried;
 };
--- a/libs/dispatch/include/dispatch/target_selector.h
+++ b/libs/dispatch/include/dispatch/target_selector.h
@@ -5,6 +5,7 @@
 
 #include "absl/time/time.h"
 #include "base/ids.h"
+#include "dispatch/region_limits.h"
 #include "dispatch/retry_budget.h"
 #include "dispatch/types.h"
 
@@ -26,8 +27,8 @@
   ServiceName service;
   /// Targets that the request must not be sent to again.
   const std::vector<TargetId>* exclude = nullptr;
-  /// Allowed regions of the target; null or empty for all.
-  const std::vector<RegionName>* allowed_regions = nullptr;
+  /// Allowed regions of the target; null for all.
+  const RegionLimits* regions = nullptr;
   /// Set if this is an extra send, which counts against the retry budget.
   std::optional<RetryPriority> retry_priority;
   /// Whether the request fails without this send, so that the work already done
--- a/libs/dispatch/src/request_run.cc
+++ b/libs/dispatch/src/request_run.cc
@@ -66,7 +66,7 @@
   SelectionCriteria criteria;
   criteria.service = plan_.services[index];
   criteria.exclude = &part.tried;
-  criteria.allowed_regions = &plan_.allowed_regions;
+  criteria.regions = &plan_.regions;
   criteria.retry_priority = priority;
   criteria.is_last_chance =
       priority == RetryPriority::kRequired && part.running == 0;
--- a/libs/tier/include/tier/target_set.h
+++ b/libs/tier/include/tier/target_set.h
@@ -97,6 +97,10 @@
   /// hosts; 0 if the target is not listed.
   uint32_t InstanceHash(const TargetId& target) const;
 
+  /// @return the region of the listed instance of the target; empty if the
+  /// target is not listed.
+  RegionName RegionOf(const TargetId& target) const;
+
   /// Sends a request to the target that `Select` chose for it.
   /// @return 0 if the target no longer exists; `done` is then not called.
   engine::ExchangeId Send(const TargetId& target, engine::PoolRequest request);
--- a/libs/tier/src/request_handler.cc
+++ b/libs/tier/src/request_handler.cc
@@ -23,6 +23,9 @@
   if (status == engine::ExchangeStatus::kNotSent) {
     return wanted ? TargetOutcome::kUnreachable : TargetOutcome::kNotSent;
   }
+  if (status == engine::ExchangeStatus::kWithdrawn) {
+    return TargetOutcome::kNotSent;
+  }
   if (status == engine::ExchangeStatus::kAborted) {
     return TargetOutcome::kCancelled;
   }
@@ -227,11 +230,8 @@
   outgoing.exchange = exchange;
   outgoing.request_id = caller_request.request_id;
   outgoing.criteria = CriteriaOf(plan);
-  outgoing.allowed_regions = [this, host = caller_request.host,
-                              path = caller_request.path,
-                              at_start = plan.allowed_regions] {
-    const Route* const route = routes_->Find(host, path);
-    return route == nullptr ? at_start : route->allowed_regions;
+  outgoing.allowed_regions = [regions = plan.regions] {
+    return regions.InForce();
   };
   if (!plan.is_fanout) outgoing.service = plan.services.front();
   outgoing.tried = std::move(tried);
@@ -251,7 +251,7 @@
 
 HandoverCriteria RequestHandler::CriteriaOf(const RequestPlan& plan) const {
   return {versions_.in_force(), plan.services,
-          plan.services.size() - plan.min_parts, plan.allowed_regions};
+          plan.services.size() - plan.min_parts, plan.regions.InForce()};
 }
 
 bool RequestHandler::WaitForPeer(
@@ -312,7 +312,8 @@
   plan.is_fanout = route.IsFanout();
   plan.idempotent = route.idempotent;
   plan.max_attempts = std::max(1, route.attempts);
-  plan.allowed_regions = route.allowed_regions;
+  plan.regions =
+      RegionLimits(routes_, route, caller_request.host, caller_request.path);
   if (plan.is_fanout) {
     plan.services = route.shards;
     const double needed =
@@ -386,7 +387,11 @@
   attempt.sent_at = now;
   const engine::HttpRequest& http_request = request->exchange->request();
   engine::PoolRequest out;
-  out.exchange.write = [this, request, target = send.target] {
+  out.exchange.write = [this, request, target = send.target,
+                        region = targets_.RegionOf(
+                            send.target)]() -> std::optional<std::string> {
+    // A change may have come into force while the connection was opened.
+    if (!request->run->plan().regions.Allows(region)) return std::nullopt;
     return protocol_.TargetRequest(request->target_head,
                                    request->exchange->request().body, target,
                                    request->deadline - loop_.Now());
@@ -411,9 +416,9 @@
     return protocol_.ParseTargetResponse(std::move(result.response));
   }
   TargetResponse reply;
-  reply.result = result.status == engine::ExchangeStatus::kNotSent
-                     ? AttemptResult::kNotSent
-                     : AttemptResult::kUnknown;
+  const bool is_unsent = result.status == engine::ExchangeStatus::kNotSent ||
+                         result.status == engine::ExchangeStatus::kWithdrawn;
+  reply.result = is_unsent ? AttemptResult::kNotSent : AttemptResult::kUnknown;
   if (!result.response.headers.empty()) {
     // The rest of an incomplete response is not trusted.
     reply.leaving =
@@ -430,6 +435,14 @@
                    OutcomeOf(reply, status, request->run->running(index)),
                    loop_.Now() - attempt.sent_at,
                    request->route->latency_objective - policy_.answer_margin);
+  if (status == engine::ExchangeStatus::kWithdrawn &&
+      log_rate_limiter_.TryAcquire("withdrawn", policy_.log_lines,
+                                   loop_.Now())) {
+    LogInfo("attempt withdrawn: region of the target excluded meanwhile",
+            {{"request", request->caller_request.request_id},
+             {"target", attempt.target},
+             {"config_version", versions_.in_force()}});
+  }
   if (reply.load) targets_.OnLoad(attempt.target, *reply.load);
   ApplyNotices(*request, index, reply);
   if (reply.result == AttemptResult::kWrongTarget) {
--- a/libs/tier/src/target_set.cc
+++ b/libs/tier/src/target_set.cc
@@ -286,14 +286,9 @@
 
 bool TargetSet::IsInAllowedRegion(const Target& target,
                                   const SelectionCriteria& criteria) const {
-  if (criteria.allowed_regions == nullptr ||
-      criteria.allowed_regions->empty()) {
-    return true;
-  }
-  const RegionName region = locality_.RegionOf(target.info.failure_domain);
-  return std::find(criteria.allowed_regions->begin(),
-                   criteria.allowed_regions->end(),
-                   region) != criteria.allowed_regions->end();
+  return criteria.regions == nullptr ||
+         criteria.regions->Allows(
+             locality_.RegionOf(target.info.failure_domain));
 }
 
 std::optional<ExclusionReason> TargetSet::ExclusionReasonFor(
@@ -498,6 +493,12 @@
   return target == nullptr ? 0 : target->instance_hash;
 }
 
+RegionName TargetSet::RegionOf(const TargetId& id) const {
+  const Target* const target = Find(id);
+  return target == nullptr ? ""
+                           : locality_.RegionOf(target->info.failure_domain);
+}
+
 engine::ExchangeId TargetSet::Send(const TargetId& id,
                                    engine::PoolRequest request) {
   Target* const target = Find(id);
