Take a target that moves to another failure domain for a new instance

A target whose failure domain changes under the same id and start time was updated in place: its region was the new one for allowed regions and evacuations, but its distance, assumed round trip and this host's share of its connections stayed those of the old domain until the next change of hosts or configuration (distance and round trip for ever).

It is now another instance. That entries arrive out of order, and that a draining process never serves again, still go by the process.

--- a/libs/tier/src/target_set.cc
+++ b/libs/tier/src/target_set.cc
@@ -109,15 +109,19 @@
 
 void TargetSet::Update(TargetInfo info, absl::Time now) {
   Target* target = Find(info.id);
-  const bool same_instance = target != nullptr &&
-                             target->info.endpoint == info.endpoint &&
-                             target->info.service == info.service &&
-                             target->info.start_time_ms == info.start_time_ms;
-  // Ignore entries of the same instance that arrive out of order.
-  if (same_instance && info.start_time_ms &&
+  const bool same_process = target != nullptr &&
+                            target->info.endpoint == info.endpoint &&
+                            target->info.service == info.service &&
+                            target->info.start_time_ms == info.start_time_ms;
+  // Region, distance and shares are those of the failure domain.
+  const bool same_instance =
+      same_process && target->info.failure_domain == info.failure_domain;
+  // Ignore entries of the same process that arrive out of order.
+  if (same_process && info.start_time_ms &&
       info.sequence < target->info.sequence) {
     return;
   }
+  const bool was_draining = same_process && target->info.draining;
   if (!same_instance) {
     const Distance distance = locality_.DistanceBetween(
         locality_.failure_domain, info.failure_domain);
@@ -141,7 +145,6 @@
     LogInfo("target draining",
             {{"target", info.id}, {"service", info.service}});
   }
-  const bool was_draining = target->info.draining && same_instance;
   target->info = std::move(info);
   if (!same_instance) {
     target->leaving = notices_.IsLeaving(target->instance());
@@ -150,7 +153,7 @@
       target->stated_rate.Restore(*rate, {shares_.hosts(), 0}, now);
     }
   }
-  // An instance that has begun to drain never serves again.
+  // A process that has begun to drain never serves again.
   if (was_draining && target->info.start_time_ms) target->info.draining = true;
   target->expires_at = absl::InfiniteFuture();
   if (std::exchange(target->has_wrong_address, false)) target->OnListedAgain();
--- a/libs/tier/tests/target_set_test.cc
+++ b/libs/tier/tests/target_set_test.cc
@@ -149,6 +149,7 @@
   CPPUNIT_TEST(HedgeWithoutASecondShareIsPlaced);
   CPPUNIT_TEST(UnusedBorrowedConnectionIsReturned);
   CPPUNIT_TEST(TargetsLostTogetherAreNotReportedAsFailing);
+  CPPUNIT_TEST(TargetThatMovesCountsInItsNewRegion);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -239,6 +240,48 @@
     CPPUNIT_ASSERT(host.set().TakeHealthReports(kLimit).empty());
   }
 
+  // Guards against the region, distance and share of a failure domain that a
+  // target has left (HOME).
+  void TargetThatMovesCountsInItsNewRegion() {
+    Host host(clock_, {"a1-1", "a1"});
+    std::vector<TargetInfo> targets = TargetsIn(kTargetDomains);
+    for (TargetInfo& target : targets) target.start_time_ms = 1;
+    host.set().SetTargets(targets, absl::ZeroDuration());
+    CPPUNIT_ASSERT(host.Select(0).has_value());
+    for (TargetInfo& target : targets) {
+      if (target.failure_domain == "a1") target.failure_domain = "b2";
+      ++target.sequence;
+    }
+    host.set().SetTargets(targets, absl::ZeroDuration());
+    const auto remote = [&] {
+      return host.set()
+          .counts()
+          .by_distance[static_cast<size_t>(Distance::kOtherRegion)];
+    };
+    const int64_t before = remote();
+    CPPUNIT_ASSERT(host.Select(0).has_value());
+    CPPUNIT_ASSERT_EQUAL(before + 1, remote());
+    CPPUNIT_ASSERT_EQUAL(RegionName("b"), host.set().RegionOf(targets[0].id));
+    Route route;
+    route.host = "h";
+    route.prefix = "/";
+    route.allowed_regions = {"a"};
+    const auto routes = std::make_shared<const RouteTable>(
+        1, std::vector<Route>{route}, std::vector<ServiceSpec>());
+    const RegionLimits only_a(routes, route, "h", "/");
+    SelectionCriteria criteria;
+    criteria.service = ServiceOf(0);
+    criteria.regions = &only_a;
+    CPPUNIT_ASSERT(!host.set().Select(criteria, clock_.Now()));
+    // An entry from before the move that arrives late.
+    for (TargetInfo& target : targets) {
+      if (target.failure_domain == "b2") target.failure_domain = "a1";
+      --target.sequence;
+    }
+    host.set().SetTargets(targets, absl::ZeroDuration());
+    CPPUNIT_ASSERT(!host.set().Select(criteria, clock_.Now()));
+  }
+
  private:
   /// Checks that hosts of region `a` select targets for all services before and
   /// after the region's targets have become unusable.
