Send no queued request to an instance that is no longer listed

Requests that waited for a connection to a target stayed in the queue of an instance that was removed, moved to another failure domain or restarted, and were written to its address for up to their time limit: an address that may belong to a target of another region by then (HOME; such a target answers 421, but has the body).

The queue of an instance that is no longer listed fails as not sent, so that these requests go to other targets. As their outcomes arrive while another instance may have the same id, outcomes are now recorded only at the instance to which the request was sent: otherwise its successor would count as unreachable.

--- a/libs/tier/include/tier/target_set.h
+++ b/libs/tier/include/tier/target_set.h
@@ -97,6 +97,10 @@
   /// hosts; 0 if the target is not listed.
   uint32_t InstanceHash(const TargetId& target) const;
 
+  /// @return whether the listed instance of the target is that to which a
+  /// request was sent at `sent_at`.
+  bool IsCurrentInstance(const TargetId& target, absl::Time sent_at) const;
+
   /// @return the region of the listed instance of the target; empty if the
   /// target is not listed.
   RegionName RegionOf(const TargetId& target) const;
--- a/libs/tier/src/request_handler.cc
+++ b/libs/tier/src/request_handler.cc
@@ -431,10 +431,13 @@
                                   const TargetResponse& reply,
                                   engine::ExchangeStatus status) {
   const Request::Attempt& attempt = request->attempts[index];
-  targets_.OnEnded(attempt.target,
-                   OutcomeOf(reply, status, request->run->running(index)),
-                   loop_.Now() - attempt.sent_at,
-                   request->route->latency_objective - policy_.answer_margin);
+  // Outcomes of an earlier instance say nothing about the present one.
+  if (targets_.IsCurrentInstance(attempt.target, attempt.sent_at)) {
+    targets_.OnEnded(attempt.target,
+                     OutcomeOf(reply, status, request->run->running(index)),
+                     loop_.Now() - attempt.sent_at,
+                     request->route->latency_objective - policy_.answer_margin);
+  }
   if (status == engine::ExchangeStatus::kWithdrawn &&
       log_rate_limiter_.TryAcquire("withdrawn", policy_.log_lines,
                                    loop_.Now())) {
--- a/libs/tier/src/target_set.cc
+++ b/libs/tier/src/target_set.cc
@@ -188,6 +188,8 @@
     targets_by_hash_.erase(hashed);
   }
   target->OnInstanceEnded();
+  // Its address may belong to another target by now, also in another region.
+  target->pool->FailQueued();
   const TargetId id = target->info.id;
   retired_targets_[id].push_back(std::move(target));
   timers_.RunAfter(kRetirementTime, [this, id] {
@@ -496,6 +498,11 @@
   return target == nullptr ? 0 : target->instance_hash;
 }
 
+bool TargetSet::IsCurrentInstance(const TargetId& id,
+                                  absl::Time sent_at) const {
+  return FindInstance(id, sent_at) != nullptr;
+}
+
 RegionName TargetSet::RegionOf(const TargetId& id) const {
   const Target* const target = Find(id);
   return target == nullptr ? ""
--- a/libs/tier/tests/target_set_test.cc
+++ b/libs/tier/tests/target_set_test.cc
@@ -13,6 +13,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "base/clock.h"
+#include "support/raw_peers.h"
 
 namespace cherrydyke {
 namespace {
@@ -150,6 +151,7 @@
   CPPUNIT_TEST(UnusedBorrowedConnectionIsReturned);
   CPPUNIT_TEST(TargetsLostTogetherAreNotReportedAsFailing);
   CPPUNIT_TEST(TargetThatMovesCountsInItsNewRegion);
+  CPPUNIT_TEST(QueuedRequestIsNotSentToTargetThatMoved);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -282,6 +284,53 @@
     CPPUNIT_ASSERT(!host.set().Select(criteria, clock_.Now()));
   }
 
+  // Guards against a body that waited for a connection and is written to a
+  // target of a region for which it was not chosen (HOME).
+  void QueuedRequestIsNotSentToTargetThatMoved() {
+    const BootClock clock;
+    engine::EventLoop loop(clock);
+    const HostTable table({"h", "a1"}, {}, HostTable::Options(), loop.Now());
+    TargetSet set(loop, {"h", "a1", kRegions}, Bounds(), {}, table, Policy());
+    TargetConfig config = Orders({});
+    // One connection for the only host.
+    config.services[ServiceOf(0)].max_connections = 2;
+    set.SetConfig(config);
+    int arrivals = 0;
+    RawConnection* connection = nullptr;
+    RawServer server(loop, [&](RawConnection& c, const std::string&) {
+      ++arrivals;
+      connection = &c;
+    });
+    TargetInfo info = TargetsIn({"a1"}).front();
+    info.endpoint = server.endpoint();
+    info.start_time_ms = 1;
+    set.SetTargets({info}, absl::ZeroDuration());
+    const absl::Time sent_at = loop.Now();
+    std::vector<engine::ExchangeStatus> ends;
+    for (int i = 0; i < 2; ++i) {
+      engine::PoolRequest request;
+      request.exchange.write = [] {
+        return "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+      };
+      request.exchange.done = [&](const engine::ExchangeResult& result) {
+        ends.push_back(result.status);
+      };
+      set.Send(info.id, std::move(request));
+    }
+    CPPUNIT_ASSERT(RunUntil(loop, [&] { return arrivals == 1; }));
+    CPPUNIT_ASSERT(set.IsCurrentInstance(info.id, sent_at));
+    info.failure_domain = "b1";
+    set.SetTargets({info}, absl::ZeroDuration());
+    CPPUNIT_ASSERT(!set.IsCurrentInstance(info.id, sent_at));
+    RunFor(loop, absl::Milliseconds(20));
+    connection->Write(OkResponse("a"));
+    CPPUNIT_ASSERT(RunUntil(loop, [&] { return ends.size() == 2; }));
+    // The one under way may end; the other one was never sent.
+    CPPUNIT_ASSERT(ends[0] == engine::ExchangeStatus::kNotSent);
+    CPPUNIT_ASSERT(ends[1] == engine::ExchangeStatus::kComplete);
+    CPPUNIT_ASSERT_EQUAL(1, arrivals);
+  }
+
  private:
   /// Checks that hosts of region `a` select targets for all services before and
   /// after the region's targets have become unusable.
