--- a/libs/tier/src/target_set.cc
+++ b/libs/tier/src/target_set.cc
@@ -109,15 +109,19 @@
 
 void TargetSet::Update(TargetInfo info, absl::Time now) {
   Target* target = Find(info.id);
-  const bool same_instance = target != nullptr &&
-                             target->info.endpoint == info.endpoint &&
-                             target->info.service == info.service &&
-                             target->info.start_time_ms == info.start_time_ms;
-  // Ignore entries of the same instance that arrive out of order.
-  if (same_instance && info.start_time_ms &&
+  const bool same_process = target != nullptr &&
+                            target->info.endpoint == info.endpoint &&
+                            target->info.service == info.service &&
+                            target->info.start_time_ms == info.start_time_ms;
+  // Region, distance and shares are those of the failure domain.
+  const bool same_instance =
+      same_process && target->info.failure_domain == info.failure_domain;
+  // Ignore entries of the same process that arrive out of order.
+  if (same_process && info.start_time_ms &&
       info.sequence < target->info.sequence) {
     return;
   }
+  const bool was_draining = same_process && target->info.draining;
   if (!same_instance) {
     const Distance distance = locality_.DistanceBetween(
         locality_.failure_domain, info.failure_domain);
@@ -141,7 +145,6 @@
     LogInfo("target draining",
             {{"target", info.id}, {"service", info.service}});
   }
-  const bool was_draining = target->info.draining && same_instance;
   target->info = std::move(info);
   if (!same_instance) {
     target->leaving = notices_.IsLeaving(target->instance());
@@ -150,7 +153,7 @@
       target->stated_rate.Restore(*rate, {shares_.hosts(), 0}, now);
     }
   }
-  // An instance that has begun to drain never serves again.
+  // A process that has begun to drain never serves again.
   if (was_draining && target->info.start_time_ms) target->info.draining = true;
   target->expires_at = absl::InfiniteFuture();
   if (std::exchange(target->has_wrong_address, false)) target->OnListedAgain();
@@ -185,6 +188,8 @@
     targets_by_hash_.erase(hashed);
   }
   target->OnInstanceEnded();
+  // Its address may belong to another target by now, also in another region.
+  target->pool->FailQueued();
   const TargetId id = target->info.id;
   retired_targets_[id].push_back(std::move(target));
   timers_.RunAfter(kRetirementTime, [this, id] {
@@ -286,14 +291,9 @@
 
 bool TargetSet::IsInAllowedRegion(const Target& target,
                                   const SelectionCriteria& criteria) const {
-  if (criteria.allowed_regions == nullptr ||
-      criteria.allowed_regions->empty()) {
-    return true;
-  }
-  const RegionName region = locality_.RegionOf(target.info.failure_domain);
-  return std::find(criteria.allowed_regions->begin(),
-                   criteria.allowed_regions->end(),
-                   region) != criteria.allowed_regions->end();
+  return criteria.regions == nullptr ||
+         criteria.regions->Allows(
+             locality_.RegionOf(target.info.failure_domain));
 }
 
 std::optional<ExclusionReason> TargetSet::ExclusionReasonFor(
@@ -498,6 +498,17 @@
   return target == nullptr ? 0 : target->instance_hash;
 }
 
+bool TargetSet::IsCurrentInstance(const TargetId& id,
+                                  absl::Time sent_at) const {
+  return FindInstance(id, sent_at) != nullptr;
+}
+
+RegionName TargetSet::RegionOf(const TargetId& id) const {
+  const Target* const target = Find(id);
+  return target == nullptr ? ""
+                           : locality_.RegionOf(target->info.failure_domain);
+}
+
 engine::ExchangeId TargetSet::Send(const TargetId& id,
                                    engine::PoolRequest request) {
   Target* const target = Find(id);
