Keep the logs of a test's processes that log on standard output

With CHERRYDYKE_KEEP_LOGS=1 the soaks of links between hosts left eight empty files: the tier logs on standard output, of which the tests' Process reads the ready line and closes the pipe. With the variable, standard output goes to a file beside the log, and the process is ready when the file grows. Without it, nothing changes.

The other tests that use Process were not run with the variable.

--- a/tests/support/process.cc
+++ b/tests/support/process.cc
@@ -9,6 +9,8 @@
 
 #include <array>
 #include <cstdlib>
+#include <filesystem>
+#include <system_error>
 #include <utility>
 
 #include "absl/time/clock.h"
@@ -24,6 +26,12 @@
   return folder != nullptr ? folder : CHERRYDYKE_BIN_DIR;
 }
 
+uintmax_t SizeOf(const std::string& file) {
+  std::error_code missing;
+  const uintmax_t size = std::filesystem::file_size(file, missing);
+  return missing ? 0 : size;
+}
+
 }  // namespace
 
 Process::Process(const std::string& program, const std::string& config_file,
@@ -34,7 +42,18 @@
   if (pipe2(output.data(), O_CLOEXEC) != 0) return;
   posix_spawn_file_actions_t actions;
   posix_spawn_file_actions_init(&actions);
-  posix_spawn_file_actions_adddup2(&actions, output[1], STDOUT_FILENO);
+  // A pipe that nobody reads after the ready line would lose the log of a
+  // program that logs on stdout.
+  const bool keeps_output = std::getenv("CHERRYDYKE_KEEP_LOGS") != nullptr;
+  const std::string output_file = log_file + ".out";
+  const uintmax_t earlier_output = SizeOf(output_file);
+  if (keeps_output) {
+    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO,
+                                     output_file.c_str(),
+                                     O_WRONLY | O_CREAT | O_APPEND, 0644);
+  } else {
+    posix_spawn_file_actions_adddup2(&actions, output[1], STDOUT_FILENO);
+  }
   posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, log_file.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0644);
   std::string config_flag = "--config";
@@ -55,7 +74,11 @@
   }
   posix_spawn_file_actions_destroy(&actions);
   close(output[1]);
-  WaitUntilReady(output[0]);
+  if (keeps_output) {
+    WaitUntilLonger(output_file, earlier_output);
+  } else {
+    WaitUntilReady(output[0]);
+  }
   close(output[0]);
 }
 
@@ -66,6 +89,14 @@
   ready_ = read(fd, line.data(), line.size()) > 0;
 }
 
+void Process::WaitUntilLonger(const std::string& file, uintmax_t size) {
+  const absl::Time deadline = absl::Now() + absl::Milliseconds(kReadyTimeoutMs);
+  while (IsRunning() && absl::Now() < deadline) {
+    if ((ready_ = SizeOf(file) > size)) return;
+    absl::SleepFor(kPollInterval);
+  }
+}
+
 Process::~Process() { Kill(); }
 
 void Process::Signal(int signal) const {
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -2,6 +2,7 @@
 
 #include <sys/types.h>
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
@@ -18,7 +19,8 @@
   /// @param program file name in the build's `bin` folder, or in the folder
   /// that the environment variable CHERRYDYKE_BIN_DIR names
   /// @param config_file settings file, passed with `--config`
-  /// @param log_file receives stderr, appended
+  /// @param log_file receives stderr, appended. With the environment variable
+  /// CHERRYDYKE_KEEP_LOGS, stdout is appended to this file's name with ".out".
   /// @param environment entries `NAME=VALUE` beside this process's own
   Process(const std::string& program, const std::string& config_file,
           const std::string& log_file,
@@ -43,6 +45,7 @@
 
  private:
   void WaitUntilReady(int fd);
+  void WaitUntilLonger(const std::string& file, uintmax_t size);
 
   pid_t pid_ = -1;
   int status_ = 0;
