A host in use keeps its last unit of an entry from hosts that own one

Cause: a host that owns one unit is "short" as soon as it uses it, and asks a random peer before it needs more. Two such hosts could each get a unit of a host that owns two, which then had none for 3.5 s. The loans outlive the retirement, and have to: their borrowers may still use them.

Fix: a host that had a request of the entry in the last 10 s doesn't lend its last usable unit, unless the asking host is assigned none (a limit below the number of hosts). An idle host lends everything as before, so one busy host still collects the fleet's units. It is the lender's decision alone; messages are unchanged. It lends less than before, so the limit holds as before.

Weighed and not taken: a flag in the request that says whether the asking host was refused.

--- a/libs/shares/include/shares/limit_shares.h
+++ b/libs/shares/include/shares/limit_shares.h
@@ -25,6 +25,10 @@
 /// request on a borrowed unit only if the request's hard deadline is not after
 /// the end of the loan.
 ///
+/// A host lends its last unit if it does not use the entry, or to a host to
+/// which none is assigned; else it keeps one, so that it is not without a unit
+/// for the time of a loan because others ask early.
+///
 /// A change of members increases the shares of some hosts and decreases those
 /// of others. A decrease takes effect at once, an increase only after
 /// `increase_delay`, when the other hosts have applied their decreases. Without
@@ -43,6 +47,8 @@
     /// Capacity of the token bucket of the rate limit, as time at the full
     /// rate.
     absl::Duration burst = absl::Milliseconds(250);
+    /// Time after its last request for which a host counts as using an entry.
+    absl::Duration use_time = absl::Seconds(10);
   };
 
   LimitShares(HostId self, Options options)
@@ -118,11 +124,16 @@
     /// capacity `TakeToken` applies.
     double tokens = std::numeric_limits<double>::infinity();
     absl::Time tokens_updated_at;
+    /// Last request on this host, admitted or not.
+    absl::Time last_used_at = absl::InfinitePast();
   };
 
   void ReassignUnits(const EntryName& entry, Share& share, absl::Time now);
   void Refresh(Share& share, absl::Time now);
   int LentUnits(const Share& share) const;
+  /// @return whether this host lends its last usable unit.
+  bool LendsLastUnit(const Share& share, const BorrowRequest& request,
+                     absl::Time now) const;
   bool TakeToken(Share& share, absl::Time now);
 
   const HostId self_;
--- a/libs/shares/src/limit_shares.cc
+++ b/libs/shares/src/limit_shares.cc
@@ -89,6 +89,14 @@
   return units;
 }
 
+bool LimitShares::LendsLastUnit(const Share& share,
+                                const BorrowRequest& request,
+                                absl::Time now) const {
+  return now - share.last_used_at >= options_.use_time ||
+         AssignedUnits(request.borrower, request.entry,
+                       share.limits.concurrency, members_) == 0;
+}
+
 bool LimitShares::TakeToken(Share& share, absl::Time now) {
   int units = share.own_units - LentUnits(share);
   for (const auto& [id, loan] : share.borrowed) {
@@ -113,6 +121,7 @@
   if (found == shares_.end()) return Refusal::kUnknownEntry;
   Share& share = found->second;
   Refresh(share, now);
+  share.last_used_at = now;
   const bool own_free = share.own_in_use < share.own_units - LentUnits(share);
   uint64_t loan_id = 0;
   if (!own_free) {
@@ -163,11 +172,14 @@
   if (found == shares_.end()) return std::nullopt;
   Share& share = found->second;
   Refresh(share, now);
-  const int spare_units = share.own_units - LentUnits(share) - share.own_in_use;
+  const int usable_units = share.own_units - LentUnits(share);
+  const int spare_units = usable_units - share.own_in_use;
   // Lends at most half of the spare units, rounded up, so that two processes do
   // not take each other's last units in turn; a single spare unit is lent.
   const int units = std::min(request.units, (spare_units + 1) / 2);
   if (units <= 0) return std::nullopt;
+  if (units == usable_units && !LendsLastUnit(share, request, now))
+    return std::nullopt;
   share.lent.push_back({units, 0, now + options_.lease + options_.margin});
   CHERRYDYKE_INVARIANT(
       share.own_in_use + LentUnits(share) <= share.own_units,
--- a/libs/shares/tests/limit_shares_test.cc
+++ b/libs/shares/tests/limit_shares_test.cc
@@ -153,6 +153,9 @@
   CPPUNIT_TEST(RetiredEntryIsRemovedOnceIdle);
   CPPUNIT_TEST(FirstRequestOfNewEntryIsNotOverTheRate);
   CPPUNIT_TEST(FirstRequestOfRecreatedEntryIsNotOverTheRate);
+  CPPUNIT_TEST(RecreatedEntryIsNotRefusedBecauseAllItsUnitsWereLent);
+  CPPUNIT_TEST(HostThatDoesNotUseTheEntryLendsItsLastUnit);
+  CPPUNIT_TEST(HostWithoutUnitsOfItsOwnIsLentTheLastUnit);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -250,6 +253,49 @@
     CPPUNIT_ASSERT_EQUAL(1, AdmittedAtOnce(shares, now));
   }
 
+  // Hosts that own one unit ask for more as soon as they use it.
+  void RecreatedEntryIsNotRefusedBecauseAllItsUnitsWereLent() {
+    const absl::Time start = absl::UnixEpoch() + absl::Hours(1);
+    std::vector<LimitShares> hosts = MakeHosts(6, 10, start);
+    absl::Time now = start + absl::Minutes(1);
+    LimitShares& lender = HostWithUnits(hosts, 2, now);
+    CPPUNIT_ASSERT_EQUAL(1, AdmittedAtOnce(lender, now, 1));
+    for (LimitShares& host : hosts) {
+      if (host.UsableUnits("desk", now) != 1) continue;
+      now += absl::Milliseconds(200);
+      Borrow(host, lender, now);
+    }
+    CPPUNIT_ASSERT_EQUAL(1, lender.UsableUnits("desk", now));
+    now += absl::Milliseconds(200);
+    lender.Retain({}, now);
+    lender.Configure("desk", {1'000'000, 10}, now);
+    CPPUNIT_ASSERT_EQUAL(1, AdmittedAtOnce(lender, now, 1));
+  }
+
+  void HostThatDoesNotUseTheEntryLendsItsLastUnit() {
+    const absl::Time start = absl::UnixEpoch() + absl::Hours(1);
+    std::vector<LimitShares> hosts = MakeHosts(2, 2, start);
+    absl::Time now = start + absl::Minutes(1);
+    CPPUNIT_ASSERT_EQUAL(1, AdmittedAtOnce(hosts[1], now, 1));
+    Borrow(hosts[0], hosts[1], now);
+    CPPUNIT_ASSERT_EQUAL(1, hosts[0].UsableUnits("desk", now));
+    now += LimitShares::Options().use_time;
+    Borrow(hosts[0], hosts[1], now);
+    CPPUNIT_ASSERT_EQUAL(2, hosts[0].UsableUnits("desk", now));
+    CPPUNIT_ASSERT_EQUAL(0, hosts[1].UsableUnits("desk", now));
+  }
+
+  void HostWithoutUnitsOfItsOwnIsLentTheLastUnit() {
+    const absl::Time start = absl::UnixEpoch() + absl::Hours(1);
+    std::vector<LimitShares> hosts = MakeHosts(2, 1, start);
+    const absl::Time now = start + absl::Minutes(1);
+    LimitShares& lender = HostWithUnits(hosts, 1, now);
+    LimitShares& borrower = HostWithUnits(hosts, 0, now);
+    CPPUNIT_ASSERT_EQUAL(1, AdmittedAtOnce(lender, now, 1));
+    Borrow(borrower, lender, now);
+    CPPUNIT_ASSERT_EQUAL(1, borrower.UsableUnits("desk", now));
+  }
+
   void RateIsProportionalToUnits() {
     absl::Time now = absl::UnixEpoch() + absl::Hours(1);
     LimitShares shares("a", {});
@@ -270,9 +316,45 @@
   }
 
  private:
-  static int AdmittedAtOnce(LimitShares& shares, absl::Time now) {
+  // @return hosts that share an entry of this concurrency.
+  static std::vector<LimitShares> MakeHosts(int count, int concurrency,
+                                            absl::Time now) {
+    std::vector<HostId> members;
+    for (int h = 0; h < count; ++h) {
+      members.push_back("host-" + std::to_string(h));
+    }
+    std::vector<LimitShares> hosts;
+    hosts.reserve(members.size());
+    for (const HostId& member : members) {
+      LimitShares& shares = hosts.emplace_back(member, LimitShares::Options());
+      shares.SetMembers(members, now);
+      shares.Configure("desk", {1'000'000, concurrency}, now);
+    }
+    return hosts;
+  }
+
+  static LimitShares& HostWithUnits(std::vector<LimitShares>& hosts, int units,
+                                    absl::Time now) {
+    for (LimitShares& host : hosts) {
+      if (host.UsableUnits("desk", now) == units) return host;
+    }
+    CPPUNIT_FAIL("no host has that many units");
+    return hosts.front();
+  }
+
+  static void Borrow(LimitShares& borrower, LimitShares& lender,
+                     absl::Time now) {
+    const auto request = borrower.MakeBorrowRequest("desk", now);
+    CPPUNIT_ASSERT(request.has_value());
+    if (const auto grant = lender.OnBorrowRequest(*request, now)) {
+      borrower.OnBorrowGrant(*grant, now);
+    }
+  }
+
+  static int AdmittedAtOnce(LimitShares& shares, absl::Time now,
+                            int requests = 100) {
     int admitted = 0;
-    for (int i = 0; i < 100; ++i) {
+    for (int i = 0; i < requests; ++i) {
       const auto acquired = shares.TryAcquire("desk", absl::Seconds(1), now);
       if (const auto* unit = std::get_if<LimitShares::Unit>(&acquired)) {
         shares.Release("desk", *unit);
