Keep the times of publishing in one place

The ratios of the watch, of the age of peers' proofs and of the log, the retry pause, the check period and the timeouts of the call stood in four files and the model; their sum is what the bound limits. PublishingTimes derives them from the bound; hosts, store client and model take theirs there.

--- a/libs/tier/include/tier/freshness_log.h
+++ b/libs/tier/include/tier/freshness_log.h
@@ -4,6 +4,7 @@
 #include "membership/host_table.h"
 #include "tier/fleet_gossip.h"
 #include "tier/published_freshness.h"
+#include "tier/publishing_times.h"
 
 namespace cherrydyke {
 
@@ -11,10 +12,9 @@
 /// them: a line when either changes.
 class FreshnessLog {
  public:
-  /// @param bound time within which changes must take effect.
   FreshnessLog(const HostTable& hosts, const PublishedFreshness& freshness,
-               const FleetGossip& gossip, absl::Duration bound)
-      : hosts_(hosts), freshness_(freshness), gossip_(gossip), bound_(bound) {}
+               const FleetGossip& gossip, const PublishingTimes& times)
+      : hosts_(hosts), freshness_(freshness), gossip_(gossip), times_(times) {}
 
   /// @param is_reading whether this host reads the configuration service and
   /// gets responses.
@@ -29,7 +29,7 @@
   const HostTable& hosts_;
   const PublishedFreshness& freshness_;
   const FleetGossip& gossip_;
-  const absl::Duration bound_;
+  const PublishingTimes times_;
   DisseminationRole role_ = DisseminationRole::kFollower;
   HostId source_;
   bool peers_prove_nothing_ = false;
--- a/libs/tier/include/tier/tier_host.h
+++ b/libs/tier/include/tier/tier_host.h
@@ -16,6 +16,7 @@
 #include "tier/protocol_adapter.h"
 #include "tier/published_freshness.h"
 #include "tier/published_source.h"
+#include "tier/publishing_times.h"
 #include "tier/request_handler.h"
 #include "tier/target_set.h"
 
@@ -107,6 +108,7 @@
   engine::TimerScope timers_{loop_};
   const TierSettings settings_;
   const TierAdapters adapters_;
+  const PublishingTimes times_;
   Metrics metrics_;
   PublishedItems config_items_;
   PublishedItems target_items_;
--- a/libs/tier/src/freshness_log.cc
+++ b/libs/tier/src/freshness_log.cc
@@ -6,15 +6,6 @@
 #include "telemetry/log.h"
 
 namespace cherrydyke {
-namespace {
-
-/// A host that knows of newer items for this part of the bound says so.
-constexpr double kBehindRatio = 0.1;
-/// Items that were not proven current for this part of the bound are reported
-/// as possibly outdated.
-constexpr double kOutdatedRatio = 0.75;
-
-}  // namespace
 
 void FreshnessLog::Update(bool is_reading, absl::Time now) {
   UpdateRole(is_reading, now);
@@ -58,7 +49,7 @@
 
 void FreshnessLog::UpdateBehind(absl::Time now) {
   const absl::Time since = gossip_.behind_since();
-  const bool is_behind = now - since > kBehindRatio * bound_;
+  const bool is_behind = now - since > times_.behind_log;
   if (is_behind == is_behind_) return;
   is_behind_ = is_behind;
   if (!is_behind) {
@@ -74,7 +65,7 @@
 
 void FreshnessLog::UpdateAge(absl::Time now) {
   const absl::Time current_until = freshness_.current_until();
-  const bool is_outdated = now - current_until > kOutdatedRatio * bound_;
+  const bool is_outdated = now - current_until > times_.outdated_log;
   if (is_outdated == is_outdated_) return;
   is_outdated_ = is_outdated;
   const auto age_ms = absl::ToInt64Milliseconds(now - current_until);
--- a/libs/tier/src/tier_host.cc
+++ b/libs/tier/src/tier_host.cc
@@ -13,8 +13,6 @@
 /// Entries of live targets that expired during an outage of the configuration
 /// service are registered again within this time after its recovery.
 constexpr absl::Duration kExpiredEntryGrace = absl::Milliseconds(2200);
-/// How often a host decides whether to read the configuration service.
-constexpr absl::Duration kReaderCheckPeriod = absl::Milliseconds(250);
 /// How often the counters of the host are logged.
 constexpr absl::Duration kLoadLogPeriod = absl::Seconds(10);
 constexpr absl::Duration kShutdownPollPeriod = absl::Milliseconds(100);
@@ -50,28 +48,14 @@
   return options;
 }
 
-/// Parts of the time within which changes must take effect. What is left covers
-/// the check of the age, a connection to the configuration service and a call.
-constexpr double kMinPeerAgeRatio = 0.5;
-constexpr double kMaxPeerAgeRatio = 0.6;
-/// Hosts retry within the time for which a restored path to the configuration
-/// service may go unnoticed.
-constexpr absl::Duration kMinRetryPause = absl::Milliseconds(2000);
-constexpr absl::Duration kMaxRetryPause = absl::Milliseconds(3000);
-
-/// Hosts differ, so that those which lose the same peer do not all call the
-/// configuration service at the same moment: the first one informs the others.
-PublishedFreshness::Options FreshnessOptions(const TierSettings& settings) {
+PublishedFreshness::Options FreshnessOptions(const PublishingTimes& times,
+                                             const HostId& host) {
   std::mt19937_64 random(NewIncarnation());
   std::uniform_real_distribution<double> fraction(0, 1);
   PublishedFreshness::Options options;
-  options.max_peer_age =
-      settings.change_deadline *
-      (kMinPeerAgeRatio +
-       fraction(random) * (kMaxPeerAgeRatio - kMinPeerAgeRatio));
-  options.retry_pause =
-      kMinRetryPause + fraction(random) * (kMaxRetryPause - kMinRetryPause);
-  options.self = static_cast<uint32_t>(StableHash(settings.locality.host));
+  options.max_peer_age = times.PeerAge(fraction(random));
+  options.retry_pause = times.RetryPause(fraction(random));
+  options.self = static_cast<uint32_t>(StableHash(host));
   return options;
 }
 
@@ -82,9 +66,10 @@
     : loop_(loop),
       settings_(std::move(settings)),
       adapters_(adapters),
+      times_(PublishingTimes::For(settings_.change_deadline)),
       hosts_({settings_.locality.host, settings_.locality.failure_domain},
              settings_.seeds, HostOptions(settings_.locality), loop.Now()),
-      freshness_(FreshnessOptions(settings_), loop.Now()),
+      freshness_(FreshnessOptions(times_, settings_.locality.host), loop.Now()),
       targets_(loop, settings_.locality, settings_.bounds,
                TargetOptions(adapters.protocol, loop.Now()), hosts_,
                settings_.policy),
@@ -111,7 +96,7 @@
               {{settings_.locality.host, settings_.locality.failure_domain},
                settings_.fleet_port},
               hosts_, crashes_, config_items_, target_items_, freshness_),
-      freshness_log_(hosts_, freshness_, gossip_, settings_.change_deadline),
+      freshness_log_(hosts_, freshness_, gossip_, times_),
       fleet_server_(
           loop, [this] { return FleetServerLimits(limits_); },
           [this](const std::shared_ptr<engine::ServerExchange>& exchange) {
@@ -173,7 +158,7 @@
   adapters_.source.Start(config_items_, target_items_, *this);
   targets_.OnPathLoss([this] { handovers_.Prepare(); },
                       [this] { request_handler_.OnPartitioned(); });
-  timers_.Every(kReaderCheckPeriod, [this] {
+  timers_.Every(times_.check_period, [this] {
     MeasureLateness();
     UpdateReaderRole();
   });
@@ -315,7 +300,7 @@
 void TierHost::MeasureLateness() {
   const absl::Time now = loop_.Now();
   lateness_ = std::max(now - next_check_at_, absl::ZeroDuration());
-  next_check_at_ = now + kReaderCheckPeriod;
+  next_check_at_ = now + times_.check_period;
 }
 
 void TierHost::UpdateReaderRole() {
--- a/libs/tier/tests/publishing_model.cc
+++ b/libs/tier/tests/publishing_model.cc
@@ -14,18 +14,9 @@
 constexpr absl::Duration kFetchTimeout = absl::Seconds(1);
 constexpr absl::Duration kWholeFetchTimeout = absl::Seconds(10);
 constexpr size_t kMaxFetches = 3;
-// The settings of TierHost.
-constexpr absl::Duration kReaderCheckPeriod = absl::Milliseconds(250);
-constexpr double kMinPeerAgeRatio = 0.5;
-constexpr double kMaxPeerAgeRatio = 0.6;
-constexpr absl::Duration kMinRetryPause = absl::Milliseconds(2000);
-constexpr absl::Duration kMaxRetryPause = absl::Milliseconds(3000);
-// The settings of StoreClient, and its watch before hosts used evidence.
-constexpr double kWatchRatio = 0.3;
-constexpr absl::Duration kMinWatchTime = absl::Milliseconds(100);
-constexpr absl::Duration kLongWatchTime = absl::Milliseconds(2500);
-constexpr absl::Duration kCallTimeout = absl::Milliseconds(800);
 constexpr absl::Duration kConnectTimeout = absl::Milliseconds(500);
+/// The watch of StoreClient before hosts used evidence.
+constexpr absl::Duration kLongWatchTime = absl::Milliseconds(2500);
 
 /// A host whose faults are over for so long is in touch.
 constexpr absl::Duration kSettleTime = absl::Seconds(5);
@@ -48,6 +39,7 @@
 
 PublishingModel::PublishingModel(Options options, uint32_t seed)
     : options_(options),
+      times_(PublishingTimes::For(options.bound)),
       random_(seed),
       now_(absl::UnixEpoch() + absl::Hours(1)),
       store_stable_since_(now_),
@@ -139,9 +131,9 @@
   host.table =
       std::make_unique<HostTable>(host.self, seeds, options, table_started);
   PublishedFreshness::Options freshness;
-  freshness.max_peer_age = Random(options_.bound * kMinPeerAgeRatio,
-                                  options_.bound * kMaxPeerAgeRatio);
-  freshness.retry_pause = Random(kMinRetryPause, kMaxRetryPause);
+  freshness.max_peer_age = Random(times_.min_peer_age, times_.max_peer_age);
+  freshness.retry_pause =
+      Random(times_.min_retry_pause, times_.max_retry_pause);
   freshness.self = static_cast<uint32_t>(StableHash(host.self.host));
   host.freshness = std::make_unique<PublishedFreshness>(freshness, now_);
   host.items = {};
@@ -175,7 +167,7 @@
 
 void PublishingModel::CheckRole(Host& host) {
   UpdateReaderRole(host);
-  AtHost(host, kReaderCheckPeriod, [this](Host& same) { CheckRole(same); });
+  AtHost(host, times_.check_period, [this](Host& same) { CheckRole(same); });
 }
 
 void PublishingModel::UpdateReaderRole(Host& host) {
@@ -351,16 +343,15 @@
   host.read_started_at = now_;
   absl::Duration wait = kLongWatchTime;
   if (options_.reads == Reads::kByEvidence) {
-    const absl::Duration watch_time = kWatchRatio * options_.bound;
-    wait = absl::Floor(std::clamp(host.read_current_until + watch_time - now_,
-                                  kMinWatchTime, watch_time),
+    wait = absl::Floor(std::clamp(host.read_current_until + times_.watch - now_,
+                                  times_.min_watch, times_.watch),
                        absl::Milliseconds(1));
   }
   if (host.as_of == 0) wait = absl::ZeroDuration();
   calls_.push_back(now_);
   const int64_t call = ++host.call;
   const bool is_refused = now_ < host.refused_until;
-  AtHost(host, is_refused ? Random(kMinTrip, kMaxTrip) : wait + kCallTimeout,
+  AtHost(host, is_refused ? Random(kMinTrip, kMaxTrip) : wait + times_.response,
          [this, call](Host& same) { OnCallFailed(same, call); });
   if (is_refused || now_ < host.silent_until) return;
   At(now_ + Random(kMinTrip, kMaxTrip),
--- a/libs/tier/tests/publishing_model.h
+++ b/libs/tier/tests/publishing_model.h
@@ -16,6 +16,7 @@
 #include "tier/poll_schedule.h"
 #include "tier/published_freshness.h"
 #include "tier/published_items.h"
+#include "tier/publishing_times.h"
 
 namespace cherrydyke {
 
@@ -186,6 +187,7 @@
   bool WithProbability(double probability);
 
   const Options options_;
+  const PublishingTimes times_;
   std::mt19937_64 random_;
   absl::Time now_;
   int64_t sequence_ = 0;
