Apply evacuations beside a configuration that is refused or removed

Callers kept being served by targets of an evacuated domain, and targets of one that was taken back stayed without requests: while op/config could not be decoded, or was removed, a host dropped the evacuations beside it and counted as current all the same.

Cause: TierHost::ApplyConfig returned before it handed over the evacuations. Now they are decoded by themselves and applied; routes, services and limits stay those of the version in force, which the line "configuration refused" names. The platform says that its store accepts only valid configurations, so this needs one that it takes and we don't.

--- a/libs/tier/include/tier/published_source.h
+++ b/libs/tier/include/tier/published_source.h
@@ -60,6 +60,10 @@
   /// error if it cannot be decoded.
   virtual Result<OperatorConfig> DecodeConfig(
       const PublishedItems& items) const = 0;
+  /// @return the evacuated failure domains, also if the configuration beside
+  /// them is not published or cannot be decoded.
+  virtual std::set<FailureDomainName> DecodeEvacuated(
+      const PublishedItems& items) const = 0;
   /// @return the listed targets; entries that cannot be decoded are skipped.
   virtual std::vector<TargetInfo> DecodeTargets(
       const PublishedItems& items) const = 0;
--- a/libs/tier/include/tier/target_set.h
+++ b/libs/tier/include/tier/target_set.h
@@ -82,6 +82,8 @@
   void SetTargets(std::vector<TargetInfo> targets,
                   absl::Duration missing_grace);
   void SetConfig(TargetConfig config);
+  /// Changes the evacuated failure domains alone.
+  void SetEvacuated(std::set<FailureDomainName> evacuated);
   /// Recomputes this host's shares of limits after a change of the known hosts.
   void OnHostsChanged();
 
--- a/libs/tier/src/target_set.cc
+++ b/libs/tier/src/target_set.cc
@@ -199,6 +199,10 @@
   UpdateAllLimits();
 }
 
+void TargetSet::SetEvacuated(std::set<FailureDomainName> evacuated) {
+  config_.evacuated = std::move(evacuated);
+}
+
 void TargetSet::OnHostsChanged() {
   shares_.Refresh(loop_.Now());
   retry_budget_.SetHostCount(shares_.hosts());
--- a/libs/tier/src/tier_host.cc
+++ b/libs/tier/src/tier_host.cc
@@ -270,11 +270,15 @@
   if (const Error* error = GetError(decoded)) {
     LogError("configuration refused",
              {{"error", error->message},
+              {"version", versions_.in_force()},
               {"revision", config_items_.complete_revision()}});
-    return;
+    return targets_.SetEvacuated(
+        adapters_.decoder.DecodeEvacuated(config_items_));
   }
   OperatorConfig& config = GetValue(decoded);
-  if (config.routes == nullptr) return;
+  if (config.routes == nullptr) {
+    return targets_.SetEvacuated(std::move(config.evacuated));
+  }
   LogInfo("configuration in force",
           {{"version", config.routes->version()},
            {"revision", config_items_.complete_revision()},
