Count no crash while a host's connections are all reset one after another

Callers saw 503 (quarantined) for ten minutes, at every host, for proper requests that had been running when their host was partitioned.

Cause: a refused connection proved that its target had ended, at once. Class: the state of the own path taken for the state of others.

Fix: a refusal waits 100 ms for the path. It counts if other targets still have connections then and no partition is suspected; otherwise it is discarded, and a later probe decides. A process with a connection older than the refusal still runs: partitions can refuse new connections and leave the open ones.

Tried first: distrusting refusals while two targets are unconnected. Not enough: a response from a target that is not yet cut off clears the doubt between two resets.

--- a/libs/dispatch/include/dispatch/crash_detector.h
+++ b/libs/dispatch/include/dispatch/crash_detector.h
@@ -33,7 +33,9 @@
 ///
 /// A connection that times out is evidence only if the network path to the
 /// target's failure domain is known to work; in a partition all its targets are
-/// silent. Pure: time is an argument.
+/// silent. A partition can also reset all connections and refuse new ones, one
+/// target after another, so a refused connection is evidence only if the path
+/// still works some time later. Pure: time is an argument.
 ///
 ///     detector.OnUnanswered(attempt, now, [](CrashVerdict) { ... });
 ///     if (detector.NeedsProbe()) pool.Probe();
@@ -58,7 +60,8 @@
   void OnConnected(absl::Time now);
   /// A connection attempt failed.
   /// @param refused whether the address was reachable and had no listener.
-  /// @param path_works whether other targets of the failure domain respond.
+  /// @param path_works whether other targets of the failure domain respond; of
+  /// a refusal, `OnPoll` decides.
   void OnConnectFailed(bool refused, bool path_works, absl::Time now);
   /// The instance's entry was removed, or another instance has its id or
   /// address.
@@ -71,7 +74,8 @@
   void OnListedAgain() { ended_at_.reset(); }
   /// Decides the attempts for which time is evidence.
   /// @param is_connected whether a connection to the instance is established.
-  void OnPoll(bool is_connected, absl::Time now);
+  /// @param path_works whether the path to other targets works at this time.
+  void OnPoll(bool is_connected, bool path_works, absl::Time now);
 
   /// @return whether attempts wait for a verdict, so that `OnPoll` is needed.
   bool HasPending() const { return !pending_.empty(); }
@@ -85,6 +89,8 @@
     /// Whether a connection was accepted since. It may have been another
     /// process, so the verdict waits for evidence of a restart.
     bool accepted = false;
+    /// When a connection was refused, until it is known whether the path works.
+    absl::Time refused_at = absl::InfiniteFuture();
     OnVerdict on_verdict;
   };
 
--- a/libs/dispatch/src/crash_detector.cc
+++ b/libs/dispatch/src/crash_detector.cc
@@ -15,6 +15,9 @@
 /// An attempt that was sent to a target which had been silent for longer than
 /// this did not cause the silence.
 constexpr absl::Duration kMaxPriorSilence = absl::Seconds(1);
+/// Time after a refused connection at which a path that still works shows that
+/// only the target refused: a partition resets all connections within it.
+constexpr absl::Duration kConfirmationTime = absl::Milliseconds(100);
 /// Time to decide about an attempt: the entry of a process that has ended
 /// expires within it.
 constexpr absl::Duration kDecisionTime = absl::Seconds(6);
@@ -53,7 +56,8 @@
       return on_verdict(CrashVerdict::kCrashed);
     }
   }
-  pending_.push_back({loss, now, false, std::move(on_verdict)});
+  pending_.push_back(
+      {loss, now, false, absl::InfiniteFuture(), std::move(on_verdict)});
 }
 
 void CrashDetector::OnResponse(absl::Time now) {
@@ -67,8 +71,14 @@
 
 void CrashDetector::OnConnectFailed(bool refused, bool path_works,
                                     absl::Time now) {
-  if (!refused && !path_works) return;
-  if (!refused) last_timeout_at_ = now;
+  if (refused) {
+    for (Pending& entry : pending_) {
+      if (!entry.accepted) entry.refused_at = std::min(entry.refused_at, now);
+    }
+    return;
+  }
+  if (!path_works) return;
+  last_timeout_at_ = now;
   Decide(CrashVerdict::kCrashed,
          [](const Pending& entry) { return !entry.accepted; });
 }
@@ -84,8 +94,20 @@
   Decide(CrashVerdict::kUnexplained, [](const Pending&) { return true; });
 }
 
-void CrashDetector::OnPoll(bool is_connected, absl::Time now) {
+void CrashDetector::OnPoll(bool is_connected, bool path_works, absl::Time now) {
+  const auto is_confirmable = [&](const Pending& entry) {
+    return now - entry.refused_at >= kConfirmationTime;
+  };
+  if (path_works) {
+    // A process with a connection older than the refusal still runs.
+    Decide(CrashVerdict::kCrashed, [&](const Pending& entry) {
+      return is_confirmable(entry) &&
+             (!is_connected || last_connected_at_ > entry.refused_at);
+    });
+  }
   for (Pending& entry : pending_) {
+    if (is_confirmable(entry)) entry.refused_at = absl::InfiniteFuture();
+    if (entry.refused_at != absl::InfiniteFuture()) continue;
     // Connections to a silent process seem established.
     const bool is_evidence = entry.loss == AttemptLoss::kConnectionLost ||
                              last_connected_at_ > entry.ended_at;
--- a/libs/tier/src/target.cc
+++ b/libs/tier/src/target.cc
@@ -115,7 +115,8 @@
 
 void TargetSet::Target::ProbeForCrash() {
   const absl::Time now = set.loop_.Now();
-  crash_detector_.OnPoll(pool->IsConnected(), now);
+  crash_detector_.OnPoll(pool->IsConnected(), set.IsPathToOthersOpen(*this),
+                         now);
   probing_for_crash_ = crash_detector_.HasPending();
   if (!probing_for_crash_) return;
   // A target that closes new connections or asked for a backoff is not probed.
--- a/libs/tier/src/target_reach.cc
+++ b/libs/tier/src/target_reach.cc
@@ -38,6 +38,14 @@
   return !any_usable;
 }
 
+bool TargetSet::IsPathToOthersOpen(const Target& target) const {
+  return partition_monitor_->IsPathTrusted() &&
+         std::any_of(targets_.begin(), targets_.end(), [&](const auto& entry) {
+           return entry.second.get() != &target &&
+                  entry.second->pool->IsConnected();
+         });
+}
+
 void TargetSet::OnUnconnected(const Target& target) {
   const bool any_connected = std::any_of(
       targets_.begin(), targets_.end(),
