Withdraw queued requests from targets that drain or are evacuated (DRAIN, EVAC)

A request that waits in a target's connection pool (for a free connection, or one that is opened or verified) was bounded by its own time limit alone. Only the removal of a target and its own Server-Leaving ended the wait; an entry that turned to draining and an evacuation did not, so the requests were written to it afterwards by a host that knew better. The allowances add up: a host in touch may have a change up to 3.5 s after its confirmation (published-freshness.md), the wait comes on top, up to the route's time limit. That exceeds the 4 s of DRAIN and the 5 s of EVAC with no fault in freshness.

A request is now checked against the newest known state when it is written, where regions are checked already (TargetSet::MayReceive): same instance, still listed, not leaving, address its own, domain not evacuated. Besides, the wait ends as soon as the change is applied (ConnectionPool::WithdrawQueued), so that a request goes elsewhere rather than wait for its turn to be withdrawn. It has not run and counts nothing against the target. All writes of requests to targets (first sends, retries, hedges, parts, taken over) go this way.

--- a/libs/engine/include/engine/connection_pool.h
+++ b/libs/engine/include/engine/connection_pool.h
@@ -63,6 +63,9 @@
 
   /// Reports all queued requests as `kNotSent`.
   void FailQueued();
+  /// Reports all queued requests as `kWithdrawn`: the server must not get them
+  /// any more, which says nothing about its health.
+  void WithdrawQueued();
 
   /// Opens a connection, if the limit allows and none is pending, to check
   /// whether the server accepts connections.
@@ -110,6 +113,7 @@
   /// Calls `FailQueued` if the pool has no connection left.
   void FailQueuedIfNoConnection();
   void OnClosedBeforeResponse();
+  void EndQueued(ExchangeStatus status);
   void PostResult(std::function<void(ExchangeResult)> done,
                   ExchangeStatus status);
 
--- a/libs/engine/src/connection_pool.cc
+++ b/libs/engine/src/connection_pool.cc
@@ -240,12 +240,15 @@
   if (connections_.empty()) FailQueued();
 }
 
-void ConnectionPool::FailQueued() {
-  std::deque<QueuedRequest> failed;
-  failed.swap(queue_);
-  for (QueuedRequest& entry : failed) {
-    PostResult(std::move(entry.request.exchange.done),
-               ExchangeStatus::kNotSent);
+void ConnectionPool::FailQueued() { EndQueued(ExchangeStatus::kNotSent); }
+
+void ConnectionPool::WithdrawQueued() { EndQueued(ExchangeStatus::kWithdrawn); }
+
+void ConnectionPool::EndQueued(ExchangeStatus status) {
+  std::deque<QueuedRequest> ended;
+  ended.swap(queue_);
+  for (QueuedRequest& entry : ended) {
+    PostResult(std::move(entry.request.exchange.done), status);
   }
 }
 
--- a/libs/tier/include/tier/target_set.h
+++ b/libs/tier/include/tier/target_set.h
@@ -103,6 +103,11 @@
   /// request was sent at `sent_at`.
   bool IsCurrentInstance(const TargetId& target, absl::Time sent_at) const;
 
+  /// @return whether the target may still get a request that was assigned to it
+  /// at `sent_at`: that instance is listed, it is not leaving, and its failure
+  /// domain is not evacuated.
+  bool MayReceive(const TargetId& target, absl::Time sent_at) const;
+
   /// @return the region of the listed instance of the target; empty if the
   /// target is not listed.
   RegionName RegionOf(const TargetId& target) const;
@@ -205,6 +210,9 @@
   using TargetPtr = std::unique_ptr<Target>;
 
   void Update(TargetInfo info, absl::Time now);
+  /// Withdraws requests that wait for connections to targets that may not get
+  /// them any more.
+  void WithdrawQueued();
   /// Removes targets whose grace period after they were last listed is over.
   void RemoveExpired(absl::Time now);
   /// Destroys a removed target later, when its running requests have ended.
@@ -217,6 +225,10 @@
                 absl::Time now) const;
   /// @return whether a target may be used and is not known to be unresponsive.
   bool CanServe(const Target& target, absl::Time now) const;
+  /// @return why a target may not get any request, not even one that waits for
+  /// a connection to it, or nothing if it may.
+  std::optional<ExclusionReason> WithdrawalReason(const Target& target,
+                                                  absl::Time now) const;
   /// @return why a target may not be used, or nothing if it may.
   std::optional<ExclusionReason> ExclusionReasonFor(
       const Target& target, const SelectionCriteria& criteria,
--- a/libs/tier/src/request_handler.cc
+++ b/libs/tier/src/request_handler.cc
@@ -389,11 +389,15 @@
   attempt.sent_at = now;
   const engine::HttpRequest& http_request = request->exchange->request();
   engine::PoolRequest out;
-  out.exchange.write = [this, request, target = send.target,
+  out.exchange.write = [this, request, target = send.target, sent_at = now,
                         region = targets_.RegionOf(
                             send.target)]() -> std::optional<std::string> {
-    // A change may have come into force while the connection was opened.
-    if (!request->run->plan().regions.Allows(region)) return std::nullopt;
+    // A change may have come into force while the request waited for a
+    // connection.
+    if (!targets_.MayReceive(target, sent_at) ||
+        !request->run->plan().regions.Allows(region)) {
+      return std::nullopt;
+    }
     return protocol_.TargetRequest(request->target_head,
                                    request->exchange->request().body, target,
                                    request->deadline - loop_.Now());
@@ -443,7 +447,7 @@
   if (status == engine::ExchangeStatus::kWithdrawn &&
       log_rate_limiter_.TryAcquire("withdrawn", policy_.log_lines,
                                    loop_.Now())) {
-    LogInfo("attempt withdrawn: region of the target excluded meanwhile",
+    LogInfo("attempt withdrawn: target excluded meanwhile",
             {{"request", request->caller_request.request_id},
              {"target", attempt.target},
              {"config_version", versions_.in_force()}});
--- a/libs/tier/src/target_set.cc
+++ b/libs/tier/src/target_set.cc
@@ -102,6 +102,7 @@
     }
   }
   RemoveExpired(now);
+  WithdrawQueued();
   if (missing_grace > absl::ZeroDuration()) {
     timers_.RunAfter(missing_grace, [this] { RemoveExpired(loop_.Now()); });
   }
@@ -202,10 +203,19 @@
 void TargetSet::SetConfig(TargetConfig config) {
   config_ = std::move(config);
   UpdateAllLimits();
+  WithdrawQueued();
 }
 
 void TargetSet::SetEvacuated(std::set<FailureDomainName> evacuated) {
   config_.evacuated = std::move(evacuated);
+  WithdrawQueued();
+}
+
+void TargetSet::WithdrawQueued() {
+  const absl::Time now = loop_.Now();
+  for (auto& [id, target] : targets_) {
+    if (WithdrawalReason(*target, now)) target->pool->WithdrawQueued();
+  }
 }
 
 void TargetSet::OnHostsChanged() {
@@ -300,16 +310,22 @@
              locality_.RegionOf(target.info.failure_domain));
 }
 
-std::optional<ExclusionReason> TargetSet::ExclusionReasonFor(
-    const Target& target, const SelectionCriteria& criteria,
-    absl::Time now) const {
+std::optional<ExclusionReason> TargetSet::WithdrawalReason(
+    const Target& target, absl::Time now) const {
   if (target.info.draining || target.leaving) return ExclusionReason::kLeaving;
   if (now >= target.expires_at) return ExclusionReason::kGone;
   if (target.has_wrong_address) return ExclusionReason::kWrongAddress;
-  if (now < target.backoff_until) return ExclusionReason::kBackoff;
   if (config_.evacuated.count(target.info.failure_domain) > 0) {
     return ExclusionReason::kEvacuated;
   }
+  return std::nullopt;
+}
+
+std::optional<ExclusionReason> TargetSet::ExclusionReasonFor(
+    const Target& target, const SelectionCriteria& criteria,
+    absl::Time now) const {
+  if (const auto reason = WithdrawalReason(target, now)) return reason;
+  if (now < target.backoff_until) return ExclusionReason::kBackoff;
   if (!IsInAllowedRegion(target, criteria))
     return ExclusionReason::kOtherRegion;
   if (WasTried(target, criteria)) return ExclusionReason::kAlreadyTried;
@@ -507,6 +523,11 @@
   return FindInstance(id, sent_at) != nullptr;
 }
 
+bool TargetSet::MayReceive(const TargetId& id, absl::Time sent_at) const {
+  const Target* const target = FindInstance(id, sent_at);
+  return target != nullptr && !WithdrawalReason(*target, loop_.Now());
+}
+
 RegionName TargetSet::RegionOf(const TargetId& id) const {
   const Target* const target = Find(id);
   return target == nullptr ? ""
