Ignore crashes older than the last answer, whenever they are reported

Reports of crashes are kept and gossiped for ten minutes. A host that answered the request remembered that for 30 to 60 s only; after that, reports of crashes from before its answer counted, and three of them quarantined a request that targets answer: callers got 503 for ten minutes. Crashes that were counted before an answer stayed counted as well.

What decides is the order: a report carries the crash's age, so a crash from before the last answer that this host knows is ignored, and an answer drops the crashes counted before it. Answers are remembered with their time, for as long as a report may be about a crash before them, at most 32,768 in each of two periods (under 4 MB).

CrashesBeforeTheLastAnswerAreNotCounted failed before: 3 crashes counted, 0 expected.

--- a/libs/dispatch/include/dispatch/crash_tracker.h
+++ b/libs/dispatch/include/dispatch/crash_tracker.h
@@ -5,7 +5,7 @@
 #include <tuple>
 #include <vector>
 
-#include "absl/container/flat_hash_set.h"
+#include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
 
 namespace cherrydyke {
@@ -41,7 +41,8 @@
 class CrashTracker {
  public:
   /// Records that targets answered all parts of the request for this host: it
-  /// does not crash each target that runs it, and is not blamed for some time.
+  /// does not crash each target that runs it. Earlier crashes do not count, and
+  /// it is not blamed for some time.
   void OnAnswered(uint64_t fingerprint, absl::Time now);
   /// Records that a target crashed while it ran the request for this host.
   /// @param target hash of the target instance.
@@ -90,7 +91,8 @@
 
   bool Add(uint64_t fingerprint, uint32_t target, absl::Time at,
            absl::Time now);
-  bool WasAnsweredRecently(uint64_t fingerprint, absl::Time now) const;
+  /// @return when this host last answered the request, as far as remembered.
+  absl::Time LastAnswer(uint64_t fingerprint) const;
   void DropExpired(absl::Time now);
   void EvictOldest();
   /// Appends the reports of the records sent least often until `reports` holds
@@ -99,9 +101,10 @@
                      absl::Time now, std::vector<CrashReport>& reports);
 
   Records records_;
-  /// Requests answered since `answered_since_`, and in the period before.
-  absl::flat_hash_set<uint64_t> answered_;
-  absl::flat_hash_set<uint64_t> answered_before_;
+  /// When requests were last answered since `answered_since_`, and in the
+  /// period before.
+  absl::flat_hash_map<uint64_t, absl::Time> answered_;
+  absl::flat_hash_map<uint64_t, absl::Time> answered_before_;
   absl::Time answered_since_ = absl::InfinitePast();
   /// When a request last became quarantined on this host.
   absl::Time last_quarantined_at_ = absl::InfinitePast();
--- a/libs/dispatch/src/crash_tracker.cc
+++ b/libs/dispatch/src/crash_tracker.cc
@@ -16,10 +16,12 @@
 constexpr int kMaxTargets = kCrashesToQuarantine;
 /// Maximum number of tracked requests, at a few hundred bytes each.
 constexpr size_t kMaxRecords = 4096;
-/// Period in which answered requests are collected, and their maximum number:
-/// a request is not blamed for one to two periods after it was answered.
-constexpr absl::Duration kAnsweredPeriod = absl::Seconds(30);
-constexpr size_t kMaxAnswered = 8192;
+/// How long a request is not blamed after it was answered.
+constexpr absl::Duration kBlamelessTime = absl::Minutes(1);
+/// Period in which answered requests are collected, and their maximum number.
+/// Two periods are kept: as long as a crash before the answer may be reported.
+constexpr absl::Duration kAnsweredPeriod = kQuarantineDuration;
+constexpr size_t kMaxAnswered = 32768;
 /// How long a new quarantine is gossiped in every round: a rumour that is sent
 /// once to a few random hosts misses some of them.
 constexpr absl::Duration kNewQuarantineTime = absl::Seconds(2);
@@ -35,14 +37,16 @@
     if (is_outdated) answered_before_.clear();
     answered_since_ = now;
   }
-  answered_.insert(fingerprint);
+  answered_[fingerprint] = now;
+  records_.erase(fingerprint);
 }
 
-bool CrashTracker::WasAnsweredRecently(uint64_t fingerprint,
-                                       absl::Time now) const {
-  return now - answered_since_ < 2 * kAnsweredPeriod &&
-         (answered_.contains(fingerprint) ||
-          answered_before_.contains(fingerprint));
+absl::Time CrashTracker::LastAnswer(uint64_t fingerprint) const {
+  for (const auto* answers : {&answered_, &answered_before_}) {
+    const auto found = answers->find(fingerprint);
+    if (found != answers->end()) return found->second;
+  }
+  return absl::InfinitePast();
 }
 
 bool CrashTracker::OnCrash(uint64_t fingerprint, uint32_t target,
@@ -58,7 +62,8 @@
 
 bool CrashTracker::Add(uint64_t fingerprint, uint32_t target, absl::Time at,
                        absl::Time now) {
-  if (WasAnsweredRecently(fingerprint, now)) return false;
+  const absl::Time last_answer = LastAnswer(fingerprint);
+  if (at <= last_answer || now - last_answer < kBlamelessTime) return false;
   const bool was_quarantined = IsQuarantined(fingerprint, now);
   Record& record = records_[fingerprint];
   if (!record.crashed_at.try_emplace(target, at).second) return false;
--- a/libs/dispatch/tests/tables_test.cc
+++ b/libs/dispatch/tests/tables_test.cc
@@ -62,6 +62,7 @@
   CPPUNIT_TEST(SuspectRequestsGetFewerAttempts);
   CPPUNIT_TEST(CrashOfOneTargetCountsOnce);
   CPPUNIT_TEST(RecentlyAnsweredRequestIsNotBlamed);
+  CPPUNIT_TEST(CrashesBeforeTheLastAnswerAreNotCounted);
   CPPUNIT_TEST(CrashesBeforeAndAfterAHostRestartAddUp);
   CPPUNIT_TEST(NewCrashIsInTheNextMessage);
   CPPUNIT_TEST(EveryCrashIsGossipedInTurn);
@@ -189,6 +190,22 @@
     CPPUNIT_ASSERT_EQUAL(1, tracker.Total(7));
   }
 
+  void CrashesBeforeTheLastAnswerAreNotCounted() {
+    CrashTracker tracker;
+    tracker.OnCrash(7, kTarget, kStart - absl::Seconds(5));
+    tracker.OnAnswered(7, kStart);
+    const absl::Time late = kStart + absl::Seconds(90);
+    for (const uint32_t target : {kTarget, kSecondTarget, kThirdTarget}) {
+      tracker.Merge({7, target, 95'000}, late);
+    }
+    CPPUNIT_ASSERT_EQUAL(0, tracker.Total(7));
+    CPPUNIT_ASSERT(!tracker.IsQuarantined(7, late));
+    for (const uint32_t target : {kTarget, kSecondTarget, kThirdTarget}) {
+      tracker.Merge({7, target, 5'000}, late);
+    }
+    CPPUNIT_ASSERT(tracker.IsQuarantined(7, late));
+  }
+
   void CrashesBeforeAndAfterAHostRestartAddUp() {
     CrashTracker other;
     for (const uint32_t target : {kTarget, kSecondTarget, kThirdTarget}) {
