--- a/review/stand_ins/tier.cc
+++ b/review/stand_ins/tier.cc
@@ -87,7 +87,16 @@
       {"{{bounds.retrySlack}}", "56"},
       {"{{bounds.warmupOverage}}", "1.5"},
       {"{{bounds.warmupSlack}}", "5"},
-      {"{{bounds.graceS}}", std::to_string(bounds.grace_s)}};
+      {"{{bounds.graceS}}", std::to_string(bounds.grace_s)},
+      {"{{#bounds.configApplyMs}}", ""},
+      {"{{bounds.configApplyMs}}", std::to_string(bounds.config_apply_ms)},
+      {"{{/bounds.configApplyMs}}", ""},
+      {"{{#bounds.drainMs}}", ""},
+      {"{{bounds.drainMs}}", std::to_string(bounds.drain_ms)},
+      {"{{/bounds.drainMs}}", ""},
+      {"{{#bounds.evacuateMs}}", ""},
+      {"{{bounds.evacuateMs}}", std::to_string(bounds.evacuate_ms)},
+      {"{{/bounds.evacuateMs}}", ""}};
   for (const auto& [field, value] : fields) Replace(settings, field, value);
   std::ofstream(SettingsPath()) << settings;
 }
--- a/review/stand_ins/tier.h
+++ b/review/stand_ins/tier.h
@@ -20,6 +20,7 @@
   int64_t grace_s = 6;
   int64_t loss_slack_ms = 200;
   int64_t config_apply_ms = 4000;
+  int64_t evacuate_ms = 5000;
 };
 
 /// A host that runs the tier as the deploy file says, in a process of its own.
