Lines of requests tell how current the host was

`request refused` and `request done` now have published_age_ms, the time since the host's items were last proven current, and behind_ms, the time for which it has known of newer ones, under the names that the load line has. The handler gets them from a function, so it knows nothing of gossip or reads.

--- a/libs/tier/include/tier/request_handler.h
+++ b/libs/tier/include/tier/request_handler.h
@@ -11,6 +11,7 @@
 #include "absl/container/flat_hash_map.h"
 #include "absl/container/flat_hash_set.h"
 #include "absl/functional/function_ref.h"
+#include "absl/time/time.h"
 #include "dispatch/answer_margin_estimator.h"
 #include "dispatch/config_versions.h"
 #include "dispatch/crash_tracker.h"
@@ -21,6 +22,7 @@
 #include "dispatch/shutdown_schedule.h"
 #include "dispatch/top_records.h"
 #include "engine/http_server.h"
+#include "telemetry/log.h"
 #include "telemetry/log_rate_limiter.h"
 #include "telemetry/metrics.h"
 #include "tier/handover_client.h"
@@ -37,6 +39,15 @@
 
 class WaitingRequests;
 
+/// How current a host's published items are, for its log lines.
+struct PublishedState {
+  /// Time since the items were last proven to be current.
+  absl::Duration age;
+  /// Time for which the host has known of newer items; zero if it knows of
+  /// none.
+  absl::Duration behind;
+};
+
 /// Serves callers' requests: finds the route, sends the request to targets with
 /// retries and hedges, and responds. Single-threaded.
 class RequestHandler {
@@ -50,6 +61,7 @@
     ConfigVersions& versions;
     Metrics& metrics;
     Policy policy;
+    std::function<PublishedState()> published_state;
     /// Called after crashes of a request were counted.
     std::function<void()> on_crash_counted;
   };
@@ -179,6 +191,9 @@
   void CountPassedOver(const ExclusionCounts& passed_over);
   void LogOutcome(const Request& request, const std::string& outcome,
                   size_t missing);
+  /// Adds how current the host is, which tells a request of a late host from
+  /// one of a changed configuration.
+  void AppendPublishedState(Fields& fields) const;
   absl::Duration RetryAfter(RefusalReason reason);
   /// @return a random number in [0, 1).
   double RandomFraction();
@@ -192,6 +207,7 @@
   ConfigVersions& versions_;
   Metrics& metrics_;
   const Policy policy_;
+  const std::function<PublishedState()> published_state_;
   const std::function<void()> on_crash_counted_;
   LogRateLimiter log_rate_limiter_;
   RetryAfterScheduler retry_after_scheduler_;
--- a/libs/tier/src/request_handler.cc
+++ b/libs/tier/src/request_handler.cc
@@ -99,6 +99,7 @@
       versions_(dependencies.versions),
       metrics_(dependencies.metrics),
       policy_(dependencies.policy),
+      published_state_(std::move(dependencies.published_state)),
       on_crash_counted_(std::move(dependencies.on_crash_counted)),
       retry_after_scheduler_(policy_.retry_after, policy_.retry_after_spread),
       answer_margin_(policy_.answer_margin, policy_.answer_spare),
@@ -780,13 +781,14 @@
                absl::StrCat("reason=\"", RefusalReasonName(reason), "\""))
       .Add();
   if (log_rate_limiter_.TryAcquire("refused", policy_.log_lines, loop_.Now())) {
-    LogInfo("request refused",
-            {{"request", request_id},
-             {"target", exchange.request().target},
-             {"reason", RefusalReasonName(reason)},
-             {"ran", ran},
-             {"retry_after_ms", absl::ToInt64Milliseconds(retry_after)},
-             {"config_version", versions_.in_force()}});
+    Fields fields = {{"request", request_id},
+                     {"target", exchange.request().target},
+                     {"reason", RefusalReasonName(reason)},
+                     {"ran", ran},
+                     {"retry_after_ms", absl::ToInt64Milliseconds(retry_after)},
+                     {"config_version", versions_.in_force()}};
+    AppendPublishedState(fields);
+    LogInfo("request refused", fields);
   }
   exchange.Respond(
       protocol_.RefusalResponse(request_id, reason, ran, retry_after));
@@ -840,6 +842,7 @@
                    {"ms", absl::ToDoubleMilliseconds(elapsed)},
                    {"sends", request.run->sends()},
                    {"missing", missing}};
+  AppendPublishedState(fields);
   if (outcome != kAnswered) {
     fields.emplace_back("unanswered", UnansweredAttempts(request));
     fields.emplace_back("passed_over", request.passed_over.ToString());
@@ -847,4 +850,10 @@
   LogInfo("request done", fields);
 }
 
+void RequestHandler::AppendPublishedState(Fields& fields) const {
+  const PublishedState state = published_state_();
+  fields.emplace_back("published_age_ms", absl::ToInt64Milliseconds(state.age));
+  fields.emplace_back("behind_ms", absl::ToInt64Milliseconds(state.behind));
+}
+
 }  // namespace cherrydyke
--- a/libs/tier/src/tier_host.cc
+++ b/libs/tier/src/tier_host.cc
@@ -88,6 +88,9 @@
                   [this] { request_handler_.ResumeWaiting(); }}),
       request_handler_({loop, adapters.protocol, targets_, crashes_, handovers_,
                         versions_, metrics_, settings_.policy,
+                        [this] {
+                          return PublishedState{PublishedAge(), TimeBehind()};
+                        },
                         [this] { gossip_.Gossip(); }}),
       handover_server_(
           loop, metrics_, versions_, settings_.policy,
