Publishing model: late links and paths to the store

The model now has links between hosts (datagrams and transfers) and paths to the store that are late for a time, as random faults and over whole runs; FiguresOfLateness prints how many runs break the bound.

--- a/libs/tier/tests/publishing_model.h
+++ b/libs/tier/tests/publishing_model.h
@@ -53,6 +53,9 @@
     bool freezes = true;
     /// Longest time of a datagram on its way.
     absl::Duration max_delay = absl::Milliseconds(40);
+    /// How much longer it takes on late links and paths; random faults include
+    /// these unless it is zero.
+    absl::Duration lateness;
   };
 
   /// What was seen since `StartMeasuring`.
@@ -78,6 +81,10 @@
   void StopStore(absl::Duration duration, bool is_silent);
   /// Cuts all links between hosts that read the store and other hosts.
   void CutReaders(Cut cut, absl::Duration duration);
+  /// All links between hosts are late from now on, each way.
+  void DelayAllLinks(absl::Duration duration);
+  /// All paths to the store are late from now on.
+  void DelayStore(absl::Duration duration);
   /// Cuts all links between hosts.
   void CutAll(Cut cut, absl::Duration duration);
   /// The call of a host gets no response, if one is under way.
@@ -98,6 +105,8 @@
     /// The store refuses calls, or does not respond to them, until these.
     absl::Time refused_until;
     absl::Time silent_until;
+    /// The path to the store is late until this.
+    absl::Time late_store_until = absl::InfinitePast();
     /// The call under way gets no response.
     bool loses_call = false;
     int round = 0;
@@ -132,6 +141,7 @@
   struct Link {
     absl::Time no_datagrams_until = absl::InfinitePast();
     absl::Time no_transfers_until = absl::InfinitePast();
+    absl::Time late_until = absl::InfinitePast();
   };
   using Action = std::function<void()>;
   using HostAction = std::function<void(Host&)>;
@@ -175,6 +185,10 @@
   void InjectFault();
   void CutLink(size_t from, size_t to, Cut cut, absl::Time until);
   void CutHost(size_t index, Cut cut, bool both_ways, absl::Time until);
+  void DelayHost(size_t index, bool both_ways, absl::Time until);
+  void DelayStoreOf(Host& host, absl::Time until);
+  /// @return how late the link between two hosts is.
+  absl::Duration Lateness(size_t from, size_t to) const;
   /// @return whether a call was under way.
   bool SilenceWatch(Host& host);
   void Trace(const std::string& what);
--- a/libs/tier/tests/publishing_model_test.cc
+++ b/libs/tier/tests/publishing_model_test.cc
@@ -3,7 +3,9 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
 
+#include <algorithm>
 #include <cstdlib>
+#include <functional>
 #include <iostream>
 
 namespace cherrydyke {
@@ -44,6 +46,16 @@
   return options;
 }
 
+// Each lateness in CHERRYDYKE_MODEL_LATENESS_MS, or this one.
+constexpr int64_t kDefaultLatenessMs = 500;
+
+PublishingModel::Options WithLateness() {
+  PublishingModel::Options options;
+  options.lateness = absl::Milliseconds(
+      FromEnvironment("CHERRYDYKE_MODEL_LATENESS_MS", kDefaultLatenessMs));
+  return options;
+}
+
 PublishingModel::Options WithFaults(PublishingModel::Options options) {
   options.fault_period = kFaultPeriod;
   return options;
@@ -85,6 +97,41 @@
   std::cerr << "\n";
 }
 
+/// Prints how many runs miss a change for longer than the bound, or claim to be
+/// more current than they are, and the longest delay in those that do not.
+void PrintLateRuns(const char* name, const PublishingModel::Options& options,
+                   const std::function<void(PublishingModel&)>& prepare) {
+  const auto first =
+      static_cast<uint32_t>(FromEnvironment("CHERRYDYKE_MODEL_SEED", kSeed));
+  const int64_t runs = FromEnvironment("CHERRYDYKE_MODEL_SEEDS", kSeedsInCi);
+  int late = 0;
+  int false_claims = 0;
+  double calls_per_s = 0;
+  absl::Duration longest;
+  for (uint32_t seed = first; seed < first + runs; ++seed) {
+    PublishingModel model(options, seed);
+    std::string violation = model.Run(kWarmUp);
+    prepare(model);
+    model.StartMeasuring();
+    if (violation.empty()) violation = model.Run(kRunTime);
+    const PublishingModel::Figures figures = model.Measured();
+    if (!violation.empty()) {
+      ++(violation.find("misses") != std::string::npos ? late : false_claims);
+      continue;
+    }
+    calls_per_s += figures.calls_per_s;
+    longest = std::max(longest, figures.delays.empty() ? absl::ZeroDuration()
+                                                       : figures.delays.back());
+  }
+  std::cerr << "  " << name << ": " << late << " of " << runs
+            << " runs miss a change, " << false_claims
+            << " claim too much; longest delay of the others "
+            << absl::ToInt64Milliseconds(longest) << " ms, "
+            << calls_per_s / static_cast<double>(std::max<int64_t>(
+                                 runs - late - false_claims, 1))
+            << " calls/s\n";
+}
+
 /// Prints figures of phases with and without changes and faults.
 /// @return the first violation, or "".
 std::string RunForFigures(PublishingModel::Options options) {
@@ -135,6 +182,7 @@
   CPPUNIT_TEST(CalmHostsLeaveTheStoreToTheReaders);
   CPPUNIT_TEST(ProofsAreNeverFresherThanTheTruth);
   CPPUNIT_TEST(Figures);
+  CPPUNIT_TEST(FiguresOfLateness);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -208,6 +256,31 @@
     if (options.reads == Reads::kByRole) return;
     CPPUNIT_ASSERT_EQUAL(std::string(), violation);
   }
+  // Prints how many runs with late links break the bound.
+  void FiguresOfLateness() {
+    using Model = PublishingModel;
+    std::cerr << "\nlate by " << WithLateness().lateness << "\n";
+    PrintLateRuns("random faults", WithFaults(WithLateness()), [](Model&) {});
+    PrintLateRuns("links late", WithLateness(),
+                  [](Model& model) { model.DelayAllLinks(kRunTime); });
+    PrintLateRuns("links late, transfers cut", WithLateness(),
+                  [](Model& model) {
+                    model.DelayAllLinks(kRunTime);
+                    model.CutAll(Model::Cut::kTransfers, kRunTime);
+                  });
+    PrintLateRuns("paths to the store late", WithLateness(),
+                  [](Model& model) { model.DelayStore(kRunTime); });
+    PrintLateRuns("paths to the store late, transfers cut", WithLateness(),
+                  [](Model& model) {
+                    model.DelayStore(kRunTime);
+                    model.CutAll(Model::Cut::kTransfers, kRunTime);
+                  });
+    PrintLateRuns("all late, transfers cut", WithLateness(), [](Model& model) {
+      model.DelayAllLinks(kRunTime);
+      model.DelayStore(kRunTime);
+      model.CutAll(Model::Cut::kTransfers, kRunTime);
+    });
+  }
 
  private:
   static std::string RunWithCutReaders(PublishingModel::Options options) {
