Test processes don't inherit the test's sockets

Hosts that a soak starts inherited the listeners and connections of its fake targets and store (Boost.Asio opens them without O_CLOEXEC). Soaks with targets that leave or crash played silent targets there, not ended ones.

--- a/tests/support/process.cc
+++ b/tests/support/process.cc
@@ -56,6 +56,8 @@
   }
   posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, log_file.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0644);
+  // A socket that the program inherits outlives its end in the test.
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
   std::string config_flag = "--config";
   std::string path_argument = path;
   std::string config = config_file;
