Apply the limits in force to the next request of an idle connection

The parser of a kept connection took its limits when the request before was dispatched. After a version had raised maxHeaderBytes or maxBodyBytes, the next request on that connection was judged by the old limits, however long it had been idle: 431 or 413 for a proper request, which consumers never retry.

LimitsRaisedOnAnIdleConnectionHoldForTheNextRequest failed before: the second request, within the raised limits, was answered 431 and closed the connection. A parser is now made when the first byte of a request is there.

--- a/libs/engine/src/server_connection.cc
+++ b/libs/engine/src/server_connection.cc
@@ -117,6 +117,8 @@
 
 void ServerConnection::OnBytes() {
   if (input_.size() == 0) return;
+  // The limits may have changed since the request before.
+  if (phase_ == Phase::kIdle) StartParser();
   const absl::Time now = state_->loop.Now();
   const bool had_header = parser_->is_header_done();
   if (phase_ == Phase::kIdle || had_header) {
--- a/libs/engine/tests/http_server_test.cc
+++ b/libs/engine/tests/http_server_test.cc
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
 #include "base/clock.h"
 #include "boost/system/system_error.hpp"
@@ -40,6 +41,7 @@
   CPPUNIT_TEST(ReadsChunkedBodies);
   CPPUNIT_TEST(SendsContinueForExpectedBody);
   CPPUNIT_TEST(RejectsOversizedAndMalformedRequests);
+  CPPUNIT_TEST(LimitsRaisedOnAnIdleConnectionHoldForTheNextRequest);
   CPPUNIT_TEST(RejectsAmbiguousFraming);
   CPPUNIT_TEST(ReportsCallerDisconnectDuringRequest);
   CPPUNIT_TEST(TimesOutSlowHeadersAndIdleConnections);
@@ -139,6 +141,23 @@
                  "400");
   }
 
+  // The parser of a kept connection was made when the request before came.
+  void LimitsRaisedOnAnIdleConnectionHoldForTheNextRequest() {
+    const auto caller = Connect();
+    caller->Write(Get("/1"));
+    CPPUNIT_ASSERT(WaitForRequests(1));
+    Respond(0, "x");
+    RunFor(loop_, absl::Milliseconds(30));
+    limits_.max_header_bytes *= 4;
+    limits_.max_body_bytes *= 4;
+    caller->Write(absl::StrCat(
+        "POST / HTTP/1.1\r\n", kHostHeader, "X: ", std::string(2000, 'x'),
+        "\r\nContent-Length: 5000\r\n\r\n", std::string(5000, 'x')));
+    const bool was_read = WaitForRequests(2);
+    CPPUNIT_ASSERT_MESSAGE(caller->received(), was_read);
+    CPPUNIT_ASSERT_EQUAL(size_t{5000}, exchanges_[1]->request().body.size());
+  }
+
   void RejectsAmbiguousFraming() {
     const std::string post = "POST / HTTP/1.1\r\n" + std::string(kHostHeader);
     ExpectStatus(post +
