Count crashes of an answered request from its last answer on

A crash now counts if the request was sent to the target after the last copy of it that was answered, as far as this host knows, and then at once. What the minute protected is innocent requests, whose copies run on targets that crash for another reason. Each of their answers drops the crashes before it, and beside that, for requests with a known answer: - crashes less than 1 s apart count once: targets that end together in an outage would otherwise quarantine what all of them ran; - a crash that does not quarantine the request is gossiped 1 s later, unless the request was answered meanwhile. Otherwise hosts that seldom answer it would add up crashes that the others have dropped.

An answer also ends a quarantine by crashes of copies sent before it. Reports keep their format; their age is now counted from when the request was sent.

CrashesAfterTheLastAnswerAreCountedAtOnce states the fault; the code before ignored crashes 2, 4 and 6 s after the answer (it wasn't run against this test: OnCrash has a new argument). AnsweredRequestIsNotBlamedForTargetsThatEndAtOnce, CrashOfAnsweredRequestIsGossipedUnlessAnsweredAgain and AnswerEndsQuarantineByEarlierCrashes are new. RecentlyAnsweredRequestIsNotBlamed passes unchanged but for the argument.

Left: a host that gets no copy of a request between its first and third crash, of a request that others answer less than once a second, counts crashes that the others drop and refuses it with 503 for up to ten minutes.

--- a/libs/dispatch/include/dispatch/crash_tracker.h
+++ b/libs/dispatch/include/dispatch/crash_tracker.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <tuple>
 #include <vector>
 
@@ -16,7 +17,7 @@
   uint64_t fingerprint = 0;
   /// Hash of the target instance, the same on all hosts.
   uint32_t target = 0;
-  /// Time since the crash, in ms.
+  /// Time since the request was sent to the target, in ms.
   int32_t age_ms = 0;
 
   template <typename Archive>
@@ -41,13 +42,16 @@
 class CrashTracker {
  public:
   /// Records that targets answered all parts of the request for this host: it
-  /// does not crash each target that runs it. Earlier crashes do not count, and
-  /// it is not blamed for some time.
-  void OnAnswered(uint64_t fingerprint, absl::Time now);
+  /// does not crash each target that runs it. Crashes of copies that were sent
+  /// before do not count.
+  /// @param sent_at when the first of the answered parts was sent.
+  void OnAnswered(uint64_t fingerprint, absl::Time sent_at);
   /// Records that a target crashed while it ran the request for this host.
   /// @param target hash of the target instance.
+  /// @param sent_at when the request was sent to the target.
   /// @return whether this puts the request into quarantine.
-  bool OnCrash(uint64_t fingerprint, uint32_t target, absl::Time now);
+  bool OnCrash(uint64_t fingerprint, uint32_t target, absl::Time sent_at,
+               absl::Time now);
   /// Merges a report received from another host.
   /// @return whether this puts the request into quarantine.
   bool Merge(const CrashReport& report, absl::Time now);
@@ -79,7 +83,8 @@
  private:
   /// State of a request that crashed at least one target.
   struct Record {
-    /// When each target crashed, by the hash of its instance.
+    /// When the request was sent to each crashed target, by the hash of its
+    /// instance.
     std::map<uint32_t, absl::Time> crashed_at;
     absl::Time last_crash = absl::InfinitePast();
     /// Gossip messages that included the request since its last new crash.
@@ -91,8 +96,10 @@
 
   bool Add(uint64_t fingerprint, uint32_t target, absl::Time at,
            absl::Time now);
-  /// @return when this host last answered the request, as far as remembered.
-  absl::Time LastAnswer(uint64_t fingerprint) const;
+  /// @return when this host last sent what was answered, as far as remembered.
+  std::optional<absl::Time> LastAnswer(uint64_t fingerprint) const;
+  /// @return whether a crash of the request counts about that time.
+  bool IsNearCrash(uint64_t fingerprint, absl::Time at) const;
   void DropExpired(absl::Time now);
   void EvictOldest();
   /// Appends the reports of the records sent least often until `reports` holds
--- a/libs/dispatch/src/crash_tracker.cc
+++ b/libs/dispatch/src/crash_tracker.cc
@@ -16,8 +16,12 @@
 constexpr int kMaxTargets = kCrashesToQuarantine;
 /// Maximum number of tracked requests, at a few hundred bytes each.
 constexpr size_t kMaxRecords = 4096;
-/// How long a request is not blamed after it was answered.
-constexpr absl::Duration kBlamelessTime = absl::Minutes(1);
+/// Crashes of a request that was answered before count once if they are closer
+/// than this: other causes end several targets at once.
+constexpr absl::Duration kMinCrashSpacing = absl::Seconds(1);
+/// For how long crashes of a request that was answered before are not gossiped
+/// unless they quarantine it: the next answer may show that it is harmless.
+constexpr absl::Duration kAnswerGrace = absl::Seconds(1);
 /// Period in which answered requests are collected, and their maximum number.
 /// Two periods are kept: as long as a crash before the answer may be reported.
 constexpr absl::Duration kAnsweredPeriod = kQuarantineDuration;
@@ -28,30 +32,40 @@
 
 }  // namespace
 
-void CrashTracker::OnAnswered(uint64_t fingerprint, absl::Time now) {
-  if (now - answered_since_ >= kAnsweredPeriod ||
+void CrashTracker::OnAnswered(uint64_t fingerprint, absl::Time sent_at) {
+  if (sent_at - answered_since_ >= kAnsweredPeriod ||
       answered_.size() >= kMaxAnswered) {
-    const bool is_outdated = now - answered_since_ >= 2 * kAnsweredPeriod;
+    const bool is_outdated = sent_at - answered_since_ >= 2 * kAnsweredPeriod;
     answered_before_.swap(answered_);
     answered_.clear();
     if (is_outdated) answered_before_.clear();
-    answered_since_ = now;
+    answered_since_ = sent_at;
   }
-  answered_[fingerprint] = now;
-  records_.erase(fingerprint);
+  absl::Time& last = answered_.try_emplace(fingerprint, sent_at).first->second;
+  last = std::max(last, sent_at);
+  const auto record = records_.find(fingerprint);
+  if (record == records_.end()) return;
+  auto& crashed_at = record->second.crashed_at;
+  for (auto crash = crashed_at.begin(); crash != crashed_at.end();) {
+    crash =
+        crash->second <= sent_at ? crashed_at.erase(crash) : std::next(crash);
+  }
+  if (crashed_at.empty()) records_.erase(record);
 }
 
-absl::Time CrashTracker::LastAnswer(uint64_t fingerprint) const {
+std::optional<absl::Time> CrashTracker::LastAnswer(uint64_t fingerprint) const {
+  std::optional<absl::Time> last;
   for (const auto* answers : {&answered_, &answered_before_}) {
     const auto found = answers->find(fingerprint);
-    if (found != answers->end()) return found->second;
+    if (found == answers->end()) continue;
+    last = last ? std::max(*last, found->second) : found->second;
   }
-  return absl::InfinitePast();
+  return last;
 }
 
 bool CrashTracker::OnCrash(uint64_t fingerprint, uint32_t target,
-                           absl::Time now) {
-  return Add(fingerprint, target, now, now);
+                           absl::Time sent_at, absl::Time now) {
+  return Add(fingerprint, target, sent_at, now);
 }
 
 bool CrashTracker::Merge(const CrashReport& report, absl::Time now) {
@@ -62,8 +76,10 @@
 
 bool CrashTracker::Add(uint64_t fingerprint, uint32_t target, absl::Time at,
                        absl::Time now) {
-  const absl::Time last_answer = LastAnswer(fingerprint);
-  if (at <= last_answer || now - last_answer < kBlamelessTime) return false;
+  const std::optional<absl::Time> last_answer = LastAnswer(fingerprint);
+  if (last_answer && (at <= *last_answer || IsNearCrash(fingerprint, at))) {
+    return false;
+  }
   const bool was_quarantined = IsQuarantined(fingerprint, now);
   Record& record = records_[fingerprint];
   if (!record.crashed_at.try_emplace(target, at).second) return false;
@@ -83,6 +99,16 @@
   return true;
 }
 
+bool CrashTracker::IsNearCrash(uint64_t fingerprint, absl::Time at) const {
+  const auto found = records_.find(fingerprint);
+  if (found == records_.end()) return false;
+  const auto& crashed_at = found->second.crashed_at;
+  return std::any_of(
+      crashed_at.begin(), crashed_at.end(), [&](const auto& crash) {
+        return absl::AbsDuration(crash.second - at) < kMinCrashSpacing;
+      });
+}
+
 bool CrashTracker::HasNewQuarantine(absl::Time now) const {
   return now - last_quarantined_at_ < kNewQuarantineTime;
 }
@@ -131,6 +157,11 @@
   std::vector<Records::pointer> others;
   for (auto& entry : records_) {
     const int total = entry.second.Total();
+    if (total < kCrashesToQuarantine &&
+        now - entry.second.last_crash < kAnswerGrace &&
+        LastAnswer(entry.first)) {
+      continue;
+    }
     (total >= kCrashesToQuarantine       ? quarantined
      : total >= kCrashesToQuarantine - 1 ? suspects
                                          : others)
--- a/libs/dispatch/tests/tables_test.cc
+++ b/libs/dispatch/tests/tables_test.cc
@@ -38,7 +38,7 @@
 
 void CrashThreeTargets(CrashTracker& tracker, uint64_t fingerprint) {
   for (const uint32_t target : {kTarget, kSecondTarget, kThirdTarget}) {
-    tracker.OnCrash(fingerprint, target, kStart);
+    tracker.OnCrash(fingerprint, target, kStart, kStart);
   }
 }
 
@@ -63,6 +63,10 @@
   CPPUNIT_TEST(CrashOfOneTargetCountsOnce);
   CPPUNIT_TEST(RecentlyAnsweredRequestIsNotBlamed);
   CPPUNIT_TEST(CrashesBeforeTheLastAnswerAreNotCounted);
+  CPPUNIT_TEST(CrashesAfterTheLastAnswerAreCountedAtOnce);
+  CPPUNIT_TEST(AnsweredRequestIsNotBlamedForTargetsThatEndAtOnce);
+  CPPUNIT_TEST(AnswerEndsQuarantineByEarlierCrashes);
+  CPPUNIT_TEST(CrashOfAnsweredRequestIsGossipedUnlessAnsweredAgain);
   CPPUNIT_TEST(CrashesBeforeAndAfterAHostRestartAddUp);
   CPPUNIT_TEST(NewCrashIsInTheNextMessage);
   CPPUNIT_TEST(EveryCrashIsGossipedInTurn);
@@ -135,7 +139,7 @@
 
   void CrashesOfAllHostsAddUp() {
     CrashTracker tracker;
-    CPPUNIT_ASSERT(!tracker.OnCrash(7, kTarget, kStart));
+    CPPUNIT_ASSERT(!tracker.OnCrash(7, kTarget, kStart, kStart));
     CPPUNIT_ASSERT(!tracker.Merge({7, kSecondTarget, 0}, kStart));
     CPPUNIT_ASSERT(!tracker.IsQuarantined(7, kStart));
     CPPUNIT_ASSERT(tracker.Merge({7, kThirdTarget, 0}, kStart));
@@ -146,11 +150,11 @@
   void SuspectRequestsGetFewerAttempts() {
     CrashTracker tracker;
     CPPUNIT_ASSERT_EQUAL(3, tracker.LimitAttempts(7, 3));
-    tracker.OnCrash(7, kTarget, kStart);
+    tracker.OnCrash(7, kTarget, kStart, kStart);
     CPPUNIT_ASSERT_EQUAL(2, tracker.LimitAttempts(7, 3));
-    tracker.OnCrash(7, kSecondTarget, kStart);
+    tracker.OnCrash(7, kSecondTarget, kStart, kStart);
     CPPUNIT_ASSERT_EQUAL(1, tracker.LimitAttempts(7, 3));
-    tracker.OnCrash(7, kThirdTarget, kStart);
+    tracker.OnCrash(7, kThirdTarget, kStart, kStart);
     CPPUNIT_ASSERT_EQUAL(1, tracker.LimitAttempts(7, 3));
     CPPUNIT_ASSERT_EQUAL(1, tracker.LimitAttempts(8, 0));
   }
@@ -160,7 +164,7 @@
   void CrashOfOneTargetCountsOnce() {
     CrashTracker tracker;
     for (int i = 0; i < 10; ++i) {
-      CPPUNIT_ASSERT(!tracker.OnCrash(7, kTarget, kStart));
+      CPPUNIT_ASSERT(!tracker.OnCrash(7, kTarget, kStart, kStart));
       CPPUNIT_ASSERT(!tracker.Merge({7, kTarget, 5}, kStart));
     }
     CPPUNIT_ASSERT_EQUAL(1, tracker.Total(7));
@@ -186,13 +190,14 @@
     CrashThreeTargets(tracker, 200'000);
     CPPUNIT_ASSERT(tracker.IsQuarantined(200'000, kStart));
     const absl::Time later = kStart + absl::Minutes(2);
-    tracker.OnCrash(7, kTarget, later);
+    tracker.OnCrash(7, kTarget, later, later);
     CPPUNIT_ASSERT_EQUAL(1, tracker.Total(7));
   }
 
   void CrashesBeforeTheLastAnswerAreNotCounted() {
     CrashTracker tracker;
-    tracker.OnCrash(7, kTarget, kStart - absl::Seconds(5));
+    tracker.OnCrash(7, kTarget, kStart - absl::Seconds(5),
+                    kStart - absl::Seconds(5));
     tracker.OnAnswered(7, kStart);
     const absl::Time late = kStart + absl::Seconds(90);
     for (const uint32_t target : {kTarget, kSecondTarget, kThirdTarget}) {
@@ -200,17 +205,63 @@
     }
     CPPUNIT_ASSERT_EQUAL(0, tracker.Total(7));
     CPPUNIT_ASSERT(!tracker.IsQuarantined(7, late));
+    tracker.Merge({7, kTarget, 5'000}, late);
+    tracker.Merge({7, kSecondTarget, 3'000}, late);
+    tracker.Merge({7, kThirdTarget, 1'000}, late);
+    CPPUNIT_ASSERT(tracker.IsQuarantined(7, late));
+  }
+
+  void CrashesAfterTheLastAnswerAreCountedAtOnce() {
+    CrashTracker tracker;
+    tracker.OnAnswered(7, kStart);
+    absl::Time now = kStart;
     for (const uint32_t target : {kTarget, kSecondTarget, kThirdTarget}) {
-      tracker.Merge({7, target, 5'000}, late);
+      now += absl::Seconds(2);
+      tracker.OnCrash(7, target, now, now);
     }
-    CPPUNIT_ASSERT(tracker.IsQuarantined(7, late));
+    CPPUNIT_ASSERT_EQUAL(3, tracker.Total(7));
+    CPPUNIT_ASSERT(tracker.IsQuarantined(7, now));
+  }
+
+  void AnsweredRequestIsNotBlamedForTargetsThatEndAtOnce() {
+    CrashTracker tracker;
+    tracker.OnAnswered(7, kStart);
+    const absl::Time outage = kStart + absl::Milliseconds(100);
+    for (uint32_t target = 1; target <= 9; ++target) {
+      const absl::Time sent_at = outage + absl::Milliseconds(target);
+      tracker.OnCrash(7, target, sent_at, outage + absl::Seconds(1));
+    }
+    CPPUNIT_ASSERT(!tracker.IsQuarantined(7, outage + absl::Seconds(1)));
+    CPPUNIT_ASSERT_EQUAL(1, tracker.Total(7));
+  }
+
+  void AnswerEndsQuarantineByEarlierCrashes() {
+    CrashTracker tracker;
+    CrashThreeTargets(tracker, 7);
+    tracker.OnAnswered(7, kStart - absl::Milliseconds(1));
+    CPPUNIT_ASSERT(tracker.IsQuarantined(7, kStart));
+    tracker.OnAnswered(7, kStart + absl::Milliseconds(1));
+    CPPUNIT_ASSERT(!tracker.IsQuarantined(7, kStart));
+  }
+
+  // Hosts that seldom answer the request would add such crashes up.
+  void CrashOfAnsweredRequestIsGossipedUnlessAnsweredAgain() {
+    CrashTracker tracker;
+    tracker.OnAnswered(7, kStart);
+    const absl::Time crash = kStart + absl::Seconds(1);
+    tracker.OnCrash(7, kTarget, crash, crash);
+    CPPUNIT_ASSERT(GossipedRequests(tracker, absl::Seconds(1.5)).empty());
+    CPPUNIT_ASSERT_EQUAL(size_t{1},
+                         GossipedRequests(tracker, absl::Seconds(2)).size());
+    tracker.OnAnswered(7, kStart + absl::Seconds(2));
+    CPPUNIT_ASSERT(GossipedRequests(tracker, absl::Seconds(3)).empty());
   }
 
   void CrashesBeforeAndAfterAHostRestartAddUp() {
     CrashTracker other;
     for (const uint32_t target : {kTarget, kSecondTarget, kThirdTarget}) {
       CrashTracker restarted;
-      restarted.OnCrash(7, target, kStart);
+      restarted.OnCrash(7, target, kStart, kStart);
       for (const CrashReport& report :
            restarted.TakeReportsToGossip(kMessageReports, kStart)) {
         other.Merge(report, kStart);
@@ -227,12 +278,13 @@
           100, rc::gen::arbitrary<uint64_t>());
       const auto new_request = *rc::gen::arbitrary<uint64_t>();
       for (const uint64_t fingerprint : older) {
-        tracker.OnCrash(fingerprint, kTarget, kStart);
+        tracker.OnCrash(fingerprint, kTarget, kStart, kStart);
       }
       for (int i = *rc::gen::inRange(0, 40); i > 0; --i) {
         tracker.TakeReportsToGossip(kMessageReports, kStart);
       }
-      tracker.OnCrash(new_request, kSecondTarget, kStart + absl::Seconds(1));
+      tracker.OnCrash(new_request, kSecondTarget, kStart + absl::Seconds(1),
+                      kStart + absl::Seconds(1));
       RC_ASSERT(
           GossipedRequests(tracker, absl::Seconds(1)).count(new_request) == 1);
     }));
@@ -240,7 +292,8 @@
 
   void EveryCrashIsGossipedInTurn() {
     CrashTracker tracker;
-    for (uint64_t i = 0; i < 100; ++i) tracker.OnCrash(i, kTarget, kStart);
+    for (uint64_t i = 0; i < 100; ++i)
+      tracker.OnCrash(i, kTarget, kStart, kStart);
     std::set<uint64_t> gossiped;
     for (size_t i = 0; i < 100; i += kMessageReports) {
       gossiped.merge(GossipedRequests(tracker, absl::Seconds(1)));
@@ -250,7 +303,8 @@
 
   void QuarantinedRequestsAreInEveryMessage() {
     CrashTracker tracker;
-    for (uint64_t i = 0; i < 100; ++i) tracker.OnCrash(i, kTarget, kStart);
+    for (uint64_t i = 0; i < 100; ++i)
+      tracker.OnCrash(i, kTarget, kStart, kStart);
     CrashThreeTargets(tracker, 200);
     for (int i = 0; i < 20; ++i) {
       CPPUNIT_ASSERT(GossipedRequests(tracker, absl::Seconds(1)).count(200) ==
@@ -262,8 +316,10 @@
     CrashTracker tracker;
     CrashThreeTargets(tracker, 200);
     for (uint64_t i = 0; i < 100; ++i) {
-      tracker.OnCrash(i, kTarget, kStart + absl::Seconds(1));
-      tracker.OnCrash(i, kSecondTarget, kStart + absl::Seconds(1));
+      tracker.OnCrash(i, kTarget, kStart + absl::Seconds(1),
+                      kStart + absl::Seconds(1));
+      tracker.OnCrash(i, kSecondTarget, kStart + absl::Seconds(1),
+                      kStart + absl::Seconds(1));
     }
     for (int i = 0; i < 20; ++i) {
       CPPUNIT_ASSERT(GossipedRequests(tracker, absl::Seconds(1)).count(200) ==
@@ -341,7 +397,7 @@
     uint32_t target = 0;
     for (size_t host = 0; host < crashes.size(); ++host) {
       for (int i = 0; i < crashes[host]; ++i) {
-        trackers[host].OnCrash(kBadRequest, ++target, now);
+        trackers[host].OnCrash(kBadRequest, ++target, now, now);
       }
       gossip(host);
     }
@@ -371,7 +427,7 @@
     CrashThreeTargets(tracker, kManyRequests);
     for (uint64_t i = 0; i < kManyRequests; ++i) {
       const absl::Time at = kStart + absl::Milliseconds(static_cast<double>(i));
-      tracker.OnCrash(i, kTarget, at);
+      tracker.OnCrash(i, kTarget, at, at);
       tracker.Merge({kManyRequests, kThirdTarget + static_cast<uint32_t>(i), 0},
                     at);
     }
@@ -387,7 +443,8 @@
     CrashTracker tracker;
     CrashThreeTargets(tracker, kBadRequest);
     const absl::Time later = kStart + absl::Minutes(1);
-    for (uint64_t i = 0; i < 5000; ++i) tracker.OnCrash(i, kTarget, later);
+    for (uint64_t i = 0; i < 5000; ++i)
+      tracker.OnCrash(i, kTarget, later, later);
     CPPUNIT_ASSERT(tracker.IsQuarantined(kBadRequest, later));
   }
 
--- a/libs/tier/src/request_handler.cc
+++ b/libs/tier/src/request_handler.cc
@@ -566,7 +566,8 @@
 void RequestHandler::CountCrash(const Request& request, size_t index) {
   const uint64_t fingerprint = request.fingerprint;
   const uint32_t instance = request.attempts[index].instance_hash;
-  const bool quarantined = crashes_.OnCrash(fingerprint, instance, loop_.Now());
+  const bool quarantined = crashes_.OnCrash(
+      fingerprint, instance, request.attempts[index].sent_at, loop_.Now());
   const std::string line =
       quarantined ? "request quarantined" : "crash counted";
   if (log_rate_limiter_.TryAcquire(line, policy_.log_lines, loop_.Now())) {
@@ -718,7 +719,11 @@
   const auto winners = request->run->Winners();
   if (std::all_of(winners.begin(), winners.end(),
                   [](const auto& winner) { return winner.has_value(); })) {
-    crashes_.OnAnswered(request->fingerprint, loop_.Now());
+    absl::Time sent_at = loop_.Now();
+    for (const std::optional<size_t>& winner : winners) {
+      sent_at = std::min(sent_at, request->attempts[*winner].sent_at);
+    }
+    crashes_.OnAnswered(request->fingerprint, sent_at);
   }
   if (!request->route->IsFanout()) {
     request->exchange->Respond(protocol_.Relay(
