Take a host's own failed calls for no outage of the store (DRAIN)

Entries that disappear right after an outage of the store are kept for 2.2 s, as live targets register again. An outage was any time of 1.5 s from a host's first failed call to its next success. But a host that stops reading after a failure, as its peers prove that it is current, makes no calls: its next call, minutes later, ended an "outage", and the targets whose removal it read were used for 2.2 s more. That call is made when peers prove nothing any more, up to 3.5 s after a change by published-freshness.md: 3.5 + 2.2 s > drainMs. The claim went to peers with the next transfer, and they kept targets as well. And a host whose own path to the store came back could learn of it up to 4.4 s later, keep what had left for 2.2 s, and was in touch from the 5th second on.

SourceOutage decides: nobody is known to have read for 1.5 s (proofs of peers count), and a call failed in that time. A peer's report counts if this host knows of no read just before it. The time for expired entries ends 0.2 s before a host whose path came back right after its last failed call is in touch again. The interface between source and host loses OnSourceRecovered; messages between hosts are unchanged.

reader_claims_test EntryRemovedLongAfterAFailedCallIsNotRetained (failed calls for 1.5 s beside proofs of a peer, 3 s of proofs alone, then none; entries removed with the last proof): failed before (200 2.8 s after the removal; the host began to read 1.75 s after its last proof and kept all targets), passes now (removed in the millisecond of the read). Now reader_claims_test OK (7), tier_test OK (61), platform_test OK (62; entries that expire in an outage are retained as before), publishing_model_test OK (8).

--- a/libs/tier/include/tier/published_source.h
+++ b/libs/tier/include/tier/published_source.h
@@ -29,9 +29,8 @@
     virtual void OnRead(absl::Time current_until, bool config,
                         bool targets) = 0;
     /// A call failed.
-    virtual void OnReadFailed() = 0;
-    /// The service responds again after an outage.
-    virtual void OnSourceRecovered() = 0;
+    /// @param started_at when it began.
+    virtual void OnReadFailed(absl::Time started_at) = 0;
   };
 
   virtual ~PublishedSource() = default;
--- a/libs/tier/include/tier/tier_host.h
+++ b/libs/tier/include/tier/tier_host.h
@@ -18,6 +18,7 @@
 #include "tier/published_source.h"
 #include "tier/publishing_times.h"
 #include "tier/request_handler.h"
+#include "tier/source_outage.h"
 #include "tier/target_set.h"
 
 namespace cherrydyke {
@@ -77,8 +78,7 @@
 
  private:
   void OnRead(absl::Time current_until, bool config, bool targets) override;
-  void OnReadFailed() override;
-  void OnSourceRecovered() override;
+  void OnReadFailed(absl::Time started_at) override;
 
   void MeasureLateness();
   /// Decides whether this host reads the configuration service itself.
@@ -128,7 +128,7 @@
   engine::HttpServer caller_server_;
   engine::HttpServer readiness_server_;
   engine::HttpServer metrics_server_;
-  absl::Time source_recovered_at_ = absl::InfinitePast();
+  SourceOutage source_outage_;
   absl::Time shutdown_started_at_ = absl::InfiniteFuture();
   std::optional<ShutdownSchedule> shutdown_;
   bool stopped_accepting_ = false;
--- /dev/null
+++ b/libs/tier/src/source_outage.cc
@@ -0,0 +1,50 @@
+#include "tier/source_outage.h"
+
+#include <algorithm>
+
+#include "tier/publishing_times.h"
+
+namespace cherrydyke {
+namespace {
+
+/// Part of the contact time for which a host uses no expired entries, as
+/// requests take time to arrive.
+constexpr absl::Duration kContactMargin = absl::Milliseconds(200);
+
+}  // namespace
+
+void SourceOutage::OnReadFailed(absl::Time started_at, absl::Time now) {
+  failing_since_ = std::min(failing_since_, started_at);
+  last_failed_start_ = started_at;
+  last_failed_at_ = now;
+}
+
+bool SourceOutage::OnRead(absl::Time proven_until, absl::Time now) {
+  const absl::Time began = std::max(failing_since_, proven_until);
+  failing_since_ = absl::InfiniteFuture();
+  // Others may have read since the last failure, while this host did not.
+  if (now - began < kMinOutage || last_failed_at_ <= proven_until) return false;
+  // If only this host's path was lost, it may have been back since the last
+  // call that failed, and the time in which the host need not know what others
+  // do began then.
+  const absl::Time latest_end = last_failed_start_ +
+                                PublishingTimes::kContactTime - kContactMargin -
+                                kExpiredEntryGrace;
+  recovered_at_ = std::max(recovered_at_, std::min(now, latest_end));
+  return true;
+}
+
+void SourceOutage::OnProven(absl::Time proven_until) {
+  if (proven_until <= proven_until_) return;
+  if (proven_until - proven_until_ >= kMinOutage) silence_end_ = proven_until;
+  proven_until_ = proven_until;
+}
+
+bool SourceOutage::OnPeerRecovered(absl::Time recovered_at) {
+  const absl::Time latest_start = recovered_at - kMinOutage;
+  if (proven_until_ > latest_start && silence_end_ < latest_start) return false;
+  recovered_at_ = std::max(recovered_at_, recovered_at);
+  return true;
+}
+
+}  // namespace cherrydyke
--- a/libs/tier/src/tier_host.cc
+++ b/libs/tier/src/tier_host.cc
@@ -10,9 +10,6 @@
 namespace cherrydyke {
 namespace {
 
-/// Entries of live targets that expired during an outage of the configuration
-/// service are registered again within this time after its recovery.
-constexpr absl::Duration kExpiredEntryGrace = absl::Milliseconds(2200);
 /// Timers that are later than this after being punctual show that the host was
 /// frozen, not that it is short of processor time; how soon the lateness is
 /// measured again then.
@@ -145,10 +142,10 @@
       {[this](bool config, bool targets) { ApplyPublished(config, targets); },
        [this] { targets_.OnHostsChanged(); },
        [this] { return adapters_.source.IsReading(); },
-       [this] { return loop_.Now() - source_recovered_at_; },
+       [this] { return loop_.Now() - source_outage_.recovered_at(); },
        [this](absl::Duration age) {
-         source_recovered_at_ =
-             std::max(source_recovered_at_, loop_.Now() - age);
+         source_outage_.OnProven(freshness_.current_until());
+         source_outage_.OnPeerRecovered(loop_.Now() - age);
        },
        [this](size_t limit) { return targets_.TakeHealthReports(limit); },
        [this](uint64_t fingerprint) {
@@ -215,6 +212,12 @@
 }
 
 void TierHost::OnRead(absl::Time current_until, bool config, bool targets) {
+  if (source_outage_.OnRead(freshness_.current_until(), loop_.Now())) {
+    LogInfo(
+        "outage of the store has ended",
+        {{"entries_kept_ms", absl::ToInt64Milliseconds(
+                                 source_outage_.grace_end() - loop_.Now())}});
+  }
   freshness_.OnRead(current_until);
   gossip_.ApplyProofs();
   if (config || targets) {
@@ -225,7 +228,8 @@
   gossip_.NotifyDownstream();
 }
 
-void TierHost::OnReadFailed() {
+void TierHost::OnReadFailed(absl::Time started_at) {
+  source_outage_.OnReadFailed(started_at, loop_.Now());
   freshness_.OnReadFailed(loop_.Now());
   // Otherwise a host that is to pause would call once more before it does.
   UpdateReaderRole();
@@ -303,8 +307,7 @@
 }
 
 void TierHost::ApplyTargets() {
-  const absl::Duration grace =
-      source_recovered_at_ + kExpiredEntryGrace - loop_.Now();
+  const absl::Duration grace = source_outage_.grace_end() - loop_.Now();
   targets_.SetTargets(adapters_.decoder.DecodeTargets(target_items_),
                       std::max(grace, absl::ZeroDuration()));
   LogInfo("targets changed", {{"targets", targets_.size()},
@@ -335,10 +338,9 @@
   // Keeps the hosts that are next in line from starting to read as well.
   if (adapters_.source.IsReading() && !was_reading) gossip_.NotifyDownstream();
   freshness_log_.Update(adapters_.source.IsReading(), now);
+  source_outage_.OnProven(freshness_.current_until());
 }
 
-void TierHost::OnSourceRecovered() { source_recovered_at_ = loop_.Now(); }
-
 bool TierHost::IsReady() const {
   return !shutdown_ && request_handler_.has_routes() && targets_.size() > 0;
 }
