Time on the way counts for the age of a peer's proofs

Messages now have the sender's clock at sending and, for the recipient, the least difference of clocks at arrival and sending of its own messages. The sum of both differences is the time that two messages were on their way, whatever the offset of the clocks: a bound from above of the time of this message. Without such an echo the excess over the fastest message of the sender counts, and nothing of its first 3 s. Proofs and the news of newer items count from the sending.

The stamp is at the end of a message: hosts of earlier versions ignore it, and their messages, without one, count from their arrival as before.

LateDatagramsDoNotHideChanges runs the model both ways.

--- a/libs/tier/include/tier/fleet_gossip.h
+++ b/libs/tier/include/tier/fleet_gossip.h
@@ -19,6 +19,7 @@
 #include "tier/pending_proofs.h"
 #include "tier/published_freshness.h"
 #include "tier/published_items.h"
+#include "tier/transit_time.h"
 
 namespace cherrydyke {
 
@@ -129,6 +130,9 @@
             std::vector<HostLastSeen> ages,
             std::vector<TargetHealthReport> health_reports = {});
   void OnDatagram(const std::string& datagram);
+  /// Keeps the proofs of a message, which are older by the time that it was on
+  /// its way.
+  void AddProofs(const GossipMessage& message);
   Endpoint EndpointOf(const HostId& host) const;
   bool CanFetchFrom(const HostId& peer) const;
   /// @return the revision up to which this host misses no change.
@@ -143,6 +147,8 @@
   PublishedItems& targets_;
   PublishedFreshness& freshness_;
   PendingProofs pending_proofs_;
+  TransitTimes transit_times_;
+  absl::Time echo_requested_at_ = absl::InfinitePast();
   engine::DatagramSocket datagram_socket_;
   std::map<HostId, std::unique_ptr<engine::AsyncHttpClient>> transfer_clients_;
   std::mt19937_64 random_;
--- a/libs/tier/include/tier/gossip_message.h
+++ b/libs/tier/include/tier/gossip_message.h
@@ -10,6 +10,7 @@
 #include "dispatch/target_health_report.h"
 #include "membership/host_table.h"
 #include "tier/published_freshness.h"
+#include "tier/transit_time.h"
 
 namespace cherrydyke {
 
@@ -26,18 +27,22 @@
   Revision known_until = 0;
   /// Proofs of how current its items are.
   std::vector<ReadProof> proofs;
+  /// For the host to which this message is sent; hosts of earlier versions send
+  /// none.
+  TransitStamp stamp;
 
   friend bool operator==(const GossipMessage& a, const GossipMessage& b) {
     return std::tie(a.membership_update, a.config_revision, a.targets_revision,
-                    a.crashes, a.reports, a.known_until, a.proofs) ==
+                    a.crashes, a.reports, a.known_until, a.proofs, a.stamp) ==
            std::tie(b.membership_update, b.config_revision, b.targets_revision,
-                    b.crashes, b.reports, b.known_until, b.proofs);
+                    b.crashes, b.reports, b.known_until, b.proofs, b.stamp);
   }
 };
 
 /// @return the serialized datagram.
 std::string EncodeGossipMessage(const GossipMessage& message);
-/// Decodes a message of this version, or of one whose messages lack proofs.
+/// Decodes a message of this version, or of one whose messages lack the stamp,
+/// or also proofs.
 /// @return the message, or `kInvalidInput` if the datagram is malformed.
 Result<GossipMessage> DecodeGossipMessage(const std::string& datagram);
 
--- a/libs/tier/include/tier/pending_proofs.h
+++ b/libs/tier/include/tier/pending_proofs.h
@@ -25,7 +25,8 @@
 /// Pure: time is an argument.
 class PendingProofs {
  public:
-  void Add(PeerItems items, absl::Time received_at);
+  /// @param sent_at when the peer sent it, by this host's clock.
+  void Add(PeerItems items, absl::Time sent_at);
 
   /// Passes on the proofs of all items that this host has by now. While it
   /// lacks items of which a peer told it, no proof holds for a later time than
@@ -33,8 +34,8 @@
   /// @param revision up to which this host misses no change.
   void Apply(Revision revision, PublishedFreshness& freshness);
 
-  /// @return since when this host lacks items that a peer has; the infinite
-  /// future if it lacks none.
+  /// @return since when this host lacks items of which a peer told it; the
+  /// infinite future if it lacks none.
   absl::Time behind_since() const;
   /// @return the peer whose items it lacks for the longest time, or "".
   HostId peer() const;
@@ -42,7 +43,7 @@
  private:
   struct Pending {
     PeerItems items;
-    absl::Time received_at;
+    absl::Time sent_at;
   };
 
   /// Oldest first.
--- a/libs/tier/src/fleet_gossip.cc
+++ b/libs/tier/src/fleet_gossip.cc
@@ -33,11 +33,17 @@
 constexpr double kHealthReportBurstBytes = 30'000;
 /// Size of a message without health reports, network headers included, and of
 /// the report of one target.
-constexpr size_t kMessageBytes = 150;
+constexpr size_t kMessageBytes = 174;
 constexpr size_t kBytesPerHealthReport = 7;
 /// How long a host whose published items are stale waits for the configuration
 /// service or the reader of its group before it fetches them from another peer.
 constexpr absl::Duration kLagTolerance = absl::Milliseconds(700);
+/// How often a peer whose messages echo none of this host is sent one.
+constexpr absl::Duration kEchoRequestPeriod = absl::Milliseconds(250);
+/// Messages that are on their way for longer than this are logged, as many in
+/// a second.
+constexpr absl::Duration kLateDatagram = absl::Milliseconds(200);
+constexpr int kLateLogLinesPerS = 2;
 /// The hosts of a group fetch a change at the same time, so that its bytes
 /// share the sender's link with as many copies.
 constexpr engine::ResponseTimeouts kTransferTimeouts = {
@@ -85,6 +91,7 @@
       config_(config),
       targets_(targets),
       freshness_(freshness),
+      transit_times_(std::max(static_cast<uint32_t>(NewIncarnation()), 1U)),
       datagram_socket_(loop,
                        [this](const std::string& bytes) { OnDatagram(bytes); }),
       random_(NewIncarnation()),
@@ -173,9 +180,9 @@
   message.reports = std::move(health_reports);
   message.known_until = KnownUntil();
   message.proofs = freshness_.ProofsForPeers(loop_.Now());
-  const std::string datagram = EncodeGossipMessage(message);
   for (const HostId& recipient : recipients) {
-    datagram_socket_.Send(EndpointOf(recipient), datagram);
+    message.stamp = transit_times_.StampFor(recipient, loop_.Now());
+    datagram_socket_.Send(EndpointOf(recipient), EncodeGossipMessage(message));
   }
 }
 
@@ -211,7 +218,7 @@
   // targets.
   if (quarantined_any) Gossip();
   if (!message.reports.empty()) callbacks_.on_health_reports(message.reports);
-  pending_proofs_.Add({sender.host, message.known_until, message.proofs}, now);
+  AddProofs(message);
   ApplyProofs();
   if (message.known_until <= KnownUntil()) return;
   // A reader gets the changes from the service soon, and a host whose failure
@@ -227,6 +234,30 @@
   if (!waits || now - behind_since() >= kLagTolerance) FetchFrom(sender.host);
 }
 
+void FleetGossip::AddProofs(const GossipMessage& message) {
+  const absl::Time now = loop_.Now();
+  const HostId& sender = message.membership_update.from.host;
+  const TransitTime transit =
+      transit_times_.OnMessage(sender, message.stamp, now);
+  if (transit.time && *transit.time >= kLateDatagram &&
+      log_rate_limiter_.TryAcquire("late", kLateLogLinesPerS, now)) {
+    LogInfo("datagram was late",
+            {{"peer", sender},
+             {"ms", absl::ToInt64Milliseconds(*transit.time)},
+             {"both_ways", transit.is_bounded}});
+  }
+  const bool has_stamp = message.stamp.incarnation != 0;
+  if (has_stamp && !transit.is_bounded &&
+      now - echo_requested_at_ >= kEchoRequestPeriod) {
+    echo_requested_at_ = now;
+    Send({sender}, {});
+  }
+  pending_proofs_.Add(
+      {sender, message.known_until,
+       transit.time ? message.proofs : std::vector<ReadProof>()},
+      now - transit.time.value_or(absl::ZeroDuration()));
+}
+
 Revision FleetGossip::KnownUntil() const {
   return std::min(config_.known_until(), targets_.known_until());
 }
--- a/libs/tier/src/gossip_message.cc
+++ b/libs/tier/src/gossip_message.cc
@@ -57,8 +57,8 @@
   }
 };
 
-/// Wire format of a `GossipMessage`. Hosts of earlier versions read its first
-/// part and ignore the rest.
+/// Wire format of a `GossipMessage` without a stamp. Hosts of earlier versions
+/// read its first part and ignore the rest.
 struct PackedMessageWithProofs {
   PackedMessage message;
   Revision known_until = 0;
@@ -70,6 +70,29 @@
   }
 };
 
+struct PackedStamp {
+  uint32_t incarnation = 0;
+  int64_t sent_at_us = 0;
+  uint32_t echoed_incarnation = 0;
+  int64_t echoed_difference_us = 0;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(incarnation, sent_at_us, echoed_incarnation, echoed_difference_us);
+  }
+};
+
+/// Wire format of a `GossipMessage`; the same holds for its first part.
+struct PackedMessageWithStamp {
+  PackedMessageWithProofs message;
+  PackedStamp stamp;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(message, stamp);
+  }
+};
+
 constexpr int64_t kMsPerDs = 100;
 
 std::optional<PackedAge> Pack(const HostLastSeen& age,
@@ -90,6 +113,39 @@
       static_cast<uint16_t>(std::min(age.age_ms / kMsPerDs, kMaxAgeDs))};
 }
 
+PackedStamp Pack(const TransitStamp& stamp) {
+  return {stamp.incarnation, absl::ToUnixMicros(stamp.sent_at),
+          stamp.echoed_incarnation,
+          absl::ToInt64Microseconds(stamp.echoed_difference)};
+}
+
+TransitStamp Unpack(const PackedStamp& stamp) {
+  return {stamp.incarnation, absl::FromUnixMicros(stamp.sent_at_us),
+          stamp.echoed_incarnation,
+          absl::Microseconds(stamp.echoed_difference_us)};
+}
+
+/// @return the message; what a message of an earlier version lacks is empty.
+Result<PackedMessageWithStamp> DecodeAnyVersion(const std::string& datagram) {
+  Result<PackedMessageWithStamp> decoded =
+      DecodeArchive<PackedMessageWithStamp>(datagram);
+  if (GetError(decoded) == nullptr) return decoded;
+  Result<PackedMessageWithProofs> without_stamp =
+      DecodeArchive<PackedMessageWithProofs>(datagram, TrailingBytes::kReject);
+  if (GetError(without_stamp) == nullptr) {
+    return PackedMessageWithStamp{std::move(GetValue(without_stamp)), {}};
+  }
+  Result<PackedMessage> without_proofs =
+      DecodeArchive<PackedMessage>(datagram, TrailingBytes::kReject);
+  if (const Error* error = GetError(without_proofs)) return *error;
+  PackedMessageWithStamp message;
+  message.message.message = std::move(GetValue(without_proofs));
+  message.message.known_until =
+      std::max(message.message.message.config_revision,
+               message.message.message.targets_revision);
+  return message;
+}
+
 }  // namespace
 
 std::string EncodeGossipMessage(const GossipMessage& message) {
@@ -113,25 +169,18 @@
                           absl::Ceil(proof.age, absl::Milliseconds(1))),
                       static_cast<uint8_t>(proof.hops), proof.reader});
   }
-  return EncodeArchive(PackedMessageWithProofs{
-      std::move(packed), message.known_until, std::move(proofs)});
+  return EncodeArchive(PackedMessageWithStamp{
+      {std::move(packed), message.known_until, std::move(proofs)},
+      Pack(message.stamp)});
 }
 
 Result<GossipMessage> DecodeGossipMessage(const std::string& datagram) {
-  Result<PackedMessageWithProofs> decoded =
-      DecodeArchive<PackedMessageWithProofs>(datagram);
-  if (GetError(decoded) != nullptr) {
-    Result<PackedMessage> earlier =
-        DecodeArchive<PackedMessage>(datagram, TrailingBytes::kReject);
-    if (const Error* error = GetError(earlier)) return *error;
-    PackedMessageWithProofs without;
-    without.message = std::move(GetValue(earlier));
-    without.known_until = std::max(without.message.config_revision,
-                                   without.message.targets_revision);
-    decoded = std::move(without);
-  }
-  auto& [packed, known_until, proofs] = GetValue(decoded);
+  Result<PackedMessageWithStamp> decoded = DecodeAnyVersion(datagram);
+  if (const Error* error = GetError(decoded)) return *error;
+  auto& [packed_message, stamp] = GetValue(decoded);
+  auto& [packed, known_until, proofs] = packed_message;
   GossipMessage message;
+  message.stamp = Unpack(stamp);
   message.known_until = known_until;
   for (const PackedProof& proof : proofs) {
     message.proofs.push_back(
--- a/libs/tier/src/pending_proofs.cc
+++ b/libs/tier/src/pending_proofs.cc
@@ -13,9 +13,12 @@
 
 }  // namespace
 
-void PendingProofs::Add(PeerItems items, absl::Time received_at) {
+void PendingProofs::Add(PeerItems items, absl::Time sent_at) {
   if (pending_.size() == kMaxPending) pending_.pop_back();
-  pending_.push_back({std::move(items), received_at});
+  const auto next = std::upper_bound(
+      pending_.begin(), pending_.end(), sent_at,
+      [](absl::Time at, const Pending& other) { return at < other.sent_at; });
+  pending_.insert(next, {std::move(items), sent_at});
 }
 
 void PendingProofs::Apply(Revision revision, PublishedFreshness& freshness) {
@@ -26,17 +29,16 @@
   const std::vector<Pending> known(std::make_move_iterator(first_known),
                                    std::make_move_iterator(pending_.end()));
   pending_.erase(first_known, pending_.end());
-  for (const auto& [items, received_at] : known) {
+  for (const auto& [items, sent_at] : known) {
     for (const ReadProof& proof : items.proofs) {
       freshness.OnPeerProof(proof,
-                            std::min(received_at - proof.age, behind_since()));
+                            std::min(sent_at - proof.age, behind_since()));
     }
   }
 }
 
 absl::Time PendingProofs::behind_since() const {
-  return pending_.empty() ? absl::InfiniteFuture()
-                          : pending_.front().received_at;
+  return pending_.empty() ? absl::InfiniteFuture() : pending_.front().sent_at;
 }
 
 HostId PendingProofs::peer() const {
--- a/libs/tier/tests/publishing_model.cc
+++ b/libs/tier/tests/publishing_model.cc
@@ -14,6 +14,7 @@
 constexpr absl::Duration kFetchTimeout = absl::Seconds(1);
 constexpr absl::Duration kWholeFetchTimeout = absl::Seconds(10);
 constexpr size_t kMaxFetches = 3;
+constexpr absl::Duration kEchoRequestPeriod = absl::Milliseconds(250);
 constexpr absl::Duration kConnectTimeout = absl::Milliseconds(500);
 /// The watch of StoreClient before hosts used evidence.
 constexpr absl::Duration kLongWatchTime = absl::Milliseconds(2500);
@@ -62,6 +63,7 @@
     index_of_[host->self.host] = host->index;
     hosts_.push_back(std::move(host));
   }
+  if (options_.starts_late) DelayAllLinks(absl::InfiniteDuration());
   Publish();
   // The fleet runs for long already; its hosts know each other.
   for (const auto& host : hosts_) Start(*host, now_ - absl::Hours(1));
@@ -141,6 +143,9 @@
   host.freshness = std::make_unique<PublishedFreshness>(freshness, now_);
   host.items = {};
   host.proofs = {};
+  host.transit = std::make_unique<TransitTimes>(++last_incarnation_);
+  host.offset = absl::Hours(last_incarnation_);
+  host.echo_requested_at = absl::InfinitePast();
   host.schedule = {};
   host.reading = false;
   host.call_pending = true;
@@ -214,22 +219,25 @@
 void PublishingModel::SendGossip(Host& host, const std::vector<HostId>& to,
                                  std::vector<HostLastSeen> ages) {
   if (to.empty()) return;
-  auto gossip = std::make_shared<Gossip>();
-  gossip->news = {host.self, host.table->known_hosts(),
-                  host.table->Role(IsReading(host), now_), std::move(ages)};
-  gossip->revision = host.items.known_until();
-  gossip->proofs = host.freshness->ProofsForPeers(now_);
+  Gossip gossip;
+  gossip.news = {host.self, host.table->known_hosts(),
+                 host.table->Role(IsReading(host), now_), std::move(ages)};
+  gossip.revision = host.items.known_until();
+  gossip.proofs = host.freshness->ProofsForPeers(now_);
   for (const HostId& id : to) {
     const Host& peer = *hosts_[index_of_.at(id)];
     const auto link = links_.find({host.index, peer.index});
     if (link != links_.end() && now_ < link->second.no_datagrams_until)
       continue;
+    if (options_.counts_transit) {
+      gossip.stamp = host.transit->StampFor(id, now_ + host.offset);
+    }
     if (WithProbability(now_ < lossy_until_ ? kLossOfLossyNetwork : kUsualLoss))
       continue;
     AtHost(
         peer,
         Random(kMinTrip, options_.max_delay) + Lateness(host.index, peer.index),
-        [this, gossip](Host& receiver) { OnGossip(receiver, *gossip); });
+        [this, gossip](Host& receiver) { OnGossip(receiver, gossip); });
   }
 }
 
@@ -238,7 +246,7 @@
   if (host.table->OnMembershipUpdate(gossip.news, now_)) {
     SendGossip(host, {sender.host}, host.table->BuildDigest(now_, random_));
   }
-  host.proofs.Add({sender.host, gossip.revision, gossip.proofs}, now_);
+  AddProofs(host, gossip);
   ApplyProofs(host);
   if (gossip.revision <= host.items.known_until()) return;
   const bool is_other_domain =
@@ -251,6 +259,20 @@
   }
 }
 
+void PublishingModel::AddProofs(Host& host, const Gossip& gossip) {
+  const HostId& sender = gossip.news.from.host;
+  const TransitTime transit =
+      host.transit->OnMessage(sender, gossip.stamp, now_ + host.offset);
+  if (options_.counts_transit && !transit.is_bounded &&
+      now_ - host.echo_requested_at >= kEchoRequestPeriod) {
+    host.echo_requested_at = now_;
+    SendGossip(host, {sender}, {});
+  }
+  host.proofs.Add({sender, gossip.revision,
+                   transit.time ? gossip.proofs : std::vector<ReadProof>()},
+                  now_ - transit.time.value_or(absl::ZeroDuration()));
+}
+
 void PublishingModel::ApplyProofs(Host& host) {
   host.proofs.Apply(host.items.known_until(), *host.freshness);
 }
@@ -597,7 +619,6 @@
       if (!options_.freezes) break;
       const absl::Duration freeze = std::min(duration, absl::Seconds(6));
       Trace(absl::StrCat("freeze of", on));
-      longest_freeze_ = std::max(longest_freeze_, freeze);
       chosen.frozen_until = std::max(chosen.frozen_until, now_ + freeze);
       chosen.faulty_until = std::max(chosen.faulty_until, chosen.frozen_until);
       break;
@@ -650,7 +671,7 @@
 void PublishingModel::Check() {
   At(now_ + kCheckPeriod, [this] { Check(); });
   const absl::Duration max_error =
-      kMaxHops * (options_.max_delay + options_.lateness) + longest_freeze_;
+      kMaxHops * (options_.max_delay + options_.lateness);
   for (const auto& host : hosts_) {
     const absl::Time missing = FirstMissing(*host);
     std::string what;
--- a/libs/tier/tests/publishing_model.h
+++ b/libs/tier/tests/publishing_model.h
@@ -17,6 +17,7 @@
 #include "tier/published_freshness.h"
 #include "tier/published_items.h"
 #include "tier/publishing_times.h"
+#include "tier/transit_time.h"
 
 namespace cherrydyke {
 
@@ -56,6 +57,10 @@
     /// How much longer it takes on late links and paths; random faults include
     /// these unless it is zero.
     absl::Duration lateness;
+    /// Whether the time on the way counts for the age of proofs.
+    bool counts_transit = true;
+    /// Whether all links are late from the start.
+    bool starts_late = false;
   };
 
   /// What was seen since `StartMeasuring`.
@@ -114,6 +119,10 @@
     std::unique_ptr<PublishedFreshness> freshness;
     PublishedItems items;
     PendingProofs proofs;
+    std::unique_ptr<TransitTimes> transit;
+    /// Of its clock.
+    absl::Duration offset;
+    absl::Time echo_requested_at;
     // The state of StoreClient.
     PollSchedule schedule;
     bool reading = false;
@@ -132,6 +141,7 @@
     MembershipUpdate news;
     Revision revision = 0;
     std::vector<ReadProof> proofs;
+    TransitStamp stamp;
   };
   struct Watcher {
     size_t host = 0;
@@ -163,6 +173,7 @@
   void SendGossip(Host& host, const std::vector<HostId>& to,
                   std::vector<HostLastSeen> ages);
   void OnGossip(Host& host, const Gossip& gossip);
+  void AddProofs(Host& host, const Gossip& gossip);
   void FetchFrom(Host& host, const HostId& peer);
   void EndFetch(Host& host, const HostId& peer, int64_t id,
                 const PublishedChanges* changes);
@@ -218,7 +229,7 @@
   absl::Time lossy_until_;
   absl::Duration change_period_;
   int64_t change_generation_ = 0;
-  absl::Duration longest_freeze_;
+  uint32_t last_incarnation_ = 0;
 
   std::deque<std::string> trace_;
   std::string violation_;
--- a/libs/tier/tests/publishing_model_test.cc
+++ b/libs/tier/tests/publishing_model_test.cc
@@ -24,6 +24,7 @@
 constexpr absl::Duration kSecond = absl::Seconds(1);
 constexpr size_t kDomainsWithGroups = 3;
 constexpr uint32_t kCalmSeeds = 4;
+constexpr uint32_t kLateSeeds = 50;
 /// Calls in a second for each failure domain: a reader's, and those of hosts
 /// that lost a datagram.
 constexpr int kMaxCalmCallsPerReader = 4;
@@ -53,6 +54,8 @@
   PublishingModel::Options options;
   options.lateness = absl::Milliseconds(
       FromEnvironment("CHERRYDYKE_MODEL_LATENESS_MS", kDefaultLatenessMs));
+  options.counts_transit =
+      FromEnvironment("CHERRYDYKE_MODEL_COUNTS_TRANSIT", 1) != 0;
   return options;
 }
 
@@ -178,6 +181,7 @@
   CPPUNIT_TEST(Faults);
   CPPUNIT_TEST(FaultsOfManyHosts);
   CPPUNIT_TEST(FindsHostsThatBelieveTheRolesOfCutOffReaders);
+  CPPUNIT_TEST(LateDatagramsDoNotHideChanges);
   CPPUNIT_TEST(SilentWatchesWhileTransfersAreCut);
   CPPUNIT_TEST(CalmHostsLeaveTheStoreToTheReaders);
   CPPUNIT_TEST(ProofsAreNeverFresherThanTheTruth);
@@ -205,6 +209,16 @@
     options.reads = Reads::kByEvidence;
     CPPUNIT_ASSERT_EQUAL(std::string(), RunWithCutReaders(options));
   }
+  // Proofs counted from the arrival of their datagrams.
+  void LateDatagramsDoNotHideChanges() {
+    PublishingModel::Options options;
+    options.lateness = absl::Seconds(2);
+    options.counts_transit = false;
+    CPPUNIT_ASSERT(RunWithLateLinks(options).find("misses a change") !=
+                   std::string::npos);
+    options.counts_transit = true;
+    CPPUNIT_ASSERT_EQUAL(std::string(), RunWithLateLinks(options));
+  }
   // The pause after the failed watch exceeded the bound.
   void SilentWatchesWhileTransfersAreCut() {
     const PublishingModel::Options options;
@@ -268,6 +282,11 @@
                     model.DelayAllLinks(kRunTime);
                     model.CutAll(Model::Cut::kTransfers, kRunTime);
                   });
+    Model::Options starts_late = WithLateness();
+    starts_late.starts_late = true;
+    PrintLateRuns(
+        "links late from the start, transfers cut", starts_late,
+        [](Model& model) { model.CutAll(Model::Cut::kTransfers, kRunTime); });
     PrintLateRuns("paths to the store late", WithLateness(),
                   [](Model& model) { model.DelayStore(kRunTime); });
     PrintLateRuns("paths to the store late, transfers cut", WithLateness(),
@@ -283,6 +302,16 @@
   }
 
  private:
+  static std::string RunWithLateLinks(const PublishingModel::Options& options) {
+    for (uint32_t seed = 1; seed <= kLateSeeds; ++seed) {
+      PublishingModel model(options, seed);
+      std::string violation = model.Run(kWarmUp);
+      model.DelayAllLinks(kRunTime);
+      if (violation.empty()) violation = model.Run(kRunTime);
+      if (!violation.empty()) return violation;
+    }
+    return "";
+  }
   static std::string RunWithCutReaders(PublishingModel::Options options) {
     PublishingModel model(options, kSeed);
     const std::string violation = model.Run(kWarmUp);
