Name the peer that a host relied on when its proofs end

The line 'peers do not prove that published items are current' was to say on whom the host relied. The role was updated first, and by then the host read itself: role reader, relies_on empty, in 131 of 131 lines of a play. The other lines come before the role now.

LineOfMissingProofsNamesThePeerReliedOn: '' before, the peer now.

--- a/libs/tier/src/freshness_log.cc
+++ b/libs/tier/src/freshness_log.cc
@@ -8,10 +8,11 @@
 namespace cherrydyke {
 
 void FreshnessLog::Update(bool is_reading, absl::Time now) {
-  UpdateRole(is_reading, now);
+  // The role follows from the rest: these lines name the peer relied on before.
   UpdatePeersProof(now);
   UpdateBehind(now);
   UpdateAge(now);
+  UpdateRole(is_reading, now);
 }
 
 void FreshnessLog::UpdateRole(bool is_reading, absl::Time now) {
