A peer's read after an outage ends the outage at this host too

Callers got 503 (no_target): after an outage of the store, a host whose peer read first took that read for evidence that there had been none. Its own read then removed the entries of live targets that had expired, all at once.

ReadOfAPeerEndsAnOutage, ReadOfAPeerAfterAShortFailureEndsNone.

--- a/libs/tier/include/tier/source_outage.h
+++ b/libs/tier/include/tier/source_outage.h
@@ -27,7 +27,9 @@
   bool OnRead(absl::Time proven_until, absl::Time now);
   /// Some host is known to have read the service at this time. Reads between
   /// two calls of this function need not be reported.
-  void OnProven(absl::Time proven_until);
+  /// @return whether an outage has ended: peers may read again before this
+  /// host.
+  bool OnProven(absl::Time proven_until);
   /// A peer reported that an outage ended at this time.
   /// @return whether it may have been one, as far as this host knows.
   bool OnPeerRecovered(absl::Time recovered_at);
@@ -39,6 +41,9 @@
   absl::Time grace_end() const { return recovered_at_ + kExpiredEntryGrace; }
 
  private:
+  /// @param ended_at when some host read the service again.
+  void EndOutage(absl::Time ended_at);
+
   /// When the first call failed, and the last one, since the last success.
   absl::Time failing_since_ = absl::InfiniteFuture();
   absl::Time last_failed_start_ = absl::InfinitePast();
--- a/libs/tier/include/tier/tier_host.h
+++ b/libs/tier/include/tier/tier_host.h
@@ -80,6 +80,7 @@
   void OnRead(absl::Time current_until, bool config, bool targets) override;
   void OnReadFailed(absl::Time started_at) override;
 
+  void LogOutageEnd() const;
   void MeasureLateness();
   /// Decides whether this host reads the configuration service itself.
   void UpdateReaderRole();
--- a/libs/tier/src/source_outage.cc
+++ b/libs/tier/src/source_outage.cc
@@ -1,6 +1,7 @@
 #include "tier/source_outage.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "tier/publishing_times.h"
 
@@ -20,24 +21,38 @@
 }
 
 bool SourceOutage::OnRead(absl::Time proven_until, absl::Time now) {
+  const bool was_ended_by_peer = OnProven(proven_until);
   const absl::Time began = std::max(failing_since_, proven_until);
   failing_since_ = absl::InfiniteFuture();
   // Others may have read since the last failure, while this host did not.
-  if (now - began < kMinOutage || last_failed_at_ <= proven_until) return false;
+  if (now - began < kMinOutage || last_failed_at_ <= proven_until) {
+    return was_ended_by_peer;
+  }
+  EndOutage(now);
+  return true;
+}
+
+bool SourceOutage::OnProven(absl::Time proven_until) {
+  if (proven_until <= proven_until_) return false;
+  const absl::Time proven_before = std::exchange(proven_until_, proven_until);
+  if (proven_until - proven_before >= kMinOutage) silence_end_ = proven_until;
+  const absl::Time began = std::max(failing_since_, proven_before);
+  const bool has_ended = proven_before != absl::InfinitePast() &&
+                         last_failed_at_ > proven_before &&
+                         proven_until - began >= kMinOutage;
+  if (last_failed_at_ <= proven_until) failing_since_ = absl::InfiniteFuture();
+  if (has_ended) EndOutage(proven_until);
+  return has_ended;
+}
+
+void SourceOutage::EndOutage(absl::Time ended_at) {
   // If only this host's path was lost, it may have been back since the last
   // call that failed, and the time in which the host need not know what others
   // do began then.
   const absl::Time latest_end = last_failed_start_ +
                                 PublishingTimes::kContactTime - kContactMargin -
                                 kExpiredEntryGrace;
-  recovered_at_ = std::max(recovered_at_, std::min(now, latest_end));
-  return true;
-}
-
-void SourceOutage::OnProven(absl::Time proven_until) {
-  if (proven_until <= proven_until_) return;
-  if (proven_until - proven_until_ >= kMinOutage) silence_end_ = proven_until;
-  proven_until_ = proven_until;
+  recovered_at_ = std::max(recovered_at_, std::min(ended_at, latest_end));
 }
 
 bool SourceOutage::OnPeerRecovered(absl::Time recovered_at) {
--- a/libs/tier/src/tier_host.cc
+++ b/libs/tier/src/tier_host.cc
@@ -147,7 +147,9 @@
        [this] { return adapters_.source.IsReading(); },
        [this] { return loop_.Now() - source_outage_.recovered_at(); },
        [this](absl::Duration age) {
-         source_outage_.OnProven(freshness_.current_until());
+         if (source_outage_.OnProven(freshness_.current_until())) {
+           LogOutageEnd();
+         }
          source_outage_.OnPeerRecovered(loop_.Now() - age);
        },
        [this](size_t limit) { return targets_.TakeHealthReports(limit); },
@@ -216,10 +218,7 @@
 
 void TierHost::OnRead(absl::Time current_until, bool config, bool targets) {
   if (source_outage_.OnRead(freshness_.current_until(), loop_.Now())) {
-    LogInfo(
-        "outage of the store has ended",
-        {{"entries_kept_ms", absl::ToInt64Milliseconds(
-                                 source_outage_.grace_end() - loop_.Now())}});
+    LogOutageEnd();
   }
   freshness_.OnRead(current_until);
   gossip_.ApplyProofs();
@@ -341,7 +340,13 @@
   // Keeps the hosts that are next in line from starting to read as well.
   if (adapters_.source.IsReading() && !was_reading) gossip_.NotifyDownstream();
   freshness_log_.Update(adapters_.source.IsReading(), now);
-  source_outage_.OnProven(freshness_.current_until());
+  if (source_outage_.OnProven(freshness_.current_until())) LogOutageEnd();
+}
+
+void TierHost::LogOutageEnd() const {
+  LogInfo("outage of the store has ended",
+          {{"entries_kept_ms", absl::ToInt64Milliseconds(
+                                   source_outage_.grace_end() - loop_.Now())}});
 }
 
 bool TierHost::IsReady() const {
--- a/libs/tier/tests/source_outage_test.cc
+++ b/libs/tier/tests/source_outage_test.cc
@@ -19,6 +19,8 @@
   CPPUNIT_TEST(FailuresForAShortTimeAreNone);
   CPPUNIT_TEST(FailuresOfOneHostBesideReadsOfOthersAreNone);
   CPPUNIT_TEST(FailureBeforeALongTimeWithoutCallsIsNone);
+  CPPUNIT_TEST(ReadOfAPeerEndsAnOutage);
+  CPPUNIT_TEST(ReadOfAPeerAfterAShortFailureEndsNone);
   CPPUNIT_TEST(GraceEndsBeforeAHostWhosePathIsBackIsInTouch);
   CPPUNIT_TEST(PeersReportCountsIfNobodyReadMeanwhile);
   CPPUNIT_TEST(PeersReportDoesNotCountBesideReads);
@@ -56,6 +58,25 @@
     CPPUNIT_ASSERT(!outage_.OnRead(At(58), At(60)));
   }
 
+  void ReadOfAPeerEndsAnOutage() {
+    outage_.OnProven(At(-0.1));
+    Fail(0, 0.7);
+    Fail(2.8, 3.5);
+    CPPUNIT_ASSERT(outage_.OnProven(At(4)));
+    CPPUNIT_ASSERT(outage_.recovered_at() == At(4));
+    CPPUNIT_ASSERT(!outage_.OnRead(At(4), At(4.2)));
+    CPPUNIT_ASSERT(outage_.recovered_at() == At(4));
+  }
+
+  void ReadOfAPeerAfterAShortFailureEndsNone() {
+    outage_.OnProven(At(-1.7));
+    Fail(0, 0.1);
+    CPPUNIT_ASSERT(!outage_.OnProven(At(0.2)));
+    // A later silence contains no failure.
+    CPPUNIT_ASSERT(!outage_.OnProven(At(3)));
+    CPPUNIT_ASSERT(outage_.grace_end() == absl::InfinitePast());
+  }
+
   void GraceEndsBeforeAHostWhosePathIsBackIsInTouch() {
     constexpr double kLastFailure = 10;
     Fail(0, 0.7);
