--- a/libs/dispatch/include/dispatch/crash_tracker.h
+++ b/libs/dispatch/include/dispatch/crash_tracker.h
@@ -98,6 +98,7 @@
            absl::Time now);
   /// @return when this host last sent what was answered, as far as remembered.
   std::optional<absl::Time> LastAnswer(uint64_t fingerprint) const;
+  bool WasAnsweredRecently(uint64_t fingerprint, absl::Time at) const;
   /// @return whether a crash of the request counts about that time.
   bool IsNearCrash(uint64_t fingerprint, absl::Time at) const;
   void DropExpired(absl::Time now);
--- a/libs/dispatch/src/crash_tracker.cc
+++ b/libs/dispatch/src/crash_tracker.cc
@@ -16,11 +16,14 @@
 constexpr int kMaxTargets = kCrashesToQuarantine;
 /// Maximum number of tracked requests, at a few hundred bytes each.
 constexpr size_t kMaxRecords = 4096;
-/// Crashes of a request that was answered before count once if they are closer
-/// than this: other causes end several targets at once.
+/// How long an answer makes other causes of a crash more likely.
+constexpr absl::Duration kRecentAnswerTime = absl::Minutes(1);
+/// Crashes of a request that was answered recently count once if they are
+/// closer than this: other causes end several targets at once.
 constexpr absl::Duration kMinCrashSpacing = absl::Seconds(1);
-/// For how long crashes of a request that was answered before are not gossiped
-/// unless they quarantine it: the next answer may show that it is harmless.
+/// For how long crashes of a request that was answered recently are not
+/// gossiped unless they quarantine it: the next answer may show that it is
+/// harmless.
 constexpr absl::Duration kAnswerGrace = absl::Seconds(1);
 /// Period in which answered requests are collected, and their maximum number.
 /// Two periods are kept: as long as a crash before the answer may be reported.
@@ -63,6 +66,12 @@
   return last;
 }
 
+bool CrashTracker::WasAnsweredRecently(uint64_t fingerprint,
+                                       absl::Time at) const {
+  const std::optional<absl::Time> last_answer = LastAnswer(fingerprint);
+  return last_answer && at - *last_answer < kRecentAnswerTime;
+}
+
 bool CrashTracker::OnCrash(uint64_t fingerprint, uint32_t target,
                            absl::Time sent_at, absl::Time now) {
   return Add(fingerprint, target, sent_at, now);
@@ -77,7 +86,8 @@
 bool CrashTracker::Add(uint64_t fingerprint, uint32_t target, absl::Time at,
                        absl::Time now) {
   const std::optional<absl::Time> last_answer = LastAnswer(fingerprint);
-  if (last_answer && (at <= *last_answer || IsNearCrash(fingerprint, at))) {
+  if (last_answer && at <= *last_answer) return false;
+  if (WasAnsweredRecently(fingerprint, at) && IsNearCrash(fingerprint, at)) {
     return false;
   }
   const bool was_quarantined = IsQuarantined(fingerprint, now);
@@ -159,7 +169,7 @@
     const int total = entry.second.Total();
     if (total < kCrashesToQuarantine &&
         now - entry.second.last_crash < kAnswerGrace &&
-        LastAnswer(entry.first)) {
+        WasAnsweredRecently(entry.first, now)) {
       continue;
     }
     (total >= kCrashesToQuarantine       ? quarantined
--- a/libs/dispatch/tests/tables_test.cc
+++ b/libs/dispatch/tests/tables_test.cc
@@ -67,6 +67,7 @@
   CPPUNIT_TEST(AnsweredRequestIsNotBlamedForTargetsThatEndAtOnce);
   CPPUNIT_TEST(AnswerEndsQuarantineByEarlierCrashes);
   CPPUNIT_TEST(CrashOfAnsweredRequestIsGossipedUnlessAnsweredAgain);
+  CPPUNIT_TEST(CrashesLongAfterAnAnswerCountOneByOne);
   CPPUNIT_TEST(CrashesBeforeAndAfterAHostRestartAddUp);
   CPPUNIT_TEST(NewCrashIsInTheNextMessage);
   CPPUNIT_TEST(EveryCrashIsGossipedInTurn);
@@ -257,6 +258,21 @@
     CPPUNIT_ASSERT(GossipedRequests(tracker, absl::Seconds(3)).empty());
   }
 
+  void CrashesLongAfterAnAnswerCountOneByOne() {
+    CrashTracker tracker;
+    CrashTracker other;
+    tracker.OnAnswered(7, kStart);
+    absl::Time now = kStart + absl::Minutes(2);
+    for (const uint32_t target : {kTarget, kSecondTarget, kThirdTarget}) {
+      other.OnCrash(7, target, now, now);
+      now += absl::Milliseconds(300);
+    }
+    for (const CrashReport& report : other.TakeReportsToGossip(20, now)) {
+      tracker.Merge(report, now);
+    }
+    CPPUNIT_ASSERT(tracker.IsQuarantined(7, now));
+  }
+
   void CrashesBeforeAndAfterAHostRestartAddUp() {
     CrashTracker other;
     for (const uint32_t target : {kTarget, kSecondTarget, kThirdTarget}) {
