A refused connection is a crash only if its failure domain is in reach

The path counted as open if any target had a connection, in any failure domain. Targets of the same domain decide now; others only if none of these is known to be out of reach.

--- a/libs/tier/include/tier/target_set.h
+++ b/libs/tier/include/tier/target_set.h
@@ -221,8 +221,9 @@
   void KeepConnectionsWarm();
   /// @return whether requests to the target are expected to get through.
   bool IsInReach(const Target& target, absl::Time now) const;
-  /// @return whether other targets than this one have connections established,
-  /// and no partition is suspected.
+  /// @return whether connections to other targets are established, in its
+  /// failure domain unless none of these is known to be out of reach, and no
+  /// partition is suspected.
   bool IsPathToOthersOpen(const Target& target) const;
   bool IsUsable(const Target& target, const SelectionCriteria& criteria,
                 absl::Time now) const;
--- a/libs/tier/src/target_reach.cc
+++ b/libs/tier/src/target_reach.cc
@@ -39,11 +39,19 @@
 }
 
 bool TargetSet::IsPathToOthersOpen(const Target& target) const {
-  return partition_monitor_->IsPathTrusted() &&
-         std::any_of(targets_.begin(), targets_.end(), [&](const auto& entry) {
-           return entry.second.get() != &target &&
-                  entry.second->pool->IsConnected();
-         });
+  if (!partition_monitor_->IsPathTrusted()) return false;
+  const std::string& domain = target.info.failure_domain;
+  bool any_connected = false;
+  bool any_lost_in_domain = false;
+  for (const auto& [id, other] : targets_) {
+    if (other.get() == &target) continue;
+    const bool is_connected = other->pool->IsConnected();
+    any_connected = any_connected || is_connected;
+    if (other->info.failure_domain != domain) continue;
+    if (is_connected) return true;
+    any_lost_in_domain = any_lost_in_domain || other->is_unreachable();
+  }
+  return any_connected && !any_lost_in_domain;
 }
 
 void TargetSet::OnUnconnected(const Target& target) {
