Say what the times of SourceOutage are

The comment was from before proofs of peers could end an outage: the first failure counts from the last known read of any host, not from this host's last success. No code changed; tier_test passes (76).

--- a/libs/tier/include/tier/source_outage.h
+++ b/libs/tier/include/tier/source_outage.h
@@ -44,8 +44,9 @@
   /// @param ended_at when some host read the service again.
   void EndOutage(absl::Time ended_at);
 
-  /// When the first call failed, and the last one, since the last success.
+  /// When the first call failed since some host is known to have read.
   absl::Time failing_since_ = absl::InfiniteFuture();
+  /// When the last call that failed began, and when it did.
   absl::Time last_failed_start_ = absl::InfinitePast();
   absl::Time last_failed_at_ = absl::InfinitePast();
   absl::Time proven_until_ = absl::InfinitePast();
