Failures of an earlier outage don't delay a retry

What callers see: requests handled by a configuration older than the bound (CONFIG, HOME), and requests to targets that left (DRAIN), at a host whose peers prove nothing and whose first call to the store is lost, at any time after an outage of the store.

Cause: PublishedFreshness pauses calls for 2.03 to 2.53 s after two failed ones in a row, and PollSchedule doubles its pause, up to 1.5 s. Both counts ended only with a successful call by this host. After an outage a peer often reads first, its proof ends this host's calls, and the counts stay, for hours. The first lost call then was the third failure, not the first: the pause of 0.15 s in the sums of published-freshness.md was one of up to 2.53 s.

Now a failure more than kContactTime (5 s) after the last one starts a new count, in both. Within an outage failures follow each other in less: a pause of 2.53 s, a check, a connection and a call.

--- a/libs/tier/include/tier/poll_schedule.h
+++ b/libs/tier/include/tier/poll_schedule.h
@@ -17,8 +17,9 @@
   absl::Duration PauseAfterChanges(absl::Time now);
   /// @param random_fraction a random number in [0, 1) for the jitter, which
   /// keeps hosts from calling at the same time.
-  /// @return the pause after a call that failed.
-  absl::Duration PauseAfterFailure(double random_fraction);
+  /// @return the pause after a call that failed. Failures of an earlier outage,
+  /// after which a peer read for this host, don't make it longer.
+  absl::Duration PauseAfterFailure(absl::Time now, double random_fraction);
   /// A call succeeded: ends the backoff.
   void OnSuccess() { failures_ = 0; }
 
@@ -28,6 +29,7 @@
  private:
   absl::Time last_change_at_ = absl::InfinitePast();
   absl::Duration batch_pause_;
+  absl::Time last_failure_at_ = absl::InfinitePast();
   int failures_ = 0;
 };
 
--- a/libs/tier/include/tier/published_freshness.h
+++ b/libs/tier/include/tier/published_freshness.h
@@ -54,7 +54,7 @@
   /// A read by this host returned every change published before it began.
   /// @param started_at when the read began.
   void OnRead(absl::Time started_at);
-  /// A read by this host failed.
+  /// A read by this host failed. Failures of an earlier outage don't count.
   void OnReadFailed(absl::Time now);
   /// This host has every item of a peer that sent a proof.
   /// @param proven_until the time of the read that the proof is of.
--- a/libs/tier/src/poll_schedule.cc
+++ b/libs/tier/src/poll_schedule.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "tier/publishing_times.h"
+
 namespace cherrydyke {
 namespace {
 
@@ -30,7 +32,10 @@
   return batch_pause_;
 }
 
-absl::Duration PollSchedule::PauseAfterFailure(double random_fraction) {
+absl::Duration PollSchedule::PauseAfterFailure(absl::Time now,
+                                               double random_fraction) {
+  if (now - last_failure_at_ > PublishingTimes::kContactTime) failures_ = 0;
+  last_failure_at_ = now;
   const absl::Duration pause =
       std::min(kMaxFailurePause,
                kMinFailurePause * (1 << std::min(failures_, kMaxDoublings)));
--- a/libs/tier/src/published_freshness.cc
+++ b/libs/tier/src/published_freshness.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "tier/publishing_times.h"
+
 namespace cherrydyke {
 
 PublishedFreshness::PublishedFreshness(Options options, absl::Time started)
@@ -15,6 +17,7 @@
 }
 
 void PublishedFreshness::OnReadFailed(absl::Time now) {
+  if (now - read_failed_at_ > PublishingTimes::kContactTime) read_failures_ = 0;
   ++read_failures_;
   read_failed_at_ = now;
 }
--- a/libs/tier/src/publishing_times.cc
+++ b/libs/tier/src/publishing_times.cc
@@ -10,7 +10,7 @@
   PublishingTimes times;
   times.bound = bound;
   times.watch = kWatchRatio * bound;
-  times.failure_pause = PollSchedule().PauseAfterFailure(1);
+  times.failure_pause = PollSchedule().PauseAfterFailure(absl::UnixEpoch(), 1);
   // A host whose peers prove nothing opens a connection, loses the response to
   // its first call, and needs another connection and call.
   const absl::Duration own_read = times.Decision() + times.LostCall() +
--- a/libs/tier/tests/poll_schedule_test.cc
+++ b/libs/tier/tests/poll_schedule_test.cc
@@ -17,6 +17,7 @@
   CPPUNIT_TEST(ContinuousChangesAreBatched);
   CPPUNIT_TEST(IsolatedChangesAreReadPromptly);
   CPPUNIT_TEST(FailuresBackOffUntilASuccess);
+  CPPUNIT_TEST(FailuresOfAnEarlierOutageDoNotMakePausesLonger);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -45,15 +46,28 @@
 
   void FailuresBackOffUntilASuccess() {
     PollSchedule schedule;
-    CPPUNIT_ASSERT(schedule.PauseAfterFailure(0.5) <= absl::Milliseconds(150));
+    CPPUNIT_ASSERT(schedule.PauseAfterFailure(kStart, 0.5) <=
+                   absl::Milliseconds(150));
     for (int i = 0; i < 100; ++i) {
-      CPPUNIT_ASSERT(schedule.PauseAfterFailure(0.999) <=
+      CPPUNIT_ASSERT(schedule.PauseAfterFailure(kStart, 0.999) <=
                      absl::Milliseconds(1500));
     }
-    CPPUNIT_ASSERT(schedule.PauseAfterFailure(0) >= absl::Milliseconds(400));
+    CPPUNIT_ASSERT(schedule.PauseAfterFailure(kStart, 0) >=
+                   absl::Milliseconds(400));
     CPPUNIT_ASSERT_EQUAL(102, schedule.failures());
     schedule.OnSuccess();
-    CPPUNIT_ASSERT(schedule.PauseAfterFailure(0.5) <= absl::Milliseconds(150));
+    CPPUNIT_ASSERT(schedule.PauseAfterFailure(kStart, 0.5) <=
+                   absl::Milliseconds(150));
+  }
+
+  void FailuresOfAnEarlierOutageDoNotMakePausesLonger() {
+    PollSchedule schedule;
+    for (int i = 0; i < 10; ++i) schedule.PauseAfterFailure(kStart, 0.5);
+    CPPUNIT_ASSERT(schedule.PauseAfterFailure(kStart + absl::Seconds(4), 0) >=
+                   absl::Milliseconds(400));
+    CPPUNIT_ASSERT(schedule.PauseAfterFailure(kStart + absl::Seconds(10),
+                                              0.5) <= absl::Milliseconds(150));
+    CPPUNIT_ASSERT_EQUAL(1, schedule.failures());
   }
 };
 
--- a/libs/tier/tests/published_freshness_test.cc
+++ b/libs/tier/tests/published_freshness_test.cc
@@ -34,6 +34,7 @@
   CPPUNIT_TEST(OwnReadsDoNotCountAsProofOfPeers);
   CPPUNIT_TEST(OneFailedCallDoesNotEndReading);
   CPPUNIT_TEST(PausesAfterSeveralFailedCalls);
+  CPPUNIT_TEST(FailuresOfAnEarlierOutageDoNotMakeItPause);
   CPPUNIT_TEST(MalformedProofsAreIgnored);
   CPPUNIT_TEST(ProofsThatCircleDoNotBecomeFresher);
   CPPUNIT_TEST_SUITE_END();
@@ -117,6 +118,16 @@
     CPPUNIT_ASSERT(freshness.ShouldReadItself(now + kRetryPause));
   }
 
+  void FailuresOfAnEarlierOutageDoNotMakeItPause() {
+    PublishedFreshness freshness = Freshness();
+    for (int i = 0; i < 2; ++i) freshness.OnReadFailed(kStart + kSecond);
+    const absl::Time now = kStart + 60 * kSecond;
+    freshness.OnReadFailed(now);
+    CPPUNIT_ASSERT(freshness.ShouldReadItself(now));
+    freshness.OnReadFailed(now);
+    CPPUNIT_ASSERT(!freshness.ShouldReadItself(now));
+  }
+
   void MalformedProofsAreIgnored() {
     PublishedFreshness freshness = Freshness();
     freshness.OnPeerProof({-kSecond, 0, kPeer}, kStart + kSecond);
--- a/libs/tier/tests/publishing_model.cc
+++ b/libs/tier/tests/publishing_model.cc
@@ -453,9 +453,9 @@
   host.loses_call = false;
   host.freshness->OnReadFailed(now_);
   UpdateReaderRole(host);
-  ScheduleNextCall(host,
-                   host.schedule.PauseAfterFailure(
-                       std::uniform_real_distribution<double>(0, 1)(random_)));
+  ScheduleNextCall(
+      host, host.schedule.PauseAfterFailure(
+                now_, std::uniform_real_distribution<double>(0, 1)(random_)));
 }
 
 void PublishingModel::Publish() {
--- a/libs/tier/tests/publishing_times_test.cc
+++ b/libs/tier/tests/publishing_times_test.cc
@@ -112,7 +112,7 @@
     }));
   }
   void FirstPauseAfterAFailureIsThatOfTheSchedule() {
-    CPPUNIT_ASSERT(PollSchedule().PauseAfterFailure(1) ==
+    CPPUNIT_ASSERT(PollSchedule().PauseAfterFailure(absl::UnixEpoch(), 1) ==
                    PublishingTimes::For(kSmallestBound).failure_pause);
   }
   void HostsDrawFromTheRanges() {
