PublishedItems: property test with late answers and restarts

The property test so far merges each listing, watch and transfer at the moment of its making, and lists two pages. In a fleet a transfer is asked for by one revision, served later and merged after others; listings have several pages, each as of its own revision; hosts restart while answers are on their way.

LateAnswersNeitherHideNorUndoAChange plays these against the history itself: no change is missing up to what a host knows, and no key goes back to an older revision within a lifetime.

--- a/libs/tier/tests/published_items_test.cc
+++ b/libs/tier/tests/published_items_test.cc
@@ -4,8 +4,11 @@
 #include <rapidcheck.h>
 
 #include <algorithm>
+#include <functional>
 #include <limits>
+#include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace cherrydyke {
@@ -64,6 +67,156 @@
   items.MergeSnapshot(listed, std::min(first, second));
 }
 
+/// Hosts that read a service and fetch from each other, while answers come
+/// late and in any order and hosts restart.
+class FleetOfReplicas {
+ public:
+  explicit FleetOfReplicas(const History& history) : history_(history) {}
+
+  void Step() {
+    Host& host = hosts_[Pick(hosts_.size())];
+    switch (Pick(12)) {
+      case 0:
+        StartListing(host);
+        break;
+      case 1:
+      case 2:
+      case 3:
+        if (host.read_until > 0) StartWatch(host);
+        break;
+      case 4:
+      case 5:
+        Ask(host);
+        break;
+      case 6:
+      case 7:
+        Serve();
+        break;
+      case 8:
+        if (Pick(6) == 0) host = {{}, host.lifetime + 1, 0, false, {}};
+        break;
+      default:
+        Deliver();
+        break;
+    }
+  }
+
+  /// Checks what must hold for each host after each step.
+  void Check(const std::function<void(const PublishedItems&)>& check_known) {
+    for (Host& host : hosts_) {
+      RC_ASSERT(host.items.complete_revision() <= host.items.known_until());
+      check_known(host.items);
+      for (const auto& [key, item] : host.items.items()) {
+        Revision& newest = host.newest[key];
+        RC_ASSERT(item.revision >= newest);
+        newest = item.revision;
+      }
+    }
+  }
+
+ private:
+  struct Host {
+    PublishedItems items;
+    int lifetime = 0;
+    /// What its reads of the service have got up to, and whether one is under
+    /// way.
+    Revision read_until = 0;
+    bool is_reading = false;
+    std::map<std::string, Revision> newest;
+  };
+  /// A question to a peer that has not been served.
+  struct Question {
+    size_t host = 0;
+    int lifetime = 0;
+    size_t peer = 0;
+    Revision from = 0;
+  };
+  /// An answer of the service or a peer on its way.
+  struct Answer {
+    size_t host = 0;
+    int lifetime = 0;
+    PublishedChanges changes;
+    bool is_read = false;
+  };
+
+  static size_t Pick(size_t below) {
+    return *rc::gen::resize(rc::kNominalSize,
+                            rc::gen::inRange<size_t>(0, below));
+  }
+  size_t IndexOf(const Host& host) const {
+    return static_cast<size_t>(&host - hosts_.data());
+  }
+
+  // Each page is as of its own revision, and any of them may be stale.
+  void StartListing(Host& host) {
+    if (std::exchange(host.is_reading, true)) return;
+    PublishedChanges changes;
+    changes.is_snapshot = true;
+    changes.as_of = kLastRevision;
+    const auto pages = static_cast<int>(1 + Pick(4));
+    for (int page = 0; page < pages; ++page) {
+      const auto revision = static_cast<Revision>(1 + Pick(kLastRevision));
+      changes.as_of = std::min(changes.as_of, revision);
+      for (int key = page * kKeys / pages; key < (page + 1) * kKeys / pages;
+           ++key) {
+        PublishedItem state = StateOf(history_, key, revision);
+        if (!state.removed) changes.items.push_back(std::move(state));
+      }
+    }
+    answers_.push_back(
+        {IndexOf(host), host.lifetime, std::move(changes), true});
+  }
+
+  void StartWatch(Host& host) {
+    if (std::exchange(host.is_reading, true)) return;
+    const auto until = static_cast<Revision>(
+        host.read_until +
+        Pick(static_cast<size_t>(kLastRevision - host.read_until + 1)));
+    answers_.push_back(
+        {IndexOf(host),
+         host.lifetime,
+         {Events(history_, host.read_until, until), until, false},
+         true});
+  }
+
+  void Ask(const Host& host) {
+    questions_.push_back({IndexOf(host), host.lifetime, Pick(hosts_.size()),
+                          host.items.known_until()});
+  }
+
+  void Serve() {
+    if (questions_.empty()) return;
+    const size_t index = Pick(questions_.size());
+    const Question question = questions_[index];
+    questions_.erase(questions_.begin() + static_cast<ptrdiff_t>(index));
+    PublishedChanges changes =
+        hosts_[question.peer].items.ChangesAfter(question.from);
+    if (question.from == 0) changes.is_snapshot = true;
+    answers_.push_back(
+        {question.host, question.lifetime, std::move(changes), false});
+  }
+
+  void Deliver() {
+    if (answers_.empty()) return;
+    const size_t index = Pick(answers_.size());
+    const Answer answer = std::move(answers_[index]);
+    answers_.erase(answers_.begin() + static_cast<ptrdiff_t>(index));
+    Host& host = hosts_[answer.host];
+    if (host.lifetime != answer.lifetime) return;
+    const Revision known = host.items.known_until();
+    host.items.Merge(answer.changes);
+    RC_ASSERT(host.items.known_until() >= known);
+    if (!answer.is_read) return;
+    host.is_reading = false;
+    host.read_until = std::max(host.read_until, answer.changes.as_of);
+  }
+
+  const History& history_;
+  std::vector<Host> hosts_ = std::vector<Host>(3);
+  std::vector<Question> questions_;
+  std::vector<Answer> answers_;
+};
+
 }  // namespace
 
 class PublishedItemsTest : public CppUnit::TestFixture {
@@ -73,6 +226,7 @@
   CPPUNIT_TEST(KeyRemovedBeforeThePeersListingIsRemoved);
   CPPUNIT_TEST(StaleListingDoesNotBringBackRemovedKeys);
   CPPUNIT_TEST(NoChangeIsMissingUpToWhatIsKnown);
+  CPPUNIT_TEST(LateAnswersNeitherHideNorUndoAChange);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -154,6 +308,21 @@
     }));
   }
 
+  // Guards against a configuration that is taken for current, or comes back
+  // older, after a transfer that was overtaken by a listing, a watch or another
+  // transfer (CONFIG, HOME).
+  void LateAnswersNeitherHideNorUndoAChange() {
+    CPPUNIT_ASSERT(rc::check("answers come late and hosts restart", [] {
+      const History history = *Histories();
+      FleetOfReplicas fleet(history);
+      for (int step = 0; step < 150; ++step) {
+        fleet.Step();
+        fleet.Check(
+            [&](const PublishedItems& items) { CheckKnown(history, items); });
+      }
+    }));
+  }
+
  private:
   static void CheckKnown(const History& history, const PublishedItems& host) {
     for (int key = 0; key < kKeys; ++key) {
