Handover: a peer that is ahead tells its version before it runs

What callers saw: at a partitioned host whose peers have different versions, a request ran by the newer one at peer B, and while that run lasted another one of the same host ran by the older one at peer C: a version that comes back (CONFIG, HOME by the same way).

Cause: the version of a peer that is ahead came with the reply. The floor of the sender (ConfigVersions) rose when the run was over, 0.1 to 3 s after its effect, and 250 ms are allowed. Offers don't raise it, and the fetch after the next offer comes up to 0.3 s and three trips later.

Fix: such a peer rejects the request as "newer_configuration" and tells its version, before anything runs. The sender states that version from then on, fetches the configuration and sends the request again at once, which is no try. A request now runs at a peer only by exactly the version that its sender has stated, so the floor is never below a version by which a request has begun to run. Each further rejection of this kind has a newer version, so that they end. Senders that understand the rejection say so in a header. Requests without it run as before, and peers of earlier versions ignore the header.

Weighed and not taken (docs/design/platform.md): an interim response, the plan by the version stated. A field at the end of the request instead of the header would make a truncated request of this version one of an earlier one, which a test of the message forbids.

--- a/libs/dispatch/tests/config_versions_test.cc
+++ b/libs/dispatch/tests/config_versions_test.cc
@@ -28,7 +28,8 @@
  private:
   struct Host {
     ConfigVersions versions;
-    /// The newest version by which its callers' requests have run.
+    /// The newest version by which its callers' requests have begun to run,
+    /// wherever that was.
     int64_t seen = 0;
     int lifetime = 0;
     bool reaches_targets = true;
@@ -40,8 +41,8 @@
     int from_lifetime = 0;
     int to_lifetime = 0;
     int64_t least = 0;
-    /// What the sender's callers had seen, and what was in force there, when it
-    /// was sent.
+    /// What the sender's callers had seen, and what was in force there, when
+    /// the caller sent it.
     int64_t seen = 0;
     int tries = 0;
     /// The version by which the peer ran it; 0 before.
@@ -97,6 +98,7 @@
     Handover handover;
     handover.from = at;
     handover.from_lifetime = host.lifetime;
+    handover.seen = std::max(host.seen, host.versions.in_force());
     Send(handover);
   }
 
@@ -107,7 +109,6 @@
     handover.to = (handover.from + 1 + Pick(kHosts - 1)) % kHosts;
     handover.to_lifetime = hosts_[handover.to].lifetime;
     handover.least = host.versions.LeastForPeers();
-    handover.seen = std::max(host.seen, host.versions.in_force());
     underway_.push_back(handover);
   }
 
@@ -115,10 +116,21 @@
     Handover& handover = underway_[index];
     Host& peer = hosts_[handover.to];
     if (handover.run_by != 0) return;
-    if (peer.lifetime == handover.to_lifetime &&
-        peer.versions.MayTakeOver(handover.least)) {
+    const bool takes = peer.lifetime == handover.to_lifetime &&
+                       peer.versions.MayTakeOver(handover.least);
+    const bool is_told =
+        takes && peer.versions.MustTellFirst(handover.least) &&
+        hosts_[handover.from].lifetime == handover.from_lifetime;
+    if (is_told) {
+      hosts_[handover.from].versions.OnRunByPeer(peer.versions.in_force());
+      --handover.tries;
+    } else if (takes) {
       Run(handover.from, handover.to, peer.versions.in_force(), handover.seen);
       handover.run_by = peer.versions.in_force();
+      Host& host = hosts_[handover.from];
+      if (host.lifetime == handover.from_lifetime) {
+        host.seen = std::max(host.seen, handover.run_by);
+      }
       return;
     }
     Handover rejected = handover;
@@ -135,7 +147,6 @@
     Host& host = hosts_[handover.from];
     if (host.lifetime != handover.from_lifetime) return;
     host.versions.OnRunByPeer(handover.run_by);
-    host.seen = std::max(host.seen, handover.run_by);
   }
 
   // Regions are excluded by versions, so that the newest version known to the
@@ -164,6 +175,7 @@
   CPPUNIT_TEST(HostRunsNothingOlderThanItsCallersSawThroughAPeer);
   CPPUNIT_TEST(PeerNeedsWhatCallersSaw);
   CPPUNIT_TEST(OlderHostTakesNothingOver);
+  CPPUNIT_TEST(NewerHostTellsItsVersionFirst);
   CPPUNIT_TEST(OnlyNewerConfigurationsAreNews);
   CPPUNIT_TEST(NoHistoryOfAFleetRunsAnOlderVersion);
   CPPUNIT_TEST_SUITE_END();
@@ -201,6 +213,15 @@
     CPPUNIT_ASSERT(!versions.MayTakeOver(3));
   }
 
+  void NewerHostTellsItsVersionFirst() {
+    ConfigVersions versions;
+    versions.SetInForce(3);
+    CPPUNIT_ASSERT(versions.MustTellFirst(2));
+    CPPUNIT_ASSERT(!versions.MustTellFirst(3));
+    // It rejects such a request as one that is newer.
+    CPPUNIT_ASSERT(!versions.MustTellFirst(4));
+  }
+
   void OnlyNewerConfigurationsAreNews() {
     ConfigVersions versions;
     CPPUNIT_ASSERT(versions.IsNews(1));
--- a/libs/dispatch/tests/region_limits_test.cc
+++ b/libs/dispatch/tests/region_limits_test.cc
@@ -310,6 +310,11 @@
       return ChoosePeer(handover);
     }
     const bool takes = peer.versions.MayTakeOver(handover.least);
+    if (takes && peer.versions.MustTellFirst(handover.least)) {
+      hosts_[handover.from].versions.OnRunByPeer(peer.versions.in_force());
+      --handover.tries;
+      return ChoosePeer(handover);
+    }
     const size_t from = handover.from;
     handovers_.erase(handovers_.begin() + static_cast<ptrdiff_t>(index));
     if (!takes) return;
--- a/libs/tier/include/tier/handover_client.h
+++ b/libs/tier/include/tier/handover_client.h
@@ -107,6 +107,8 @@
   /// @param version of the configuration by which the peer ran the request; 0
   /// if it did not tell.
   void OnVersion(const Handover& handover, int64_t version);
+  /// The peer runs the request once a newer version is stated with it.
+  void OnNewer(const HandoverPtr& handover, int64_t version);
   void OnRejected(const HandoverPtr& handover, const std::string& reason,
                   absl::Duration exclusion);
   /// The peer has not begun the request: tries another one or fails.
--- a/libs/tier/include/tier/handover_message.h
+++ b/libs/tier/include/tier/handover_message.h
@@ -15,6 +15,12 @@
 inline constexpr char kHandoverOfferPath[] = "/handover/offer";
 /// Reason of a host that rejects a request because its configuration is older.
 inline constexpr char kRejectedAsOutdated[] = "older_configuration";
+/// Reason of a host that rejects a request because its configuration is newer
+/// than the request states; the reply has its version. Only for a sender whose
+/// request has the header below with this value: it states that version and
+/// sends the request again. Hosts of earlier versions ignore the header.
+inline constexpr char kRejectedAsNewer[] = "newer_configuration";
+inline constexpr char kUnderstoodRejectionHeader[] = "Understood-Rejection";
 
 /// A caller's request that one host hands to another.
 struct HandoverRequest {
@@ -49,8 +55,8 @@
   std::string rejection;
   /// The response for the caller, if it did.
   engine::HttpResponse response;
-  /// The configuration by which it ran the request; 0 from hosts of versions
-  /// that do not tell.
+  /// The configuration by which it ran the request, or which is newer than the
+  /// request states; 0 from hosts of versions that do not tell.
   int64_t config_version = 0;
 
   friend bool operator==(const HandoverReply& a, const HandoverReply& b) {
--- a/libs/tier/include/tier/handover_server.h
+++ b/libs/tier/include/tier/handover_server.h
@@ -49,7 +49,9 @@
  private:
   void ServeOffer(engine::ServerExchange& exchange) const;
   void ServeRequest(const std::shared_ptr<engine::ServerExchange>& exchange);
-  void Reject(engine::ServerExchange& exchange, const std::string& reason);
+  /// @param config_version of this host, if the sender is to learn it.
+  void Reject(engine::ServerExchange& exchange, const std::string& reason,
+              int64_t config_version = 0);
 
   engine::EventLoop& loop_;
   Metrics& metrics_;
--- a/libs/tier/src/handover_client.cc
+++ b/libs/tier/src/handover_client.cc
@@ -104,8 +104,10 @@
          // The caller has also waited for a new connection to open.
          caller.round_trip * (caller.is_new_connection ? 2 : 1),
          sent.criteria.config_version, sent.service, sent.tried});
-    return HandoverPeers::RequestHead("POST", kHandoverPath, handover->peer,
-                                      body.size()) +
+    return HandoverPeers::RequestHead(
+               "POST", kHandoverPath, handover->peer, body.size(),
+               absl::StrCat(kUnderstoodRejectionHeader, ": ", kRejectedAsNewer,
+                            "\r\n")) +
            body;
   };
   request.exchange.done = [this,
@@ -164,6 +166,10 @@
     Finish(handover, "lost");
     return handover->outgoing.on_failed(RefusalReason::kTargetsFailed, true);
   }
+  if (!reply->accepted && reply->rejection == kRejectedAsNewer &&
+      reply->config_version > handover->outgoing.criteria.config_version) {
+    return OnNewer(handover, reply->config_version);
+  }
   if (!reply->accepted) {
     return OnRejected(handover, reply->rejection,
                       reply->rejection == kRejectedAsOutdated
@@ -197,6 +203,21 @@
   on_version_(handover.peer, version);
 }
 
+void HandoverClient::OnNewer(const HandoverPtr& handover, int64_t version) {
+  peers_->SetOfferedVersion(handover->peer, version);
+  if (versions_.OnRunByPeer(version)) {
+    LogInfo("peer has a newer configuration",
+            {{"request", handover->outgoing.request_id},
+             {"peer", handover->peer},
+             {"config_version", version},
+             {"asked_for", handover->outgoing.criteria.config_version}});
+  }
+  on_version_(handover->peer, version);
+  // Each further rejection of this kind has a newer version, so that they end.
+  --handover->tries;
+  OnNotTaken(handover, kRejectedAsNewer);
+}
+
 void HandoverClient::OnRejected(const HandoverPtr& handover,
                                 const std::string& reason,
                                 absl::Duration exclusion) {
--- a/libs/tier/src/handover_peers.cc
+++ b/libs/tier/src/handover_peers.cc
@@ -49,9 +49,10 @@
       random_(NewIncarnation()) {}
 
 std::string HandoverPeers::RequestHead(const char* method, const char* path,
-                                       const HostId& peer, size_t body_bytes) {
-  return absl::StrCat(method, " ", path, " HTTP/1.1\r\nHost: ", peer,
-                      "\r\nContent-Length: ", body_bytes, "\r\n\r\n");
+                                       const HostId& peer, size_t body_bytes,
+                                       const std::string& headers) {
+  return absl::StrCat(method, " ", path, " HTTP/1.1\r\nHost: ", peer, "\r\n",
+                      headers, "Content-Length: ", body_bytes, "\r\n\r\n");
 }
 
 void HandoverPeers::Prepare() {
@@ -245,6 +246,10 @@
   return peers_.at(host).candidate.offer.config_version;
 }
 
+void HandoverPeers::SetOfferedVersion(const HostId& host, int64_t version) {
+  peers_.at(host).candidate.offer.config_version = version;
+}
+
 void HandoverPeers::OnSilent(const HostId& host) {
   HandoverCandidate& candidate = peers_.at(host).candidate;
   candidate.is_silent = true;
--- a/libs/tier/src/handover_peers.h
+++ b/libs/tier/src/handover_peers.h
@@ -55,6 +55,8 @@
 
   /// @return the version of the configuration that a peer last told.
   int64_t OfferedVersion(const HostId& peer) const;
+  /// A peer has told its version outside of an offer.
+  void SetOfferedVersion(const HostId& peer, int64_t version);
 
   /// Excludes a peer for some time.
   void Exclude(const HostId& peer, absl::Duration time);
@@ -63,8 +65,10 @@
 
   /// @return the HTTP request line and headers of a request to a peer, with the
   /// empty line.
+  /// @param headers further headers, each with its line break.
   static std::string RequestHead(const char* method, const char* path,
-                                 const HostId& peer, size_t body_bytes);
+                                 const HostId& peer, size_t body_bytes,
+                                 const std::string& headers = "");
 
  private:
   struct Peer {
--- a/libs/tier/src/handover_server.cc
+++ b/libs/tier/src/handover_server.cc
@@ -117,6 +117,12 @@
   if (!HasRoomToTakeOver(running(), callbacks_.lateness())) {
     return Reject(*exchange, "no_room");
   }
+  const std::string* const understood =
+      FindHeader(exchange->request().headers, kUnderstoodRejectionHeader);
+  if (understood != nullptr && *understood == kRejectedAsNewer &&
+      versions_.MustTellFirst(handover.config_version)) {
+    return Reject(*exchange, kRejectedAsNewer, versions_.in_force());
+  }
   metrics_.counter("cherrydyke_taken_over_total", "outcome=\"accepted\"").Add();
   HandoverOrigin origin{exchange->request().peer, handover.service,
                         handover.tried};
@@ -126,18 +132,20 @@
 }
 
 void HandoverServer::Reject(engine::ServerExchange& exchange,
-                            const std::string& reason) {
+                            const std::string& reason, int64_t config_version) {
   metrics_
       .counter("cherrydyke_taken_over_total",
                absl::StrCat("outcome=\"", reason, "\""))
       .Add();
   if (log_rate_limiter_.TryAcquire(reason, policy_.log_lines, loop_.Now())) {
     LogInfo("request not taken over",
-            {{"from", exchange.request().peer}, {"reason", reason}});
+            {{"from", exchange.request().peer},
+             {"reason", reason},
+             {"config_version", versions_.in_force()}});
   }
   engine::HttpResponse response;
   response.status = 200;
-  response.body = EncodeHandoverReply({false, reason, {}, 0});
+  response.body = EncodeHandoverReply({false, reason, {}, config_version});
   exchange.Respond(std::move(response));
 }
 
