Make the parser of a request once, and keep idle connections by the limits in force

ServerConnection made a parser when a request was passed to the handler and another one when the next request's first bytes came; only the second one was used since the limits are taken with it. The first one also fixed the idle time: an idleTimeoutMs that was raised while a request was handled did not hold for the idle time after it, so that the host closed a connection that callers may reuse.

Now the parser is made with the first bytes of a request, released when the request is passed on, and the idle time is that of the limits in force when the response is written. That a parser is made once is by reading.

IdleTimeRaisedDuringARequestHoldsAfterIt (engine_test) failed before, as the connection was closed, and passes now; engine_test passes, 45 tests, three runs.

--- a/libs/engine/src/server_connection.cc
+++ b/libs/engine/src/server_connection.cc
@@ -77,7 +77,6 @@
   peer_ = absl::StrCat(peer.address().to_string(), ":", peer.port());
   connection_info_.round_trip = RoundTripOf(socket_.native_handle());
   deadline_ = state_->loop.Now() + limits_.idle_timeout;
-  StartParser();
   Read();
 }
 
@@ -117,7 +116,6 @@
 
 void ServerConnection::OnBytes() {
   if (input_.size() == 0) return;
-  // The limits may have changed since the request before.
   if (phase_ == Phase::kIdle) StartParser();
   const absl::Time now = state_->loop.Now();
   const bool had_header = parser_->is_header_done();
@@ -180,11 +178,11 @@
   request_.headers = CopyHeaders(message);
   request_.body = std::move(message.body());
   request_.peer = peer_;
+  parser_.reset();
   received_at_ = state_->loop.Now();
   phase_ = Phase::kRunning;
   responded_ = false;
   ++state_->requests_in_flight;
-  StartParser();
   state_->handler(shared_from_this());
 }
 
@@ -235,7 +233,7 @@
   phase_ = Phase::kIdle;
   connection_info_.is_new_connection = false;
   request_ = {};
-  deadline_ = state_->loop.Now() + limits_.idle_timeout;
+  deadline_ = state_->loop.Now() + state_->limits().idle_timeout;
   OnBytes();
   Read();
 }
--- a/libs/engine/src/server_connection.h
+++ b/libs/engine/src/server_connection.h
@@ -67,6 +67,7 @@
 
   void Read();
   void OnBytes();
+  /// Makes the parser of the next request, with the limits in force.
   void StartParser();
   /// Responds with an error status to a request that was not accepted and
   /// closes the connection.
@@ -87,6 +88,7 @@
   /// consumed while a read is pending.
   std::array<char, kReadBytes> read_buffer_{};
   boost::beast::flat_buffer input_;
+  /// Of the request being read.
   std::optional<Parser> parser_;
   Phase phase_ = Phase::kIdle;
   bool reading_ = false;
--- a/libs/engine/tests/http_server_test.cc
+++ b/libs/engine/tests/http_server_test.cc
@@ -42,6 +42,7 @@
   CPPUNIT_TEST(SendsContinueForExpectedBody);
   CPPUNIT_TEST(RejectsOversizedAndMalformedRequests);
   CPPUNIT_TEST(LimitsRaisedOnAnIdleConnectionHoldForTheNextRequest);
+  CPPUNIT_TEST(IdleTimeRaisedDuringARequestHoldsAfterIt);
   CPPUNIT_TEST(RejectsAmbiguousFraming);
   CPPUNIT_TEST(ReportsCallerDisconnectDuringRequest);
   CPPUNIT_TEST(TimesOutSlowHeadersAndIdleConnections);
@@ -158,6 +159,20 @@
     CPPUNIT_ASSERT_EQUAL(size_t{5000}, exchanges_[1]->request().body.size());
   }
 
+  // Guards against closing a connection that callers may still reuse (LOST).
+  void IdleTimeRaisedDuringARequestHoldsAfterIt() {
+    const auto caller = Connect();
+    caller->Write(Get("/1"));
+    CPPUNIT_ASSERT(WaitForRequests(1));
+    const absl::Duration idle_timeout_before = limits_.idle_timeout;
+    limits_.idle_timeout *= 4;
+    Respond(0, "x");
+    RunFor(loop_, 2 * idle_timeout_before);
+    CPPUNIT_ASSERT(!caller->closed_by_peer());
+    caller->Write(Get("/2"));
+    CPPUNIT_ASSERT(WaitForRequests(2));
+  }
+
   void RejectsAmbiguousFraming() {
     const std::string post = "POST / HTTP/1.1\r\n" + std::string(kHostHeader);
     ExpectStatus(post +
