Answer 503 for unknown routes once the configuration may be stale

Callers of a route that had been added got 404 from a host whose newest proof of being current was older than the bound for changes, and callers do not repeat a request after 404. The host did not know that the route does not exist: it looked at its table only, not at the age of the table.

MayDenyRoute (libs/dispatch) decides from the age of the newest proof, the bound, whether there ever was a proof, and whether the host knows of newer items. While the newest proof is no older than the bound, a change that is missing is not due yet: 404. Beyond it, 503 with a Retry-After and the reason stale_configuration (502 if the request was handed over and had been sent to targets before). After a start the age counts from the start until the first proof, so that a start alone refuses nothing; a host that has no proof yet and knows of newer items denies nothing. A proof from before the start counts with its age, also in published_age_ms: before, a host started in an outage looked as if it were current for another bound.

Refused requests and finished ones log ever_proven as well.

--- a/libs/tier/include/tier/protocol_adapter.h
+++ b/libs/tier/include/tier/protocol_adapter.h
@@ -54,6 +54,9 @@
   kMalformed,
   kNoConfiguration,
   kNoRoute,
+  /// As `kNoRoute`, but the route may have been added since this host's
+  /// configuration was last known to be current.
+  kStaleConfiguration,
   kQuarantined,
   kNoTarget,
   /// As `kNoTarget`, because targets are at their concurrency limits.
--- a/libs/tier/include/tier/published_freshness.h
+++ b/libs/tier/include/tier/published_freshness.h
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <tuple>
 #include <vector>
 
@@ -63,6 +64,9 @@
   /// @return the time up to which this host has every published change, as far
   /// as that is proven; its start if it never was.
   absl::Time current_until() const;
+  /// @return the same, or nothing if it never was proven; before the start if
+  /// all proofs were that old.
+  std::optional<absl::Time> proven_until() const;
   /// @return the time up to which peers have proven so, or the start.
   absl::Time peers_current_until() const;
   /// @return the proofs to pass on to peers: for each number of hops the
--- a/libs/tier/include/tier/request_handler.h
+++ b/libs/tier/include/tier/request_handler.h
@@ -16,6 +16,7 @@
 #include "dispatch/config_versions.h"
 #include "dispatch/crash_tracker.h"
 #include "dispatch/policy.h"
+#include "dispatch/published_state.h"
 #include "dispatch/request_run.h"
 #include "dispatch/retry_after_scheduler.h"
 #include "dispatch/route_table.h"
@@ -39,15 +40,6 @@
 
 class WaitingRequests;
 
-/// How current a host's published items are, for its log lines.
-struct PublishedState {
-  /// Time since the items were last proven to be current.
-  absl::Duration age;
-  /// Time for which the host has known of newer items; zero if it knows of
-  /// none.
-  absl::Duration behind;
-};
-
 /// Serves callers' requests: finds the route, sends the request to targets with
 /// retries and hedges, and responds. Single-threaded.
 class RequestHandler {
@@ -61,6 +53,8 @@
     ConfigVersions& versions;
     Metrics& metrics;
     Policy policy;
+    /// Time within which a published change must take effect.
+    absl::Duration change_deadline;
     std::function<PublishedState()> published_state;
     /// Called after crashes of a request were counted.
     std::function<void()> on_crash_counted;
@@ -207,6 +201,7 @@
   ConfigVersions& versions_;
   Metrics& metrics_;
   const Policy policy_;
+  const absl::Duration change_deadline_;
   const std::function<PublishedState()> published_state_;
   const std::function<void()> on_crash_counted_;
   LogRateLimiter log_rate_limiter_;
--- a/libs/tier/include/tier/tier_host.h
+++ b/libs/tier/include/tier/tier_host.h
@@ -99,8 +99,10 @@
   /// are written, or when the process has to exit.
   void ContinueShutdown();
   void RegisterGauges();
-  /// @return time since this host was proven to have every published change.
+  /// @return time since this host was proven to have every published change,
+  /// or since its start.
   absl::Duration PublishedAge() const;
+  PublishedState MakePublishedState() const;
   /// @return time since this host knows that a peer has newer items; zero if it
   /// knows of none.
   absl::Duration TimeBehind() const;
--- a/libs/tier/src/protocol_adapter.cc
+++ b/libs/tier/src/protocol_adapter.cc
@@ -10,6 +10,8 @@
       return "no_configuration";
     case RefusalReason::kNoRoute:
       return "no_route";
+    case RefusalReason::kStaleConfiguration:
+      return "stale_configuration";
     case RefusalReason::kQuarantined:
       return "quarantined";
     case RefusalReason::kNoTarget:
--- a/libs/tier/src/published_freshness.cc
+++ b/libs/tier/src/published_freshness.cc
@@ -32,6 +32,13 @@
   return std::max(proven_.front().until, peers_current_until());
 }
 
+std::optional<absl::Time> PublishedFreshness::proven_until() const {
+  absl::Time until = absl::InfinitePast();
+  for (const Proven& proven : proven_) until = std::max(until, proven.until);
+  if (until == absl::InfinitePast()) return std::nullopt;
+  return until;
+}
+
 absl::Time PublishedFreshness::peers_current_until() const {
   absl::Time until = started_;
   for (size_t hops = 1; hops < proven_.size(); ++hops) {
--- a/libs/tier/src/request_handler.cc
+++ b/libs/tier/src/request_handler.cc
@@ -99,6 +99,7 @@
       versions_(dependencies.versions),
       metrics_(dependencies.metrics),
       policy_(dependencies.policy),
+      change_deadline_(dependencies.change_deadline),
       published_state_(std::move(dependencies.published_state)),
       on_crash_counted_(std::move(dependencies.on_crash_counted)),
       retry_after_scheduler_(policy_.retry_after, policy_.retry_after_spread),
@@ -136,7 +137,11 @@
       return Refuse(*exchange, parsed->request_id,
                     RefusalReason::kNoConfiguration, false);
     }
-    return Refuse(*exchange, parsed->request_id, RefusalReason::kNoRoute, ran);
+    const bool may_deny = MayDenyRoute(published_state_(), change_deadline_);
+    return Refuse(
+        *exchange, parsed->request_id,
+        may_deny ? RefusalReason::kNoRoute : RefusalReason::kStaleConfiguration,
+        ran);
   }
   const uint64_t fingerprint = RequestFingerprint(exchange->request());
   if (crashes_.IsQuarantined(fingerprint, loop_.Now())) {
@@ -863,6 +868,7 @@
   const PublishedState state = published_state_();
   fields.emplace_back("published_age_ms", absl::ToInt64Milliseconds(state.age));
   fields.emplace_back("behind_ms", absl::ToInt64Milliseconds(state.behind));
+  fields.emplace_back("ever_proven", state.was_proven);
 }
 
 }  // namespace cherrydyke
--- a/libs/tier/src/tier_host.cc
+++ b/libs/tier/src/tier_host.cc
@@ -85,9 +85,8 @@
                   [this] { request_handler_.ResumeWaiting(); }}),
       request_handler_({loop, adapters.protocol, targets_, crashes_, handovers_,
                         versions_, metrics_, settings_.policy,
-                        [this] {
-                          return PublishedState{PublishedAge(), TimeBehind()};
-                        },
+                        settings_.change_deadline,
+                        [this] { return MakePublishedState(); },
                         [this] { gossip_.Gossip(); }}),
       handover_server_(
           loop, metrics_, versions_, settings_.policy,
@@ -209,7 +208,12 @@
 }
 
 absl::Duration TierHost::PublishedAge() const {
-  return loop_.Now() - freshness_.current_until();
+  return loop_.Now() -
+         freshness_.proven_until().value_or(freshness_.current_until());
+}
+
+PublishedState TierHost::MakePublishedState() const {
+  return {PublishedAge(), TimeBehind(), freshness_.proven_until().has_value()};
 }
 
 absl::Duration TierHost::TimeBehind() const {
--- a/libs/tier/tests/published_freshness_test.cc
+++ b/libs/tier/tests/published_freshness_test.cc
@@ -26,6 +26,7 @@
 class PublishedFreshnessTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(PublishedFreshnessTest);
   CPPUNIT_TEST(NothingIsProvenAtTheStart);
+  CPPUNIT_TEST(ProofFromBeforeTheStartTellsTheAge);
   CPPUNIT_TEST(OwnReadsProveTheTimeAtWhichTheyBegan);
   CPPUNIT_TEST(PeersProveTheTimeOfTheirReads);
   CPPUNIT_TEST(OlderProofsDoNotReplaceNewerOnes);
@@ -42,9 +43,20 @@
   void NothingIsProvenAtTheStart() {
     const PublishedFreshness freshness = Freshness();
     CPPUNIT_ASSERT(freshness.current_until() == kStart);
+    CPPUNIT_ASSERT(!freshness.proven_until().has_value());
     CPPUNIT_ASSERT(freshness.ProofsForPeers(kStart).empty());
   }
 
+  // Of a host that starts in an outage of the configuration service.
+  void ProofFromBeforeTheStartTellsTheAge() {
+    PublishedFreshness freshness = Freshness();
+    freshness.OnPeerProof({9 * kSecond, 1, kPeer}, kStart - 8 * kSecond);
+    CPPUNIT_ASSERT(freshness.current_until() == kStart);
+    CPPUNIT_ASSERT(freshness.proven_until() == kStart - 8 * kSecond);
+    freshness.OnRead(kStart + kSecond);
+    CPPUNIT_ASSERT(freshness.proven_until() == kStart + kSecond);
+  }
+
   void OwnReadsProveTheTimeAtWhichTheyBegan() {
     PublishedFreshness freshness = Freshness();
     freshness.OnRead(kStart + kSecond);
