Encode a gossip message once for all recipients

FleetGossip::Send encoded the whole message for each recipient, though only the stamp at its end differs. ReplaceStamp now sets the stamp of the encoded datagram.

24 recipients, 50 ages, two proofs, on x86-64 beside other work (a scratch program, 2,000 messages, second pass): 42.1 us before and 6.5 us now for a message without health reports, 97.9 and 9.1 us with 150 of them.

MessageWithAnotherStampEqualsOneEncodedWithIt (tier_test) is new and has no counterpart before, as the function is new: any message with its stamp replaced equals, byte by byte, one encoded with that stamp. tier_test passes, 78 tests.

--- a/libs/tier/include/tier/gossip_message.h
+++ b/libs/tier/include/tier/gossip_message.h
@@ -41,6 +41,10 @@
 
 /// @return the serialized datagram.
 std::string EncodeGossipMessage(const GossipMessage& message);
+/// Replaces the stamp of a serialized datagram: the rest is the same for all
+/// recipients.
+/// @param datagram result of `EncodeGossipMessage`.
+void ReplaceStamp(const TransitStamp& stamp, std::string& datagram);
 /// Decodes a message of this version, or of one whose messages lack the stamp,
 /// or also proofs.
 /// @return the message, or `kInvalidInput` if the datagram is malformed.
--- a/libs/tier/src/fleet_gossip.cc
+++ b/libs/tier/src/fleet_gossip.cc
@@ -180,9 +180,10 @@
   message.reports = std::move(health_reports);
   message.known_until = KnownUntil();
   message.proofs = freshness_.ProofsForPeers(loop_.Now());
+  std::string datagram = EncodeGossipMessage(message);
   for (const HostId& recipient : recipients) {
-    message.stamp = transit_times_.StampFor(recipient, loop_.Now());
-    datagram_socket_.Send(EndpointOf(recipient), EncodeGossipMessage(message));
+    ReplaceStamp(transit_times_.StampFor(recipient, loop_.Now()), datagram);
+    datagram_socket_.Send(EndpointOf(recipient), datagram);
   }
 }
 
--- a/libs/tier/src/gossip_message.cc
+++ b/libs/tier/src/gossip_message.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "archive.h"
+#include "base/invariant.h"
 #include "boost/asio/ip/address_v4.hpp"
 
 namespace cherrydyke {
@@ -174,6 +175,14 @@
       Pack(message.stamp)});
 }
 
+void ReplaceStamp(const TransitStamp& stamp, std::string& datagram) {
+  // Without the byte order that each archive begins with.
+  const std::string encoded = EncodeArchive(Pack(stamp)).substr(1);
+  CHERRYDYKE_INVARIANT(datagram.size() > encoded.size(),
+                       "a datagram ends in its stamp");
+  datagram.replace(datagram.size() - encoded.size(), encoded.size(), encoded);
+}
+
 Result<GossipMessage> DecodeGossipMessage(const std::string& datagram) {
   Result<PackedMessageWithStamp> decoded = DecodeAnyVersion(datagram);
   if (const Error* error = GetError(decoded)) return *error;
