Accept request targets in absolute form

A request whose target is in absolute form (GET http://host/path) got 400, which callers do not repeat. RFC 9112, 3.2.2, asks servers to accept it.

The host of the target replaces the one in the Host header, as the RFC says, and the request is routed and sent on with path and query, as in origin form: both forms are one request to quarantine and to targets. Exactly one Host header is still required. Another scheme, no host, user information, a fragment after the host, and the other forms stay 400.

RequestInAbsoluteFormNamesItsHostInTheTarget (engine_test) failed before with 400 and passes now; RejectsOtherFormsOfTargets passes before and after. engine_test passes, 47 tests. Not tried on a whole host.

--- a/libs/engine/include/engine/http_message.h
+++ b/libs/engine/include/engine/http_message.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -18,10 +19,27 @@
   }
 };
 
+/// The target of a request in absolute form, `http://HOST/PATH?QUERY`.
+struct AbsoluteTarget {
+  /// With the port, if one is given.
+  std::string host;
+  /// Path and query, not decoded; begins with a slash.
+  std::string target;
+
+  friend bool operator==(const AbsoluteTarget& a, const AbsoluteTarget& b) {
+    return std::tie(a.host, a.target) == std::tie(b.host, b.target);
+  }
+};
+
+/// @return the parts, or nothing if the target is not in absolute form, or not
+/// one of an HTTP server without TLS.
+std::optional<AbsoluteTarget> ParseAbsoluteTarget(absl::string_view target);
+
 /// A complete request as the server received it.
 struct HttpRequest {
   std::string method;
-  /// Path and query, not decoded.
+  /// Path and query, not decoded. The host of one in absolute form is in the
+  /// `Host` header.
   std::string target;
   std::vector<HttpHeader> headers;
   std::string body;
--- a/libs/engine/src/http_message.cc
+++ b/libs/engine/src/http_message.cc
@@ -1,8 +1,10 @@
 #include "engine/http_message.h"
 
+#include <algorithm>
 #include <array>
 
 #include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
 #include "absl/strings/string_view.h"
 
 namespace cherrydyke::engine {
@@ -19,6 +21,22 @@
   return nullptr;
 }
 
+std::optional<AbsoluteTarget> ParseAbsoluteTarget(absl::string_view target) {
+  constexpr absl::string_view kScheme = "http://";
+  if (!absl::StartsWithIgnoreCase(target, kScheme)) return std::nullopt;
+  target.remove_prefix(kScheme.size());
+  const size_t path = std::min(target.find_first_of("/?#"), target.size());
+  const absl::string_view host = target.substr(0, path);
+  const absl::string_view rest = target.substr(path);
+  // RFC 9110, 4.2: a host is needed, user information is an error.
+  if (host.empty() || host.front() == ':') return std::nullopt;
+  if (absl::StrContains(host, '@')) return std::nullopt;
+  if (!rest.empty() && rest.front() == '#') return std::nullopt;
+  const bool has_path = !rest.empty() && rest.front() == '/';
+  return AbsoluteTarget{absl::StrCat(host),
+                        absl::StrCat(has_path ? "" : "/", rest)};
+}
+
 bool IsConnectionHeader(absl::string_view name) {
   static constexpr std::array<absl::string_view, 11> kNames = {
       "Connection",
--- a/libs/engine/src/server_connection.cc
+++ b/libs/engine/src/server_connection.cc
@@ -39,6 +39,28 @@
   return absl::Microseconds(info.tcpi_rtt);
 }
 
+absl::string_view StringViewOf(boost::beast::string_view text) {
+  return {text.data(), text.size()};
+}
+
+bool IsOriginForm(boost::beast::string_view target) {
+  return !target.empty() && target.front() == '/';
+}
+
+// RFC 9112, 3.2.2: the host of a target in absolute form replaces the one in
+// the header.
+void UseOriginForm(HttpRequest& request) {
+  std::optional<AbsoluteTarget> absolute = ParseAbsoluteTarget(request.target);
+  if (!absolute) return;
+  request.target = std::move(absolute->target);
+  for (HttpHeader& header : request.headers) {
+    if (EqualHeaderNames(header.name, "Host")) {
+      header.value = std::move(absolute->host);
+      return;
+    }
+  }
+}
+
 std::string Serialize(const HttpResponse& response, bool is_head, bool keep) {
   std::string bytes;
   bytes.reserve(256 + response.body.size());
@@ -142,7 +164,10 @@
 
 bool ServerConnection::IsValidRequest() const {
   const auto& message = parser_->get();
-  if (message.target().empty() || message.target().front() != '/') return false;
+  if (!IsOriginForm(message.target()) &&
+      !ParseAbsoluteTarget(StringViewOf(message.target()))) {
+    return false;
+  }
   if (message.count(http::field::host) != 1) return false;
   // Prevents request smuggling: a peer that interprets other codings or two
   // lengths differently could see a second request inside this one.
@@ -179,6 +204,7 @@
   request_.body = std::move(message.body());
   request_.peer = peer_;
   parser_.reset();
+  UseOriginForm(request_);
   received_at_ = state_->loop.Now();
   phase_ = Phase::kRunning;
   responded_ = false;
--- a/libs/engine/tests/http_server_test.cc
+++ b/libs/engine/tests/http_server_test.cc
@@ -8,6 +8,7 @@
 #include <deque>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "absl/strings/str_cat.h"
@@ -43,6 +44,8 @@
   CPPUNIT_TEST(RejectsOversizedAndMalformedRequests);
   CPPUNIT_TEST(LimitsRaisedOnAnIdleConnectionHoldForTheNextRequest);
   CPPUNIT_TEST(IdleTimeRaisedDuringARequestHoldsAfterIt);
+  CPPUNIT_TEST(RequestInAbsoluteFormNamesItsHostInTheTarget);
+  CPPUNIT_TEST(RejectsOtherFormsOfTargets);
   CPPUNIT_TEST(RejectsAmbiguousFraming);
   CPPUNIT_TEST(ReportsCallerDisconnectDuringRequest);
   CPPUNIT_TEST(TimesOutSlowHeadersAndIdleConnections);
@@ -173,6 +176,39 @@
     CPPUNIT_ASSERT(WaitForRequests(2));
   }
 
+  void RequestInAbsoluteFormNamesItsHostInTheTarget() {
+    const auto caller = Connect();
+    const std::vector<std::pair<std::string, HttpRequest>> cases = {
+        {"http://b.example:81/x/y?z=/w",
+         MakeRequest("b.example:81", "/x/y?z=/w")},
+        {"HTTP://B/", MakeRequest("B", "/")},
+        {"http://b", MakeRequest("b", "/")},
+        {"http://b?z=1", MakeRequest("b", "/?z=1")},
+        {"http://[::1]:81/x@y", MakeRequest("[::1]:81", "/x@y")},
+        {"/http://b/x", MakeRequest("a", "/http://b/x")}};
+    for (size_t i = 0; i < cases.size(); ++i) {
+      const auto& [target, expected] = cases[i];
+      caller->Write(Get(target));
+      const bool was_read = WaitForRequests(i + 1);
+      CPPUNIT_ASSERT_MESSAGE(target + ": " + caller->received(), was_read);
+      CPPUNIT_ASSERT_MESSAGE(target, exchanges_[i]->request() == expected);
+      Respond(i, "x");
+    }
+  }
+
+  void RejectsOtherFormsOfTargets() {
+    for (const std::string target :
+         {"http://", "http:///x", "http://:80/x", "http://u@b/x", "http://b#x",
+          "https://b/x", "ftp://b/x", "http:/b", "b:80", "*"}) {
+      ExpectStatus(Get(target), "400");
+    }
+    // As in origin form, a header without a host is malformed.
+    ExpectStatus("GET http://b/x HTTP/1.1\r\n\r\n", "400");
+    ExpectStatus("GET http://b/x HTTP/1.1\r\nHost: b\r\nHost: b\r\n\r\n",
+                 "400");
+    CPPUNIT_ASSERT(exchanges_.empty());
+  }
+
   void RejectsAmbiguousFraming() {
     const std::string post = "POST / HTTP/1.1\r\n" + std::string(kHostHeader);
     ExpectStatus(post +
@@ -350,6 +386,16 @@
     return descriptor;
   }
 
+  // A request without a body and without other headers.
+  static HttpRequest MakeRequest(const std::string& host,
+                                 const std::string& target) {
+    HttpRequest request;
+    request.method = "GET";
+    request.target = target;
+    request.headers = {{"Host", host}};
+    return request;
+  }
+
   std::shared_ptr<RawConnection> Connect() {
     return RawConnect(loop_, kEndpoint);
   }
