--- a/libs/engine/src/server_connection.cc
+++ b/libs/engine/src/server_connection.cc
@@ -39,6 +39,28 @@
   return absl::Microseconds(info.tcpi_rtt);
 }
 
+absl::string_view StringViewOf(boost::beast::string_view text) {
+  return {text.data(), text.size()};
+}
+
+bool IsOriginForm(boost::beast::string_view target) {
+  return !target.empty() && target.front() == '/';
+}
+
+// RFC 9112, 3.2.2: the host of a target in absolute form replaces the one in
+// the header.
+void UseOriginForm(HttpRequest& request) {
+  std::optional<AbsoluteTarget> absolute = ParseAbsoluteTarget(request.target);
+  if (!absolute) return;
+  request.target = std::move(absolute->target);
+  for (HttpHeader& header : request.headers) {
+    if (EqualHeaderNames(header.name, "Host")) {
+      header.value = std::move(absolute->host);
+      return;
+    }
+  }
+}
+
 std::string Serialize(const HttpResponse& response, bool is_head, bool keep) {
   std::string bytes;
   bytes.reserve(256 + response.body.size());
@@ -77,7 +99,6 @@
   peer_ = absl::StrCat(peer.address().to_string(), ":", peer.port());
   connection_info_.round_trip = RoundTripOf(socket_.native_handle());
   deadline_ = state_->loop.Now() + limits_.idle_timeout;
-  StartParser();
   Read();
 }
 
@@ -117,7 +138,6 @@
 
 void ServerConnection::OnBytes() {
   if (input_.size() == 0) return;
-  // The limits may have changed since the request before.
   if (phase_ == Phase::kIdle) StartParser();
   const absl::Time now = state_->loop.Now();
   const bool had_header = parser_->is_header_done();
@@ -144,7 +164,10 @@
 
 bool ServerConnection::IsValidRequest() const {
   const auto& message = parser_->get();
-  if (message.target().empty() || message.target().front() != '/') return false;
+  if (!IsOriginForm(message.target()) &&
+      !ParseAbsoluteTarget(StringViewOf(message.target()))) {
+    return false;
+  }
   if (message.count(http::field::host) != 1) return false;
   // Prevents request smuggling: a peer that interprets other codings or two
   // lengths differently could see a second request inside this one.
@@ -180,11 +203,12 @@
   request_.headers = CopyHeaders(message);
   request_.body = std::move(message.body());
   request_.peer = peer_;
+  parser_.reset();
+  UseOriginForm(request_);
   received_at_ = state_->loop.Now();
   phase_ = Phase::kRunning;
   responded_ = false;
   ++state_->requests_in_flight;
-  StartParser();
   state_->handler(shared_from_this());
 }
 
@@ -235,7 +259,7 @@
   phase_ = Phase::kIdle;
   connection_info_.is_new_connection = false;
   request_ = {};
-  deadline_ = state_->loop.Now() + limits_.idle_timeout;
+  deadline_ = state_->loop.Now() + state_->limits().idle_timeout;
   OnBytes();
   Read();
 }
