Refuse large requests with 503 before the first configuration

A host without a configuration judged callers by limits of its own: a header above 16 KiB got 431, a body above 256 KiB 413, though the operator's limits may allow them. Callers do not repeat a request after either; any smaller request gets 503 there.

Until the first configuration the limits of the server for callers are marked as provisional. A request beyond them gets 503 (no_configuration, Retry-After) without being read to its end, so that what a host keeps of a request stays bounded, and its connection is closed. The limits are those with which the request began. Such a refusal is logged as "request refused unread", as its id may not be known, and counted with the others.

--- a/libs/engine/include/engine/http_server.h
+++ b/libs/engine/include/engine/http_server.h
@@ -24,12 +24,15 @@
   absl::Duration header_timeout = absl::Seconds(3);
   /// Longest time without a request on a keep-alive connection.
   absl::Duration idle_timeout = absl::Seconds(15);
+  /// Whether these limits only protect the process while the ones that callers
+  /// keep to are not known: see `HttpServer::SetProvisionalRefusal`.
+  bool are_provisional = false;
 
   friend bool operator==(const ServerLimits& a, const ServerLimits& b) {
     return std::tie(a.max_header_bytes, a.max_body_bytes, a.header_timeout,
-                    a.idle_timeout) ==
+                    a.idle_timeout, a.are_provisional) ==
            std::tie(b.max_header_bytes, b.max_body_bytes, b.header_timeout,
-                    b.idle_timeout);
+                    b.idle_timeout, b.are_provisional);
   }
 };
 
@@ -84,6 +87,11 @@
   /// the server cannot listen there.
   Status Listen(const Endpoint& endpoint);
 
+  /// Sets what makes the response to a request that exceeds provisional limits.
+  /// It is not read to its end; callers must not take it for too large, which
+  /// 431 and 413 would say.
+  void SetProvisionalRefusal(std::function<HttpResponse()> refusal);
+
   /// Makes the server close each connection after its next response.
   void CloseAfterResponses();
 
--- a/libs/engine/src/http_server.cc
+++ b/libs/engine/src/http_server.cc
@@ -40,6 +40,10 @@
   state_->handler = std::move(handler);
 }
 
+void HttpServer::SetProvisionalRefusal(std::function<HttpResponse()> refusal) {
+  state_->provisional_refusal = std::move(refusal);
+}
+
 HttpServer::~HttpServer() {
   boost::system::error_code ignored;
   state_->acceptor.close(ignored);
--- a/libs/engine/src/server_connection.cc
+++ b/libs/engine/src/server_connection.cc
@@ -152,8 +152,8 @@
     if (error || used == 0) break;
   }
   if (error == http::error::need_more) error = {};
-  if (error == http::error::header_limit) return Reject(431);
-  if (error == http::error::body_limit) return Reject(413);
+  if (error == http::error::header_limit) return RejectAsTooLarge(431);
+  if (error == http::error::body_limit) return RejectAsTooLarge(413);
   if (error) return Reject(400);
   if (parser_->is_header_done() && !had_header) {
     if (!IsValidRequest()) return Reject(400);
@@ -227,6 +227,17 @@
 void ServerConnection::Reject(int status) {
   HttpResponse response;
   response.status = status;
+  RespondAndClose(response);
+}
+
+void ServerConnection::RejectAsTooLarge(int status) {
+  if (!limits_.are_provisional || !state_->provisional_refusal) {
+    return Reject(status);
+  }
+  RespondAndClose(state_->provisional_refusal());
+}
+
+void ServerConnection::RespondAndClose(const HttpResponse& response) {
   Write(std::make_shared<std::string>(Serialize(response, false, false)),
         false);
 }
--- a/libs/engine/src/server_connection.h
+++ b/libs/engine/src/server_connection.h
@@ -21,6 +21,7 @@
   EventLoop& loop;
   std::function<ServerLimits()> limits;
   Handler handler;
+  std::function<HttpResponse()> provisional_refusal;
   boost::asio::ip::tcp::acceptor acceptor;
   std::list<std::weak_ptr<ServerConnection>> connections;
   bool close_after_response = false;
@@ -72,6 +73,9 @@
   /// Responds with an error status to a request that was not accepted and
   /// closes the connection.
   void Reject(int status);
+  /// Rejects a request that exceeds a limit on sizes.
+  void RejectAsTooLarge(int status);
+  void RespondAndClose(const HttpResponse& response);
   /// @return whether the header has a path, one host and unambiguous framing.
   bool IsValidRequest() const;
   void SendContinue();
--- a/libs/engine/tests/http_server_test.cc
+++ b/libs/engine/tests/http_server_test.cc
@@ -43,6 +43,7 @@
   CPPUNIT_TEST(SendsContinueForExpectedBody);
   CPPUNIT_TEST(RejectsOversizedAndMalformedRequests);
   CPPUNIT_TEST(LimitsRaisedOnAnIdleConnectionHoldForTheNextRequest);
+  CPPUNIT_TEST(RequestsBeyondProvisionalLimitsAreNotTooLarge);
   CPPUNIT_TEST(IdleTimeRaisedDuringARequestHoldsAfterIt);
   CPPUNIT_TEST(RequestInAbsoluteFormNamesItsHostInTheTarget);
   CPPUNIT_TEST(RejectsOtherFormsOfTargets);
@@ -162,6 +163,24 @@
     CPPUNIT_ASSERT_EQUAL(size_t{5000}, exchanges_[1]->request().body.size());
   }
 
+  void RequestsBeyondProvisionalLimitsAreNotTooLarge() {
+    limits_.are_provisional = true;
+    server_->SetProvisionalRefusal([] {
+      HttpResponse refusal;
+      refusal.status = 503;
+      return refusal;
+    });
+    const std::string post = "POST / HTTP/1.1\r\n" + std::string(kHostHeader);
+    ExpectStatus(Get("/", "X: " + std::string(2000, 'x') + "\r\n"), "503");
+    ExpectStatus(post + "Content-Length: 5000\r\n\r\n", "503");
+    ExpectStatus(post + "Transfer-Encoding: chunked\r\n\r\n1400\r\n" +
+                     std::string(5120, 'x'),
+                 "503");
+    ExpectStatus("nonsense\r\n\r\n", "400");
+    limits_.are_provisional = false;
+    ExpectStatus(post + "Content-Length: 5000\r\n\r\n", "413");
+  }
+
   // Guards against closing a connection that callers may still reuse (LOST).
   void IdleTimeRaisedDuringARequestHoldsAfterIt() {
     const auto caller = Connect();
--- a/libs/tier/include/tier/request_handler.h
+++ b/libs/tier/include/tier/request_handler.h
@@ -78,6 +78,10 @@
     Handle(std::move(exchange), std::move(origin));
   }
 
+  /// @return the response to a request of this host's own callers that was not
+  /// read to its end, as there is no configuration yet.
+  engine::HttpResponse RefuseUnread();
+
   /// A request became quarantined: aborts the running ones with its
   /// fingerprint.
   void OnQuarantined(uint64_t fingerprint);
@@ -172,6 +176,7 @@
   }
   void Refuse(engine::ServerExchange& exchange, const std::string& request_id,
               RefusalReason reason, bool ran, absl::Duration retry_after);
+  void CountRefusal(RefusalReason reason);
   /// Refuses a request that has not run because no target could be used.
   void RefuseForLackOfTargets(const Request& request);
   void ArmTimer(const RequestPtr& request);
--- a/libs/tier/src/request_handler.cc
+++ b/libs/tier/src/request_handler.cc
@@ -790,10 +790,7 @@
 void RequestHandler::Refuse(engine::ServerExchange& exchange,
                             const std::string& request_id, RefusalReason reason,
                             bool ran, absl::Duration retry_after) {
-  metrics_
-      .counter("cherrydyke_refusals_total",
-               absl::StrCat("reason=\"", RefusalReasonName(reason), "\""))
-      .Add();
+  CountRefusal(reason);
   if (log_rate_limiter_.TryAcquire("refused", policy_.log_lines, loop_.Now())) {
     Fields fields = {{"request", request_id},
                      {"target", exchange.request().target},
@@ -808,6 +805,26 @@
       protocol_.RefusalResponse(request_id, reason, ran, retry_after));
 }
 
+engine::HttpResponse RequestHandler::RefuseUnread() {
+  constexpr RefusalReason kReason = RefusalReason::kNoConfiguration;
+  const absl::Duration retry_after = RetryAfter(kReason);
+  CountRefusal(kReason);
+  if (log_rate_limiter_.TryAcquire("refused", policy_.log_lines, loop_.Now())) {
+    LogInfo("request refused unread",
+            {{"reason", RefusalReasonName(kReason)},
+             {"retry_after_ms", absl::ToInt64Milliseconds(retry_after)},
+             {"config_version", versions_.in_force()}});
+  }
+  return protocol_.RefusalResponse("", kReason, false, retry_after);
+}
+
+void RequestHandler::CountRefusal(RefusalReason reason) {
+  metrics_
+      .counter("cherrydyke_refusals_total",
+               absl::StrCat("reason=\"", RefusalReasonName(reason), "\""))
+      .Add();
+}
+
 std::string RequestHandler::UnansweredAttempts(const Request& request) {
   std::string text;
   for (size_t index = 0; index < request.attempts.size(); ++index) {
--- a/libs/tier/src/tier_host.cc
+++ b/libs/tier/src/tier_host.cc
@@ -121,7 +121,12 @@
           loop, [] { return engine::ServerLimits(); },
           [this](const std::shared_ptr<engine::ServerExchange>& exchange) {
             ServeMetrics(*exchange);
-          }) {}
+          }) {
+  // Callers keep to the limits of the configuration.
+  limits_.are_provisional = true;
+  caller_server_.SetProvisionalRefusal(
+      [this] { return request_handler_.RefuseUnread(); });
+}
 
 Status TierHost::Start() {
   RegisterGauges();
