A closed connection doesn't make the next call fail unsent

What callers see: requests handled by a configuration older than the bound (CONFIG, HOME), and requests to targets that left (DRAIN), at a host whose peers prove nothing and whose first call to the store ends with a connection that is closed before a response.

Cause: the pool of connections opens none for 100 ms after that, doubled each time up to 2 s and reset only by a complete response to this host. Calls fail unsent meanwhile. The pause after a first failure is 50 to 150 ms, so the retry may fail at once, and does so always after an earlier closing that no success of this host followed, as when a peer noticed the end of the outage: then the next backoff is 200 ms or more.

Now the pool of AsyncHttpClient backs off for 20 ms at most: its callers, StoreClient and FleetGossip, pause themselves for 50 ms or more. Pools of targets and handovers are as before.

CallsAfterClosedConnectionsAreSent of engine_test guards the cause without chance: it fails without the change in async_http_client.cc (second call not sent, 1 run). engine_test (45) passes.

--- a/libs/engine/include/engine/client_connection.h
+++ b/libs/engine/include/engine/client_connection.h
@@ -70,6 +70,9 @@
   /// connections closes it within that time, and it would be unknown whether a
   /// request sent on it had been executed.
   absl::Time verify_new_connections_until = absl::InfinitePast();
+  /// Longest time for which a pool opens no connection after the server closed
+  /// one before any response. Requests fail unsent meanwhile.
+  absl::Duration max_connect_backoff = absl::Seconds(2);
 };
 
 /// Keep-alive connection to a server that carries one request at a time.
--- a/libs/engine/src/async_http_client.cc
+++ b/libs/engine/src/async_http_client.cc
@@ -15,10 +15,14 @@
 /// A connection that was idle for longer may have fallen silent: a new one
 /// costs less than the time until that shows.
 constexpr absl::Duration kMaxIdleTime = absl::Seconds(2);
+/// Callers pause after a failed call. A longer backoff would make the next one
+/// fail unsent.
+constexpr absl::Duration kMaxConnectBackoff = absl::Milliseconds(20);
 
 ClientOptions MakeClientOptions(absl::Duration connect_timeout) {
   ClientOptions options;
   options.connect_timeout = connect_timeout;
+  options.max_connect_backoff = kMaxConnectBackoff;
   return options;
 }
 
--- a/libs/engine/src/connection_pool.cc
+++ b/libs/engine/src/connection_pool.cc
@@ -11,7 +11,6 @@
 /// Delay before the next connection to a server that closed one before any
 /// response: doubles up to the maximum and is reset by a complete response.
 constexpr absl::Duration kInitialConnectBackoff = absl::Milliseconds(100);
-constexpr absl::Duration kMaxConnectBackoff = absl::Seconds(2);
 /// How long new connections to a server that closed one before any response are
 /// verified before use: as long as the server may hold connections of hosts
 /// that no longer exist.
@@ -228,8 +227,9 @@
 }
 
 void ConnectionPool::OnClosedBeforeResponse() {
-  connect_backoff_ = std::clamp(connect_backoff_ * 2, kInitialConnectBackoff,
-                                kMaxConnectBackoff);
+  connect_backoff_ =
+      std::min(std::max(connect_backoff_ * 2, kInitialConnectBackoff),
+               options_.max_connect_backoff);
   next_connect_at_ = loop_.Now() + connect_backoff_;
   verify_until_ = loop_.Now() + kVerificationPeriod;
   if (listener_ != nullptr) listener_->OnClosedBeforeResponse();
--- a/libs/engine/tests/async_http_client_test.cc
+++ b/libs/engine/tests/async_http_client_test.cc
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(ResponseThatNeverEndsTimesOut);
   CPPUNIT_TEST(SilentServerTimesOut);
   CPPUNIT_TEST(SendsFurtherHeaders);
+  CPPUNIT_TEST(CallsAfterClosedConnectionsAreSent);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -65,6 +66,25 @@
                          HeaderOf(received, "Accept-Encoding"));
   }
 
+  // Guards against calls that fail unsent although the server is back (CONFIG).
+  void CallsAfterClosedConnectionsAreSent() {
+    constexpr absl::Duration kShortestPauseOfCallers = absl::Milliseconds(50);
+    int calls = 0;
+    RawServer server(loop_, [&](RawConnection& c, const std::string&) {
+      ++calls;
+      c.Reset();
+    });
+    AsyncHttpClient client(loop_, server.endpoint(), kConnectTimeout);
+    for (int i = 1; i <= 5; ++i) {
+      bool is_done = false;
+      client.Get("/x", kTimeouts,
+                 [&](const Result<HttpResponse>&) { is_done = true; });
+      CPPUNIT_ASSERT(RunUntil(loop_, [&] { return is_done; }));
+      CPPUNIT_ASSERT_EQUAL(i, calls);
+      RunFor(loop_, kShortestPauseOfCallers);
+    }
+  }
+
  private:
   // Requests a response of `length` bytes of which one a period arrives until
   // `sent` have.
