--- a/libs/tier/src/handover_client.cc
+++ b/libs/tier/src/handover_client.cc
@@ -204,7 +204,7 @@
 }
 
 void HandoverClient::OnNewer(const HandoverPtr& handover, int64_t version) {
-  peers_->SetOfferedVersion(handover->peer, version);
+  peers_->RaiseOfferedVersion(handover->peer, version);
   if (versions_.OnRunByPeer(version)) {
     LogInfo("peer has a newer configuration",
             {{"request", handover->outgoing.request_id},
--- a/libs/tier/src/handover_peers.cc
+++ b/libs/tier/src/handover_peers.cc
@@ -246,8 +246,9 @@
   return peers_.at(host).candidate.offer.config_version;
 }
 
-void HandoverPeers::SetOfferedVersion(const HostId& host, int64_t version) {
-  peers_.at(host).candidate.offer.config_version = version;
+void HandoverPeers::RaiseOfferedVersion(const HostId& host, int64_t version) {
+  int64_t& offered = peers_.at(host).candidate.offer.config_version;
+  offered = std::max(offered, version);
 }
 
 void HandoverPeers::OnSilent(const HostId& host) {
--- a/libs/tier/src/handover_peers.h
+++ b/libs/tier/src/handover_peers.h
@@ -55,8 +55,9 @@
 
   /// @return the version of the configuration that a peer last told.
   int64_t OfferedVersion(const HostId& peer) const;
-  /// A peer has told its version outside of an offer.
-  void SetOfferedVersion(const HostId& peer, int64_t version);
+  /// A peer has told its version outside of an offer; an offer that was made
+  /// later may have arrived before.
+  void RaiseOfferedVersion(const HostId& peer, int64_t version);
 
   /// Excludes a peer for some time.
   void Exclude(const HostId& peer, absl::Duration time);
