FakeLink: reset a connection that was accepted before the link went down

Cause: async_accept had completed, its handler had not run, when SetState closed all connections of the link. The handler then forwarded the connection over a link in state kReset. With one path open, refusals of other targets are evidence of crashes, so the tier was right and the stand-in wrong.

Now the handler resets such a connection. The test and its assertions are as before, and the link does what its contract says, so the test is no weaker.

--- a/tests/support/fake_link.cc
+++ b/tests/support/fake_link.cc
@@ -23,6 +23,12 @@
           static_cast<uint16_t>(std::stoi(endpoint.substr(colon + 1)))};
 }
 
+void Reset(tcp::socket& socket) {
+  error_code ignored;
+  socket.set_option(asio::socket_base::linger(true, 0), ignored);
+  socket.close(ignored);
+}
+
 // One direction of a forwarded connection.
 struct Pump {
   std::array<char, 16384> buffer;
@@ -39,9 +45,11 @@
   void Close(bool reset) {
     error_code ignored;
     for (tcp::socket* socket : {&client, &server}) {
-      if (reset)
-        socket->set_option(asio::socket_base::linger(true, 0), ignored);
-      socket->close(ignored);
+      if (reset) {
+        Reset(*socket);
+      } else {
+        socket->close(ignored);
+      }
     }
   }
 };
@@ -67,6 +75,8 @@
     acceptor.async_accept([self = shared_from_this()](const error_code& error,
                                                       tcp::socket client) {
       if (error) return;
+      // It was accepted, but not yet known, when the link went down.
+      if (self->state == State::kReset) return Reset(client);
       tcp::socket to_server(client.get_executor());
       error_code failed;
       to_server.connect(self->server, failed);
