--- a/libs/dispatch/include/dispatch/policy.h
+++ b/libs/dispatch/include/dispatch/policy.h
@@ -7,7 +7,7 @@
 
 namespace cherrydyke {
 
-/// Settings of request dispatching that operators can change. The measurements
+/// Settings that operators can change. The measurements
 /// behind the defaults are in docs/design/heavy-days.md.
 struct Policy {
   /// Assumed round trip to a caller whose round trip is not known. An answer is
@@ -57,6 +57,12 @@
   /// Whether the adaptive concurrency limit applies to targets.
   bool limit_concurrency = true;
 
+  /// Calls a second that all hosts together may spend on watching the
+  /// configuration service, far below the rate that it allows. As many hosts
+  /// watch it as stay within this while changes continue, and at least one in
+  /// each failure domain.
+  double watch_calls_per_s = 40;
+
   /// Maximum log lines per second for each kind of failure or refusal, and
   /// for each kind of answer. Callers ask about failures and refusals, and each
   /// line costs CPU time.
@@ -69,13 +75,13 @@
                     a.retry_after_spread, a.hedges, a.hedge_deviations,
                     a.budget_part, a.helpful_part, a.failure_cost,
                     a.warm_targets, a.prefer_near, a.limit_concurrency,
-                    a.log_lines, a.answer_log_lines) ==
+                    a.watch_calls_per_s, a.log_lines, a.answer_log_lines) ==
            std::tie(b.answer_margin, b.answer_spare, b.wait_for_parts,
                     b.deadline_margin, b.cancel_grace, b.retry_after,
                     b.retry_after_spread, b.hedges, b.hedge_deviations,
                     b.budget_part, b.helpful_part, b.failure_cost,
                     b.warm_targets, b.prefer_near, b.limit_concurrency,
-                    b.log_lines, b.answer_log_lines);
+                    b.watch_calls_per_s, b.log_lines, b.answer_log_lines);
   }
 };
 
--- a/libs/membership/include/membership/host_table.h
+++ b/libs/membership/include/membership/host_table.h
@@ -10,6 +10,7 @@
 
 #include "absl/time/time.h"
 #include "base/ids.h"
+#include "membership/reader_allowance.h"
 
 namespace cherrydyke {
 
@@ -94,7 +95,8 @@
 /// process's lifetime rather than by the live ones, because a host behind a
 /// network partition still sends requests.
 ///
-/// One host of a failure domain, the reader, calls the configuration service
+/// As many hosts as the allowance covers read the configuration service all the
+/// time. Beyond it, one host of a failure domain, the reader, calls the service
 /// for all hosts of the domain. Hosts are assigned to groups by hash, so that
 /// hosts with partial views of the membership agree on most groups. The reader
 /// sends updates to its own group and to the representatives (the first hosts)
@@ -177,6 +179,8 @@
     /// Time without updates after which standby hosts call the service too: it
     /// may be rejecting only the hosts that retry.
     absl::Duration max_standby_time = absl::Seconds(10);
+    /// Hosts that read the configuration service whatever their peers do.
+    ReaderAllowance reader_allowance = {};
   };
 
   /// @param self this host.
@@ -199,6 +203,18 @@
   /// @return whether this host should read the configuration service itself.
   bool ShouldRead(bool has_no_data, absl::Time now) const;
 
+  /// @return this host's place among the live hosts. A failure domain without
+  /// any counts as the largest one: it may be partitioned, and its hosts read.
+  FleetPlace Place(absl::Time now) const;
+
+  /// @return whether this host reads the configuration service whatever its
+  /// peers do. A host that has just started does not know how many others do.
+  bool ReadsAlways(absl::Time now) const;
+
+  const ReaderAllowance& reader_allowance() const {
+    return options_.reader_allowance;
+  }
+
   /// @param round number of the gossip round in this lifetime, from 0.
   /// @return whether this round sends digests to random peers.
   bool ShouldSendDigest(int round, absl::Time now) const;
--- a/libs/membership/src/host_table.cc
+++ b/libs/membership/src/host_table.cc
@@ -233,6 +233,32 @@
          now - update_source_seen_at_ <= options_.max_standby_time;
 }
 
+FleetPlace HostTable::Place(absl::Time now) const {
+  std::map<FailureDomainName, size_t> live;
+  for (const FailureDomainName& domain : options_.domains) live[domain] = 0;
+  live[self_.failure_domain] = 1;
+  for (const auto& [host, peer] : peers_) {
+    if (now - peer.last_seen <= options_.domain_peer_timeout)
+      ++live[peer.failure_domain];
+  }
+  size_t largest = 0;
+  for (const auto& [domain, count] : live) largest = std::max(largest, count);
+  FleetPlace place;
+  place.hosts = 0;
+  for (const auto& [domain, count] : live)
+    place.hosts += count == 0 ? largest : count;
+  place.failure_domains = live.size();
+  const std::vector<ReaderRank> ranks = LiveHosts(self_.failure_domain, now);
+  place.domain_rank = static_cast<size_t>(
+      std::find(ranks.begin(), ranks.end(), OwnRank(ranks)) - ranks.begin());
+  return place;
+}
+
+bool HostTable::ReadsAlways(absl::Time now) const {
+  return now - started_ >= options_.convergence_time &&
+         options_.reader_allowance.Covers(Place(now));
+}
+
 bool HostTable::ShouldRead(bool has_no_data, absl::Time now) const {
   return ShouldRead(DomainPeers(now), has_no_data, now);
 }
@@ -241,6 +267,7 @@
                            bool has_no_data, absl::Time now) const {
   const bool is_new = now - started_ < options_.reader_discovery_time;
   if (is_new && !has_no_data && !seeds_.empty()) return false;
+  if (ReadsAlways(now)) return true;
   if (HasGroupSource(peers, now) || HasReaderInOtherGroup(peers, true, now))
     return has_no_data;
   const auto earlier = static_cast<int>(
--- a/libs/membership/tests/host_table_test.cc
+++ b/libs/membership/tests/host_table_test.cc
@@ -25,6 +25,13 @@
   return HostTable({self, "z"}, std::move(seeds), HostTable::Options(), kStart);
 }
 
+/// @param readers hosts that may read all the time.
+HostTable TableOfReaders(const HostId& self, int readers) {
+  HostTable::Options options;
+  options.reader_allowance = ReaderAllowance(readers, 1);
+  return HostTable({self, "z"}, {}, options, kStart);
+}
+
 HostId Name(int index) {
   const std::string digits = std::to_string(index);
   return "h" + std::string(3 - digits.size(), '0') + digits;
@@ -55,6 +62,9 @@
   CPPUNIT_TEST(FailoverKeepsAllHostsUpdated);
   CPPUNIT_TEST(FewHostsPollAnUnresponsiveService);
   CPPUNIT_TEST(StandbyHostsPollAfterMaxStandbyTime);
+  CPPUNIT_TEST(SmallFleetReadsWhateverPeersClaim);
+  CPPUNIT_TEST(HostOfALargeFleetThatJustStartedReadsByItsRole);
+  CPPUNIT_TEST(HostsOfAPartitionedDomainCountAsReaders);
   CPPUNIT_TEST(ReadersNotifyRepresentativesOfOtherDomains);
   CPPUNIT_TEST(DomainWithoutReaderForwardsRemoteUpdates);
   CPPUNIT_TEST_SUITE_END();
@@ -315,6 +325,34 @@
     CPPUNIT_ASSERT(table.ShouldRead(false, late));
   }
 
+  // A reader that is silent, frozen or cut off still claims to be one.
+  void SmallFleetReadsWhateverPeersClaim() {
+    HostTable table = TableOfReaders("c", 2);
+    table.OnMembershipUpdate(Update("a", kReader), kConverged);
+    CPPUNIT_ASSERT(table.Place(kConverged) == (FleetPlace{2, 1, 1}));
+    CPPUNIT_ASSERT(table.ShouldRead(false, kConverged));
+    table.OnMembershipUpdate(Update("b", kReader), kConverged);
+    CPPUNIT_ASSERT(table.Place(kConverged) == (FleetPlace{3, 1, 2}));
+    CPPUNIT_ASSERT(!table.ShouldRead(false, kConverged));
+  }
+
+  // Otherwise all hosts of a large fleet would call at once when it starts.
+  void HostOfALargeFleetThatJustStartedReadsByItsRole() {
+    HostTable table = TableOfReaders("b", 3);
+    table.OnMembershipUpdate(Update("a", kReader), kStart);
+    CPPUNIT_ASSERT(!table.ShouldRead(false, kStart));
+  }
+
+  void HostsOfAPartitionedDomainCountAsReaders() {
+    HostTable::Options options;
+    options.domains = {"y", "z"};
+    options.reader_allowance = ReaderAllowance(3, 1);
+    HostTable table({"b", "z"}, {}, options, kStart);
+    table.OnMembershipUpdate(Update("a", kReader), kConverged);
+    CPPUNIT_ASSERT(table.Place(kConverged) == (FleetPlace{4, 2, 1}));
+    CPPUNIT_ASSERT(!table.ReadsAlways(kConverged));
+  }
+
   void ReadersNotifyRepresentativesOfOtherDomains() {
     HostTable::Options options;
     options.domains = {"y", "z"};
--- a/libs/tier/include/tier/freshness_log.h
+++ b/libs/tier/include/tier/freshness_log.h
@@ -21,6 +21,7 @@
   void Update(bool is_reading, absl::Time now);
 
  private:
+  void UpdateReadsAlways(absl::Time now);
   void UpdateRole(bool is_reading, absl::Time now);
   void UpdatePeersProof(absl::Time now);
   void UpdateBehind(absl::Time now);
@@ -32,6 +33,7 @@
   const PublishingTimes times_;
   DisseminationRole role_ = DisseminationRole::kFollower;
   HostId source_;
+  bool reads_always_ = false;
   bool peers_prove_nothing_ = false;
   bool is_behind_ = false;
   bool is_outdated_ = false;
--- a/libs/tier/include/tier/poll_schedule.h
+++ b/libs/tier/include/tier/poll_schedule.h
@@ -13,6 +13,17 @@
 /// time and randomness are arguments.
 class PollSchedule {
  public:
+  /// Pause after an isolated change, and the longest pause while changes
+  /// continue: short compared with the seconds within which they must take
+  /// effect.
+  static constexpr absl::Duration kMinBatchPause = absl::Milliseconds(60);
+  static constexpr absl::Duration kMaxBatchPause = absl::Milliseconds(240);
+
+  /// @return the most calls a second of a reader while changes continue.
+  static double MaxCallsPerSecond() {
+    return absl::FDivDuration(absl::Seconds(1), kMaxBatchPause);
+  }
+
   /// @return the pause after a call that returned changes.
   absl::Duration PauseAfterChanges(absl::Time now);
   /// @param random_fraction a random number in [0, 1) for the jitter, which
--- a/libs/tier/src/freshness_log.cc
+++ b/libs/tier/src/freshness_log.cc
@@ -9,12 +9,26 @@
 
 void FreshnessLog::Update(bool is_reading, absl::Time now) {
   // The role follows from the rest: these lines name the peer relied on before.
+  UpdateReadsAlways(now);
   UpdatePeersProof(now);
   UpdateBehind(now);
   UpdateAge(now);
   UpdateRole(is_reading, now);
 }
 
+void FreshnessLog::UpdateReadsAlways(absl::Time now) {
+  const bool reads_always = hosts_.ReadsAlways(now);
+  if (reads_always == reads_always_) return;
+  reads_always_ = reads_always;
+  const FleetPlace place = hosts_.Place(now);
+  LogInfo(reads_always ? "reads published items whatever peers do"
+                       : "reads published items by its role",
+          {{"hosts", place.hosts},
+           {"failure_domains", place.failure_domains},
+           {"domain_rank", place.domain_rank},
+           {"readers", hosts_.reader_allowance().readers()}});
+}
+
 void FreshnessLog::UpdateRole(bool is_reading, absl::Time now) {
   const DisseminationRole role = hosts_.Role(is_reading, now);
   const auto source = is_reading ? std::nullopt : hosts_.FindUpdateSource(now);
--- a/libs/tier/src/policy_file.cc
+++ b/libs/tier/src/policy_file.cc
@@ -53,6 +53,8 @@
   reader.Integer("placement", "warm_targets", policy.warm_targets, 0, 10);
   reader.Boolean("placement", "prefer_near", policy.prefer_near);
   reader.Boolean("placement", "limit_concurrency", policy.limit_concurrency);
+  reader.Number("published", "watch_calls_per_s", policy.watch_calls_per_s, 0,
+                10'000);
   reader.Integer("log", "lines_per_s", policy.log_lines, 0, 1000);
   reader.Integer("log", "answer_lines_per_s", policy.answer_log_lines, 0, 1000);
   reader.RejectUnknownKeys();
--- a/libs/tier/src/poll_schedule.cc
+++ b/libs/tier/src/poll_schedule.cc
@@ -7,11 +7,6 @@
 namespace cherrydyke {
 namespace {
 
-/// Pause after an isolated change, and the longest pause while changes
-/// continue: short compared with the seconds within which they must take
-/// effect.
-constexpr absl::Duration kMinBatchPause = absl::Milliseconds(60);
-constexpr absl::Duration kMaxBatchPause = absl::Milliseconds(240);
 /// Changes further apart than this count as isolated.
 constexpr absl::Duration kBatchResetTime = absl::Seconds(2);
 /// Pause after a failure, doubled each time up to the maximum, with a jitter of
--- a/libs/tier/src/tier_host.cc
+++ b/libs/tier/src/tier_host.cc
@@ -6,6 +6,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "telemetry/log.h"
+#include "tier/poll_schedule.h"
 
 namespace cherrydyke {
 namespace {
@@ -42,11 +43,13 @@
   return limits;
 }
 
-HostTable::Options HostOptions(const Locality& locality) {
+HostTable::Options HostOptions(const TierSettings& settings) {
   HostTable::Options options;
-  for (const auto& [domain, region] : locality.regions) {
+  for (const auto& [domain, region] : settings.locality.regions) {
     options.domains.push_back(domain);
   }
+  options.reader_allowance = ReaderAllowance(settings.policy.watch_calls_per_s,
+                                             PollSchedule::MaxCallsPerSecond());
   return options;
 }
 
@@ -70,7 +73,7 @@
       adapters_(adapters),
       times_(PublishingTimes::For(settings_.change_deadline)),
       hosts_({settings_.locality.host, settings_.locality.failure_domain},
-             settings_.seeds, HostOptions(settings_.locality), loop.Now()),
+             settings_.seeds, HostOptions(settings_), loop.Now()),
       freshness_(FreshnessOptions(times_, settings_.locality.host), loop.Now()),
       targets_(loop, settings_.locality, settings_.bounds,
                TargetOptions(adapters.protocol, loop.Now()), hosts_,
