--- a/libs/tier/src/tier_host.cc
+++ b/libs/tier/src/tier_host.cc
@@ -211,6 +211,9 @@
                  [this] { return absl::ToDoubleSeconds(PublishedAge()); });
   metrics_.Gauge("cherrydyke_published_behind_seconds",
                  [this] { return absl::ToDoubleSeconds(TimeBehind()); });
+  metrics_.Gauge("cherrydyke_store_watcher", [this] {
+    return hosts_.ReadsAlways(loop_.Now()) ? 1.0 : 0.0;
+  });
   metrics_.Gauge("cherrydyke_store_reader",
                  [this] { return adapters_.source.IsReading() ? 1.0 : 0.0; });
 }
