--- a/libs/tier/tests/publishing_model.cc
+++ b/libs/tier/tests/publishing_model.cc
@@ -133,6 +133,8 @@
   }
   HostTable::Options options;
   options.domains = domains_;
+  options.reader_allowance = ReaderAllowance(options_.watch_calls_per_s,
+                                             PollSchedule::MaxCallsPerSecond());
   host.table =
       std::make_unique<HostTable>(host.self, seeds, options, table_started);
   PublishedFreshness::Options freshness;
@@ -682,7 +684,8 @@
     if (measured_since_ <= now_) {
       proof_ages_.push_back(now_ - host->freshness->current_until());
     }
-    if (now_ - missing > options_.bound) what = " misses a change";
+    if (now_ - missing > std::min(options_.bound, options_.target))
+      what = " misses a change";
     if (what.empty() || !violation_.empty()) continue;
     violation_ = absl::StrCat(
         Format(now_), " ", host->self.host, " in ", host->self.failure_domain,
--- a/libs/tier/tests/publishing_model.h
+++ b/libs/tier/tests/publishing_model.h
@@ -11,6 +11,7 @@
 #include <utility>
 #include <vector>
 
+#include "dispatch/policy.h"
 #include "membership/host_table.h"
 #include "tier/pending_proofs.h"
 #include "tier/poll_schedule.h"
@@ -61,6 +62,12 @@
     bool counts_transit = true;
     /// Whether all links are late from the start.
     bool starts_late = false;
+    /// Calls that the fleet may spend on watches. With 0 hosts read by their
+    /// roles and by evidence, as those of a large fleet do.
+    double watch_calls_per_s = Policy().watch_calls_per_s;
+    /// Time for which a host in touch may lack a change, if shorter than the
+    /// bound.
+    absl::Duration target = absl::InfiniteDuration();
   };
 
   /// What was seen since `StartMeasuring`.
--- a/libs/tier/tests/publishing_model_test.cc
+++ b/libs/tier/tests/publishing_model_test.cc
@@ -19,6 +19,8 @@
 constexpr absl::Duration kRunTime = absl::Minutes(2);
 constexpr absl::Duration kFaultPeriod = absl::Seconds(3);
 constexpr absl::Duration kBoundOfManyHosts = absl::Seconds(5);
+/// Half of the bound of 4 s.
+constexpr absl::Duration kTargetOfSmallFleets = absl::Seconds(2);
 /// Tries to let a watch fall silent, one each second, the hosts in turn.
 constexpr int kSilentWatches = 600;
 constexpr absl::Duration kSecond = absl::Seconds(1);
@@ -39,8 +41,22 @@
   return text == nullptr ? fallback : std::atoll(text);
 }
 
-PublishingModel::Options ManyHosts() {
+/// Hosts that read by their roles and by evidence.
+PublishingModel::Options WithoutAllowance() {
+  PublishingModel::Options options;
+  options.watch_calls_per_s = 0;
+  return options;
+}
+
+/// Hosts that all watch the store.
+PublishingModel::Options SmallFleet() {
   PublishingModel::Options options;
+  options.target = kTargetOfSmallFleets;
+  return options;
+}
+
+PublishingModel::Options ManyHosts() {
+  PublishingModel::Options options = WithoutAllowance();
   options.domains = 6;
   options.hosts = 86;
   options.bound = kBoundOfManyHosts;
@@ -50,8 +66,16 @@
 // Each lateness in CHERRYDYKE_MODEL_LATENESS_MS, or this one.
 constexpr int64_t kDefaultLatenessMs = 500;
 
-PublishingModel::Options WithLateness() {
+/// The allowance in CHERRYDYKE_MODEL_WATCH_CALLS, or none.
+PublishingModel::Options WithAllowanceOfRun() {
   PublishingModel::Options options;
+  options.watch_calls_per_s =
+      static_cast<double>(FromEnvironment("CHERRYDYKE_MODEL_WATCH_CALLS", 0));
+  return options;
+}
+
+PublishingModel::Options WithLateness() {
+  PublishingModel::Options options = WithAllowanceOfRun();
   options.lateness = absl::Milliseconds(
       FromEnvironment("CHERRYDYKE_MODEL_LATENESS_MS", kDefaultLatenessMs));
   options.counts_transit =
@@ -174,44 +198,59 @@
 /// Checks how current hosts are while they share their reads of the store.
 /// CHERRYDYKE_MODEL_SEED, CHERRYDYKE_MODEL_SEEDS (the number of runs),
 /// CHERRYDYKE_MODEL_HOSTS, CHERRYDYKE_MODEL_DOMAINS, CHERRYDYKE_MODEL_READS (0
-/// to 2) and CHERRYDYKE_MODEL_PHASE_S change the runs.
+/// to 2), CHERRYDYKE_MODEL_WATCH_CALLS and CHERRYDYKE_MODEL_PHASE_S change the
+/// runs.
 class PublishingModelTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(PublishingModelTest);
   CPPUNIT_TEST(NoFaults);
   CPPUNIT_TEST(Faults);
+  CPPUNIT_TEST(FaultsOfSmallFleet);
   CPPUNIT_TEST(FaultsOfManyHosts);
   CPPUNIT_TEST(FindsHostsThatBelieveTheRolesOfCutOffReaders);
+  CPPUNIT_TEST(SmallFleetIgnoresCutTransfers);
   CPPUNIT_TEST(LateDatagramsDoNotHideChanges);
+  CPPUNIT_TEST(SmallFleetIgnoresLateDatagrams);
   CPPUNIT_TEST(SilentWatchesWhileTransfersAreCut);
+  CPPUNIT_TEST(SilentWatchesOfSmallFleetWhileTransfersAreCut);
   CPPUNIT_TEST(CalmHostsLeaveTheStoreToTheReaders);
   CPPUNIT_TEST(ProofsAreNeverFresherThanTheTruth);
+  CPPUNIT_TEST(ProofsOfSmallFleetAreNeverFresherThanTheTruth);
   CPPUNIT_TEST(Figures);
   CPPUNIT_TEST(FiguresOfLateness);
   CPPUNIT_TEST_SUITE_END();
 
  public:
   void NoFaults() {
-    CPPUNIT_ASSERT_EQUAL(std::string(), RunSeeds({}, 1));
+    CPPUNIT_ASSERT_EQUAL(std::string(), RunSeeds(WithoutAllowance(), 1));
     CPPUNIT_ASSERT_EQUAL(std::string(), RunSeeds(ManyHosts(), 1));
   }
   void Faults() {
-    CPPUNIT_ASSERT_EQUAL(std::string(), RunSeeds(WithFaults({}), kSeedsInCi));
+    CPPUNIT_ASSERT_EQUAL(std::string(),
+                         RunSeeds(WithFaults(WithoutAllowance()), kSeedsInCi));
+  }
+  void FaultsOfSmallFleet() {
+    CPPUNIT_ASSERT_EQUAL(std::string(), RunSeeds(SmallFleet(), 1));
+    CPPUNIT_ASSERT_EQUAL(std::string(),
+                         RunSeeds(WithFaults(SmallFleet()), kSeedsInCi));
   }
   void FaultsOfManyHosts() {
     CPPUNIT_ASSERT_EQUAL(std::string(), RunSeeds(WithFaults(ManyHosts()),
                                                  kSeedsOfManyHostsInCi));
   }
   void FindsHostsThatBelieveTheRolesOfCutOffReaders() {
-    PublishingModel::Options options;
+    PublishingModel::Options options = WithoutAllowance();
     options.reads = Reads::kByRole;
     CPPUNIT_ASSERT(RunWithCutReaders(options).find("misses a change") !=
                    std::string::npos);
     options.reads = Reads::kByEvidence;
     CPPUNIT_ASSERT_EQUAL(std::string(), RunWithCutReaders(options));
   }
+  void SmallFleetIgnoresCutTransfers() {
+    CPPUNIT_ASSERT_EQUAL(std::string(), RunWithCutReaders(SmallFleet()));
+  }
   // Proofs counted from the arrival of their datagrams.
   void LateDatagramsDoNotHideChanges() {
-    PublishingModel::Options options;
+    PublishingModel::Options options = WithoutAllowance();
     options.lateness = absl::Seconds(2);
     options.counts_transit = false;
     CPPUNIT_ASSERT(RunWithLateLinks(options).find("misses a change") !=
@@ -219,16 +258,20 @@
     options.counts_transit = true;
     CPPUNIT_ASSERT_EQUAL(std::string(), RunWithLateLinks(options));
   }
+  void SmallFleetIgnoresLateDatagrams() {
+    PublishingModel::Options options = SmallFleet();
+    options.lateness = absl::Seconds(2);
+    CPPUNIT_ASSERT_EQUAL(std::string(), RunWithLateLinks(options));
+    options.counts_transit = false;
+    CPPUNIT_ASSERT_EQUAL(std::string(), RunWithLateLinks(options));
+  }
   // The pause after the failed watch exceeded the bound.
   void SilentWatchesWhileTransfersAreCut() {
-    const PublishingModel::Options options;
-    PublishingModel model(options, kSeed);
-    CPPUNIT_ASSERT_EQUAL(std::string(), model.Run(kWarmUp));
-    model.CutAll(PublishingModel::Cut::kTransfers, kSilentWatches * kSecond);
-    for (int i = 0; i < kSilentWatches; ++i) {
-      CPPUNIT_ASSERT_EQUAL(std::string(), model.Run(kSecond));
-      model.SilenceWatch(static_cast<size_t>(i % options.hosts));
-    }
+    CPPUNIT_ASSERT_EQUAL(std::string(),
+                         RunWithSilentWatches(WithoutAllowance()));
+  }
+  void SilentWatchesOfSmallFleetWhileTransfersAreCut() {
+    CPPUNIT_ASSERT_EQUAL(std::string(), RunWithSilentWatches(SmallFleet()));
   }
   // One lost datagram made whole groups call, for as long as the readers'
   // watches ended in an order that let foreign proofs displace the own ones.
@@ -247,18 +290,13 @@
     }
   }
   void ProofsAreNeverFresherThanTheTruth() {
-    CPPUNIT_ASSERT(rc::check("proofs under any faults", [] {
-      PublishingModel::Options options = WithFaults({});
-      options.freezes = false;
-      options.domains = *rc::gen::inRange<size_t>(1, 4);
-      options.hosts = *rc::gen::inRange(1, 13);
-      options.change_period = absl::Milliseconds(*rc::gen::inRange(100, 3000));
-      PublishingModel model(options, *rc::gen::arbitrary<uint32_t>());
-      RC_ASSERT(model.Run(absl::Seconds(40)) == "");
-    }));
+    CheckProofs(WithoutAllowance(), 12);
+  }
+  void ProofsOfSmallFleetAreNeverFresherThanTheTruth() {
+    CheckProofs(SmallFleet(), 9);
   }
   void Figures() {
-    PublishingModel::Options options;
+    PublishingModel::Options options = WithAllowanceOfRun();
     options.hosts =
         static_cast<int>(FromEnvironment("CHERRYDYKE_MODEL_HOSTS", 8));
     options.domains =
@@ -302,6 +340,29 @@
   }
 
  private:
+  static void CheckProofs(const PublishingModel::Options& of_fleet,
+                          int max_hosts) {
+    CPPUNIT_ASSERT(rc::check("proofs under any faults", [&] {
+      PublishingModel::Options options = WithFaults(of_fleet);
+      options.freezes = false;
+      options.domains = *rc::gen::inRange<size_t>(1, 4);
+      options.hosts = *rc::gen::inRange(1, max_hosts + 1);
+      options.change_period = absl::Milliseconds(*rc::gen::inRange(100, 3000));
+      PublishingModel model(options, *rc::gen::arbitrary<uint32_t>());
+      RC_ASSERT(model.Run(absl::Seconds(40)) == "");
+    }));
+  }
+  static std::string RunWithSilentWatches(
+      const PublishingModel::Options& options) {
+    PublishingModel model(options, kSeed);
+    std::string violation = model.Run(kWarmUp);
+    model.CutAll(PublishingModel::Cut::kTransfers, kSilentWatches * kSecond);
+    for (int i = 0; i < kSilentWatches && violation.empty(); ++i) {
+      violation = model.Run(kSecond);
+      model.SilenceWatch(static_cast<size_t>(i % options.hosts));
+    }
+    return violation;
+  }
   static std::string RunWithLateLinks(const PublishingModel::Options& options) {
     for (uint32_t seed = 1; seed <= kLateSeeds; ++seed) {
       PublishingModel model(options, seed);
