--- a/libs/tier/tests/publishing_model.cc
+++ b/libs/tier/tests/publishing_model.cc
@@ -551,6 +551,18 @@
   }
 }
 
+void PublishingModel::CutDomain(size_t domain, absl::Duration duration) {
+  for (const auto& host : hosts_) {
+    for (const auto& other : hosts_) {
+      const bool is_inside = host->self.failure_domain == domains_[domain];
+      if (is_inside == (other->self.failure_domain == domains_[domain])) {
+        continue;
+      }
+      CutLink(host->index, other->index, Cut::kBoth, now_ + duration);
+    }
+  }
+}
+
 void PublishingModel::CutAll(Cut cut, absl::Duration duration) {
   for (const auto& host : hosts_) {
     CutHost(host->index, cut, false, now_ + duration);
--- a/libs/tier/tests/publishing_model.h
+++ b/libs/tier/tests/publishing_model.h
@@ -97,6 +97,8 @@
   void DelayAllLinks(absl::Duration duration);
   /// All paths to the store are late from now on.
   void DelayStore(absl::Duration duration);
+  /// Cuts all links between the hosts of a failure domain and other hosts.
+  void CutDomain(size_t domain, absl::Duration duration);
   /// Cuts all links between hosts.
   void CutAll(Cut cut, absl::Duration duration);
   /// The call of a host gets no response, if one is under way.
--- a/libs/tier/tests/publishing_model_test.cc
+++ b/libs/tier/tests/publishing_model_test.cc
@@ -27,6 +27,11 @@
 constexpr size_t kDomainsWithGroups = 3;
 constexpr uint32_t kCalmSeeds = 4;
 constexpr uint32_t kLateSeeds = 50;
+/// Calls a second that the hosts may spend on watches by default.
+constexpr int kAllowance = 40;
+/// Time between changes of a storm.
+constexpr absl::Duration kStorm = absl::Milliseconds(300);
+constexpr absl::Duration kDenseStorm = absl::Milliseconds(50);
 /// Calls in a second for each failure domain: a reader's, and those of hosts
 /// that lost a datagram.
 constexpr int kMaxCalmCallsPerReader = 4;
@@ -179,7 +184,7 @@
   };
   model.StartMeasuring();
   measure("calm", phase);
-  model.SetChangePeriod(absl::Milliseconds(300));
+  model.SetChangePeriod(kStorm);
   model.StartMeasuring();
   measure("a change each 0.3 s", phase);
   model.StopStore(kFault, false);
@@ -213,6 +218,8 @@
   CPPUNIT_TEST(SilentWatchesWhileTransfersAreCut);
   CPPUNIT_TEST(SilentWatchesOfSmallFleetWhileTransfersAreCut);
   CPPUNIT_TEST(CalmHostsLeaveTheStoreToTheReaders);
+  CPPUNIT_TEST(SmallFleetStaysWithinItsAllowanceInStormsAndOutages);
+  CPPUNIT_TEST(AllowanceCostsManyHostsNoCalls);
   CPPUNIT_TEST(ProofsAreNeverFresherThanTheTruth);
   CPPUNIT_TEST(ProofsOfSmallFleetAreNeverFresherThanTheTruth);
   CPPUNIT_TEST(Figures);
@@ -289,6 +296,38 @@
                          static_cast<int>(kDomainsWithGroups));
     }
   }
+  // Each second, retries and first calls after a pause included.
+  void SmallFleetStaysWithinItsAllowanceInStormsAndOutages() {
+    const auto none = [](PublishingModel&) {};
+    for (const absl::Duration changes : {kStorm, kDenseStorm}) {
+      CPPUNIT_ASSERT(MaxCalls(SmallFleet(), changes, none) <= kAllowance);
+      for (const bool is_silent : {false, true}) {
+        CPPUNIT_ASSERT(MaxCalls(SmallFleet(), changes,
+                                [is_silent](PublishingModel& model) {
+                                  model.StopStore(kFault, is_silent);
+                                }) <= kAllowance);
+      }
+    }
+  }
+  void AllowanceCostsManyHostsNoCalls() {
+    const auto none = [](PublishingModel&) {};
+    const auto partition = [](PublishingModel& model) {
+      model.CutDomain(0, kPhase);
+    };
+    for (const absl::Duration changes : {absl::InfiniteDuration(), kStorm}) {
+      for (const auto& prepare :
+           std::vector<std::function<void(PublishingModel&)>>{none,
+                                                              partition}) {
+        PublishingModel::Options options = ManyHosts();
+        const auto before = RunPhase(options, changes, prepare);
+        options.watch_calls_per_s = kAllowance;
+        const auto after = RunPhase(options, changes, prepare);
+        CPPUNIT_ASSERT_EQUAL(before.calls_per_s, after.calls_per_s);
+        CPPUNIT_ASSERT_EQUAL(before.max_calls_in_a_second,
+                             after.max_calls_in_a_second);
+      }
+    }
+  }
   void ProofsAreNeverFresherThanTheTruth() {
     CheckProofs(WithoutAllowance(), 12);
   }
@@ -340,6 +379,22 @@
   }
 
  private:
+  static PublishingModel::Figures RunPhase(
+      PublishingModel::Options options, absl::Duration changes,
+      const std::function<void(PublishingModel&)>& prepare) {
+    options.change_period = changes;
+    PublishingModel model(options, kSeed);
+    CPPUNIT_ASSERT_EQUAL(std::string(), model.Run(kWarmUp));
+    prepare(model);
+    model.StartMeasuring();
+    CPPUNIT_ASSERT_EQUAL(std::string(), model.Run(kPhase));
+    return model.Measured();
+  }
+  static int MaxCalls(const PublishingModel::Options& options,
+                      absl::Duration changes,
+                      const std::function<void(PublishingModel&)>& prepare) {
+    return RunPhase(options, changes, prepare).max_calls_in_a_second;
+  }
   static void CheckProofs(const PublishingModel::Options& of_fleet,
                           int max_hosts) {
     CPPUNIT_ASSERT(rc::check("proofs under any faults", [&] {
