--- a/libs/tier/include/tier/poll_schedule.h
+++ b/libs/tier/include/tier/poll_schedule.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "absl/time/time.h"
+#include "tier/failure_streak.h"
+#include "tier/publishing_times.h"
 
 namespace cherrydyke {
 
@@ -32,16 +34,20 @@
   /// after which a peer read for this host, don't make it longer.
   absl::Duration PauseAfterFailure(absl::Time now, double random_fraction);
   /// A call succeeded: ends the backoff.
-  void OnSuccess() { failures_ = 0; }
+  void OnSuccess() { failures_ = failures_.AfterSuccess(); }
+  /// A peer's call that began then, or later, succeeded.
+  void OnPeerRead(absl::Time called_at) {
+    failures_ = failures_.AfterSuccessOfAnother(called_at);
+  }
 
   /// @return calls that have failed in a row.
-  int failures() const { return failures_; }
+  int failures() const { return failures_.count(); }
+  bool last_call_failed() const { return failures_.last_call_failed(); }
 
  private:
   absl::Time last_change_at_ = absl::InfinitePast();
   absl::Duration batch_pause_;
-  absl::Time last_failure_at_ = absl::InfinitePast();
-  int failures_ = 0;
+  FailureStreak failures_{PublishingTimes::kContactTime};
 };
 
 }  // namespace cherrydyke
--- a/libs/tier/include/tier/published_freshness.h
+++ b/libs/tier/include/tier/published_freshness.h
@@ -7,6 +7,8 @@
 #include <vector>
 
 #include "absl/time/time.h"
+#include "tier/failure_streak.h"
+#include "tier/publishing_times.h"
 
 namespace cherrydyke {
 
@@ -56,7 +58,7 @@
   /// @param started_at when the read began.
   void OnRead(absl::Time started_at);
   /// A read by this host failed. Failures of an earlier outage don't count.
-  void OnReadFailed(absl::Time now);
+  void OnReadFailed(absl::Time now) { failures_ = failures_.AfterFailure(now); }
   /// This host has every item of a peer that sent a proof.
   /// @param proven_until the time of the read that the proof is of.
   void OnPeerProof(const ReadProof& proof, absl::Time proven_until);
@@ -69,6 +71,11 @@
   std::optional<absl::Time> proven_until() const;
   /// @return the time up to which peers have proven so, or the start.
   absl::Time peers_current_until() const;
+  /// @return a time after which a peer's read began, as late as is proven; the
+  /// host's start less the time of datagrams on their way if none is.
+  absl::Time peers_read_since() const {
+    return peers_current_until() - PublishingTimes::kDatagramsOnWay;
+  }
   /// @return the proofs to pass on to peers: for each number of hops the
   /// freshest one, unless one of fewer hops is as fresh. A fresher proof that
   /// may not be passed on as often must not take the place of the others.
@@ -97,8 +104,7 @@
 
   const Options options_;
   const absl::Time started_;
-  int read_failures_ = 0;
-  absl::Time read_failed_at_ = absl::InfinitePast();
+  FailureStreak failures_{PublishingTimes::kContactTime};
   /// The freshest proof by the number of hops that it took; the first one is of
   /// this host's own reads.
   std::array<Proven, kMaxHops + 1> proven_;
--- a/libs/tier/include/tier/published_source.h
+++ b/libs/tier/include/tier/published_source.h
@@ -36,6 +36,8 @@
   virtual ~PublishedSource() = default;
   /// Starts or stops reading, which is on at first.
   virtual void SetReading(bool reading) = 0;
+  /// A call of another host, which began at this time or later, succeeded.
+  virtual void OnPeerRead(absl::Time called_at) = 0;
   /// @return whether it reads and the service responds.
   virtual bool IsReading() const = 0;
   /// Starts to read into the two sets of items, which must outlive the source.
--- a/libs/tier/src/poll_schedule.cc
+++ b/libs/tier/src/poll_schedule.cc
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 
-#include "tier/publishing_times.h"
-
 namespace cherrydyke {
 namespace {
 
@@ -29,12 +27,10 @@
 
 absl::Duration PollSchedule::PauseAfterFailure(absl::Time now,
                                                double random_fraction) {
-  if (now - last_failure_at_ > PublishingTimes::kContactTime) failures_ = 0;
-  last_failure_at_ = now;
+  failures_ = failures_.AfterFailure(now);
+  const int doublings = std::min(failures_.count() - 1, kMaxDoublings);
   const absl::Duration pause =
-      std::min(kMaxFailurePause,
-               kMinFailurePause * (1 << std::min(failures_, kMaxDoublings)));
-  ++failures_;
+      std::min(kMaxFailurePause, kMinFailurePause * (1 << doublings));
   return pause * (1 + kJitterRatio * (2 * random_fraction - 1));
 }
 
--- a/libs/tier/src/published_freshness.cc
+++ b/libs/tier/src/published_freshness.cc
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 
-#include "tier/publishing_times.h"
-
 namespace cherrydyke {
 
 PublishedFreshness::PublishedFreshness(Options options, absl::Time started)
@@ -13,13 +11,7 @@
 
 void PublishedFreshness::OnRead(absl::Time started_at) {
   proven_.front().until = std::max(proven_.front().until, started_at);
-  read_failures_ = 0;
-}
-
-void PublishedFreshness::OnReadFailed(absl::Time now) {
-  if (now - read_failed_at_ > PublishingTimes::kContactTime) read_failures_ = 0;
-  ++read_failures_;
-  read_failed_at_ = now;
+  failures_ = failures_.AfterSuccess();
 }
 
 void PublishedFreshness::OnPeerProof(const ReadProof& proof,
@@ -29,6 +21,7 @@
   if (proof.age < absl::ZeroDuration()) return;
   Proven& proven = proven_.at(static_cast<size_t>(proof.hops) + 1);
   if (proven_until > proven.until) proven = {proven_until, proof.reader};
+  failures_ = failures_.AfterSuccessOfAnother(peers_read_since());
 }
 
 absl::Time PublishedFreshness::current_until() const {
@@ -64,8 +57,8 @@
 }
 
 bool PublishedFreshness::ShouldReadItself(absl::Time now) const {
-  const bool pauses = read_failures_ >= kFailuresBeforePause &&
-                      now - read_failed_at_ < options_.retry_pause;
+  const bool pauses = failures_.count() >= kFailuresBeforePause &&
+                      now - failures_.last_failure_at() < options_.retry_pause;
   return PeersProveNothing(now) && !pauses;
 }
 
--- a/libs/tier/tests/poll_schedule_test.cc
+++ b/libs/tier/tests/poll_schedule_test.cc
@@ -18,6 +18,8 @@
   CPPUNIT_TEST(IsolatedChangesAreReadPromptly);
   CPPUNIT_TEST(FailuresBackOffUntilASuccess);
   CPPUNIT_TEST(FailuresOfAnEarlierOutageDoNotMakePausesLonger);
+  CPPUNIT_TEST(FailuresBeforeAPeersReadDoNotMakePausesLonger);
+  CPPUNIT_TEST(HostThatIsTurnedAwayCallsNoMoreOftenThoughPeersRead);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -69,6 +71,36 @@
                                               0.5) <= absl::Milliseconds(150));
     CPPUNIT_ASSERT_EQUAL(1, schedule.failures());
   }
+
+  // Guards against a call lost soon after an outage that delays the next one
+  // (CONFIG, HOME).
+  void FailuresBeforeAPeersReadDoNotMakePausesLonger() {
+    PollSchedule schedule;
+    for (int i = 0; i < 10; ++i) schedule.PauseAfterFailure(kStart, 0.5);
+    schedule.OnPeerRead(kStart + absl::Seconds(1));
+    CPPUNIT_ASSERT(schedule.last_call_failed());
+    CPPUNIT_ASSERT(schedule.PauseAfterFailure(kStart + absl::Seconds(2), 1) <=
+                   absl::Milliseconds(150));
+  }
+
+  // Guards against calls without pauses of a host that the service turns away.
+  void HostThatIsTurnedAwayCallsNoMoreOftenThoughPeersRead() {
+    // The pauses of one more start of the backoff.
+    constexpr int kCallsOfABackoff = 4;
+    CPPUNIT_ASSERT(CallsWhileTurnedAway(true) <=
+                   CallsWhileTurnedAway(false) + kCallsOfABackoff);
+  }
+
+ private:
+  static int CallsWhileTurnedAway(bool peers_read) {
+    PollSchedule schedule;
+    int calls = 0;
+    for (absl::Time now = kStart; now < kStart + absl::Minutes(1); ++calls) {
+      now += schedule.PauseAfterFailure(now, 0.5);
+      if (peers_read) schedule.OnPeerRead(now);
+    }
+    return calls;
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PollScheduleTest);
--- a/libs/tier/tests/published_freshness_test.cc
+++ b/libs/tier/tests/published_freshness_test.cc
@@ -36,6 +36,9 @@
   CPPUNIT_TEST(OneFailedCallDoesNotEndReading);
   CPPUNIT_TEST(PausesAfterSeveralFailedCalls);
   CPPUNIT_TEST(FailuresOfAnEarlierOutageDoNotMakeItPause);
+  CPPUNIT_TEST(FailuresBeforeAPeersReadDoNotMakeItPause);
+  CPPUNIT_TEST(ProofThatMayBeOlderThanAFailureDoesNotEndThePause);
+  CPPUNIT_TEST(HostThatIsTurnedAwayPausesThoughPeersProve);
   CPPUNIT_TEST(MalformedProofsAreIgnored);
   CPPUNIT_TEST(ProofsThatCircleDoNotBecomeFresher);
   CPPUNIT_TEST_SUITE_END();
@@ -140,6 +143,48 @@
     CPPUNIT_ASSERT(!freshness.ShouldReadItself(now));
   }
 
+  // Guards against a call lost soon after an outage that delays the next one
+  // (CONFIG, HOME).
+  void FailuresBeforeAPeersReadDoNotMakeItPause() {
+    PublishedFreshness freshness = Freshness();
+    const absl::Time now = kStart + 5 * kSecond;
+    for (int i = 0; i < 2; ++i) freshness.OnReadFailed(now);
+    freshness.OnPeerProof({kSecond, 0, kPeer}, now + kSecond);
+    const absl::Time lost = now + kSecond + kMaxPeerAge + kSecond;
+    freshness.OnReadFailed(lost);
+    CPPUNIT_ASSERT(freshness.ShouldReadItself(lost));
+  }
+
+  // Its datagram may have been on the way for longer than it says.
+  void ProofThatMayBeOlderThanAFailureDoesNotEndThePause() {
+    PublishedFreshness freshness({kSecond / 10, kRetryPause, kSelf}, kStart);
+    const absl::Time now = kStart + 5 * kSecond;
+    for (int i = 0; i < 2; ++i) freshness.OnReadFailed(now);
+    freshness.OnPeerProof({kSecond, 0, kPeer}, now + kSecond / 10);
+    CPPUNIT_ASSERT(!freshness.ShouldReadItself(now + kSecond));
+  }
+
+  // Guards against two calls without a pause for each proof of a peer, of a
+  // host that the service turns away. The proofs are too old to keep it from
+  // calling.
+  void HostThatIsTurnedAwayPausesThoughPeersProve() {
+    constexpr absl::Duration kPeriod = absl::Milliseconds(100);
+    constexpr int kPeriods = 600;
+    PublishedFreshness freshness({absl::ZeroDuration(), kRetryPause, kSelf},
+                                 kStart);
+    int calls = 0;
+    for (int i = 1; i <= kPeriods; ++i) {
+      const absl::Time now = kStart + i * kPeriod;
+      freshness.OnPeerProof({kSecond, 0, kPeer}, now - kPeriod / 2);
+      if (!freshness.ShouldReadItself(now)) continue;
+      ++calls;
+      freshness.OnReadFailed(now);
+    }
+    // Two calls before the first pause, and two after the first proof.
+    const auto pauses = static_cast<int>(kPeriods * kPeriod / kRetryPause);
+    CPPUNIT_ASSERT(calls <= pauses + 4);
+  }
+
   void MalformedProofsAreIgnored() {
     PublishedFreshness freshness = Freshness();
     freshness.OnPeerProof({-kSecond, 0, kPeer}, kStart + kSecond);
