--- a/libs/tier/tests/publishing_model.cc
+++ b/libs/tier/tests/publishing_model.cc
@@ -16,6 +16,8 @@
 constexpr size_t kMaxFetches = 3;
 constexpr absl::Duration kEchoRequestPeriod = absl::Milliseconds(250);
 constexpr absl::Duration kConnectTimeout = absl::Milliseconds(500);
+/// Longest time from the first byte of a response to its end (`StoreClient`).
+constexpr absl::Duration kReceiveTimeout = absl::Seconds(3);
 /// The watch of StoreClient before hosts used evidence.
 constexpr absl::Duration kLongWatchTime = absl::Milliseconds(2500);
 
@@ -416,6 +418,13 @@
   if (host.call != watcher.call) return;
   if (now_ < host.refused_until || now_ < host.silent_until) return;
   if (host.loses_call) return;
+  if (host.trickles) {
+    // Another number: the response has begun in time.
+    AtHost(
+        host, kMinTrip + kReceiveTimeout,
+        [this, call = ++host.call](Host& same) { OnCallFailed(same, call); });
+    return;
+  }
   AtHost(host, Random(kMinTrip, kMaxTrip),
          [this, call = watcher.call, wait,
           changes = store_.ChangesAfter(watcher.after)](Host& same) {
@@ -430,6 +439,7 @@
   ++host.call;
   host.calls = false;
   host.loses_call = false;
+  host.trickles = false;
   host.schedule.OnSuccess();
   const bool is_list = host.as_of == 0;
   host.as_of = std::max(host.as_of, changes.as_of);
@@ -453,6 +463,7 @@
   ++host.call;
   host.calls = false;
   host.loses_call = false;
+  host.trickles = false;
   host.freshness->OnReadFailed(now_);
   UpdateReaderRole(host);
   ScheduleNextCall(
@@ -574,6 +585,10 @@
   return host.calls;
 }
 
+void PublishingModel::TrickleResponse(size_t host) {
+  hosts_[host]->trickles = hosts_[host]->calls;
+}
+
 void PublishingModel::Trace(const std::string& what) {
   trace_.push_back(absl::StrCat(Format(now_), " ", what));
   if (trace_.size() > kTraceLines) trace_.pop_front();
--- a/libs/tier/tests/publishing_model.h
+++ b/libs/tier/tests/publishing_model.h
@@ -103,6 +103,8 @@
   void CutAll(Cut cut, absl::Duration duration);
   /// The call of a host gets no response, if one is under way.
   void SilenceWatch(size_t host) { SilenceWatch(*hosts_[host]); }
+  /// The response to the call of a host begins, but does not end in time.
+  void TrickleResponse(size_t host);
 
  private:
   struct Fetch {
@@ -123,6 +125,8 @@
     absl::Time late_store_until = absl::InfinitePast();
     /// The call under way gets no response.
     bool loses_call = false;
+    /// The response to the call under way does not end in time.
+    bool trickles = false;
     int round = 0;
     std::unique_ptr<HostTable> table;
     std::unique_ptr<PublishedFreshness> freshness;
--- a/libs/tier/tests/publishing_model_test.cc
+++ b/libs/tier/tests/publishing_model_test.cc
@@ -19,9 +19,11 @@
 constexpr absl::Duration kRunTime = absl::Minutes(2);
 constexpr absl::Duration kFaultPeriod = absl::Seconds(3);
 constexpr absl::Duration kBoundOfManyHosts = absl::Seconds(5);
-/// Half of the bound of 4 s.
+/// Half of the bound of 4 s, and seven eighths.
 constexpr absl::Duration kTargetOfSmallFleets = absl::Seconds(2);
-/// Tries to let a watch fall silent, one each second, the hosts in turn.
+constexpr absl::Duration kTargetOfTwoFailures = absl::Milliseconds(3500);
+/// Tries to let a watch fall silent, or its response trickle, one each second,
+/// the hosts in turn.
 constexpr int kSilentWatches = 600;
 constexpr absl::Duration kSecond = absl::Seconds(1);
 constexpr size_t kDomainsWithGroups = 3;
@@ -217,6 +219,8 @@
   CPPUNIT_TEST(SmallFleetIgnoresLateDatagrams);
   CPPUNIT_TEST(SilentWatchesWhileTransfersAreCut);
   CPPUNIT_TEST(SilentWatchesOfSmallFleetWhileTransfersAreCut);
+  CPPUNIT_TEST(PeersServeHostsOfSmallFleetWhoseResponsesTrickle);
+  CPPUNIT_TEST(TricklingResponsesOfSmallFleetWhileTransfersAreCut);
   CPPUNIT_TEST(CalmHostsLeaveTheStoreToTheReaders);
   CPPUNIT_TEST(SmallFleetStaysWithinItsAllowanceInStormsAndOutages);
   CPPUNIT_TEST(AllowanceCostsManyHostsNoCalls);
@@ -280,6 +284,16 @@
   void SilentWatchesOfSmallFleetWhileTransfersAreCut() {
     CPPUNIT_ASSERT_EQUAL(std::string(), RunWithSilentWatches(SmallFleet()));
   }
+  void PeersServeHostsOfSmallFleetWhoseResponsesTrickle() {
+    CPPUNIT_ASSERT_EQUAL(std::string(),
+                         RunWithTricklingResponses(SmallFleet(), false));
+  }
+  void TricklingResponsesOfSmallFleetWhileTransfersAreCut() {
+    PublishingModel::Options options = SmallFleet();
+    options.target = kTargetOfTwoFailures;
+    CPPUNIT_ASSERT_EQUAL(std::string(),
+                         RunWithTricklingResponses(options, true));
+  }
   // One lost datagram made whole groups call, for as long as the readers'
   // watches ended in an order that let foreign proofs displace the own ones.
   void CalmHostsLeaveTheStoreToTheReaders() {
@@ -418,6 +432,19 @@
     }
     return violation;
   }
+  static std::string RunWithTricklingResponses(
+      const PublishingModel::Options& options, bool cuts_transfers) {
+    PublishingModel model(options, kSeed);
+    std::string violation = model.Run(kWarmUp);
+    if (cuts_transfers) {
+      model.CutAll(PublishingModel::Cut::kTransfers, kSilentWatches * kSecond);
+    }
+    for (int i = 0; i < kSilentWatches && violation.empty(); ++i) {
+      violation = model.Run(kSecond);
+      model.TrickleResponse(static_cast<size_t>(i % options.hosts));
+    }
+    return violation;
+  }
   static std::string RunWithLateLinks(const PublishingModel::Options& options) {
     for (uint32_t seed = 1; seed <= kLateSeeds; ++seed) {
       PublishingModel model(options, seed);
--- a/libs/tier/tests/publishing_times_test.cc
+++ b/libs/tier/tests/publishing_times_test.cc
@@ -19,6 +19,8 @@
 /// fails, of a host that watches the configuration service all the time.
 constexpr double kTargetRatio = 1 - kReserveRatio;
 constexpr double kWatchingTargetRatio = 0.5;
+/// For the one path that leaves less than the reserve.
+constexpr double kBoundRatio = 1;
 /// Time for which a host is in touch before changes have to be in force there.
 constexpr absl::Duration kContactTime = absl::Seconds(5);
 /// A round trip between regions.
@@ -93,6 +95,8 @@
 std::vector<Path> PathsToWatchingHosts(const PublishingTimes& times) {
   const absl::Duration answer = kRoundTrip + kWithoutProcessor;
   const absl::Duration new_call = times.failure_pause + kRoundTrip + answer;
+  // Until the first byte, of a change that is published during the pause.
+  const absl::Duration late_call = kBatchPause + kRoundTrip;
   const absl::Duration through_peer = kBatchPause + kRoundTrip + kLagTolerance +
                                       kGossipPeriod + kLateDatagram +
                                       kRoundTrip + answer;
@@ -102,7 +106,8 @@
        kWatchingTargetRatio},
       {"its watch is silent, or its response trickles", through_peer,
        times.bound, kWatchingTargetRatio},
-      {"its connection is closed", new_call, times.bound, kWatchingTargetRatio},
+      {"its connection is closed", late_call + new_call, times.bound,
+       kWatchingTargetRatio},
       {"the history is gone", kBatchPause + kPages * kRoundTrip + answer,
        times.bound, kWatchingTargetRatio},
       {"its path comes back",
@@ -113,7 +118,7 @@
            answer,
        times.bound},
       {"its response trickles and peers tell nothing",
-       kReceiveTimeout + new_call, times.bound},
+       late_call + kReceiveTimeout + new_call, times.bound, kBoundRatio},
       {"its path comes back, and the first packet is lost",
        lost_call + LongestPauseOfSchedule() + times.connect + answer,
        kContactTime},
