--- a/libs/tier/src/published_freshness.cc
+++ b/libs/tier/src/published_freshness.cc
@@ -25,7 +25,7 @@
 }
 
 absl::Time PublishedFreshness::current_until() const {
-  return std::max(proven_.front().until, peers_current_until());
+  return std::max(started_, proven_until().value_or(started_));
 }
 
 std::optional<absl::Time> PublishedFreshness::proven_until() const {
