--- a/libs/tier/include/tier/failure_streak.h
+++ b/libs/tier/include/tier/failure_streak.h
@@ -12,7 +12,7 @@
 /// A response to another host's call shows that the service is back, but not
 /// that the path of this host is. It therefore ends a streak only once until a
 /// call of this host succeeds or the streak expires: a host that the service
-/// turns away alone gains no calls by it.
+/// turns away alone starts its backoff anew once, not at each such response.
 ///
 /// Immutable: each event returns the streak after it.
 class FailureStreak {
