--- a/tests/support/process.cc
+++ b/tests/support/process.cc
@@ -36,7 +36,8 @@
 
 Process::Process(const std::string& program, const std::string& config_file,
                  const std::string& log_file,
-                 std::vector<std::string> environment) {
+                 std::vector<std::string> environment,
+                 std::vector<std::string> options) {
   const std::string path = ProgramFolder() + "/" + program;
   std::array<int, 2> output{};
   if (pipe2(output.data(), O_CLOEXEC) != 0) return;
@@ -61,8 +62,10 @@
   std::string config_flag = "--config";
   std::string path_argument = path;
   std::string config = config_file;
-  std::array<char*, 4> arguments = {path_argument.data(), config_flag.data(),
-                                    config.data(), nullptr};
+  std::vector<char*> arguments = {path_argument.data(), config_flag.data(),
+                                  config.data()};
+  for (std::string& option : options) arguments.push_back(option.data());
+  arguments.push_back(nullptr);
   std::vector<char*> variables;
   for (std::string& entry : environment) variables.push_back(entry.data());
   for (char** entry = environ; *entry != nullptr; ++entry) {
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -22,9 +22,11 @@
   /// @param log_file receives stderr, appended. With the environment variable
   /// CHERRYDYKE_KEEP_LOGS, stdout is appended to this file's name with ".out".
   /// @param environment entries `NAME=VALUE` beside this process's own
+  /// @param options further arguments of the program
   Process(const std::string& program, const std::string& config_file,
           const std::string& log_file,
-          std::vector<std::string> environment = {});
+          std::vector<std::string> environment = {},
+          std::vector<std::string> options = {});
   ~Process();
   Process(const Process&) = delete;
   Process& operator=(const Process&) = delete;
