--- a/libs/tier/include/tier/publishing_times.h
+++ b/libs/tier/include/tier/publishing_times.h
@@ -32,6 +32,7 @@
   /// Time after which a host that reaches the configuration service again must
   /// have what changed meanwhile.
   static constexpr absl::Duration kContactTime = absl::Seconds(5);
+  static constexpr absl::Duration kMaxReceive = absl::Seconds(3);
   /// A round trip to a service in another region.
   static constexpr absl::Duration kRoundTrip = absl::Milliseconds(42);
   /// Time for which a host may get no processor time.
@@ -51,6 +52,9 @@
   absl::Duration min_watch = absl::Milliseconds(100);
   /// Longest time until the first byte of a response, beside its watch.
   absl::Duration response = absl::Milliseconds(600);
+  /// Longest time from the first byte of a response to its end: a large
+  /// configuration on a slow link that carries requests as well.
+  absl::Duration receive;
   /// Longest time for opening a connection to the configuration service.
   absl::Duration connect = absl::Milliseconds(500);
   /// Longest pause after the first failed call.
--- a/libs/tier/src/publishing_times.cc
+++ b/libs/tier/src/publishing_times.cc
@@ -25,6 +25,12 @@
                           times.LostCall() - times.Decision() - times.connect -
                           kRoundTrip;
   times.min_retry_pause = kMinRetryPauseRatio * times.max_retry_pause;
+  // A host whose peers tell nothing gives up a response that trickles, and
+  // calls again.
+  times.receive =
+      std::clamp((1 - kReserveRatio) * bound - PollSchedule::kMaxBatchPause -
+                     times.failure_pause - 3 * kRoundTrip - kWithoutProcessor,
+                 times.response, kMaxReceive);
   times.behind_log = kBehindLogRatio * bound;
   times.outdated_log = kOutdatedLogRatio * bound;
   return times;
--- a/libs/tier/tests/publishing_model.cc
+++ b/libs/tier/tests/publishing_model.cc
@@ -16,8 +16,6 @@
 constexpr size_t kMaxFetches = 3;
 constexpr absl::Duration kEchoRequestPeriod = absl::Milliseconds(250);
 constexpr absl::Duration kConnectTimeout = absl::Milliseconds(500);
-/// Longest time from the first byte of a response to its end (`StoreClient`).
-constexpr absl::Duration kReceiveTimeout = absl::Seconds(3);
 /// The watch of StoreClient before hosts used evidence.
 constexpr absl::Duration kLongWatchTime = absl::Milliseconds(2500);
 
@@ -421,7 +419,7 @@
   if (host.trickles) {
     // Another number: the response has begun in time.
     AtHost(
-        host, kMinTrip + kReceiveTimeout,
+        host, kMinTrip + times_.receive,
         [this, call = ++host.call](Host& same) { OnCallFailed(same, call); });
     return;
   }
--- a/libs/tier/tests/publishing_times_test.cc
+++ b/libs/tier/tests/publishing_times_test.cc
@@ -19,8 +19,6 @@
 /// fails, of a host that watches the configuration service all the time.
 constexpr double kTargetRatio = 1 - kReserveRatio;
 constexpr double kWatchingTargetRatio = 0.5;
-/// For the one path that leaves less than the reserve.
-constexpr double kBoundRatio = 1;
 /// Time for which a host is in touch before changes have to be in force there.
 constexpr absl::Duration kContactTime = absl::Seconds(5);
 /// A round trip between regions.
@@ -35,8 +33,6 @@
 /// and time until the peer's next message (`FleetGossip`).
 constexpr absl::Duration kLagTolerance = absl::Milliseconds(700);
 constexpr absl::Duration kGossipPeriod = absl::Milliseconds(500);
-/// Longest time from the first byte of a response to its end (`StoreClient`).
-constexpr absl::Duration kReceiveTimeout = absl::Seconds(3);
 /// Failures after which the pause of a schedule no longer grows.
 constexpr int kManyFailures = 10;
 /// Pages of a listing of all keys, about 500 each.
@@ -118,7 +114,7 @@
            answer,
        times.bound},
       {"its response trickles and peers tell nothing",
-       late_call + kReceiveTimeout + new_call, times.bound, kBoundRatio},
+       late_call + times.receive + new_call, times.bound},
       {"its path comes back, and the first packet is lost",
        lost_call + LongestPauseOfSchedule() + times.connect + answer,
        kContactTime},
