--- a/libs/tier/include/tier/target_set.h
+++ b/libs/tier/include/tier/target_set.h
@@ -13,6 +13,7 @@
 #include "absl/time/time.h"
 #include "dispatch/cold_send_limiter.h"
 #include "dispatch/concurrency_limit.h"
+#include "dispatch/connect_failures.h"
 #include "dispatch/crash_detector.h"
 #include "dispatch/exclusion_reason.h"
 #include "dispatch/replica_choice.h"
@@ -199,7 +200,8 @@
   void MarkInUse(const ServiceName& service) {
     last_used_at_[service] = loop_.Now();
   }
-  /// @return hashes of the services in use that cannot be reached.
+  /// @return hashes of the services that cannot be reached: of those in use,
+  /// and of all while this host can open no connections.
   std::vector<uint32_t> UnreachableServices() const;
   ServiceCounts CountServices() const;
   int open_connections() const;
@@ -272,8 +274,8 @@
   /// Recomputes this host's shares of a target's connections and cold requests.
   void UpdateLimits(Target& target);
   void CountSend(const Target& target, bool extra, absl::Time now);
-  /// No connection could be opened to a target that has none open.
-  void OnUnconnected(const Target& target);
+  /// An attempt to connect to a target failed.
+  void OnConnectFailed(const Target& target);
   /// The path to all targets works again.
   /// @param lost_at when they had fallen silent.
   void OnPathRestored(absl::Time lost_at);
@@ -295,6 +297,7 @@
   LogRateLimiter log_rate_limiter_;
   HealthReportCollector report_collector_;
   TargetNotices notices_;
+  ConnectFailures connect_failures_;
   absl::flat_hash_map<TargetId, TargetPtr> targets_;
   /// Removed instances whose running requests may not have ended yet.
   absl::flat_hash_map<TargetId, std::vector<TargetPtr>> retired_targets_;
--- a/libs/tier/src/target.cc
+++ b/libs/tier/src/target.cc
@@ -49,7 +49,7 @@
         {{"target", info.id}, {"service", info.service}, {"refused", refused}});
   }
   health.OnOverdue(now, now);
-  if (!pool->IsConnected()) set.OnUnconnected(*this);
+  set.OnConnectFailed(*this);
   if (set.partition_monitor_->IsPathTrusted()) {
     crash_detector_.OnConnectFailed(
         refused, set.HasRecentResponse(info.failure_domain), now);
@@ -63,6 +63,7 @@
 
 void TargetSet::Target::OnConnected() {
   const absl::Time now = set.loop_.Now();
+  set.connect_failures_.OnConnected(now);
   crash_detector_.OnConnected(now);
   const absl::Time since =
       std::exchange(unreachable_since_, absl::InfiniteFuture());
--- a/libs/tier/src/target_reach.cc
+++ b/libs/tier/src/target_reach.cc
@@ -18,9 +18,9 @@
 }
 
 bool TargetSet::IsInReach(const Target& target, absl::Time now) const {
-  const bool is_unconnectable =
-      target.is_unreachable() && !target.pool->IsConnected();
-  return !is_unconnectable && !target.health.IsUnresponsive(now);
+  if (target.health.IsUnresponsive(now)) return false;
+  if (target.pool->IsConnected()) return true;
+  return !target.is_unreachable() && !connect_failures_.AreGeneral(now);
 }
 
 bool TargetSet::CanReach(const ServiceName& service) const {
@@ -54,7 +54,12 @@
   return any_connected && !any_lost_in_domain;
 }
 
-void TargetSet::OnUnconnected(const Target& target) {
+void TargetSet::OnConnectFailed(const Target& target) {
+  const absl::Time now = loop_.Now();
+  connect_failures_.OnFailed(target.id_hash, target.info.failure_domain, now);
+  // Requests on services without a connection are to be handed over.
+  if (connect_failures_.AreGeneral(now) && on_suspected_) on_suspected_();
+  if (target.pool->IsConnected()) return;
   const bool any_connected = std::any_of(
       targets_.begin(), targets_.end(),
       [](const auto& entry) { return entry.second->pool->IsConnected(); });
--- a/libs/tier/src/target_set.cc
+++ b/libs/tier/src/target_set.cc
@@ -504,9 +504,13 @@
 
 std::vector<uint32_t> TargetSet::UnreachableServices() const {
   const absl::Time now = loop_.Now();
+  const bool cannot_connect = connect_failures_.AreGeneral(now);
   std::vector<uint32_t> unreachable;
-  for (const auto& [service, last_used_at] : last_used_at_) {
-    if (now - last_used_at <= kServiceInUseTime && !CanReach(service)) {
+  for (const auto& [service, targets] : targets_by_service_) {
+    const auto used = last_used_at_.find(service);
+    const bool is_in_use =
+        used != last_used_at_.end() && now - used->second <= kServiceInUseTime;
+    if ((is_in_use || cannot_connect) && !CanReach(service)) {
       unreachable.push_back(HandoverServiceHash(service));
     }
   }
