--- a/libs/dispatch/include/dispatch/request_run.h
+++ b/libs/dispatch/include/dispatch/request_run.h
@@ -108,6 +108,8 @@
   /// has, or without an answer. A request that must not run twice goes on, as
   /// its attempt may still be answered.
   RunActions OnPathLost();
+  /// An attempt that was to be cancelled had not been sent yet.
+  void OnCancelledUnsent(size_t attempt);
   /// Ends the run without an answer, for example if the caller disconnected.
   RunActions Abort();
 
--- a/libs/dispatch/src/request_run.cc
+++ b/libs/dispatch/src/request_run.cc
@@ -252,6 +252,14 @@
   return actions;
 }
 
+void RequestRun::OnCancelledUnsent(size_t attempt_index) {
+  Attempt& attempt = attempts_[attempt_index];
+  if (!std::exchange(attempt.may_have_run, false)) return;
+  --parts_[attempt.part].executions;
+  --parts_[attempt.part].arrivals;
+  --maybe_run_;
+}
+
 RunActions RequestRun::Abort() {
   RunActions actions;
   if (!done_) Finish(RequestOutcome::kFailed, actions);
--- a/libs/dispatch/tests/request_run_test.cc
+++ b/libs/dispatch/tests/request_run_test.cc
@@ -85,6 +85,7 @@
   CPPUNIT_TEST(RequiredRetryIsMarkedAsRequired);
   CPPUNIT_TEST(OnlyARequiredRetryIsALastChance);
   CPPUNIT_TEST(HandedOverRequestGetsItsRemainingAttempts);
+  CPPUNIT_TEST(AttemptsCancelledBeforeTheyWereSentDoNotCountAsRuns);
   CPPUNIT_TEST(LostPathEndsIdempotentRequestWithWhatItHas);
   CPPUNIT_TEST(InvariantsHoldUnderRandomEvents);
   CPPUNIT_TEST_SUITE_END();
@@ -296,6 +297,20 @@
     CPPUNIT_ASSERT(actions.outcome == RequestOutcome::kFailed);
   }
 
+  // Guards against reporting requests that waited for connections as run.
+  void AttemptsCancelledBeforeTheyWereSentDoNotCountAsRuns() {
+    RequestRun run(Fanout(2, 2), target_selector_);
+    run.Start(kStart);
+    target_selector_.unavailable_services_ = {"s0"};
+    const RunActions failed = run.OnEnded(0, AttemptResult::kNotSent, kStart);
+    CPPUNIT_ASSERT(failed.outcome == RequestOutcome::kFailed);
+    CPPUNIT_ASSERT(failed.cancel == std::vector<size_t>{1});
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, run.Tried().size());
+    run.OnCancelledUnsent(1);
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, run.maybe_run());
+    CPPUNIT_ASSERT(run.Tried().empty());
+  }
+
   void LostPathEndsIdempotentRequestWithWhatItHas() {
     RequestRun complete(Fanout(3, 2), target_selector_);
     complete.Start(kStart);
--- a/libs/engine/include/engine/connection_pool.h
+++ b/libs/engine/include/engine/connection_pool.h
@@ -59,7 +59,8 @@
   /// complete within `grace`, so that its connection is kept and its latency is
   /// measured; after that it is aborted by closing the connection. `done`
   /// reports the result, but is not called from within this call.
-  void Cancel(ExchangeId exchange, absl::Duration grace);
+  /// @return whether the exchange was queued, so that nothing of it was sent.
+  bool Cancel(ExchangeId exchange, absl::Duration grace);
 
   /// Reports all queued requests as `kNotSent`.
   void FailQueued();
--- a/libs/engine/src/connection_pool.cc
+++ b/libs/engine/src/connection_pool.cc
@@ -142,7 +142,7 @@
   connection->Connect();
 }
 
-void ConnectionPool::Cancel(ExchangeId exchange, absl::Duration grace) {
+bool ConnectionPool::Cancel(ExchangeId exchange, absl::Duration grace) {
   const auto queued = std::find_if(
       queue_.begin(), queue_.end(),
       [&](const QueuedRequest& entry) { return entry.id == exchange; });
@@ -151,7 +151,7 @@
     queue_.erase(queued);
     PostResult(std::move(cancelled.request.exchange.done),
                ExchangeStatus::kNotSent);
-    return;
+    return true;
   }
   for (PooledConnection& pooled : connections_) {
     if (pooled.exchange != exchange || pooled.abort_timer != 0) continue;
@@ -162,8 +162,9 @@
             connection->AbortExchange();
           }
         });
-    return;
+    break;
   }
+  return false;
 }
 
 void ConnectionPool::PostResult(std::function<void(ExchangeResult)> done,
--- a/libs/engine/tests/connection_pool_test.cc
+++ b/libs/engine/tests/connection_pool_test.cc
@@ -280,7 +280,7 @@
     std::optional<ExchangeStatus> status;
     const ExchangeId id = SendRecordingStatus(status);
     CPPUNIT_ASSERT(RunUntil(loop_, [&] { return received == 1; }));
-    pool_->Cancel(id, absl::Seconds(5));
+    CPPUNIT_ASSERT(!pool_->Cancel(id, absl::Seconds(5)));
     waiting->Write(OkResponse("late"));
     pool_->Send(Request(""));
     CPPUNIT_ASSERT(RunUntil(loop_, [&] { return received == 2; }));
@@ -309,7 +309,8 @@
     pool_->SetLimit(1);
     pool_->Send(Request(""));
     std::optional<ExchangeStatus> status;
-    pool_->Cancel(SendRecordingStatus(status), absl::Seconds(5));
+    CPPUNIT_ASSERT(
+        pool_->Cancel(SendRecordingStatus(status), absl::Seconds(5)));
     CPPUNIT_ASSERT(RunUntil(loop_, [&] { return status.has_value(); }));
     CPPUNIT_ASSERT(status == ExchangeStatus::kNotSent);
     RunFor(loop_, absl::Milliseconds(30));
--- a/libs/tier/include/tier/target_set.h
+++ b/libs/tier/include/tier/target_set.h
@@ -121,7 +121,8 @@
   /// Undoes `Select` for a send that was never made.
   void ReleaseSelection(const TargetId& target);
   /// Cancels an exchange that was sent at `sent_at`.
-  void Cancel(const TargetId& target, absl::Time sent_at,
+  /// @return whether it still waited for a connection.
+  bool Cancel(const TargetId& target, absl::Time sent_at,
               engine::ExchangeId exchange, absl::Duration grace);
 
   /// Records the end of an exchange in the target's health and concurrency
--- a/libs/tier/src/request_handler.cc
+++ b/libs/tier/src/request_handler.cc
@@ -366,6 +366,7 @@
   for (const size_t attempt : actions.cancel) {
     if (attempt >= request->attempts.size()) {
       targets_.ReleaseSelection(request->run->target(attempt));
+      request->run->OnCancelledUnsent(attempt);
       continue;
     }
     const Request::Attempt& cancelled = request->attempts[attempt];
@@ -373,8 +374,10 @@
         request->route->idempotent
             ? policy_.cancel_grace
             : std::max(request->deadline - loop_.Now(), policy_.cancel_grace);
-    targets_.Cancel(cancelled.target, cancelled.sent_at, cancelled.exchange,
-                    grace);
+    if (targets_.Cancel(cancelled.target, cancelled.sent_at, cancelled.exchange,
+                        grace)) {
+      request->run->OnCancelledUnsent(attempt);
+    }
   }
   for (const AttemptSend& send : actions.send) SendAttempt(request, send);
   if (actions.outcome) {
@@ -701,6 +704,10 @@
 void RequestHandler::Conclude(const RequestPtr& request, RequestOutcome kind) {
   FinishRequest(request);
   const RequestRun& run = *request->run;
+  // What waited for connections when the run failed has been withdrawn.
+  if (kind == RequestOutcome::kFailed && run.maybe_run() == 0) {
+    kind = RequestOutcome::kNotRun;
+  }
   switch (kind) {
     case RequestOutcome::kAnswer:
       return SendResponse(request);
--- a/libs/tier/src/target_set.cc
+++ b/libs/tier/src/target_set.cc
@@ -552,11 +552,10 @@
   if (Target* const target = Find(id)) target->health.OnSendCancelled();
 }
 
-void TargetSet::Cancel(const TargetId& id, absl::Time sent_at,
+bool TargetSet::Cancel(const TargetId& id, absl::Time sent_at,
                        engine::ExchangeId exchange, absl::Duration grace) {
-  if (Target* const target = FindCurrentOrRetired(id, sent_at)) {
-    target->pool->Cancel(exchange, grace);
-  }
+  Target* const target = FindCurrentOrRetired(id, sent_at);
+  return target != nullptr && target->pool->Cancel(exchange, grace);
 }
 
 void TargetSet::OnEnded(const TargetId& id, TargetOutcome outcome,
