--- a/libs/tier/tests/publishing_model.cc
+++ b/libs/tier/tests/publishing_model.cc
@@ -188,12 +188,13 @@
             (options_.reads == Reads::kByEvidence &&
              host.freshness->ShouldReadItself(now_));
   }
+  host.schedule.OnPeerRead(host.freshness->peers_read_since());
   SetReading(host, reads);
   if (IsReading(host) && !was_reading) NotifyDownstream(host);
 }
 
 bool PublishingModel::IsReading(const Host& host) const {
-  return host.reading && host.as_of > 0 && host.schedule.failures() == 0;
+  return host.reading && host.as_of > 0 && !host.schedule.last_call_failed();
 }
 
 void PublishingModel::RunGossipRound(Host& host) {
@@ -365,7 +366,7 @@
   AtHost(host, pause, [this](Host& same) {
     same.call_pending = same.reading;
     if (!same.call_pending) return;
-    if (same.schedule.failures() > 0) SkipChangesFromPeers(same);
+    if (same.schedule.last_call_failed()) SkipChangesFromPeers(same);
     Call(same);
   });
 }
