--- a/libs/dispatch/include/dispatch/policy.h
+++ b/libs/dispatch/include/dispatch/policy.h
@@ -59,8 +59,8 @@
 
   /// Calls a second that all hosts together may spend on watching the
   /// configuration service, far below the rate that it allows. As many hosts
-  /// watch it as stay within this while changes continue, and at least one in
-  /// each failure domain.
+  /// watch it as stay within this while changes continue. Where that is less
+  /// than one in each failure domain, roles decide which one reads.
   double watch_calls_per_s = 40;
 
   /// Maximum log lines per second for each kind of failure or refusal, and
--- a/libs/membership/include/membership/host_table.h
+++ b/libs/membership/include/membership/host_table.h
@@ -203,8 +203,9 @@
   /// @return whether this host should read the configuration service itself.
   bool ShouldRead(bool has_no_data, absl::Time now) const;
 
-  /// @return this host's place among the live hosts. A failure domain without
-  /// any counts as the largest one: it may be partitioned, and its hosts read.
+  /// @return this host's place among the live hosts. A failure domain of which
+  /// none is seen counts with those that were live when one was last seen: it
+  /// may be partitioned, and its hosts read.
   FleetPlace Place(absl::Time now) const;
 
   /// @return whether this host reads the configuration service whatever its
--- a/libs/membership/include/membership/reader_allowance.h
+++ b/libs/membership/include/membership/reader_allowance.h
@@ -21,9 +21,9 @@
 
 /// Decides which hosts read the configuration service all the time, whatever
 /// their peers say or prove. Such a host is current as long as it has a path to
-/// the service. The calls of all of them stay within what the fleet may spend:
-/// a small fleet reads as a whole, a large one with the same number of hosts in
-/// each failure domain.
+/// the service. A small fleet reads as a whole, a large one with the same
+/// number of hosts in each failure domain, so that their calls stay within what
+/// the fleet may spend while changes continue.
 ///
 /// Pure.
 class ReaderAllowance {
--- a/libs/membership/src/host_table.cc
+++ b/libs/membership/src/host_table.cc
@@ -234,23 +234,30 @@
 }
 
 FleetPlace HostTable::Place(absl::Time now) const {
-  std::map<FailureDomainName, size_t> live;
-  for (const FailureDomainName& domain : options_.domains) live[domain] = 0;
-  live[self_.failure_domain] = 1;
+  std::map<FailureDomainName, absl::Time> last_seen;
+  for (const FailureDomainName& domain : options_.domains)
+    last_seen[domain] = absl::InfinitePast();
   for (const auto& [host, peer] : peers_) {
-    if (now - peer.last_seen <= options_.domain_peer_timeout)
-      ++live[peer.failure_domain];
+    absl::Time& seen = last_seen[peer.failure_domain];
+    seen = std::max(seen, peer.last_seen);
   }
-  size_t largest = 0;
-  for (const auto& [domain, count] : live) largest = std::max(largest, count);
+  last_seen[self_.failure_domain] = now;
+  const auto is_counted = [&](const Peer& peer) {
+    const absl::Time seen = last_seen.at(peer.failure_domain);
+    const bool is_domain_live = now - seen <= options_.liveness_timeout;
+    return (is_domain_live ? now : seen) - peer.last_seen <=
+           options_.liveness_timeout;
+  };
   FleetPlace place;
-  place.hosts = 0;
-  for (const auto& [domain, count] : live)
-    place.hosts += count == 0 ? largest : count;
-  place.failure_domains = live.size();
-  const std::vector<ReaderRank> ranks = LiveHosts(self_.failure_domain, now);
-  place.domain_rank = static_cast<size_t>(
-      std::find(ranks.begin(), ranks.end(), OwnRank(ranks)) - ranks.begin());
+  place.failure_domains = last_seen.size();
+  for (const auto& [host, peer] : peers_) {
+    if (is_counted(peer)) ++place.hosts;
+  }
+  const std::vector<DomainPeer> domain_peers = DomainPeers(now);
+  place.domain_rank = static_cast<size_t>(std::count_if(
+      domain_peers.begin(), domain_peers.end(), [&](const DomainPeer& other) {
+        return other.is_earlier && is_counted(*other.peer);
+      }));
   return place;
 }
 
