--- a/libs/tier/src/target_reach.cc
+++ b/libs/tier/src/target_reach.cc
@@ -67,6 +67,8 @@
 }
 
 void TargetSet::OnPathRestored(absl::Time lost_at) {
+  // Probes have connected.
+  connect_failures_.OnConnected(loop_.Now());
   for (auto& [id, target] : targets_) target->OnPathRestored(lost_at);
   KeepConnectionsWarm();
   if (on_restored_) on_restored_();
