--- a/libs/dispatch/include/dispatch/policy.h
+++ b/libs/dispatch/include/dispatch/policy.h
@@ -7,8 +7,8 @@
 
 namespace cherrydyke {
 
-/// Settings that operators can change. The measurements
-/// behind the defaults are in docs/design/heavy-days.md.
+/// Settings that operators can change. The measurements behind the defaults are
+/// in docs/design/heavy-days.md and published-freshness.md.
 struct Policy {
   /// Assumed round trip to a caller whose round trip is not known. An answer is
   /// sent this much earlier than the latency objective.
