--- a/libs/membership/src/host_table.cc
+++ b/libs/membership/src/host_table.cc
@@ -233,6 +233,39 @@
          now - update_source_seen_at_ <= options_.max_standby_time;
 }
 
+FleetPlace HostTable::Place(absl::Time now) const {
+  std::map<FailureDomainName, absl::Time> last_seen;
+  for (const FailureDomainName& domain : options_.domains)
+    last_seen[domain] = absl::InfinitePast();
+  for (const auto& [host, peer] : peers_) {
+    absl::Time& seen = last_seen[peer.failure_domain];
+    seen = std::max(seen, peer.last_seen);
+  }
+  last_seen[self_.failure_domain] = now;
+  const auto is_counted = [&](const Peer& peer) {
+    const absl::Time seen = last_seen.at(peer.failure_domain);
+    const bool is_domain_live = now - seen <= options_.liveness_timeout;
+    return (is_domain_live ? now : seen) - peer.last_seen <=
+           options_.liveness_timeout;
+  };
+  FleetPlace place;
+  place.failure_domains = last_seen.size();
+  for (const auto& [host, peer] : peers_) {
+    if (is_counted(peer)) ++place.hosts;
+  }
+  const std::vector<DomainPeer> domain_peers = DomainPeers(now);
+  place.domain_rank = static_cast<size_t>(std::count_if(
+      domain_peers.begin(), domain_peers.end(), [&](const DomainPeer& other) {
+        return other.is_earlier && is_counted(*other.peer);
+      }));
+  return place;
+}
+
+bool HostTable::ReadsAlways(absl::Time now) const {
+  return now - started_ >= options_.convergence_time &&
+         options_.reader_allowance.Covers(Place(now));
+}
+
 bool HostTable::ShouldRead(bool has_no_data, absl::Time now) const {
   return ShouldRead(DomainPeers(now), has_no_data, now);
 }
@@ -241,6 +274,7 @@
                            bool has_no_data, absl::Time now) const {
   const bool is_new = now - started_ < options_.reader_discovery_time;
   if (is_new && !has_no_data && !seeds_.empty()) return false;
+  if (ReadsAlways(now)) return true;
   if (HasGroupSource(peers, now) || HasReaderInOtherGroup(peers, true, now))
     return has_no_data;
   const auto earlier = static_cast<int>(
--- a/libs/membership/tests/host_table_test.cc
+++ b/libs/membership/tests/host_table_test.cc
@@ -25,6 +25,21 @@
   return HostTable({self, "z"}, std::move(seeds), HostTable::Options(), kStart);
 }
 
+/// @param readers hosts that may read all the time.
+HostTable TableOfReaders(const HostId& self, int readers) {
+  HostTable::Options options;
+  options.reader_allowance = ReaderAllowance(readers, 1);
+  return HostTable({self, "z"}, {}, options, kStart);
+}
+
+/// The same in a fleet of three failure domains; the host is in "z".
+HostTable TableOfDomains(const HostId& self, int readers) {
+  HostTable::Options options;
+  options.domains = {"x", "y", "z"};
+  options.reader_allowance = ReaderAllowance(readers, 1);
+  return HostTable({self, "z"}, {}, options, kStart);
+}
+
 HostId Name(int index) {
   const std::string digits = std::to_string(index);
   return "h" + std::string(3 - digits.size(), '0') + digits;
@@ -55,6 +70,11 @@
   CPPUNIT_TEST(FailoverKeepsAllHostsUpdated);
   CPPUNIT_TEST(FewHostsPollAnUnresponsiveService);
   CPPUNIT_TEST(StandbyHostsPollAfterMaxStandbyTime);
+  CPPUNIT_TEST(SmallFleetReadsWhateverPeersClaim);
+  CPPUNIT_TEST(HostOfALargeFleetThatJustStartedReadsByItsRole);
+  CPPUNIT_TEST(HostsOfAPartitionedDomainCountAsReaders);
+  CPPUNIT_TEST(HostsThatAreGoneDoNotCountAsReaders);
+  CPPUNIT_TEST(DomainsWithoutHostsDoNotCountAsReaders);
   CPPUNIT_TEST(ReadersNotifyRepresentativesOfOtherDomains);
   CPPUNIT_TEST(DomainWithoutReaderForwardsRemoteUpdates);
   CPPUNIT_TEST_SUITE_END();
@@ -315,6 +335,58 @@
     CPPUNIT_ASSERT(table.ShouldRead(false, late));
   }
 
+  // A reader that is silent, frozen or cut off still claims to be one.
+  void SmallFleetReadsWhateverPeersClaim() {
+    HostTable table = TableOfReaders("c", 2);
+    table.OnMembershipUpdate(Update("a", kReader), kConverged);
+    CPPUNIT_ASSERT(table.Place(kConverged) == (FleetPlace{2, 1, 1}));
+    CPPUNIT_ASSERT(table.ShouldRead(false, kConverged));
+    table.OnMembershipUpdate(Update("b", kReader), kConverged);
+    CPPUNIT_ASSERT(table.Place(kConverged) == (FleetPlace{3, 1, 2}));
+    CPPUNIT_ASSERT(!table.ShouldRead(false, kConverged));
+  }
+
+  // Otherwise all hosts of a large fleet would call at once when it starts.
+  void HostOfALargeFleetThatJustStartedReadsByItsRole() {
+    HostTable table = TableOfReaders("b", 3);
+    table.OnMembershipUpdate(Update("a", kReader), kStart);
+    CPPUNIT_ASSERT(!table.ShouldRead(false, kStart));
+  }
+
+  void HostsOfAPartitionedDomainCountAsReaders() {
+    HostTable table = TableOfDomains("b", 3);
+    for (const char* const host : {"p", "q"}) {
+      table.OnMembershipUpdate({{host, "y"}, 1, kReader, {}}, kStart);
+    }
+    const absl::Time late = kStart + absl::Hours(1);
+    table.OnMembershipUpdate(Update("a", kReader), late);
+    CPPUNIT_ASSERT(table.Place(late) == (FleetPlace{4, 3, 1}));
+    CPPUNIT_ASSERT(!table.ReadsAlways(late));
+  }
+
+  // Else hosts that were replaced at other addresses keep the others from
+  // watching the service.
+  void HostsThatAreGoneDoNotCountAsReaders() {
+    HostTable table = TableOfReaders("d", 3);
+    for (const char* const host : {"a", "b", "c"}) {
+      table.OnMembershipUpdate(Update(host, kReader), kStart);
+    }
+    CPPUNIT_ASSERT(!table.ReadsAlways(kConverged));
+    const absl::Time late = kStart + absl::Seconds(30);
+    table.OnMembershipUpdate(Update("c", kReader), late);
+    CPPUNIT_ASSERT(table.Place(late) == (FleetPlace{2, 1, 1}));
+    CPPUNIT_ASSERT(table.ReadsAlways(late));
+  }
+
+  // Else a failure domain that has no hosts yet takes a share of the readers.
+  void DomainsWithoutHostsDoNotCountAsReaders() {
+    HostTable table = TableOfDomains("b", 3);
+    table.OnMembershipUpdate(Update("a", kReader), kConverged);
+    table.OnMembershipUpdate({{"p", "y"}, 1, kReader, {}}, kConverged);
+    CPPUNIT_ASSERT(table.Place(kConverged) == (FleetPlace{3, 3, 1}));
+    CPPUNIT_ASSERT(table.ReadsAlways(kConverged));
+  }
+
   void ReadersNotifyRepresentativesOfOtherDomains() {
     HostTable::Options options;
     options.domains = {"y", "z"};
--- a/libs/tier/src/poll_schedule.cc
+++ b/libs/tier/src/poll_schedule.cc
@@ -2,16 +2,9 @@
 
 #include <algorithm>
 
-#include "tier/publishing_times.h"
-
 namespace cherrydyke {
 namespace {
 
-/// Pause after an isolated change, and the longest pause while changes
-/// continue: short compared with the seconds within which they must take
-/// effect.
-constexpr absl::Duration kMinBatchPause = absl::Milliseconds(60);
-constexpr absl::Duration kMaxBatchPause = absl::Milliseconds(240);
 /// Changes further apart than this count as isolated.
 constexpr absl::Duration kBatchResetTime = absl::Seconds(2);
 /// Pause after a failure, doubled each time up to the maximum, with a jitter of
@@ -34,12 +27,10 @@
 
 absl::Duration PollSchedule::PauseAfterFailure(absl::Time now,
                                                double random_fraction) {
-  if (now - last_failure_at_ > PublishingTimes::kContactTime) failures_ = 0;
-  last_failure_at_ = now;
+  failures_ = failures_.AfterFailure(now);
+  const int doublings = std::min(failures_.count() - 1, kMaxDoublings);
   const absl::Duration pause =
-      std::min(kMaxFailurePause,
-               kMinFailurePause * (1 << std::min(failures_, kMaxDoublings)));
-  ++failures_;
+      std::min(kMaxFailurePause, kMinFailurePause * (1 << doublings));
   return pause * (1 + kJitterRatio * (2 * random_fraction - 1));
 }
 
--- a/libs/tier/src/tier_host.cc
+++ b/libs/tier/src/tier_host.cc
@@ -6,6 +6,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "telemetry/log.h"
+#include "tier/poll_schedule.h"
 
 namespace cherrydyke {
 namespace {
@@ -42,11 +43,13 @@
   return limits;
 }
 
-HostTable::Options HostOptions(const Locality& locality) {
+HostTable::Options HostOptions(const TierSettings& settings) {
   HostTable::Options options;
-  for (const auto& [domain, region] : locality.regions) {
+  for (const auto& [domain, region] : settings.locality.regions) {
     options.domains.push_back(domain);
   }
+  options.reader_allowance = ReaderAllowance(settings.policy.watch_calls_per_s,
+                                             PollSchedule::MaxCallsPerSecond());
   return options;
 }
 
@@ -70,7 +73,7 @@
       adapters_(adapters),
       times_(PublishingTimes::For(settings_.change_deadline)),
       hosts_({settings_.locality.host, settings_.locality.failure_domain},
-             settings_.seeds, HostOptions(settings_.locality), loop.Now()),
+             settings_.seeds, HostOptions(settings_), loop.Now()),
       freshness_(FreshnessOptions(times_, settings_.locality.host), loop.Now()),
       targets_(loop, settings_.locality, settings_.bounds,
                TargetOptions(adapters.protocol, loop.Now()), hosts_,
@@ -208,6 +211,9 @@
                  [this] { return absl::ToDoubleSeconds(PublishedAge()); });
   metrics_.Gauge("cherrydyke_published_behind_seconds",
                  [this] { return absl::ToDoubleSeconds(TimeBehind()); });
+  metrics_.Gauge("cherrydyke_store_watcher", [this] {
+    return hosts_.ReadsAlways(loop_.Now()) ? 1.0 : 0.0;
+  });
   metrics_.Gauge("cherrydyke_store_reader",
                  [this] { return adapters_.source.IsReading() ? 1.0 : 0.0; });
 }
@@ -344,6 +350,7 @@
                         target_items_.complete_revision() == 0;
   const bool was_reading = adapters_.source.IsReading();
   const absl::Time now = loop_.Now();
+  adapters_.source.OnPeerRead(freshness_.peers_read_since());
   adapters_.source.SetReading(hosts_.ShouldRead(is_empty, now) ||
                               freshness_.ShouldReadItself(now));
   // Keeps the hosts that are next in line from starting to read as well.
--- a/libs/tier/tests/publishing_model.cc
+++ b/libs/tier/tests/publishing_model.cc
@@ -133,6 +133,8 @@
   }
   HostTable::Options options;
   options.domains = domains_;
+  options.reader_allowance = ReaderAllowance(options_.watch_calls_per_s,
+                                             PollSchedule::MaxCallsPerSecond());
   host.table =
       std::make_unique<HostTable>(host.self, seeds, options, table_started);
   PublishedFreshness::Options freshness;
@@ -186,12 +188,13 @@
             (options_.reads == Reads::kByEvidence &&
              host.freshness->ShouldReadItself(now_));
   }
+  host.schedule.OnPeerRead(host.freshness->peers_read_since());
   SetReading(host, reads);
   if (IsReading(host) && !was_reading) NotifyDownstream(host);
 }
 
 bool PublishingModel::IsReading(const Host& host) const {
-  return host.reading && host.as_of > 0 && host.schedule.failures() == 0;
+  return host.reading && host.as_of > 0 && !host.schedule.last_call_failed();
 }
 
 void PublishingModel::RunGossipRound(Host& host) {
@@ -363,7 +366,7 @@
   AtHost(host, pause, [this](Host& same) {
     same.call_pending = same.reading;
     if (!same.call_pending) return;
-    if (same.schedule.failures() > 0) SkipChangesFromPeers(same);
+    if (same.schedule.last_call_failed()) SkipChangesFromPeers(same);
     Call(same);
   });
 }
@@ -414,6 +417,13 @@
   if (host.call != watcher.call) return;
   if (now_ < host.refused_until || now_ < host.silent_until) return;
   if (host.loses_call) return;
+  if (host.trickles) {
+    // Another number: the response has begun in time.
+    AtHost(
+        host, kMinTrip + times_.receive,
+        [this, call = ++host.call](Host& same) { OnCallFailed(same, call); });
+    return;
+  }
   AtHost(host, Random(kMinTrip, kMaxTrip),
          [this, call = watcher.call, wait,
           changes = store_.ChangesAfter(watcher.after)](Host& same) {
@@ -428,6 +438,7 @@
   ++host.call;
   host.calls = false;
   host.loses_call = false;
+  host.trickles = false;
   host.schedule.OnSuccess();
   const bool is_list = host.as_of == 0;
   host.as_of = std::max(host.as_of, changes.as_of);
@@ -451,6 +462,7 @@
   ++host.call;
   host.calls = false;
   host.loses_call = false;
+  host.trickles = false;
   host.freshness->OnReadFailed(now_);
   UpdateReaderRole(host);
   ScheduleNextCall(
@@ -549,6 +561,18 @@
   }
 }
 
+void PublishingModel::CutDomain(size_t domain, absl::Duration duration) {
+  for (const auto& host : hosts_) {
+    for (const auto& other : hosts_) {
+      const bool is_inside = host->self.failure_domain == domains_[domain];
+      if (is_inside == (other->self.failure_domain == domains_[domain])) {
+        continue;
+      }
+      CutLink(host->index, other->index, Cut::kBoth, now_ + duration);
+    }
+  }
+}
+
 void PublishingModel::CutAll(Cut cut, absl::Duration duration) {
   for (const auto& host : hosts_) {
     CutHost(host->index, cut, false, now_ + duration);
@@ -560,6 +584,10 @@
   return host.calls;
 }
 
+void PublishingModel::TrickleResponse(size_t host) {
+  hosts_[host]->trickles = hosts_[host]->calls;
+}
+
 void PublishingModel::Trace(const std::string& what) {
   trace_.push_back(absl::StrCat(Format(now_), " ", what));
   if (trace_.size() > kTraceLines) trace_.pop_front();
@@ -682,7 +710,8 @@
     if (measured_since_ <= now_) {
       proof_ages_.push_back(now_ - host->freshness->current_until());
     }
-    if (now_ - missing > options_.bound) what = " misses a change";
+    if (now_ - missing > std::min(options_.bound, options_.target))
+      what = " misses a change";
     if (what.empty() || !violation_.empty()) continue;
     violation_ = absl::StrCat(
         Format(now_), " ", host->self.host, " in ", host->self.failure_domain,
--- a/libs/tier/tests/publishing_model.h
+++ b/libs/tier/tests/publishing_model.h
@@ -11,6 +11,7 @@
 #include <utility>
 #include <vector>
 
+#include "dispatch/policy.h"
 #include "membership/host_table.h"
 #include "tier/pending_proofs.h"
 #include "tier/poll_schedule.h"
@@ -61,6 +62,12 @@
     bool counts_transit = true;
     /// Whether all links are late from the start.
     bool starts_late = false;
+    /// Calls that the fleet may spend on watches. With 0 hosts read by their
+    /// roles and by evidence, as those of a large fleet do.
+    double watch_calls_per_s = Policy().watch_calls_per_s;
+    /// Time for which a host in touch may lack a change, if shorter than the
+    /// bound.
+    absl::Duration target = absl::InfiniteDuration();
   };
 
   /// What was seen since `StartMeasuring`.
@@ -90,10 +97,14 @@
   void DelayAllLinks(absl::Duration duration);
   /// All paths to the store are late from now on.
   void DelayStore(absl::Duration duration);
+  /// Cuts all links between the hosts of a failure domain and other hosts.
+  void CutDomain(size_t domain, absl::Duration duration);
   /// Cuts all links between hosts.
   void CutAll(Cut cut, absl::Duration duration);
   /// The call of a host gets no response, if one is under way.
   void SilenceWatch(size_t host) { SilenceWatch(*hosts_[host]); }
+  /// The response to the call of a host begins, but does not end in time.
+  void TrickleResponse(size_t host);
 
  private:
   struct Fetch {
@@ -114,6 +125,8 @@
     absl::Time late_store_until = absl::InfinitePast();
     /// The call under way gets no response.
     bool loses_call = false;
+    /// The response to the call under way does not end in time.
+    bool trickles = false;
     int round = 0;
     std::unique_ptr<HostTable> table;
     std::unique_ptr<PublishedFreshness> freshness;
