--- a/libs/tier/include/tier/publishing_times.h
+++ b/libs/tier/include/tier/publishing_times.h
@@ -33,6 +33,7 @@
   /// have what changed meanwhile.
   static constexpr absl::Duration kContactTime = absl::Seconds(5);
   static constexpr absl::Duration kMaxReceive = absl::Seconds(3);
+  static constexpr absl::Duration kMaxPatience = absl::Seconds(30);
   /// A round trip to a service in another region.
   static constexpr absl::Duration kRoundTrip = absl::Milliseconds(42);
   /// Time for which a host may get no processor time.
@@ -50,13 +51,23 @@
   absl::Duration watch;
   /// Shortest watch, of a host whose proof is as old as a watch lasts.
   absl::Duration min_watch = absl::Milliseconds(100);
-  /// Longest time until the first byte of a response, beside its watch.
+  /// A call is late, and another one is made beside it, after this time until
+  /// the first byte of its response, beside its watch. On a path that is known
+  /// to be slow it takes longer, `max_response` at most.
   absl::Duration response = absl::Milliseconds(600);
-  /// Longest time from the first byte of a response to its end: a large
+  /// The longest round trip with which a change can be in force in time.
+  absl::Duration max_response;
+  /// A call is late this time after the first byte of its response: a large
   /// configuration on a slow link that carries requests as well.
   absl::Duration receive;
-  /// Longest time for opening a connection to the configuration service.
+  /// A call is late, likewise, this time after its start if it has no
+  /// connection to the configuration service yet.
   absl::Duration connect = absl::Milliseconds(500);
+  /// Time without a byte after which a late call is given up, at first and at
+  /// most: it grows until a call is answered, so that no path is too slow for
+  /// ever.
+  absl::Duration patience;
+  absl::Duration max_patience;
   /// Longest pause after the first failed call.
   absl::Duration failure_pause;
   /// How often a host decides whether to read the configuration service.
--- a/libs/tier/src/publishing_times.cc
+++ b/libs/tier/src/publishing_times.cc
@@ -31,6 +31,15 @@
       std::clamp((1 - kReserveRatio) * bound - PollSchedule::kMaxBatchPause -
                      times.failure_pause - 3 * kRoundTrip - kWithoutProcessor,
                  times.response, kMaxReceive);
+  // A change that just misses a response waits until that one has arrived, for
+  // half a round trip and the pause, and then for a call.
+  times.max_response = std::max(
+      times.response, ((1 - kReserveRatio) * bound -
+                       PollSchedule::kMaxBatchPause - kWithoutProcessor) *
+                          2 / 3);
+  // A connection, and a call on it.
+  times.patience = 2 * times.max_response;
+  times.max_patience = std::max(times.patience, kMaxPatience);
   times.behind_log = kBehindLogRatio * bound;
   times.outdated_log = kOutdatedLogRatio * bound;
   return times;
--- a/libs/tier/tests/publishing_times_test.cc
+++ b/libs/tier/tests/publishing_times_test.cc
@@ -148,6 +148,8 @@
   CPPUNIT_TEST(ReadersProveInTimeUnderAnyBound);
   CPPUNIT_TEST(FirstPauseAfterAFailureIsThatOfTheSchedule);
   CPPUNIT_TEST(HostsDrawFromTheRanges);
+  CPPUNIT_TEST(ChangeIsInForceInTimeOnTheSlowestPath);
+  CPPUNIT_TEST(CallIsNotGivenUpOnTheSlowestPath);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -193,6 +195,24 @@
     CPPUNIT_ASSERT(times.RetryPause(0) == times.min_retry_pause);
     CPPUNIT_ASSERT(times.RetryPause(1) == times.max_retry_pause);
   }
+  void ChangeIsInForceInTimeOnTheSlowestPath() {
+    CPPUNIT_ASSERT(rc::check("slowest path under any bound", [] {
+      const PublishingTimes times = PublishingTimes::For(AnyBound());
+      const absl::Duration one_way = times.max_response / 2;
+      const absl::Duration sum = one_way * 3 + kBatchPause + kWithoutProcessor;
+      RC_ASSERT(sum <= times.bound * kTargetRatio);
+      RC_ASSERT(times.max_response >= absl::Seconds(2));
+    }));
+  }
+  void CallIsNotGivenUpOnTheSlowestPath() {
+    CPPUNIT_ASSERT(rc::check("patience under any bound", [] {
+      const PublishingTimes times = PublishingTimes::For(
+          absl::Milliseconds(*rc::gen::inRange(1, kMaxBoundMs)));
+      RC_ASSERT(times.response <= times.max_response);
+      RC_ASSERT(times.patience >= times.max_response * 2);
+      RC_ASSERT(times.patience <= times.max_patience);
+    }));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PublishingTimesTest);
