--- a/libs/engine/include/engine/async_http_client.h
+++ b/libs/engine/include/engine/async_http_client.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <utility>
@@ -22,6 +23,22 @@
   absl::Duration stall;
   /// Longest time from the first byte to the end of the response.
   absl::Duration receive;
+  /// Longest time until the request is sent on a connection.
+  absl::Duration send = absl::InfiniteDuration();
+};
+
+/// A request that goes on when it is late.
+struct PatientGet {
+  std::string target;
+  /// Limits after which the call is late.
+  ResponseTimeouts late;
+  /// Limits after which it ends.
+  ResponseTimeouts end;
+  /// Called once if the call is late.
+  std::function<void()> on_late;
+  /// Called with the first byte of the response.
+  std::function<void()> on_first_byte;
+  std::function<void(Result<HttpResponse>)> done;
 };
 
 /// Asynchronous HTTP client of one server with timeouts for each request.
@@ -45,18 +62,28 @@
   /// As above, with further request headers.
   void Get(const std::string& target, const std::vector<HttpHeader>& headers,
            const ResponseTimeouts& timeouts, Done done);
+  /// Sends a request that goes on when it is late. A connection that takes long
+  /// to open does not hold up later requests.
+  /// @return the call, for `Cancel`.
+  ExchangeId Get(PatientGet get);
+
+  /// Cancels a call. None of its callbacks is called any more. Has no effect on
+  /// one that has ended.
+  void Cancel(ExchangeId call);
 
  private:
   struct PendingCall;
 
-  /// Ends the call if a time limit is exceeded, otherwise looks again when the
-  /// next one can be.
+  ExchangeId Start(PatientGet get, const std::vector<HttpHeader>& headers);
+  /// Ends the call or reports that it is late if a time limit is exceeded, and
+  /// looks again when the next one can be.
   void CheckTimeouts(const std::shared_ptr<PendingCall>& call);
 
   EventLoop& loop_;
   TimerScope timers_{loop_};
   const Endpoint endpoint_;
   ConnectionPool pool_;
+  std::map<ExchangeId, std::shared_ptr<PendingCall>> calls_;
 };
 
 }  // namespace cherrydyke::engine
--- a/libs/engine/include/engine/connection_pool.h
+++ b/libs/engine/include/engine/connection_pool.h
@@ -62,6 +62,11 @@
   /// @return whether the exchange was queued, so that nothing of it was sent.
   bool Cancel(ExchangeId exchange, absl::Duration grace);
 
+  /// Closes the youngest connections that are being opened, beyond one for each
+  /// queued request: a request that is queued later gets an attempt of its own,
+  /// though an older one gets no response.
+  void CloseSurplusAttempts();
+
   /// Reports all queued requests as `kNotSent`.
   void FailQueued();
   /// Reports all queued requests as `kWithdrawn`: the server must not get them
--- a/libs/engine/src/async_http_client.cc
+++ b/libs/engine/src/async_http_client.cc
@@ -36,35 +36,56 @@
             kMaxConnections, nullptr) {}
 
 struct AsyncHttpClient::PendingCall {
-  ResponseTimeouts timeouts;
+  PatientGet get;
   ExchangeId exchange = 0;
   TimerId timer = 0;
   absl::Time started_at;
+  bool is_sent = false;
+  bool is_late = false;
   /// When the first and the last bytes of the response arrived.
   absl::Time first_byte_at = absl::InfiniteFuture();
   absl::Time progress_at;
-  Done done;
 
   bool HasBegun() const { return first_byte_at != absl::InfiniteFuture(); }
-  absl::Time TimesOutAt() const {
-    if (!HasBegun()) return started_at + timeouts.first_byte;
-    return std::min(progress_at + timeouts.stall,
-                    first_byte_at + timeouts.receive);
+  absl::Time ExceededAt(const ResponseTimeouts& timeouts) const {
+    if (HasBegun()) {
+      return std::min(progress_at + timeouts.stall,
+                      first_byte_at + timeouts.receive);
+    }
+    const absl::Time first_byte_due = started_at + timeouts.first_byte;
+    if (is_sent) return first_byte_due;
+    return std::min(first_byte_due, started_at + timeouts.send);
+  }
+  absl::Time LateAt() const {
+    return is_late ? absl::InfiniteFuture() : ExceededAt(get.late);
   }
+  absl::Time EndsAt() const { return ExceededAt(get.end); }
 };
 
 void AsyncHttpClient::Get(const std::string& target,
                           const std::vector<HttpHeader>& headers,
                           const ResponseTimeouts& timeouts, Done done) {
+  constexpr ResponseTimeouts kNever = {
+      absl::InfiniteDuration(), absl::InfiniteDuration(),
+      absl::InfiniteDuration(), absl::InfiniteDuration()};
+  Start({target, kNever, timeouts, nullptr, nullptr, std::move(done)}, headers);
+}
+
+ExchangeId AsyncHttpClient::Get(PatientGet get) {
+  return Start(std::move(get), {});
+}
+
+ExchangeId AsyncHttpClient::Start(PatientGet get,
+                                  const std::vector<HttpHeader>& headers) {
   const auto call = std::make_shared<PendingCall>();
-  call->timeouts = timeouts;
+  call->get = std::move(get);
   call->started_at = loop_.Now();
-  call->done = std::move(done);
   PoolRequest request;
   request.max_idle_time = kMaxIdleTime;
-  request.exchange.write = [this, target, headers] {
-    std::string head =
-        absl::StrCat("GET ", target, " HTTP/1.1\r\nHost: ", endpoint_, "\r\n");
+  request.exchange.write = [this, call, headers] {
+    call->is_sent = true;
+    std::string head = absl::StrCat("GET ", call->get.target,
+                                    " HTTP/1.1\r\nHost: ", endpoint_, "\r\n");
     for (const HttpHeader& header : headers) {
       absl::StrAppend(&head, header.name, ": ", header.value, "\r\n");
     }
@@ -72,12 +93,15 @@
   };
   request.exchange.on_progress = [this, call] {
     call->progress_at = loop_.Now();
-    call->first_byte_at = std::min(call->first_byte_at, call->progress_at);
+    if (call->HasBegun()) return;
+    call->first_byte_at = call->progress_at;
+    if (call->get.on_first_byte) call->get.on_first_byte();
   };
   request.exchange.done = [this, call](ExchangeResult result) {
-    if (!call->done) return;
+    if (!call->get.done) return;
     loop_.Cancel(call->timer);
-    const Done done = std::exchange(call->done, nullptr);
+    calls_.erase(call->exchange);
+    const Done done = std::exchange(call->get.done, nullptr);
     if (result.status == ExchangeStatus::kComplete) {
       done(std::move(result.response));
     } else {
@@ -86,24 +110,43 @@
     }
   };
   call->exchange = pool_.Send(std::move(request));
+  calls_.emplace(call->exchange, call);
   CheckTimeouts(call);
+  return call->exchange;
+}
+
+void AsyncHttpClient::Cancel(ExchangeId call) {
+  const auto found = calls_.find(call);
+  if (found == calls_.end()) return;
+  PendingCall& cancelled = *found->second;
+  loop_.Cancel(cancelled.timer);
+  cancelled.get.done = nullptr;
+  cancelled.get.on_first_byte = nullptr;
+  calls_.erase(found);
+  pool_.Cancel(call, absl::ZeroDuration());
+  // The next call may need another attempt.
+  pool_.CloseSurplusAttempts();
 }
 
 void AsyncHttpClient::CheckTimeouts(const std::shared_ptr<PendingCall>& call) {
-  if (loop_.Now() < call->TimesOutAt()) {
-    call->timer = timers_.RunAt(call->TimesOutAt(),
-                                [this, call] { CheckTimeouts(call); });
-    return;
+  if (loop_.Now() >= call->EndsAt()) {
+    const Done done = std::exchange(call->get.done, nullptr);
+    const bool has_begun = call->HasBegun();
+    Cancel(call->exchange);
+    return done(
+        Error{ErrorCode::kTimeout,
+              absl::StrCat(has_begun ? "HTTP response stopped arriving or "
+                                       "took too long from "
+                                     : "HTTP request timed out without a "
+                                       "response from ",
+                           endpoint_)});
   }
-  const Done done = std::exchange(call->done, nullptr);
-  pool_.Cancel(call->exchange, absl::ZeroDuration());
-  done(Error{
-      ErrorCode::kTimeout,
-      absl::StrCat(call->HasBegun() ? "HTTP response stopped arriving or took "
-                                      "too long from "
-                                    : "HTTP request timed out without a "
-                                      "response from ",
-                   endpoint_)});
+  const bool is_late = loop_.Now() >= call->LateAt();
+  if (is_late) call->is_late = true;
+  call->timer = timers_.RunAt(std::min(call->LateAt(), call->EndsAt()),
+                              [this, call] { CheckTimeouts(call); });
+  // It may cancel the call.
+  if (is_late && call->get.on_late) call->get.on_late();
 }
 
 }  // namespace cherrydyke::engine
--- a/libs/engine/src/connection_pool.cc
+++ b/libs/engine/src/connection_pool.cc
@@ -176,6 +176,17 @@
   if (PendingConnections() == 0 && connection_count() < limit_) Open();
 }
 
+void ConnectionPool::CloseSurplusAttempts() {
+  std::vector<std::shared_ptr<ClientConnection>> surplus;
+  int count = PendingConnections() - static_cast<int>(queue_.size());
+  for (auto it = connections_.rbegin(); it != connections_.rend(); ++it) {
+    if (it->connection->IsOpen()) continue;
+    if (count-- <= 0) break;
+    surplus.push_back(it->connection);
+  }
+  for (const auto& connection : surplus) connection->Close();
+}
+
 bool ConnectionPool::IsConnected() const {
   return std::any_of(connections_.begin(), connections_.end(),
                      [](const PooledConnection& pooled) {
--- a/libs/engine/tests/async_http_client_test.cc
+++ b/libs/engine/tests/async_http_client_test.cc
@@ -16,6 +16,7 @@
 constexpr ResponseTimeouts kTimeouts = {absl::Seconds(1), absl::Seconds(1),
                                         absl::Milliseconds(2500)};
 constexpr absl::Duration kConnectTimeout = absl::Milliseconds(500);
+constexpr absl::Duration kLate = absl::Milliseconds(100);
 constexpr absl::Duration kPartPeriod = absl::Milliseconds(50);
 
 }  // namespace
@@ -28,6 +29,10 @@
   CPPUNIT_TEST(SilentServerTimesOut);
   CPPUNIT_TEST(SendsFurtherHeaders);
   CPPUNIT_TEST(CallsAfterClosedConnectionsAreSent);
+  CPPUNIT_TEST(LateCallGoesOn);
+  CPPUNIT_TEST(PatientCallEndsAtItsLastLimit);
+  CPPUNIT_TEST(CallWithoutConnectionIsLateSooner);
+  CPPUNIT_TEST(CancelledCallReportsNothing);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -85,7 +90,67 @@
     }
   }
 
+  // Guards against a slow path on which each call is given up (CONFIG).
+  void LateCallGoesOn() {
+    TimerScope timers(loop_);
+    RawServer server(loop_, [&](RawConnection& c, const std::string&) {
+      timers.RunAfter(2 * kLate, [&c] { c.Write(OkResponse("x")); });
+    });
+    GetPatiently(server);
+    CPPUNIT_ASSERT(RunUntil(loop_, [&] { return late_count_ == 1; }));
+    CPPUNIT_ASSERT_EQUAL(0, first_byte_count_);
+    CPPUNIT_ASSERT(RunUntil(loop_, [&] { return result_.has_value(); }));
+    CPPUNIT_ASSERT_EQUAL(std::string("x"), GetValue(*result_).body);
+    CPPUNIT_ASSERT_EQUAL(1, late_count_);
+    CPPUNIT_ASSERT_EQUAL(1, first_byte_count_);
+    CPPUNIT_ASSERT_EQUAL(1, server.accepted());
+  }
+
+  void PatientCallEndsAtItsLastLimit() {
+    RawServer server(loop_, [](RawConnection&, const std::string&) {});
+    const absl::Time started = loop_.Now();
+    GetPatiently(server);
+    CPPUNIT_ASSERT(RunUntil(loop_, [&] { return result_.has_value(); }));
+    CPPUNIT_ASSERT(IsTimeout(*result_));
+    CPPUNIT_ASSERT(loop_.Now() - started >= kTimeouts.first_byte);
+    CPPUNIT_ASSERT_EQUAL(1, late_count_);
+  }
+
+  void CallWithoutConnectionIsLateSooner() {
+    RawServer server(loop_, [](RawConnection&, const std::string&) {});
+    server.FallSilent();
+    const absl::Time started = loop_.Now();
+    GetPatiently(server);
+    CPPUNIT_ASSERT(RunUntil(loop_, [&] { return late_count_ == 1; }));
+    CPPUNIT_ASSERT(loop_.Now() - started < kLate);
+  }
+
+  void CancelledCallReportsNothing() {
+    RawServer server(loop_, [](RawConnection& c, const std::string&) {
+      c.Write(OkResponse("x"));
+    });
+    const ExchangeId call = GetPatiently(server);
+    patient_client_->Cancel(call);
+    RunFor(loop_, 2 * kLate);
+    CPPUNIT_ASSERT(!result_.has_value());
+    CPPUNIT_ASSERT_EQUAL(0, late_count_);
+    patient_client_->Cancel(call);
+  }
+
  private:
+  ExchangeId GetPatiently(const RawServer& server) {
+    PatientGet get;
+    get.target = "/x";
+    get.late = {kLate, kLate, kTimeouts.receive, kLate / 2};
+    get.end = kTimeouts;
+    get.on_late = [this] { ++late_count_; };
+    get.on_first_byte = [this] { ++first_byte_count_; };
+    get.done = [this](Result<HttpResponse> got) { result_ = std::move(got); };
+    patient_client_ = std::make_unique<AsyncHttpClient>(
+        loop_, server.endpoint(), kConnectTimeout);
+    return patient_client_->Get(std::move(get));
+  }
+
   // Requests a response of `length` bytes of which one a period arrives until
   // `sent` have.
   Result<HttpResponse> GetInParts(int length, int sent) {
@@ -121,6 +186,10 @@
 
   BootClock clock_;
   EventLoop loop_{clock_};
+  std::unique_ptr<AsyncHttpClient> patient_client_;
+  std::optional<Result<HttpResponse>> result_;
+  int late_count_ = 0;
+  int first_byte_count_ = 0;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AsyncHttpClientTest);
--- a/libs/engine/tests/connection_pool_test.cc
+++ b/libs/engine/tests/connection_pool_test.cc
@@ -46,10 +46,26 @@
   CPPUNIT_TEST(SendsNothingOnUnverifiedConnection);
   CPPUNIT_TEST(ReplacesConnectionIdleBeyondMaxIdleTime);
   CPPUNIT_TEST(HonoursKeepAliveTimeoutHeader);
+  CPPUNIT_TEST(HangingAttemptsDoNotHoldUpLaterRequests);
   CPPUNIT_TEST(LoopOutlivesTheObjectsInItsHandlers);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  // Guards against a restored path that is not tried (CONFIG).
+  void HangingAttemptsDoNotHoldUpLaterRequests() {
+    StartServer([](RawConnection&, const std::string&) {});
+    server_->FallSilent();
+    pool_->SetLimit(2);
+    pool_->Send(Request(""));
+    for (int i = 0; i < 3; ++i) {
+      const ExchangeId second = pool_->Send(Request(""));
+      CPPUNIT_ASSERT_EQUAL(2, pool_->connection_count());
+      pool_->Cancel(second, absl::ZeroDuration());
+      pool_->CloseSurplusAttempts();
+      CPPUNIT_ASSERT_EQUAL(1, pool_->connection_count());
+    }
+  }
+
   void LoopOutlivesTheObjectsInItsHandlers() {
     const BootClock clock;
     auto loop = std::make_unique<EventLoop>(clock);
