--- a/libs/tier/include/tier/published_source.h
+++ b/libs/tier/include/tier/published_source.h
@@ -28,9 +28,13 @@
     /// @param targets whether those of the targets have.
     virtual void OnRead(absl::Time current_until, bool config,
                         bool targets) = 0;
-    /// A call failed.
+    /// The service did not answer a call: it failed, was given up, or a later
+    /// one was answered first.
     /// @param started_at when it began.
     virtual void OnReadFailed(absl::Time started_at) = 0;
+    /// A call is late and may still be answered, or has failed before it was
+    /// late: reported once for each call.
+    virtual void OnReadMissed() = 0;
   };
 
   virtual ~PublishedSource() = default;
--- a/libs/tier/include/tier/round_trip_estimate.h
+++ b/libs/tier/include/tier/round_trip_estimate.h
@@ -21,9 +21,10 @@
  public:
   /// @return the estimate after a call whose round trip took this long.
   RoundTripEstimate AfterSample(absl::Duration round_trip) const;
-  /// @return the estimate after a call whose round trip took this long or
-  /// longer; the same one unless that raises it.
-  RoundTripEstimate AfterLowerBound(absl::Duration round_trip) const;
+  /// @return the estimate after a call whose round trip took a time between
+  /// these: the same one if it lies between them.
+  RoundTripEstimate AfterBounds(absl::Duration least,
+                                absl::Duration most) const;
 
   /// @return the time after which a call is late, between the limits; `floor`
   /// before the first sample, and if it exceeds `ceiling`.
--- a/libs/tier/include/tier/tier_host.h
+++ b/libs/tier/include/tier/tier_host.h
@@ -79,6 +79,7 @@
  private:
   void OnRead(absl::Time current_until, bool config, bool targets) override;
   void OnReadFailed(absl::Time started_at) override;
+  void OnReadMissed() override;
 
   void LogOutageEnd() const;
   void MeasureLateness();
--- a/libs/tier/src/round_trip_estimate.cc
+++ b/libs/tier/src/round_trip_estimate.cc
@@ -27,9 +27,13 @@
   return next;
 }
 
-RoundTripEstimate RoundTripEstimate::AfterLowerBound(
-    absl::Duration round_trip) const {
-  const RoundTripEstimate next = AfterSample(round_trip);
+RoundTripEstimate RoundTripEstimate::AfterBounds(absl::Duration least,
+                                                 absl::Duration most) const {
+  const absl::Duration smoothed = smoothed_.value_or(absl::ZeroDuration());
+  if (smoothed > most) return AfterSample(most);
+  if (smoothed >= least) return *this;
+  // A bound near the estimate would only make the spread smaller.
+  const RoundTripEstimate next = AfterSample(least);
   return next.Unlimited() > Unlimited() ? next : *this;
 }
 
--- a/libs/tier/src/tier_host.cc
+++ b/libs/tier/src/tier_host.cc
@@ -247,6 +247,9 @@
 
 void TierHost::OnReadFailed(absl::Time started_at) {
   source_outage_.OnReadFailed(started_at, loop_.Now());
+}
+
+void TierHost::OnReadMissed() {
   freshness_.OnReadFailed(loop_.Now());
   // Otherwise a host that is to pause would call once more before it does.
   UpdateReaderRole();
--- a/libs/tier/tests/round_trip_estimate_test.cc
+++ b/libs/tier/tests/round_trip_estimate_test.cc
@@ -33,13 +33,14 @@
   CPPUNIT_TEST(ReturnsToTheFloorAfterASlowPath);
   CPPUNIT_TEST(StaysBetweenTheLimits);
   CPPUNIT_TEST(LowerBoundsNeverLowerIt);
+  CPPUNIT_TEST(UpperBoundsReturnItToTheFloor);
   CPPUNIT_TEST_SUITE_END();
 
  public:
   void IsTheFloorBeforeTheFirstSample() {
     CPPUNIT_ASSERT(LateAfter(RoundTripEstimate()) == kFloor);
-    CPPUNIT_ASSERT(LateAfter(RoundTripEstimate().AfterLowerBound(
-                       absl::ZeroDuration())) == kFloor);
+    CPPUNIT_ASSERT(LateAfter(RoundTripEstimate().AfterBounds(
+                       absl::ZeroDuration(), kCeiling)) == kFloor);
   }
 
   void IsTheFloorOnAFastPath() {
@@ -92,12 +93,27 @@
       const RoundTripEstimate estimate =
           AfterSamples(absl::Milliseconds(*rc::gen::inRange(0, kMaxSampleMs)),
                        *rc::gen::inRange(1, 5));
-      const RoundTripEstimate after = estimate.AfterLowerBound(
-          absl::Milliseconds(*rc::gen::inRange(0, kMaxSampleMs)));
+      const RoundTripEstimate after = estimate.AfterBounds(
+          absl::Milliseconds(*rc::gen::inRange(0, kMaxSampleMs)),
+          absl::InfiniteDuration());
       RC_ASSERT(after.LateAfter(absl::ZeroDuration(), absl::Hours(1)) >=
                 estimate.LateAfter(absl::ZeroDuration(), absl::Hours(1)));
     }));
   }
+
+  // Guards against a late watch that is noticed late while changes go on,
+  // because of one slow call before.
+  void UpperBoundsReturnItToTheFloor() {
+    constexpr absl::Duration kMost = absl::Milliseconds(300);
+    constexpr int kCalls = 30;
+    RoundTripEstimate estimate =
+        AfterSamples(absl::Milliseconds(42), 100).AfterSample(absl::Seconds(3));
+    CPPUNIT_ASSERT(LateAfter(estimate) > kFloor);
+    for (int i = 0; i < kCalls; ++i) {
+      estimate = estimate.AfterBounds(absl::ZeroDuration(), kMost);
+    }
+    CPPUNIT_ASSERT(LateAfter(estimate) == kFloor);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RoundTripEstimateTest);
