--- a/cmake/CherrydykeTargets.cmake
+++ b/cmake/CherrydykeTargets.cmake
@@ -13,9 +13,10 @@
   endif()
 endfunction()
 
-# Declares one CppUnit test binary and registers it with CTest.
+# Declares one CppUnit test binary and registers it with CTest: once, or each of
+# the CASES of its SUITE.
 function(cherrydyke_test name)
-  cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
+  cmake_parse_arguments(ARG "" "SUITE" "SOURCES;DEPENDS;CASES" ${ARGN})
   if(CHERRYDYKE_ONLY_TIER)
     return()
   endif()
@@ -23,7 +24,13 @@
                  ${PROJECT_SOURCE_DIR}/tests/support/test_main.cc)
   target_include_directories(${name} PRIVATE ${PROJECT_SOURCE_DIR}/tests)
   target_link_libraries(${name} PRIVATE ${ARG_DEPENDS} cppunit rapidcheck)
-  add_test(NAME ${name} COMMAND ${name})
+  if(NOT ARG_CASES)
+    add_test(NAME ${name} COMMAND ${name})
+  endif()
+  foreach(case ${ARG_CASES})
+    add_test(NAME ${name}_${case}
+             COMMAND ${name} cherrydyke::${ARG_SUITE}::${case})
+  endforeach()
 endfunction()
 
 # Declares a program built from a thin main and its own sources.
