--- a/libs/engine/include/engine/async_http_client.h
+++ b/libs/engine/include/engine/async_http_client.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -24,12 +25,28 @@
   absl::Duration receive;
 };
 
+/// The time limit that ended a call.
+enum class CallLimit { kNone, kConnect, kFirstByte, kStall, kReceive };
+
+/// How a call went.
+struct CallReport {
+  CallLimit limit = CallLimit::kNone;
+  /// Time from the begin of the call to its end.
+  absl::Duration elapsed;
+
+  friend bool operator==(const CallReport& a, const CallReport& b) {
+    return std::tie(a.limit, a.elapsed) == std::tie(b.limit, b.elapsed);
+  }
+};
+
 /// Asynchronous HTTP client of one server with timeouts for each request.
 /// Reuses keep-alive connections and closes the connection of a request that
 /// times out.
-class AsyncHttpClient {
+class AsyncHttpClient : private ConnectionPool::Listener {
  public:
   using Done = std::function<void(Result<HttpResponse>)>;
+  using ReportedDone =
+      std::function<void(Result<HttpResponse>, const CallReport&)>;
 
   AsyncHttpClient(EventLoop& loop, Endpoint endpoint,
                   absl::Duration connect_timeout);
@@ -45,10 +62,18 @@
   /// As above, with further request headers.
   void Get(const std::string& target, const std::vector<HttpHeader>& headers,
            const ResponseTimeouts& timeouts, Done done);
+  /// As `Get`, also reports how the call went.
+  void GetWithReport(const std::string& target,
+                     const std::vector<HttpHeader>& headers,
+                     const ResponseTimeouts& timeouts, ReportedDone done);
 
  private:
   struct PendingCall;
 
+  void OnConnectFailed(bool refused) override { connect_refused_ = refused; }
+  void OnClosedBeforeResponse() override {}
+  void OnConnected() override {}
+
   /// Ends the call if a time limit is exceeded, otherwise looks again when the
   /// next one can be.
   void CheckTimeouts(const std::shared_ptr<PendingCall>& call);
@@ -56,6 +81,8 @@
   EventLoop& loop_;
   TimerScope timers_{loop_};
   const Endpoint endpoint_;
+  /// Whether the last attempt to connect that failed ended with an error.
+  bool connect_refused_ = false;
   ConnectionPool pool_;
 };
 
--- a/libs/engine/src/async_http_client.cc
+++ b/libs/engine/src/async_http_client.cc
@@ -33,7 +33,7 @@
     : loop_(loop),
       endpoint_(endpoint),
       pool_(loop, std::move(endpoint), MakeClientOptions(connect_timeout),
-            kMaxConnections, nullptr) {}
+            kMaxConnections, this) {}
 
 struct AsyncHttpClient::PendingCall {
   ResponseTimeouts timeouts;
@@ -43,7 +43,7 @@
   /// When the first and the last bytes of the response arrived.
   absl::Time first_byte_at = absl::InfiniteFuture();
   absl::Time progress_at;
-  Done done;
+  ReportedDone done;
 
   bool HasBegun() const { return first_byte_at != absl::InfiniteFuture(); }
   absl::Time TimesOutAt() const {
@@ -51,11 +51,29 @@
     return std::min(progress_at + timeouts.stall,
                     first_byte_at + timeouts.receive);
   }
+  /// @return the limit that is exceeded first.
+  CallLimit Limit() const {
+    if (!HasBegun()) return CallLimit::kFirstByte;
+    return progress_at + timeouts.stall < first_byte_at + timeouts.receive
+               ? CallLimit::kStall
+               : CallLimit::kReceive;
+  }
 };
 
 void AsyncHttpClient::Get(const std::string& target,
                           const std::vector<HttpHeader>& headers,
                           const ResponseTimeouts& timeouts, Done done) {
+  GetWithReport(target, headers, timeouts,
+                [done = std::move(done)](Result<HttpResponse> result,
+                                         const CallReport& /*report*/) {
+                  done(std::move(result));
+                });
+}
+
+void AsyncHttpClient::GetWithReport(const std::string& target,
+                                    const std::vector<HttpHeader>& headers,
+                                    const ResponseTimeouts& timeouts,
+                                    ReportedDone done) {
   const auto call = std::make_shared<PendingCall>();
   call->timeouts = timeouts;
   call->started_at = loop_.Now();
@@ -77,13 +95,16 @@
   request.exchange.done = [this, call](ExchangeResult result) {
     if (!call->done) return;
     loop_.Cancel(call->timer);
-    const Done done = std::exchange(call->done, nullptr);
+    const ReportedDone done = std::exchange(call->done, nullptr);
+    const absl::Duration elapsed = loop_.Now() - call->started_at;
     if (result.status == ExchangeStatus::kComplete) {
-      done(std::move(result.response));
-    } else {
-      done(Error{ErrorCode::kUnavailable,
-                 absl::StrCat("no complete HTTP response from ", endpoint_)});
+      return done(std::move(result.response), {CallLimit::kNone, elapsed});
     }
+    const bool is_limit =
+        result.status == ExchangeStatus::kNotSent && !connect_refused_;
+    done(Error{ErrorCode::kUnavailable,
+               absl::StrCat("no complete HTTP response from ", endpoint_)},
+         {is_limit ? CallLimit::kConnect : CallLimit::kNone, elapsed});
   };
   call->exchange = pool_.Send(std::move(request));
   CheckTimeouts(call);
@@ -95,15 +116,17 @@
                                 [this, call] { CheckTimeouts(call); });
     return;
   }
-  const Done done = std::exchange(call->done, nullptr);
-  pool_.Cancel(call->exchange, absl::ZeroDuration());
-  done(Error{
-      ErrorCode::kTimeout,
-      absl::StrCat(call->HasBegun() ? "HTTP response stopped arriving or took "
-                                      "too long from "
-                                    : "HTTP request timed out without a "
-                                      "response from ",
-                   endpoint_)});
+  const ReportedDone done = std::exchange(call->done, nullptr);
+  const bool was_unsent = pool_.Cancel(call->exchange, absl::ZeroDuration());
+  const CallLimit limit = was_unsent ? CallLimit::kConnect : call->Limit();
+  done(Error{ErrorCode::kTimeout,
+             absl::StrCat(call->HasBegun()
+                              ? "HTTP response stopped arriving or took "
+                                "too long from "
+                              : "HTTP request timed out without a "
+                                "response from ",
+                          endpoint_)},
+       {limit, loop_.Now() - call->started_at});
 }
 
 }  // namespace cherrydyke::engine
--- a/libs/telemetry/src/metrics.cc
+++ b/libs/telemetry/src/metrics.cc
@@ -21,9 +21,14 @@
   return labels.empty() ? "" : absl::StrCat("{", labels, "}");
 }
 
+std::string WithLabel(const std::string& labels, const char* name,
+                      absl::string_view value) {
+  return absl::StrCat("{", labels, labels.empty() ? "" : ",", name, "=\"",
+                      value, "\"}");
+}
+
 std::string WithQuantile(const std::string& labels, const char* quantile) {
-  return absl::StrCat("{", labels, labels.empty() ? "" : ",", "quantile=\"",
-                      quantile, "\"}");
+  return WithLabel(labels, "quantile", quantile);
 }
 
 }  // namespace
@@ -58,6 +63,20 @@
   return snapshot;
 }
 
+void DurationHistogram::Observe(double seconds) {
+  const absl::MutexLock lock(&mutex_);
+  for (size_t i = 0; i < kBounds.size(); ++i) {
+    if (seconds <= kBounds.at(i)) ++snapshot_.counts.at(i);
+  }
+  ++snapshot_.count;
+  snapshot_.sum += seconds;
+}
+
+DurationHistogram::Snapshot DurationHistogram::snapshot() const {
+  const absl::MutexLock lock(&mutex_);
+  return snapshot_;
+}
+
 Counter& Metrics::counter(const std::string& name, const std::string& labels) {
   const absl::MutexLock lock(&mutex_);
   auto& entry = counters_[{name, labels}];
@@ -72,6 +91,14 @@
   return *entry;
 }
 
+DurationHistogram& Metrics::histogram(const std::string& name,
+                                      const std::string& labels) {
+  const absl::MutexLock lock(&mutex_);
+  auto& entry = histograms_[{name, labels}];
+  if (entry == nullptr) entry = std::make_unique<DurationHistogram>();
+  return *entry;
+}
+
 void Metrics::Gauge(const std::string& name, std::function<double()> read) {
   const absl::MutexLock lock(&mutex_);
   gauges_[name] = std::move(read);
@@ -94,6 +121,19 @@
     absl::StrAppend(&text, name, "_sum", Braces(labels), " ", s.sum, "\n");
     absl::StrAppend(&text, name, "_count", Braces(labels), " ", s.count, "\n");
   }
+  for (const auto& [key, histogram] : histograms_) {
+    const auto& [name, labels] = key;
+    const DurationHistogram::Snapshot s = histogram->snapshot();
+    for (size_t i = 0; i < s.counts.size(); ++i) {
+      const std::string bound = absl::StrCat(DurationHistogram::kBounds.at(i));
+      absl::StrAppend(&text, name, "_bucket", WithLabel(labels, "le", bound),
+                      " ", s.counts.at(i), "\n");
+    }
+    absl::StrAppend(&text, name, "_bucket", WithLabel(labels, "le", "+Inf"),
+                    " ", s.count, "\n");
+    absl::StrAppend(&text, name, "_sum", Braces(labels), " ", s.sum, "\n");
+    absl::StrAppend(&text, name, "_count", Braces(labels), " ", s.count, "\n");
+  }
   for (const auto& [name, read] : gauges_) {
     absl::StrAppend(&text, name, " ", read(), "\n");
   }
--- a/libs/tier/include/tier/published_source.h
+++ b/libs/tier/include/tier/published_source.h
@@ -10,6 +10,7 @@
 #include "dispatch/types.h"
 #include "engine/http_server.h"
 #include "tier/published_items.h"
+#include "tier/source_call.h"
 
 namespace cherrydyke {
 
@@ -31,6 +32,8 @@
     /// A call failed.
     /// @param started_at when it began.
     virtual void OnReadFailed(absl::Time started_at) = 0;
+    /// A call has ended; comes before what follows from it.
+    virtual void OnCall(const SourceCall& /*call*/) {}
   };
 
   virtual ~PublishedSource() = default;
--- a/libs/tier/include/tier/tier_host.h
+++ b/libs/tier/include/tier/tier_host.h
@@ -18,6 +18,7 @@
 #include "tier/published_source.h"
 #include "tier/publishing_times.h"
 #include "tier/request_handler.h"
+#include "tier/source_call_log.h"
 #include "tier/source_outage.h"
 #include "tier/target_set.h"
 
@@ -79,6 +80,7 @@
  private:
   void OnRead(absl::Time current_until, bool config, bool targets) override;
   void OnReadFailed(absl::Time started_at) override;
+  void OnCall(const SourceCall& call) override;
 
   void LogOutageEnd() const;
   void MeasureLateness();
@@ -132,12 +134,15 @@
   engine::HttpServer readiness_server_;
   engine::HttpServer metrics_server_;
   SourceOutage source_outage_;
+  SourceCallLog source_call_log_{metrics_};
   absl::Time shutdown_started_at_ = absl::InfiniteFuture();
   std::optional<ShutdownSchedule> shutdown_;
   bool stopped_accepting_ = false;
   /// When `UpdateReaderRole` is to run next, and how late it last ran.
   absl::Time next_check_at_ = absl::InfiniteFuture();
   absl::Duration lateness_;
+  /// The most since the last line with the host's counters.
+  absl::Duration max_lateness_;
 };
 
 }  // namespace cherrydyke
--- a/libs/tier/src/tier_host.cc
+++ b/libs/tier/src/tier_host.cc
@@ -252,6 +252,10 @@
   UpdateReaderRole();
 }
 
+void TierHost::OnCall(const SourceCall& call) {
+  source_call_log_.OnCall(call, {PublishedAge(), lateness_}, loop_.Now());
+}
+
 void TierHost::ApplyPublished(bool config, bool targets) {
   const bool was_ready = IsReady();
   if (targets) ApplyTargets();
@@ -292,6 +296,8 @@
            {"behind_ms", absl::ToInt64Milliseconds(TimeBehind())},
            {"role",
             ToString(hosts_.Role(adapters_.source.IsReading(), loop_.Now()))},
+           {"max_lateness_ms", absl::ToInt64Milliseconds(std::exchange(
+                                   max_lateness_, absl::ZeroDuration()))},
            {"lines_left_out", dropped_lines}});
 }
 
@@ -335,6 +341,7 @@
   const absl::Time now = loop_.Now();
   const absl::Duration lateness_before = lateness_;
   lateness_ = std::max(now - next_check_at_, absl::ZeroDuration());
+  max_lateness_ = std::max(max_lateness_, lateness_);
   next_check_at_ = now + times_.check_period;
   if (lateness_ < kMinFreezeTime || lateness_before > kLatenessRecheckPeriod) {
     return;
