--- a/libs/engine/include/engine/async_http_client.h
+++ b/libs/engine/include/engine/async_http_client.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -27,6 +28,23 @@
   absl::Duration send = absl::InfiniteDuration();
 };
 
+/// The time limit that a call has exceeded.
+enum class CallLimit { kNone, kConnect, kFirstByte, kStall, kReceive };
+
+/// How a call went so far.
+struct CallReport {
+  CallLimit limit = CallLimit::kNone;
+  /// Time since the begin of the call.
+  absl::Duration elapsed;
+  /// Time until the first byte of the response; infinite if there was none.
+  absl::Duration first_byte = absl::InfiniteDuration();
+
+  friend bool operator==(const CallReport& a, const CallReport& b) {
+    return std::tie(a.limit, a.elapsed, a.first_byte) ==
+           std::tie(b.limit, b.elapsed, b.first_byte);
+  }
+};
+
 /// A request that goes on when it is late.
 struct PatientGet {
   std::string target;
@@ -35,16 +53,14 @@
   /// Limits after which it ends.
   ResponseTimeouts end;
   /// Called once if the call is late.
-  std::function<void()> on_late;
-  /// Called with the first byte of the response.
-  std::function<void()> on_first_byte;
-  std::function<void(Result<HttpResponse>)> done;
+  std::function<void(const CallReport&)> on_late;
+  std::function<void(Result<HttpResponse>, const CallReport&)> done;
 };
 
 /// Asynchronous HTTP client of one server with timeouts for each request.
 /// Reuses keep-alive connections and closes the connection of a request that
 /// times out.
-class AsyncHttpClient {
+class AsyncHttpClient : private ConnectionPool::Listener {
  public:
   using Done = std::function<void(Result<HttpResponse>)>;
 
@@ -74,6 +90,10 @@
  private:
   struct PendingCall;
 
+  void OnConnectFailed(bool refused) override { connect_refused_ = refused; }
+  void OnClosedBeforeResponse() override {}
+  void OnConnected() override {}
+
   ExchangeId Start(PatientGet get, const std::vector<HttpHeader>& headers);
   /// Ends the call or reports that it is late if a time limit is exceeded, and
   /// looks again when the next one can be.
@@ -82,6 +102,8 @@
   EventLoop& loop_;
   TimerScope timers_{loop_};
   const Endpoint endpoint_;
+  /// Whether the last attempt to connect that failed ended with an error.
+  bool connect_refused_ = false;
   ConnectionPool pool_;
   std::map<ExchangeId, std::shared_ptr<PendingCall>> calls_;
 };
