Keep a connection attempt that is late

What callers saw: a server whose round trip exceeds connect_timeout (targets 1 s, transfers 0.5 s, peers 0.3 s) was never connected to: each attempt was closed at the timeout and begun anew, though no packet was lost. A fleet whose targets are so far away serves nothing.

An attempt beyond the timeout has failed for requests and for the listener as before, and others are made beside it. The first one that is late is kept for another 3 s; if it opens, it is used, and an attempt beside it is closed where the limit of connections asks for it.

--- a/libs/engine/include/engine/client_connection.h
+++ b/libs/engine/include/engine/client_connection.h
@@ -60,7 +60,11 @@
 
 /// Options of outgoing connections.
 struct ClientOptions {
+  /// Time after which a connection attempt is late.
   absl::Duration connect_timeout = absl::Seconds(1);
+  /// Longest time for which an attempt that is late is kept: on a slow path it
+  /// may still succeed.
+  absl::Duration max_connect_lateness = absl::Seconds(3);
   /// Largest response body that is accepted, in bytes.
   size_t max_body_bytes = 16U << 20U;
   /// Response header that is compared with `Exchange::expected_id`.
@@ -87,6 +91,9 @@
     virtual ~Observer() = default;
     /// The connection was established and can take a request.
     virtual void OnOpened(ClientConnection& connection) = 0;
+    /// The connection was not established within
+    /// `ClientOptions::connect_timeout`, but may still be.
+    virtual void OnConnectLate(ClientConnection& connection) = 0;
     /// An exchange has ended and the connection can take the next one.
     virtual void OnIdle(ClientConnection& connection) = 0;
     /// The connection is closed and cannot be used again.
@@ -133,6 +140,7 @@
   enum class State { kConnecting, kIdle, kBusy, kClosed };
   struct Socket;
 
+  void OnConnectTimeout();
   void Read();
   void OnBytes();
   /// @param is_eof whether the server closed the connection in order.
--- a/libs/engine/include/engine/connection_pool.h
+++ b/libs/engine/include/engine/connection_pool.h
@@ -26,6 +26,11 @@
 /// Pool of keep-alive connections to one server. Holds at most `limit`
 /// connections with one request at a time on each; further requests are queued
 /// in order.
+///
+/// A connection attempt that is late has failed as far as requests and the
+/// listener are concerned, and others are made beside it. One is kept
+/// nevertheless, so that a server whose round trip exceeds the timeout is
+/// connected to in the end.
 class ConnectionPool : private ClientConnection::Observer {
  public:
   /// Receives connection events that indicate the server's health.
@@ -77,8 +82,9 @@
   bool is_backing_off() const { return loop_.Now() < next_connect_at_; }
   /// @return whether at least one connection is established.
   bool IsConnected() const;
-  /// @return connections that are established or being opened.
-  int connection_count() const { return static_cast<int>(connections_.size()); }
+  /// @return connections that are established or being opened, without the
+  /// attempt that is late.
+  int connection_count() const;
 
  private:
   struct QueuedRequest {
@@ -94,9 +100,12 @@
     /// Whether the server may still close the connection because it has too
     /// many; it carries no request until then.
     bool verifying = false;
+    /// Whether the attempt to open it is late.
+    bool late = false;
   };
 
   void OnOpened(ClientConnection& connection) override;
+  void OnConnectLate(ClientConnection& connection) override;
   void OnIdle(ClientConnection& connection) override;
   void OnClosed(ClientConnection& connection, bool was_open,
                 bool by_peer) override;
@@ -110,8 +119,10 @@
   /// Sends a request on an idle connection, unless it is withdrawn.
   void Assign(PooledConnection& pooled, QueuedRequest queued);
   void Open();
+  /// Closes attempts that are not late while there are too many connections.
+  void CloseSurplusAttempts();
   void SendQueued();
-  /// Calls `FailQueued` if the pool has no connection left.
+  /// Calls `FailQueued` if the pool has no connection left but a late one.
   void FailQueuedIfNoConnection();
   void OnClosedBeforeResponse();
   void EndQueued(ExchangeStatus status);
--- a/libs/engine/src/client_connection.cc
+++ b/libs/engine/src/client_connection.cc
@@ -88,10 +88,9 @@
     loop_.Post([self = shared_from_this()] { self->CloseSocket(false); });
     return;
   }
-  connect_timer_ = loop_.RunAfter(options_.connect_timeout, [this] {
-    connect_timer_ = 0;
-    CloseSocket(false);
-  });
+  connect_timer_ =
+      loop_.RunAfter(options_.connect_timeout,
+                     [self = shared_from_this()] { self->OnConnectTimeout(); });
   socket_->tcp.async_connect(
       *address, [self = shared_from_this()](const error_code& error) {
         if (self->state_ == State::kClosed) return;
@@ -105,6 +104,15 @@
       });
 }
 
+void ClientConnection::OnConnectTimeout() {
+  connect_timer_ = loop_.RunAfter(options_.max_connect_lateness,
+                                  [self = shared_from_this()] {
+                                    self->connect_timer_ = 0;
+                                    self->CloseSocket(false);
+                                  });
+  if (observer_ != nullptr) observer_->OnConnectLate(*this);
+}
+
 void ClientConnection::Start(Exchange exchange, std::string bytes) {
   state_ = State::kBusy;
   exchange_ = std::move(exchange);
--- a/libs/engine/src/connection_pool.cc
+++ b/libs/engine/src/connection_pool.cc
@@ -38,6 +38,12 @@
   }
 }
 
+int ConnectionPool::connection_count() const {
+  return static_cast<int>(std::count_if(
+      connections_.begin(), connections_.end(),
+      [](const PooledConnection& pooled) { return !pooled.late; }));
+}
+
 void ConnectionPool::SetLimit(int limit) {
   limit_ = limit;
   for (size_t index = 0;
@@ -138,7 +144,7 @@
 void ConnectionPool::Open() {
   auto connection = std::make_shared<ClientConnection>(
       loop_, endpoint_, options_, static_cast<Observer*>(this));
-  connections_.push_back({connection, 0, 0, loop_.Now(), false});
+  connections_.push_back({connection, 0, 0, loop_.Now(), false, false});
   connection->Connect();
 }
 
@@ -187,7 +193,8 @@
   return static_cast<int>(
       std::count_if(connections_.begin(), connections_.end(),
                     [](const PooledConnection& pooled) {
-                      return pooled.verifying || !pooled.connection->IsOpen();
+                      return pooled.verifying ||
+                             (!pooled.connection->IsOpen() && !pooled.late);
                     }));
 }
 
@@ -197,8 +204,12 @@
 
 void ConnectionPool::OnOpened(ClientConnection& connection) {
   if (listener_ != nullptr) listener_->OnConnected();
-  PooledConnection* const pooled = Find(connection);
+  PooledConnection* pooled = Find(connection);
   if (pooled == nullptr) return;
+  if (std::exchange(pooled->late, false)) {
+    CloseSurplusAttempts();
+    pooled = Find(connection);
+  }
   if (!MustVerifyConnections()) return SendQueued();
   pooled->verifying = true;
   const absl::Duration round_trip = loop_.Now() - pooled->connect_started_at;
@@ -211,6 +222,33 @@
                    });
 }
 
+void ConnectionPool::OnConnectLate(ClientConnection& connection) {
+  PooledConnection* const pooled = Find(connection);
+  if (pooled == nullptr) return;
+  const bool is_first =
+      std::none_of(connections_.begin(), connections_.end(),
+                   [](const PooledConnection& other) { return other.late; });
+  if (!is_first) return connection.Close();
+  pooled->late = true;
+  if (listener_ != nullptr) listener_->OnConnectFailed(false);
+  FailQueuedIfNoConnection();
+}
+
+void ConnectionPool::CloseSurplusAttempts() {
+  while (connection_count() > limit_) {
+    const auto surplus =
+        std::find_if(connections_.begin(), connections_.end(),
+                     [](const PooledConnection& pooled) {
+                       return !pooled.late && !pooled.connection->IsOpen();
+                     });
+    if (surplus == connections_.end()) return;
+    const auto connection = surplus->connection;
+    connections_.erase(surplus);
+    connection->Detach();
+    connection->Close();
+  }
+}
+
 void ConnectionPool::OnIdle(ClientConnection& /*connection*/) { SendQueued(); }
 
 void ConnectionPool::OnClosed(ClientConnection& connection, bool was_open,
@@ -218,9 +256,12 @@
   PooledConnection* const pooled = Find(connection);
   if (pooled == nullptr) return;
   loop_.Cancel(pooled->abort_timer);
+  const bool is_reported = pooled->late && !by_peer;
   connections_.erase(connections_.begin() + (pooled - connections_.data()));
   if (!was_open) {
-    if (listener_ != nullptr) listener_->OnConnectFailed(by_peer);
+    if (listener_ != nullptr && !is_reported) {
+      listener_->OnConnectFailed(by_peer);
+    }
     return FailQueuedIfNoConnection();
   }
   if (by_peer && !connection.has_received_response()) OnClosedBeforeResponse();
@@ -238,7 +279,7 @@
 }
 
 void ConnectionPool::FailQueuedIfNoConnection() {
-  if (connections_.empty()) FailQueued();
+  if (connection_count() == 0) FailQueued();
 }
 
 void ConnectionPool::FailQueued() { EndQueued(ExchangeStatus::kNotSent); }
--- a/libs/engine/tests/connection_pool_test.cc
+++ b/libs/engine/tests/connection_pool_test.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "support/fake_link.h"
 #include "support/raw_peers.h"
 
 namespace cherrydyke::engine {
@@ -46,6 +47,9 @@
   CPPUNIT_TEST(SendsNothingOnUnverifiedConnection);
   CPPUNIT_TEST(ReplacesConnectionIdleBeyondMaxIdleTime);
   CPPUNIT_TEST(HonoursKeepAliveTimeoutHeader);
+  CPPUNIT_TEST(ServerBeyondTheConnectTimeoutIsConnectedToInTheEnd);
+  CPPUNIT_TEST(LateConnectionReplacesTheAttemptBesideItAtTheLimit);
+  CPPUNIT_TEST(SilentServerFailsRequestsAtTheTimeoutBesideALateAttempt);
   CPPUNIT_TEST(LoopOutlivesTheObjectsInItsHandlers);
   CPPUNIT_TEST_SUITE_END();
 
@@ -369,14 +373,66 @@
     CPPUNIT_ASSERT_EQUAL(2, server_->accepted());
   }
 
+  void ServerBeyondTheConnectTimeoutIsConnectedToInTheEnd() {
+    StartServerBehindSilentLink(4);
+    CPPUNIT_ASSERT(SendAndWait()->status == ExchangeStatus::kNotSent);
+    link_->SetState(FakeLink::State::kOpen);
+    CPPUNIT_ASSERT(RunUntil(
+        loop_, [&] { return pool_->IsConnected(); }, kSynTimeout));
+    CPPUNIT_ASSERT_EQUAL(1, pool_->connection_count());
+    CPPUNIT_ASSERT(SendAndWait()->status == ExchangeStatus::kComplete);
+    CPPUNIT_ASSERT_EQUAL(1, server_->accepted());
+  }
+
+  void LateConnectionReplacesTheAttemptBesideItAtTheLimit() {
+    StartServerBehindSilentLink(1);
+    CPPUNIT_ASSERT(SendAndWait()->status == ExchangeStatus::kNotSent);
+    // The attempt beside it begins too late to open before the first one.
+    RunFor(loop_, absl::Milliseconds(500));
+    std::optional<ExchangeStatus> status;
+    SendRecordingStatus(status);
+    link_->SetState(FakeLink::State::kOpen);
+    CPPUNIT_ASSERT(RunUntil(loop_, [&] { return status.has_value(); }));
+    CPPUNIT_ASSERT(status == ExchangeStatus::kComplete);
+    CPPUNIT_ASSERT_EQUAL(1, pool_->connection_count());
+    RunFor(loop_, kSynTimeout);
+    CPPUNIT_ASSERT_EQUAL(1, pool_->connection_count());
+    CPPUNIT_ASSERT_EQUAL(1, server_->accepted());
+  }
+
+  void SilentServerFailsRequestsAtTheTimeoutBesideALateAttempt() {
+    StartServerBehindSilentLink(1);
+    for (int round = 0; round < 3; ++round) {
+      const absl::Time start = loop_.Now();
+      CPPUNIT_ASSERT(SendAndWait()->status == ExchangeStatus::kNotSent);
+      CPPUNIT_ASSERT(loop_.Now() - start < absl::Milliseconds(400));
+      CPPUNIT_ASSERT_EQUAL(0, pool_->connection_count());
+    }
+  }
+
  private:
+  /// Longer than the time after which the kernel repeats an attempt.
+  static constexpr absl::Duration kSynTimeout = absl::Milliseconds(1500);
+
   void StartServer(RawServer::OnRequest on_request) {
     pool_.reset();
     server_ = std::make_unique<RawServer>(loop_, std::move(on_request));
+    StartPool(server_->endpoint(), 4);
+  }
+
+  void StartServerBehindSilentLink(int limit) {
+    StartServer(
+        [](RawConnection& c, const std::string&) { c.Write(OkResponse("a")); });
+    link_ = std::make_unique<FakeLink>(loop_, server_->endpoint());
+    link_->SetState(FakeLink::State::kSilent);
+    StartPool(link_->endpoint(), limit);
+  }
+
+  void StartPool(const Endpoint& endpoint, int limit) {
     ClientOptions options = Options();
     options.verify_new_connections_until = verify_new_connections_until_;
-    pool_ = std::make_unique<ConnectionPool>(loop_, server_->endpoint(),
-                                             options, 4, nullptr);
+    pool_ = std::make_unique<ConnectionPool>(loop_, endpoint, options, limit,
+                                             nullptr);
   }
 
   PoolRequest Request(const std::string& id) {
@@ -413,6 +469,7 @@
   BootClock clock_;
   EventLoop loop_{clock_};
   std::unique_ptr<RawServer> server_;
+  std::unique_ptr<FakeLink> link_;
   std::unique_ptr<ConnectionPool> pool_;
   std::string body_;
   absl::Time verify_new_connections_until_ = absl::InfinitePast();
--- a/libs/tier/src/partition_monitor.cc
+++ b/libs/tier/src/partition_monitor.cc
@@ -117,6 +117,10 @@
   EndProbe(connection, true);
 }
 
+void PartitionMonitor::OnConnectLate(engine::ClientConnection& connection) {
+  EndProbe(connection, false);
+}
+
 void PartitionMonitor::OnClosed(engine::ClientConnection& connection,
                                 bool /*was_open*/, bool /*by_peer*/) {
   EndProbe(connection, false);
--- a/libs/tier/src/partition_monitor.h
+++ b/libs/tier/src/partition_monitor.h
@@ -40,6 +40,7 @@
 
  private:
   void OnOpened(engine::ClientConnection& connection) override;
+  void OnConnectLate(engine::ClientConnection& connection) override;
   void OnIdle(engine::ClientConnection& /*connection*/) override {}
   void OnClosed(engine::ClientConnection& connection, bool was_open,
                 bool by_peer) override;
