End a partition by probes that connect late

What callers saw: a host whose round trip to all targets exceeds 250 ms and whose targets once fall silent together takes itself for partitioned and stays so: each probe is closed after 250 ms, though it would connect. Its requests are handed over or refused, without end (RECOVER).

The probes of one round are kept beside the next ones, up to 3 s. Those that connect count in the round that ends next. A partition is noticed as fast as before.

--- a/libs/dispatch/include/dispatch/partition_detector.h
+++ b/libs/dispatch/include/dispatch/partition_detector.h
@@ -65,6 +65,9 @@
   /// and calls `OnRoundEnded`.
   bool StartProbeRound(absl::Time now);
   void OnProbeEnded(bool connected, absl::Time now);
+  /// A probe that was reported as not connected has connected nevertheless: the
+  /// path is slow. Counts in the round that ends next.
+  void OnLateProbeConnected(absl::Time now);
   void OnRoundEnded(absl::Time now);
 
   PathState state() const { return state_; }
@@ -93,6 +96,8 @@
   bool round_running_ = false;
   int probes_connected_ = 0;
   int probes_failed_ = 0;
+  /// Late probes that have connected since the last round ended.
+  int late_probes_connected_ = 0;
   /// Successive rounds with connected probes, and how many of them end a
   /// partition.
   int good_rounds_ = 0;
--- a/libs/dispatch/src/partition_detector.cc
+++ b/libs/dispatch/src/partition_detector.cc
@@ -1,6 +1,7 @@
 #include "dispatch/partition_detector.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace cherrydyke {
 namespace {
@@ -70,6 +71,7 @@
     needed_good_rounds_ = 1;
   }
   good_rounds_ = 0;
+  late_probes_connected_ = 0;
 }
 
 void PartitionDetector::Restore(absl::Time now) {
@@ -102,15 +104,23 @@
   if (state_ == PathState::kSuspected) Restore(now);
 }
 
+void PartitionDetector::OnLateProbeConnected(absl::Time now) {
+  last_contact_at_ = now;
+  if (state_ == PathState::kSuspected) return Restore(now);
+  ++late_probes_connected_;
+}
+
 void PartitionDetector::OnRoundEnded(absl::Time now) {
   round_running_ = false;
+  const int late = std::exchange(late_probes_connected_, 0);
   if (state_ == PathState::kSuspected) {
     if (probes_failed_ > 0) state_ = PathState::kPartitioned;
     return;
   }
   if (state_ != PathState::kPartitioned) return;
-  const bool good = probes_connected_ >= kMinConnectedProbes ||
-                    (probes_connected_ > 0 && probes_failed_ == 0);
+  const int connected = probes_connected_ + late;
+  const bool good = connected >= kMinConnectedProbes ||
+                    (connected > 0 && probes_failed_ <= late);
   good_rounds_ = good ? good_rounds_ + 1 : 0;
   if (good_rounds_ >= needed_good_rounds_) Restore(now);
 }
--- a/libs/dispatch/tests/partition_detector_test.cc
+++ b/libs/dispatch/tests/partition_detector_test.cc
@@ -20,6 +20,9 @@
   CPPUNIT_TEST(PartitionEndsWithGoodRoundOfProbes);
   CPPUNIT_TEST(SingleAcceptedProbeDoesNotEndPartition);
   CPPUNIT_TEST(FlappingPathNeedsMoreGoodRounds);
+  CPPUNIT_TEST(ProbesThatConnectLateEndPartition);
+  CPPUNIT_TEST(SingleLateProbeEndsPartitionOnlyIfNoneFailed);
+  CPPUNIT_TEST(LateProbeClearsSuspicion);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -94,6 +97,39 @@
     CPPUNIT_ASSERT(detector_.state() == PathState::kConnected);
   }
 
+  void ProbesThatConnectLateEndPartition() {
+    Partition();
+    detector_.OnLateProbeConnected(now_);
+    detector_.OnLateProbeConnected(now_);
+    CPPUNIT_ASSERT(detector_.state() == PathState::kPartitioned);
+    now_ += kProbePeriod;
+    Probe(0, 6);
+    CPPUNIT_ASSERT(detector_.state() == PathState::kConnected);
+    CPPUNIT_ASSERT(detector_.evidence().last_contact_at != now_);
+  }
+
+  void SingleLateProbeEndsPartitionOnlyIfNoneFailed() {
+    Partition();
+    detector_.OnLateProbeConnected(now_);
+    now_ += kProbePeriod;
+    Probe(0, 6);
+    CPPUNIT_ASSERT(detector_.state() == PathState::kPartitioned);
+    // Late probes count once.
+    now_ += kProbePeriod;
+    Probe(0, 1);
+    CPPUNIT_ASSERT(detector_.state() == PathState::kPartitioned);
+    detector_.OnLateProbeConnected(now_);
+    now_ += kProbePeriod;
+    Probe(0, 1);
+    CPPUNIT_ASSERT(detector_.state() == PathState::kConnected);
+  }
+
+  void LateProbeClearsSuspicion() {
+    Silence(kTargets);
+    detector_.OnLateProbeConnected(now_);
+    CPPUNIT_ASSERT(detector_.state() == PathState::kConnected);
+  }
+
  private:
   // Sends a request to each of the targets, of which the first ones are silent.
   void Silence(uint32_t silent) {
--- a/libs/engine/include/engine/client_connection.h
+++ b/libs/engine/include/engine/client_connection.h
@@ -121,6 +121,7 @@
   /// effect if no exchange is running.
   void AbortExchange();
 
+  bool IsConnecting() const { return state_ == State::kConnecting; }
   bool IsIdle() const { return state_ == State::kIdle; }
   bool IsOpen() const {
     return state_ == State::kIdle || state_ == State::kBusy;
--- a/libs/tier/src/partition_monitor.cc
+++ b/libs/tier/src/partition_monitor.cc
@@ -26,22 +26,19 @@
   return "unknown";
 }
 
-engine::ClientOptions ProbeOptions() {
-  engine::ClientOptions options;
-  options.connect_timeout = kProbeTimeout;
-  return options;
-}
-
 }  // namespace
 
 PartitionMonitor::PartitionMonitor(engine::EventLoop& loop, Callbacks callbacks)
     : loop_(loop), callbacks_(std::move(callbacks)) {}
 
 PartitionMonitor::~PartitionMonitor() {
-  for (const auto& probe : probes_) {
-    probe->Detach();
-    probe->Close();
-  }
+  for (const Probe& probe : probes_) End(probe);
+  for (const Probe& probe : late_probes_) End(probe);
+}
+
+void PartitionMonitor::End(const Probe& probe) {
+  probe.connection->Detach();
+  probe.connection->Close();
 }
 
 void PartitionMonitor::OnSent(uint32_t target) {
@@ -104,17 +101,27 @@
 }
 
 void PartitionMonitor::StartRound() {
+  engine::ClientOptions options;
+  options.connect_timeout = kProbeTimeout;
+  const absl::Time now = loop_.Now();
   for (const Endpoint& endpoint : callbacks_.choose_probes(kProbesPerRound)) {
-    probes_.push_back(std::make_shared<engine::ClientConnection>(
-        loop_, endpoint, ProbeOptions(),
-        static_cast<engine::ClientConnection::Observer*>(this)));
+    probes_.push_back(
+        {std::make_shared<engine::ClientConnection>(
+             loop_, endpoint, options,
+             static_cast<engine::ClientConnection::Observer*>(this)),
+         now});
   }
   if (probes_.empty()) return detector_.OnRoundEnded(loop_.Now());
-  for (const auto& probe : std::vector(probes_)) probe->Connect();
+  for (const Probe& probe : Probes(probes_)) probe.connection->Connect();
 }
 
 void PartitionMonitor::OnOpened(engine::ClientConnection& connection) {
-  EndProbe(connection, true);
+  const auto late = Find(late_probes_, connection);
+  if (late == late_probes_.end()) return EndProbe(connection, true);
+  End(Probe(*late));
+  late_probes_.erase(late);
+  detector_.OnLateProbeConnected(loop_.Now());
+  ApplyState();
 }
 
 void PartitionMonitor::OnConnectLate(engine::ClientConnection& connection) {
@@ -123,19 +130,34 @@
 
 void PartitionMonitor::OnClosed(engine::ClientConnection& connection,
                                 bool /*was_open*/, bool /*by_peer*/) {
-  EndProbe(connection, false);
+  const auto late = Find(late_probes_, connection);
+  if (late == late_probes_.end()) return EndProbe(connection, false);
+  End(Probe(*late));
+  late_probes_.erase(late);
+}
+
+PartitionMonitor::Probes::iterator PartitionMonitor::Find(
+    Probes& probes, const engine::ClientConnection& connection) {
+  return std::find_if(probes.begin(), probes.end(), [&](const Probe& probe) {
+    return probe.connection.get() == &connection;
+  });
+}
+
+bool PartitionMonitor::KeepLate(const Probe& probe) {
+  const bool is_kept = late_probes_.empty() ||
+                       late_probes_.front().started_at == probe.started_at;
+  if (is_kept) late_probes_.push_back(probe);
+  return is_kept;
 }
 
 void PartitionMonitor::EndProbe(engine::ClientConnection& connection,
                                 bool connected) {
-  const auto probe = std::find_if(
-      probes_.begin(), probes_.end(),
-      [&](const auto& entry) { return entry.get() == &connection; });
-  if (probe == probes_.end()) return;
-  const auto ended = std::move(*probe);
-  probes_.erase(probe);
-  ended->Detach();
-  ended->Close();
+  const auto found = Find(probes_, connection);
+  if (found == probes_.end()) return;
+  const Probe probe = *found;
+  probes_.erase(found);
+  const bool is_late = connection.IsConnecting();
+  if (!is_late || !KeepLate(probe)) End(probe);
   detector_.OnProbeEnded(connected, loop_.Now());
   if (probes_.empty()) detector_.OnRoundEnded(loop_.Now());
   ApplyState();
--- a/libs/tier/src/partition_monitor.h
+++ b/libs/tier/src/partition_monitor.h
@@ -39,6 +39,12 @@
   absl::Time silent_since() const { return detector_.silent_since(); }
 
  private:
+  struct Probe {
+    std::shared_ptr<engine::ClientConnection> connection;
+    absl::Time started_at;
+  };
+  using Probes = std::vector<Probe>;
+
   void OnOpened(engine::ClientConnection& connection) override;
   void OnConnectLate(engine::ClientConnection& connection) override;
   void OnIdle(engine::ClientConnection& /*connection*/) override {}
@@ -49,6 +55,12 @@
   void StartRound();
   /// Reports the result of a probe and ends its connection.
   void EndProbe(engine::ClientConnection& connection, bool connected);
+  /// Keeps a probe that is late, if those of one round are kept at most.
+  /// @return whether it is kept.
+  bool KeepLate(const Probe& probe);
+  static Probes::iterator Find(Probes& probes,
+                               const engine::ClientConnection& connection);
+  static void End(const Probe& probe);
   void ApplyState();
 
   engine::EventLoop& loop_;
@@ -57,7 +69,9 @@
   PartitionDetector detector_;
   PathState applied_state_ = PathState::kConnected;
   absl::Time applied_since_;
-  std::vector<std::shared_ptr<engine::ClientConnection>> probes_;
+  Probes probes_;
+  /// Probes of one earlier round that count as failed and may still connect.
+  Probes late_probes_;
   bool polling_ = false;
 };
 
