--- a/libs/engine/include/engine/connection_pool.h
+++ b/libs/engine/include/engine/connection_pool.h
@@ -67,6 +67,11 @@
   /// @return whether the exchange was queued, so that nothing of it was sent.
   bool Cancel(ExchangeId exchange, absl::Duration grace);
 
+  /// Closes the youngest connections that are being opened, beyond one for each
+  /// queued request: a request that is queued later gets an attempt of its own,
+  /// though an older one gets no response.
+  void CloseSurplusAttempts();
+
   /// Reports all queued requests as `kNotSent`.
   void FailQueued();
   /// Reports all queued requests as `kWithdrawn`: the server must not get them
@@ -120,7 +125,7 @@
   void Assign(PooledConnection& pooled, QueuedRequest queued);
   void Open();
   /// Closes attempts that are not late while there are too many connections.
-  void CloseSurplusAttempts();
+  void CloseAttemptsBeyondLimit();
   void SendQueued();
   /// Calls `FailQueued` if the pool has no connection left but a late one.
   void FailQueuedIfNoConnection();
--- a/libs/engine/src/connection_pool.cc
+++ b/libs/engine/src/connection_pool.cc
@@ -182,6 +182,17 @@
   if (PendingConnections() == 0 && connection_count() < limit_) Open();
 }
 
+void ConnectionPool::CloseSurplusAttempts() {
+  std::vector<std::shared_ptr<ClientConnection>> surplus;
+  int count = PendingConnections() - static_cast<int>(queue_.size());
+  for (auto it = connections_.rbegin(); it != connections_.rend(); ++it) {
+    if (it->connection->IsOpen() || it->late) continue;
+    if (count-- <= 0) break;
+    surplus.push_back(it->connection);
+  }
+  for (const auto& connection : surplus) connection->Close();
+}
+
 bool ConnectionPool::IsConnected() const {
   return std::any_of(connections_.begin(), connections_.end(),
                      [](const PooledConnection& pooled) {
@@ -207,7 +218,7 @@
   PooledConnection* pooled = Find(connection);
   if (pooled == nullptr) return;
   if (std::exchange(pooled->late, false)) {
-    CloseSurplusAttempts();
+    CloseAttemptsBeyondLimit();
     pooled = Find(connection);
   }
   if (!MustVerifyConnections()) return SendQueued();
@@ -234,7 +245,7 @@
   FailQueuedIfNoConnection();
 }
 
-void ConnectionPool::CloseSurplusAttempts() {
+void ConnectionPool::CloseAttemptsBeyondLimit() {
   while (connection_count() > limit_) {
     const auto surplus =
         std::find_if(connections_.begin(), connections_.end(),
