Let a transfer from a peer on a slow path arrive

What a host saw: published items can't be fetched from a peer whose round trip exceeds 1 s: each transfer is closed a second after it began and begun anew, though it would arrive. Hosts that read by roles and evidence get changes and, while the store is away at the start, the configuration from peers only.

A transfer has 2.5 s until its first byte and between its parts. It doesn't hold up others: another peer is asked beside it after 0.7 s as before, of which four fit into 2.5 s, and the same peer again after 2 s, on a connection of its own, as often as before.

--- a/libs/tier/include/tier/fleet_gossip.h
+++ b/libs/tier/include/tier/fleet_gossip.h
@@ -95,7 +95,8 @@
   void ApplyProofs();
 
   /// Fetches published items newer than the own ones, unless a fetch has just
-  /// begun or the peer has just failed to send them.
+  /// begun or the peer has just failed to send them. A fetch that is late goes
+  /// on beside the next ones.
   void FetchFrom(const HostId& peer);
 
  private:
@@ -110,6 +111,11 @@
              std::tie(b.config, b.targets, b.compress);
     }
   };
+  /// A transfer from a peer under way.
+  struct Fetch {
+    HostId peer;
+    absl::Time started_at;
+  };
   struct EncodedTransfer {
     TransferRequest request;
     /// Revisions of configuration and targets known when it was encoded.
@@ -155,9 +161,10 @@
   LogRateLimiter log_rate_limiter_;
   Callbacks callbacks_;
   EncodedTransfer last_transfer_;
-  /// When the fetches under way began, and until when peers that failed to
-  /// send their items are not asked again.
-  std::map<HostId, absl::Time> fetches_;
+  /// Transfers under way by number, and until when peers that failed to send
+  /// their items are not asked again.
+  std::map<int64_t, Fetch> fetches_;
+  int64_t last_fetch_ = 0;
   std::map<HostId, absl::Time> excluded_until_;
   int round_ = 0;
   /// Token bucket of health report traffic.
--- a/libs/tier/src/fleet_gossip.cc
+++ b/libs/tier/src/fleet_gossip.cc
@@ -45,9 +45,10 @@
 constexpr absl::Duration kLateDatagram = absl::Milliseconds(200);
 constexpr int kLateLogLinesPerS = 2;
 /// The hosts of a group fetch a change at the same time, so that its bytes
-/// share the sender's link with as many copies.
+/// share the sender's link with as many copies. A transfer on a slow path has
+/// time for a round trip before it begins and between its parts.
 constexpr engine::ResponseTimeouts kTransferTimeouts = {
-    absl::Seconds(1), absl::Seconds(1), absl::Seconds(10)};
+    absl::Milliseconds(2500), absl::Milliseconds(2500), absl::Seconds(10)};
 constexpr absl::Duration kConnectTimeout = absl::Milliseconds(500);
 /// Negotiates compressed transfers: hosts of earlier versions ignore the header
 /// of the request and answer without compression.
@@ -57,8 +58,13 @@
 /// Largest transfer after decompression, as without compression.
 constexpr size_t kMaxTransferBytes = 16U << 20U;
 /// Transfers under way at the same time: a peer that sends slowly does not keep
-/// this host from asking another one.
-constexpr size_t kMaxFetches = 3;
+/// this host from asking another one. Begun `kLagTolerance` apart, silent ones
+/// have ended before there are as many.
+constexpr size_t kMaxFetches = 4;
+/// After this time a peer is asked again beside a transfer that is late, whose
+/// connection may have fallen silent.
+constexpr absl::Duration kRepeatTime = absl::Seconds(2);
+constexpr int kMaxFetchesPerPeer = 2;
 /// How long a peer that failed to send its items is not asked again.
 constexpr absl::Duration kFailedPeerPause = absl::Seconds(1);
 /// How long an encoded transfer is sent to further hosts that lack the same
@@ -271,15 +277,21 @@
   const absl::Time now = loop_.Now();
   const auto excluded = excluded_until_.find(peer);
   if (excluded != excluded_until_.end() && now < excluded->second) return false;
-  return fetches_.count(peer) == 0 && fetches_.size() < kMaxFetches &&
+  if (fetches_.size() >= kMaxFetches) return false;
+  const auto from_peer = std::count_if(
+      fetches_.begin(), fetches_.end(),
+      [&](const auto& fetch) { return fetch.second.peer == peer; });
+  return from_peer < kMaxFetchesPerPeer &&
          std::all_of(fetches_.begin(), fetches_.end(), [&](const auto& fetch) {
-           return now - fetch.second >= kLagTolerance;
+           return now - fetch.second.started_at >=
+                  (fetch.second.peer == peer ? kRepeatTime : kLagTolerance);
          });
 }
 
 void FleetGossip::FetchFrom(const HostId& peer) {
   if (!CanFetchFrom(peer)) return;
-  fetches_[peer] = loop_.Now();
+  const int64_t fetch = ++last_fetch_;
+  fetches_[fetch] = {peer, loop_.Now()};
   std::unique_ptr<engine::AsyncHttpClient>& client = transfer_clients_[peer];
   if (client == nullptr) {
     client = std::make_unique<engine::AsyncHttpClient>(loop_, EndpointOf(peer),
@@ -290,9 +302,9 @@
   const std::string path =
       absl::StrCat(kTransferPath, config_from, "/", targets_from);
   client->Get(path, {{kAcceptHeader, kCompressed}}, kTransferTimeouts,
-              [this, peer, config_from, targets_from,
+              [this, peer, fetch, config_from, targets_from,
                started_at = loop_.Now()](Result<engine::HttpResponse> result) {
-                fetches_.erase(peer);
+                fetches_.erase(fetch);
                 const int64_t elapsed_ms =
                     absl::ToInt64Milliseconds(loop_.Now() - started_at);
                 const Error* error = GetError(result);
