--- a/libs/adapters/include/adapters/http_client.h
+++ b/libs/adapters/include/adapters/http_client.h
@@ -18,6 +18,8 @@
   kConnectionLost,
   /// The response was not complete in time.
   kTimeout,
+  /// The response has no status of a final response.
+  kMalformed,
 };
 
 struct HttpReply {
--- a/libs/adapters/src/http_client.cc
+++ b/libs/adapters/src/http_client.cc
@@ -31,10 +31,14 @@
   client.set_write_timeout(seconds, micros);
 }
 
+/// The library reads any three digits.
+bool IsFinalStatus(int status) { return status >= 200 && status < 600; }
+
 HttpClient::Outcome FromLibrary(const httplib::Result& result,
                                 absl::Duration elapsed,
                                 absl::Duration timeout) {
   if (result) {
+    if (!IsFinalStatus(result->status)) return HttpFailure::kMalformed;
     HttpReply reply{result->status, result->body, {}};
     for (const auto& [name, value] : result->headers) {
       reply.headers[absl::AsciiStrToLower(name)] = value;
--- a/libs/adapters/src/http_target.cc
+++ b/libs/adapters/src/http_target.cc
@@ -47,6 +47,8 @@
       return FailedReply(AttemptOutcome::kConnectionLost);
     case HttpFailure::kTimeout:
       return FailedReply(AttemptOutcome::kUnresponsive);
+    case HttpFailure::kMalformed:
+      return FailedReply(AttemptOutcome::kInvalidResponse);
   }
   return FailedReply(AttemptOutcome::kInvalidResponse);
 }
