End a late connection attempt once a later one succeeds

The path isn't slow then: the first attempt's packet was lost, and the kernel's repetition would open one connection more than are needed, each of which has its price at a target.

--- a/libs/engine/include/engine/connection_pool.h
+++ b/libs/engine/include/engine/connection_pool.h
@@ -126,6 +126,12 @@
   void Open();
   /// Closes attempts that are not late while there are too many connections.
   void CloseAttemptsBeyondLimit();
+  /// Closes the attempt that is late: one that began later has succeeded, so
+  /// that the path is not slow.
+  void CloseLateAttempt();
+  /// Closes the first connection that matches, without a report.
+  /// @return whether there is one.
+  bool CloseFirst(const std::function<bool(const PooledConnection&)>& matches);
   void SendQueued();
   /// Calls `FailQueued` if the pool has no connection left but a late one.
   void FailQueuedIfNoConnection();
--- a/libs/engine/src/connection_pool.cc
+++ b/libs/engine/src/connection_pool.cc
@@ -219,8 +219,10 @@
   if (pooled == nullptr) return;
   if (std::exchange(pooled->late, false)) {
     CloseAttemptsBeyondLimit();
-    pooled = Find(connection);
+  } else {
+    CloseLateAttempt();
   }
+  pooled = Find(connection);
   if (!MustVerifyConnections()) return SendQueued();
   pooled->verifying = true;
   const absl::Duration round_trip = loop_.Now() - pooled->connect_started_at;
@@ -246,20 +248,29 @@
 }
 
 void ConnectionPool::CloseAttemptsBeyondLimit() {
-  while (connection_count() > limit_) {
-    const auto surplus =
-        std::find_if(connections_.begin(), connections_.end(),
-                     [](const PooledConnection& pooled) {
-                       return !pooled.late && !pooled.connection->IsOpen();
-                     });
-    if (surplus == connections_.end()) return;
-    const auto connection = surplus->connection;
-    connections_.erase(surplus);
-    connection->Detach();
-    connection->Close();
+  const auto is_attempt = [](const PooledConnection& pooled) {
+    return !pooled.late && !pooled.connection->IsOpen();
+  };
+  while (connection_count() > limit_ && CloseFirst(is_attempt)) {
   }
 }
 
+void ConnectionPool::CloseLateAttempt() {
+  CloseFirst([](const PooledConnection& pooled) { return pooled.late; });
+}
+
+bool ConnectionPool::CloseFirst(
+    const std::function<bool(const PooledConnection&)>& matches) {
+  const auto found =
+      std::find_if(connections_.begin(), connections_.end(), matches);
+  if (found == connections_.end()) return false;
+  const auto connection = found->connection;
+  connections_.erase(found);
+  connection->Detach();
+  connection->Close();
+  return true;
+}
+
 void ConnectionPool::OnIdle(ClientConnection& /*connection*/) { SendQueued(); }
 
 void ConnectionPool::OnClosed(ClientConnection& connection, bool was_open,
--- a/libs/engine/tests/connection_pool_test.cc
+++ b/libs/engine/tests/connection_pool_test.cc
@@ -50,6 +50,7 @@
   CPPUNIT_TEST(ServerBeyondTheConnectTimeoutIsConnectedToInTheEnd);
   CPPUNIT_TEST(LateConnectionReplacesTheAttemptBesideItAtTheLimit);
   CPPUNIT_TEST(SilentServerFailsRequestsAtTheTimeoutBesideALateAttempt);
+  CPPUNIT_TEST(LateAttemptEndsOnceALaterOneSucceeds);
   CPPUNIT_TEST(HangingAttemptsDoNotHoldUpLaterRequests);
   CPPUNIT_TEST(LoopOutlivesTheObjectsInItsHandlers);
   CPPUNIT_TEST_SUITE_END();
@@ -426,6 +427,16 @@
     }
   }
 
+  void LateAttemptEndsOnceALaterOneSucceeds() {
+    StartServerBehindSilentLink(4);
+    CPPUNIT_ASSERT(SendAndWait()->status == ExchangeStatus::kNotSent);
+    link_->SetState(FakeLink::State::kOpen);
+    CPPUNIT_ASSERT(SendAndWait()->status == ExchangeStatus::kComplete);
+    RunFor(loop_, kSynTimeout);
+    CPPUNIT_ASSERT_EQUAL(1, pool_->connection_count());
+    CPPUNIT_ASSERT_EQUAL(1, server_->accepted());
+  }
+
  private:
   /// Longer than the time after which the kernel repeats an attempt.
   static constexpr absl::Duration kSynTimeout = absl::Milliseconds(1500);
