Treat a status that HTTP lacks as a malformed response

Cause: the parser takes any three digits, and all that isn't 2xx counts as a failure of the target, which is relayed.

StatusCode is 100 to 599. A response with another status, or with 101, which answers an Upgrade header only, is malformed: an attempt that failed after it may have run. A peer's reply without a final status is no reply. The one place that writes status lines takes a StatusCode, and 502 replaces any other, which doesn't deny that the request ran. Interim responses are skipped as before.

--- a/libs/engine/src/client_connection.cc
+++ b/libs/engine/src/client_connection.cc
@@ -17,6 +17,7 @@
 #include "boost/beast/http/parser.hpp"
 #include "boost/beast/http/string_body.hpp"
 #include "endpoint.h"
+#include "engine/status_code.h"
 
 namespace cherrydyke::engine {
 namespace {
@@ -41,6 +42,13 @@
   return parser.get().keep_alive() && !parser.get().need_eof();
 }
 
+/// A switch of protocols is expected by requests with an `Upgrade` header only.
+bool HasExpectedStatus(const ResponseParser& parser) {
+  const auto status =
+      StatusCode::FromInt(static_cast<int>(parser.get().result_int()));
+  return status && !status->SwitchesProtocols();
+}
+
 /// TCP keep-alive: idle time and probe interval in seconds, and number of
 /// probes. A connection whose network path has dropped its state is closed
 /// within about four seconds.
@@ -173,7 +181,7 @@
     }
   }
   if (error == http::error::need_more) return false;
-  if (error) {
+  if (error || (parser.is_header_done() && !HasExpectedStatus(parser))) {
     CloseAndFinish(ExchangeStatus::kMalformed, ReceivedHead(), false);
     return false;
   }
@@ -193,7 +201,7 @@
   ResponseParser& parser = *socket_->parser;
   HttpResponse response;
   response.status = static_cast<int>(parser.get().result_int());
-  const bool interim = response.status >= 100 && response.status < 200;
+  const bool interim = !StatusCode::FinalFromInt(response.status);
   const bool reusable = KeepsConnection(parser);
   response.headers = CopyHeaders(parser.get());
   response.body = std::move(parser.get().body());
--- a/libs/engine/src/server_connection.cc
+++ b/libs/engine/src/server_connection.cc
@@ -11,8 +11,8 @@
 #include "absl/strings/string_view.h"
 #include "beast_message.h"
 #include "boost/asio/write.hpp"
-#include "boost/beast/http/status.hpp"
 #include "engine/client_connection.h"
+#include "engine/status_code.h"
 
 namespace cherrydyke::engine {
 namespace {
@@ -26,6 +26,9 @@
 constexpr size_t kMaxPipelinedBytes = 32U << 10U;
 /// Longest time that a caller may take to read a response.
 constexpr absl::Duration kWriteTimeout = absl::Seconds(20);
+/// Instead of a response whose status no caller could read; it does not deny
+/// that the request ran.
+constexpr int kStatusBadGateway = 502;
 /// Time for a caller to read the last response of a connection and to close it.
 constexpr absl::Duration kLingerTimeout = absl::Seconds(1);
 
@@ -62,13 +65,15 @@
 }
 
 std::string Serialize(const HttpResponse& response, bool is_head, bool keep) {
+  const auto status = StatusCode::FinalFromInt(response.status);
+  if (!status) {
+    HttpResponse replacement;
+    replacement.status = kStatusBadGateway;
+    return Serialize(replacement, is_head, keep);
+  }
   std::string bytes;
   bytes.reserve(256 + response.body.size());
-  absl::StrAppend(
-      &bytes, "HTTP/1.1 ", response.status, " ",
-      http::obsolete_reason(static_cast<http::status>(response.status))
-          .to_string(),
-      "\r\n");
+  absl::StrAppend(&bytes, "HTTP/1.1 ", status->ToString(), "\r\n");
   for (const HttpHeader& header : response.headers) {
     absl::StrAppend(&bytes, header.name, ": ", header.value, "\r\n");
   }
--- a/libs/engine/tests/connection_pool_test.cc
+++ b/libs/engine/tests/connection_pool_test.cc
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "absl/strings/str_replace.h"
 #include "base/clock.h"
 #include "support/fake_link.h"
 #include "support/raw_peers.h"
@@ -30,6 +31,8 @@
   CPPUNIT_TEST(ReadsEveryBodyFraming);
   CPPUNIT_TEST(ResetDuringBodyIsConnectionLost);
   CPPUNIT_TEST(DistinguishesLostFromMalformedResponses);
+  CPPUNIT_TEST(StatusThatTheProtocolLacksIsMalformed);
+  CPPUNIT_TEST(InterimResponsesAreSkipped);
   CPPUNIT_TEST(RefusedConnectionMeansNotSent);
   CPPUNIT_TEST(DropsResponsesToOtherRequests);
   CPPUNIT_TEST(DropsResponsesThatLackTheIdentifierOnceEchoed);
@@ -142,6 +145,30 @@
                      std::string(5000, 'x')) == ExchangeStatus::kMalformed);
   }
 
+  void StatusThatTheProtocolLacksIsMalformed() {
+    for (const char* status : {"000", "042", "099", "600", "999", "101"}) {
+      StartServer([status](RawConnection& c, const std::string&) {
+        c.Write(absl::StrReplaceAll(OkResponse("a"), {{"200", status}}));
+      });
+      const auto result = SendAndWait();
+      CPPUNIT_ASSERT_MESSAGE(status,
+                             result->status == ExchangeStatus::kMalformed);
+      CPPUNIT_ASSERT_EQUAL(0, pool_->connection_count());
+    }
+  }
+
+  void InterimResponsesAreSkipped() {
+    StartServer([](RawConnection& c, const std::string&) {
+      c.Write("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n");
+      c.Write("HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n");
+      c.Write("HTTP/1.1 199 Other\r\n\r\n" + OkResponse("abc"));
+    });
+    const auto result = SendAndWait();
+    CPPUNIT_ASSERT_EQUAL(200, result->response.status);
+    CPPUNIT_ASSERT_EQUAL(std::string("abc"), result->response.body);
+    CPPUNIT_ASSERT_EQUAL(1, pool_->connection_count());
+  }
+
   void RefusedConnectionMeansNotSent() {
     StartServer([](RawConnection&, const std::string&) {});
     server_->Stop();
--- a/libs/engine/tests/http_server_test.cc
+++ b/libs/engine/tests/http_server_test.cc
@@ -11,6 +11,7 @@
 #include <utility>
 #include <vector>
 
+#include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
 #include "base/clock.h"
@@ -58,6 +59,7 @@
   CPPUNIT_TEST(UnreadRequestSurvivesTheIdleTimeout);
   CPPUNIT_TEST(HandlesPipelinedFloodOneRequestAtATime);
   CPPUNIT_TEST(SurvivesRandomBytes);
+  CPPUNIT_TEST(WritesNoStatusThatTheProtocolLacks);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -108,6 +110,26 @@
     CPPUNIT_ASSERT_EQUAL(std::string("/3"), exchanges_[2]->request().target);
   }
 
+  void WritesNoStatusThatTheProtocolLacks() {
+    for (const int status : {0, 42, 100, 101, 199, 600, 999, -200}) {
+      exchanges_.clear();
+      const auto caller = Connect();
+      caller->Write(Get("/1"));
+      CPPUNIT_ASSERT(WaitForRequests(1));
+      HttpResponse response;
+      response.status = status;
+      response.headers = {{"Stamp", "s"}};
+      response.body = "body";
+      exchanges_[0]->Respond(std::move(response));
+      RunUntil(loop_, [&] { return IsComplete(caller->received()); });
+      const std::string& received = caller->received();
+      CPPUNIT_ASSERT_MESSAGE(
+          received, absl::StartsWith(received, "HTTP/1.1 502 Bad Gateway\r\n"));
+      CPPUNIT_ASSERT(!absl::StrContains(received, "Stamp"));
+      CPPUNIT_ASSERT(!absl::StrContains(received, "body"));
+    }
+  }
+
   void ReadsChunkedBodies() {
     const auto caller = Connect();
     caller->Write("POST /c HTTP/1.1\r\n" + std::string(kHostHeader) +
--- a/libs/tier/include/tier/handover_message.h
+++ b/libs/tier/include/tier/handover_message.h
@@ -71,6 +71,8 @@
 Result<HandoverRequest> DecodeHandoverRequest(const std::string& bytes);
 
 std::string EncodeHandoverReply(const HandoverReply& reply);
+/// @return the reply, or an error if the bytes do not hold one that was
+/// rejected or has a response for a caller.
 Result<HandoverReply> DecodeHandoverReply(const std::string& bytes);
 
 std::string EncodeHandoverOffer(const HandoverOffer& offer);
--- a/libs/tier/src/handover_message.cc
+++ b/libs/tier/src/handover_message.cc
@@ -5,10 +5,12 @@
 #include <utility>
 #include <vector>
 
+#include "absl/strings/str_cat.h"
 #include "absl/strings/string_view.h"
 #include "archive.h"
 #include "cereal/types/map.hpp"
 #include "cereal/types/utility.hpp"
+#include "engine/status_code.h"
 
 namespace cherrydyke {
 namespace {
@@ -170,6 +172,10 @@
     decoded = VersionedReply{std::move(GetValue(earlier)), 0};
   }
   auto& [packed, config_version] = GetValue(decoded);
+  if (packed.accepted && !engine::StatusCode::FinalFromInt(packed.status)) {
+    return Error{ErrorCode::kInvalidInput,
+                 absl::StrCat("no status of a response: ", packed.status)};
+  }
   return HandoverReply{packed.accepted,
                        std::move(packed.rejection),
                        {packed.status, Unpack(std::move(packed.headers)),
--- a/libs/tier/tests/handover_message_test.cc
+++ b/libs/tier/tests/handover_message_test.cc
@@ -42,6 +42,7 @@
   CPPUNIT_TEST(ReplyIsUnderstoodAcrossVersions);
   CPPUNIT_TEST(RejectsTruncatedAndRandomBytes);
   CPPUNIT_TEST(RejectsRequestsThatCallersCouldNotSend);
+  CPPUNIT_TEST(RejectsRepliesWithStatusesThatCallersCannotRead);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -89,6 +90,15 @@
     }));
   }
 
+  void RejectsRepliesWithStatusesThatCallersCannotRead() {
+    for (const int status : {-200, 0, 42, 100, 199, 600, 999}) {
+      const HandoverReply reply = {true, "", {status, {}, "ok"}, 0};
+      const auto decoded = DecodeHandoverReply(EncodeHandoverReply(reply));
+      CPPUNIT_ASSERT_MESSAGE(std::to_string(status),
+                             GetError(decoded) != nullptr);
+    }
+  }
+
   void RejectsRequestsThatCallersCouldNotSend() {
     CPPUNIT_ASSERT(IsAccepted(Example()));
     HandoverRequest handover = Example();
