--- a/libs/engine/tests/connection_pool_test.cc
+++ b/libs/engine/tests/connection_pool_test.cc
@@ -7,7 +7,9 @@
 #include <string>
 #include <vector>
 
+#include "absl/strings/str_replace.h"
 #include "base/clock.h"
+#include "support/fake_link.h"
 #include "support/raw_peers.h"
 
 namespace cherrydyke::engine {
@@ -29,6 +31,8 @@
   CPPUNIT_TEST(ReadsEveryBodyFraming);
   CPPUNIT_TEST(ResetDuringBodyIsConnectionLost);
   CPPUNIT_TEST(DistinguishesLostFromMalformedResponses);
+  CPPUNIT_TEST(StatusThatTheProtocolLacksIsMalformed);
+  CPPUNIT_TEST(InterimResponsesAreSkipped);
   CPPUNIT_TEST(RefusedConnectionMeansNotSent);
   CPPUNIT_TEST(DropsResponsesToOtherRequests);
   CPPUNIT_TEST(DropsResponsesThatLackTheIdentifierOnceEchoed);
@@ -46,6 +50,10 @@
   CPPUNIT_TEST(SendsNothingOnUnverifiedConnection);
   CPPUNIT_TEST(ReplacesConnectionIdleBeyondMaxIdleTime);
   CPPUNIT_TEST(HonoursKeepAliveTimeoutHeader);
+  CPPUNIT_TEST(ServerBeyondTheConnectTimeoutIsConnectedToInTheEnd);
+  CPPUNIT_TEST(LateConnectionReplacesTheAttemptBesideItAtTheLimit);
+  CPPUNIT_TEST(SilentServerFailsRequestsAtTheTimeoutBesideALateAttempt);
+  CPPUNIT_TEST(LateAttemptEndsOnceALaterOneSucceeds);
   CPPUNIT_TEST(HangingAttemptsDoNotHoldUpLaterRequests);
   CPPUNIT_TEST(LoopOutlivesTheObjectsInItsHandlers);
   CPPUNIT_TEST_SUITE_END();
@@ -137,6 +145,30 @@
                      std::string(5000, 'x')) == ExchangeStatus::kMalformed);
   }
 
+  void StatusThatTheProtocolLacksIsMalformed() {
+    for (const char* status : {"000", "042", "099", "600", "999", "101"}) {
+      StartServer([status](RawConnection& c, const std::string&) {
+        c.Write(absl::StrReplaceAll(OkResponse("a"), {{"200", status}}));
+      });
+      const auto result = SendAndWait();
+      CPPUNIT_ASSERT_MESSAGE(status,
+                             result->status == ExchangeStatus::kMalformed);
+      CPPUNIT_ASSERT_EQUAL(0, pool_->connection_count());
+    }
+  }
+
+  void InterimResponsesAreSkipped() {
+    StartServer([](RawConnection& c, const std::string&) {
+      c.Write("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n");
+      c.Write("HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n");
+      c.Write("HTTP/1.1 199 Other\r\n\r\n" + OkResponse("abc"));
+    });
+    const auto result = SendAndWait();
+    CPPUNIT_ASSERT_EQUAL(200, result->response.status);
+    CPPUNIT_ASSERT_EQUAL(std::string("abc"), result->response.body);
+    CPPUNIT_ASSERT_EQUAL(1, pool_->connection_count());
+  }
+
   void RefusedConnectionMeansNotSent() {
     StartServer([](RawConnection&, const std::string&) {});
     server_->Stop();
@@ -385,14 +417,76 @@
     CPPUNIT_ASSERT_EQUAL(2, server_->accepted());
   }
 
+  void ServerBeyondTheConnectTimeoutIsConnectedToInTheEnd() {
+    StartServerBehindSilentLink(4);
+    CPPUNIT_ASSERT(SendAndWait()->status == ExchangeStatus::kNotSent);
+    link_->SetState(FakeLink::State::kOpen);
+    CPPUNIT_ASSERT(RunUntil(
+        loop_, [&] { return pool_->IsConnected(); }, kSynTimeout));
+    CPPUNIT_ASSERT_EQUAL(1, pool_->connection_count());
+    CPPUNIT_ASSERT(SendAndWait()->status == ExchangeStatus::kComplete);
+    CPPUNIT_ASSERT_EQUAL(1, server_->accepted());
+  }
+
+  void LateConnectionReplacesTheAttemptBesideItAtTheLimit() {
+    StartServerBehindSilentLink(1);
+    CPPUNIT_ASSERT(SendAndWait()->status == ExchangeStatus::kNotSent);
+    // The attempt beside it begins too late to open before the first one.
+    RunFor(loop_, absl::Milliseconds(500));
+    std::optional<ExchangeStatus> status;
+    SendRecordingStatus(status);
+    link_->SetState(FakeLink::State::kOpen);
+    CPPUNIT_ASSERT(RunUntil(loop_, [&] { return status.has_value(); }));
+    CPPUNIT_ASSERT(status == ExchangeStatus::kComplete);
+    CPPUNIT_ASSERT_EQUAL(1, pool_->connection_count());
+    RunFor(loop_, kSynTimeout);
+    CPPUNIT_ASSERT_EQUAL(1, pool_->connection_count());
+    CPPUNIT_ASSERT_EQUAL(1, server_->accepted());
+  }
+
+  void SilentServerFailsRequestsAtTheTimeoutBesideALateAttempt() {
+    StartServerBehindSilentLink(1);
+    for (int round = 0; round < 3; ++round) {
+      const absl::Time start = loop_.Now();
+      CPPUNIT_ASSERT(SendAndWait()->status == ExchangeStatus::kNotSent);
+      CPPUNIT_ASSERT(loop_.Now() - start < absl::Milliseconds(400));
+      CPPUNIT_ASSERT_EQUAL(0, pool_->connection_count());
+    }
+  }
+
+  void LateAttemptEndsOnceALaterOneSucceeds() {
+    StartServerBehindSilentLink(4);
+    CPPUNIT_ASSERT(SendAndWait()->status == ExchangeStatus::kNotSent);
+    link_->SetState(FakeLink::State::kOpen);
+    CPPUNIT_ASSERT(SendAndWait()->status == ExchangeStatus::kComplete);
+    RunFor(loop_, kSynTimeout);
+    CPPUNIT_ASSERT_EQUAL(1, pool_->connection_count());
+    CPPUNIT_ASSERT_EQUAL(1, server_->accepted());
+  }
+
  private:
+  /// Longer than the time after which the kernel repeats an attempt.
+  static constexpr absl::Duration kSynTimeout = absl::Milliseconds(1500);
+
   void StartServer(RawServer::OnRequest on_request) {
     pool_.reset();
     server_ = std::make_unique<RawServer>(loop_, std::move(on_request));
+    StartPool(server_->endpoint(), 4);
+  }
+
+  void StartServerBehindSilentLink(int limit) {
+    StartServer(
+        [](RawConnection& c, const std::string&) { c.Write(OkResponse("a")); });
+    link_ = std::make_unique<FakeLink>(loop_, server_->endpoint());
+    link_->SetState(FakeLink::State::kSilent);
+    StartPool(link_->endpoint(), limit);
+  }
+
+  void StartPool(const Endpoint& endpoint, int limit) {
     ClientOptions options = Options();
     options.verify_new_connections_until = verify_new_connections_until_;
-    pool_ = std::make_unique<ConnectionPool>(loop_, server_->endpoint(),
-                                             options, 4, nullptr);
+    pool_ = std::make_unique<ConnectionPool>(loop_, endpoint, options, limit,
+                                             nullptr);
   }
 
   PoolRequest Request(const std::string& id) {
@@ -429,6 +523,7 @@
   BootClock clock_;
   EventLoop loop_{clock_};
   std::unique_ptr<RawServer> server_;
+  std::unique_ptr<FakeLink> link_;
   std::unique_ptr<ConnectionPool> pool_;
   std::string body_;
   absl::Time verify_new_connections_until_ = absl::InfinitePast();
