--- /dev/null
+++ b/libs/tier/include/tier/request_change_log.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "telemetry/log.h"
+#include "telemetry/log_rate_limiter.h"
+#include "tier/request_trail.h"
+#include "tier/route_changes.h"
+#include "tier/target_withdrawals.h"
+
+namespace cherrydyke {
+
+/// Decides which requests have a line because a route or target of theirs
+/// changed within twice the bound for changes, and logs those that ended before
+/// this host knew of the change. Bounded by the changes, and per second.
+///
+/// Pure but for the log: time is an argument.
+class RequestChangeLog {
+ public:
+  /// Most lines a second of answered requests, of refused ones, and of those
+  /// before a change.
+  static constexpr int kDoneLines = 60;
+  static constexpr int kRefusedLines = 100;
+  static constexpr int kBeforeLines = 100;
+
+  /// @param bound time within which changes must take effect.
+  explicit RequestChangeLog(absl::Duration bound)
+      : routes_(2 * bound), targets_(2 * bound), trail_(2 * bound) {}
+
+  /// As `RouteChanges::OnRoutes`; logs requests handled before.
+  void OnRoutes(const RouteTable* before, const RouteTable& table,
+                absl::Time now);
+  /// Targets are withdrawn, or no longer; logs requests sent to them before.
+  void OnNotices(const std::vector<WithdrawalNotice>& notices, absl::Time now);
+
+  /// A request has ended. Adds what changed to the fields of its line.
+  /// @return whether its line is due, even if there are many.
+  bool OnEnded(const HandledRequest& request, Fields& fields);
+  /// A request without a route is refused; as `OnEnded`.
+  bool OnRefused(const HandledRequest& request, Fields& fields);
+  /// Keeps a request that has ended, for changes that become known later.
+  void Keep(HandledRequest request) { trail_.Add(std::move(request)); }
+
+  /// A request is being sent to a target. Logs that the target is withdrawn.
+  /// @param selected_at when the target was selected.
+  void OnSent(const std::string& request, uint32_t instance_hash,
+              absl::Time selected_at, absl::Time now);
+
+  std::map<std::string, int> TakeDroppedLines() {
+    return limiter_.TakeDroppedCounts();
+  }
+
+ private:
+  RouteChange* FindChange(const HandledRequest& request);
+  void LogBefore(const HandledRequest& request, Fields fields, absl::Time now);
+
+  RouteChanges routes_;
+  TargetWithdrawals targets_;
+  RequestTrail trail_;
+  LogRateLimiter limiter_;
+};
+
+}  // namespace cherrydyke
--- a/libs/tier/include/tier/request_handler.h
+++ b/libs/tier/include/tier/request_handler.h
@@ -29,6 +29,7 @@
 #include "tier/handover_client.h"
 #include "tier/handover_origin.h"
 #include "tier/protocol_adapter.h"
+#include "tier/request_change_log.h"
 #include "tier/target_set.h"
 
 namespace cherrydyke {
@@ -67,6 +68,11 @@
   void SetRoutes(std::shared_ptr<const RouteTable> routes);
   bool has_routes() const { return routes_ != nullptr; }
 
+  /// Targets are to get no more requests, or may again.
+  void OnWithdrawals(const std::vector<WithdrawalNotice>& notices) {
+    change_log_.OnNotices(notices, loop_.Now());
+  }
+
   /// Handles a request of this host's own callers.
   void OnRequest(std::shared_ptr<engine::ServerExchange> exchange) {
     Handle(std::move(exchange), std::nullopt);
@@ -109,6 +115,10 @@
   std::map<std::string, int> TakeDroppedLines() {
     return log_rate_limiter_.TakeDroppedCounts();
   }
+  /// As above, of lines due to changes.
+  std::map<std::string, int> TakeDroppedChangeLines() {
+    return change_log_.TakeDroppedLines();
+  }
 
  private:
   struct Request;
@@ -176,6 +186,16 @@
   }
   void Refuse(engine::ServerExchange& exchange, const std::string& request_id,
               RefusalReason reason, bool ran, absl::Duration retry_after);
+  /// @param is_line_due whether its line is not to be left out.
+  /// @return whether it has a line.
+  bool LogRefusal(const engine::ServerExchange& exchange,
+                  const std::string& request_id, RefusalReason reason, bool ran,
+                  absl::Duration retry_after, Fields change_fields,
+                  bool is_line_due);
+  /// Refuses a request because no route is known for it.
+  void RefuseUnrouted(engine::ServerExchange& exchange,
+                      const CallerRequest& caller_request, RefusalReason reason,
+                      bool ran);
   void CountRefusal(RefusalReason reason);
   /// Refuses a request that has not run because no target could be used.
   void RefuseForLackOfTargets(const Request& request);
@@ -192,7 +212,9 @@
                   size_t missing);
   /// Adds how current the host is, which tells a request of a late host from
   /// one of a changed configuration.
-  void AppendPublishedState(Fields& fields) const;
+  static void AppendPublishedState(const PublishedState& state, Fields& fields);
+  HandledRequest MakeHandled(const Request& request,
+                             const std::string& outcome) const;
   absl::Duration RetryAfter(RefusalReason reason);
   /// @return a random number in [0, 1).
   double RandomFraction();
@@ -210,6 +232,7 @@
   const std::function<PublishedState()> published_state_;
   const std::function<void()> on_crash_counted_;
   LogRateLimiter log_rate_limiter_;
+  RequestChangeLog change_log_;
   RetryAfterScheduler retry_after_scheduler_;
   AnswerMarginEstimator answer_margin_;
   std::mt19937_64 random_;
--- a/libs/tier/include/tier/target_set.h
+++ b/libs/tier/include/tier/target_set.h
@@ -27,6 +27,7 @@
 #include "engine/connection_pool.h"
 #include "membership/fleet_shares.h"
 #include "telemetry/log_rate_limiter.h"
+#include "tier/target_withdrawals.h"
 
 namespace cherrydyke {
 
@@ -190,6 +191,12 @@
     on_partitioned_ = std::move(on_partitioned);
     on_restored_ = std::move(on_restored);
   }
+  /// Sets a callback for targets that are to get no more requests as they are
+  /// draining, gone or evacuated, or that may again.
+  void OnWithdrawals(
+      std::function<void(const std::vector<WithdrawalNotice>&)> callback) {
+    on_withdrawals_ = std::move(callback);
+  }
   /// @return whether this host takes itself for partitioned from all targets.
   bool IsPartitioned() const;
   /// @return whether it may be.
@@ -214,8 +221,11 @@
 
   void Update(TargetInfo info, absl::Time now);
   /// Withdraws requests that wait for connections to targets that may not get
-  /// them any more.
+  /// them any more, and reports these targets.
   void WithdrawQueued();
+  /// Notes that a target is withdrawn, or no longer, if that has changed.
+  void NoteWithdrawal(Target& target, std::optional<ExclusionReason> reason);
+  void ReportWithdrawals();
   /// Removes targets whose grace period after they were last listed is over.
   void RemoveExpired(absl::Time now);
   /// Destroys a removed target later, when its running requests have ended.
@@ -314,6 +324,8 @@
   std::function<void()> on_suspected_;
   std::function<void()> on_partitioned_;
   std::function<void()> on_restored_;
+  std::function<void(const std::vector<WithdrawalNotice>&)> on_withdrawals_;
+  std::vector<WithdrawalNotice> withdrawal_notices_;
 };
 
 }  // namespace cherrydyke
--- a/libs/tier/src/request_handler.cc
+++ b/libs/tier/src/request_handler.cc
@@ -102,6 +102,7 @@
       change_deadline_(dependencies.change_deadline),
       published_state_(std::move(dependencies.published_state)),
       on_crash_counted_(std::move(dependencies.on_crash_counted)),
+      change_log_(change_deadline_),
       retry_after_scheduler_(policy_.retry_after, policy_.retry_after_spread),
       answer_margin_(policy_.answer_margin, policy_.answer_spare),
       random_(NewIncarnation()),
@@ -113,6 +114,7 @@
 RequestHandler::~RequestHandler() = default;
 
 void RequestHandler::SetRoutes(std::shared_ptr<const RouteTable> routes) {
+  change_log_.OnRoutes(routes_.get(), *routes, loop_.Now());
   routes_ = std::move(routes);
   versions_.SetInForce(routes_->version());
   // Some may wait only because this host's configuration was outdated.
@@ -134,12 +136,12 @@
   const Route* const route = routes_->Find(parsed->host, parsed->path);
   if (route == nullptr) {
     if (is_outdated) {
-      return Refuse(*exchange, parsed->request_id,
-                    RefusalReason::kNoConfiguration, false);
+      return RefuseUnrouted(*exchange, *parsed, RefusalReason::kNoConfiguration,
+                            false);
     }
     const bool may_deny = MayDenyRoute(published_state_(), change_deadline_);
-    return Refuse(
-        *exchange, parsed->request_id,
+    return RefuseUnrouted(
+        *exchange, *parsed,
         may_deny ? RefusalReason::kNoRoute : RefusalReason::kStaleConfiguration,
         ran);
   }
@@ -399,6 +401,7 @@
   const engine::HttpRequest& http_request = request->exchange->request();
   engine::PoolRequest out;
   out.exchange.write = [this, request, target = send.target, sent_at = now,
+                        instance = attempt.instance_hash,
                         region = targets_.RegionOf(
                             send.target)]() -> std::optional<std::string> {
     // A change may have come into force while the request waited for a
@@ -407,6 +410,8 @@
         !request->run->plan().regions.Allows(region)) {
       return std::nullopt;
     }
+    change_log_.OnSent(request->caller_request.request_id, instance, sent_at,
+                       loop_.Now());
     return protocol_.TargetRequest(request->target_head,
                                    request->exchange->request().body, target,
                                    request->deadline - loop_.Now());
@@ -797,21 +802,55 @@
 void RequestHandler::Refuse(engine::ServerExchange& exchange,
                             const std::string& request_id, RefusalReason reason,
                             bool ran, absl::Duration retry_after) {
-  CountRefusal(reason);
-  if (log_rate_limiter_.TryAcquire("refused", policy_.log_lines, loop_.Now())) {
-    Fields fields = {{"request", request_id},
-                     {"target", exchange.request().target},
-                     {"reason", RefusalReasonName(reason)},
-                     {"ran", ran},
-                     {"retry_after_ms", absl::ToInt64Milliseconds(retry_after)},
-                     {"config_version", versions_.in_force()}};
-    AppendPublishedState(fields);
-    LogInfo("request refused", fields);
-  }
+  LogRefusal(exchange, request_id, reason, ran, retry_after, {}, false);
   exchange.Respond(
       protocol_.RefusalResponse(request_id, reason, ran, retry_after));
 }
 
+void RequestHandler::RefuseUnrouted(engine::ServerExchange& exchange,
+                                    const CallerRequest& caller_request,
+                                    RefusalReason reason, bool ran) {
+  HandledRequest handled;
+  handled.id = caller_request.request_id;
+  handled.host = caller_request.host;
+  handled.path = caller_request.path;
+  handled.config_version = versions_.in_force();
+  handled.outcome = RefusalReasonName(reason);
+  handled.state = published_state_();
+  handled.received_at = exchange.received_at();
+  handled.ended_at = loop_.Now();
+  Fields change_fields;
+  const bool is_line_due = change_log_.OnRefused(handled, change_fields);
+  const absl::Duration retry_after = RetryAfter(reason);
+  handled.has_line = LogRefusal(exchange, handled.id, reason, ran, retry_after,
+                                std::move(change_fields), is_line_due);
+  change_log_.Keep(std::move(handled));
+  exchange.Respond(protocol_.RefusalResponse(caller_request.request_id, reason,
+                                             ran, retry_after));
+}
+
+bool RequestHandler::LogRefusal(const engine::ServerExchange& exchange,
+                                const std::string& request_id,
+                                RefusalReason reason, bool ran,
+                                absl::Duration retry_after,
+                                Fields change_fields, bool is_line_due) {
+  CountRefusal(reason);
+  if (!is_line_due && !log_rate_limiter_.TryAcquire(
+                          "refused", policy_.log_lines, loop_.Now())) {
+    return false;
+  }
+  Fields fields = {{"request", request_id},
+                   {"target", exchange.request().target},
+                   {"reason", RefusalReasonName(reason)},
+                   {"ran", ran},
+                   {"retry_after_ms", absl::ToInt64Milliseconds(retry_after)},
+                   {"config_version", versions_.in_force()}};
+  AppendPublishedState(published_state_(), fields);
+  for (Field& field : change_fields) fields.push_back(std::move(field));
+  LogInfo("request refused", fields);
+  return true;
+}
+
 engine::HttpResponse RequestHandler::RefuseUnread() {
   constexpr RefusalReason kReason = RefusalReason::kNoConfiguration;
   const absl::Duration retry_after = RetryAfter(kReason);
@@ -872,7 +911,15 @@
       .Observe(absl::ToDoubleMilliseconds(elapsed));
   const bool answered = outcome == kAnswered || outcome == kAnsweredInPart;
   const int lines = answered ? policy_.answer_log_lines : policy_.log_lines;
-  if (!log_rate_limiter_.TryAcquire(outcome, lines, loop_.Now())) return;
+  HandledRequest handled = MakeHandled(request, outcome);
+  Fields change_fields;
+  const bool is_line_due = change_log_.OnEnded(handled, change_fields);
+  handled.has_line =
+      is_line_due || log_rate_limiter_.TryAcquire(outcome, lines, loop_.Now());
+  const PublishedState state = handled.state;
+  const bool has_line = handled.has_line;
+  change_log_.Keep(std::move(handled));
+  if (!has_line) return;
   Fields fields = {{"request", request.caller_request.request_id},
                    {"route", request.route->name},
                    {"config_version", request.routes->version()},
@@ -880,7 +927,8 @@
                    {"ms", absl::ToDoubleMilliseconds(elapsed)},
                    {"sends", request.run->sends()},
                    {"missing", missing}};
-  AppendPublishedState(fields);
+  AppendPublishedState(state, fields);
+  for (Field& field : change_fields) fields.push_back(std::move(field));
   if (outcome != kAnswered) {
     fields.emplace_back("unanswered", UnansweredAttempts(request));
     fields.emplace_back("passed_over", request.passed_over.ToString());
@@ -888,8 +936,27 @@
   LogInfo("request done", fields);
 }
 
-void RequestHandler::AppendPublishedState(Fields& fields) const {
-  const PublishedState state = published_state_();
+HandledRequest RequestHandler::MakeHandled(const Request& request,
+                                           const std::string& outcome) const {
+  HandledRequest handled;
+  handled.id = request.caller_request.request_id;
+  handled.host = request.caller_request.host;
+  handled.path = request.caller_request.path;
+  handled.matched_prefix = request.route->prefix.size();
+  handled.config_version = request.routes->version();
+  handled.outcome = outcome;
+  handled.targets.reserve(request.attempts.size());
+  for (const Request::Attempt& attempt : request.attempts) {
+    handled.targets.push_back(attempt.instance_hash);
+  }
+  handled.state = published_state_();
+  handled.received_at = request.exchange->received_at();
+  handled.ended_at = loop_.Now();
+  return handled;
+}
+
+void RequestHandler::AppendPublishedState(const PublishedState& state,
+                                          Fields& fields) {
   fields.emplace_back("published_age_ms", absl::ToInt64Milliseconds(state.age));
   fields.emplace_back("behind_ms", absl::ToInt64Milliseconds(state.behind));
   fields.emplace_back("ever_proven", state.was_proven);
--- a/libs/tier/src/target.h
+++ b/libs/tier/src/target.h
@@ -46,6 +46,8 @@
   absl::Time expires_at = absl::InfiniteFuture();
   /// Whether another target has its address.
   bool has_wrong_address = false;
+  /// Whether it was reported as withdrawn.
+  bool is_withdrawn = false;
   /// Whether it announced its shutdown in a response.
   bool leaving = false;
   /// End of the backoff that it asked for.
--- a/libs/tier/src/target_set.cc
+++ b/libs/tier/src/target_set.cc
@@ -104,7 +104,10 @@
   RemoveExpired(now);
   WithdrawQueued();
   if (missing_grace > absl::ZeroDuration()) {
-    timers_.RunAfter(missing_grace, [this] { RemoveExpired(loop_.Now()); });
+    timers_.RunAfter(missing_grace, [this] {
+      RemoveExpired(loop_.Now());
+      ReportWithdrawals();
+    });
   }
 }
 
@@ -189,6 +192,7 @@
     targets_by_hash_.erase(hashed);
   }
   target->OnInstanceEnded();
+  NoteWithdrawal(*target, ExclusionReason::kGone);
   // Its address may belong to another target by now, also in another region.
   target->pool->FailQueued();
   const TargetId id = target->info.id;
@@ -214,8 +218,26 @@
 void TargetSet::WithdrawQueued() {
   const absl::Time now = loop_.Now();
   for (auto& [id, target] : targets_) {
-    if (WithdrawalReason(*target, now)) target->pool->WithdrawQueued();
+    const std::optional<ExclusionReason> reason =
+        WithdrawalReason(*target, now);
+    NoteWithdrawal(*target, reason);
+    if (reason) target->pool->WithdrawQueued();
   }
+  ReportWithdrawals();
+}
+
+void TargetSet::NoteWithdrawal(Target& target,
+                               std::optional<ExclusionReason> reason) {
+  if (target.is_withdrawn == reason.has_value()) return;
+  target.is_withdrawn = reason.has_value();
+  withdrawal_notices_.push_back({target.info.id, target.instance_hash,
+                                 reason ? ExclusionReasonName(*reason) : ""});
+}
+
+void TargetSet::ReportWithdrawals() {
+  const std::vector<WithdrawalNotice> notices =
+      std::exchange(withdrawal_notices_, {});
+  if (!notices.empty() && on_withdrawals_) on_withdrawals_(notices);
 }
 
 void TargetSet::OnHostsChanged() {
@@ -674,6 +696,8 @@
   if (target == nullptr) return false;
   if (!notices_.OnLeaving(target->instance(), loop_.Now())) return false;
   target->leaving = true;
+  NoteWithdrawal(*target, ExclusionReason::kLeaving);
+  ReportWithdrawals();
   report_collector_.RecordBackoff(target->id_hash, absl::InfiniteFuture());
   target->pool->FailQueued();
   return true;
--- a/libs/tier/src/tier_host.cc
+++ b/libs/tier/src/tier_host.cc
@@ -174,6 +174,9 @@
   targets_.OnPathChange([this] { handovers_.Prepare(); },
                         [this] { request_handler_.OnPartitioned(); },
                         [this] { request_handler_.ResumeWaiting(); });
+  targets_.OnWithdrawals([this](const std::vector<WithdrawalNotice>& notices) {
+    request_handler_.OnWithdrawals(notices);
+  });
   timers_.Every(times_.check_period, [this] {
     MeasureLateness();
     UpdateReaderRole();
@@ -270,7 +273,8 @@
   const auto& [same_domain, same_region, other_region] = sends.by_distance;
   int64_t dropped_lines = TakeDroppedLines();
   for (const auto& dropped :
-       {request_handler_.TakeDroppedLines(), targets_.TakeDroppedLines(),
+       {request_handler_.TakeDroppedLines(),
+        request_handler_.TakeDroppedChangeLines(), targets_.TakeDroppedLines(),
         handovers_.TakeDroppedLines(), handover_server_.TakeDroppedLines(),
         gossip_.TakeDroppedLines()}) {
     for (const auto& [kind, lines] : dropped) dropped_lines += lines;
