--- a/libs/tier/tests/request_change_log_test.cc
+++ b/libs/tier/tests/request_change_log_test.cc
@@ -308,8 +308,9 @@
     constexpr int kChanges =
         kSeconds * kRequestsPerSecond / kRequestsPerChange + 1;
     CPPUNIT_ASSERT(due <= kChanges * LineAllowance::kLinesPerSlot);
-    CPPUNIT_ASSERT(capture_->LinesOf("request before a change").size() <=
-                   size_t{kChanges * RequestTrail::kLinesPerChange});
+    const auto before =
+        static_cast<int>(capture_->LinesOf("request before a change").size());
+    CPPUNIT_ASSERT(before <= kChanges * RequestTrail::kLinesPerChange);
   }
 
  private:
