--- a/libs/tier/src/source_call_log.cc
+++ b/libs/tier/src/source_call_log.cc
@@ -40,9 +40,12 @@
 
 void SourceCallLog::OnCall(const SourceCall& call, const HostState& host,
                            absl::Time now) {
+  // The service does not hold a call that does not reach it.
+  const absl::Duration held =
+      call.end == SourceCallEnd::kConnect ? absl::ZeroDuration() : call.wait;
   const CallDuration duration =
       call.is_answered() ? CallDuration::Answered(call.elapsed, call.wait)
-                         : CallDuration::Unanswered(call.elapsed, call.wait);
+                         : CallDuration::Unanswered(call.elapsed, held);
   const bool has_changed = durations_.Add(duration);
   Measure(call, duration);
   if (!call.is_answered()) return OnFailure(call, host, now);
