--- a/libs/tier/include/tier/request_trail.h
+++ b/libs/tier/include/tier/request_trail.h
@@ -35,15 +35,19 @@
 /// Pure: time is an argument.
 class RequestTrail {
  public:
-  static constexpr size_t kCapacity = 1024;
+  static constexpr size_t kCapacity = 4096;
   /// Requests of each changed route or target that get a line: the last ones
-  /// were the latest after the change.
+  /// were the latest after the change. More of those whose host was not proven
+  /// current for half of the bound.
   static constexpr int kLinesPerChange = 8;
-  static constexpr int kMaxLines = 64;
+  static constexpr int kLateLinesPerChange = 64;
   static constexpr int kNoChange = -1;
 
-  /// @param window how long a request is kept.
-  explicit RequestTrail(absl::Duration window) : window_(window) {}
+  /// @param bound time within which changes must take effect. Requests are kept
+  /// for `kWindowInBounds` of it.
+  explicit RequestTrail(absl::Duration bound)
+      : window_(kWindowInBounds * bound), late_age_(bound / 2) {}
+  static constexpr int kWindowInBounds = 4;
 
   void Add(HandledRequest request);
   /// @param change_of returns the number of the change that concerns a request,
@@ -57,6 +61,7 @@
 
  private:
   absl::Duration window_;
+  absl::Duration late_age_;
   std::deque<HandledRequest> requests_;
 };
 
--- a/libs/tier/src/request_change_log.cc
+++ b/libs/tier/src/request_change_log.cc
@@ -72,10 +72,10 @@
   };
   for (const HandledRequest* const request :
        trail_.TakeConcerned(change_of, now)) {
-    LogBefore(*request,
-              {{"changed_by", table.version()},
-               {"version_before", before->version()}},
-              now);
+    NoteBefore(*request,
+               {{"changed_by", table.version()},
+                {"version_before", before->version()}},
+               now);
   }
 }
 
@@ -106,13 +106,16 @@
       }
       break;
     }
-    LogBefore(*request, std::move(fields), now);
+    NoteBefore(*request, std::move(fields), now);
   }
 }
 
-void RequestChangeLog::LogBefore(const HandledRequest& request, Fields fields,
-                                 absl::Time now) {
-  if (!limiter_.TryAcquire("before a change", kBeforeLines, now)) return;
+void RequestChangeLog::NoteBefore(const HandledRequest& request, Fields fields,
+                                  absl::Time now) {
+  if (before_.size() == kMaxWaitingLines) {
+    ++dropped_before_;
+    return;
+  }
   Append(
       {{"request", request.id},
        {"path", request.path},
@@ -124,7 +127,22 @@
        {"published_age_ms", absl::ToInt64Milliseconds(request.state.age)},
        {"behind_ms", absl::ToInt64Milliseconds(request.state.behind)}},
       fields);
-  LogInfo("request before a change", fields);
+  before_.push_back(std::move(fields));
+}
+
+void RequestChangeLog::LogBefore() {
+  for (size_t i = 0; i < kBeforeLines && !before_.empty(); ++i) {
+    LogInfo("request before a change", before_.front());
+    before_.pop_front();
+  }
+}
+
+std::map<std::string, int> RequestChangeLog::TakeDroppedLines() {
+  std::map<std::string, int> dropped = limiter_.TakeDroppedCounts();
+  if (const int before = std::exchange(dropped_before_, 0)) {
+    dropped["before a change"] = before;
+  }
+  return dropped;
 }
 
 void RequestChangeLog::OnSent(const std::string& request,
--- a/libs/tier/src/request_handler.cc
+++ b/libs/tier/src/request_handler.cc
@@ -109,7 +109,10 @@
       waiting_(std::make_unique<WaitingRequests>(
           loop_, [this](std::shared_ptr<engine::ServerExchange> exchange) {
             OnRequest(std::move(exchange));
-          })) {}
+          })) {
+  timers_.Every(RequestChangeLog::kBeforePeriod,
+                [this] { change_log_.LogBefore(); });
+}
 
 RequestHandler::~RequestHandler() = default;
 
--- a/libs/tier/src/request_trail.cc
+++ b/libs/tier/src/request_trail.cc
@@ -19,12 +19,13 @@
   std::vector<const HandledRequest*> taken;
   std::map<int, int> taken_by_change;
   for (auto it = requests_.rbegin(); it != requests_.rend(); ++it) {
-    if (taken.size() == kMaxLines || now - it->ended_at > window_) break;
+    if (now - it->ended_at > window_) break;
     if (it->has_line) continue;
     const int change = change_of(*it);
-    if (change == kNoChange || taken_by_change[change] == kLinesPerChange) {
-      continue;
-    }
+    if (change == kNoChange) continue;
+    const int most =
+        it->state.age < late_age_ ? kLinesPerChange : kLateLinesPerChange;
+    if (taken_by_change[change] >= most) continue;
     ++taken_by_change[change];
     it->has_line = true;
     taken.push_back(&*it);
--- a/libs/tier/tests/request_change_log_test.cc
+++ b/libs/tier/tests/request_change_log_test.cc
@@ -153,6 +153,8 @@
   CPPUNIT_TEST(RequestAfterAChangeOfItsRouteHasALineWithTheVersionBefore);
   CPPUNIT_TEST(RequestOnAnotherRouteHasNoLine);
   CPPUNIT_TEST(RequestsOfALateHostHaveLinesWhenTheChangeArrives);
+  CPPUNIT_TEST(RequestsOfACurrentHostHaveFewerLines);
+  CPPUNIT_TEST(LinesOfManyRequestsAreSpreadOverTime);
   CPPUNIT_TEST(RefusalOfARouteThatIsAddedLaterHasALine);
   CPPUNIT_TEST(RefusalsOfARouteThatWasRemovedHaveLines);
   CPPUNIT_TEST(RequestsThatHadALineGetNoOther);
@@ -189,13 +191,10 @@
   // handles them does not know of the change (CONFIG).
   void RequestsOfALateHostHaveLinesWhenTheChangeArrives() {
     constexpr int kRequests = 3 * RequestTrail::kLinesPerChange;
-    for (int i = 1; i <= kRequests; ++i) {
-      log_.Keep(Handled(absl::StrCat("r", i), 3,
-                        -absl::Milliseconds(100) * (kRequests - i)));
-    }
+    KeepRequests(kRequests, absl::Milliseconds(4500));
     Change(2, {});
-    const auto lines = capture_->LinesOf("request before a change");
-    CPPUNIT_ASSERT_EQUAL(size_t{RequestTrail::kLinesPerChange}, lines.size());
+    const auto lines = LinesBefore();
+    CPPUNIT_ASSERT_EQUAL(size_t{kRequests}, lines.size());
     CPPUNIT_ASSERT(lines[0].at("request") == absl::StrCat("r", kRequests));
     CPPUNIT_ASSERT(lines[1].at("ended_ms_before") == 100);
     CPPUNIT_ASSERT(lines[0].at("config_version") == 1);
@@ -203,6 +202,22 @@
     CPPUNIT_ASSERT(lines[0].at("published_age_ms") == 4500);
   }
 
+  void RequestsOfACurrentHostHaveFewerLines() {
+    KeepRequests(3 * RequestTrail::kLinesPerChange, kBound / 4);
+    Change(2, {});
+    CPPUNIT_ASSERT_EQUAL(size_t{RequestTrail::kLinesPerChange},
+                         LinesBefore().size());
+  }
+
+  void LinesOfManyRequestsAreSpreadOverTime() {
+    KeepRequests(RequestTrail::kLateLinesPerChange, kBound);
+    Change(2, {});
+    CPPUNIT_ASSERT(capture_->LinesOf("request before a change").empty());
+    log_.LogBefore();
+    CPPUNIT_ASSERT_EQUAL(RequestChangeLog::kBeforeLines,
+                         capture_->LinesOf("request before a change").size());
+  }
+
   void RefusalOfARouteThatIsAddedLaterHasALine() {
     HandledRequest refused = Handled("r", 0, -kSecond);
     refused.path = "/b/x";
@@ -211,7 +226,7 @@
     CPPUNIT_ASSERT(!log_.OnRefused(refused, fields));
     log_.Keep(refused);
     Change(2, {MakeRoute("/a/"), MakeRoute("/b/")});
-    const auto lines = capture_->LinesOf("request before a change");
+    const auto lines = LinesBefore();
     CPPUNIT_ASSERT_EQUAL(size_t{1}, lines.size());
     CPPUNIT_ASSERT(lines[0].at("request") == "r");
     CPPUNIT_ASSERT(lines[0].at("outcome") == "no_route");
@@ -233,20 +248,21 @@
     log_.Keep(Handled("s", 3, -kSecond));
     Change(2, {});
     Change(3, {MakeRoute("/a/")});
-    CPPUNIT_ASSERT_EQUAL(size_t{1},
-                         capture_->LinesOf("request before a change").size());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, LinesBefore().size());
   }
 
   void RequestsLongBeforeTheChangeGetNoLine() {
-    log_.Keep(Handled("r", 3, -kWindow - kSecond));
+    log_.Keep(
+        Handled("r", 3, -RequestTrail::kWindowInBounds * kBound - kSecond));
     Change(2, {});
-    CPPUNIT_ASSERT(capture_->LinesOf("request before a change").empty());
+    CPPUNIT_ASSERT(LinesBefore().empty());
   }
 
   void FirstConfigurationIsNoChangeOfRequestsBefore() {
     RequestChangeLog log(kBound);
     log.Keep(Handled("r", 0, -kSecond));
     log.OnRoutes(nullptr, Table(1, {MakeRoute("/a/")}), kStart);
+    log.LogBefore();
     CPPUNIT_ASSERT(capture_->LinesOf("request before a change").empty());
   }
 
@@ -259,7 +275,7 @@
     request.targets = {1};
     log_.Keep(request);
     log_.OnNotices({{"t", kInstance, "leaving"}}, kStart);
-    const auto lines = capture_->LinesOf("request before a change");
+    const auto lines = LinesBefore();
     CPPUNIT_ASSERT_EQUAL(size_t{1}, lines.size());
     CPPUNIT_ASSERT(lines[0].at("withdrawn") == "t");
     CPPUNIT_ASSERT(lines[0].at("withdrawn_reason") == "leaving");
@@ -301,6 +317,7 @@
       }
       Fields fields;
       HandledRequest request = Handled(absl::StrCat(i), 3, at);
+      request.state.age = kSecond;
       request.has_line = log_.OnEnded(request, fields);
       if (request.has_line) ++due;
       log_.Keep(request);
@@ -308,12 +325,29 @@
     constexpr int kChanges =
         kSeconds * kRequestsPerSecond / kRequestsPerChange + 1;
     CPPUNIT_ASSERT(due <= kChanges * LineAllowance::kLinesPerSlot);
-    const auto before =
-        static_cast<int>(capture_->LinesOf("request before a change").size());
+    const auto before = static_cast<int>(LinesBefore().size());
     CPPUNIT_ASSERT(before <= kChanges * RequestTrail::kLinesPerChange);
   }
 
  private:
+  /// Writes the lines that wait for their time.
+  std::vector<nlohmann::json> LinesBefore() {
+    for (size_t i = 0; i < RequestChangeLog::kMaxWaitingLines; ++i) {
+      log_.LogBefore();
+    }
+    return capture_->LinesOf("request before a change");
+  }
+
+  /// Keeps the requests `r1` and so on, the last of which ends at the start.
+  void KeepRequests(int count, absl::Duration published_age) {
+    for (int i = 1; i <= count; ++i) {
+      HandledRequest request = Handled(absl::StrCat("r", i), 3,
+                                       -absl::Milliseconds(100) * (count - i));
+      request.state.age = published_age;
+      log_.Keep(request);
+    }
+  }
+
   static HandledRequest Handled(const std::string& id, size_t matched_prefix,
                                 absl::Duration ended_after_start) {
     HandledRequest request;
