--- a/libs/tier/tests/publishing_times_test.cc
+++ b/libs/tier/tests/publishing_times_test.cc
@@ -9,6 +9,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "tier/poll_schedule.h"
+#include "tier/round_trip_estimate.h"
 
 namespace cherrydyke {
 namespace {
@@ -37,6 +38,10 @@
 constexpr int kManyFailures = 10;
 /// Pages of a listing of all keys, about 500 each.
 constexpr int kPages = 10;
+/// Time after the start of its machines at which a fleet has to serve.
+constexpr absl::Duration kStartTime = absl::Seconds(10);
+/// Calls after which an estimate has settled.
+constexpr int kManyCalls = 50;
 constexpr absl::Duration kSmallestBound = absl::Seconds(4);
 constexpr int kMaxBoundMs = 60'000;
 
@@ -121,6 +126,65 @@
   };
 }
 
+/// @return the time after which a call is late on a path that has been slow for
+/// long.
+absl::Duration LateAfter(const PublishingTimes& times, absl::Duration one_way) {
+  RoundTripEstimate estimate;
+  for (int i = 0; i < kManyCalls; ++i) {
+    estimate = estimate.AfterSample(2 * one_way);
+  }
+  return estimate.LateAfter(times.response, times.max_response);
+}
+
+/// The paths to hosts whose way to the configuration service is slow, each with
+/// the slowest way for which it has to hold. Nothing is lost unless the name
+/// says so. A new connection takes a round trip.
+std::vector<Path> PathsOverSlowWays(const PublishingTimes& times) {
+  const auto ms = [](int time) { return absl::Milliseconds(time); };
+  const absl::Duration check = times.check_period;
+  // Just after a response was sent: it arrives, and a call after the pause.
+  const auto answers = [](absl::Duration one_way) {
+    return 3 * one_way + kBatchPause + kWithoutProcessor;
+  };
+  const auto connected_call = [](absl::Duration one_way) {
+    return 4 * one_way + kWithoutProcessor;
+  };
+  const auto starts = [&](absl::Duration one_way, int pages) {
+    return connected_call(one_way) + 2 * (pages - 1) * one_way;
+  };
+  const absl::Duration through_peer =
+      kLateDatagram + kRoundTrip + kWithoutProcessor;
+  return {
+      {"1 s: its watch answers", answers(ms(1000)), times.bound},
+      {"1 s: a fleet starts, 3 pages", starts(ms(1000), 3), kStartTime},
+      {"0.95 s: the reader's watch answers", answers(ms(950)) + check,
+       times.bound},
+      {"0.85 s: the reader's watch answers, through it",
+       answers(ms(850)) + check + through_peer, times.bound},
+      {"0.75 s: its connection was closed meanwhile",
+       kBatchPause + times.failure_pause + connected_call(ms(750)),
+       times.bound},
+      {"0.75 s: the history is gone, 1 page",
+       kBatchPause + connected_call(ms(750)), times.bound},
+      {"0.5 s: its watch is silent, a peer's is not",
+       answers(ms(500)) + kLagTolerance + kGossipPeriod + through_peer,
+       times.bound},
+      {"0.35 s: a fleet starts, 10 pages", starts(ms(350), kPages), kStartTime},
+      {"0.4 s: its path comes back",
+       times.min_watch + LateAfter(times, ms(400)) + LongestPauseOfSchedule() +
+           connected_call(ms(400)),
+       kContactTime},
+      {"0.3 s: its watch is silent and peers tell nothing",
+       times.watch + LateAfter(times, ms(300)) + times.failure_pause +
+           connected_call(ms(300)),
+       times.bound},
+      {"0.2 s: peers prove nothing",
+       times.max_peer_age + kLateDatagram + 2 * check + kWithoutProcessor +
+           connected_call(ms(200)),
+       times.bound},
+  };
+}
+
 /// @return the paths that exceed their target, with their sums.
 std::string TooLong(const std::vector<Path>& paths) {
   std::string too_long;
@@ -145,6 +209,7 @@
   CPPUNIT_TEST(SumsLeaveAReserveWithSlowProcessorAndLinks);
   CPPUNIT_TEST(SumsLeaveAReserveUnderAnyBound);
   CPPUNIT_TEST(WatchingHostsUseHalfOfTheBoundWhenOneThingFails);
+  CPPUNIT_TEST(SumsLeaveAReserveOverSlowWays);
   CPPUNIT_TEST(ReadersProveInTimeUnderAnyBound);
   CPPUNIT_TEST(FirstPauseAfterAFailureIsThatOfTheSchedule);
   CPPUNIT_TEST(HostsDrawFromTheRanges);
@@ -173,6 +238,17 @@
                     PublishingTimes::For(AnyBound()))) == "");
     }));
   }
+  // No call may be given up for what it takes on a slow way.
+  void SumsLeaveAReserveOverSlowWays() {
+    CPPUNIT_ASSERT_EQUAL(
+        std::string(),
+        TooLong(PathsOverSlowWays(PublishingTimes::For(kSmallestBound))));
+    CPPUNIT_ASSERT(rc::check("sums over slow ways under any bound", [] {
+      const PublishingTimes times = PublishingTimes::For(AnyBound());
+      RC_ASSERT(TooLong(PathsOverSlowWays(times)) == "");
+      RC_ASSERT(times.patience >= 4 * absl::Seconds(1));
+    }));
+  }
   void ReadersProveInTimeUnderAnyBound() {
     CPPUNIT_ASSERT(rc::check("ranges under any bound", [] {
       const PublishingTimes times = PublishingTimes::For(
