--- a/libs/tier/tests/publishing_model.cc
+++ b/libs/tier/tests/publishing_model.cc
@@ -152,8 +152,12 @@
   host.reading = false;
   host.call_pending = true;
   host.as_of = 0;
-  host.calls = false;
   host.read_current_until = now_;
+  host.round_trip = {};
+  host.calls = std::make_unique<HedgedCalls>(
+      HedgedCalls::Options{times_.patience, times_.max_patience});
+  host.store_calls.clear();
+  host.has_connection = false;
   host.fetches.clear();
   host.excluded_until.clear();
   AtHost(host, Random(kMinTrip, kGossipPeriod), [this](Host& started) {
@@ -363,7 +367,8 @@
 }
 
 void PublishingModel::ScheduleNextCall(Host& host, absl::Duration pause) {
-  AtHost(host, pause, [this](Host& same) {
+  AtHost(host, pause, [this, next = ++host.next_call](Host& same) {
+    if (same.next_call != next) return;
     same.call_pending = same.reading;
     if (!same.call_pending) return;
     if (same.schedule.last_call_failed()) SkipChangesFromPeers(same);
@@ -371,9 +376,22 @@
   });
 }
 
+absl::Duration PublishingModel::LateAfter(const Host& host,
+                                          absl::Duration floor) const {
+  return options_.late_calls == LateCalls::kClosed
+             ? floor
+             : host.round_trip.LateAfter(floor, times_.max_response);
+}
+
+absl::Duration PublishingModel::StoreLateness(const Host& host) const {
+  return now_ < host.late_store_until ? options_.lateness
+                                      : absl::ZeroDuration();
+}
+
 void PublishingModel::Call(Host& host) {
-  host.calls = true;
-  host.read_started_at = now_;
+  if (const auto replaced = host.calls->MakeRoom()) {
+    host.store_calls.erase(*replaced);
+  }
   absl::Duration wait = kLongWatchTime;
   if (options_.reads == Reads::kByEvidence) {
     wait = absl::Floor(std::clamp(host.read_current_until + times_.watch - now_,
@@ -382,87 +400,132 @@
   }
   if (host.as_of == 0) wait = absl::ZeroDuration();
   calls_.push_back(now_);
-  const int64_t call = ++host.call;
-  const bool is_refused = now_ < host.refused_until;
-  AtHost(host, is_refused ? Random(kMinTrip, kMaxTrip) : wait + times_.response,
-         [this, call](Host& same) { OnCallFailed(same, call); });
-  if (is_refused || now_ < host.silent_until) return;
-  const absl::Duration lateness =
-      now_ < host.late_store_until ? options_.lateness : absl::ZeroDuration();
-  At(now_ + Random(kMinTrip, kMaxTrip) + lateness,
-     [this, index = host.index, call, after = host.as_of, wait] {
-       OnCallAtStore(index, call, after, wait);
-     });
-}
-
-void PublishingModel::OnCallAtStore(size_t index, int64_t call, Revision after,
+  const CallNumber call = host.calls->OnStarted(now_);
+  host.store_calls[call] = {now_, wait, host.as_of == 0};
+  const absl::Duration lateness = StoreLateness(host);
+  const absl::Duration connect = std::exchange(host.has_connection, false)
+                                     ? absl::ZeroDuration()
+                                     : 2 * lateness;
+  absl::Duration late_after = wait + LateAfter(host, times_.response);
+  const absl::Duration connects_late_after = LateAfter(host, times_.connect);
+  if (connect > connects_late_after) {
+    late_after = std::min(late_after, connects_late_after);
+  }
+  AtHost(host, late_after,
+         [this, call](Host& same) { OnCallLate(same, call); });
+  AtHost(host, wait + host.calls->patience(),
+         [this, call](Host& same) { OnCallFailed(same, call, true); });
+  if (now_ < host.refused_until) {
+    const auto on_refusal = [this, call](Host& same) {
+      // The connection is kept.
+      same.has_connection = true;
+      OnCallFailed(same, call, false);
+    };
+    return AtHost(host, connect + Random(kMinTrip, kMaxTrip) + 2 * lateness,
+                  on_refusal);
+  }
+  if (now_ < host.silent_until) return;
+  At(now_ + connect + Random(kMinTrip, kMaxTrip) + lateness,
+     [this, watcher = Watcher{host.index, host.lifetime, call, host.as_of},
+      wait] { OnCallAtStore(watcher, wait); });
+}
+
+void PublishingModel::OnCallAtStore(const Watcher& watcher,
                                     absl::Duration wait) {
-  const Watcher watcher = {index, call, after};
-  if (wait == absl::ZeroDuration() || store_.known_until() > after) {
-    return Respond(watcher, wait);
+  if (wait == absl::ZeroDuration() || store_.known_until() > watcher.after) {
+    return Respond(watcher);
   }
   const int64_t id = ++sequence_;
   watchers_[id] = watcher;
-  At(now_ + wait, [this, id, wait] {
+  At(now_ + wait, [this, id] {
     const auto found = watchers_.find(id);
     if (found == watchers_.end()) return;
     const Watcher ended = found->second;
     watchers_.erase(found);
-    Respond(ended, wait);
+    Respond(ended);
   });
 }
 
-void PublishingModel::Respond(const Watcher& watcher, absl::Duration wait) {
+void PublishingModel::Respond(const Watcher& watcher) {
   Host& host = *hosts_[watcher.host];
-  if (host.call != watcher.call) return;
-  if (now_ < host.refused_until || now_ < host.silent_until) return;
-  if (host.loses_call) return;
-  if (host.trickles) {
-    // Another number: the response has begun in time.
-    AtHost(
-        host, kMinTrip + times_.receive,
-        [this, call = ++host.call](Host& same) { OnCallFailed(same, call); });
+  const auto call = host.store_calls.find(watcher.call);
+  if (host.lifetime != watcher.lifetime || call == host.store_calls.end()) {
     return;
   }
-  AtHost(host, Random(kMinTrip, kMaxTrip),
-         [this, call = watcher.call, wait,
+  if (now_ < host.refused_until || now_ < host.silent_until) return;
+  if (call->second.is_lost) return;
+  if (call->second.trickles) {
+    // The response has begun in time.
+    const auto late = [this, number = watcher.call](Host& same) {
+      if (const auto same_call = same.store_calls.find(number);
+          same_call != same.store_calls.end()) {
+        same_call->second.trickles = false;
+        OnCallLate(same, number);
+      }
+    };
+    return AtHost(host, kMinTrip + times_.receive, late);
+  }
+  AtHost(host, Random(kMinTrip, kMaxTrip) + StoreLateness(host),
+         [this, number = watcher.call,
           changes = store_.ChangesAfter(watcher.after)](Host& same) {
-           OnStoreResponse(same, call, wait, changes);
+           OnStoreResponse(same, number, changes);
          });
 }
 
-void PublishingModel::OnStoreResponse(Host& host, int64_t call,
-                                      absl::Duration wait,
+void PublishingModel::OnStoreResponse(Host& host, CallNumber number,
                                       const PublishedChanges& changes) {
-  if (host.call != call) return;
-  ++host.call;
-  host.calls = false;
-  host.loses_call = false;
-  host.trickles = false;
+  const auto found = host.store_calls.find(number);
+  if (found == host.store_calls.end()) return;
+  const StoreCall call = found->second;
+  host.calls->OnAnswered(number);
+  host.store_calls.clear();
+  host.has_connection = true;
+  host.call_pending = true;
   host.schedule.OnSuccess();
-  const bool is_list = host.as_of == 0;
+  const absl::Duration round_trip = now_ - call.started_at - call.wait;
+  host.round_trip =
+      call.is_list || changes.items.empty()
+          ? host.round_trip.AfterSample(round_trip)
+          : host.round_trip.AfterBounds(round_trip, round_trip + call.wait);
   host.as_of = std::max(host.as_of, changes.as_of);
   const Revision before = host.items.known_until();
   Merge(host, changes);
-  const absl::Time end = host.read_started_at + wait;
-  const bool is_whole_watch = !is_list && changes.items.empty() && now_ >= end;
-  host.read_current_until = std::max(
-      host.read_current_until, is_whole_watch ? end : host.read_started_at);
+  const absl::Time end = call.started_at + call.wait;
+  const bool is_whole_watch =
+      !call.is_list && changes.items.empty() && now_ >= end;
+  host.read_current_until =
+      std::max(host.read_current_until, is_whole_watch ? end : call.started_at);
   host.freshness->OnRead(host.read_current_until);
   ApplyProofs(host);
   if (host.items.known_until() > before) UpdateReaderRole(host);
   NotifyDownstream(host);
-  ScheduleNextCall(host, is_list || changes.items.empty()
+  ScheduleNextCall(host, call.is_list || changes.items.empty()
                              ? absl::ZeroDuration()
                              : host.schedule.PauseAfterChanges(now_));
 }
 
-void PublishingModel::OnCallFailed(Host& host, int64_t call) {
-  if (host.call != call) return;
-  ++host.call;
-  host.calls = false;
-  host.loses_call = false;
-  host.trickles = false;
+void PublishingModel::OnCallLate(Host& host, CallNumber number) {
+  const auto call = host.store_calls.find(number);
+  if (call == host.store_calls.end() || call->second.trickles) return;
+  if (options_.late_calls == LateCalls::kClosed) {
+    return OnCallFailed(host, number, false);
+  }
+  host.calls->OnLate(number);
+  PauseAfterMissedCall(host);
+}
+
+void PublishingModel::OnCallFailed(Host& host, CallNumber number,
+                                   bool is_given_up) {
+  const auto call = host.store_calls.find(number);
+  if (call == host.store_calls.end() || call->second.trickles) return;
+  host.store_calls.erase(call);
+  const HedgedCalls::Failure failure = is_given_up
+                                           ? host.calls->OnGivenUp(number)
+                                           : host.calls->OnFailed(number);
+  if (!failure.was_late) PauseAfterMissedCall(host);
+}
+
+void PublishingModel::PauseAfterMissedCall(Host& host) {
   host.freshness->OnReadFailed(now_);
   UpdateReaderRole(host);
   ScheduleNextCall(
@@ -478,7 +541,7 @@
   published_at_.push_back(now_);
   const std::map<int64_t, Watcher> watchers = std::exchange(watchers_, {});
   for (const auto& [id, watcher] : watchers) {
-    Respond(watcher, absl::InfiniteDuration());
+    Respond(watcher);
   }
 }
 
@@ -534,8 +597,7 @@
 
 void PublishingModel::DelayStoreOf(Host& host, absl::Time until) {
   host.late_store_until = until;
-  // Its calls fail: the store does not answer in time.
-  if (options_.lateness + kMaxTrip < times_.response) return;
+  if (2 * (options_.lateness + kMaxTrip) <= times_.max_response) return;
   host.faulty_until = std::max(host.faulty_until, until);
 }
 
@@ -580,12 +642,12 @@
 }
 
 bool PublishingModel::SilenceWatch(Host& host) {
-  if (host.calls) host.loses_call = true;
-  return host.calls;
+  for (auto& [number, call] : host.store_calls) call.is_lost = true;
+  return !host.store_calls.empty();
 }
 
 void PublishingModel::TrickleResponse(size_t host) {
-  hosts_[host]->trickles = hosts_[host]->calls;
+  for (auto& [number, call] : hosts_[host]->store_calls) call.trickles = true;
 }
 
 void PublishingModel::Trace(const std::string& what) {
@@ -654,7 +716,6 @@
     case 7:
       Trace(absl::StrCat("restart of", on));
       chosen.faulty_until = std::max(chosen.faulty_until, now_);
-      ++chosen.call;
       Start(chosen, now_);
       break;
     case 8:
@@ -710,7 +771,8 @@
     if (measured_since_ <= now_) {
       proof_ages_.push_back(now_ - host->freshness->current_until());
     }
-    if (now_ - missing > std::min(options_.bound, options_.target))
+    if (options_.checks_delays &&
+        now_ - missing > std::min(options_.bound, options_.target))
       what = " misses a change";
     if (what.empty() || !violation_.empty()) continue;
     violation_ = absl::StrCat(
--- a/libs/tier/tests/publishing_model.h
+++ b/libs/tier/tests/publishing_model.h
@@ -13,11 +13,13 @@
 
 #include "dispatch/policy.h"
 #include "membership/host_table.h"
+#include "tier/hedged_calls.h"
 #include "tier/pending_proofs.h"
 #include "tier/poll_schedule.h"
 #include "tier/published_freshness.h"
 #include "tier/published_items.h"
 #include "tier/publishing_times.h"
+#include "tier/round_trip_estimate.h"
 #include "tier/transit_time.h"
 
 namespace cherrydyke {
@@ -39,6 +41,13 @@
     /// Each host watches the store.
     kEachHost,
   };
+  /// What becomes of a call to the store that is late.
+  enum class LateCalls {
+    /// It goes on, and a second one is made beside it.
+    kKept,
+    /// It is closed after a fixed time and begun anew.
+    kClosed,
+  };
   /// Which messages of a link between two hosts are lost.
   enum class Cut { kDatagrams, kTransfers, kBoth };
 
@@ -46,6 +55,7 @@
     size_t domains = 3;
     int hosts = 8;
     Reads reads = Reads::kByEvidence;
+    LateCalls late_calls = LateCalls::kKept;
     /// Time within which a change must reach the hosts in touch.
     absl::Duration bound = absl::Seconds(4);
     /// Mean time between changes; infinite for none.
@@ -55,8 +65,8 @@
     bool freezes = true;
     /// Longest time of a datagram on its way.
     absl::Duration max_delay = absl::Milliseconds(40);
-    /// How much longer it takes on late links and paths; random faults include
-    /// these unless it is zero.
+    /// How much longer each message takes on late links, and each way on late
+    /// paths to the store; random faults include these unless it is zero.
     absl::Duration lateness;
     /// Whether the time on the way counts for the age of proofs.
     bool counts_transit = true;
@@ -68,6 +78,8 @@
     /// Time for which a host in touch may lack a change, if shorter than the
     /// bound.
     absl::Duration target = absl::InfiniteDuration();
+    /// Whether a change that is missed for longer is a violation.
+    bool checks_delays = true;
   };
 
   /// What was seen since `StartMeasuring`.
@@ -95,7 +107,8 @@
   void CutReaders(Cut cut, absl::Duration duration);
   /// All links between hosts are late from now on, each way.
   void DelayAllLinks(absl::Duration duration);
-  /// All paths to the store are late from now on.
+  /// All paths to the store are late from now on, each way. Their hosts are in
+  /// touch, unless changes can't be in force in time on such a path.
   void DelayStore(absl::Duration duration);
   /// Cuts all links between the hosts of a failure domain and other hosts.
   void CutDomain(size_t domain, absl::Duration duration);
@@ -111,6 +124,16 @@
     int64_t id = 0;
     absl::Time started_at;
   };
+  using CallNumber = HedgedCalls::CallNumber;
+  struct StoreCall {
+    absl::Time started_at;
+    absl::Duration wait;
+    bool is_list = false;
+    /// It gets no response.
+    bool is_lost = false;
+    /// The response does not end in time.
+    bool trickles = false;
+  };
   struct Host {
     KnownHost self;
     size_t index = 0;
@@ -123,10 +146,6 @@
     absl::Time silent_until;
     /// The path to the store is late until this.
     absl::Time late_store_until = absl::InfinitePast();
-    /// The call under way gets no response.
-    bool loses_call = false;
-    /// The response to the call under way does not end in time.
-    bool trickles = false;
     int round = 0;
     std::unique_ptr<HostTable> table;
     std::unique_ptr<PublishedFreshness> freshness;
@@ -140,12 +159,16 @@
     PollSchedule schedule;
     bool reading = false;
     bool call_pending = false;
-    int64_t call = 0;
     Revision as_of = 0;
-    absl::Time read_started_at;
     absl::Time read_current_until;
-    /// Whether a call is under way.
-    bool calls = false;
+    RoundTripEstimate round_trip;
+    std::unique_ptr<HedgedCalls> calls;
+    /// Those under way.
+    std::map<CallNumber, StoreCall> store_calls;
+    /// Whether a connection is open that no call uses.
+    bool has_connection = false;
+    /// Of the next call that is due after a pause.
+    int64_t next_call = 0;
     // The state of FleetGossip.
     std::map<HostId, Fetch> fetches;
     std::map<HostId, absl::Time> excluded_until;
@@ -158,7 +181,8 @@
   };
   struct Watcher {
     size_t host = 0;
-    int64_t call = 0;
+    int64_t lifetime = 0;
+    CallNumber call = 0;
     Revision after = 0;
   };
   struct Link {
@@ -197,12 +221,17 @@
   void ScheduleNextCall(Host& host, absl::Duration pause);
   void SkipChangesFromPeers(Host& host);
   void Call(Host& host);
-  void OnCallAtStore(size_t index, int64_t call, Revision after,
-                     absl::Duration wait);
-  void Respond(const Watcher& watcher, absl::Duration wait);
-  void OnStoreResponse(Host& host, int64_t call, absl::Duration wait,
+  void OnCallAtStore(const Watcher& watcher, absl::Duration wait);
+  void Respond(const Watcher& watcher);
+  void OnStoreResponse(Host& host, CallNumber number,
                        const PublishedChanges& changes);
-  void OnCallFailed(Host& host, int64_t call);
+  void OnCallLate(Host& host, CallNumber number);
+  void OnCallFailed(Host& host, CallNumber number, bool is_given_up);
+  void PauseAfterMissedCall(Host& host);
+  /// @return the time after which a call is late.
+  absl::Duration LateAfter(const Host& host, absl::Duration floor) const;
+  /// @return how late the path to the store is, each way.
+  absl::Duration StoreLateness(const Host& host) const;
 
   void Publish();
   void ScheduleChange(int64_t generation);
--- a/libs/tier/tests/publishing_model_test.cc
+++ b/libs/tier/tests/publishing_model_test.cc
@@ -12,6 +12,7 @@
 namespace {
 
 using Reads = PublishingModel::Reads;
+using LateCalls = PublishingModel::LateCalls;
 
 constexpr uint32_t kSeed = 20261206;
 constexpr int kSeedsInCi = 10;
@@ -29,6 +30,9 @@
 constexpr size_t kDomainsWithGroups = 3;
 constexpr uint32_t kCalmSeeds = 4;
 constexpr uint32_t kLateSeeds = 50;
+/// Each way, of slow paths to the store.
+constexpr absl::Duration kSlowPath = absl::Seconds(1);
+constexpr absl::Duration kSlowPathAfterOutages = absl::Milliseconds(400);
 /// Calls a second that the hosts may spend on watches by default.
 constexpr int kAllowance = 40;
 /// Time between changes of a storm.
@@ -175,10 +179,16 @@
       "CHERRYDYKE_MODEL_PHASE_S", absl::ToInt64Seconds(kPhase)));
   options.change_period = absl::InfiniteDuration();
   PublishingModel model(options, seed);
+  const bool is_store_late = options.lateness > absl::ZeroDuration();
+  if (is_store_late) model.DelayStore(absl::InfiniteDuration());
   std::cerr << "\n"
             << options.hosts << " hosts, " << options.domains
             << " domains, reads " << static_cast<int>(options.reads)
-            << ", seed " << seed << ", phases of " << phase << "\n";
+            << ", seed " << seed << ", phases of " << phase << ", bound "
+            << options.bound << ", paths to the store late by "
+            << options.lateness << ", late calls "
+            << (options.late_calls == LateCalls::kKept ? "kept" : "closed")
+            << "\n";
   std::string violation = model.Run(kWarmUp);
   const auto measure = [&](const char* name, absl::Duration duration) {
     if (violation.empty()) violation = model.Run(duration);
@@ -197,6 +207,11 @@
   model.CutReaders(PublishingModel::Cut::kTransfers, phase);
   model.StartMeasuring();
   measure("transfers from readers cut", phase);
+  model.StopStore(kFault, true);
+  model.StartMeasuring();
+  measure("store is silent", kFault);
+  model.StartMeasuring();
+  measure("10 s after it", kFault);
   return violation;
 }
 
@@ -205,7 +220,9 @@
 /// Checks how current hosts are while they share their reads of the store.
 /// CHERRYDYKE_MODEL_SEED, CHERRYDYKE_MODEL_SEEDS (the number of runs),
 /// CHERRYDYKE_MODEL_HOSTS, CHERRYDYKE_MODEL_DOMAINS, CHERRYDYKE_MODEL_READS (0
-/// to 2), CHERRYDYKE_MODEL_WATCH_CALLS and CHERRYDYKE_MODEL_PHASE_S change the
+/// to 2), CHERRYDYKE_MODEL_WATCH_CALLS, CHERRYDYKE_MODEL_PHASE_S,
+/// CHERRYDYKE_MODEL_BOUND_MS, CHERRYDYKE_MODEL_LATE_STORE_MS (of all paths to
+/// the store, each way) and CHERRYDYKE_MODEL_LATE_CALLS (1: closed) change the
 /// runs.
 class PublishingModelTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(PublishingModelTest);
@@ -217,12 +234,16 @@
   CPPUNIT_TEST(SmallFleetIgnoresCutTransfers);
   CPPUNIT_TEST(LateDatagramsDoNotHideChanges);
   CPPUNIT_TEST(SmallFleetIgnoresLateDatagrams);
+  CPPUNIT_TEST(FindsCallsOnSlowPathsThatAreClosedForEver);
+  CPPUNIT_TEST(SlowPathsToTheStoreDoNotHideChanges);
+  CPPUNIT_TEST(PathsToTheStoreThatTurnSlowDoNotHideChanges);
   CPPUNIT_TEST(SilentWatchesWhileTransfersAreCut);
   CPPUNIT_TEST(SilentWatchesOfSmallFleetWhileTransfersAreCut);
   CPPUNIT_TEST(PeersServeHostsOfSmallFleetWhoseResponsesTrickle);
   CPPUNIT_TEST(TricklingResponsesOfSmallFleetWhileTransfersAreCut);
   CPPUNIT_TEST(CalmHostsLeaveTheStoreToTheReaders);
   CPPUNIT_TEST(SmallFleetStaysWithinItsAllowanceInStormsAndOutages);
+  CPPUNIT_TEST(SmallFleetStaysWithinItsAllowanceOnSlowPaths);
   CPPUNIT_TEST(AllowanceCostsManyHostsNoCalls);
   CPPUNIT_TEST(ProofsAreNeverFresherThanTheTruth);
   CPPUNIT_TEST(ProofsOfSmallFleetAreNeverFresherThanTheTruth);
@@ -276,6 +297,24 @@
     options.counts_transit = false;
     CPPUNIT_ASSERT_EQUAL(std::string(), RunWithLateLinks(options));
   }
+  void FindsCallsOnSlowPathsThatAreClosedForEver() {
+    for (PublishingModel::Options options : SlowPaths()) {
+      options.late_calls = LateCalls::kClosed;
+      CPPUNIT_ASSERT(
+          RunWithSlowPaths(options, kRunTime).find("misses a change") !=
+          std::string::npos);
+    }
+  }
+  void SlowPathsToTheStoreDoNotHideChanges() {
+    for (const PublishingModel::Options& options : SlowPaths()) {
+      CPPUNIT_ASSERT_EQUAL(std::string(), RunWithSlowPaths(options, kRunTime));
+    }
+  }
+  void PathsToTheStoreThatTurnSlowDoNotHideChanges() {
+    for (const PublishingModel::Options& options : SlowPaths()) {
+      CPPUNIT_ASSERT_EQUAL(std::string(), RunWithSlowPaths(options, kFault));
+    }
+  }
   // The pause after the failed watch exceeded the bound.
   void SilentWatchesWhileTransfersAreCut() {
     CPPUNIT_ASSERT_EQUAL(std::string(),
@@ -323,6 +362,25 @@
       }
     }
   }
+  // Second calls beside late ones included.
+  void SmallFleetStaysWithinItsAllowanceOnSlowPaths() {
+    PublishingModel::Options options = SlowPaths().front();
+    for (const absl::Duration changes :
+         {absl::InfiniteDuration(), kStorm, kDenseStorm}) {
+      options.lateness = kSlowPath;
+      CPPUNIT_ASSERT(MaxCalls(options, changes, [](PublishingModel& model) {
+                       model.DelayStore(kPhase);
+                     }) <= kAllowance);
+      options.lateness = kSlowPathAfterOutages;
+      for (const bool is_silent : {false, true}) {
+        CPPUNIT_ASSERT(
+            MaxCalls(options, changes, [is_silent](PublishingModel& model) {
+              model.DelayStore(kPhase);
+              model.StopStore(kFault, is_silent);
+            }) <= kAllowance);
+      }
+    }
+  }
   void AllowanceCostsManyHostsNoCalls() {
     const auto none = [](PublishingModel&) {};
     const auto partition = [](PublishingModel& model) {
@@ -357,6 +415,13 @@
     options.reads =
         static_cast<Reads>(FromEnvironment("CHERRYDYKE_MODEL_READS", 0));
     if (options.hosts >= ManyHosts().hosts) options.bound = kBoundOfManyHosts;
+    options.bound = absl::Milliseconds(FromEnvironment(
+        "CHERRYDYKE_MODEL_BOUND_MS", absl::ToInt64Milliseconds(options.bound)));
+    options.lateness = absl::Milliseconds(
+        FromEnvironment("CHERRYDYKE_MODEL_LATE_STORE_MS", 0));
+    options.late_calls = static_cast<LateCalls>(
+        FromEnvironment("CHERRYDYKE_MODEL_LATE_CALLS", 0));
+    options.checks_delays = options.lateness == absl::ZeroDuration();
     const std::string violation = RunForFigures(options);
     if (options.reads == Reads::kByRole) return;
     CPPUNIT_ASSERT_EQUAL(std::string(), violation);
@@ -445,6 +510,36 @@
     }
     return violation;
   }
+  /// @return fleets of which each host watches the store, and others.
+  static std::vector<PublishingModel::Options> SlowPaths() {
+    std::vector<PublishingModel::Options> fleets = {
+        PublishingModel::Options(), WithoutAllowance(), ManyHosts()};
+    fleets.front().target = kTargetOfTwoFailures;
+    for (PublishingModel::Options& options : fleets) {
+      options.lateness = kSlowPath;
+    }
+    return fleets;
+  }
+  /// @param period for how long paths are slow, and then for how long not.
+  static std::string RunWithSlowPaths(const PublishingModel::Options& options,
+                                      absl::Duration period) {
+    const auto seeds = static_cast<uint32_t>(options.hosts >= ManyHosts().hosts
+                                                 ? kSeedsOfManyHostsInCi
+                                                 : kSeedsInCi);
+    for (uint32_t seed = 1; seed <= seeds; ++seed) {
+      PublishingModel model(options, seed);
+      std::string violation = model.Run(kWarmUp);
+      for (absl::Duration time; time < kRunTime && violation.empty();
+           time += 2 * period) {
+        model.DelayStore(period);
+        violation = model.Run(2 * period);
+      }
+      if (!violation.empty()) {
+        return "seed " + std::to_string(seed) + ": " + violation;
+      }
+    }
+    return "";
+  }
   static std::string RunWithLateLinks(const PublishingModel::Options& options) {
     for (uint32_t seed = 1; seed <= kLateSeeds; ++seed) {
       PublishingModel model(options, seed);
