--- a/libs/engine/src/async_http_client.cc
+++ b/libs/engine/src/async_http_client.cc
@@ -33,7 +33,7 @@
     : loop_(loop),
       endpoint_(endpoint),
       pool_(loop, std::move(endpoint), MakeClientOptions(connect_timeout),
-            kMaxConnections, nullptr) {}
+            kMaxConnections, this) {}
 
 struct AsyncHttpClient::PendingCall {
   PatientGet get;
@@ -60,6 +60,17 @@
     return is_late ? absl::InfiniteFuture() : ExceededAt(get.late);
   }
   absl::Time EndsAt() const { return ExceededAt(get.end); }
+  /// @return the limit that is exceeded first.
+  CallLimit LimitOf(const ResponseTimeouts& timeouts) const {
+    if (!is_sent) return CallLimit::kConnect;
+    if (!HasBegun()) return CallLimit::kFirstByte;
+    return progress_at + timeouts.stall < first_byte_at + timeouts.receive
+               ? CallLimit::kStall
+               : CallLimit::kReceive;
+  }
+  CallReport Report(CallLimit limit, absl::Time now) const {
+    return {limit, now - started_at, first_byte_at - started_at};
+  }
 };
 
 void AsyncHttpClient::Get(const std::string& target,
@@ -68,7 +79,12 @@
   constexpr ResponseTimeouts kNever = {
       absl::InfiniteDuration(), absl::InfiniteDuration(),
       absl::InfiniteDuration(), absl::InfiniteDuration()};
-  Start({target, kNever, timeouts, nullptr, nullptr, std::move(done)}, headers);
+  Start({target, kNever, timeouts, nullptr,
+         [done = std::move(done)](Result<HttpResponse> result,
+                                  const CallReport& /*report*/) {
+           done(std::move(result));
+         }},
+        headers);
 }
 
 ExchangeId AsyncHttpClient::Get(PatientGet get) {
@@ -93,21 +109,23 @@
   };
   request.exchange.on_progress = [this, call] {
     call->progress_at = loop_.Now();
-    if (call->HasBegun()) return;
-    call->first_byte_at = call->progress_at;
-    if (call->get.on_first_byte) call->get.on_first_byte();
+    call->first_byte_at = std::min(call->first_byte_at, call->progress_at);
   };
   request.exchange.done = [this, call](ExchangeResult result) {
     if (!call->get.done) return;
     loop_.Cancel(call->timer);
     calls_.erase(call->exchange);
-    const Done done = std::exchange(call->get.done, nullptr);
+    const auto done = std::exchange(call->get.done, nullptr);
     if (result.status == ExchangeStatus::kComplete) {
-      done(std::move(result.response));
-    } else {
-      done(Error{ErrorCode::kUnavailable,
-                 absl::StrCat("no complete HTTP response from ", endpoint_)});
+      return done(std::move(result.response),
+                  call->Report(CallLimit::kNone, loop_.Now()));
     }
+    const bool is_limit =
+        result.status == ExchangeStatus::kNotSent && !connect_refused_;
+    done(Error{ErrorCode::kUnavailable,
+               absl::StrCat("no complete HTTP response from ", endpoint_)},
+         call->Report(is_limit ? CallLimit::kConnect : CallLimit::kNone,
+                      loop_.Now()));
   };
   call->exchange = pool_.Send(std::move(request));
   calls_.emplace(call->exchange, call);
@@ -121,7 +139,6 @@
   PendingCall& cancelled = *found->second;
   loop_.Cancel(cancelled.timer);
   cancelled.get.done = nullptr;
-  cancelled.get.on_first_byte = nullptr;
   calls_.erase(found);
   pool_.Cancel(call, absl::ZeroDuration());
   // The next call may need another attempt.
@@ -129,24 +146,28 @@
 }
 
 void AsyncHttpClient::CheckTimeouts(const std::shared_ptr<PendingCall>& call) {
-  if (loop_.Now() >= call->EndsAt()) {
-    const Done done = std::exchange(call->get.done, nullptr);
-    const bool has_begun = call->HasBegun();
+  const absl::Time now = loop_.Now();
+  if (now >= call->EndsAt()) {
+    const CallReport report = call->Report(call->LimitOf(call->get.end), now);
+    const auto done = std::exchange(call->get.done, nullptr);
     Cancel(call->exchange);
     return done(
         Error{ErrorCode::kTimeout,
-              absl::StrCat(has_begun ? "HTTP response stopped arriving or "
-                                       "took too long from "
-                                     : "HTTP request timed out without a "
-                                       "response from ",
-                           endpoint_)});
+              absl::StrCat(call->HasBegun() ? "HTTP response stopped arriving "
+                                              "or took too long from "
+                                            : "HTTP request timed out without "
+                                              "a response from ",
+                           endpoint_)},
+        report);
   }
-  const bool is_late = loop_.Now() >= call->LateAt();
+  const bool is_late = now >= call->LateAt();
   if (is_late) call->is_late = true;
   call->timer = timers_.RunAt(std::min(call->LateAt(), call->EndsAt()),
                               [this, call] { CheckTimeouts(call); });
   // It may cancel the call.
-  if (is_late && call->get.on_late) call->get.on_late();
+  if (is_late && call->get.on_late) {
+    call->get.on_late(call->Report(call->LimitOf(call->get.late), now));
+  }
 }
 
 }  // namespace cherrydyke::engine
--- a/libs/tier/include/tier/published_source.h
+++ b/libs/tier/include/tier/published_source.h
@@ -10,6 +10,7 @@
 #include "dispatch/types.h"
 #include "engine/http_server.h"
 #include "tier/published_items.h"
+#include "tier/source_call.h"
 
 namespace cherrydyke {
 
@@ -35,6 +36,9 @@
     /// A call is late and may still be answered, or has failed before it was
     /// late: reported once for each call.
     virtual void OnReadMissed() = 0;
+    /// A call was answered, is late, or has failed before it was late; comes
+    /// before what follows from it.
+    virtual void OnCall(const SourceCall& /*call*/) {}
   };
 
   virtual ~PublishedSource() = default;
