--- a/libs/tier/tests/publishing_model_test.cc
+++ b/libs/tier/tests/publishing_model_test.cc
@@ -249,6 +249,7 @@
   CPPUNIT_TEST(ProofsOfSmallFleetAreNeverFresherThanTheTruth);
   CPPUNIT_TEST(Figures);
   CPPUNIT_TEST(FiguresOfLateness);
+  CPPUNIT_TEST(FiguresOfSilentWatchesOnSlowPaths);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -456,6 +457,32 @@
       model.CutAll(Model::Cut::kTransfers, kRunTime);
     });
   }
+  // Prints the longest delays.
+  void FiguresOfSilentWatchesOnSlowPaths() {
+    for (const int late_ms : {0, 100, 200, 300, 500, 700, 1000}) {
+      for (const bool cuts_transfers : {false, true}) {
+        PublishingModel::Options options;
+        options.lateness = absl::Milliseconds(late_ms);
+        options.checks_delays = false;
+        PublishingModel model(options, kSeed);
+        CPPUNIT_ASSERT_EQUAL(std::string(), model.Run(kWarmUp));
+        model.DelayStore(absl::InfiniteDuration());
+        if (cuts_transfers) {
+          model.CutAll(PublishingModel::Cut::kTransfers,
+                       absl::InfiniteDuration());
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string(), model.Run(kWarmUp));
+        model.StartMeasuring();
+        for (int i = 0; i < kSilentWatches; ++i) {
+          CPPUNIT_ASSERT_EQUAL(std::string(), model.Run(kSecond));
+          model.SilenceWatch(static_cast<size_t>(i % options.hosts));
+        }
+        std::cerr << "\nlate by " << late_ms << " ms"
+                  << (cuts_transfers ? ", transfers cut" : "");
+        Print("", model.Measured());
+      }
+    }
+  }
 
  private:
   static PublishingModel::Figures RunPhase(
