--- a/libs/engine/include/engine/async_http_client.h
+++ b/libs/engine/include/engine/async_http_client.h
@@ -36,12 +36,19 @@
   CallLimit limit = CallLimit::kNone;
   /// Time since the begin of the call.
   absl::Duration elapsed;
-  /// Time until the first byte of the response; infinite if there was none.
+  /// Time until the request was sent on a connection, and until the first byte
+  /// of the response; infinite if that did not happen.
+  absl::Duration sent = absl::InfiniteDuration();
   absl::Duration first_byte = absl::InfiniteDuration();
 
   friend bool operator==(const CallReport& a, const CallReport& b) {
-    return std::tie(a.limit, a.elapsed, a.first_byte) ==
-           std::tie(b.limit, b.elapsed, b.first_byte);
+    return a.Key() == b.Key();
+  }
+
+ private:
+  std::tuple<CallLimit, absl::Duration, absl::Duration, absl::Duration> Key()
+      const {
+    return {limit, elapsed, sent, first_byte};
   }
 };
 
--- a/libs/engine/src/async_http_client.cc
+++ b/libs/engine/src/async_http_client.cc
@@ -40,12 +40,13 @@
   ExchangeId exchange = 0;
   TimerId timer = 0;
   absl::Time started_at;
-  bool is_sent = false;
+  absl::Time sent_at = absl::InfiniteFuture();
   bool is_late = false;
   /// When the first and the last bytes of the response arrived.
   absl::Time first_byte_at = absl::InfiniteFuture();
   absl::Time progress_at;
 
+  bool IsSent() const { return sent_at != absl::InfiniteFuture(); }
   bool HasBegun() const { return first_byte_at != absl::InfiniteFuture(); }
   absl::Time ExceededAt(const ResponseTimeouts& timeouts) const {
     if (HasBegun()) {
@@ -53,7 +54,7 @@
                       first_byte_at + timeouts.receive);
     }
     const absl::Time first_byte_due = started_at + timeouts.first_byte;
-    if (is_sent) return first_byte_due;
+    if (IsSent()) return first_byte_due;
     return std::min(first_byte_due, started_at + timeouts.send);
   }
   absl::Time LateAt() const {
@@ -62,14 +63,15 @@
   absl::Time EndsAt() const { return ExceededAt(get.end); }
   /// @return the limit that is exceeded first.
   CallLimit LimitOf(const ResponseTimeouts& timeouts) const {
-    if (!is_sent) return CallLimit::kConnect;
+    if (!IsSent()) return CallLimit::kConnect;
     if (!HasBegun()) return CallLimit::kFirstByte;
     return progress_at + timeouts.stall < first_byte_at + timeouts.receive
                ? CallLimit::kStall
                : CallLimit::kReceive;
   }
   CallReport Report(CallLimit limit, absl::Time now) const {
-    return {limit, now - started_at, first_byte_at - started_at};
+    return {limit, now - started_at, sent_at - started_at,
+            first_byte_at - started_at};
   }
 };
 
@@ -99,7 +101,7 @@
   PoolRequest request;
   request.max_idle_time = kMaxIdleTime;
   request.exchange.write = [this, call, headers] {
-    call->is_sent = true;
+    call->sent_at = loop_.Now();
     std::string head = absl::StrCat("GET ", call->get.target,
                                     " HTTP/1.1\r\nHost: ", endpoint_, "\r\n");
     for (const HttpHeader& header : headers) {
--- a/libs/engine/tests/async_http_client_test.cc
+++ b/libs/engine/tests/async_http_client_test.cc
@@ -104,6 +104,7 @@
     CPPUNIT_ASSERT_EQUAL(std::string("x"), GetValue(*result_).body);
     CPPUNIT_ASSERT_EQUAL(1, late_count_);
     CPPUNIT_ASSERT(report_.limit == CallLimit::kNone);
+    CPPUNIT_ASSERT(report_.sent < kLate);
     CPPUNIT_ASSERT(report_.first_byte >= 2 * kLate);
     CPPUNIT_ASSERT(report_.first_byte <= report_.elapsed);
     CPPUNIT_ASSERT_EQUAL(1, server.accepted());
@@ -127,6 +128,7 @@
     CPPUNIT_ASSERT(RunUntil(loop_, [&] { return late_count_ == 1; }));
     CPPUNIT_ASSERT(loop_.Now() - started < kLate);
     CPPUNIT_ASSERT(report_.limit == CallLimit::kConnect);
+    CPPUNIT_ASSERT(report_.sent == absl::InfiniteDuration());
   }
 
   void CancelledCallReportsNothing() {
--- a/libs/tier/include/tier/hedged_calls.h
+++ b/libs/tier/include/tier/hedged_calls.h
@@ -37,9 +37,14 @@
 
   /// What an answer tells of the other calls.
   struct Answer {
+    /// When the call that was answered began.
+    absl::Time started_at;
     /// Starts of late calls that got no answer although they began before the
     /// one that did, oldest first.
     std::vector<absl::Time> lost;
+    /// Starts of late calls that began after it, oldest first: lost as well, or
+    /// as slow as it was.
+    std::vector<absl::Time> overtaken;
     /// Calls that have become useless.
     std::vector<CallNumber> useless;
   };
--- a/libs/tier/include/tier/publishing_times.h
+++ b/libs/tier/include/tier/publishing_times.h
@@ -57,6 +57,9 @@
   absl::Duration response = absl::Milliseconds(600);
   /// The longest round trip with which a change can be in force in time.
   absl::Duration max_response;
+  /// The same without a reserve: a path on which calls take longer is as good
+  /// as cut, and the service as good as away.
+  absl::Duration outage_response;
   /// A call is late this time after the first byte of its response: a large
   /// configuration on a slow link that carries requests as well.
   absl::Duration receive;
--- a/libs/tier/src/hedged_calls.cc
+++ b/libs/tier/src/hedged_calls.cc
@@ -44,15 +44,16 @@
 
 HedgedCalls::Answer HedgedCalls::OnAnswered(CallNumber call) {
   Answer answer;
-  const absl::Time started_at = OnFailed(call).started_at;
+  answer.started_at = OnFailed(call).started_at;
   for (const Call& other : calls_) {
     if (other.is_late) AddUnresolved(other.started_at);
     answer.useless.push_back(other.number);
   }
   std::sort(unresolved_.begin(), unresolved_.end());
-  answer.lost.assign(
-      unresolved_.begin(),
-      std::lower_bound(unresolved_.begin(), unresolved_.end(), started_at));
+  const auto later = std::lower_bound(unresolved_.begin(), unresolved_.end(),
+                                      answer.started_at);
+  answer.lost.assign(unresolved_.begin(), later);
+  answer.overtaken.assign(later, unresolved_.end());
   calls_.clear();
   unresolved_.clear();
   patience_ = options_.patience;
--- a/libs/tier/src/publishing_times.cc
+++ b/libs/tier/src/publishing_times.cc
@@ -33,10 +33,12 @@
                  times.response, kMaxReceive);
   // A change that just misses a response waits until that one has arrived, for
   // half a round trip and the pause, and then for a call.
+  const absl::Duration beside_path =
+      PollSchedule::kMaxBatchPause + kWithoutProcessor;
   times.max_response = std::max(
-      times.response, ((1 - kReserveRatio) * bound -
-                       PollSchedule::kMaxBatchPause - kWithoutProcessor) *
-                          2 / 3);
+      times.response, ((1 - kReserveRatio) * bound - beside_path) * 2 / 3);
+  times.outage_response =
+      std::max(times.max_response, (bound - beside_path) * 2 / 3);
   // A connection, and a call on it.
   times.patience = 2 * times.max_response;
   times.max_patience = std::max(times.patience, kMaxPatience);
--- a/libs/tier/tests/hedged_calls_test.cc
+++ b/libs/tier/tests/hedged_calls_test.cc
@@ -72,7 +72,10 @@
     StartLate(1);
     calls_.MakeRoom();
     StartLate(2);
-    CPPUNIT_ASSERT(calls_.OnAnswered(first).lost.empty());
+    const HedgedCalls::Answer answer = calls_.OnAnswered(first);
+    CPPUNIT_ASSERT(answer.started_at == At(0));
+    CPPUNIT_ASSERT(answer.lost.empty());
+    CPPUNIT_ASSERT((answer.overtaken == std::vector{At(1), At(2)}));
     // Nor later.
     CPPUNIT_ASSERT(calls_.OnAnswered(calls_.OnStarted(At(3))).lost.empty());
   }
--- a/libs/tier/tests/publishing_times_test.cc
+++ b/libs/tier/tests/publishing_times_test.cc
@@ -209,6 +209,7 @@
       const PublishingTimes times = PublishingTimes::For(
           absl::Milliseconds(*rc::gen::inRange(1, kMaxBoundMs)));
       RC_ASSERT(times.response <= times.max_response);
+      RC_ASSERT(times.max_response <= times.outage_response);
       RC_ASSERT(times.patience >= times.max_response * 2);
       RC_ASSERT(times.patience <= times.max_patience);
     }));
