Don't take a connection that opens late for a restart

Attempts begin anew once the path to targets is restored, which is also sooner than the kernel repeats them. A late attempt that opens while an older connection has stayed open is no restart either. One that is overtaken by a later one is lost and isn't kept.

--- a/libs/engine/include/engine/connection_pool.h
+++ b/libs/engine/include/engine/connection_pool.h
@@ -45,6 +45,9 @@
     /// as a server at its connection limit does.
     virtual void OnClosedBeforeResponse() = 0;
     virtual void OnConnected() = 0;
+    /// An attempt that was reported as failed has succeeded, while an older
+    /// connection stayed open: the path is slow, or a packet was lost.
+    virtual void OnLateConnected() = 0;
   };
 
   ConnectionPool(EventLoop& loop, Endpoint endpoint, ClientOptions options,
@@ -82,6 +85,11 @@
   /// whether the server accepts connections.
   void Probe();
 
+  /// Begins the attempts to connect anew, without a report: the path was cut
+  /// and works again, so that they would wait for the kernel to repeat their
+  /// packets.
+  void RestartAttempts();
+
   /// @return whether no connection is opened for requests because the server
   /// recently closed one before any response.
   bool is_backing_off() const { return loop_.Now() < next_connect_at_; }
@@ -115,6 +123,8 @@
   void OnClosed(ClientConnection& connection, bool was_open,
                 bool by_peer) override;
 
+  /// Tells the listener of a new connection.
+  void ReportConnected(const PooledConnection& opened);
   /// @return number of connections that are being opened or verified.
   int PendingConnections() const;
   /// @return whether a new connection has to be verified before use.
--- a/libs/engine/src/connection_pool.cc
+++ b/libs/engine/src/connection_pool.cc
@@ -200,6 +200,14 @@
                      });
 }
 
+void ConnectionPool::RestartAttempts() {
+  while (CloseFirst([](const PooledConnection& pooled) {
+    return pooled.connection->IsConnecting();
+  })) {
+  }
+  SendQueued();
+}
+
 int ConnectionPool::PendingConnections() const {
   return static_cast<int>(
       std::count_if(connections_.begin(), connections_.end(),
@@ -213,10 +221,24 @@
   return loop_.Now() < verify_until_;
 }
 
+void ConnectionPool::ReportConnected(const PooledConnection& opened) {
+  if (listener_ == nullptr) return;
+  const bool has_older =
+      std::any_of(connections_.begin(), connections_.end(),
+                  [&](const PooledConnection& other) {
+                    return other.connection->IsOpen() &&
+                           other.connect_started_at < opened.connect_started_at;
+                  });
+  if (opened.late && has_older) return listener_->OnLateConnected();
+  listener_->OnConnected();
+}
+
 void ConnectionPool::OnOpened(ClientConnection& connection) {
-  if (listener_ != nullptr) listener_->OnConnected();
   PooledConnection* pooled = Find(connection);
   if (pooled == nullptr) return;
+  ReportConnected(*pooled);
+  pooled = Find(connection);
+  if (pooled == nullptr) return;
   if (std::exchange(pooled->late, false)) {
     CloseAttemptsBeyondLimit();
   } else {
@@ -238,10 +260,15 @@
 void ConnectionPool::OnConnectLate(ClientConnection& connection) {
   PooledConnection* const pooled = Find(connection);
   if (pooled == nullptr) return;
-  const bool is_first =
-      std::none_of(connections_.begin(), connections_.end(),
-                   [](const PooledConnection& other) { return other.late; });
-  if (!is_first) return connection.Close();
+  // On a slow path no attempt overtakes an older one.
+  const bool is_lost = std::any_of(
+      connections_.begin(), connections_.end(),
+      [&](const PooledConnection& other) {
+        return other.late ||
+               (other.connection->IsOpen() &&
+                other.connect_started_at > pooled->connect_started_at);
+      });
+  if (is_lost) return connection.Close();
   pooled->late = true;
   if (listener_ != nullptr) listener_->OnConnectFailed(false);
   FailQueuedIfNoConnection();
--- a/libs/engine/tests/connection_pool_test.cc
+++ b/libs/engine/tests/connection_pool_test.cc
@@ -54,6 +54,7 @@
   CPPUNIT_TEST(LateConnectionReplacesTheAttemptBesideItAtTheLimit);
   CPPUNIT_TEST(SilentServerFailsRequestsAtTheTimeoutBesideALateAttempt);
   CPPUNIT_TEST(LateAttemptEndsOnceALaterOneSucceeds);
+  CPPUNIT_TEST(AttemptsBegunAnewUseAPathThatWasCut);
   CPPUNIT_TEST(HangingAttemptsDoNotHoldUpLaterRequests);
   CPPUNIT_TEST(LoopOutlivesTheObjectsInItsHandlers);
   CPPUNIT_TEST_SUITE_END();
@@ -464,6 +465,19 @@
     CPPUNIT_ASSERT_EQUAL(1, server_->accepted());
   }
 
+  void AttemptsBegunAnewUseAPathThatWasCut() {
+    StartServerBehindSilentLink(4);
+    std::optional<ExchangeStatus> status;
+    SendRecordingStatus(status);
+    RunFor(loop_, absl::Milliseconds(50));
+    link_->SetState(FakeLink::State::kOpen);
+    pool_->RestartAttempts();
+    CPPUNIT_ASSERT(RunUntil(
+        loop_, [&] { return status.has_value(); }, absl::Milliseconds(200)));
+    CPPUNIT_ASSERT(status == ExchangeStatus::kComplete);
+    CPPUNIT_ASSERT_EQUAL(1, pool_->connection_count());
+  }
+
  private:
   /// Longer than the time after which the kernel repeats an attempt.
   static constexpr absl::Duration kSynTimeout = absl::Milliseconds(1500);
--- a/libs/tier/src/target.cc
+++ b/libs/tier/src/target.cc
@@ -85,6 +85,16 @@
            {"cold_ms", absl::ToInt64Milliseconds(warmup)}});
 }
 
+void TargetSet::Target::OnLateConnected() {
+  const absl::Time now = set.loop_.Now();
+  set.connect_failures_.OnConnected(now);
+  crash_detector_.OnConnected(now);
+  const absl::Time since =
+      std::exchange(unreachable_since_, absl::InfiniteFuture());
+  // Its older connections show that it hasn't restarted.
+  if (since != absl::InfiniteFuture()) health.OnConnected(now);
+}
+
 void TargetSet::Target::OnUnanswered(AttemptLoss loss, absl::Time sent_at,
                                      CrashDetector::OnVerdict on_verdict) {
   const absl::Time now = set.loop_.Now();
@@ -107,6 +117,7 @@
     unreachable_since_ = absl::InfiniteFuture();
   }
   health.OnPathRestored(earliest);
+  pool->RestartAttempts();
 }
 
 void TargetSet::Target::OnInstanceEnded() {
--- a/libs/tier/src/target.h
+++ b/libs/tier/src/target.h
@@ -77,6 +77,7 @@
   void OnConnectFailed(bool refused) override;
   void OnClosedBeforeResponse() override;
   void OnConnected() override;
+  void OnLateConnected() override;
   /// Polls the crash detector and probes the target while it needs evidence.
   void ProbeForCrash();
 
