Hand requests over to peers on slow paths

A question that is late is kept for 3 s, and the next ones are asked beside it. When one is late follows the peer's round trips (RoundTripEstimate), from 250 ms to 2.5 s; an answer within 250 ms begins the estimate anew, so that a peer that was frozen is noticed as silent as soon as before. A peer that may be slow is replaced after 5 s instead of 2 without an offer.

Before, PeersOnSlowPathsTakeRequestsOver and PeersOnSlowPathsAreNotTakenForSilentInTurns fail (700 ms a round trip). Now handover_client_test OK (8).

--- a/libs/tier/src/handover_peers.cc
+++ b/libs/tier/src/handover_peers.cc
@@ -12,9 +12,13 @@
 namespace cherrydyke {
 namespace {
 
-/// How often peers are asked for offers, and how long an answer may take.
+/// How often peers are asked for offers, and how long an answer may take: at
+/// least, and at most on a path that is known to be slow.
 constexpr absl::Duration kAskPeriod = absl::Milliseconds(300);
 constexpr absl::Duration kAskTimeout = absl::Milliseconds(250);
+constexpr absl::Duration kMaxAskTimeout = absl::Milliseconds(2500);
+/// How long a question that is late may still be answered.
+constexpr absl::Duration kMaxLateness = absl::Seconds(3);
 /// How often one is asked that is expected back while requests wait.
 constexpr absl::Duration kSilentAskPeriod = absl::Milliseconds(100);
 /// Peers with offers that are enough, and hosts asked at the same time while
@@ -91,9 +95,15 @@
     const Peer& peer = entry->second;
     const absl::Time last_use =
         std::max(peer.added_at, peer.candidate.available_at);
-    const bool is_unused =
-        now - last_use > kOfferWaitTime || now >= needed_until_;
-    if (is_unused && !peer.asking && peer.candidate.in_flight == 0) {
+    // Its first answer may be on its way.
+    const bool may_be_slow =
+        peer.late.exchange != 0 && peer.pool->IsConnected();
+    const absl::Duration wait_time =
+        kOfferWaitTime + (may_be_slow ? kMaxLateness : absl::ZeroDuration());
+    const bool is_unused = now - last_use > wait_time || now >= needed_until_;
+    if (is_unused && peer.asking.exchange == 0 &&
+        peer.candidate.in_flight == 0) {
+      loop_.Cancel(peer.late.timer);
       entry = peers_.erase(entry);
     } else {
       ++entry;
@@ -129,43 +139,88 @@
 }
 
 void HandoverPeers::Ask(const HostId& host, Peer& peer) {
-  if (std::exchange(peer.asking, true)) return;
+  if (peer.asking.exchange != 0) return;
+  peer.asking.asked_at = loop_.Now();
   engine::PoolRequest request;
   request.exchange.write = [host] {
     return RequestHead("GET", kHandoverOfferPath, host, 0);
   };
-  request.exchange.done = [this, host](const engine::ExchangeResult& result) {
-    OnOffer(host, result);
+  request.exchange.done = [this, host, asked_at = peer.asking.asked_at](
+                              const engine::ExchangeResult& result) {
+    OnAnswer(host, asked_at, result);
   };
-  const engine::ExchangeId exchange = peer.pool->Send(std::move(request));
-  peer.ask_timer = timers_.RunAfter(kAskTimeout, [this, host, exchange] {
+  peer.asking.exchange = peer.pool->Send(std::move(request));
+  CheckQuestion(host, peer);
+}
+
+void HandoverPeers::CheckQuestion(const HostId& host, Peer& peer) {
+  // An older question may have been answered meanwhile.
+  const absl::Time late_at =
+      peer.asking.asked_at +
+      peer.round_trips.LateAfter(kAskTimeout, kMaxAskTimeout);
+  if (loop_.Now() >= late_at) return OnQuestionLate(host);
+  peer.asking.timer = timers_.RunAt(
+      late_at, [this, host] { CheckQuestion(host, peers_.at(host)); });
+}
+
+void HandoverPeers::OnQuestionLate(const HostId& host) {
+  Peer& peer = peers_.at(host);
+  const engine::ExchangeId exchange = peer.asking.exchange;
+  // The older one is answered first.
+  if (peer.late.exchange != 0) {
+    peer.pool->Cancel(exchange, absl::ZeroDuration());
+    return;
+  }
+  const bool took_requests = peer.takes_requests();
+  peer.late = std::exchange(peer.asking, Question());
+  peer.late.timer = timers_.RunAfter(kMaxLateness, [this, host, exchange] {
     peers_.at(host).pool->Cancel(exchange, absl::ZeroDuration());
   });
+  OnSilent(host);
+  ReportChange(host, took_requests, true);
 }
 
-void HandoverPeers::OnOffer(const HostId& host,
-                            const engine::ExchangeResult& result) {
+void HandoverPeers::OnAnswer(const HostId& host, absl::Time asked_at,
+                             const engine::ExchangeResult& result) {
   const auto found = peers_.find(host);
   if (found == peers_.end()) return;
   Peer& peer = found->second;
-  HandoverCandidate& candidate = peer.candidate;
   const bool took_requests = peer.takes_requests();
-  const bool was_silent = candidate.is_silent;
-  loop_.Cancel(peer.ask_timer);
-  peer.asking = false;
-  candidate.is_silent = result.status != engine::ExchangeStatus::kComplete;
-  if (candidate.is_silent) {
+  const bool was_silent = peer.candidate.is_silent;
+  const bool was_late =
+      peer.late.exchange != 0 && peer.late.asked_at == asked_at;
+  Question& question = was_late ? peer.late : peer.asking;
+  loop_.Cancel(question.timer);
+  question = Question();
+  if (result.status == engine::ExchangeStatus::kComplete) {
+    const absl::Duration round_trip = loop_.Now() - asked_at;
+    // The path is not slow: what was late before was the peer.
+    if (round_trip <= kAskTimeout) peer.round_trips = RoundTripEstimate();
+    peer.round_trips = peer.round_trips.AfterSample(round_trip);
+    OnOffer(peer, result);
+  } else if (!was_late) {
     OnSilent(host);
-  } else {
-    const Result<HandoverOffer> decoded =
-        DecodeHandoverOffer(result.response.body);
-    // A host of a version without handover answers otherwise.
-    const bool is_offer =
-        result.response.status == 200 && GetError(decoded) == nullptr;
-    candidate.offer = is_offer ? GetValue(decoded) : HandoverOffer();
-    candidate.offered_at = loop_.Now();
-    if (candidate.offer.available) candidate.available_at = loop_.Now();
   }
+  ReportChange(host, took_requests, was_silent);
+}
+
+void HandoverPeers::OnOffer(Peer& peer, const engine::ExchangeResult& result) {
+  HandoverCandidate& candidate = peer.candidate;
+  candidate.is_silent = false;
+  const Result<HandoverOffer> decoded =
+      DecodeHandoverOffer(result.response.body);
+  // A host of a version without handover answers otherwise.
+  const bool is_offer =
+      result.response.status == 200 && GetError(decoded) == nullptr;
+  candidate.offer = is_offer ? GetValue(decoded) : HandoverOffer();
+  candidate.offered_at = loop_.Now();
+  if (candidate.offer.available) candidate.available_at = loop_.Now();
+}
+
+void HandoverPeers::ReportChange(const HostId& host, bool took_requests,
+                                 bool was_silent) {
+  const Peer& peer = peers_.at(host);
+  const HandoverCandidate& candidate = peer.candidate;
   if (peer.takes_requests() != took_requests) {
     LogInfo(
         took_requests ? "peer takes over no requests"
--- a/libs/tier/src/handover_peers.h
+++ b/libs/tier/src/handover_peers.h
@@ -13,6 +13,7 @@
 #include "engine/connection_pool.h"
 #include "membership/host_table.h"
 #include "tier/handover_client.h"
+#include "tier/round_trip_estimate.h"
 
 namespace cherrydyke {
 
@@ -72,12 +73,21 @@
                                  const std::string& headers = "");
 
  private:
+  /// A question under way; none without an exchange.
+  struct Question {
+    engine::ExchangeId exchange = 0;
+    absl::Time asked_at;
+    engine::TimerId timer = 0;
+  };
   struct Peer {
     HandoverCandidate candidate;
     std::unique_ptr<engine::ConnectionPool> pool;
     absl::Time added_at;
-    bool asking = false;
-    engine::TimerId ask_timer = 0;
+    /// The question that is not late yet, and one that is: its answer counts
+    /// when it comes.
+    Question asking;
+    Question late;
+    RoundTripEstimate round_trips;
 
     bool takes_requests() const {
       return candidate.offer.available && !candidate.is_silent;
@@ -92,7 +102,16 @@
   void AddPeers();
   void RemoveUnusedPeers();
   void Ask(const HostId& host, Peer& peer);
-  void OnOffer(const HostId& host, const engine::ExchangeResult& result);
+  /// Looks whether the question of a peer is late, and again when it can be.
+  void CheckQuestion(const HostId& host, Peer& peer);
+  /// A question was not answered in time.
+  void OnQuestionLate(const HostId& host);
+  void OnAnswer(const HostId& host, absl::Time asked_at,
+                const engine::ExchangeResult& result);
+  void OnOffer(Peer& peer, const engine::ExchangeResult& result);
+  /// Tells of a change of what a peer takes over.
+  /// @param took_requests whether it did before.
+  void ReportChange(const HostId& host, bool took_requests, bool was_silent);
 
   engine::EventLoop& loop_;
   engine::TimerScope timers_{loop_};
