--- a/libs/engine/tests/async_http_client_test.cc
+++ b/libs/engine/tests/async_http_client_test.cc
@@ -98,11 +98,14 @@
     });
     GetPatiently(server);
     CPPUNIT_ASSERT(RunUntil(loop_, [&] { return late_count_ == 1; }));
-    CPPUNIT_ASSERT_EQUAL(0, first_byte_count_);
+    CPPUNIT_ASSERT(report_.limit == CallLimit::kFirstByte);
+    CPPUNIT_ASSERT(report_.first_byte == absl::InfiniteDuration());
     CPPUNIT_ASSERT(RunUntil(loop_, [&] { return result_.has_value(); }));
     CPPUNIT_ASSERT_EQUAL(std::string("x"), GetValue(*result_).body);
     CPPUNIT_ASSERT_EQUAL(1, late_count_);
-    CPPUNIT_ASSERT_EQUAL(1, first_byte_count_);
+    CPPUNIT_ASSERT(report_.limit == CallLimit::kNone);
+    CPPUNIT_ASSERT(report_.first_byte >= 2 * kLate);
+    CPPUNIT_ASSERT(report_.first_byte <= report_.elapsed);
     CPPUNIT_ASSERT_EQUAL(1, server.accepted());
   }
 
@@ -123,6 +126,7 @@
     GetPatiently(server);
     CPPUNIT_ASSERT(RunUntil(loop_, [&] { return late_count_ == 1; }));
     CPPUNIT_ASSERT(loop_.Now() - started < kLate);
+    CPPUNIT_ASSERT(report_.limit == CallLimit::kConnect);
   }
 
   void CancelledCallReportsNothing() {
@@ -143,9 +147,14 @@
     get.target = "/x";
     get.late = {kLate, kLate, kTimeouts.receive, kLate / 2};
     get.end = kTimeouts;
-    get.on_late = [this] { ++late_count_; };
-    get.on_first_byte = [this] { ++first_byte_count_; };
-    get.done = [this](Result<HttpResponse> got) { result_ = std::move(got); };
+    get.on_late = [this](const CallReport& report) {
+      ++late_count_;
+      report_ = report;
+    };
+    get.done = [this](Result<HttpResponse> got, const CallReport& report) {
+      result_ = std::move(got);
+      report_ = report;
+    };
     patient_client_ = std::make_unique<AsyncHttpClient>(
         loop_, server.endpoint(), kConnectTimeout);
     return patient_client_->Get(std::move(get));
@@ -189,7 +198,7 @@
   std::unique_ptr<AsyncHttpClient> patient_client_;
   std::optional<Result<HttpResponse>> result_;
   int late_count_ = 0;
-  int first_byte_count_ = 0;
+  CallReport report_;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AsyncHttpClientTest);
--- a/libs/tier/include/tier/published_source.h
+++ b/libs/tier/include/tier/published_source.h
@@ -10,6 +10,7 @@
 #include "dispatch/types.h"
 #include "engine/http_server.h"
 #include "tier/published_items.h"
+#include "tier/source_call.h"
 
 namespace cherrydyke {
 
@@ -28,9 +29,16 @@
     /// @param targets whether those of the targets have.
     virtual void OnRead(absl::Time current_until, bool config,
                         bool targets) = 0;
-    /// A call failed.
+    /// The service did not answer a call: it failed, was given up, or a later
+    /// one was answered first.
     /// @param started_at when it began.
     virtual void OnReadFailed(absl::Time started_at) = 0;
+    /// A call is late and may still be answered, or has failed before it was
+    /// late: reported once for each call.
+    virtual void OnReadMissed() = 0;
+    /// A call was answered, is late, or has failed before it was late; comes
+    /// before what follows from it.
+    virtual void OnCall(const SourceCall& /*call*/) {}
   };
 
   virtual ~PublishedSource() = default;
