--- a/libs/engine/include/engine/async_http_client.h
+++ b/libs/engine/include/engine/async_http_client.h
@@ -93,6 +93,7 @@
   void OnConnectFailed(bool refused) override { connect_refused_ = refused; }
   void OnClosedBeforeResponse() override {}
   void OnConnected() override {}
+  void OnLateConnected() override {}
 
   ExchangeId Start(PatientGet get, const std::vector<HttpHeader>& headers);
   /// Ends the call or reports that it is late if a time limit is exceeded, and
