--- a/libs/engine/tests/connection_pool_test.cc
+++ b/libs/engine/tests/connection_pool_test.cc
@@ -55,6 +55,7 @@
   CPPUNIT_TEST(SilentServerFailsRequestsAtTheTimeoutBesideALateAttempt);
   CPPUNIT_TEST(LateAttemptEndsOnceALaterOneSucceeds);
   CPPUNIT_TEST(AttemptsBegunAnewUseAPathThatWasCut);
+  CPPUNIT_TEST(LateConnectionKeepsALimitThatWasLowered);
   CPPUNIT_TEST(HangingAttemptsDoNotHoldUpLaterRequests);
   CPPUNIT_TEST(LoopOutlivesTheObjectsInItsHandlers);
   CPPUNIT_TEST_SUITE_END();
@@ -478,6 +479,26 @@
     CPPUNIT_ASSERT_EQUAL(1, pool_->connection_count());
   }
 
+  // Guards against more connections than a target takes.
+  void LateConnectionKeepsALimitThatWasLowered() {
+    StartServer([](RawConnection&, const std::string&) {});
+    link_ = std::make_unique<FakeLink>(loop_, server_->endpoint());
+    link_->SetState(FakeLink::State::kOpen);
+    StartPool(link_->endpoint(), 2);
+    std::optional<ExchangeStatus> first;
+    SendRecordingStatus(first);
+    CPPUNIT_ASSERT(RunUntil(loop_, [&] { return pool_->IsConnected(); }));
+    RunFor(loop_, absl::Milliseconds(50));
+    link_->SetState(FakeLink::State::kSilent);
+    std::optional<ExchangeStatus> second;
+    SendRecordingStatus(second);
+    RunFor(loop_, absl::Milliseconds(600));
+    pool_->SetLimit(1);
+    link_->SetState(FakeLink::State::kOpen);
+    RunFor(loop_, 2 * kSynTimeout);
+    CPPUNIT_ASSERT_EQUAL(1, pool_->connection_count());
+  }
+
  private:
   /// Longer than the time after which the kernel repeats an attempt.
   static constexpr absl::Duration kSynTimeout = absl::Milliseconds(1500);
