--- a/libs/engine/src/connection_pool.cc
+++ b/libs/engine/src/connection_pool.cc
@@ -241,6 +241,8 @@
   if (pooled == nullptr) return;
   if (std::exchange(pooled->late, false)) {
     CloseAttemptsBeyondLimit();
+    // The limit has been lowered meanwhile.
+    if (connection_count() > limit_) return connection.Close();
   } else {
     CloseLateAttempt();
   }
