--- a/libs/engine/include/engine/connection_pool.h
+++ b/libs/engine/include/engine/connection_pool.h
@@ -45,8 +45,9 @@
     /// as a server at its connection limit does.
     virtual void OnClosedBeforeResponse() = 0;
     virtual void OnConnected() = 0;
-    /// An attempt that was reported as failed has succeeded, while an older
-    /// connection stayed open: the path is slow, or a packet was lost.
+    /// An attempt that was reported as failed has succeeded, while another
+    /// connection received a response or was opened: the path is slow, or a
+    /// packet was lost.
     virtual void OnLateConnected() = 0;
   };
 
--- a/libs/engine/src/connection_pool.cc
+++ b/libs/engine/src/connection_pool.cc
@@ -223,13 +223,15 @@
 
 void ConnectionPool::ReportConnected(const PooledConnection& opened) {
   if (listener_ == nullptr) return;
-  const bool has_older =
-      std::any_of(connections_.begin(), connections_.end(),
-                  [&](const PooledConnection& other) {
-                    return other.connection->IsOpen() &&
-                           other.connect_started_at < opened.connect_started_at;
-                  });
-  if (opened.late && has_older) return listener_->OnLateConnected();
+  // One without a response since may be half open, of a server that is gone.
+  const bool has_active = std::any_of(
+      connections_.begin(), connections_.end(),
+      [&](const PooledConnection& other) {
+        return other.connection->IsOpen() &&
+               other.connection.get() != opened.connection.get() &&
+               other.connection->last_active_at() > opened.connect_started_at;
+      });
+  if (opened.late && has_active) return listener_->OnLateConnected();
   listener_->OnConnected();
 }
 
--- a/libs/engine/tests/connection_pool_test.cc
+++ b/libs/engine/tests/connection_pool_test.cc
@@ -56,6 +56,7 @@
   CPPUNIT_TEST(LateAttemptEndsOnceALaterOneSucceeds);
   CPPUNIT_TEST(AttemptsBegunAnewUseAPathThatWasCut);
   CPPUNIT_TEST(LateConnectionKeepsALimitThatWasLowered);
+  CPPUNIT_TEST(HalfOpenConnectionDoesNotHideARestart);
   CPPUNIT_TEST(HangingAttemptsDoNotHoldUpLaterRequests);
   CPPUNIT_TEST(LoopOutlivesTheObjectsInItsHandlers);
   CPPUNIT_TEST_SUITE_END();
@@ -499,7 +500,37 @@
     CPPUNIT_ASSERT_EQUAL(1, pool_->connection_count());
   }
 
+  // Guards against a restarted target that is not taken for cold (FAILBACK).
+  void HalfOpenConnectionDoesNotHideARestart() {
+    ConnectionCounter counter;
+    StartServer([](RawConnection&, const std::string&) {});
+    link_ = std::make_unique<FakeLink>(loop_, server_->endpoint());
+    link_->SetState(FakeLink::State::kOpen);
+    StartPool(link_->endpoint(), 2, &counter);
+    pool_->Send(Request(""));
+    CPPUNIT_ASSERT(RunUntil(loop_, [&] { return pool_->IsConnected(); }));
+    RunFor(loop_, absl::Milliseconds(50));
+    link_->SetState(FakeLink::State::kSilent);
+    pool_->Send(Request(""));
+    RunFor(loop_, absl::Milliseconds(600));
+    link_->SetState(FakeLink::State::kOpen);
+    RunFor(loop_, 2 * kSynTimeout);
+    CPPUNIT_ASSERT_EQUAL(0, counter.late_connected);
+    CPPUNIT_ASSERT_EQUAL(2, counter.connected);
+    pool_.reset();
+  }
+
  private:
+  struct ConnectionCounter : ConnectionPool::Listener {
+    void OnConnectFailed(bool /*refused*/) override {}
+    void OnClosedBeforeResponse() override {}
+    void OnConnected() override { ++connected; }
+    void OnLateConnected() override { ++late_connected; }
+
+    int connected = 0;
+    int late_connected = 0;
+  };
+
   /// Longer than the time after which the kernel repeats an attempt.
   static constexpr absl::Duration kSynTimeout = absl::Milliseconds(1500);
 
@@ -517,11 +548,12 @@
     StartPool(link_->endpoint(), limit);
   }
 
-  void StartPool(const Endpoint& endpoint, int limit) {
+  void StartPool(const Endpoint& endpoint, int limit,
+                 ConnectionPool::Listener* listener = nullptr) {
     ClientOptions options = Options();
     options.verify_new_connections_until = verify_new_connections_until_;
     pool_ = std::make_unique<ConnectionPool>(loop_, endpoint, options, limit,
-                                             nullptr);
+                                             listener);
   }
 
   PoolRequest Request(const std::string& id) {
