--- a/libs/engine/src/server_connection.cc
+++ b/libs/engine/src/server_connection.cc
@@ -21,8 +21,8 @@
 namespace http = boost::beast::http;
 using boost::system::error_code;
 
-/// Bytes of pipelined requests that are buffered while one is handled; beyond
-/// that, reading pauses.
+/// Bytes of pipelined requests that are buffered until the response to the one
+/// before them is written; beyond that, reading pauses.
 constexpr size_t kMaxPipelinedBytes = 32U << 10U;
 /// Longest time that a caller may take to read a response.
 constexpr absl::Duration kWriteTimeout = absl::Seconds(20);
@@ -117,7 +117,7 @@
 
 void ServerConnection::Read() {
   if (reading_ || peer_closed_ || phase_ == Phase::kClosed) return;
-  if (phase_ == Phase::kRunning && input_.size() >= kMaxPipelinedBytes) return;
+  if (IsReadingPaused()) return;
   reading_ = true;
   socket_.async_read_some(
       asio::buffer(read_buffer_),
@@ -141,6 +141,12 @@
       });
 }
 
+bool ServerConnection::IsReadingPaused() const {
+  const bool has_response_ahead =
+      phase_ == Phase::kRunning || (phase_ == Phase::kWriting && !lingering_);
+  return has_response_ahead && input_.size() >= kMaxPipelinedBytes;
+}
+
 void ServerConnection::OnBytes() {
   if (input_.size() == 0) return;
   if (phase_ == Phase::kIdle) StartParser();
--- a/libs/engine/src/server_connection.h
+++ b/libs/engine/src/server_connection.h
@@ -67,6 +67,8 @@
       boost::beast::http::request_parser<boost::beast::http::string_body>;
 
   void Read();
+  /// @return whether enough bytes wait for the end of a response.
+  bool IsReadingPaused() const;
   void OnBytes();
   /// Makes the parser of the next request, with the limits in force.
   void StartParser();
