--- a/libs/engine/include/engine/http_server.h
+++ b/libs/engine/include/engine/http_server.h
@@ -17,10 +17,12 @@
 
 /// Limits on the size and duration of requests and connections.
 struct ServerLimits {
+  /// Of a request's header, and of the framing of its body: extensions of all
+  /// chunks and trailers together.
   uint32_t max_header_bytes = 16U << 10U;
   uint64_t max_body_bytes = 256U << 10U;
   /// Longest time from the first byte of a request to the end of its header,
-  /// and then between successive parts of its body.
+  /// then between successive parts of its body, and to the end of its trailers.
   absl::Duration header_timeout = absl::Seconds(3);
   /// Longest time without a request on a keep-alive connection.
   absl::Duration idle_timeout = absl::Seconds(15);
--- a/libs/engine/src/server_connection.cc
+++ b/libs/engine/src/server_connection.cc
@@ -110,7 +110,7 @@
 void ServerConnection::StartParser() {
   limits_ = state_->limits();
   parser_.emplace();
-  parser_->eager(true);
+  framing_ = FramingBudget(limits_.max_header_bytes);
   parser_->header_limit(limits_.max_header_bytes);
   parser_->body_limit(limits_.max_body_bytes);
 }
@@ -149,28 +149,62 @@
 
 void ServerConnection::OnBytes() {
   if (input_.size() == 0) return;
-  if (phase_ == Phase::kIdle) StartParser();
-  const absl::Time now = state_->loop.Now();
-  const bool had_header = parser_->is_header_done();
-  if (phase_ == Phase::kIdle || had_header) {
-    deadline_ = now + limits_.header_timeout;
+  if (phase_ == Phase::kIdle) {
+    StartParser();
+    deadline_ = state_->loop.Now() + limits_.header_timeout;
   }
   phase_ = Phase::kReading;
+  const bool had_header = parser_->is_header_done();
+  if (!had_header && !ParseHeader()) return;
+  if (!ParseBody()) return;
+  if (parser_->is_done()) return Dispatch();
+  if (!had_header && parser_->is_header_done()) SendContinue();
+}
+
+bool ServerConnection::ParseHeader() {
+  error_code error;
+  input_.consume(parser_->put(input_.data(), error));
+  if (!CheckParsed(error)) return false;
+  if (!parser_->is_header_done()) return true;
+  if (!IsValidRequest()) {
+    Reject(400);
+    return false;
+  }
+  deadline_ = state_->loop.Now() + limits_.header_timeout;
+  return true;
+}
+
+bool ServerConnection::ParseBody() {
+  if (!parser_->is_header_done()) return true;
+  parser_->eager(true);
   error_code error;
+  const std::string& body = parser_->get().body();
   while (input_.size() > 0 && !parser_->is_done()) {
+    const size_t body_bytes = body.size();
     const size_t used = parser_->put(input_.data(), error);
     input_.consume(used);
+    framing_.OnParsed(used, body.size() - body_bytes);
+    if (body.size() > body_bytes) {
+      deadline_ = state_->loop.Now() + limits_.header_timeout;
+    }
     if (error || used == 0) break;
   }
-  if (error == http::error::need_more) error = {};
-  if (error == http::error::header_limit) return RejectAsTooLarge(431);
-  if (error == http::error::body_limit) return RejectAsTooLarge(413);
-  if (error) return Reject(400);
-  if (parser_->is_header_done() && !had_header) {
-    if (!IsValidRequest()) return Reject(400);
-    SendContinue();
+  if (!CheckParsed(error)) return false;
+  if (!framing_.IsExceeded(parser_->is_done() ? 0 : input_.size())) return true;
+  RejectAsTooLarge(431);
+  return false;
+}
+
+bool ServerConnection::CheckParsed(const error_code& error) {
+  if (!error || error == http::error::need_more) return true;
+  if (error == http::error::header_limit) {
+    RejectAsTooLarge(431);
+  } else if (error == http::error::body_limit) {
+    RejectAsTooLarge(413);
+  } else {
+    Reject(400);
   }
-  if (parser_->is_done()) Dispatch();
+  return false;
 }
 
 bool ServerConnection::IsValidRequest() const {
@@ -196,9 +230,7 @@
 }
 
 void ServerConnection::SendContinue() {
-  if (parser_->is_done() || parser_->get().count(http::field::expect) == 0) {
-    return;
-  }
+  if (parser_->get().count(http::field::expect) == 0) return;
   static constexpr absl::string_view kContinue =
       "HTTP/1.1 100 Continue\r\n\r\n";
   asio::async_write(socket_, asio::buffer(kContinue.data(), kContinue.size()),
--- a/libs/engine/src/server_connection.h
+++ b/libs/engine/src/server_connection.h
@@ -9,6 +9,7 @@
 #include "boost/beast/core/flat_buffer.hpp"
 #include "boost/beast/http/parser.hpp"
 #include "boost/beast/http/string_body.hpp"
+#include "engine/framing_budget.h"
 #include "engine/http_server.h"
 
 namespace cherrydyke::engine {
@@ -70,6 +71,13 @@
   /// @return whether enough bytes wait for the end of a response.
   bool IsReadingPaused() const;
   void OnBytes();
+  /// @return whether the header, as far as it has arrived, is accepted.
+  bool ParseHeader();
+  /// @return whether the body, as far as it has arrived, is accepted.
+  bool ParseBody();
+  /// Rejects the request if the parser failed.
+  /// @return whether it did not.
+  bool CheckParsed(const boost::system::error_code& error);
   /// Makes the parser of the next request, with the limits in force.
   void StartParser();
   /// Responds with an error status to a request that was not accepted and
@@ -96,6 +104,7 @@
   boost::beast::flat_buffer input_;
   /// Of the request being read.
   std::optional<Parser> parser_;
+  FramingBudget framing_;
   Phase phase_ = Phase::kIdle;
   bool reading_ = false;
   bool peer_closed_ = false;
--- a/libs/engine/tests/http_server_test.cc
+++ b/libs/engine/tests/http_server_test.cc
@@ -30,6 +30,11 @@
   return "GET " + path + " HTTP/1.1\r\n" + kHostHeader + headers + "\r\n";
 }
 
+std::string ChunkedHeader() {
+  return absl::StrCat("POST /c HTTP/1.1\r\n", kHostHeader,
+                      "Transfer-Encoding: chunked\r\n\r\n");
+}
+
 bool Contains(const std::string& text, const std::string& part) {
   return text.find(part) != std::string::npos;
 }
@@ -41,6 +46,9 @@
   CPPUNIT_TEST(AnswersPipelinedRequestsInOrder);
   CPPUNIT_TEST(ReadsWhatFollowsPipelinedRequests);
   CPPUNIT_TEST(ReadsChunkedBodies);
+  CPPUNIT_TEST(ReadsBodiesInChunksOfOneByte);
+  CPPUNIT_TEST(RejectsFramingWithoutEnd);
+  CPPUNIT_TEST(FramingWithoutABodyTimesOut);
   CPPUNIT_TEST(SendsContinueForExpectedBody);
   CPPUNIT_TEST(RejectsOversizedAndMalformedRequests);
   CPPUNIT_TEST(LimitsRaisedOnAnIdleConnectionHoldForTheNextRequest);
@@ -141,6 +149,42 @@
     CPPUNIT_ASSERT_EQUAL(std::string("abcde"), exchanges_[0]->request().body);
   }
 
+  void ReadsBodiesInChunksOfOneByte() {
+    const auto caller = Connect();
+    caller->Write(ChunkedHeader());
+    for (uint64_t i = 0; i < limits_.max_body_bytes; ++i) {
+      caller->Write("00000001\r\nx\r\n");
+    }
+    caller->Write("0\r\nX-Sum: 1\r\n\r\n");
+    CPPUNIT_ASSERT(WaitForRequests(1));
+    CPPUNIT_ASSERT_EQUAL(std::string(limits_.max_body_bytes, 'x'),
+                         exchanges_[0]->request().body);
+  }
+
+  // Guards against input that no limit counts.
+  void RejectsFramingWithoutEnd() {
+    const std::string long_text(2000, 'x');
+    ExpectStatus(ChunkedHeader() + "1;a=" + long_text, "431");
+    ExpectStatus(ChunkedHeader() + "1\r\nx\r\n0\r\nX-Trailer: " + long_text,
+                 "431");
+    std::string chunks;
+    for (int i = 0; i < 10; ++i) {
+      absl::StrAppend(&chunks, "1;a=", long_text.substr(0, 200), "\r\nx\r\n");
+    }
+    ExpectStatus(ChunkedHeader() + chunks, "431");
+  }
+
+  void FramingWithoutABodyTimesOut() {
+    const auto caller = Connect();
+    caller->Write(ChunkedHeader() + "1;a=");
+    const absl::Duration period = limits_.header_timeout / 4;
+    for (int i = 0; i < 20 && !caller->closed_by_peer(); ++i) {
+      caller->Write("x");
+      RunFor(loop_, period);
+    }
+    CPPUNIT_ASSERT(Contains(caller->received(), " 408 "));
+  }
+
   void SendsContinueForExpectedBody() {
     const auto caller = Connect();
     caller->Write("POST /c HTTP/1.1\r\n" + std::string(kHostHeader) +
