--- a/libs/engine/include/engine/client_connection.h
+++ b/libs/engine/include/engine/client_connection.h
@@ -147,6 +147,8 @@
   /// @param is_eof whether the server closed the connection in order.
   void OnReadError(bool is_eof);
   bool ParseResponse(bool at_end);
+  /// @return whether chunk extensions and trailers are within their limit.
+  bool HasExpectedFraming() const;
   void CompleteResponse();
   /// @param id identifier in the response, or null.
   /// @return whether the response is that to the running exchange.
--- a/libs/engine/src/client_connection.cc
+++ b/libs/engine/src/client_connection.cc
@@ -17,6 +17,7 @@
 #include "boost/beast/http/parser.hpp"
 #include "boost/beast/http/string_body.hpp"
 #include "endpoint.h"
+#include "engine/framing_budget.h"
 #include "engine/status_code.h"
 
 namespace cherrydyke::engine {
@@ -30,7 +31,8 @@
 
 /// Buffer size of one read, in bytes; most responses fit.
 constexpr size_t kReadBytes = 4096;
-/// Largest accepted response header, in bytes.
+/// Largest accepted response header, and framing of a body beside what its
+/// chunks need, in bytes.
 constexpr uint32_t kMaxResponseHeaderBytes = 64U << 10U;
 /// Time after which bytes that the peer's kernel has not acknowledged end the
 /// connection, in milliseconds: within the few seconds that partitions last.
@@ -78,6 +80,7 @@
   asio::ip::tcp::socket tcp;
   beast::flat_buffer input;
   std::optional<ResponseParser> parser;
+  FramingBudget framing;
 };
 
 ClientConnection::ClientConnection(EventLoop& loop, Endpoint endpoint,
@@ -138,6 +141,7 @@
 
 void ClientConnection::ResetParser() {
   socket_->parser.emplace();
+  socket_->framing = FramingBudget(kMaxResponseHeaderBytes);
   socket_->parser->header_limit(kMaxResponseHeaderBytes);
   socket_->parser->body_limit(options_.max_body_bytes);
   socket_->parser->skip(exchange_.is_head);
@@ -174,20 +178,35 @@
     while (socket_->input.size() > 0 && !parser.is_done()) {
       // An eager parser loses the error of a body that is too long if more
       // bytes follow the header.
-      parser.eager(parser.is_header_done());
+      const bool had_header = parser.is_header_done();
+      parser.eager(had_header);
+      const size_t body_bytes = parser.get().body().size();
       const size_t used = parser.put(socket_->input.data(), error);
       socket_->input.consume(used);
+      if (had_header) {
+        socket_->framing.OnParsed(used,
+                                  parser.get().body().size() - body_bytes);
+      }
       if (error || used == 0) break;
     }
   }
-  if (error == http::error::need_more) return false;
-  if (error || (parser.is_header_done() && !HasExpectedStatus(parser))) {
+  const bool needs_more = error == http::error::need_more;
+  if (needs_more && !parser.is_header_done()) return false;
+  if ((error && !needs_more) || !HasExpectedFraming() ||
+      (parser.is_header_done() && !HasExpectedStatus(parser))) {
     CloseAndFinish(ExchangeStatus::kMalformed, ReceivedHead(), false);
     return false;
   }
   return parser.is_done();
 }
 
+bool ClientConnection::HasExpectedFraming() const {
+  const ResponseParser& parser = *socket_->parser;
+  if (!parser.is_header_done()) return true;
+  const size_t unparsed = parser.is_done() ? 0 : socket_->input.size();
+  return !socket_->framing.IsExceeded(unparsed);
+}
+
 HttpResponse ClientConnection::ReceivedHead() const {
   HttpResponse head;
   const ResponseParser& parser = *socket_->parser;
--- a/libs/engine/tests/connection_pool_test.cc
+++ b/libs/engine/tests/connection_pool_test.cc
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "absl/strings/str_cat.h"
 #include "absl/strings/str_replace.h"
 #include "base/clock.h"
 #include "support/fake_link.h"
@@ -31,6 +32,7 @@
   CPPUNIT_TEST(ReadsEveryBodyFraming);
   CPPUNIT_TEST(ResetDuringBodyIsConnectionLost);
   CPPUNIT_TEST(DistinguishesLostFromMalformedResponses);
+  CPPUNIT_TEST(FramingWithoutEndIsMalformed);
   CPPUNIT_TEST(StatusThatTheProtocolLacksIsMalformed);
   CPPUNIT_TEST(InterimResponsesAreSkipped);
   CPPUNIT_TEST(RefusedConnectionMeansNotSent);
@@ -148,6 +150,21 @@
                      std::string(5000, 'x')) == ExchangeStatus::kMalformed);
   }
 
+  // Guards against input that no limit counts.
+  void FramingWithoutEndIsMalformed() {
+    for (const char* start : {"1;a=", "1\r\nx\r\n0\r\nX-Trailer: "}) {
+      StartServer([start](RawConnection& c, const std::string&) {
+        c.Write(absl::StrCat(
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", start,
+            std::string(100'000, 'x')));
+      });
+      const auto result = SendAndWait();
+      CPPUNIT_ASSERT_MESSAGE(start,
+                             result->status == ExchangeStatus::kMalformed);
+      CPPUNIT_ASSERT_EQUAL(0, pool_->connection_count());
+    }
+  }
+
   void StatusThatTheProtocolLacksIsMalformed() {
     for (const char* status : {"000", "042", "099", "600", "999", "101"}) {
       StartServer([status](RawConnection& c, const std::string&) {
