--- a/daemons/tier/main.cc
+++ b/daemons/tier/main.cc
@@ -131,6 +131,7 @@
   if (check) return 0;
   auto& settings = std::get<TierSettingsFile>(read);
   settings.tier.policy = std::get<Policy>(policy);
+  settings.tier.machine = LowerOf(settings.tier.machine, ReportedResources());
   return Serve(path, settings);
 }
 
--- a/libs/engine/include/engine/http_server.h
+++ b/libs/engine/include/engine/http_server.h
@@ -12,6 +12,7 @@
 #include "base/result.h"
 #include "engine/event_loop.h"
 #include "engine/http_message.h"
+#include "engine/server_group.h"
 
 namespace cherrydyke::engine {
 
@@ -77,8 +78,9 @@
   using Handler = std::function<void(std::shared_ptr<ServerExchange>)>;
 
   /// @param limits called for each request, since limits are reconfigurable.
+  /// @param group shares a budget for connections; null for none.
   HttpServer(EventLoop& loop, std::function<ServerLimits()> limits,
-             Handler handler);
+             Handler handler, ServerGroup* group = nullptr);
   /// Closes all connections; requests in flight get no response.
   ~HttpServer();
   HttpServer(const HttpServer&) = delete;
@@ -94,6 +96,10 @@
   /// 431 and 413 would say.
   void SetProvisionalRefusal(std::function<HttpResponse()> refusal);
 
+  /// Sets what makes the response to a request that is not read to its end, as
+  /// the group's connections hold too much: by default one with status 503.
+  void SetOverloadRefusal(std::function<HttpResponse()> refusal);
+
   /// Makes the server close each connection after its next response.
   void CloseAfterResponses();
 
--- a/libs/engine/src/http_server.cc
+++ b/libs/engine/src/http_server.cc
@@ -34,8 +34,9 @@
     : loop(event_loop), acceptor(event_loop.context()) {}
 
 HttpServer::HttpServer(EventLoop& loop, std::function<ServerLimits()> limits,
-                       Handler handler)
+                       Handler handler, ServerGroup* group)
     : state_(std::make_shared<State>(loop)), timers_(loop) {
+  state_->group = group;
   state_->limits = std::move(limits);
   state_->handler = std::move(handler);
 }
@@ -44,11 +45,19 @@
   state_->provisional_refusal = std::move(refusal);
 }
 
+void HttpServer::SetOverloadRefusal(std::function<HttpResponse()> refusal) {
+  state_->overload_refusal = std::move(refusal);
+}
+
 HttpServer::~HttpServer() {
   boost::system::error_code ignored;
   state_->acceptor.close(ignored);
   for (const auto& entry : state_->connections) {
-    if (const auto connection = entry.lock()) connection->Close();
+    if (const auto connection = entry.lock()) {
+      connection->Close();
+      // A connection that its handler holds may outlive the group.
+      connection->LeaveGroup();
+    }
   }
 }
 
@@ -66,6 +75,12 @@
   if (!error) {
     acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true), error);
   }
+  // Inherited by connections. Bytes that the kernel holds for a connection
+  // whose input is not read count as well.
+  if (!error) {
+    acceptor.set_option(
+        asio::socket_base::receive_buffer_size(kReceiveBufferBytes), error);
+  }
   if (!error) acceptor.bind(*address, error);
   if (!error) acceptor.listen(kListenBacklog, error);
   if (error) {
--- a/libs/engine/src/server_connection.cc
+++ b/libs/engine/src/server_connection.cc
@@ -26,6 +26,11 @@
 constexpr size_t kMaxPipelinedBytes = 32U << 10U;
 /// Longest time that a caller may take to read a response.
 constexpr absl::Duration kWriteTimeout = absl::Seconds(20);
+constexpr int kStatusServiceUnavailable = 503;
+/// Of a connection beside what it has received and sends.
+constexpr size_t kConnectionBytes = 8U << 10U;
+/// Copies of a running request: its own, and those that are being sent.
+constexpr size_t kRequestCopies = 3;
 /// Instead of a response whose status no caller could read; it does not deny
 /// that the request ran.
 constexpr int kStatusBadGateway = 502;
@@ -95,7 +100,7 @@
       socket_(std::move(socket)),
       limits_(state_->limits()) {}
 
-ServerConnection::~ServerConnection() = default;
+ServerConnection::~ServerConnection() { LeaveGroup(); }
 
 void ServerConnection::Start() {
   ConfigureTcp(socket_.native_handle());
@@ -104,9 +109,71 @@
   peer_ = absl::StrCat(peer.address().to_string(), ":", peer.port());
   connection_info_.round_trip = RoundTripOf(socket_.native_handle());
   deadline_ = state_->loop.Now() + limits_.idle_timeout;
+  if (state_->group != nullptr) group_id_ = state_->group->Add(*this);
+  SetPhase(Phase::kIdle);
+  ReportHeld();
   Read();
 }
 
+void ServerConnection::SetPhase(Phase phase) {
+  phase_ = phase;
+  phase_began_at_ = state_->loop.Now();
+}
+
+HeldConnection ServerConnection::Held() const {
+  using Stage = HeldConnection::Stage;
+  HeldConnection held;
+  held.id = group_id_;
+  held.since = phase_began_at_;
+  held.bytes = kConnectionBytes + input_.capacity();
+  if (IsReadingPaused()) held.bytes += kReceiveBufferBytes;
+  switch (phase_) {
+    case Phase::kIdle:
+    case Phase::kClosed:
+      break;
+    case Phase::kReading:
+      held.stage = Stage::kReceiving;
+      held.bytes += header_bytes_ + parser_->get().body().capacity();
+      break;
+    case Phase::kRunning:
+      held.stage = Stage::kRunning;
+      held.bytes += kRequestCopies * (header_bytes_ + request_.body.capacity());
+      break;
+    case Phase::kWriting:
+      held.stage = Stage::kSending;
+      held.bytes += header_bytes_ + request_.body.capacity() + response_bytes_;
+      break;
+  }
+  return held;
+}
+
+void ServerConnection::ReportHeld() {
+  if (group_id_ != 0 && phase_ != Phase::kClosed) {
+    state_->group->Update(Held());
+  }
+}
+
+void ServerConnection::ReportLimited(CallerLimit limit) const {
+  if (group_id_ != 0) state_->group->Report({limit, peer_, Held()});
+}
+
+void ServerConnection::LeaveGroup() {
+  if (const uint64_t id = std::exchange(group_id_, 0); id != 0) {
+    state_->group->Remove(id);
+  }
+}
+
+void ServerConnection::EndForLimit(CallerLimit limit) {
+  ReportLimited(limit);
+  if (phase_ != Phase::kReading || limit != CallerLimit::kMemory) {
+    return Close();
+  }
+  if (state_->overload_refusal) {
+    return RespondAndClose(state_->overload_refusal());
+  }
+  Reject(kStatusServiceUnavailable);
+}
+
 void ServerConnection::StartParser() {
   limits_ = state_->limits();
   parser_.emplace();
@@ -137,6 +204,7 @@
         } else if (self->lingering_) {
           self->input_.consume(self->input_.size());
         }
+        self->ReportHeld();
         self->Read();
       });
 }
@@ -152,8 +220,8 @@
   if (phase_ == Phase::kIdle) {
     StartParser();
     deadline_ = state_->loop.Now() + limits_.header_timeout;
+    SetPhase(Phase::kReading);
   }
-  phase_ = Phase::kReading;
   const bool had_header = parser_->is_header_done();
   if (!had_header && !ParseHeader()) return;
   if (!ParseBody()) return;
@@ -163,7 +231,8 @@
 
 bool ServerConnection::ParseHeader() {
   error_code error;
-  input_.consume(parser_->put(input_.data(), error));
+  header_bytes_ = parser_->put(input_.data(), error);
+  input_.consume(header_bytes_);
   if (!CheckParsed(error)) return false;
   if (!parser_->is_header_done()) return true;
   if (!IsValidRequest()) {
@@ -191,6 +260,7 @@
   }
   if (!CheckParsed(error)) return false;
   if (!framing_.IsExceeded(parser_->is_done() ? 0 : input_.size())) return true;
+  ReportLimited(CallerLimit::kFraming);
   RejectAsTooLarge(431);
   return false;
 }
@@ -249,7 +319,7 @@
   parser_.reset();
   UseOriginForm(request_);
   received_at_ = state_->loop.Now();
-  phase_ = Phase::kRunning;
+  SetPhase(Phase::kRunning);
   responded_ = false;
   ++state_->requests_in_flight;
   state_->handler(shared_from_this());
@@ -281,13 +351,22 @@
 }
 
 void ServerConnection::RespondAndClose(const HttpResponse& response) {
+  DropInput();
   Write(std::make_shared<std::string>(Serialize(response, false, false)),
         false);
 }
 
+void ServerConnection::DropInput() {
+  parser_.reset();
+  input_.consume(input_.size());
+  input_.shrink_to_fit();
+}
+
 void ServerConnection::Write(const std::shared_ptr<std::string>& bytes,
                              bool keep) {
-  phase_ = Phase::kWriting;
+  SetPhase(Phase::kWriting);
+  response_bytes_ = bytes->size();
+  ReportHeld();
   deadline_ = state_->loop.Now() + kWriteTimeout;
   asio::async_write(socket_, asio::buffer(*bytes),
                     [self = shared_from_this(), bytes, keep](
@@ -310,11 +389,15 @@
     input_.consume(input_.size());
     return Read();
   }
-  phase_ = Phase::kIdle;
+  SetPhase(Phase::kIdle);
   connection_info_.is_new_connection = false;
   request_ = {};
+  header_bytes_ = 0;
+  response_bytes_ = 0;
+  if (input_.size() == 0) input_.shrink_to_fit();
   deadline_ = state_->loop.Now() + state_->limits().idle_timeout;
   OnBytes();
+  ReportHeld();
   Read();
 }
 
@@ -337,6 +420,7 @@
   if (now < deadline_) return;
   if (phase_ == Phase::kReading) return Reject(408);
   if (phase_ == Phase::kIdle) return CloseIfIdle();
+  if (!lingering_) ReportLimited(CallerLimit::kUnreadResponse);
   Close();
 }
 
@@ -365,6 +449,8 @@
 }
 
 void ServerConnection::Close() {
+  // The handler of a running request holds it until its end.
+  if (phase_ != Phase::kRunning) LeaveGroup();
   phase_ = Phase::kClosed;
   on_disconnect_ = nullptr;
   error_code ignored;
--- a/libs/engine/src/server_connection.h
+++ b/libs/engine/src/server_connection.h
@@ -16,6 +16,9 @@
 
 class ServerConnection;
 
+/// Bytes that the kernel keeps at most for a connection that is not read.
+constexpr int kReceiveBufferBytes = 64 << 10;
+
 struct HttpServer::State {
   explicit State(EventLoop& event_loop);
 
@@ -23,6 +26,9 @@
   std::function<ServerLimits()> limits;
   Handler handler;
   std::function<HttpResponse()> provisional_refusal;
+  std::function<HttpResponse()> overload_refusal;
+  /// Null for a server without a group.
+  ServerGroup* group = nullptr;
   boost::asio::ip::tcp::acceptor acceptor;
   std::list<std::weak_ptr<ServerConnection>> connections;
   bool close_after_response = false;
@@ -33,6 +39,7 @@
 /// detect that the caller disconnects; pipelined bytes are kept in a bounded
 /// buffer.
 class ServerConnection : public ServerExchange,
+                         public ServerGroup::Member,
                          public std::enable_shared_from_this<ServerConnection> {
  public:
   ServerConnection(std::shared_ptr<HttpServer::State> state,
@@ -48,6 +55,9 @@
   /// is on its way.
   bool IsBusy() const;
   void Close();
+  void EndForLimit(CallerLimit limit) override;
+  /// Ends the account of what the connection holds.
+  void LeaveGroup();
 
   const HttpRequest& request() const override { return request_; }
   absl::Time received_at() const override { return received_at_; }
@@ -93,6 +103,15 @@
   void Write(const std::shared_ptr<std::string>& bytes, bool keep);
   void OnWritten(bool keep);
   void OnPeerClosed();
+  /// Begins a phase; the stage that the group sees changes with it.
+  void SetPhase(Phase phase);
+  HeldConnection Held() const;
+  /// Tells the group what the connection holds.
+  void ReportHeld();
+  /// Tells the group that a limit ends the connection.
+  void ReportLimited(CallerLimit limit) const;
+  /// Frees what was received of a request that is not handled.
+  void DropInput();
   /// Closes the connection if it is still idle, or reads on.
   void OnReadCancelled();
 
@@ -105,7 +124,13 @@
   /// Of the request being read.
   std::optional<Parser> parser_;
   FramingBudget framing_;
+  size_t header_bytes_ = 0;
+  /// Of the response that is being written.
+  size_t response_bytes_ = 0;
   Phase phase_ = Phase::kIdle;
+  absl::Time phase_began_at_;
+  /// In the group; 0 outside of it.
+  uint64_t group_id_ = 0;
   bool reading_ = false;
   bool peer_closed_ = false;
   /// Whether the pending read was cancelled to close the idle connection.
--- a/libs/engine/tests/http_server_test.cc
+++ b/libs/engine/tests/http_server_test.cc
@@ -68,6 +68,9 @@
   CPPUNIT_TEST(HandlesPipelinedFloodOneRequestAtATime);
   CPPUNIT_TEST(SurvivesRandomBytes);
   CPPUNIT_TEST(WritesNoStatusThatTheProtocolLacks);
+  CPPUNIT_TEST(GroupRefusesTheRequestThatHoldsMost);
+  CPPUNIT_TEST(GroupClosesTheOldestIdleConnection);
+  CPPUNIT_TEST(RequestWhoseCallerLeftCountsUntilItsEnd);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -76,12 +79,7 @@
     limits_.max_body_bytes = 4096;
     limits_.header_timeout = absl::Milliseconds(300);
     limits_.idle_timeout = absl::Milliseconds(600);
-    server_ = std::make_unique<HttpServer>(
-        loop_, [this] { return limits_; },
-        [this](std::shared_ptr<ServerExchange> exchange) {
-          exchanges_.push_back(std::move(exchange));
-        });
-    CPPUNIT_ASSERT(GetError(server_->Listen(kEndpoint)) == nullptr);
+    StartServer(nullptr);
   }
 
   void tearDown() override {
@@ -118,6 +116,65 @@
     CPPUNIT_ASSERT_EQUAL(std::string("/3"), exchanges_[2]->request().target);
   }
 
+  void GroupRefusesTheRequestThatHoldsMost() {
+    constexpr size_t kLargeBodyBytes = 500'000;
+    limits_.max_body_bytes = kLargeBodyBytes;
+    ConnectionLimits limits;
+    limits.max_bytes = 2 * kLargeBodyBytes;
+    UseGroup(limits);
+    const auto large = Connect();
+    large->Write(PostHeader("/large", kLargeBodyBytes) +
+                 std::string(300'000, 'x'));
+    const auto small = Connect();
+    small->Write(PostHeader("/small", 1000) + std::string(999, 'x'));
+    RunFor(loop_, absl::Milliseconds(30));
+    CPPUNIT_ASSERT(limited_.empty());
+    const auto other = Connect();
+    other->Write(PostHeader("/other", kLargeBodyBytes) +
+                 std::string(200'000, 'x'));
+    CPPUNIT_ASSERT(RunUntil(loop_, [&] { return large->closed_by_peer(); }));
+    CPPUNIT_ASSERT(Contains(large->received(), " 503 "));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, limited_.size());
+    CPPUNIT_ASSERT(limited_[0].limit == CallerLimit::kMemory);
+    small->Write("x");
+    CPPUNIT_ASSERT(WaitForRequests(1));
+    CPPUNIT_ASSERT_EQUAL(std::string("/small"),
+                         exchanges_[0]->request().target);
+  }
+
+  void RequestWhoseCallerLeftCountsUntilItsEnd() {
+    UseGroup({});
+    const auto caller = Connect();
+    caller->Write(PostHeader("/", limits_.max_body_bytes) +
+                  std::string(limits_.max_body_bytes, 'x'));
+    CPPUNIT_ASSERT(WaitForRequests(1));
+    bool has_left = false;
+    exchanges_[0]->OnDisconnect([&] { has_left = true; });
+    caller->Close();
+    CPPUNIT_ASSERT(RunUntil(loop_, [&] { return has_left; }));
+    RunFor(loop_, absl::Milliseconds(30));
+    CPPUNIT_ASSERT(group_->budget().bytes() > limits_.max_body_bytes);
+    exchanges_.clear();
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, group_->budget().bytes());
+  }
+
+  void GroupClosesTheOldestIdleConnection() {
+    ConnectionLimits limits;
+    limits.max_connections = 2;
+    UseGroup(limits);
+    const auto oldest = Connect();
+    RunFor(loop_, absl::Milliseconds(10));
+    const auto older = Connect();
+    RunFor(loop_, absl::Milliseconds(10));
+    const auto newest = Connect();
+    CPPUNIT_ASSERT(RunUntil(loop_, [&] { return oldest->closed_by_peer(); }));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, limited_.size());
+    CPPUNIT_ASSERT(limited_[0].limit == CallerLimit::kConnections);
+    newest->Write(Get("/newest"));
+    older->Write(Get("/older"));
+    CPPUNIT_ASSERT(WaitForRequests(2));
+  }
+
   void WritesNoStatusThatTheProtocolLacks() {
     for (const int status : {0, 42, 100, 101, 199, 600, 999, -200}) {
       exchanges_.clear();
@@ -455,6 +512,31 @@
   }
 
  private:
+  void StartServer(ServerGroup* group) {
+    server_ = std::make_unique<HttpServer>(
+        loop_, [this] { return limits_; },
+        [this](std::shared_ptr<ServerExchange> exchange) {
+          exchanges_.push_back(std::move(exchange));
+        },
+        group);
+    CPPUNIT_ASSERT(GetError(server_->Listen(kEndpoint)) == nullptr);
+  }
+
+  // Starts the server anew as the only one of a group.
+  void UseGroup(const ConnectionLimits& limits) {
+    server_.reset();
+    group_ = std::make_unique<ServerGroup>(loop_, limits);
+    group_->OnLimited([this](const LimitedConnection& limited) {
+      limited_.push_back(limited);
+    });
+    StartServer(group_.get());
+  }
+
+  static std::string PostHeader(const std::string& path, size_t body_bytes) {
+    return absl::StrCat("POST ", path, " HTTP/1.1\r\n", kHostHeader,
+                        "Content-Length: ", body_bytes, "\r\n\r\n");
+  }
+
   // Sends a request on a blocking socket that the test reads itself.
   static int ConnectWithoutReading() {
     const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
@@ -513,6 +595,8 @@
   BootClock clock_;
   EventLoop loop_{clock_};
   ServerLimits limits_;
+  std::unique_ptr<ServerGroup> group_;
+  std::vector<LimitedConnection> limited_;
   std::unique_ptr<HttpServer> server_;
   std::deque<std::shared_ptr<ServerExchange>> exchanges_;
 };
--- a/libs/tier/include/tier/protocol_adapter.h
+++ b/libs/tier/include/tier/protocol_adapter.h
@@ -65,6 +65,8 @@
   kTargetsBackedOff,
   kTargetsFailed,
   kDeadline,
+  /// Callers' connections hold as much as this host can keep for them.
+  kMemory,
   /// This host shuts down and could not end the request in time.
   kShutdown,
 };
--- a/libs/tier/include/tier/request_handler.h
+++ b/libs/tier/include/tier/request_handler.h
@@ -85,8 +85,8 @@
   }
 
   /// @return the response to a request of this host's own callers that was not
-  /// read to its end, as there is no configuration yet.
-  engine::HttpResponse RefuseUnread();
+  /// read to its end.
+  engine::HttpResponse RefuseUnread(RefusalReason reason);
 
   /// A request became quarantined: aborts the running ones with its
   /// fingerprint.
--- a/libs/tier/include/tier/settings_file.h
+++ b/libs/tier/include/tier/settings_file.h
@@ -23,7 +23,8 @@
 };
 
 /// Reads a host's settings file (TOML, see `deploy/tier.toml.template`). Every
-/// key is required; an unknown key is an error.
+/// key is required but those of `change_deadlines` and `machine`; an unknown
+/// key is an error.
 /// @return the settings, or at least one error.
 std::variant<TierSettingsFile, SettingsErrors> ReadTierSettings(
     const std::string& path);
--- a/libs/tier/include/tier/tier_host.h
+++ b/libs/tier/include/tier/tier_host.h
@@ -13,6 +13,7 @@
 #include "tier/freshness_log.h"
 #include "tier/handover_client.h"
 #include "tier/handover_server.h"
+#include "tier/machine_resources.h"
 #include "tier/protocol_adapter.h"
 #include "tier/published_freshness.h"
 #include "tier/published_source.h"
@@ -42,14 +43,16 @@
   absl::Duration shutdown_grace = absl::Seconds(6);
   /// Time within which every published change must take effect on every host.
   absl::Duration change_deadline = absl::Seconds(4);
+  /// Bounds what callers' connections may hold.
+  MachineResources machine;
 
   friend bool operator==(const TierSettings& a, const TierSettings& b) {
     return std::tie(a.locality, a.caller_endpoint, a.ready_endpoint,
                     a.metrics_endpoint, a.fleet_port, a.seeds, a.bounds,
-                    a.policy, a.shutdown_grace, a.change_deadline) ==
+                    a.policy, a.shutdown_grace, a.change_deadline, a.machine) ==
            std::tie(b.locality, b.caller_endpoint, b.ready_endpoint,
                     b.metrics_endpoint, b.fleet_port, b.seeds, b.bounds,
-                    b.policy, b.shutdown_grace, b.change_deadline);
+                    b.policy, b.shutdown_grace, b.change_deadline, b.machine);
   }
 };
 
@@ -97,6 +100,8 @@
   HandoverOffer MakeHandoverOffer() const;
   void ServeFleet(const std::shared_ptr<engine::ServerExchange>& exchange);
   void ServeReadiness(engine::ServerExchange& exchange);
+  /// Logs and counts a connection that a limit has ended.
+  void OnLimited(const engine::LimitedConnection& limited);
   void ServeMetrics(engine::ServerExchange& exchange);
   /// Ends what is due to end in the shutdown; stops the loop once all responses
   /// are written, or when the process has to exit.
@@ -129,6 +134,8 @@
   FleetGossip gossip_;
   FreshnessLog freshness_log_;
   engine::ServerLimits limits_;
+  /// Of all servers that callers can reach.
+  engine::ServerGroup caller_group_;
   /// Serves requests of other hosts.
   engine::HttpServer fleet_server_;
   engine::HttpServer caller_server_;
--- a/libs/tier/src/protocol_adapter.cc
+++ b/libs/tier/src/protocol_adapter.cc
@@ -24,6 +24,8 @@
       return "targets_failed";
     case RefusalReason::kDeadline:
       return "deadline";
+    case RefusalReason::kMemory:
+      return "memory";
     case RefusalReason::kShutdown:
       return "shutdown";
   }
--- a/libs/tier/src/request_handler.cc
+++ b/libs/tier/src/request_handler.cc
@@ -854,17 +854,16 @@
   return true;
 }
 
-engine::HttpResponse RequestHandler::RefuseUnread() {
-  constexpr RefusalReason kReason = RefusalReason::kNoConfiguration;
-  const absl::Duration retry_after = RetryAfter(kReason);
-  CountRefusal(kReason);
+engine::HttpResponse RequestHandler::RefuseUnread(RefusalReason reason) {
+  const absl::Duration retry_after = RetryAfter(reason);
+  CountRefusal(reason);
   if (log_rate_limiter_.TryAcquire("refused", policy_.log_lines, loop_.Now())) {
     LogInfo("request refused unread",
-            {{"reason", RefusalReasonName(kReason)},
+            {{"reason", RefusalReasonName(reason)},
              {"retry_after_ms", absl::ToInt64Milliseconds(retry_after)},
              {"config_version", versions_.in_force()}});
   }
-  return protocol_.RefusalResponse("", kReason, false, retry_after);
+  return protocol_.RefusalResponse("", reason, false, retry_after);
 }
 
 void RequestHandler::CountRefusal(RefusalReason reason) {
--- a/libs/tier/src/settings_file.cc
+++ b/libs/tier/src/settings_file.cc
@@ -11,6 +11,9 @@
 constexpr double kMaxFleetLimit = 1e6;
 constexpr double kMaxTimeS = 3600;
 constexpr double kMsPerS = 1000;
+constexpr int kMaxMemoryMb = 1 << 20;
+constexpr int kMaxDescriptors = 1 << 20;
+constexpr size_t kBytesPerMb = 1U << 20U;
 
 std::vector<HostId> HostsOf(const std::vector<Endpoint>& endpoints) {
   std::vector<HostId> hosts;
@@ -40,6 +43,17 @@
   if (tightest != absl::InfiniteDuration()) deadline = tightest;
 }
 
+void ReadMachine(SettingsReader& reader, MachineResources& machine) {
+  int memory_mb = 0;
+  reader.Integer("machine", "memory_mb", memory_mb, 1, kMaxMemoryMb);
+  int descriptors = 0;
+  reader.Integer("machine", "descriptors", descriptors, 1, kMaxDescriptors);
+  if (memory_mb > 0) {
+    machine.memory_bytes = static_cast<size_t>(memory_mb) * kBytesPerMb;
+  }
+  if (descriptors > 0) machine.descriptors = static_cast<size_t>(descriptors);
+}
+
 void ReadLimits(SettingsReader& reader, FleetLimits& bounds) {
   Seconds(reader, "limits", "retry_window_s", bounds.retry_window);
   for (const auto& [key, value] :
@@ -85,6 +99,7 @@
   ReadLimits(reader, tier.bounds);
   Seconds(reader, "shutdown", "grace_s", tier.shutdown_grace);
   ReadChangeDeadlines(reader, tier.change_deadline);
+  ReadMachine(reader, tier.machine);
   reader.RejectUnknownKeys();
   if (!errors.empty()) return errors;
   return settings;
--- a/libs/tier/src/tier_host.cc
+++ b/libs/tier/src/tier_host.cc
@@ -105,6 +105,7 @@
                settings_.fleet_port},
               hosts_, crashes_, config_items_, target_items_, freshness_),
       freshness_log_(hosts_, freshness_, gossip_, times_),
+      caller_group_(loop, CallerLimits(settings_.machine)),
       fleet_server_(
           loop, [this] { return FleetServerLimits(limits_); },
           [this](const std::shared_ptr<engine::ServerExchange>& exchange) {
@@ -114,21 +115,29 @@
           loop, [this] { return limits_; },
           [this](std::shared_ptr<engine::ServerExchange> exchange) {
             request_handler_.OnRequest(std::move(exchange));
-          }),
+          },
+          &caller_group_),
       readiness_server_(
           loop, [] { return engine::ServerLimits(); },
           [this](const std::shared_ptr<engine::ServerExchange>& exchange) {
             ServeReadiness(*exchange);
-          }),
+          },
+          &caller_group_),
       metrics_server_(
           loop, [] { return engine::ServerLimits(); },
           [this](const std::shared_ptr<engine::ServerExchange>& exchange) {
             ServeMetrics(*exchange);
-          }) {
+          },
+          &caller_group_) {
   // Callers keep to the limits of the configuration.
   limits_.are_provisional = true;
-  caller_server_.SetProvisionalRefusal(
-      [this] { return request_handler_.RefuseUnread(); });
+  caller_server_.SetProvisionalRefusal([this] {
+    return request_handler_.RefuseUnread(RefusalReason::kNoConfiguration);
+  });
+  caller_server_.SetOverloadRefusal(
+      [this] { return request_handler_.RefuseUnread(RefusalReason::kMemory); });
+  caller_group_.OnLimited(
+      [this](const engine::LimitedConnection& limited) { OnLimited(limited); });
 }
 
 Status TierHost::Start() {
@@ -200,6 +209,9 @@
   metrics_.Gauge("cherrydyke_caller_connections", [this] {
     return static_cast<double>(caller_server_.connection_count());
   });
+  metrics_.Gauge("cherrydyke_caller_bytes", [this] {
+    return static_cast<double>(caller_group_.budget().bytes());
+  });
   metrics_.Gauge("cherrydyke_known_hosts", [this] {
     return static_cast<double>(hosts_.FleetSizeUpperBound(loop_.Now()));
   });
@@ -406,6 +418,25 @@
   exchange.Respond(std::move(response));
 }
 
+void TierHost::OnLimited(const engine::LimitedConnection& limited) {
+  const std::string name = engine::CallerLimitName(limited.limit);
+  metrics_
+      .counter("cherrydyke_connections_limited_total",
+               absl::StrCat("limit=\"", name, "\""))
+      .Add();
+  const engine::ConnectionBudget& budget = caller_group_.budget();
+  LogInfo(
+      "caller's connection ended by a limit",
+      {{"limit", name},
+       {"peer", limited.peer},
+       {"bytes", limited.held.bytes},
+       {"age_ms", absl::ToInt64Milliseconds(loop_.Now() - limited.held.since)},
+       {"all_bytes", budget.bytes()},
+       {"max_bytes", budget.limits().max_bytes},
+       {"connections", budget.connections()},
+       {"max_connections", budget.limits().max_connections}});
+}
+
 void TierHost::ServeMetrics(engine::ServerExchange& exchange) {
   engine::HttpResponse response;
   response.status = 200;
--- a/libs/tier/tests/settings_file_test.cc
+++ b/libs/tier/tests/settings_file_test.cc
@@ -56,6 +56,7 @@
   CPPUNIT_TEST_SUITE(SettingsFileTest);
   CPPUNIT_TEST(ReadsEveryKey);
   CPPUNIT_TEST(TightestChangeDeadlineCounts);
+  CPPUNIT_TEST(ReadsWhatTheMachineGives);
   CPPUNIT_TEST(EveryMissingKeyIsAnError);
   CPPUNIT_TEST(ErrorsNameLineKeyAndExpectation);
   CPPUNIT_TEST(MalformedAndMissingFilesAreErrors);
@@ -145,6 +146,26 @@
                    SettingsErrors{"/nowhere/t.toml: cannot be read"});
   }
 
+  void ReadsWhatTheMachineGives() {
+    const auto machine_of = [](const std::string& keys) {
+      const auto read = ParseTierSettings(
+          absl::StrCat(kSettings, "[machine]\n", keys), "t.toml");
+      const auto* settings = std::get_if<TierSettingsFile>(&read);
+      CPPUNIT_ASSERT(settings != nullptr);
+      return settings->tier.machine;
+    };
+    CPPUNIT_ASSERT(machine_of("") == MachineResources());
+    CPPUNIT_ASSERT((machine_of("memory_mb = 260\ndescriptors = 4100\n") ==
+                    MachineResources{size_t{260} << 20U, 4100}));
+    for (const char* invalid : {"memory_mb = 0", "descriptors = 0",
+                                "memory_mb = \"260\"", "disk_mb = 1"}) {
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(
+          invalid, size_t{1},
+          ErrorsOf(absl::StrCat(kSettings, "[machine]\n", invalid, "\n"))
+              .size());
+    }
+  }
+
   // Expands the template as the platform does.
   void TemplateGivesTheSameSettings() {
     const auto text =
@@ -163,6 +184,14 @@
           "evacuate_ms = {{bounds.evacuateMs}}\n"
           "{{/bounds.evacuateMs}}",
           "evacuate_ms = 5000"},
+         {"{{#limits.memoryMb}}\n"
+          "memory_mb = {{limits.memoryMb}}\n"
+          "{{/limits.memoryMb}}",
+          "memory_mb = 260"},
+         {"{{#limits.maxFds}}\n"
+          "descriptors = {{limits.maxFds}}\n"
+          "{{/limits.maxFds}}",
+          "descriptors = 4100"},
          {"{{#zones}}\n\"{{@}}\" = {{.|json}}\n{{/zones}}",
           "\"a\" = \"north\"\n\"b\" = \"south\""},
          {"{{node|json}}", "\"front-a-1\""},
@@ -181,8 +210,12 @@
          {"{{bounds.warmupSlack}}", "5"},
          {"{{bounds.graceS}}", "6"}});
     CPPUNIT_ASSERT(!absl::StrContains(filled, "{{"));
-    CPPUNIT_ASSERT(ParseTierSettings(filled, "t.toml") ==
-                   ParseTierSettings(kSettings, "t.toml"));
+    CPPUNIT_ASSERT(
+        ParseTierSettings(filled, "t.toml") ==
+        ParseTierSettings(
+            absl::StrCat(kSettings,
+                         "[machine]\nmemory_mb = 260\ndescriptors = 4100\n"),
+            "t.toml"));
   }
 };
 
