--- a/libs/engine/src/server_connection.cc
+++ b/libs/engine/src/server_connection.cc
@@ -4,6 +4,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <iterator>
 #include <utility>
 
 #include "absl/strings/match.h"
@@ -29,6 +30,8 @@
 constexpr int kStatusServiceUnavailable = 503;
 /// Of a connection beside what it has received and sends.
 constexpr size_t kConnectionBytes = 8U << 10U;
+/// Of a header's field beside its text, parsed and copied.
+constexpr size_t kFieldBytes = 256;
 /// Copies of a running request: its own, and those that are being sent.
 constexpr size_t kRequestCopies = 3;
 /// Instead of a response whose status no caller could read; it does not deny
@@ -231,10 +234,13 @@
 
 bool ServerConnection::ParseHeader() {
   error_code error;
-  header_bytes_ = parser_->put(input_.data(), error);
-  input_.consume(header_bytes_);
+  const size_t used = parser_->put(input_.data(), error);
+  input_.consume(used);
   if (!CheckParsed(error)) return false;
   if (!parser_->is_header_done()) return true;
+  const auto& fields = parser_->get();
+  header_bytes_ = used + kFieldBytes * static_cast<size_t>(std::distance(
+                                           fields.begin(), fields.end()));
   if (!IsValidRequest()) {
     Reject(400);
     return false;
--- a/libs/engine/src/server_connection.h
+++ b/libs/engine/src/server_connection.h
@@ -124,6 +124,7 @@
   /// Of the request being read.
   std::optional<Parser> parser_;
   FramingBudget framing_;
+  /// Memory of the current request's header, at most.
   size_t header_bytes_ = 0;
   /// Of the response that is being written.
   size_t response_bytes_ = 0;
