--- a/libs/engine/src/client_connection.cc
+++ b/libs/engine/src/client_connection.cc
@@ -5,6 +5,8 @@
 #include <sys/socket.h>
 
 #include <optional>
+#include <utility>
+#include <vector>
 
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_split.h"
@@ -81,6 +83,8 @@
   beast::flat_buffer input;
   std::optional<ResponseParser> parser;
   FramingBudget framing;
+  /// Of the response, once its header has been received.
+  std::vector<HttpHeader> headers;
 };
 
 ClientConnection::ClientConnection(EventLoop& loop, Endpoint endpoint,
@@ -186,6 +190,9 @@
       if (had_header) {
         socket_->framing.OnParsed(used,
                                   parser.get().body().size() - body_bytes);
+      } else if (parser.is_header_done()) {
+        // Before trailers are parsed, which the parser adds to the fields.
+        socket_->headers = CopyHeaders(parser.get());
       }
       if (error || used == 0) break;
     }
@@ -212,7 +219,7 @@
   const ResponseParser& parser = *socket_->parser;
   if (!parser.is_header_done()) return head;
   head.status = static_cast<int>(parser.get().result_int());
-  head.headers = CopyHeaders(parser.get());
+  head.headers = socket_->headers;
   return head;
 }
 
@@ -222,7 +229,7 @@
   response.status = static_cast<int>(parser.get().result_int());
   const bool interim = !StatusCode::FinalFromInt(response.status);
   const bool reusable = KeepsConnection(parser);
-  response.headers = CopyHeaders(parser.get());
+  response.headers = std::move(socket_->headers);
   response.body = std::move(parser.get().body());
   const std::string* const id =
       FindHeader(response.headers, options_.id_header);
--- a/libs/engine/src/server_connection.cc
+++ b/libs/engine/src/server_connection.cc
@@ -245,6 +245,8 @@
     Reject(400);
     return false;
   }
+  // Before trailers are parsed, which the parser adds to the fields.
+  request_.headers = CopyHeaders(fields);
   deadline_ = state_->loop.Now() + limits_.header_timeout;
   return true;
 }
@@ -316,10 +318,8 @@
 void ServerConnection::Dispatch() {
   auto& message = parser_->get();
   keep_alive_ = message.keep_alive();
-  request_ = {};
   request_.method = message.method_string().to_string();
   request_.target = message.target().to_string();
-  request_.headers = CopyHeaders(message);
   request_.body = std::move(message.body());
   request_.peer = peer_;
   parser_.reset();
--- a/libs/engine/tests/connection_pool_test.cc
+++ b/libs/engine/tests/connection_pool_test.cc
@@ -32,6 +32,7 @@
   CPPUNIT_TEST(ReadsEveryBodyFraming);
   CPPUNIT_TEST(ResetDuringBodyIsConnectionLost);
   CPPUNIT_TEST(DistinguishesLostFromMalformedResponses);
+  CPPUNIT_TEST(TrailersAreNotFieldsOfTheHeader);
   CPPUNIT_TEST(FramingWithoutEndIsMalformed);
   CPPUNIT_TEST(StatusThatTheProtocolLacksIsMalformed);
   CPPUNIT_TEST(InterimResponsesAreSkipped);
@@ -150,6 +151,18 @@
                      std::string(5000, 'x')) == ExchangeStatus::kMalformed);
   }
 
+  void TrailersAreNotFieldsOfTheHeader() {
+    StartServer([](RawConnection& c, const std::string&) {
+      c.Write(
+          "HTTP/1.1 200 OK\r\nX-First: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+          "1\r\nx\r\n0\r\nX-Stamp: 9\r\n\r\n");
+    });
+    const auto result = SendAndWait();
+    CPPUNIT_ASSERT(result->status == ExchangeStatus::kComplete);
+    CPPUNIT_ASSERT(FindHeader(result->response.headers, "X-First") != nullptr);
+    CPPUNIT_ASSERT(FindHeader(result->response.headers, "X-Stamp") == nullptr);
+  }
+
   // Guards against input that no limit counts.
   void FramingWithoutEndIsMalformed() {
     for (const char* start : {"1;a=", "1\r\nx\r\n0\r\nX-Trailer: "}) {
--- a/libs/engine/tests/http_server_test.cc
+++ b/libs/engine/tests/http_server_test.cc
@@ -47,6 +47,7 @@
   CPPUNIT_TEST(ReadsWhatFollowsPipelinedRequests);
   CPPUNIT_TEST(ReadsChunkedBodies);
   CPPUNIT_TEST(ReadsBodiesInChunksOfOneByte);
+  CPPUNIT_TEST(TrailersAreNotFieldsOfTheHeader);
   CPPUNIT_TEST(RejectsFramingWithoutEnd);
   CPPUNIT_TEST(FramingWithoutABodyTimesOut);
   CPPUNIT_TEST(SendsContinueForExpectedBody);
@@ -218,6 +219,15 @@
                          exchanges_[0]->request().body);
   }
 
+  void TrailersAreNotFieldsOfTheHeader() {
+    const auto caller = Connect();
+    caller->Write(ChunkedHeader() + "1\r\nx\r\n0\r\nX-Deadline: 9\r\n\r\n");
+    CPPUNIT_ASSERT(WaitForRequests(1));
+    const HttpRequest& request = exchanges_[0]->request();
+    CPPUNIT_ASSERT(FindHeader(request.headers, "Host") != nullptr);
+    CPPUNIT_ASSERT(FindHeader(request.headers, "X-Deadline") == nullptr);
+  }
+
   // Guards against input that no limit counts.
   void RejectsFramingWithoutEnd() {
     const std::string long_text(2000, 'x');
