--- a/libs/tier/include/tier/machine_resources.h
+++ b/libs/tier/include/tier/machine_resources.h
@@ -30,4 +30,7 @@
 /// configuration, targets, peers and the store.
 engine::ConnectionLimits CallerLimits(const MachineResources& resources);
 
+/// @return what connections of other hosts may hold.
+engine::ConnectionLimits PeerLimits(const MachineResources& resources);
+
 }  // namespace cherrydyke
--- a/libs/tier/include/tier/tier_host.h
+++ b/libs/tier/include/tier/tier_host.h
@@ -101,7 +101,8 @@
   void ServeFleet(const std::shared_ptr<engine::ServerExchange>& exchange);
   void ServeReadiness(engine::ServerExchange& exchange);
   /// Logs and counts a connection that a limit has ended.
-  void OnLimited(const engine::LimitedConnection& limited);
+  void OnLimited(const engine::ServerGroup& group,
+                 const engine::LimitedConnection& limited);
   void ServeMetrics(engine::ServerExchange& exchange);
   /// Ends what is due to end in the shutdown; stops the loop once all responses
   /// are written, or when the process has to exit.
@@ -136,6 +137,8 @@
   engine::ServerLimits limits_;
   /// Of all servers that callers can reach.
   engine::ServerGroup caller_group_;
+  /// Of the server for other hosts.
+  engine::ServerGroup peer_group_;
   /// Serves requests of other hosts.
   engine::HttpServer fleet_server_;
   engine::HttpServer caller_server_;
--- a/libs/tier/src/machine_resources.cc
+++ b/libs/tier/src/machine_resources.cc
@@ -10,15 +10,19 @@
 namespace cherrydyke {
 namespace {
 
-/// Parts of the memory and of the descriptors for callers' connections.
-constexpr size_t kMemoryDivisor = 3;
-constexpr size_t kDescriptorDivisor = 2;
+// Parts of the memory and of the descriptors for connections of callers and of
+// other hosts.
+constexpr size_t kCallerMemoryDivisor = 3;
+constexpr size_t kCallerDescriptorDivisor = 2;
+constexpr size_t kPeerMemoryDivisor = 6;
+constexpr size_t kPeerDescriptorDivisor = 8;
 
 /// @return a limit of the process; SIZE_MAX if there is none.
 size_t ProcessLimit(decltype(RLIMIT_NOFILE) resource) {
   rlimit limit{};
   if (getrlimit(resource, &limit) != 0) {
-    LogWarning("limit of the process not known", {{"resource", static_cast<int>(resource)}});
+    LogWarning("limit of the process not known",
+               {{"resource", static_cast<int>(resource)}});
     return SIZE_MAX;
   }
   return limit.rlim_cur == RLIM_INFINITY ? SIZE_MAX : limit.rlim_cur;
@@ -46,8 +50,13 @@
 }
 
 engine::ConnectionLimits CallerLimits(const MachineResources& resources) {
-  return {resources.memory_bytes / kMemoryDivisor,
-          resources.descriptors / kDescriptorDivisor};
+  return {resources.memory_bytes / kCallerMemoryDivisor,
+          resources.descriptors / kCallerDescriptorDivisor};
+}
+
+engine::ConnectionLimits PeerLimits(const MachineResources& resources) {
+  return {resources.memory_bytes / kPeerMemoryDivisor,
+          resources.descriptors / kPeerDescriptorDivisor};
 }
 
 }  // namespace cherrydyke
--- a/libs/tier/src/tier_host.cc
+++ b/libs/tier/src/tier_host.cc
@@ -106,11 +106,13 @@
               hosts_, crashes_, config_items_, target_items_, freshness_),
       freshness_log_(hosts_, freshness_, gossip_, times_),
       caller_group_(loop, CallerLimits(settings_.machine)),
+      peer_group_(loop, PeerLimits(settings_.machine)),
       fleet_server_(
           loop, [this] { return FleetServerLimits(limits_); },
           [this](const std::shared_ptr<engine::ServerExchange>& exchange) {
             ServeFleet(exchange);
-          }),
+          },
+          &peer_group_),
       caller_server_(
           loop, [this] { return limits_; },
           [this](std::shared_ptr<engine::ServerExchange> exchange) {
@@ -136,8 +138,11 @@
   });
   caller_server_.SetOverloadRefusal(
       [this] { return request_handler_.RefuseUnread(RefusalReason::kMemory); });
-  caller_group_.OnLimited(
-      [this](const engine::LimitedConnection& limited) { OnLimited(limited); });
+  for (engine::ServerGroup* const group : {&caller_group_, &peer_group_}) {
+    group->OnLimited([this, group](const engine::LimitedConnection& limited) {
+      OnLimited(*group, limited);
+    });
+  }
 }
 
 Status TierHost::Start() {
@@ -418,16 +423,18 @@
   exchange.Respond(std::move(response));
 }
 
-void TierHost::OnLimited(const engine::LimitedConnection& limited) {
+void TierHost::OnLimited(const engine::ServerGroup& group,
+                         const engine::LimitedConnection& limited) {
   const std::string name = engine::CallerLimitName(limited.limit);
   metrics_
       .counter("cherrydyke_connections_limited_total",
                absl::StrCat("limit=\"", name, "\""))
       .Add();
-  const engine::ConnectionBudget& budget = caller_group_.budget();
+  const engine::ConnectionBudget& budget = group.budget();
   LogInfo(
-      "caller's connection ended by a limit",
+      "connection ended by a limit",
       {{"limit", name},
+       {"of", &group == &caller_group_ ? "callers" : "hosts"},
        {"peer", limited.peer},
        {"bytes", limited.held.bytes},
        {"age_ms", absl::ToInt64Milliseconds(loop_.Now() - limited.held.since)},
