--- a/libs/engine/include/engine/framing_budget.h
+++ b/libs/engine/include/engine/framing_budget.h
@@ -13,7 +13,8 @@
  public:
   FramingBudget() = default;
   /// @param max_bytes framing, in bytes, that a message may have beside what
-  /// its chunks need.
+  /// its chunks need, and that may wait to be parsed: the size and extensions
+  /// of one chunk, or all trailers.
   explicit FramingBudget(size_t max_bytes) : max_bytes_(max_bytes) {}
 
   /// Counts input behind the header that was parsed.
@@ -26,8 +27,9 @@
 
   /// @param unparsed_bytes received behind the header and not parsed yet.
   bool IsExceeded(size_t unparsed_bytes) const {
-    return framing_bytes_ + unparsed_bytes >
-           max_bytes_ + kBytesPerChunk * body_bytes_;
+    return unparsed_bytes > max_bytes_ ||
+           framing_bytes_ + unparsed_bytes >
+               max_bytes_ + kBytesPerChunk * body_bytes_;
   }
 
   friend bool operator==(const FramingBudget& a, const FramingBudget& b) {
--- a/libs/engine/tests/framing_budget_test.cc
+++ b/libs/engine/tests/framing_budget_test.cc
@@ -11,6 +11,7 @@
   CPPUNIT_TEST(ChunksOfOneByteFitWhateverTheirNumber);
   CPPUNIT_TEST(ExtensionsOfAllChunksCountTogether);
   CPPUNIT_TEST(UnparsedBytesCount);
+  CPPUNIT_TEST(LongBodiesGiveNoRoomForLongTrailers);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -35,6 +36,13 @@
     CPPUNIT_ASSERT(budget.IsExceeded(kMaxBytes / 2 + 1));
   }
 
+  void LongBodiesGiveNoRoomForLongTrailers() {
+    FramingBudget budget(kMaxBytes);
+    budget.OnParsed(100 * kMaxBytes, 100 * kMaxBytes);
+    CPPUNIT_ASSERT(!budget.IsExceeded(kMaxBytes));
+    CPPUNIT_ASSERT(budget.IsExceeded(kMaxBytes + 1));
+  }
+
  private:
   static constexpr size_t kMaxBytes = 100;
 };
--- a/libs/engine/tests/http_server_test.cc
+++ b/libs/engine/tests/http_server_test.cc
@@ -239,6 +239,13 @@
       absl::StrAppend(&chunks, "1;a=", long_text.substr(0, 200), "\r\nx\r\n");
     }
     ExpectStatus(ChunkedHeader() + chunks, "431");
+    std::string trailers;
+    while (trailers.size() < 16 * limits_.max_header_bytes) {
+      trailers += "a:\r\n";
+    }
+    ExpectStatus(absl::StrCat(ChunkedHeader(), "1000\r\n",
+                              std::string(0x1000, 'x'), "\r\n0\r\n", trailers),
+                 "431");
   }
 
   void FramingWithoutABodyTimesOut() {
