--- a/libs/engine/include/engine/connection_budget.h
+++ b/libs/engine/include/engine/connection_budget.h
@@ -68,7 +68,8 @@
 
   /// @return the connections to be ended so that the rest is well within the
   /// limit on bytes, in this order: those that hold most for longest first.
-  /// Idle ones hold nothing worth it.
+  /// Idle ones hold nothing worth it, and none is chosen that holds no more
+  /// than its share of the limit if all connections held the same.
   std::vector<uint64_t> ChooseByBytes(absl::Time now) const;
 
   /// @return the connections to be closed so that the rest is well within the
--- a/libs/engine/src/connection_budget.cc
+++ b/libs/engine/src/connection_budget.cc
@@ -54,11 +54,14 @@
 
 std::vector<uint64_t> ConnectionBudget::ChooseByBytes(absl::Time now) const {
   std::vector<HeldConnection> candidates = NotRunning(connections_);
-  const auto idle = std::remove_if(candidates.begin(), candidates.end(),
-                                   [](const HeldConnection& connection) {
-                                     return connection.stage == Stage::kIdle;
+  const size_t share =
+      limits_.max_bytes / std::max<size_t>(limits_.max_connections, 1);
+  const auto kept = std::remove_if(candidates.begin(), candidates.end(),
+                                   [share](const HeldConnection& connection) {
+                                     return connection.stage == Stage::kIdle ||
+                                            connection.bytes <= share;
                                    });
-  candidates.erase(idle, candidates.end());
+  candidates.erase(kept, candidates.end());
   std::sort(candidates.begin(), candidates.end(),
             [now](const HeldConnection& a, const HeldConnection& b) {
               return Cost(a, now) > Cost(b, now);
--- a/libs/engine/tests/http_server_test.cc
+++ b/libs/engine/tests/http_server_test.cc
@@ -71,6 +71,7 @@
   CPPUNIT_TEST(WritesNoStatusThatTheProtocolLacks);
   CPPUNIT_TEST(GroupRefusesTheRequestThatHoldsMost);
   CPPUNIT_TEST(GroupClosesTheOldestIdleConnection);
+  CPPUNIT_TEST(GroupServesSmallRequestsBesideRunningOnes);
   CPPUNIT_TEST(RequestWhoseCallerLeftCountsUntilItsEnd);
   CPPUNIT_TEST_SUITE_END();
 
@@ -159,6 +160,31 @@
     CPPUNIT_ASSERT_EQUAL(size_t{0}, group_->budget().bytes());
   }
 
+  // Guards against ending all others for what running requests hold.
+  void GroupServesSmallRequestsBesideRunningOnes() {
+    constexpr size_t kLargeBodyBytes = 100'000;
+    limits_.max_body_bytes = kLargeBodyBytes;
+    ConnectionLimits limits;
+    limits.max_bytes = 325'000;
+    limits.max_connections = 10;
+    UseGroup(limits);
+    const auto large = Connect();
+    large->Write(PostHeader("/large", kLargeBodyBytes) +
+                 std::string(kLargeBodyBytes, 'x'));
+    CPPUNIT_ASSERT(WaitForRequests(1));
+    std::vector<std::shared_ptr<RawConnection>> callers;
+    for (size_t i = 1; i <= 3; ++i) {
+      callers.push_back(Connect());
+      callers.back()->Write(Get("/small"));
+      CPPUNIT_ASSERT(WaitForRequests(i + 1));
+    }
+    CPPUNIT_ASSERT(group_->budget().bytes() > limits.max_bytes);
+    for (size_t i = 1; i <= 3; ++i) {
+      Respond(i, "small");
+      CPPUNIT_ASSERT(WaitForResponse(*callers[i - 1], "small"));
+    }
+  }
+
   void GroupClosesTheOldestIdleConnection() {
     ConnectionLimits limits;
     limits.max_connections = 2;
