--- a/libs/engine/src/server_connection.cc
+++ b/libs/engine/src/server_connection.cc
@@ -326,6 +326,7 @@
   UseOriginForm(request_);
   received_at_ = state_->loop.Now();
   SetPhase(Phase::kRunning);
+  ReportHeld();
   responded_ = false;
   ++state_->requests_in_flight;
   state_->handler(shared_from_this());
--- a/libs/engine/tests/http_server_test.cc
+++ b/libs/engine/tests/http_server_test.cc
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <deque>
+#include <functional>
 #include <memory>
 #include <string>
 #include <utility>
@@ -72,6 +73,7 @@
   CPPUNIT_TEST(GroupRefusesTheRequestThatHoldsMost);
   CPPUNIT_TEST(GroupClosesTheOldestIdleConnection);
   CPPUNIT_TEST(GroupServesSmallRequestsBesideRunningOnes);
+  CPPUNIT_TEST(RequestThatRunsIsNotEndedByWhatItsHandlerDoes);
   CPPUNIT_TEST(RequestWhoseCallerLeftCountsUntilItsEnd);
   CPPUNIT_TEST_SUITE_END();
 
@@ -185,6 +187,34 @@
     }
   }
 
+  // Guards against LOST: the group knew the request as one being received.
+  void RequestThatRunsIsNotEndedByWhatItsHandlerDoes() {
+    constexpr size_t kBodyBytes = 20'000;
+    limits_.max_body_bytes = kBodyBytes;
+    limits_.header_timeout = absl::Seconds(5);
+    ConnectionLimits limits;
+    limits.max_bytes = 110'000;
+    UseGroup(limits);
+    std::vector<std::shared_ptr<RawConnection>> others;
+    for (size_t i = 0; i < 3; ++i) {
+      others.push_back(Connect());
+      others.back()->Write(Get("/other"));
+      CPPUNIT_ASSERT(WaitForRequests(i + 1));
+    }
+    const auto caller = Connect();
+    caller->Write(PostHeader("/", kBodyBytes) +
+                  std::string(kBodyBytes - 1, 'x'));
+    RunFor(loop_, absl::Milliseconds(300));
+    on_request_ = [this] {
+      for (size_t i = 0; i < 3; ++i) Respond(i, std::string(kBodyBytes, 'x'));
+    };
+    caller->Write("x");
+    CPPUNIT_ASSERT(WaitForRequests(4));
+    RunFor(loop_, absl::Milliseconds(30));
+    Respond(3, "served");
+    CPPUNIT_ASSERT(WaitForResponse(*caller, "served"));
+  }
+
   void GroupClosesTheOldestIdleConnection() {
     ConnectionLimits limits;
     limits.max_connections = 2;
@@ -560,6 +590,7 @@
         loop_, [this] { return limits_; },
         [this](std::shared_ptr<ServerExchange> exchange) {
           exchanges_.push_back(std::move(exchange));
+          if (on_request_) on_request_();
         },
         group);
     CPPUNIT_ASSERT(GetError(server_->Listen(kEndpoint)) == nullptr);
@@ -642,6 +673,7 @@
   std::vector<LimitedConnection> limited_;
   std::unique_ptr<HttpServer> server_;
   std::deque<std::shared_ptr<ServerExchange>> exchanges_;
+  std::function<void()> on_request_;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpServerTest);
