--- a/libs/tier/src/machine_resources.cc
+++ b/libs/tier/src/machine_resources.cc
@@ -16,6 +16,17 @@
 constexpr size_t kCallerDescriptorDivisor = 2;
 constexpr size_t kPeerMemoryDivisor = 6;
 constexpr size_t kPeerDescriptorDivisor = 8;
+/// Twice what an idle connection counts for, so that those leave half of the
+/// memory to requests and responses.
+constexpr size_t kBytesPerConnection = 16U << 10U;
+
+engine::ConnectionLimits PartOf(const MachineResources& resources,
+                                size_t memory_divisor,
+                                size_t descriptor_divisor) {
+  const size_t max_bytes = resources.memory_bytes / memory_divisor;
+  return {max_bytes, std::min(resources.descriptors / descriptor_divisor,
+                              max_bytes / kBytesPerConnection)};
+}
 
 /// @return a limit of the process; SIZE_MAX if there is none.
 size_t ProcessLimit(decltype(RLIMIT_NOFILE) resource) {
@@ -50,13 +61,11 @@
 }
 
 engine::ConnectionLimits CallerLimits(const MachineResources& resources) {
-  return {resources.memory_bytes / kCallerMemoryDivisor,
-          resources.descriptors / kCallerDescriptorDivisor};
+  return PartOf(resources, kCallerMemoryDivisor, kCallerDescriptorDivisor);
 }
 
 engine::ConnectionLimits PeerLimits(const MachineResources& resources) {
-  return {resources.memory_bytes / kPeerMemoryDivisor,
-          resources.descriptors / kPeerDescriptorDivisor};
+  return PartOf(resources, kPeerMemoryDivisor, kPeerDescriptorDivisor);
 }
 
 }  // namespace cherrydyke
