--- a/libs/adapters/src/http_server.cc
+++ b/libs/adapters/src/http_server.cc
@@ -13,6 +13,7 @@
 #include "absl/strings/ascii.h"
 #include "absl/strings/str_cat.h"
 #include "httplib.h"
+#include "limited_server.h"
 
 namespace cherrydyke {
 namespace {
@@ -71,9 +72,15 @@
   }
 }
 
-httplib::Server::Handler Wrap(HttpServer::Handler handler) {
-  return [handler = std::move(handler)](const httplib::Request& request,
-                                        httplib::Response& response) {
+// The library limits only bodies that announce their length.
+httplib::Server::Handler Wrap(HttpServer::Handler handler,
+                              size_t max_body_bytes) {
+  return [handler = std::move(handler), max_body_bytes](
+             const httplib::Request& request, httplib::Response& response) {
+    if (request.body.size() > max_body_bytes) {
+      response.status = 413;
+      return;
+    }
     ToLibrary(handler(FromLibrary(request)), response);
   };
 }
@@ -92,22 +99,23 @@
 }
 
 struct HttpServer::Impl {
-  httplib::Server server;
+  explicit Impl(const Options& options)
+      : max_body_bytes(options.max_body_bytes),
+        server(options.threads, options.max_body_bytes) {}
+
+  const size_t max_body_bytes;
+  LimitedServer server;
   int listen_fd = -1;
   int port = 0;
   std::thread thread;
 };
 
-HttpServer::HttpServer(Options options) : impl_(std::make_unique<Impl>()) {
+HttpServer::HttpServer(Options options)
+    : impl_(std::make_unique<Impl>(options)) {
   httplib::Server& server = impl_->server;
-  const auto threads = static_cast<size_t>(options.threads);
-  server.new_task_queue = [threads] {
-    return new httplib::ThreadPool(threads);  // The server deletes it.
-  };
   server.set_tcp_nodelay(true);
   server.set_keep_alive_max_count(kMaxRequestsPerConnection);
   server.set_keep_alive_timeout(kKeepAliveTimeoutSeconds);
-  server.set_payload_max_length(options.max_body_bytes);
   server.set_socket_options([this](socket_t fd) {
     const int on = 1;
     setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
@@ -129,11 +137,11 @@
 HttpServer::~HttpServer() { Stop(); }
 
 void HttpServer::Get(const std::string& path, Handler handler) {
-  impl_->server.Get(path, Wrap(std::move(handler)));
+  impl_->server.Get(path, Wrap(std::move(handler), impl_->max_body_bytes));
 }
 
 void HttpServer::Post(const std::string& path, Handler handler) {
-  impl_->server.Post(path, Wrap(std::move(handler)));
+  impl_->server.Post(path, Wrap(std::move(handler), impl_->max_body_bytes));
 }
 
 Result<int> HttpServer::Start(const std::string& address, int port) {
