--- a/libs/adapters/src/http_server.cc
+++ b/libs/adapters/src/http_server.cc
@@ -22,6 +22,8 @@
 constexpr time_t kKeepAliveTimeoutSeconds = 30;
 constexpr std::chrono::milliseconds kClosePollInterval(50);
 constexpr size_t kMaxRequestsPerConnection = 1'000'000;
+/// Per connection, of what the process has not read.
+constexpr int kReceiveBufferBytes = 32 << 10;
 
 HttpRequest FromLibrary(const httplib::Request& from) {
   HttpRequest request;
@@ -119,6 +121,8 @@
   server.set_socket_options([this](socket_t fd) {
     const int on = 1;
     setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &kReceiveBufferBytes,
+               sizeof(kReceiveBufferBytes));
     impl_->listen_fd = fd;
   });
   server.set_error_handler([](const httplib::Request& request,
--- a/libs/adapters/src/limited_server.cc
+++ b/libs/adapters/src/limited_server.cc
@@ -22,14 +22,23 @@
 using Clock = std::chrono::steady_clock;
 
 constexpr size_t kBytesPerKb = 1U << 10U;
+constexpr size_t kBytesPerMb = 1U << 20U;
 
 constexpr size_t kMaxHeaderBytes = 64 * kBytesPerKb;
 /// Sizes of chunks and the like: as much as the body, and this many bytes.
 constexpr size_t kMinFramingBytes = 64 * kBytesPerKb;
+/// Memory of a byte of a header in short fields, and of a byte of a body.
+constexpr size_t kHeldPerHeaderByte = 32;
+constexpr size_t kHeldPerBodyByte = 3;
+constexpr size_t kMaxHeldBytes = 48 * kBytesPerMb;
+/// Requests that hold no more than this don't wait for others.
+constexpr size_t kSmallRequestBytes = 64 * kBytesPerKb;
 
 constexpr std::chrono::milliseconds kPollInterval(50);
 /// Longest time without progress of a read or a write.
 constexpr std::chrono::seconds kStallTimeout(5);
+/// Time after which a connection makes room if others wait.
+constexpr std::chrono::milliseconds kTimeToYield(500);
 /// Longest time for reading what a caller still sends after a refusal.
 constexpr std::chrono::seconds kLingerTime(1);
 constexpr size_t kReadBufferBytes = 4 * kBytesPerKb;
@@ -52,12 +61,34 @@
   port = std::atoi(service.data());
 }
 
+/// A pool that counts the connections it serves or has waiting.
+class CountingPool : public httplib::TaskQueue {
+ public:
+  CountingPool(int threads, ConnectionLoad& load)
+      : load_(load), pool_(static_cast<size_t>(threads)) {}
+
+  void enqueue(std::function<void()> task) override {
+    load_.AddConnection();
+    pool_.enqueue([this, task = std::move(task)] {
+      task();
+      load_.RemoveConnection();
+    });
+  }
+  void shutdown() override { pool_.shutdown(); }
+
+ private:
+  ConnectionLoad& load_;
+  httplib::ThreadPool pool_;
+};
+
 /// An accepted connection. Reads fail beyond the limits of a request.
 class LimitedStream : public httplib::Stream {
  public:
-  LimitedStream(int fd, size_t max_body_bytes)
-      : fd_(fd), max_message_bytes_(2 * max_body_bytes + kMinFramingBytes) {}
-  ~LimitedStream() override = default;
+  LimitedStream(int fd, size_t max_body_bytes, ConnectionLoad& load)
+      : fd_(fd),
+        max_message_bytes_(2 * max_body_bytes + kMinFramingBytes),
+        load_(load) {}
+  ~LimitedStream() override { EndRequest(); }
   LimitedStream(const LimitedStream&) = delete;
   LimitedStream& operator=(const LimitedStream&) = delete;
 
@@ -71,11 +102,15 @@
       if (Poll(fd_, POLLIN)) break;
       const auto idle = Clock::now() - start;
       if (idle >= timeout) return false;
+      if (idle >= kTimeToYield && load_.HasWaiting()) return false;
     }
+    request_start_ = Clock::now();
     return true;
   }
 
   void EndRequest() {
+    load_.Release(held_bytes_);
+    held_bytes_ = 0;
     header_bytes_ = 0;
     body_bytes_ = 0;
     is_in_header_ = true;
@@ -91,7 +126,7 @@
   void Linger() {
     ::shutdown(fd_, SHUT_WR);
     const Clock::time_point start = Clock::now();
-    while (Clock::now() - start < kLingerTime) {
+    while (Clock::now() - start < kLingerTime && !load_.HasWaiting()) {
       if (!Poll(fd_, POLLIN)) continue;
       const ssize_t bytes =
           recv(fd_, buffer_.data(), buffer_.size(), MSG_DONTWAIT);
@@ -107,7 +142,7 @@
   bool is_writable() const override {
     const Clock::time_point start = Clock::now();
     while (!Poll(fd_, POLLOUT)) {
-      if (Clock::now() - start >= kStallTimeout) return false;
+      if (MustEndWait(start)) return false;
     }
     return true;
   }
@@ -146,9 +181,7 @@
       }
       if (bytes < 0 && errno == EINTR) continue;
       if (bytes == 0 || errno != EAGAIN) return -1;
-      if (!Poll(fd_, POLLOUT) && Clock::now() - progress >= kStallTimeout) {
-        return -1;
-      }
+      if (!Poll(fd_, POLLOUT) && MustEndWait(progress)) return -1;
     }
     return static_cast<ssize_t>(sent);
   }
@@ -170,11 +203,32 @@
   socket_t socket() const override { return fd_; }
 
  private:
+  // A wait ends early if other connections need the thread.
+  bool MustEndWait(Clock::time_point start) const {
+    const auto waited = Clock::now() - start;
+    return waited >= kStallTimeout ||
+           (waited >= kTimeToYield && load_.HasWaiting());
+  }
+
+  bool MustWaitForOthers() const {
+    return held_bytes_ > kSmallRequestBytes && load_.IsFull();
+  }
+
   // @return received bytes, 0 at the end of the stream, negative on errors.
   ssize_t Fill() {
     const Clock::time_point start = Clock::now();
     while (true) {
+      const bool must_wait = MustWaitForOthers();
+      const bool is_late = Clock::now() - request_start_ >= kTimeToYield;
+      if (is_late && (must_wait || load_.HasWaiting())) {
+        LogDebug("closing a connection that others wait for", {});
+        return -1;
+      }
       if (Clock::now() - start >= kStallTimeout) return -1;
+      if (must_wait) {
+        poll(nullptr, 0, static_cast<int>(kPollInterval.count()));
+        continue;
+      }
       if (!Poll(fd_, POLLIN)) continue;
       const ssize_t bytes =
           recv(fd_, buffer_.data(), buffer_.size(), MSG_DONTWAIT);
@@ -192,6 +246,10 @@
     }
     header_bytes_ += header_bytes;
     body_bytes_ += bytes - header_bytes;
+    const size_t held = header_bytes * kHeldPerHeaderByte +
+                        (bytes - header_bytes) * kHeldPerBodyByte;
+    held_bytes_ += held;
+    load_.Hold(held);
   }
 
   // The header ends with an empty line.
@@ -206,10 +264,13 @@
 
   const int fd_;
   const size_t max_message_bytes_;
+  ConnectionLoad& load_;
   std::array<char, kReadBufferBytes> buffer_;
   size_t position_ = 0;
   size_t end_ = 0;
   bool is_broken_ = false;
+  Clock::time_point request_start_;
+  size_t held_bytes_ = 0;
   size_t header_bytes_ = 0;
   size_t body_bytes_ = 0;
   size_t line_bytes_ = 0;
@@ -218,17 +279,18 @@
 
 }  // namespace
 
+bool ConnectionLoad::IsFull() const { return held_bytes_ > kMaxHeldBytes; }
+
 LimitedServer::LimitedServer(int threads, size_t max_body_bytes)
-    : max_body_bytes_(max_body_bytes) {
+    : max_body_bytes_(max_body_bytes), load_(threads) {
   set_payload_max_length(max_body_bytes);
-  new_task_queue = [threads] {
-    return new httplib::ThreadPool(
-        static_cast<size_t>(threads));  // The server deletes it.
+  new_task_queue = [this, threads] {
+    return new CountingPool(threads, load_);  // The server deletes it.
   };
 }
 
 bool LimitedServer::process_and_close_socket(socket_t socket) {
-  auto stream = std::make_unique<LimitedStream>(socket, max_body_bytes_);
+  auto stream = std::make_unique<LimitedStream>(socket, max_body_bytes_, load_);
   bool is_open = true;
   const auto is_stopping = [this] { return svr_sock_ == INVALID_SOCKET; };
   for (size_t left = keep_alive_max_count_; is_open && left > 0; --left) {
--- a/libs/adapters/src/limited_server.h
+++ b/libs/adapters/src/limited_server.h
@@ -2,6 +2,7 @@
 
 #include <sys/types.h>
 
+#include <atomic>
 #include <cstddef>
 #include <functional>
 #include <string>
@@ -10,7 +11,30 @@
 
 namespace cherrydyke {
 
-/// Server of the library with limits for all that a request brings.
+/// What the connections of a server hold together. Thread-safe.
+class ConnectionLoad {
+ public:
+  /// @param threads connections that are served concurrently
+  explicit ConnectionLoad(int threads) : threads_(threads) {}
+
+  void AddConnection() { ++connections_; }
+  void RemoveConnection() { --connections_; }
+  /// @return whether accepted connections wait for a thread.
+  bool HasWaiting() const { return connections_ > threads_; }
+
+  void Hold(size_t bytes) { held_bytes_ += bytes; }
+  void Release(size_t bytes) { held_bytes_ -= bytes; }
+  /// @return whether large requests have to wait until others have ended.
+  bool IsFull() const;
+
+ private:
+  const int threads_;
+  std::atomic<int> connections_{0};
+  std::atomic<size_t> held_bytes_{0};
+};
+
+/// Server of the library with limits for what a request brings, besides its
+/// body, and for what all connections hold together.
 class LimitedServer : public httplib::Server {
  public:
   /// @param threads connections served concurrently
@@ -21,6 +45,7 @@
   bool process_and_close_socket(socket_t socket) override;
 
   const size_t max_body_bytes_;
+  ConnectionLoad load_;
 };
 
 }  // namespace cherrydyke
