--- a/libs/adapters/src/limited_server.cc
+++ b/libs/adapters/src/limited_server.cc
@@ -61,6 +61,12 @@
   port = std::atoi(service.data());
 }
 
+/// The library would expand a compressed body without a limit. No route takes
+/// one, so it is passed on as it is and refused as malformed.
+void KeepCompressed(httplib::Request& request) {
+  request.headers.erase("Content-Encoding");
+}
+
 /// A pool that counts the connections it serves or has waiting.
 class CountingPool : public httplib::TaskQueue {
  public:
@@ -300,7 +306,7 @@
     }
     bool is_last = false;
     const bool is_served =
-        process_request(*stream, left == 1, is_last, nullptr);
+        process_request(*stream, left == 1, is_last, KeepCompressed);
     stream->EndRequest();
     is_open = is_served && !is_last && !stream->is_broken();
   }
