--- a/libs/wire/include/wire/link.h
+++ b/libs/wire/include/wire/link.h
@@ -73,6 +73,7 @@
   Connector& connector_;
   Handler handler_;
   ErrorHandler on_error_;
+  FrameBudget frame_budget_;
   std::atomic<bool> stopping_{false};
   absl::Mutex mutex_;
   std::vector<std::unique_ptr<Session>> sessions_ ABSL_GUARDED_BY(mutex_);
--- a/libs/wire/src/frame.cc
+++ b/libs/wire/src/frame.cc
@@ -22,7 +22,7 @@
 constexpr size_t kHeaderBytes = 16;
 /// Memory for a payload grows by this much as its bytes arrive, so that a
 /// header with a false length does not make the reader allocate 16 MB.
-constexpr size_t kReadChunkBytes = 64U << 10U;
+constexpr size_t kReadChunkBytes = 16U << 10U;
 /// Timeout for each chunk of the payload, after the header has arrived.
 constexpr absl::Duration kPayloadTimeout = absl::Seconds(2);
 
@@ -125,6 +125,28 @@
   return message;
 }
 
+/// What one payload holds of a budget.
+class Reservation {
+ public:
+  explicit Reservation(FrameBudget* budget) : budget_(budget) {}
+  ~Reservation() {
+    if (budget_ != nullptr) budget_->Release(bytes_);
+  }
+  Reservation(const Reservation&) = delete;
+  Reservation& operator=(const Reservation&) = delete;
+
+  bool Grow(size_t bytes) {
+    if (budget_ == nullptr) return true;
+    if (!budget_->Reserve(bytes)) return false;
+    bytes_ += bytes;
+    return true;
+  }
+
+ private:
+  FrameBudget* const budget_;
+  size_t bytes_ = 0;
+};
+
 }  // namespace
 
 std::string EncodeFrame(const Message& message) {
@@ -160,7 +182,16 @@
   return DecodePayload(header, frame.substr(kHeaderBytes));
 }
 
-Result<Message> ReadFrame(Stream& stream, absl::Duration timeout) {
+bool FrameBudget::Reserve(size_t bytes) {
+  size_t left = bytes_left_;
+  while (left >= bytes) {
+    if (bytes_left_.compare_exchange_weak(left, left - bytes)) return true;
+  }
+  return false;
+}
+
+Result<Message> ReadFrame(Stream& stream, absl::Duration timeout,
+                          FrameBudget* budget) {
   std::array<char, kHeaderBytes> header_bytes{};
   const StreamState state =
       stream.Read(header_bytes.data(), header_bytes.size(), timeout);
@@ -175,9 +206,14 @@
     return *GetError(status);
   }
   std::string payload;
+  Reservation reservation(budget);
   while (payload.size() < header.length) {
     const size_t offset = payload.size();
     const size_t chunk = std::min(kReadChunkBytes, header.length - offset);
+    if (offset > 0 && !reservation.Grow(chunk)) {
+      return Error{ErrorCode::kInternal,
+                   "frames from other streams hold all memory for frames"};
+    }
     payload.resize(offset + chunk);
     if (stream.Read(payload.data() + offset, chunk, kPayloadTimeout) !=
         StreamState::kOpen) {
--- a/libs/wire/src/link.cc
+++ b/libs/wire/src/link.cc
@@ -12,6 +12,8 @@
 /// before they check whether to stop.
 constexpr absl::Duration kAcceptTimeout = absl::Milliseconds(100);
 constexpr absl::Duration kServerReadTimeout = absl::Milliseconds(500);
+/// Of frames that a server receives over all links.
+constexpr size_t kMaxReceivedFrameBytes = 24U << 20U;
 constexpr absl::Duration kLinkConnectTimeout = absl::Milliseconds(500);
 constexpr absl::Duration kReconnectDelay = absl::Milliseconds(100);
 constexpr absl::Duration kPingPeriod = absl::Milliseconds(250);
@@ -37,6 +39,7 @@
       connector_(connector),
       handler_(std::move(handler)),
       on_error_(std::move(on_error)),
+      frame_budget_(kMaxReceivedFrameBytes),
       thread_([this] { AcceptLoop(); }) {}
 
 LinkServer::~LinkServer() { Stop(); }
@@ -60,7 +63,7 @@
 void LinkServer::Serve(Session& session) {
   while (!stopping_) {
     Result<Message> received =
-        ReadFrame(session.link->stream(), kServerReadTimeout);
+        ReadFrame(session.link->stream(), kServerReadTimeout, &frame_budget_);
     if (const Error* error = GetError(received)) {
       if (error->code == ErrorCode::kTimeout) continue;
       if (error->code != ErrorCode::kUnavailable) on_error_(*error);
