--- a/libs/engine/include/engine/server_group.h
+++ b/libs/engine/include/engine/server_group.h
@@ -59,7 +59,7 @@
     on_limited_ = std::move(callback);
   }
 
-  /// Adds a connection, which may end others or the connection itself.
+  /// Adds a connection, which counts from its first `Update`.
   /// @return its id in `HeldConnection`.
   uint64_t Add(Member& member);
   /// Changes what is known of a connection, which may end others or the
