--- a/libs/engine/include/engine/connection_budget.h
+++ b/libs/engine/include/engine/connection_budget.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -16,6 +17,11 @@
   size_t max_bytes = SIZE_MAX;
   size_t max_connections = SIZE_MAX;
 
+  /// @return the part of each connection if all are open and hold the same.
+  size_t BytesPerConnection() const {
+    return max_bytes / std::max<size_t>(max_connections, 1);
+  }
+
   friend bool operator==(const ConnectionLimits& a, const ConnectionLimits& b) {
     return a.max_bytes == b.max_bytes && a.max_connections == b.max_connections;
   }
--- a/libs/engine/src/connection_budget.cc
+++ b/libs/engine/src/connection_budget.cc
@@ -54,8 +54,7 @@
 
 std::vector<uint64_t> ConnectionBudget::ChooseByBytes(absl::Time now) const {
   std::vector<HeldConnection> candidates = NotRunning(connections_);
-  const size_t share =
-      limits_.max_bytes / std::max<size_t>(limits_.max_connections, 1);
+  const size_t share = limits_.BytesPerConnection();
   const auto kept = std::remove_if(candidates.begin(), candidates.end(),
                                    [share](const HeldConnection& connection) {
                                      return connection.stage == Stage::kIdle ||
--- a/libs/engine/src/http_server.cc
+++ b/libs/engine/src/http_server.cc
@@ -19,6 +19,17 @@
 constexpr absl::Duration kAcceptRetryDelay = absl::Milliseconds(50);
 /// Number of connections that may wait to be accepted.
 constexpr int kListenBacklog = 1024;
+/// Of the kernel for one connection; requests without a large body fit into the
+/// least.
+constexpr size_t kMinReceiveBufferBytes = 8U << 10U;
+constexpr size_t kMaxReceiveBufferBytes = 64U << 10U;
+
+int ReceiveBufferBytes(const ServerGroup* group) {
+  if (group == nullptr) return kMaxReceiveBufferBytes;
+  return static_cast<int>(
+      std::clamp(group->budget().limits().BytesPerConnection(),
+                 kMinReceiveBufferBytes, kMaxReceiveBufferBytes));
+}
 
 void AddConnection(const std::shared_ptr<HttpServer::State>& state,
                    asio::ip::tcp::socket socket) {
@@ -37,6 +48,7 @@
                        Handler handler, ServerGroup* group)
     : state_(std::make_shared<State>(loop)), timers_(loop) {
   state_->group = group;
+  state_->receive_buffer_bytes = ReceiveBufferBytes(group);
   state_->limits = std::move(limits);
   state_->handler = std::move(handler);
 }
@@ -75,11 +87,12 @@
   if (!error) {
     acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true), error);
   }
-  // Inherited by connections. Bytes that the kernel holds for a connection
-  // whose input is not read count as well.
+  // Inherited by connections. What the kernel holds for all of them is within
+  // the group's limit as well.
   if (!error) {
     acceptor.set_option(
-        asio::socket_base::receive_buffer_size(kReceiveBufferBytes), error);
+        asio::socket_base::receive_buffer_size(state_->receive_buffer_bytes),
+        error);
   }
   if (!error) acceptor.bind(*address, error);
   if (!error) acceptor.listen(kListenBacklog, error);
--- a/libs/engine/src/server_connection.cc
+++ b/libs/engine/src/server_connection.cc
@@ -129,7 +129,9 @@
   held.id = group_id_;
   held.since = phase_began_at_;
   held.bytes = kConnectionBytes + input_.capacity();
-  if (IsReadingPaused()) held.bytes += kReceiveBufferBytes;
+  if (IsReadingPaused()) {
+    held.bytes += static_cast<size_t>(state_->receive_buffer_bytes);
+  }
   switch (phase_) {
     case Phase::kIdle:
     case Phase::kClosed:
--- a/libs/engine/src/server_connection.h
+++ b/libs/engine/src/server_connection.h
@@ -16,9 +16,6 @@
 
 class ServerConnection;
 
-/// Bytes that the kernel keeps at most for a connection that is not read.
-constexpr int kReceiveBufferBytes = 64 << 10;
-
 struct HttpServer::State {
   explicit State(EventLoop& event_loop);
 
@@ -29,6 +26,8 @@
   std::function<HttpResponse()> overload_refusal;
   /// Null for a server without a group.
   ServerGroup* group = nullptr;
+  /// Bytes that the kernel keeps at most for a connection that is not read.
+  int receive_buffer_bytes = 0;
   boost::asio::ip::tcp::acceptor acceptor;
   std::list<std::weak_ptr<ServerConnection>> connections;
   bool close_after_response = false;
--- a/libs/tier/src/machine_resources.cc
+++ b/libs/tier/src/machine_resources.cc
@@ -12,9 +12,9 @@
 
 // Parts of the memory and of the descriptors for connections of callers and of
 // other hosts.
-constexpr size_t kCallerMemoryDivisor = 3;
+constexpr size_t kCallerMemoryDivisor = 4;
 constexpr size_t kCallerDescriptorDivisor = 2;
-constexpr size_t kPeerMemoryDivisor = 6;
+constexpr size_t kPeerMemoryDivisor = 8;
 constexpr size_t kPeerDescriptorDivisor = 8;
 /// Twice what an idle connection counts for, so that those leave half of the
 /// memory to requests and responses.
