--- a/libs/engine/include/engine/connection_budget.h
+++ b/libs/engine/include/engine/connection_budget.h
@@ -88,9 +88,15 @@
   const ConnectionLimits& limits() const { return limits_; }
 
  private:
+  /// Takes a connection out of the sums.
+  void Forget(const HeldConnection& connection);
+  bool MayEndForBytes(const HeldConnection& connection) const;
+
   ConnectionLimits limits_;
   std::map<uint64_t, HeldConnection> connections_;
   size_t bytes_ = 0;
+  /// Connections that may be ended for what they hold.
+  size_t endable_ = 0;
 };
 
 }  // namespace cherrydyke::engine
--- a/libs/engine/src/connection_budget.cc
+++ b/libs/engine/src/connection_budget.cc
@@ -41,26 +41,36 @@
 
 void ConnectionBudget::Update(const HeldConnection& connection) {
   HeldConnection& known = connections_[connection.id];
-  bytes_ += connection.bytes - known.bytes;
+  Forget(known);
   known = connection;
+  bytes_ += known.bytes;
+  if (MayEndForBytes(known)) ++endable_;
 }
 
 void ConnectionBudget::Remove(uint64_t id) {
   const auto found = connections_.find(id);
   if (found == connections_.end()) return;
-  bytes_ -= found->second.bytes;
+  Forget(found->second);
   connections_.erase(found);
 }
 
+void ConnectionBudget::Forget(const HeldConnection& connection) {
+  bytes_ -= connection.bytes;
+  if (MayEndForBytes(connection)) --endable_;
+}
+
+bool ConnectionBudget::MayEndForBytes(const HeldConnection& connection) const {
+  const bool holds_a_message = connection.stage == Stage::kReceiving ||
+                               connection.stage == Stage::kSending;
+  return holds_a_message && connection.bytes > limits_.BytesPerConnection();
+}
+
 std::vector<uint64_t> ConnectionBudget::ChooseByBytes(absl::Time now) const {
-  std::vector<HeldConnection> candidates = NotRunning(connections_);
-  const size_t share = limits_.BytesPerConnection();
-  const auto kept = std::remove_if(candidates.begin(), candidates.end(),
-                                   [share](const HeldConnection& connection) {
-                                     return connection.stage == Stage::kIdle ||
-                                            connection.bytes <= share;
-                                   });
-  candidates.erase(kept, candidates.end());
+  if (endable_ == 0) return {};
+  std::vector<HeldConnection> candidates;
+  for (const auto& [id, connection] : connections_) {
+    if (MayEndForBytes(connection)) candidates.push_back(connection);
+  }
   std::sort(candidates.begin(), candidates.end(),
             [now](const HeldConnection& a, const HeldConnection& b) {
               return Cost(a, now) > Cost(b, now);
--- a/libs/engine/src/http_server.cc
+++ b/libs/engine/src/http_server.cc
@@ -71,6 +71,8 @@
       connection->LeaveGroup();
     }
   }
+  // A connection that was accepted already may still be handled.
+  state_->group = nullptr;
 }
 
 Status HttpServer::Listen(const Endpoint& endpoint) {
