--- a/libs/engine/tests/http_server_test.cc
+++ b/libs/engine/tests/http_server_test.cc
@@ -296,7 +296,7 @@
     }
     ExpectStatus(ChunkedHeader() + chunks, "431");
     std::string trailers;
-    while (trailers.size() < 16 * limits_.max_header_bytes) {
+    while (trailers.size() < size_t{16} * limits_.max_header_bytes) {
       trailers += "a:\r\n";
     }
     ExpectStatus(absl::StrCat(ChunkedHeader(), "1000\r\n",
