--- a/libs/engine/include/engine/connection_budget.h
+++ b/libs/engine/include/engine/connection_budget.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -16,6 +17,11 @@
   size_t max_bytes = SIZE_MAX;
   size_t max_connections = SIZE_MAX;
 
+  /// @return the part of each connection if all are open and hold the same.
+  size_t BytesPerConnection() const {
+    return max_bytes / std::max<size_t>(max_connections, 1);
+  }
+
   friend bool operator==(const ConnectionLimits& a, const ConnectionLimits& b) {
     return a.max_bytes == b.max_bytes && a.max_connections == b.max_connections;
   }
@@ -68,7 +74,8 @@
 
   /// @return the connections to be ended so that the rest is well within the
   /// limit on bytes, in this order: those that hold most for longest first.
-  /// Idle ones hold nothing worth it.
+  /// Idle ones hold nothing worth it, and none is chosen that holds no more
+  /// than its share of the limit if all connections held the same.
   std::vector<uint64_t> ChooseByBytes(absl::Time now) const;
 
   /// @return the connections to be closed so that the rest is well within the
@@ -81,9 +88,15 @@
   const ConnectionLimits& limits() const { return limits_; }
 
  private:
+  /// Takes a connection out of the sums.
+  void Forget(const HeldConnection& connection);
+  bool MayEndForBytes(const HeldConnection& connection) const;
+
   ConnectionLimits limits_;
   std::map<uint64_t, HeldConnection> connections_;
   size_t bytes_ = 0;
+  /// Connections that may be ended for what they hold.
+  size_t endable_ = 0;
 };
 
 }  // namespace cherrydyke::engine
--- a/libs/engine/tests/http_server_test.cc
+++ b/libs/engine/tests/http_server_test.cc
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <deque>
+#include <functional>
 #include <memory>
 #include <string>
 #include <utility>
@@ -71,6 +72,8 @@
   CPPUNIT_TEST(WritesNoStatusThatTheProtocolLacks);
   CPPUNIT_TEST(GroupRefusesTheRequestThatHoldsMost);
   CPPUNIT_TEST(GroupClosesTheOldestIdleConnection);
+  CPPUNIT_TEST(GroupServesSmallRequestsBesideRunningOnes);
+  CPPUNIT_TEST(RequestThatRunsIsNotEndedByWhatItsHandlerDoes);
   CPPUNIT_TEST(RequestWhoseCallerLeftCountsUntilItsEnd);
   CPPUNIT_TEST_SUITE_END();
 
@@ -159,6 +162,59 @@
     CPPUNIT_ASSERT_EQUAL(size_t{0}, group_->budget().bytes());
   }
 
+  // Guards against ending all others for what running requests hold.
+  void GroupServesSmallRequestsBesideRunningOnes() {
+    constexpr size_t kLargeBodyBytes = 100'000;
+    limits_.max_body_bytes = kLargeBodyBytes;
+    ConnectionLimits limits;
+    limits.max_bytes = 325'000;
+    limits.max_connections = 10;
+    UseGroup(limits);
+    const auto large = Connect();
+    large->Write(PostHeader("/large", kLargeBodyBytes) +
+                 std::string(kLargeBodyBytes, 'x'));
+    CPPUNIT_ASSERT(WaitForRequests(1));
+    std::vector<std::shared_ptr<RawConnection>> callers;
+    for (size_t i = 1; i <= 3; ++i) {
+      callers.push_back(Connect());
+      callers.back()->Write(Get("/small"));
+      CPPUNIT_ASSERT(WaitForRequests(i + 1));
+    }
+    CPPUNIT_ASSERT(group_->budget().bytes() > limits.max_bytes);
+    for (size_t i = 1; i <= 3; ++i) {
+      Respond(i, "small");
+      CPPUNIT_ASSERT(WaitForResponse(*callers[i - 1], "small"));
+    }
+  }
+
+  // Guards against LOST: the group knew the request as one being received.
+  void RequestThatRunsIsNotEndedByWhatItsHandlerDoes() {
+    constexpr size_t kBodyBytes = 20'000;
+    limits_.max_body_bytes = kBodyBytes;
+    limits_.header_timeout = absl::Seconds(5);
+    ConnectionLimits limits;
+    limits.max_bytes = 110'000;
+    UseGroup(limits);
+    std::vector<std::shared_ptr<RawConnection>> others;
+    for (size_t i = 0; i < 3; ++i) {
+      others.push_back(Connect());
+      others.back()->Write(Get("/other"));
+      CPPUNIT_ASSERT(WaitForRequests(i + 1));
+    }
+    const auto caller = Connect();
+    caller->Write(PostHeader("/", kBodyBytes) +
+                  std::string(kBodyBytes - 1, 'x'));
+    RunFor(loop_, absl::Milliseconds(300));
+    on_request_ = [this] {
+      for (size_t i = 0; i < 3; ++i) Respond(i, std::string(kBodyBytes, 'x'));
+    };
+    caller->Write("x");
+    CPPUNIT_ASSERT(WaitForRequests(4));
+    RunFor(loop_, absl::Milliseconds(30));
+    Respond(3, "served");
+    CPPUNIT_ASSERT(WaitForResponse(*caller, "served"));
+  }
+
   void GroupClosesTheOldestIdleConnection() {
     ConnectionLimits limits;
     limits.max_connections = 2;
@@ -239,6 +295,13 @@
       absl::StrAppend(&chunks, "1;a=", long_text.substr(0, 200), "\r\nx\r\n");
     }
     ExpectStatus(ChunkedHeader() + chunks, "431");
+    std::string trailers;
+    while (trailers.size() < 16 * limits_.max_header_bytes) {
+      trailers += "a:\r\n";
+    }
+    ExpectStatus(absl::StrCat(ChunkedHeader(), "1000\r\n",
+                              std::string(0x1000, 'x'), "\r\n0\r\n", trailers),
+                 "431");
   }
 
   void FramingWithoutABodyTimesOut() {
@@ -527,6 +590,7 @@
         loop_, [this] { return limits_; },
         [this](std::shared_ptr<ServerExchange> exchange) {
           exchanges_.push_back(std::move(exchange));
+          if (on_request_) on_request_();
         },
         group);
     CPPUNIT_ASSERT(GetError(server_->Listen(kEndpoint)) == nullptr);
@@ -609,6 +673,7 @@
   std::vector<LimitedConnection> limited_;
   std::unique_ptr<HttpServer> server_;
   std::deque<std::shared_ptr<ServerExchange>> exchanges_;
+  std::function<void()> on_request_;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpServerTest);
