--- a/libs/tier/include/tier/published_items.h
+++ b/libs/tier/include/tier/published_items.h
@@ -76,6 +76,8 @@
   Revision complete_revision() const { return complete_revision_; }
   /// @return the revision of the service up to which no change is missing.
   Revision known_until() const { return known_until_; }
+  /// @return how many items were dropped as they were older than known ones.
+  int64_t dropped() const { return dropped_; }
 
   const std::map<std::string, PublishedItem>& items() const { return items_; }
 
@@ -89,6 +91,7 @@
   Revision known_until_ = 0;
   /// Keys removed up to this revision may have left no tombstone here.
   Revision first_listed_ = 0;
+  int64_t dropped_ = 0;
 };
 
 }  // namespace cherrydyke
--- a/libs/tier/src/published_items.cc
+++ b/libs/tier/src/published_items.cc
@@ -11,12 +11,18 @@
   const bool is_absent = found == items_.end() || found->second.removed;
   // A stale source still has keys that were removed since, and the removal may
   // have left no tombstone here, or one of an earlier revision.
-  if (is_absent && item.revision <= known) return false;
+  if (is_absent && item.revision <= known) {
+    dropped_ += item.removed ? 0 : 1;
+    return false;
+  }
   if (found == items_.end()) {
     items_.emplace(item.key, item);
     return true;
   }
-  if (item.revision <= found->second.revision) return false;
+  if (item.revision <= found->second.revision) {
+    dropped_ += item.revision < found->second.revision ? 1 : 0;
+    return false;
+  }
   found->second = item;
   return true;
 }
--- a/libs/tier/src/tier_host.cc
+++ b/libs/tier/src/tier_host.cc
@@ -231,6 +231,14 @@
                  [this] { return absl::ToDoubleSeconds(PublishedAge()); });
   metrics_.Gauge("cherrydyke_published_behind_seconds",
                  [this] { return absl::ToDoubleSeconds(TimeBehind()); });
+  metrics_.Gauge("cherrydyke_published_revision", [this] {
+    return static_cast<double>(
+        std::min(config_items_.known_until(), target_items_.known_until()));
+  });
+  metrics_.Gauge("cherrydyke_published_items_dropped", [this] {
+    return static_cast<double>(config_items_.dropped() +
+                               target_items_.dropped());
+  });
   metrics_.Gauge("cherrydyke_store_watcher", [this] {
     return hosts_.ReadsAlways(loop_.Now()) ? 1.0 : 0.0;
   });
