--- a/libs/tier/include/tier/publishing_times.h
+++ b/libs/tier/include/tier/publishing_times.h
@@ -87,6 +87,9 @@
   absl::Duration max_retry_pause;
   absl::Duration behind_log;
   absl::Duration outdated_log;
+  /// How long what a restored service has lost stays in force: until the bounds
+  /// hold again after it.
+  absl::Duration retention;
 
   /// @param fraction a random number in [0, 1).
   absl::Duration PeerAge(double fraction) const;
--- a/libs/tier/include/tier/source_call.h
+++ b/libs/tier/include/tier/source_call.h
@@ -39,8 +39,8 @@
   absl::Duration wait;
   /// Description of the failure; empty for a call that was answered.
   std::string error;
-  /// Revision up to which the caller had read before.
-  Revision as_of = 0;
+  /// Version up to which the caller had read before.
+  PublishedVersion as_of;
 
   bool is_answered() const { return end == SourceCallEnd::kAnswered; }
 
@@ -53,7 +53,7 @@
 
  private:
   std::tuple<SourceCallKind, SourceCallEnd, absl::Duration, absl::Duration,
-             std::string, Revision>
+             std::string, PublishedVersion>
   Key() const {
     return {kind, end, elapsed, wait, error, as_of};
   }
--- a/libs/tier/include/tier/source_outage.h
+++ b/libs/tier/include/tier/source_outage.h
@@ -34,6 +34,10 @@
   /// @return whether it may have been one, as far as this host knows.
   bool OnPeerRecovered(absl::Time recovered_at);
 
+  /// The service has come back from an older copy, which lacks the entries of
+  /// targets that have registered since.
+  void OnRestored(absl::Time now);
+
   /// @return the end of the last outage; the infinite past if there was none.
   absl::Time recovered_at() const { return recovered_at_; }
   /// @return until when entries that are no longer listed may be of targets
--- a/libs/tier/include/tier/tier_host.h
+++ b/libs/tier/include/tier/tier_host.h
@@ -92,6 +92,10 @@
   void UpdateReaderRole();
   /// Applies changed published items.
   void ApplyPublished(bool config, bool targets);
+  /// The service may have come back from an older copy: what it has lost stays
+  /// in force until it is published again, or the retention ends.
+  void FollowEra();
+  void EndRetention();
   void ApplyConfig();
   void ApplyTargets();
   void LogLoad();
@@ -122,8 +126,12 @@
   const TierAdapters adapters_;
   const PublishingTimes times_;
   Metrics metrics_;
-  PublishedItems config_items_;
-  PublishedItems target_items_;
+  // An evacuation that was lost is published again, and a target that left
+  // stays gone. Live targets that were lost are kept as after an outage.
+  PublishedItems config_items_{{true, false}};
+  PublishedItems target_items_{{false, true}};
+  /// The era of the items that are in force.
+  SourceEra era_;
   HostTable hosts_;
   PublishedFreshness freshness_;
   CrashTracker crashes_;
--- a/libs/tier/src/publishing_times.cc
+++ b/libs/tier/src/publishing_times.cc
@@ -44,6 +44,7 @@
   times.max_patience = std::max(times.patience, kMaxPatience);
   times.behind_log = kBehindLogRatio * bound;
   times.outdated_log = kOutdatedLogRatio * bound;
+  times.retention = kContactTime + bound;
   return times;
 }
 
--- a/libs/tier/src/source_call_log.cc
+++ b/libs/tier/src/source_call_log.cc
@@ -106,7 +106,8 @@
           {"ms", absl::ToInt64Milliseconds(call.elapsed)},
           {"wait_ms", absl::ToInt64Milliseconds(call.wait)},
           {"last_ms", durations_.ToString()},
-          {"as_of", call.as_of},
+          {"as_of", call.as_of.revision},
+          {"era", call.as_of.era.ToString()},
           {"published_age_ms", absl::ToInt64Milliseconds(host.published_age)},
           {"lateness_ms", absl::ToInt64Milliseconds(host.lateness)}};
 }
--- a/libs/tier/src/source_outage.cc
+++ b/libs/tier/src/source_outage.cc
@@ -62,4 +62,8 @@
   return true;
 }
 
+void SourceOutage::OnRestored(absl::Time now) {
+  recovered_at_ = std::max(recovered_at_, now);
+}
+
 }  // namespace cherrydyke
--- a/libs/tier/src/tier_host.cc
+++ b/libs/tier/src/tier_host.cc
@@ -233,7 +233,16 @@
                  [this] { return absl::ToDoubleSeconds(TimeBehind()); });
   metrics_.Gauge("cherrydyke_published_revision", [this] {
     return static_cast<double>(
-        std::min(config_items_.known_until(), target_items_.known_until()));
+        std::min(config_items_.known_until(), target_items_.known_until())
+            .revision);
+  });
+  metrics_.Gauge("cherrydyke_store_era",
+                 [this] { return static_cast<double>(era_.stated); });
+  metrics_.Gauge("cherrydyke_store_eras_inferred",
+                 [this] { return static_cast<double>(era_.inferred); });
+  metrics_.Gauge("cherrydyke_published_items_retained", [this] {
+    return static_cast<double>(config_items_.retained() +
+                               target_items_.retained());
   });
   metrics_.Gauge("cherrydyke_published_items_dropped", [this] {
     return static_cast<double>(config_items_.dropped() +
@@ -264,6 +273,7 @@
     LogOutageEnd();
   }
   freshness_.OnRead(current_until);
+  FollowEra();
   gossip_.ApplyProofs();
   if (config || targets) {
     ApplyPublished(config, targets);
@@ -288,6 +298,7 @@
 }
 
 void TierHost::ApplyPublished(bool config, bool targets) {
+  FollowEra();
   const bool was_ready = IsReady();
   if (targets) ApplyTargets();
   if (config) ApplyConfig();
@@ -296,6 +307,37 @@
   if (IsReady() && !was_ready) gossip_.Gossip();
 }
 
+void TierHost::FollowEra() {
+  const SourceEra era = config_items_.known_until().era;
+  if (era == era_) return;
+  const SourceEra before = std::exchange(era_, era);
+  if (!request_handler_.has_routes() && targets_.size() == 0) return;
+  source_outage_.OnRestored(loop_.Now());
+  LogInfo("what the store has lost stays in force for a while",
+          {{"era", era.ToString()},
+           {"before", before.ToString()},
+           {"revision", config_items_.known_until().revision},
+           {"config_items", config_items_.retained()},
+           {"target_items", target_items_.retained()},
+           {"for_ms", absl::ToInt64Milliseconds(times_.retention)}});
+  timers_.RunAfter(times_.retention, [this, era] {
+    if (era == era_) EndRetention();
+  });
+}
+
+void TierHost::EndRetention() {
+  const size_t config_items = config_items_.retained();
+  const size_t target_items = target_items_.retained();
+  if (config_items + target_items == 0) return;
+  LogWarning("what the store has lost was not published again",
+             {{"era", era_.ToString()},
+              {"config_items", config_items},
+              {"target_items", target_items}});
+  const bool config = config_items_.EndRetention();
+  const bool targets = target_items_.EndRetention();
+  ApplyPublished(config, targets);
+}
+
 void TierHost::LogLoad() {
   const SendCounts& sends = targets_.counts();
   const auto& [same_domain, same_region, other_region] = sends.by_distance;
@@ -348,6 +390,14 @@
   if (config.routes == nullptr) {
     return targets_.SetEvacuated(std::move(config.evacuated));
   }
+  if (config.routes->version() < versions_.in_force()) {
+    LogWarning("older configuration not used",
+               {{"version", config.routes->version()},
+                {"in_force", versions_.in_force()},
+                {"revision", config_items_.complete_revision()},
+                {"era", era_.ToString()}});
+    return targets_.SetEvacuated(std::move(config.evacuated));
+  }
   LogInfo("configuration in force",
           {{"version", config.routes->version()},
            {"revision", config_items_.complete_revision()},
--- a/libs/tier/tests/source_call_log_test.cc
+++ b/libs/tier/tests/source_call_log_test.cc
@@ -21,7 +21,7 @@
   call.end = end;
   call.elapsed = kWait + beyond_wait;
   call.wait = kWait;
-  call.as_of = 7;
+  call.as_of = {{}, 7};
   if (!call.is_answered()) call.error = "no response";
   return call;
 }
