--- a/libs/tier/include/tier/gossip_message.h
+++ b/libs/tier/include/tier/gossip_message.h
@@ -10,6 +10,7 @@
 #include "dispatch/target_health_report.h"
 #include "membership/host_table.h"
 #include "tier/published_freshness.h"
+#include "tier/published_version.h"
 #include "tier/transit_time.h"
 
 namespace cherrydyke {
@@ -22,9 +23,10 @@
   std::vector<CrashReport> crashes;
   /// The sender's recent observations of targets.
   std::vector<TargetHealthReport> reports;
-  /// Revision up to which the sender misses no change. Hosts of earlier
-  /// versions send neither it nor proofs; it is then the newest of the above.
-  Revision known_until = 0;
+  /// Version up to which the sender misses no change. Hosts of earlier versions
+  /// send no era, which is then the first one; still earlier ones send neither
+  /// it nor proofs, and it is then the newest of the above.
+  PublishedVersion known_until;
   /// Proofs of how current its items are.
   std::vector<ReadProof> proofs;
   /// For the host to which this message is sent; hosts of earlier versions send
@@ -45,8 +47,8 @@
 /// recipients.
 /// @param datagram result of `EncodeGossipMessage`.
 void ReplaceStamp(const TransitStamp& stamp, std::string& datagram);
-/// Decodes a message of this version, or of one whose messages lack the stamp,
-/// or also proofs.
+/// Decodes a message of this version, or of one whose messages lack the era, or
+/// also the stamp, or also proofs.
 /// @return the message, or `kInvalidInput` if the datagram is malformed.
 Result<GossipMessage> DecodeGossipMessage(const std::string& datagram);
 
--- a/libs/tier/src/gossip_message.cc
+++ b/libs/tier/src/gossip_message.cc
@@ -8,6 +8,7 @@
 #include "archive.h"
 #include "base/invariant.h"
 #include "boost/asio/ip/address_v4.hpp"
+#include "packed_era.h"
 
 namespace cherrydyke {
 namespace {
@@ -83,7 +84,11 @@
   }
 };
 
-/// Wire format of a `GossipMessage`; the same holds for its first part.
+/// Size of an encoded `PackedStamp` within an archive.
+constexpr size_t kPackedStampBytes = 2 * sizeof(uint32_t) + 2 * sizeof(int64_t);
+
+/// Wire format of a `GossipMessage` without an era; the same holds for its
+/// first part.
 struct PackedMessageWithStamp {
   PackedMessageWithProofs message;
   PackedStamp stamp;
@@ -94,6 +99,17 @@
   }
 };
 
+/// Wire format of a `GossipMessage`; the same holds for its first part.
+struct PackedMessageWithEra {
+  PackedMessageWithStamp message;
+  PackedEra era;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(message, era);
+  }
+};
+
 constexpr int64_t kMsPerDs = 100;
 
 std::optional<PackedAge> Pack(const HostLastSeen& age,
@@ -127,24 +143,27 @@
 }
 
 /// @return the message; what a message of an earlier version lacks is empty.
-Result<PackedMessageWithStamp> DecodeAnyVersion(const std::string& datagram) {
-  Result<PackedMessageWithStamp> decoded =
-      DecodeArchive<PackedMessageWithStamp>(datagram);
+Result<PackedMessageWithEra> DecodeAnyVersion(const std::string& datagram) {
+  Result<PackedMessageWithEra> decoded =
+      DecodeArchive<PackedMessageWithEra>(datagram);
   if (GetError(decoded) == nullptr) return decoded;
+  Result<PackedMessageWithStamp> without_era =
+      DecodeArchive<PackedMessageWithStamp>(datagram, TrailingBytes::kReject);
+  if (GetError(without_era) == nullptr) {
+    return PackedMessageWithEra{std::move(GetValue(without_era)), {}};
+  }
   Result<PackedMessageWithProofs> without_stamp =
       DecodeArchive<PackedMessageWithProofs>(datagram, TrailingBytes::kReject);
   if (GetError(without_stamp) == nullptr) {
-    return PackedMessageWithStamp{std::move(GetValue(without_stamp)), {}};
+    return PackedMessageWithEra{{std::move(GetValue(without_stamp)), {}}, {}};
   }
   Result<PackedMessage> without_proofs =
       DecodeArchive<PackedMessage>(datagram, TrailingBytes::kReject);
   if (const Error* error = GetError(without_proofs)) return *error;
-  PackedMessageWithStamp message;
-  message.message.message = std::move(GetValue(without_proofs));
-  message.message.known_until =
-      std::max(message.message.message.config_revision,
-               message.message.message.targets_revision);
-  return message;
+  PackedMessage& packed = GetValue(without_proofs);
+  const Revision known_until =
+      std::max(packed.config_revision, packed.targets_revision);
+  return PackedMessageWithEra{{{std::move(packed), known_until, {}}, {}}, {}};
 }
 
 }  // namespace
@@ -170,27 +189,34 @@
                           absl::Ceil(proof.age, absl::Milliseconds(1))),
                       static_cast<uint8_t>(proof.hops), proof.reader});
   }
-  return EncodeArchive(PackedMessageWithStamp{
-      {std::move(packed), message.known_until, std::move(proofs)},
-      Pack(message.stamp)});
+  return EncodeArchive(PackedMessageWithEra{
+      {{std::move(packed), message.known_until.revision, std::move(proofs)},
+       Pack(message.stamp)},
+      Pack(message.known_until.era)});
 }
 
 void ReplaceStamp(const TransitStamp& stamp, std::string& datagram) {
   // Without the byte order that each archive begins with.
   const std::string encoded = EncodeArchive(Pack(stamp)).substr(1);
-  CHERRYDYKE_INVARIANT(datagram.size() > encoded.size(),
-                       "a datagram ends in its stamp");
-  datagram.replace(datagram.size() - encoded.size(), encoded.size(), encoded);
+  CHERRYDYKE_INVARIANT(
+      encoded.size() == kPackedStampBytes &&
+          datagram.size() > kPackedStampBytes + kPackedEraBytes,
+      "a datagram ends in its stamp and era");
+  datagram.replace(datagram.size() - kPackedStampBytes - kPackedEraBytes,
+                   kPackedStampBytes, encoded);
 }
 
 Result<GossipMessage> DecodeGossipMessage(const std::string& datagram) {
-  Result<PackedMessageWithStamp> decoded = DecodeAnyVersion(datagram);
+  Result<PackedMessageWithEra> decoded = DecodeAnyVersion(datagram);
   if (const Error* error = GetError(decoded)) return *error;
-  auto& [packed_message, stamp] = GetValue(decoded);
-  auto& [packed, known_until, proofs] = packed_message;
+  auto& [with_stamp, packed_era] = GetValue(decoded);
+  auto& [with_proofs, stamp] = with_stamp;
+  auto& [packed, known_until, proofs] = with_proofs;
+  const Result<SourceEra> era = Unpack(packed_era);
+  if (const Error* error = GetError(era)) return *error;
   GossipMessage message;
   message.stamp = Unpack(stamp);
-  message.known_until = known_until;
+  message.known_until = {GetValue(era), known_until};
   for (const PackedProof& proof : proofs) {
     message.proofs.push_back(
         {absl::Milliseconds(proof.age_ms), proof.hops, proof.reader});
