--- a/libs/tier/include/tier/transfer_message.h
+++ b/libs/tier/include/tier/transfer_message.h
@@ -8,7 +8,7 @@
 
 namespace cherrydyke {
 
-/// Published items that one host fetches from another.
+/// Published items that one host fetches from another, all of one era.
 struct TransferMessage {
   PublishedChanges config;
   PublishedChanges targets;
@@ -24,10 +24,11 @@
 
 std::string EncodeTransferMessage(const TransferMessage& message);
 
-/// Decodes a message of this version, or of one whose messages lack the
-/// revisions up to which they are complete: these are complete up to their
-/// newest item.
-/// @return the message, or `kInvalidInput` for malformed bytes.
+/// Decodes a message of this version, or of one whose messages lack the era,
+/// which is then the first one, or also the revisions up to which they are
+/// complete: these are complete up to their newest item.
+/// @return the message, or `kInvalidInput` for malformed bytes or if its parts
+/// are of different eras.
 Result<TransferMessage> DecodeTransferMessage(const std::string& bytes);
 
 }  // namespace cherrydyke
