--- a/libs/tier/include/tier/pending_proofs.h
+++ b/libs/tier/include/tier/pending_proofs.h
@@ -6,21 +6,23 @@
 #include "absl/time/time.h"
 #include "base/ids.h"
 #include "tier/published_freshness.h"
+#include "tier/published_version.h"
 
 namespace cherrydyke {
 
 /// What a peer says of its published items.
 struct PeerItems {
   HostId peer;
-  /// Revision up to which it misses no change.
-  Revision revision = 0;
-  /// Its proofs of how current the items of this revision are; hosts of earlier
-  /// versions send none.
+  /// Version up to which it misses no change.
+  PublishedVersion version;
+  /// Its proofs of how current the items of this version are; hosts of earlier
+  /// builds send none.
   std::vector<ReadProof> proofs;
 };
 
 /// Keeps the proofs of peers that have newer published items than this host
-/// until it has these items as well.
+/// until it has these items as well. Proofs of reads of an earlier era count
+/// for nothing: a host that is stuck in it believes them.
 ///
 /// Pure: time is an argument.
 class PendingProofs {
@@ -28,11 +30,11 @@
   /// @param sent_at when the peer sent it, by this host's clock.
   void Add(PeerItems items, absl::Time sent_at);
 
-  /// Passes on the proofs of all items that this host has by now. While it
-  /// lacks items of which a peer told it, no proof holds for a later time than
-  /// that.
-  /// @param revision up to which this host misses no change.
-  void Apply(Revision revision, PublishedFreshness& freshness);
+  /// Passes on the proofs of all items that this host has by now, and drops
+  /// those of earlier eras than its own. While it lacks items of which a peer
+  /// told it, no proof holds for a later time than that.
+  /// @param version up to which this host misses no change.
+  void Apply(PublishedVersion version, PublishedFreshness& freshness);
 
   /// @return since when this host lacks items of which a peer told it; the
   /// infinite future if it lacks none.
--- a/libs/tier/src/pending_proofs.cc
+++ b/libs/tier/src/pending_proofs.cc
@@ -21,15 +21,16 @@
   pending_.insert(next, {std::move(items), sent_at});
 }
 
-void PendingProofs::Apply(Revision revision, PublishedFreshness& freshness) {
+void PendingProofs::Apply(PublishedVersion version,
+                          PublishedFreshness& freshness) {
   const auto first_known = std::stable_partition(
-      pending_.begin(), pending_.end(), [&](const Pending& pending) {
-        return pending.items.revision > revision;
-      });
+      pending_.begin(), pending_.end(),
+      [&](const Pending& pending) { return pending.items.version > version; });
   const std::vector<Pending> known(std::make_move_iterator(first_known),
                                    std::make_move_iterator(pending_.end()));
   pending_.erase(first_known, pending_.end());
   for (const auto& [items, sent_at] : known) {
+    if (items.version.era != version.era) continue;
     for (const ReadProof& proof : items.proofs) {
       freshness.OnPeerProof(proof,
                             std::min(sent_at - proof.age, behind_since()));
