--- a/libs/tier/include/tier/fleet_gossip.h
+++ b/libs/tier/include/tier/fleet_gossip.h
@@ -26,7 +26,8 @@
 /// Exchanges state with the other hosts: membership, crash counts, health
 /// reports of targets, and published items for hosts that do not read the
 /// configuration service themselves. Gossip goes by datagram; a host whose
-/// published items are older than a peer's fetches the changes by HTTP.
+/// published items are older than a peer's fetches the changes by HTTP. Hosts
+/// of earlier builds count as being in the first era of the service.
 class FleetGossip {
  public:
   struct Options {
@@ -95,15 +96,15 @@
   void ApplyProofs();
 
   /// Fetches published items newer than the own ones, unless a fetch has just
-  /// begun or the peer has just failed to send them. A fetch that is late goes
-  /// on beside the next ones.
+  /// begun, the peer has just failed to send them or it is in an earlier era. A
+  /// fetch that is late goes on beside the next ones.
   void FetchFrom(const HostId& peer);
 
  private:
-  /// What a host asks for: the changes after these revisions.
+  /// What a host asks for: the changes after these versions.
   struct TransferRequest {
-    Revision config = 0;
-    Revision targets = 0;
+    PublishedVersion config;
+    PublishedVersion targets;
     bool compress = false;
 
     friend bool operator==(const TransferRequest& a, const TransferRequest& b) {
@@ -115,11 +116,14 @@
   struct Fetch {
     HostId peer;
     absl::Time started_at;
+    /// What the peer is asked for.
+    PublishedVersion config_from;
+    PublishedVersion targets_from;
   };
   struct EncodedTransfer {
     TransferRequest request;
-    /// Revisions of configuration and targets known when it was encoded.
-    std::pair<Revision, Revision> known;
+    /// Versions of configuration and targets known when it was encoded.
+    std::pair<PublishedVersion, PublishedVersion> known;
     absl::Time encoded_at = absl::InfinitePast();
     std::string body;
   };
@@ -141,8 +145,11 @@
   void AddProofs(const GossipMessage& message);
   Endpoint EndpointOf(const HostId& host) const;
   bool CanFetchFrom(const HostId& peer) const;
-  /// @return the revision up to which this host misses no change.
-  Revision KnownUntil() const;
+  /// Merges a peer's response.
+  void OnTransfer(const Fetch& fetch,
+                  const Result<engine::HttpResponse>& response);
+  /// @return the version up to which this host misses no change.
+  PublishedVersion KnownUntil() const;
 
   engine::EventLoop& loop_;
   engine::TimerScope timers_{loop_};
@@ -166,6 +173,8 @@
   std::map<int64_t, Fetch> fetches_;
   int64_t last_fetch_ = 0;
   std::map<HostId, absl::Time> excluded_until_;
+  /// Eras that peers have last told.
+  std::map<HostId, SourceEra> peer_eras_;
   int round_ = 0;
   /// Token bucket of health report traffic.
   double health_report_allowance_bytes_ = 0;
--- a/libs/tier/include/tier/pending_proofs.h
+++ b/libs/tier/include/tier/pending_proofs.h
@@ -21,8 +21,8 @@
 };
 
 /// Keeps the proofs of peers that have newer published items than this host
-/// until it has these items as well. Proofs of reads of an earlier era count
-/// for nothing: a host that is stuck in it believes them.
+/// until it has these items as well. Proofs of an earlier era are dropped: a
+/// host that is stuck in it goes on sending them.
 ///
 /// Pure: time is an argument.
 class PendingProofs {
--- a/libs/tier/src/fleet_gossip.cc
+++ b/libs/tier/src/fleet_gossip.cc
@@ -6,6 +6,7 @@
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
+#include "packed_era.h"
 #include "telemetry/log.h"
 #include "tier/compression.h"
 #include "tier/transfer_message.h"
@@ -33,7 +34,7 @@
 constexpr double kHealthReportBurstBytes = 30'000;
 /// Size of a message without health reports, network headers included, and of
 /// the report of one target.
-constexpr size_t kMessageBytes = 174;
+constexpr size_t kMessageBytes = 190;
 constexpr size_t kBytesPerHealthReport = 7;
 /// How long a host whose published items are stale waits for the configuration
 /// service or the reader of its group before it fetches them from another peer.
@@ -44,6 +45,8 @@
 /// a second.
 constexpr absl::Duration kLateDatagram = absl::Milliseconds(200);
 constexpr int kLateLogLinesPerS = 2;
+/// Log lines per second about transfers of earlier eras.
+constexpr int kEarlierEraLogLinesPerS = 2;
 /// The hosts of a group fetch a change at the same time, so that its bytes
 /// share the sender's link with as many copies. A transfer on a slow path has
 /// time for a round trip before it begins and between its parts.
@@ -55,6 +58,9 @@
 constexpr char kAcceptHeader[] = "Accept-Encoding";
 constexpr char kEncodingHeader[] = "Content-Encoding";
 constexpr char kCompressed[] = "deflate";
+/// The era of the revisions in the path of the request: hosts of earlier
+/// versions neither send it nor read it.
+constexpr char kEraHeader[] = "Published-Era";
 /// Largest transfer after decompression, as without compression.
 constexpr size_t kMaxTransferBytes = 16U << 20U;
 /// Transfers under way at the same time: a peer that sends slowly does not keep
@@ -71,7 +77,7 @@
 /// changes: these ask at the same time.
 constexpr absl::Duration kTransferReuseTime = absl::Milliseconds(200);
 
-Result<TransferMessage> ReadTransfer(const engine::HttpResponse& response) {
+Result<TransferMessage> DecodeResponse(const engine::HttpResponse& response) {
   const std::string* const encoding =
       FindHeader(response.headers, kEncodingHeader);
   if (encoding == nullptr) return DecodeTransferMessage(response.body);
@@ -84,6 +90,35 @@
   return DecodeTransferMessage(GetValue(body));
 }
 
+/// @param own_era the era of this host's items, which only a snapshot can
+/// replace by a later one.
+Result<TransferMessage> ReadTransfer(
+    const Result<engine::HttpResponse>& response, const SourceEra& own_era) {
+  if (const Error* error = GetError(response)) return *error;
+  Result<TransferMessage> decoded = DecodeResponse(GetValue(response));
+  if (GetError(decoded) != nullptr) return decoded;
+  const auto& [config, targets, source_recovery_age] = GetValue(decoded);
+  if (config.as_of.era > own_era &&
+      !(config.is_snapshot && targets.is_snapshot)) {
+    return Error{ErrorCode::kInvalidInput, "changes without those before them"};
+  }
+  return decoded;
+}
+
+/// @return the era of a request for a transfer, which is the first one for
+/// hosts of earlier versions; `kInvalidInput` if the header is malformed.
+Result<SourceEra> EraOf(const engine::HttpRequest& request) {
+  const std::string* const header = FindHeader(request.headers, kEraHeader);
+  if (header == nullptr) return SourceEra();
+  const std::vector<std::string> parts = absl::StrSplit(*header, '.');
+  PackedEra era;
+  if (parts.size() != 2 || !absl::SimpleAtoi(parts[0], &era.stated) ||
+      !absl::SimpleAtoi(parts[1], &era.inferred)) {
+    return Error{ErrorCode::kInvalidInput, "malformed era"};
+  }
+  return Unpack(era);
+}
+
 }  // namespace
 
 FleetGossip::FleetGossip(engine::EventLoop& loop, Options options,
@@ -225,6 +260,7 @@
   // targets.
   if (quarantined_any) Gossip();
   if (!message.reports.empty()) callbacks_.on_health_reports(message.reports);
+  peer_eras_[sender.host] = message.known_until.era;
   AddProofs(message);
   ApplyProofs();
   if (message.known_until <= KnownUntil()) return;
@@ -265,7 +301,7 @@
       now - transit.time.value_or(absl::ZeroDuration()));
 }
 
-Revision FleetGossip::KnownUntil() const {
+PublishedVersion FleetGossip::KnownUntil() const {
   return std::min(config_.known_until(), targets_.known_until());
 }
 
@@ -277,6 +313,8 @@
   const absl::Time now = loop_.Now();
   const auto excluded = excluded_until_.find(peer);
   if (excluded != excluded_until_.end() && now < excluded->second) return false;
+  const auto era = peer_eras_.find(peer);
+  if (era != peer_eras_.end() && era->second < KnownUntil().era) return false;
   if (fetches_.size() >= kMaxFetches) return false;
   const auto from_peer = std::count_if(
       fetches_.begin(), fetches_.end(),
@@ -290,56 +328,89 @@
 
 void FleetGossip::FetchFrom(const HostId& peer) {
   if (!CanFetchFrom(peer)) return;
-  const int64_t fetch = ++last_fetch_;
-  fetches_[fetch] = {peer, loop_.Now()};
+  const int64_t number = ++last_fetch_;
+  const Fetch fetch = {peer, loop_.Now(), config_.known_until(),
+                       targets_.known_until()};
+  fetches_[number] = fetch;
   std::unique_ptr<engine::AsyncHttpClient>& client = transfer_clients_[peer];
   if (client == nullptr) {
     client = std::make_unique<engine::AsyncHttpClient>(loop_, EndpointOf(peer),
                                                        kConnectTimeout);
   }
-  const Revision config_from = config_.known_until();
-  const Revision targets_from = targets_.known_until();
   const std::string path =
-      absl::StrCat(kTransferPath, config_from, "/", targets_from);
-  client->Get(path, {{kAcceptHeader, kCompressed}}, kTransferTimeouts,
-              [this, peer, fetch, config_from, targets_from,
-               started_at = loop_.Now()](Result<engine::HttpResponse> result) {
-                fetches_.erase(fetch);
-                const int64_t elapsed_ms =
-                    absl::ToInt64Milliseconds(loop_.Now() - started_at);
-                const Error* error = GetError(result);
-                Result<TransferMessage> decoded =
-                    error != nullptr ? Result<TransferMessage>(*error)
-                                     : ReadTransfer(GetValue(result));
-                if (error = GetError(decoded); error != nullptr) {
-                  excluded_until_[peer] = loop_.Now() + kFailedPeerPause;
-                  LogWarning("no news from peer", {{"peer", peer},
-                                                   {"error", error->message},
-                                                   {"ms", elapsed_ms}});
-                  return;
-                }
-                TransferMessage& transfer = GetValue(decoded);
-                // All changes are all keys, whatever the peer's version.
-                if (config_from == 0) transfer.config.is_snapshot = true;
-                if (targets_from == 0) transfer.targets.is_snapshot = true;
-                callbacks_.on_source_recovered(transfer.source_recovery_age);
-                const bool config = config_.Merge(transfer.config);
-                const bool targets = targets_.Merge(transfer.targets);
-                LogInfo("published items fetched from peer",
-                        {{"peer", peer},
-                         {"ms", elapsed_ms},
-                         {"bytes", GetValue(result).body.size()},
-                         {"config_items", transfer.config.items.size()},
-                         {"target_items", transfer.targets.items.size()},
-                         {"snapshot", transfer.config.is_snapshot ||
-                                          transfer.targets.is_snapshot},
-                         {"config_revision", config_.complete_revision()},
-                         {"targets_revision", targets_.complete_revision()}});
-                ApplyProofs();
-                callbacks_.on_published_changed(config, targets);
-                // Downstream hosts fetch the changes from this host.
-                NotifyDownstream();
-              });
+      absl::StrCat(kTransferPath, fetch.config_from.revision, "/",
+                   fetch.targets_from.revision);
+  const std::vector<engine::HttpHeader> headers = {
+      {kAcceptHeader, kCompressed}, {kEraHeader, KnownUntil().era.ToString()}};
+  client->Get(
+      path, headers, kTransferTimeouts,
+      [this, number, fetch](const Result<engine::HttpResponse>& response) {
+        fetches_.erase(number);
+        OnTransfer(fetch, response);
+      });
+}
+
+void FleetGossip::OnTransfer(const Fetch& fetch,
+                             const Result<engine::HttpResponse>& response) {
+  const absl::Time now = loop_.Now();
+  const int64_t elapsed_ms = absl::ToInt64Milliseconds(now - fetch.started_at);
+  const PublishedVersion before = KnownUntil();
+  Result<TransferMessage> decoded = ReadTransfer(response, before.era);
+  if (const Error* error = GetError(decoded)) {
+    excluded_until_[fetch.peer] = now + kFailedPeerPause;
+    LogWarning(
+        "no news from peer",
+        {{"peer", fetch.peer}, {"error", error->message}, {"ms", elapsed_ms}});
+    return;
+  }
+  auto& [config, targets, source_recovery_age] = GetValue(decoded);
+  const PublishedVersion sent = std::min(config.as_of, targets.as_of);
+  if (sent.era < before.era) {
+    if (log_rate_limiter_.TryAcquire("earlier_era", kEarlierEraLogLinesPerS,
+                                     now)) {
+      LogInfo("published items of an earlier era dropped",
+              {{"peer", fetch.peer},
+               {"ms", elapsed_ms},
+               {"era", sent.era.ToString()},
+               {"revision", sent.revision},
+               {"own_era", before.era.ToString()},
+               {"own_revision", before.revision}});
+    }
+    return;
+  }
+  // All changes are all keys, whatever the peer's version.
+  if (fetch.config_from.revision == 0) config.is_snapshot = true;
+  if (fetch.targets_from.revision == 0) targets.is_snapshot = true;
+  callbacks_.on_source_recovered(source_recovery_age);
+  const bool config_changed = config_.Merge(config);
+  const bool targets_changed = targets_.Merge(targets);
+  const PublishedVersion after = KnownUntil();
+  if (after.era != before.era && before != PublishedVersion()) {
+    LogInfo("published items are of a later era of the store",
+            {{"peer", fetch.peer},
+             {"era_before", before.era.ToString()},
+             {"revision_before", before.revision},
+             {"era", after.era.ToString()},
+             {"revision", after.revision},
+             {"config_items", config.items.size()},
+             {"target_items", targets.items.size()},
+             {"config_retained", config_.retained()},
+             {"targets_retained", targets_.retained()}});
+  }
+  LogInfo("published items fetched from peer",
+          {{"peer", fetch.peer},
+           {"ms", elapsed_ms},
+           {"bytes", GetValue(response).body.size()},
+           {"config_items", config.items.size()},
+           {"target_items", targets.items.size()},
+           {"snapshot", config.is_snapshot || targets.is_snapshot},
+           {"era", after.era.ToString()},
+           {"config_revision", config_.complete_revision()},
+           {"targets_revision", targets_.complete_revision()}});
+  ApplyProofs();
+  callbacks_.on_published_changed(config_changed, targets_changed);
+  // Downstream hosts fetch the changes from this host.
+  NotifyDownstream();
 }
 
 void FleetGossip::ServeTransfer(engine::ServerExchange& exchange) {
@@ -349,14 +420,16 @@
       absl::StrSplit(exchange.request().target, '/');
   Revision config = 0;
   Revision targets = 0;
+  const Result<SourceEra> era = EraOf(exchange.request());
   if (path.size() == 4 && absl::SimpleAtoi(path[2], &config) &&
-      absl::SimpleAtoi(path[3], &targets)) {
+      absl::SimpleAtoi(path[3], &targets) && GetError(era) == nullptr) {
     response.status = 200;
     const std::string* const accepted =
         FindHeader(exchange.request().headers, kAcceptHeader);
     const bool compress = accepted != nullptr && *accepted == kCompressed;
     if (compress) response.headers.push_back({kEncodingHeader, kCompressed});
-    response.body = EncodeTransfer({config, targets, compress});
+    response.body = EncodeTransfer(
+        {{GetValue(era), config}, {GetValue(era), targets}, compress});
   }
   exchange.Respond(std::move(response));
 }
--- a/libs/tier/tests/slow_transfers_test.cc
+++ b/libs/tier/tests/slow_transfers_test.cc
@@ -82,7 +82,7 @@
     void OnRequest(RawConnection& connection, const std::string& /*bytes*/) {
       ++requests;
       const PublishedChanges changes = {
-          {{"key", "value", kRevision, false}}, kRevision, true};
+          {{"key", "value", kRevision, false}}, {{}, kRevision}, true};
       const std::string response = OkResponse(
           EncodeTransferMessage({changes, changes, absl::InfiniteDuration()}));
       if (!in_parts) {
