PublishedItems can be assigned again

Models and tests start a host anew by assigning an empty replica; a const policy deleted the assignment. The policy is private and nothing changes it.

--- a/libs/tier/include/tier/published_items.h
+++ b/libs/tier/include/tier/published_items.h
@@ -128,7 +128,7 @@
   bool BeginEra(const std::vector<PublishedItem>& items,
                 PublishedVersion as_of);
 
-  const RestorePolicy policy_;
+  RestorePolicy policy_;
   std::map<std::string, PublishedItem> items_;
   /// What is in force instead of the items above by key; nothing for a removed
   /// one.
