Tests and models of published state use versions with an era

All within era {}; the cases and what they check stay as they were. The pending proofs of the publishing model still take a revision, as those of the library do.

--- a/libs/tier/tests/fleet_model.cc
+++ b/libs/tier/tests/fleet_model.cc
@@ -100,7 +100,7 @@
   host.ranks.clear();
   host.budget = std::make_unique<RetryBudget>(Bounds(), now_);
   host.cold.clear();
-  host.items = {};
+  host.items = PublishedItems();
   host.is_store_answering = false;
 }
 
@@ -252,7 +252,7 @@
   const Revision revision = store_.complete_revision() + 1;
   const std::string key = absl::StrCat("key", random_() % kKeyCount);
   store_.Merge({{key, absl::StrCat(revision), revision, WithProbability(0.1)}},
-               revision);
+               {{}, revision});
 }
 
 void FleetModel::Merge(Host& host, const PublishedChanges& changes) {
--- a/libs/tier/tests/published_items_test.cc
+++ b/libs/tier/tests/published_items_test.cc
@@ -17,6 +17,8 @@
 constexpr Revision kLastRevision = 60;
 constexpr int kKeys = 8;
 
+PublishedVersion At(Revision revision) { return {{}, revision}; }
+
 // The history of a configuration service: each revision changes one key.
 using History = std::vector<PublishedItem>;
 
@@ -64,7 +66,7 @@
         StateOf(history, key, key < kKeys / 2 ? first : second);
     if (!state.removed) listed.push_back(std::move(state));
   }
-  items.MergeSnapshot(listed, std::min(first, second));
+  items.MergeSnapshot(listed, At(std::min(first, second)));
 }
 
 /// Hosts that read a service and fetch from each other, while answers come
@@ -93,7 +95,8 @@
         Serve();
         break;
       case 8:
-        if (Pick(6) == 0) host = {{}, host.lifetime + 1, 0, false, {}};
+        if (Pick(6) == 0)
+          host = {PublishedItems(), host.lifetime + 1, 0, false, {}};
         break;
       default:
         Deliver();
@@ -104,7 +107,8 @@
   /// Checks what must hold for each host after each step.
   void Check(const std::function<void(const PublishedItems&)>& check_known) {
     for (Host& host : hosts_) {
-      RC_ASSERT(host.items.complete_revision() <= host.items.known_until());
+      RC_ASSERT(host.items.complete_revision() <=
+                host.items.known_until().revision);
       check_known(host.items);
       for (const auto& [key, item] : host.items.items()) {
         Revision& newest = host.newest[key];
@@ -129,7 +133,7 @@
     size_t host = 0;
     int lifetime = 0;
     size_t peer = 0;
-    Revision from = 0;
+    PublishedVersion from;
   };
   /// An answer of the service or a peer on its way.
   struct Answer {
@@ -152,11 +156,11 @@
     if (std::exchange(host.is_reading, true)) return;
     PublishedChanges changes;
     changes.is_snapshot = true;
-    changes.as_of = kLastRevision;
+    changes.as_of = At(kLastRevision);
     const auto pages = static_cast<int>(1 + Pick(4));
     for (int page = 0; page < pages; ++page) {
       const auto revision = static_cast<Revision>(1 + Pick(kLastRevision));
-      changes.as_of = std::min(changes.as_of, revision);
+      changes.as_of = std::min(changes.as_of, At(revision));
       for (int key = page * kKeys / pages; key < (page + 1) * kKeys / pages;
            ++key) {
         PublishedItem state = StateOf(history_, key, revision);
@@ -175,7 +179,7 @@
     answers_.push_back(
         {IndexOf(host),
          host.lifetime,
-         {Events(history_, host.read_until, until), until, false},
+         {Events(history_, host.read_until, until), At(until), false},
          true});
   }
 
@@ -191,7 +195,7 @@
     questions_.erase(questions_.begin() + static_cast<ptrdiff_t>(index));
     PublishedChanges changes =
         hosts_[question.peer].items.ChangesAfter(question.from);
-    if (question.from == 0) changes.is_snapshot = true;
+    if (question.from == PublishedVersion()) changes.is_snapshot = true;
     answers_.push_back(
         {question.host, question.lifetime, std::move(changes), false});
   }
@@ -203,12 +207,12 @@
     answers_.erase(answers_.begin() + static_cast<ptrdiff_t>(index));
     Host& host = hosts_[answer.host];
     if (host.lifetime != answer.lifetime) return;
-    const Revision known = host.items.known_until();
+    const PublishedVersion known = host.items.known_until();
     host.items.Merge(answer.changes);
     RC_ASSERT(host.items.known_until() >= known);
     if (!answer.is_read) return;
     host.is_reading = false;
-    host.read_until = std::max(host.read_until, answer.changes.as_of);
+    host.read_until = std::max(host.read_until, answer.changes.as_of.revision);
   }
 
   const History& history_;
@@ -233,31 +237,34 @@
   void ListingWhosePagesDifferIsCompleteUpToItsOldestPage() {
     PublishedItems items;
     // The removal of "b" at revision 8 came after its page.
-    items.MergeSnapshot({{"a", "new", 9, false}, {"b", "old", 5, false}}, 6);
+    items.MergeSnapshot({{"a", "new", 9, false}, {"b", "old", 5, false}},
+                        At(6));
     CPPUNIT_ASSERT_EQUAL(Revision{5}, items.complete_revision());
     CPPUNIT_ASSERT(items.Find("a") != nullptr);
     // Nothing beyond it is told to other hosts as a change.
-    CPPUNIT_ASSERT(items.ChangesAfter(6) == (PublishedChanges{{}, 6, false}));
+    CPPUNIT_ASSERT(items.ChangesAfter(At(6)) ==
+                   (PublishedChanges{{}, At(6), false}));
   }
 
   void WatchMakesUpForPagesThatDiffer() {
     PublishedItems items;
-    items.MergeSnapshot({{"a", "new", 9, false}, {"b", "old", 5, false}}, 6);
-    items.Merge({{"b", "", 8, true}, {"a", "new", 9, false}}, 9);
+    items.MergeSnapshot({{"a", "new", 9, false}, {"b", "old", 5, false}},
+                        At(6));
+    items.Merge({{"b", "", 8, true}, {"a", "new", 9, false}}, At(9));
     CPPUNIT_ASSERT_EQUAL(Revision{9}, items.complete_revision());
     CPPUNIT_ASSERT(items.Find("b") == nullptr);
-    CPPUNIT_ASSERT_EQUAL(size_t{2}, items.ChangesAfter(6).items.size());
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, items.ChangesAfter(At(6)).items.size());
   }
 
   // Guards against keeping a target for good that was removed before the peer
   // that tells of later changes had listed the keys (DRAIN).
   void KeyRemovedBeforeThePeersListingIsRemoved() {
     PublishedItems host;
-    host.MergeSnapshot({{"a", "", 2, false}, {"b", "", 3, false}}, 3);
+    host.MergeSnapshot({{"a", "", 2, false}, {"b", "", 3, false}}, At(3));
     PublishedItems peer;
     // "b" was removed at revision 5.
-    peer.MergeSnapshot({{"a", "", 2, false}}, 6);
-    peer.Merge({{"c", "", 7, false}}, 7);
+    peer.MergeSnapshot({{"a", "", 2, false}}, At(6));
+    peer.Merge({{"c", "", 7, false}}, At(7));
     host.Merge(peer.ChangesAfter(host.known_until()));
     CPPUNIT_ASSERT(host.Find("b") == nullptr);
     CPPUNIT_ASSERT(host.Find("a") != nullptr && host.Find("c") != nullptr);
@@ -268,11 +275,11 @@
   // while a peer has told this host of later changes (DRAIN).
   void StaleListingDoesNotBringBackRemovedKeys() {
     PublishedItems host;
-    host.Merge({{{"a", "", 2, false}}, 6, true});
+    host.Merge({{{"a", "", 2, false}}, At(6), true});
     // "b" was removed at revision 5.
-    host.MergeSnapshot({{"a", "", 2, false}, {"b", "", 3, false}}, 4);
+    host.MergeSnapshot({{"a", "", 2, false}, {"b", "", 3, false}}, At(4));
     CPPUNIT_ASSERT(host.Find("b") == nullptr);
-    CPPUNIT_ASSERT_EQUAL(Revision{6}, host.known_until());
+    CPPUNIT_ASSERT(host.known_until() == At(6));
   }
 
   // Guards against hosts that take a change for known which they lack: none
@@ -284,8 +291,8 @@
       std::vector<PublishedItems> hosts(kHosts);
       for (int step = 0; step < 30; ++step) {
         PublishedItems& host = hosts[*rc::gen::inRange<size_t>(0, kHosts)];
-        const Revision known = host.known_until();
-        switch (*rc::gen::inRange(0, known == 0 ? 2 : 4)) {
+        const PublishedVersion known = host.known_until();
+        switch (*rc::gen::inRange(0, known.revision == 0 ? 2 : 4)) {
           case 0:
             List(history, *rc::gen::inRange<Revision>(1, kLastRevision),
                  *rc::gen::inRange<Revision>(1, kLastRevision), host);
@@ -297,12 +304,12 @@
           }
           default: {
             const auto until =
-                *rc::gen::inRange<Revision>(known, kLastRevision + 1);
-            host.Merge(Events(history, known, until), until);
+                *rc::gen::inRange<Revision>(known.revision, kLastRevision + 1);
+            host.Merge(Events(history, known.revision, until), At(until));
           }
         }
         RC_ASSERT(host.known_until() >= known);
-        RC_ASSERT(host.complete_revision() <= host.known_until());
+        RC_ASSERT(host.complete_revision() <= host.known_until().revision);
         CheckKnown(history, host);
       }
     }));
@@ -328,7 +335,7 @@
     for (int key = 0; key < kKeys; ++key) {
       const PublishedItem published = StateOf(history, key, kLastRevision);
       // A later change is told to the host when it comes to know of it.
-      if (published.revision > host.known_until()) continue;
+      if (At(published.revision) > host.known_until()) continue;
       const auto known = host.items().find(published.key);
       if (known == host.items().end()) {
         RC_ASSERT(published.removed);
--- a/libs/tier/tests/publishing_model.cc
+++ b/libs/tier/tests/publishing_model.cc
@@ -143,7 +143,7 @@
       Random(times_.min_retry_pause, times_.max_retry_pause);
   freshness.self = static_cast<uint32_t>(StableHash(host.self.host));
   host.freshness = std::make_unique<PublishedFreshness>(freshness, now_);
-  host.items = {};
+  host.items = PublishedItems();
   host.proofs = {};
   host.transit = std::make_unique<TransitTimes>(++last_incarnation_);
   host.offset = absl::Hours(last_incarnation_);
@@ -151,7 +151,7 @@
   host.schedule = {};
   host.reading = false;
   host.call_pending = true;
-  host.as_of = 0;
+  host.as_of = {};
   host.read_current_until = now_;
   host.round_trip = {};
   host.calls = std::make_unique<HedgedCalls>(
@@ -198,7 +198,8 @@
 }
 
 bool PublishingModel::IsReading(const Host& host) const {
-  return host.reading && host.as_of > 0 && !host.schedule.last_call_failed();
+  return host.reading && host.as_of.revision > 0 &&
+         !host.schedule.last_call_failed();
 }
 
 void PublishingModel::RunGossipRound(Host& host) {
@@ -229,7 +230,7 @@
   Gossip gossip;
   gossip.news = {host.self, host.table->known_hosts(),
                  host.table->Role(IsReading(host), now_), std::move(ages)};
-  gossip.revision = host.items.known_until();
+  gossip.version = host.items.known_until();
   gossip.proofs = host.freshness->ProofsForPeers(now_);
   for (const HostId& id : to) {
     const Host& peer = *hosts_[index_of_.at(id)];
@@ -255,7 +256,7 @@
   }
   AddProofs(host, gossip);
   ApplyProofs(host);
-  if (gossip.revision <= host.items.known_until()) return;
+  if (gossip.version <= host.items.known_until()) return;
   const bool is_other_domain =
       sender.failure_domain != host.self.failure_domain;
   const bool waits = host.items.complete_revision() > 0 &&
@@ -275,13 +276,13 @@
     host.echo_requested_at = now_;
     SendGossip(host, {sender}, {});
   }
-  host.proofs.Add({sender, gossip.revision,
+  host.proofs.Add({sender, gossip.version.revision,
                    transit.time ? gossip.proofs : std::vector<ReadProof>()},
                   now_ - transit.time.value_or(absl::ZeroDuration()));
 }
 
 void PublishingModel::ApplyProofs(Host& host) {
-  host.proofs.Apply(host.items.known_until(), *host.freshness);
+  host.proofs.Apply(host.items.known_until().revision, *host.freshness);
 }
 
 void PublishingModel::FetchFrom(Host& host, const HostId& peer) {
@@ -313,7 +314,7 @@
                   fail);
   }
   AtHost(host, kFetchTimeout, fail);
-  const Revision from = host.items.known_until();
+  const PublishedVersion from = host.items.known_until();
   AtHost(source,
          Random(kMinTrip, kMaxTrip) + Lateness(host.index, source.index),
          [this, peer, id, from, is_cut, way, back, index = host.index,
@@ -344,10 +345,11 @@
 }
 
 void PublishingModel::Merge(Host& host, const PublishedChanges& changes) {
-  const Revision before = host.items.known_until();
+  const Revision before = host.items.known_until().revision;
   host.items.Merge(changes);
   if (before == 0 || !IsInTouch(host)) return;
-  for (Revision known = before; known < host.items.known_until(); ++known) {
+  for (Revision known = before; known < host.items.known_until().revision;
+       ++known) {
     const absl::Time published = published_at_[static_cast<size_t>(known)];
     if (published >= measured_since_) delays_.push_back(now_ - published);
   }
@@ -398,10 +400,10 @@
                                   times_.min_watch, times_.watch),
                        absl::Milliseconds(1));
   }
-  if (host.as_of == 0) wait = absl::ZeroDuration();
+  if (host.as_of.revision == 0) wait = absl::ZeroDuration();
   calls_.push_back(now_);
   const CallNumber call = host.calls->OnStarted(now_);
-  host.store_calls[call] = {now_, wait, host.as_of == 0};
+  host.store_calls[call] = {now_, wait, host.as_of.revision == 0};
   const absl::Duration lateness = StoreLateness(host);
   const absl::Duration connect = std::exchange(host.has_connection, false)
                                      ? absl::ZeroDuration()
@@ -488,7 +490,7 @@
           ? host.round_trip.AfterSample(round_trip)
           : host.round_trip.AfterBounds(round_trip, round_trip + call.wait);
   host.as_of = std::max(host.as_of, changes.as_of);
-  const Revision before = host.items.known_until();
+  const PublishedVersion before = host.items.known_until();
   Merge(host, changes);
   const absl::Time end = call.started_at + call.wait;
   const bool is_whole_watch =
@@ -534,10 +536,10 @@
 }
 
 void PublishingModel::Publish() {
-  const Revision revision = store_.known_until() + 1;
+  const Revision revision = store_.known_until().revision + 1;
   const std::string key = absl::StrCat("key", random_() % kKeyCount);
   store_.Merge({{key, absl::StrCat(revision), revision, WithProbability(0.1)}},
-               revision);
+               {{}, revision});
   published_at_.push_back(now_);
   const std::map<int64_t, Watcher> watchers = std::exchange(watchers_, {});
   for (const auto& [id, watcher] : watchers) {
@@ -752,7 +754,7 @@
 }
 
 absl::Time PublishingModel::FirstMissing(const Host& host) const {
-  const auto known = static_cast<size_t>(host.items.known_until());
+  const auto known = static_cast<size_t>(host.items.known_until().revision);
   return known < published_at_.size() ? published_at_[known]
                                       : absl::InfiniteFuture();
 }
@@ -808,7 +810,7 @@
   figures.delays = delays_;
   for (const auto& host : hosts_) {
     if (!IsInTouch(*host)) continue;
-    for (auto i = static_cast<size_t>(host->items.known_until());
+    for (auto i = static_cast<size_t>(host->items.known_until().revision);
          i < published_at_.size(); ++i) {
       if (published_at_[i] < measured_since_) continue;
       figures.delays.push_back(now_ - published_at_[i]);
--- a/libs/tier/tests/publishing_model.h
+++ b/libs/tier/tests/publishing_model.h
@@ -159,7 +159,7 @@
     PollSchedule schedule;
     bool reading = false;
     bool call_pending = false;
-    Revision as_of = 0;
+    PublishedVersion as_of;
     absl::Time read_current_until;
     RoundTripEstimate round_trip;
     std::unique_ptr<HedgedCalls> calls;
@@ -175,7 +175,7 @@
   };
   struct Gossip {
     MembershipUpdate news;
-    Revision revision = 0;
+    PublishedVersion version;
     std::vector<ReadProof> proofs;
     TransitStamp stamp;
   };
@@ -183,7 +183,7 @@
     size_t host = 0;
     int64_t lifetime = 0;
     CallNumber call = 0;
-    Revision after = 0;
+    PublishedVersion after;
   };
   struct Link {
     absl::Time no_datagrams_until = absl::InfinitePast();
