--- a/libs/tier/tests/publishing_model.cc
+++ b/libs/tier/tests/publishing_model.cc
@@ -276,13 +276,13 @@
     host.echo_requested_at = now_;
     SendGossip(host, {sender}, {});
   }
-  host.proofs.Add({sender, gossip.version.revision,
+  host.proofs.Add({sender, gossip.version,
                    transit.time ? gossip.proofs : std::vector<ReadProof>()},
                   now_ - transit.time.value_or(absl::ZeroDuration()));
 }
 
 void PublishingModel::ApplyProofs(Host& host) {
-  host.proofs.Apply(host.items.known_until().revision, *host.freshness);
+  host.proofs.Apply(host.items.known_until(), *host.freshness);
 }
 
 void PublishingModel::FetchFrom(Host& host, const HostId& peer) {
