--- a/libs/tier/src/packed_era.h
+++ b/libs/tier/src/packed_era.h
@@ -28,8 +28,10 @@
 
 /// @return the era, or `kInvalidInput` if no host can be in it.
 inline Result<SourceEra> Unpack(const PackedEra& packed) {
+  // No less than what readers of the service accept.
+  constexpr int64_t kMaxStated = int64_t{1} << 53U;
   constexpr int64_t kMaxInferred = std::numeric_limits<int32_t>::max();
-  if (packed.stated < 0 || packed.inferred < 0 ||
+  if (packed.stated < 0 || packed.stated > kMaxStated || packed.inferred < 0 ||
       packed.inferred > kMaxInferred) {
     return Error{ErrorCode::kInvalidInput, "impossible era"};
   }
