--- a/libs/tier/include/tier/published_items.h
+++ b/libs/tier/include/tier/published_items.h
@@ -52,6 +52,12 @@
   bool keeps_missing = false;
   /// Removals of keys that the copy still has.
   bool keeps_removals = false;
+
+  /// Evacuations stay in force; an older configuration is told by its version.
+  static RestorePolicy ForConfig() { return {true, false}; }
+  /// Targets that have left stay gone. Live ones that the copy lacks are kept
+  /// as after an outage, in which their entries may expire.
+  static RestorePolicy ForTargets() { return {false, true}; }
 };
 
 /// A replica of the keys that the configuration service has published under one
--- a/libs/tier/include/tier/tier_host.h
+++ b/libs/tier/include/tier/tier_host.h
@@ -126,10 +126,8 @@
   const TierAdapters adapters_;
   const PublishingTimes times_;
   Metrics metrics_;
-  // An evacuation that was lost is published again, and a target that left
-  // stays gone. Live targets that were lost are kept as after an outage.
-  PublishedItems config_items_{{true, false}};
-  PublishedItems target_items_{{false, true}};
+  PublishedItems config_items_{RestorePolicy::ForConfig()};
+  PublishedItems target_items_{RestorePolicy::ForTargets()};
   /// The era of the items that are in force.
   SourceEra era_;
   HostTable hosts_;
--- a/libs/tier/src/source_era_tracker.cc
+++ b/libs/tier/src/source_era_tracker.cc
@@ -24,7 +24,7 @@
 }
 
 bool SourceEraTracker::IsPlausible(int64_t stated) const {
-  if (stated < 0 || stated > kMaxStated) return false;
+  if (stated < 1 || stated > kMaxStated) return false;
   return era_.stated == 0 || stated <= era_.stated + kMaxStep;
 }
 
