A key on a later page than the copy is not held as removed

A removal that the copy lacks holds until the key changes in the new era. A key that was published again between two pages of the first listing has a revision after the listing's, yet below that of its removal, so it was held; the watch then brings the same revision once more, which is no change, so the target stayed unused until the retention ended.

--- a/libs/tier/src/published_items.cc
+++ b/libs/tier/src/published_items.cc
@@ -95,11 +95,13 @@
     const bool is_listed = found != items_.end() && !found->second.removed;
     if (!before && is_listed) {
       // A key that was removed before has this revision only since it was
-      // published again.
+      // published again, and one after `as_of` only since the store came back.
+      const Revision revision = found->second.revision;
       const auto removal = replica_before.find(key);
-      const bool is_again = removal != replica_before.end() &&
-                            removal->second.removed &&
-                            found->second.revision > removal->second.revision;
+      const bool is_again =
+          revision > as_of.revision ||
+          (removal != replica_before.end() && removal->second.removed &&
+           revision > removal->second.revision);
       if (policy_.keeps_removals && !is_again) {
         retained_.emplace(key, std::nullopt);
         continue;
--- a/libs/tier/tests/published_items_test.cc
+++ b/libs/tier/tests/published_items_test.cc
@@ -229,6 +229,7 @@
   CPPUNIT_TEST(WatchMakesUpForPagesThatDiffer);
   CPPUNIT_TEST(KeyRemovedBeforeThePeersListingIsRemoved);
   CPPUNIT_TEST(StaleListingDoesNotBringBackRemovedKeys);
+  CPPUNIT_TEST(KeyPublishedAgainOnALaterPageIsInForceAtOnce);
   CPPUNIT_TEST(NoChangeIsMissingUpToWhatIsKnown);
   CPPUNIT_TEST(LateAnswersNeitherHideNorUndoAChange);
   CPPUNIT_TEST_SUITE_END();
@@ -282,6 +283,20 @@
     CPPUNIT_ASSERT(host.known_until() == At(6));
   }
 
+  // Guards against a target that stays unused though it has registered again
+  // since the store came back: the watch that goes on from the first page of
+  // the listing does not change the key any more.
+  void KeyPublishedAgainOnALaterPageIsInForceAtOnce() {
+    PublishedItems items(RestorePolicy{false, true});
+    items.MergeSnapshot({{"a", "old", 1, false}}, At(1));
+    items.Merge({{"a", "", 9, true}}, At(9));
+    const SourceEra era{1, 0};
+    items.MergeSnapshot({{"a", "new", 5, false}}, {era, 4});
+    CPPUNIT_ASSERT(items.Find("a") != nullptr);
+    items.Merge({{"a", "new", 5, false}}, {era, 5});
+    CPPUNIT_ASSERT(items.Find("a") != nullptr);
+  }
+
   // Guards against hosts that take a change for known which they lack: none
   // would ever tell them of it again (DRAIN).
   void NoChangeIsMissingUpToWhatIsKnown() {
