The publishing model's store comes back from older copies

It ends its watches, refuses calls for a time and is back from a copy of a given age in the next era; what it has lost is published again within a second, in random order. The hosts do what StoreClient does: the first answer of a later era makes a reader list all keys once, after up to 100 ms, answers of calls made in an earlier one are dropped, and a host that a peer has told the era goes on from there. Listings may take several calls.

--- a/libs/tier/tests/publishing_model.cc
+++ b/libs/tier/tests/publishing_model.cc
@@ -16,6 +16,8 @@
 constexpr size_t kMaxFetches = 3;
 constexpr absl::Duration kEchoRequestPeriod = absl::Milliseconds(250);
 constexpr absl::Duration kConnectTimeout = absl::Milliseconds(500);
+/// Longest time until a reader lists all keys in a later era, of StoreClient.
+constexpr absl::Duration kMaxListingDelay = absl::Milliseconds(100);
 /// The watch of StoreClient before hosts used evidence.
 constexpr absl::Duration kLongWatchTime = absl::Milliseconds(2500);
 
@@ -34,6 +36,12 @@
 /// Kinds of random faults, without and with late links.
 constexpr uint32_t kFaultKindsInTime = 11;
 constexpr uint32_t kFaultKinds = 15;
+/// Random returns of the store from older copies, among random faults.
+constexpr double kRestores = 0.15;
+constexpr absl::Duration kMaxAway = absl::Seconds(2);
+constexpr absl::Duration kMaxCopyAge = absl::Seconds(6);
+/// Time within which what was lost is published again.
+constexpr absl::Duration kPublishAgain = absl::Seconds(1);
 
 std::string Format(absl::Time time) {
   return absl::FormatTime("%M:%E3S", time, absl::UTCTimeZone());
@@ -63,6 +71,7 @@
     index_of_[host->self.host] = host->index;
     hosts_.push_back(std::move(host));
   }
+  era_began_at_.push_back(now_);
   if (options_.starts_late) DelayAllLinks(absl::InfiniteDuration());
   Publish();
   // The fleet runs for long already; its hosts know each other.
@@ -152,6 +161,10 @@
   host.reading = false;
   host.call_pending = true;
   host.as_of = {};
+  host.era = {};
+  host.must_list = false;
+  host.listed_pages = 0;
+  host.calls_in_era = 0;
   host.read_current_until = now_;
   host.round_trip = {};
   host.calls = std::make_unique<HedgedCalls>(
@@ -276,13 +289,13 @@
     host.echo_requested_at = now_;
     SendGossip(host, {sender}, {});
   }
-  host.proofs.Add({sender, gossip.version.revision,
+  host.proofs.Add({sender, gossip.version,
                    transit.time ? gossip.proofs : std::vector<ReadProof>()},
                   now_ - transit.time.value_or(absl::ZeroDuration()));
 }
 
 void PublishingModel::ApplyProofs(Host& host) {
-  host.proofs.Apply(host.items.known_until().revision, *host.freshness);
+  host.proofs.Apply(host.items.known_until(), *host.freshness);
 }
 
 void PublishingModel::FetchFrom(Host& host, const HostId& peer) {
@@ -322,11 +335,17 @@
            if (is_cut(way) || is_cut(back)) return;
            Host& asking = *hosts_[index];
            if (asking.lifetime != lifetime) return;
+           PublishedChanges changes = serving.items.ChangesAfter(from);
+           if (changes.is_snapshot) {
+             ++snapshots_;
+             snapshot_items_ += static_cast<int64_t>(changes.items.size());
+           }
            AtHost(asking,
                   Random(kMinTrip, kMaxTrip) +
                       Lateness(serving.index, asking.index),
-                  [this, peer, id, changes = serving.items.ChangesAfter(from)](
-                      Host& same) { EndFetch(same, peer, id, &changes); });
+                  [this, peer, id, changes = std::move(changes)](Host& same) {
+                    EndFetch(same, peer, id, &changes);
+                  });
          });
 }
 
@@ -345,11 +364,20 @@
 }
 
 void PublishingModel::Merge(Host& host, const PublishedChanges& changes) {
-  const Revision before = host.items.known_until().revision;
+  const PublishedVersion before = host.items.known_until();
   host.items.Merge(changes);
-  if (before == 0 || !IsInTouch(host)) return;
-  for (Revision known = before; known < host.items.known_until().revision;
-       ++known) {
+  const PublishedVersion after = host.items.known_until();
+  if (after.era != before.era) {
+    if (before.revision > 0 && after.era == store_.known_until().era) {
+      restore_delays_.push_back(now_ - era_began_at_.back());
+    }
+    return;
+  }
+  if (before.revision == 0 || after.era != store_.known_until().era ||
+      !IsInTouch(host)) {
+    return;
+  }
+  for (Revision known = before.revision; known < after.revision; ++known) {
     const absl::Time published = published_at_[static_cast<size_t>(known)];
     if (published >= measured_since_) delays_.push_back(now_ - published);
   }
@@ -365,6 +393,7 @@
 }
 
 void PublishingModel::SkipChangesFromPeers(Host& host) {
+  FollowEraOfPeers(host);
   host.as_of = std::max(host.as_of, host.items.known_until());
 }
 
@@ -373,6 +402,7 @@
     if (same.next_call != next) return;
     same.call_pending = same.reading;
     if (!same.call_pending) return;
+    FollowEraOfPeers(same);
     if (same.schedule.last_call_failed()) SkipChangesFromPeers(same);
     Call(same);
   });
@@ -400,10 +430,19 @@
                                   times_.min_watch, times_.watch),
                        absl::Milliseconds(1));
   }
-  if (host.as_of.revision == 0) wait = absl::ZeroDuration();
+  const bool is_list = host.must_list || host.as_of.revision == 0;
+  if (is_list) {
+    wait = absl::ZeroDuration();
+    ++host.listing_calls;
+  }
+  if (host.calls_in_era > 0) {
+    max_calls_until_watch_ =
+        std::max(max_calls_until_watch_, ++host.calls_in_era);
+    if (!is_list) host.calls_in_era = 0;
+  }
   calls_.push_back(now_);
   const CallNumber call = host.calls->OnStarted(now_);
-  host.store_calls[call] = {now_, wait, host.as_of.revision == 0};
+  host.store_calls[call] = {now_, wait, is_list, host.era};
   const absl::Duration lateness = StoreLateness(host);
   const absl::Duration connect = std::exchange(host.has_connection, false)
                                      ? absl::ZeroDuration()
@@ -428,7 +467,9 @@
   }
   if (now_ < host.silent_until) return;
   At(now_ + connect + Random(kMinTrip, kMaxTrip) + lateness,
-     [this, watcher = Watcher{host.index, host.lifetime, call, host.as_of},
+     [this,
+      watcher = Watcher{host.index, host.lifetime, call,
+                        is_list ? PublishedVersion() : host.as_of},
       wait] { OnCallAtStore(watcher, wait); });
 }
 
@@ -479,31 +520,77 @@
   const auto found = host.store_calls.find(number);
   if (found == host.store_calls.end()) return;
   const StoreCall call = found->second;
+  FollowEraOfPeers(host);
+  const SourceEra era = changes.as_of.era;
+  if (era < host.era || (era == host.era && call.era != era)) {
+    return OnCallFailed(host, number, false);
+  }
   host.calls->OnAnswered(number);
   host.store_calls.clear();
   host.has_connection = true;
   host.call_pending = true;
-  host.schedule.OnSuccess();
   const absl::Duration round_trip = now_ - call.started_at - call.wait;
   host.round_trip =
       call.is_list || changes.items.empty()
           ? host.round_trip.AfterSample(round_trip)
           : host.round_trip.AfterBounds(round_trip, round_trip + call.wait);
+  if (era > host.era) {
+    OnEraRaised(host, era);
+    if (host.must_list && (!call.is_list || host.listed_pages > 0)) {
+      host.listed_pages = 0;
+      return ScheduleNextCall(host,
+                              Random(absl::ZeroDuration(), kMaxListingDelay));
+    }
+  }
+  host.schedule.OnSuccess();
+  if (call.is_list) return OnPage(host, call, changes);
+  const absl::Time end = call.started_at + call.wait;
+  const bool is_whole_watch = changes.items.empty() && now_ >= end;
+  OnRead(host, changes, is_whole_watch ? end : call.started_at);
+  ScheduleNextCall(host, changes.items.empty()
+                             ? absl::ZeroDuration()
+                             : host.schedule.PauseAfterChanges(now_));
+}
+
+void PublishingModel::FollowEraOfPeers(Host& host) {
+  const PublishedVersion known = host.items.known_until();
+  if (known.era <= host.era) return;
+  host.era = known.era;
+  host.as_of = known;
+}
+
+void PublishingModel::OnEraRaised(Host& host, SourceEra era) {
+  host.era = era;
+  // The first answer of all.
+  if (std::max(host.as_of, host.items.known_until()).revision == 0) return;
+  host.must_list = true;
+  host.calls_in_era = 1;
+}
+
+void PublishingModel::OnPage(Host& host, const StoreCall& call,
+                             PublishedChanges changes) {
+  if (host.listed_pages++ == 0) {
+    host.listed_as_of = changes.as_of;
+    host.listing_started_at = call.started_at;
+  }
+  if (host.listed_pages < options_.pages) return Call(host);
+  host.listed_pages = 0;
+  host.must_list = false;
+  changes.as_of = host.listed_as_of;
+  OnRead(host, changes, host.listing_started_at);
+  ScheduleNextCall(host, absl::ZeroDuration());
+}
+
+void PublishingModel::OnRead(Host& host, const PublishedChanges& changes,
+                             absl::Time current_until) {
   host.as_of = std::max(host.as_of, changes.as_of);
   const PublishedVersion before = host.items.known_until();
   Merge(host, changes);
-  const absl::Time end = call.started_at + call.wait;
-  const bool is_whole_watch =
-      !call.is_list && changes.items.empty() && now_ >= end;
-  host.read_current_until =
-      std::max(host.read_current_until, is_whole_watch ? end : call.started_at);
+  host.read_current_until = std::max(host.read_current_until, current_until);
   host.freshness->OnRead(host.read_current_until);
   ApplyProofs(host);
   if (host.items.known_until() > before) UpdateReaderRole(host);
   NotifyDownstream(host);
-  ScheduleNextCall(host, call.is_list || changes.items.empty()
-                             ? absl::ZeroDuration()
-                             : host.schedule.PauseAfterChanges(now_));
 }
 
 void PublishingModel::OnCallLate(Host& host, CallNumber number) {
@@ -536,10 +623,16 @@
 }
 
 void PublishingModel::Publish() {
-  const Revision revision = store_.known_until().revision + 1;
   const std::string key = absl::StrCat("key", random_() % kKeyCount);
-  store_.Merge({{key, absl::StrCat(revision), revision, WithProbability(0.1)}},
-               {{}, revision});
+  PublishChange(key, absl::StrCat(history_.size() + 1), WithProbability(0.1));
+}
+
+void PublishingModel::PublishChange(const std::string& key,
+                                    const std::string& value, bool removed) {
+  const PublishedVersion version = {store_.known_until().era,
+                                    store_.known_until().revision + 1};
+  history_.push_back({key, value, version.revision, removed});
+  store_.Merge({history_.back()}, version);
   published_at_.push_back(now_);
   const std::map<int64_t, Watcher> watchers = std::exchange(watchers_, {});
   for (const auto& [id, watcher] : watchers) {
@@ -547,6 +640,51 @@
   }
 }
 
+void PublishingModel::EndWatches() {
+  const std::map<int64_t, Watcher> watchers = std::exchange(watchers_, {});
+  for (const auto& [id, watcher] : watchers) {
+    Host& host = *hosts_[watcher.host];
+    if (host.lifetime != watcher.lifetime) continue;
+    AtHost(host, Random(kMinTrip, kMaxTrip),
+           [this, number = watcher.call](Host& same) {
+             OnCallFailed(same, number, false);
+           });
+  }
+}
+
+void PublishingModel::RestoreStore(absl::Duration away,
+                                   absl::Duration copy_age) {
+  StopStore(away, false);
+  EndWatches();
+  const auto copied = std::upper_bound(published_at_.begin(),
+                                       published_at_.end(), now_ - copy_age) -
+                      published_at_.begin();
+  At(now_ + away, [this, copied_until = std::max<Revision>(copied, 1)] {
+    // Another return may have taken more.
+    BeginEra(std::min(copied_until, store_.known_until().revision));
+  });
+}
+
+void PublishingModel::BeginEra(Revision copied_until) {
+  const SourceEra era = {store_.known_until().era.stated + 1, 0};
+  std::map<std::string, PublishedItem> copy;
+  std::map<std::string, PublishedItem> lost;
+  for (const PublishedItem& change : history_) {
+    (change.revision <= copied_until ? copy : lost)[change.key] = change;
+  }
+  history_.resize(static_cast<size_t>(copied_until));
+  published_at_.resize(static_cast<size_t>(copied_until));
+  era_began_at_.push_back(now_);
+  std::vector<PublishedItem> items;
+  for (const auto& [key, item] : copy) items.push_back(item);
+  store_.MergeSnapshot(items, {era, copied_until});
+  for (const auto& [key, item] : lost) {
+    At(now_ + Random(absl::ZeroDuration(), kPublishAgain), [this, item = item] {
+      PublishChange(item.key, item.value, item.removed);
+    });
+  }
+}
+
 void PublishingModel::SetChangePeriod(absl::Duration period) {
   change_period_ = period;
   ScheduleChange(++change_generation_);
@@ -677,6 +815,13 @@
   const std::string on = absl::StrCat(
       " ", chosen.self.host, IsReading(chosen) ? " (reader)" : "", " for ",
       absl::FormatDuration(absl::Floor(duration, absl::Milliseconds(1))));
+  if (options_.restores && WithProbability(kRestores)) {
+    const absl::Duration away = Random(absl::ZeroDuration(), kMaxAway);
+    const absl::Duration age = Random(absl::ZeroDuration(), kMaxCopyAge);
+    Trace(absl::StrCat("restore after ", absl::FormatDuration(away),
+                       " from a copy of ", absl::FormatDuration(age)));
+    return RestoreStore(away, age);
+  }
   const std::string what = absl::StrCat("cut ", static_cast<int>(cut), " of");
   const bool has_lateness = options_.lateness > absl::ZeroDuration();
   switch (random_() % (has_lateness ? kFaultKinds : kFaultKindsInTime)) {
@@ -754,6 +899,10 @@
 }
 
 absl::Time PublishingModel::FirstMissing(const Host& host) const {
+  const SourceEra era = host.items.known_until().era;
+  if (era != store_.known_until().era) {
+    return era_began_at_[static_cast<size_t>(era.stated) + 1];
+  }
   const auto known = static_cast<size_t>(host.items.known_until().revision);
   return known < published_at_.size() ? published_at_[known]
                                       : absl::InfiniteFuture();
@@ -795,6 +944,10 @@
   calls_.clear();
   delays_.clear();
   proof_ages_.clear();
+  max_calls_until_watch_ = 0;
+  snapshots_ = snapshot_items_ = 0;
+  restore_delays_.clear();
+  for (const auto& host : hosts_) host->listing_calls = 0;
 }
 
 PublishingModel::Figures PublishingModel::Measured() {
@@ -809,7 +962,10 @@
   }
   figures.delays = delays_;
   for (const auto& host : hosts_) {
-    if (!IsInTouch(*host)) continue;
+    if (host->items.known_until().era != store_.known_until().era ||
+        !IsInTouch(*host)) {
+      continue;
+    }
     for (auto i = static_cast<size_t>(host->items.known_until().revision);
          i < published_at_.size(); ++i) {
       if (published_at_[i] < measured_since_) continue;
@@ -819,6 +975,18 @@
   std::sort(figures.delays.begin(), figures.delays.end());
   figures.proof_ages = proof_ages_;
   std::sort(figures.proof_ages.begin(), figures.proof_ages.end());
+  figures.calls = static_cast<int>(calls_.size());
+  for (const auto& host : hosts_) {
+    figures.listing_calls += host->listing_calls;
+    figures.max_listing_calls =
+        std::max(figures.max_listing_calls, host->listing_calls);
+    figures.listing_hosts += host->listing_calls > 0 ? 1 : 0;
+  }
+  figures.max_calls_until_watch = max_calls_until_watch_;
+  figures.snapshots = snapshots_;
+  figures.snapshot_items = snapshot_items_;
+  figures.restore_delays = restore_delays_;
+  std::sort(figures.restore_delays.begin(), figures.restore_delays.end());
   return figures;
 }
 
--- a/libs/tier/tests/publishing_model.h
+++ b/libs/tier/tests/publishing_model.h
@@ -27,7 +27,8 @@
 /// Simulates how published changes reach the hosts of a fleet: watches of the
 /// store, gossip and transfers between hosts, with links between single hosts
 /// cut, watches that fall silent, hosts that the store turns away, frozen and
-/// restarted hosts and outages of the store. The hosts use the tier's own
+/// restarted hosts, outages of the store and its return from older copies. The
+/// hosts use the tier's own
 /// decision code. The model checks that a host in touch with the store misses
 /// no change for longer than a bound, and that no host claims to be more
 /// current than it is.
@@ -80,6 +81,10 @@
     absl::Duration target = absl::InfiniteDuration();
     /// Whether a change that is missed for longer is a violation.
     bool checks_delays = true;
+    /// Whether the store comes back from older copies among random faults.
+    bool restores = false;
+    /// Calls that a listing of the store takes.
+    int pages = 1;
   };
 
   /// What was seen since `StartMeasuring`.
@@ -91,6 +96,20 @@
     std::vector<absl::Duration> delays;
     /// Time up to which hosts in touch have proof, as an age, sorted.
     std::vector<absl::Duration> proof_ages;
+    int calls = 0;
+    /// Of these, calls for pages of listings, and the most of one host.
+    int listing_calls = 0;
+    int max_listing_calls = 0;
+    /// Hosts that have listed the store.
+    int listing_hosts = 0;
+    /// Calls of a host from the first answer of a later era until it watches
+    /// the store in that era, these two included, at most.
+    int max_calls_until_watch = 0;
+    /// Snapshots that hosts have sent to others, and their items.
+    int64_t snapshots = 0;
+    int64_t snapshot_items = 0;
+    /// Time from the store's last return to each host that knows of it, sorted.
+    std::vector<absl::Duration> restore_delays;
   };
 
   PublishingModel(Options options, uint32_t seed);
@@ -103,6 +122,11 @@
 
   void SetChangePeriod(absl::Duration period);
   void StopStore(absl::Duration duration, bool is_silent);
+  /// The store ends all watches without a response.
+  void EndWatches();
+  /// The store ends its watches, refuses calls for a time and comes back from a
+  /// copy of that age. What it has lost is published again within a second.
+  void RestoreStore(absl::Duration away, absl::Duration copy_age);
   /// Cuts all links between hosts that read the store and other hosts.
   void CutReaders(Cut cut, absl::Duration duration);
   /// All links between hosts are late from now on, each way.
@@ -129,6 +153,7 @@
     absl::Time started_at;
     absl::Duration wait;
     bool is_list = false;
+    SourceEra era;
     /// It gets no response.
     bool is_lost = false;
     /// The response does not end in time.
@@ -160,6 +185,12 @@
     bool reading = false;
     bool call_pending = false;
     PublishedVersion as_of;
+    SourceEra era;
+    bool must_list = false;
+    /// Of the listing under way.
+    int listed_pages = 0;
+    PublishedVersion listed_as_of;
+    absl::Time listing_started_at;
     absl::Time read_current_until;
     RoundTripEstimate round_trip;
     std::unique_ptr<HedgedCalls> calls;
@@ -172,6 +203,10 @@
     // The state of FleetGossip.
     std::map<HostId, Fetch> fetches;
     std::map<HostId, absl::Time> excluded_until;
+    // What is measured.
+    int listing_calls = 0;
+    /// Calls since the first answer of the era, until it watches the store.
+    int calls_in_era = 0;
   };
   struct Gossip {
     MembershipUpdate news;
@@ -225,6 +260,14 @@
   void Respond(const Watcher& watcher);
   void OnStoreResponse(Host& host, CallNumber number,
                        const PublishedChanges& changes);
+  /// Peers have shown a later era.
+  void FollowEraOfPeers(Host& host);
+  /// An answer is of a later era.
+  void OnEraRaised(Host& host, SourceEra era);
+  void OnPage(Host& host, const StoreCall& call, PublishedChanges changes);
+  /// @param current_until time before which nothing is missing.
+  void OnRead(Host& host, const PublishedChanges& changes,
+              absl::Time current_until);
   void OnCallLate(Host& host, CallNumber number);
   void OnCallFailed(Host& host, CallNumber number, bool is_given_up);
   void PauseAfterMissedCall(Host& host);
@@ -234,6 +277,10 @@
   absl::Duration StoreLateness(const Host& host) const;
 
   void Publish();
+  void PublishChange(const std::string& key, const std::string& value,
+                     bool removed);
+  /// @param copied_until the last revision that the store still has.
+  void BeginEra(Revision copied_until);
   void ScheduleChange(int64_t generation);
   void InjectFault();
   void CutLink(size_t from, size_t to, Cut cut, absl::Time until);
@@ -265,7 +312,11 @@
   std::map<std::pair<size_t, size_t>, Link> links_;
   std::map<std::pair<size_t, size_t>, absl::Time> trickling_until_;
   PublishedItems store_;
+  /// The changes of the store's present era.
+  std::vector<PublishedItem> history_;
   std::vector<absl::Time> published_at_;
+  /// By number.
+  std::vector<absl::Time> era_began_at_;
   std::map<int64_t, Watcher> watchers_;
   absl::Time store_stable_since_;
   absl::Time lossy_until_;
@@ -279,6 +330,10 @@
   std::vector<absl::Time> calls_;
   std::vector<absl::Duration> delays_;
   std::vector<absl::Duration> proof_ages_;
+  int max_calls_until_watch_ = 0;
+  int64_t snapshots_ = 0;
+  int64_t snapshot_items_ = 0;
+  std::vector<absl::Duration> restore_delays_;
 };
 
 }  // namespace cherrydyke
