Cost of a restored store in the publishing model

Restores among random faults, with listings of three pages: no host in touch misses a change or claims too much. A restore costs each reader at most the answer that shows the era, one listing of N pages and one watch; compared with an outage of the same length in which nothing was lost, all hosts together spend at most a listing and a watch for each host that lists. All hosts are in the new era within the bound.

--- a/libs/tier/tests/publishing_model_test.cc
+++ b/libs/tier/tests/publishing_model_test.cc
@@ -7,6 +7,11 @@
 #include <cstdlib>
 #include <functional>
 #include <iostream>
+#include <optional>
+
+#include "base/ids.h"
+#include "tier/compression.h"
+#include "tier/transfer_message.h"
 
 namespace cherrydyke {
 namespace {
@@ -46,6 +51,13 @@
 constexpr absl::Duration kWarmUp = absl::Seconds(15);
 constexpr absl::Duration kPhase = absl::Seconds(30);
 constexpr absl::Duration kFault = absl::Seconds(10);
+/// How long the store is away before it comes back from an older copy, how old
+/// that is, and the time after which all hosts are to be in the new era.
+constexpr absl::Duration kAway = absl::Milliseconds(500);
+constexpr absl::Duration kCopyAge = absl::Seconds(4);
+constexpr absl::Duration kRestored = absl::Seconds(5);
+constexpr int kPages = 3;
+constexpr uint32_t kRestoreSeeds = 3;
 
 int64_t FromEnvironment(const char* name, int64_t fallback) {
   const char* const text = std::getenv(name);
@@ -113,6 +125,67 @@
   return "";
 }
 
+/// @param options of a fleet, with their sizes from the environment.
+PublishingModel::Options WithSizeOfRun(PublishingModel::Options options) {
+  options.hosts =
+      static_cast<int>(FromEnvironment("CHERRYDYKE_MODEL_HOSTS", 8));
+  options.domains =
+      static_cast<size_t>(FromEnvironment("CHERRYDYKE_MODEL_DOMAINS", 3));
+  options.reads =
+      static_cast<Reads>(FromEnvironment("CHERRYDYKE_MODEL_READS", 0));
+  if (options.hosts >= ManyHosts().hosts) options.bound = kBoundOfManyHosts;
+  options.bound = absl::Milliseconds(FromEnvironment(
+      "CHERRYDYKE_MODEL_BOUND_MS", absl::ToInt64Milliseconds(options.bound)));
+  return options;
+}
+
+/// What a store that is away for a moment costs.
+struct Restore {
+  PublishingModel::Figures figures;
+  std::string violation;
+};
+
+/// @param copy_age of the copy from which it comes back; nothing if it doesn't.
+Restore RunRestore(PublishingModel::Options options, uint32_t seed,
+                   std::optional<absl::Duration> copy_age) {
+  options.change_period = kStorm;
+  PublishingModel model(options, seed);
+  Restore restore;
+  restore.violation = model.Run(kWarmUp);
+  model.SetChangePeriod(absl::InfiniteDuration());
+  model.StartMeasuring();
+  if (copy_age) {
+    model.RestoreStore(kAway, *copy_age);
+  } else {
+    model.StopStore(kAway, false);
+    model.EndWatches();
+  }
+  if (restore.violation.empty())
+    restore.violation = model.Run(kAway + kRestored);
+  restore.figures = model.Measured();
+  return restore;
+}
+
+/// @return the bytes of a snapshot of so many targets, as it is sent.
+size_t SnapshotBytes(int targets) {
+  TransferMessage message;
+  message.config.is_snapshot = message.targets.is_snapshot = true;
+  for (int i = 0; i < targets; ++i) {
+    const std::string number = std::to_string(i);
+    message.targets.items.push_back(
+        {"servers/i-" + std::to_string(StableHash(number)),
+         R"({"service":"service-)" + std::to_string(i % 20) +
+             R"(","address":"10.0.)" + std::to_string(i / 250) + "." +
+             std::to_string(i % 250) + R"(:8080","zone":"region-)" +
+             std::to_string(i % 6) +
+             R"(-a","state":"ready","maxConcurrency":8,"seq":)" + number +
+             R"(,"warmupLeftMs":0,"born":17967)" +
+             std::to_string(StableHash(number) % 100'000'000) + "}",
+         i + 1, false});
+  }
+  return Compress(EncodeTransferMessage(message)).size();
+}
+
 void PrintQuantiles(const char* name,
                     const std::vector<absl::Duration>& sorted) {
   std::cerr << ", " << name;
@@ -222,8 +295,9 @@
 /// CHERRYDYKE_MODEL_HOSTS, CHERRYDYKE_MODEL_DOMAINS, CHERRYDYKE_MODEL_READS (0
 /// to 2), CHERRYDYKE_MODEL_WATCH_CALLS, CHERRYDYKE_MODEL_PHASE_S,
 /// CHERRYDYKE_MODEL_BOUND_MS, CHERRYDYKE_MODEL_LATE_STORE_MS (of all paths to
-/// the store, each way) and CHERRYDYKE_MODEL_LATE_CALLS (1: closed) change the
-/// runs.
+/// the store, each way), CHERRYDYKE_MODEL_LATE_CALLS (1: closed),
+/// CHERRYDYKE_MODEL_PAGES and CHERRYDYKE_MODEL_TARGETS (of a listing and of a
+/// snapshot) change the runs.
 class PublishingModelTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(PublishingModelTest);
   CPPUNIT_TEST(NoFaults);
@@ -247,7 +321,10 @@
   CPPUNIT_TEST(AllowanceCostsManyHostsNoCalls);
   CPPUNIT_TEST(ProofsAreNeverFresherThanTheTruth);
   CPPUNIT_TEST(ProofsOfSmallFleetAreNeverFresherThanTheTruth);
+  CPPUNIT_TEST(RestoresAmongFaultsDoNotHideChanges);
+  CPPUNIT_TEST(RestoreCostsAListingAndAWatchAReader);
   CPPUNIT_TEST(Figures);
+  CPPUNIT_TEST(FiguresOfRestores);
   CPPUNIT_TEST(FiguresOfLateness);
   CPPUNIT_TEST(FiguresOfSilentWatchesOnSlowPaths);
   CPPUNIT_TEST_SUITE_END();
@@ -407,17 +484,34 @@
   void ProofsOfSmallFleetAreNeverFresherThanTheTruth() {
     CheckProofs(SmallFleet(), 9);
   }
+  void RestoresAmongFaultsDoNotHideChanges() {
+    for (PublishingModel::Options options :
+         {WithoutAllowance(), SmallFleet(), ManyHosts()}) {
+      options.restores = true;
+      options.pages = kPages;
+      const bool is_large = options.hosts >= ManyHosts().hosts;
+      CPPUNIT_ASSERT_EQUAL(
+          std::string(),
+          RunSeeds(WithFaults(options),
+                   is_large ? kSeedsOfManyHostsInCi : kSeedsInCi));
+    }
+  }
+  void RestoreCostsAListingAndAWatchAReader() {
+    for (PublishingModel::Options options :
+         {WithoutAllowance(), SmallFleet(), ManyHosts()}) {
+      options.pages = kPages;
+      for (uint32_t seed = 1; seed <= kRestoreSeeds; ++seed) {
+        const auto outage = CheckedRestore(options, seed, std::nullopt);
+        const auto same = CheckedRestore(options, seed, absl::ZeroDuration());
+        CheckedRestore(options, seed, kCopyAge);
+        // A copy that lacks nothing, so that no change costs a call.
+        CPPUNIT_ASSERT(same.calls <=
+                       outage.calls + same.listing_hosts * (kPages + 1));
+      }
+    }
+  }
   void Figures() {
-    PublishingModel::Options options = WithAllowanceOfRun();
-    options.hosts =
-        static_cast<int>(FromEnvironment("CHERRYDYKE_MODEL_HOSTS", 8));
-    options.domains =
-        static_cast<size_t>(FromEnvironment("CHERRYDYKE_MODEL_DOMAINS", 3));
-    options.reads =
-        static_cast<Reads>(FromEnvironment("CHERRYDYKE_MODEL_READS", 0));
-    if (options.hosts >= ManyHosts().hosts) options.bound = kBoundOfManyHosts;
-    options.bound = absl::Milliseconds(FromEnvironment(
-        "CHERRYDYKE_MODEL_BOUND_MS", absl::ToInt64Milliseconds(options.bound)));
+    PublishingModel::Options options = WithSizeOfRun(WithAllowanceOfRun());
     options.lateness = absl::Milliseconds(
         FromEnvironment("CHERRYDYKE_MODEL_LATE_STORE_MS", 0));
     options.late_calls = static_cast<LateCalls>(
@@ -427,6 +521,41 @@
     if (options.reads == Reads::kByRole) return;
     CPPUNIT_ASSERT_EQUAL(std::string(), violation);
   }
+  // Prints what a restore costs, and the same outage without one.
+  void FiguresOfRestores() {
+    PublishingModel::Options options = WithSizeOfRun(WithAllowanceOfRun());
+    options.pages =
+        static_cast<int>(FromEnvironment("CHERRYDYKE_MODEL_PAGES", 1));
+    const auto targets = static_cast<int>(
+        FromEnvironment("CHERRYDYKE_MODEL_TARGETS", 2 * options.hosts));
+    const auto first =
+        static_cast<uint32_t>(FromEnvironment("CHERRYDYKE_MODEL_SEED", kSeed));
+    const int64_t seeds =
+        FromEnvironment("CHERRYDYKE_MODEL_SEEDS", kRestoreSeeds);
+    std::cerr << "\n"
+              << options.hosts << " hosts, " << options.domains
+              << " domains, away for " << kAway << ", copy of " << kCopyAge
+              << ", " << options.pages << " pages, bound " << options.bound
+              << "; a snapshot of " << targets << " targets takes "
+              << SnapshotBytes(targets) << " bytes\n";
+    for (uint32_t seed = first; seed < first + seeds; ++seed) {
+      const auto outage = CheckedRestore(options, seed, std::nullopt);
+      const auto same = CheckedRestore(options, seed, absl::ZeroDuration());
+      const auto after = CheckedRestore(options, seed, kCopyAge);
+      std::cerr << "  seed " << seed << ": " << after.calls << " calls, "
+                << same.calls << " if nothing is lost, " << outage.calls
+                << " without restore, at most " << after.max_calls_in_a_second
+                << ", " << same.max_calls_in_a_second << ", "
+                << outage.max_calls_in_a_second << " in a second, "
+                << after.listing_calls << " of listings by "
+                << after.listing_hosts << " hosts, " << after.snapshots
+                << " snapshots of " << after.snapshot_items << " items, "
+                << after.restore_delays.size() << " hosts";
+      PrintQuantiles("in the era after ms p50 p99 p99.9 max",
+                     after.restore_delays);
+      std::cerr << "\n";
+    }
+  }
   // Prints how many runs with late links break the bound.
   void FiguresOfLateness() {
     using Model = PublishingModel;
@@ -485,6 +614,23 @@
   }
 
  private:
+  /// @return the figures of a restore that all hosts have followed in time and
+  /// with the calls that it is to cost.
+  static PublishingModel::Figures CheckedRestore(
+      const PublishingModel::Options& options, uint32_t seed,
+      std::optional<absl::Duration> copy_age) {
+    const auto [figures, violation] = RunRestore(options, seed, copy_age);
+    CPPUNIT_ASSERT_EQUAL(std::string(), violation);
+    if (!copy_age) return figures;
+    CPPUNIT_ASSERT_EQUAL(static_cast<size_t>(options.hosts),
+                         figures.restore_delays.size());
+    CPPUNIT_ASSERT(figures.restore_delays.back() <= options.bound);
+    CPPUNIT_ASSERT(figures.listing_hosts > 0);
+    CPPUNIT_ASSERT(figures.max_listing_calls <= options.pages);
+    // The answer that shows the era, the listing and the watch.
+    CPPUNIT_ASSERT(figures.max_calls_until_watch <= 1 + options.pages + 1);
+    return figures;
+  }
   static PublishingModel::Figures RunPhase(
       PublishingModel::Options options, absl::Duration changes,
       const std::function<void(PublishingModel&)>& prepare) {
