--- a/libs/tier/tests/restored_items_test.cc
+++ b/libs/tier/tests/restored_items_test.cc
@@ -522,6 +522,7 @@
   CPPUNIT_TEST(ChangesOfALaterEraWaitForItsSnapshot);
   CPPUNIT_TEST(FindsListingsThatContradictWhatIsKnown);
   CPPUNIT_TEST(LaterListingsContradictNothing);
+  CPPUNIT_TEST(ListingIsJudgedByWhatWasKnownAtItsBegin);
   CPPUNIT_TEST(ReplicasFollowAStoreThatComesBackFromOlderCopies);
   CPPUNIT_TEST_SUITE_END();
 
@@ -638,6 +639,18 @@
         !items.IsContradictedBy({{"a", "other", 1, false}}, After(9)));
   }
 
+  // A later page of a peer's listing lacked the key: it is removed as of the
+  // first page, which the page of this host's listing may equal.
+  void ListingIsJudgedByWhatWasKnownAtItsBegin() {
+    PublishedItems items;
+    items.MergeSnapshot({{"a", "1", 5, false}}, Before(10));
+    const PublishedItems at_begin = items;
+    items.MergeSnapshot({}, Before(10));
+    CPPUNIT_ASSERT_EQUAL(std::string(), InForceIn(items));
+    CPPUNIT_ASSERT(!at_begin.IsContradictedBy({{"a", "1", 5, false}},
+                                              at_begin.known_until()));
+  }
+
   void ReplicasFollowAStoreThatComesBackFromOlderCopies() {
     CPPUNIT_ASSERT(rc::check("restores, and answers late and in any order", [] {
       FleetOfRestoredReplicas fleet;
