--- a/libs/tier/tests/publishing_model.cc
+++ b/libs/tier/tests/publishing_model.cc
@@ -441,6 +441,7 @@
     if (!is_list) host.calls_in_era = 0;
   }
   calls_.push_back(now_);
+  ++host.store_calls_made;
   const CallNumber call = host.calls->OnStarted(now_);
   host.store_calls[call] = {now_, wait, is_list, host.era};
   const absl::Duration lateness = StoreLateness(host);
@@ -509,10 +510,18 @@
     return AtHost(host, kMinTrip + times_.receive, late);
   }
   AtHost(host, Random(kMinTrip, kMaxTrip) + StoreLateness(host),
-         [this, number = watcher.call,
-          changes = store_.ChangesAfter(watcher.after)](Host& same) {
-           OnStoreResponse(same, number, changes);
-         });
+         [this, number = watcher.call, changes = ChangesAfter(watcher.after)](
+             Host& same) { OnStoreResponse(same, number, changes); });
+}
+
+PublishedChanges PublishingModel::ChangesAfter(PublishedVersion version) const {
+  const PublishedVersion now = store_.known_until();
+  if (version.revision == 0 || version.era == now.era) {
+    return store_.ChangesAfter(version);
+  }
+  const auto first = static_cast<ptrdiff_t>(
+      std::min<Revision>(version.revision, now.revision));
+  return {{history_.begin() + first, history_.end()}, now, false};
 }
 
 void PublishingModel::OnStoreResponse(Host& host, CallNumber number,
@@ -947,7 +956,9 @@
   max_calls_until_watch_ = 0;
   snapshots_ = snapshot_items_ = 0;
   restore_delays_.clear();
-  for (const auto& host : hosts_) host->listing_calls = 0;
+  for (const auto& host : hosts_) {
+    host->store_calls_made = host->listing_calls = 0;
+  }
 }
 
 PublishingModel::Figures PublishingModel::Measured() {
@@ -977,6 +988,7 @@
   std::sort(figures.proof_ages.begin(), figures.proof_ages.end());
   figures.calls = static_cast<int>(calls_.size());
   for (const auto& host : hosts_) {
+    figures.calling_hosts += host->store_calls_made > 0 ? 1 : 0;
     figures.listing_calls += host->listing_calls;
     figures.max_listing_calls =
         std::max(figures.max_listing_calls, host->listing_calls);
--- a/libs/tier/tests/publishing_model.h
+++ b/libs/tier/tests/publishing_model.h
@@ -97,6 +97,8 @@
     /// Time up to which hosts in touch have proof, as an age, sorted.
     std::vector<absl::Duration> proof_ages;
     int calls = 0;
+    /// Hosts that have made them.
+    int calling_hosts = 0;
     /// Of these, calls for pages of listings, and the most of one host.
     int listing_calls = 0;
     int max_listing_calls = 0;
@@ -204,6 +206,7 @@
     std::map<HostId, Fetch> fetches;
     std::map<HostId, absl::Time> excluded_until;
     // What is measured.
+    int store_calls_made = 0;
     int listing_calls = 0;
     /// Calls since the first answer of the era, until it watches the store.
     int calls_in_era = 0;
@@ -258,6 +261,9 @@
   void Call(Host& host);
   void OnCallAtStore(const Watcher& watcher, absl::Duration wait);
   void Respond(const Watcher& watcher);
+  /// @return what the store has for a call. To the revision of an earlier era
+  /// it answers as to its own.
+  PublishedChanges ChangesAfter(PublishedVersion version) const;
   void OnStoreResponse(Host& host, CallNumber number,
                        const PublishedChanges& changes);
   /// Peers have shown a later era.
--- a/libs/tier/tests/publishing_model_test.cc
+++ b/libs/tier/tests/publishing_model_test.cc
@@ -504,6 +504,8 @@
         const auto outage = CheckedRestore(options, seed, std::nullopt);
         const auto same = CheckedRestore(options, seed, absl::ZeroDuration());
         CheckedRestore(options, seed, kCopyAge);
+        // Others fetch a snapshot from their peers.
+        CPPUNIT_ASSERT(same.listing_hosts <= outage.calling_hosts);
         // A copy that lacks nothing, so that no change costs a call.
         CPPUNIT_ASSERT(same.calls <=
                        outage.calls + same.listing_hosts * (kPages + 1));
@@ -527,7 +529,7 @@
     options.pages =
         static_cast<int>(FromEnvironment("CHERRYDYKE_MODEL_PAGES", 1));
     const auto targets = static_cast<int>(
-        FromEnvironment("CHERRYDYKE_MODEL_TARGETS", 2 * options.hosts));
+        FromEnvironment("CHERRYDYKE_MODEL_TARGETS", 2L * options.hosts));
     const auto first =
         static_cast<uint32_t>(FromEnvironment("CHERRYDYKE_MODEL_SEED", kSeed));
     const int64_t seeds =
@@ -548,9 +550,10 @@
                 << ", " << same.max_calls_in_a_second << ", "
                 << outage.max_calls_in_a_second << " in a second, "
                 << after.listing_calls << " of listings by "
-                << after.listing_hosts << " hosts, " << after.snapshots
-                << " snapshots of " << after.snapshot_items << " items, "
-                << after.restore_delays.size() << " hosts";
+                << after.listing_hosts << " hosts of " << after.calling_hosts
+                << " and " << outage.calling_hosts << " that call, "
+                << after.snapshots << " snapshots of " << after.snapshot_items
+                << " items, " << after.restore_delays.size() << " hosts";
       PrintQuantiles("in the era after ms p50 p99 p99.9 max",
                      after.restore_delays);
       std::cerr << "\n";
