--- a/libs/tier/include/tier/fleet_gossip.h
+++ b/libs/tier/include/tier/fleet_gossip.h
@@ -91,6 +91,9 @@
   /// @return that peer, or "".
   HostId ahead_peer() const { return pending_proofs_.peer(); }
 
+  /// @return the latest era of which a peer has items.
+  const SourceEra& latest_peer_era() const { return latest_peer_era_; }
+
   /// Published items were merged: uses the proofs of peers whose items this
   /// host has by now.
   void ApplyProofs();
@@ -175,6 +178,7 @@
   std::map<HostId, absl::Time> excluded_until_;
   /// Eras that peers have last told.
   std::map<HostId, SourceEra> peer_eras_;
+  SourceEra latest_peer_era_;
   int round_ = 0;
   /// Token bucket of health report traffic.
   double health_report_allowance_bytes_ = 0;
--- a/libs/tier/include/tier/published_source.h
+++ b/libs/tier/include/tier/published_source.h
@@ -46,6 +46,9 @@
   virtual void SetReading(bool reading) = 0;
   /// A call of another host, which began at this time or later, succeeded.
   virtual void OnPeerRead(absl::Time called_at) = 0;
+  /// A peer has items of this era: what is read next must be of it, or of a
+  /// later one.
+  virtual void OnPeerEra(SourceEra era) = 0;
   /// @return whether it reads and the service responds.
   virtual bool IsReading() const = 0;
   /// Starts to read into the two sets of items, which must outlive the source.
--- a/libs/tier/src/fleet_gossip.cc
+++ b/libs/tier/src/fleet_gossip.cc
@@ -261,6 +261,7 @@
   if (quarantined_any) Gossip();
   if (!message.reports.empty()) callbacks_.on_health_reports(message.reports);
   peer_eras_[sender.host] = message.known_until.era;
+  latest_peer_era_ = std::max(latest_peer_era_, message.known_until.era);
   AddProofs(message);
   ApplyProofs();
   if (message.known_until <= KnownUntil()) return;
--- a/libs/tier/src/source_era_tracker.cc
+++ b/libs/tier/src/source_era_tracker.cc
@@ -11,10 +11,12 @@
 }  // namespace
 
 AnswerEra SourceEraTracker::OnAnswer(std::optional<int64_t> stated,
-                                     SourceEra asked_in) {
+                                     SourceEra asked_in, bool depends_on_era) {
   if (stated && Raise({*stated, 0})) return AnswerEra::kLater;
-  if (stated && *stated < era_.stated) return AnswerEra::kEarlier;
-  return asked_in == era_ ? AnswerEra::kCurrent : AnswerEra::kEarlier;
+  if (asked_in == era_) return AnswerEra::kCurrent;
+  const bool is_stated = stated && era_ == SourceEra{*stated, 0};
+  return is_stated && !depends_on_era ? AnswerEra::kCurrent
+                                      : AnswerEra::kEarlier;
 }
 
 bool SourceEraTracker::Raise(SourceEra era) {
--- a/libs/tier/src/tier_host.cc
+++ b/libs/tier/src/tier_host.cc
@@ -440,6 +440,7 @@
   const bool was_reading = adapters_.source.IsReading();
   const absl::Time now = loop_.Now();
   adapters_.source.OnPeerRead(freshness_.peers_read_since());
+  adapters_.source.OnPeerEra(gossip_.latest_peer_era());
   adapters_.source.SetReading(hosts_.ShouldRead(is_empty, now) ||
                               freshness_.ShouldReadItself(now));
   // Keeps the hosts that are next in line from starting to read as well.
