--- a/daemons/tier/main.cc
+++ b/daemons/tier/main.cc
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "CLI/CLI.hpp"
+#include "absl/strings/str_join.h"
 #include "base/clock.h"
 #include "engine/event_loop.h"
 #include "kernel/command_line.h"
@@ -34,8 +35,12 @@
 // Reloads the settings file when it has changed or on a signal.
 class SettingsWatcher {
  public:
-  SettingsWatcher(std::string path, TierHost& host)
-      : path_(std::move(path)), host_(host), last_version_(FileVersion()) {}
+  /// @param in_force what the file had at the start.
+  SettingsWatcher(std::string path, TierSettingsFile in_force, TierHost& host)
+      : path_(std::move(path)),
+        in_force_(std::move(in_force)),
+        host_(host),
+        last_version_(FileVersion()) {}
 
   void Check() {
     if (FileVersion() != last_version_) Reload();
@@ -51,7 +56,10 @@
     }
     const auto& settings = std::get<TierSettingsFile>(read);
     host_.SetSeeds(settings.tier.seeds);
-    LogInfo("settings file reloaded", {{"seeds", settings.tier.seeds.size()}});
+    LogInfo("settings file reloaded",
+            {{"seeds", settings.tier.seeds.size()},
+             {"not_in_force",
+              absl::StrJoin(SettingsNotInForce(in_force_, settings), " ")}});
   }
 
  private:
@@ -65,26 +73,31 @@
   }
 
   const std::string path_;
+  const TierSettingsFile in_force_;
   TierHost& host_;
   std::pair<int64_t, int64_t> last_version_;
 };
 
-int Serve(const std::string& path, const TierSettingsFile& settings) {
+int Serve(const std::string& path, const TierSettingsFile& settings,
+          const Policy& policy) {
   // A log reader that stalls or exits must not block or end the daemon.
   signal(SIGPIPE, SIG_IGN);
   fcntl(STDOUT_FILENO, F_SETFL, fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
   StartLogging("cherrydyke-tier", settings.host_name,
                LogOutput::kStandardOutput);
-  LimitLogRate(kLogBudgetsPerMessage * settings.tier.policy.log_lines);
+  LimitLogRate(kLogBudgetsPerMessage * policy.log_lines);
   const BootClock clock;
   engine::EventLoop loop(clock);
   const platform::HttpProtocolAdapter face;
   const platform::JsonDecoder decoder;
   platform::StoreClient store(loop, settings.store_endpoint,
                               settings.tier.change_deadline);
-  TierHost host(loop, settings.tier, {face, decoder, store});
+  TierSettings tier = settings.tier;
+  tier.policy = policy;
+  tier.machine = LowerOf(tier.machine, ReportedResources());
+  TierHost host(loop, std::move(tier), {face, decoder, store});
   // Before callers can connect: a signal without a handler ends the process.
-  SettingsWatcher watcher(path, host);
+  SettingsWatcher watcher(path, settings, host);
   loop.OnSignal(SIGTERM, [&] { host.BeginShutdown(); });
   loop.OnSignal(SIGINT, [&] { host.BeginShutdown(); });
   loop.OnSignal(SIGHUP, [&] { watcher.Reload(); });
@@ -117,7 +130,7 @@
   app.add_flag("--check", check, "check the settings and the policy, and exit");
   app.set_version_flag("--version", CHERRYDYKE_VERSION);
   if (const auto code = ParseCommandLine(app, argc, argv)) return *code;
-  auto read = ReadTierSettings(path);
+  const auto read = ReadTierSettings(path);
   std::variant<Policy, SettingsErrors> policy;
   if (!policy_path.empty()) policy = ReadPolicy(policy_path);
   SettingsErrors errors;
@@ -129,10 +142,8 @@
   }
   if (!errors.empty()) return PrintSettingsErrors(errors);
   if (check) return 0;
-  auto& settings = std::get<TierSettingsFile>(read);
-  settings.tier.policy = std::get<Policy>(policy);
-  settings.tier.machine = LowerOf(settings.tier.machine, ReportedResources());
-  return Serve(path, settings);
+  return Serve(path, std::get<TierSettingsFile>(read),
+               std::get<Policy>(policy));
 }
 
 }  // namespace
--- a/libs/tier/include/tier/settings_file.h
+++ b/libs/tier/include/tier/settings_file.h
@@ -2,6 +2,7 @@
 
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "kernel/settings_reader.h"
 #include "tier/tier_host.h"
@@ -34,4 +35,11 @@
 std::variant<TierSettingsFile, SettingsErrors> ParseTierSettings(
     const std::string& text, const std::string& file);
 
+/// @param in_force the settings with which the host was started.
+/// @param changed those that the file has now.
+/// @return the settings that differ and take effect only at the next start, by
+/// section and key: all but `fleet.seeds`.
+std::vector<std::string> SettingsNotInForce(const TierSettingsFile& in_force,
+                                            const TierSettingsFile& changed);
+
 }  // namespace cherrydyke
--- a/libs/tier/src/settings_file.cc
+++ b/libs/tier/src/settings_file.cc
@@ -105,4 +105,36 @@
   return settings;
 }
 
+std::vector<std::string> SettingsNotInForce(const TierSettingsFile& in_force,
+                                            const TierSettingsFile& changed) {
+  const TierSettings& a = in_force.tier;
+  const TierSettings& b = changed.tier;
+  const std::vector<std::pair<const char*, bool>> differences = {
+      {"host.id", in_force.host_name != changed.host_name},
+      {"host.failure_domain",
+       a.locality.failure_domain != b.locality.failure_domain},
+      {"host.address", a.locality.host != b.locality.host},
+      {"regions", a.locality.regions != b.locality.regions},
+      {"listen.callers", a.caller_endpoint != b.caller_endpoint},
+      {"listen.readiness", a.ready_endpoint != b.ready_endpoint},
+      {"listen.metrics", a.metrics_endpoint != b.metrics_endpoint},
+      {"fleet.port", a.fleet_port != b.fleet_port},
+      {"platform.address", in_force.store_endpoint != changed.store_endpoint},
+      {"limits.retry_ratio", a.bounds.retry_ratio != b.bounds.retry_ratio},
+      {"limits.retry_window_s", a.bounds.retry_window != b.bounds.retry_window},
+      {"limits.retry_slack", a.bounds.retry_slack != b.bounds.retry_slack},
+      {"limits.warmup_overage",
+       a.bounds.warmup_overage != b.bounds.warmup_overage},
+      {"limits.warmup_slack", a.bounds.warmup_slack != b.bounds.warmup_slack},
+      {"shutdown.grace_s", a.shutdown_grace != b.shutdown_grace},
+      {"change_deadlines", a.change_deadline != b.change_deadline},
+      {"machine.memory_mb", a.machine.memory_bytes != b.machine.memory_bytes},
+      {"machine.descriptors", a.machine.descriptors != b.machine.descriptors}};
+  std::vector<std::string> names;
+  for (const auto& [name, differs] : differences) {
+    if (differs) names.emplace_back(name);
+  }
+  return names;
+}
+
 }  // namespace cherrydyke
--- a/libs/tier/tests/settings_file_test.cc
+++ b/libs/tier/tests/settings_file_test.cc
@@ -8,6 +8,7 @@
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_replace.h"
+#include "absl/strings/str_split.h"
 
 namespace cherrydyke {
 namespace {
@@ -50,6 +51,13 @@
   return errors == nullptr ? SettingsErrors() : *errors;
 }
 
+TierSettingsFile SettingsOf(const std::string& text) {
+  const auto read = ParseTierSettings(text, "t.toml");
+  const auto* settings = std::get_if<TierSettingsFile>(&read);
+  CPPUNIT_ASSERT_MESSAGE(text, settings != nullptr);
+  return *settings;
+}
+
 }  // namespace
 
 class SettingsFileTest : public CppUnit::TestFixture {
@@ -60,6 +68,7 @@
   CPPUNIT_TEST(EveryMissingKeyIsAnError);
   CPPUNIT_TEST(ErrorsNameLineKeyAndExpectation);
   CPPUNIT_TEST(MalformedAndMissingFilesAreErrors);
+  CPPUNIT_TEST(NamesEachChangedSettingThatIsNotInForce);
   CPPUNIT_TEST(TemplateGivesTheSameSettings);
   CPPUNIT_TEST_SUITE_END();
 
@@ -166,6 +175,39 @@
     }
   }
 
+  void NamesEachChangedSettingThatIsNotInForce() {
+    const std::string text =
+        absl::StrCat(kSettings,
+                     "[change_deadlines]\nconfig_ms = 4000\n"
+                     "[machine]\nmemory_mb = 260\ndescriptors = 4100\n");
+    const TierSettingsFile in_force = SettingsOf(text);
+    CPPUNIT_ASSERT(SettingsNotInForce(in_force, in_force).empty());
+    std::string section;
+    for (const absl::string_view line : absl::StrSplit(text, '\n')) {
+      if (absl::StartsWith(line, "[")) {
+        section = absl::StrCat(line.substr(1, line.size() - 2));
+      }
+      const std::vector<std::string> parts = absl::StrSplit(line, " = ");
+      if (parts.size() != 2) continue;
+      const std::string& key = parts[0];
+      const std::string& value = parts[1];
+      const std::string changed_value = absl::StartsWith(value, "[") ? "[]"
+                                        : absl::StartsWith(value, "\"")
+                                            ? "\"10.9.9.9:1\""
+                                            : "7";
+      const TierSettingsFile changed = SettingsOf(absl::StrReplaceAll(
+          text, {{line, absl::StrCat(key, " = ", changed_value)}}));
+      CPPUNIT_ASSERT_MESSAGE(std::string(line), !(changed == in_force));
+      std::vector<std::string> expected = {absl::StrCat(section, ".", key)};
+      if (section == "regions" || section == "change_deadlines") {
+        expected = {section};
+      }
+      if (expected.front() == "fleet.seeds") expected.clear();
+      CPPUNIT_ASSERT_MESSAGE(std::string(line),
+                             SettingsNotInForce(in_force, changed) == expected);
+    }
+  }
+
   // Expands the template as the platform does.
   void TemplateGivesTheSameSettings() {
     const auto text =
