--- a/tests/support/process.cc
+++ b/tests/support/process.cc
@@ -38,7 +38,7 @@
                  const std::string& log_file,
                  std::vector<std::string> environment,
                  std::vector<std::string> options) {
-  const std::string path = ProgramFolder() + "/" + program;
+  const std::string path = std::filesystem::path(ProgramFolder()) / program;
   std::array<int, 2> output{};
   if (pipe2(output.data(), O_CLOEXEC) != 0) return;
   posix_spawn_file_actions_t actions;
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -17,7 +17,7 @@
   /// Starts a program of this build and waits for its first output on stdout,
   /// the ready line. After a failed start or a time-out, `ready()` is false.
   /// @param program file name in the build's `bin` folder, or in the folder
-  /// that the environment variable CHERRYDYKE_BIN_DIR names
+  /// that the environment variable CHERRYDYKE_BIN_DIR names; or a whole path
   /// @param config_file settings file, passed with `--config`
   /// @param log_file receives stderr, appended. With the environment variable
   /// CHERRYDYKE_KEEP_LOGS, stdout is appended to this file's name with ".out".
