--- a/libs/tier/tests/source_outage_test.cc
+++ b/libs/tier/tests/source_outage_test.cc
@@ -26,6 +26,7 @@
   CPPUNIT_TEST(PeersReportDoesNotCountBesideReads);
   CPPUNIT_TEST(PeersReportCountsThoughOthersHaveReadSince);
   CPPUNIT_TEST(ReportOfALaterRecoveryDoesNotProlongTheGrace);
+  CPPUNIT_TEST(GraceAfterARestoreEndsBeforeAHostWhosePathIsBackIsInTouch);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -86,6 +87,18 @@
                    At(kLastFailure) + PublishingTimes::kContactTime);
   }
 
+  // The path of this host alone was cut over a restore; targets that have left
+  // since must not be used after the time of contact.
+  void GraceAfterARestoreEndsBeforeAHostWhosePathIsBackIsInTouch() {
+    constexpr double kPathBack = 60;
+    for (int second = 0; second < 60; second += 3) Fail(second, second + 0.7);
+    Fail(kPathBack - 0.01, kPathBack + 0.7);
+    outage_.OnRead(At(-1), At(kPathBack + 3.9));
+    outage_.OnRestored(At(kPathBack + 3.9));
+    CPPUNIT_ASSERT(outage_.grace_end() <=
+                   At(kPathBack) + PublishingTimes::kContactTime);
+  }
+
   void PeersReportCountsIfNobodyReadMeanwhile() {
     Prove(0, 10);
     CPPUNIT_ASSERT(outage_.OnPeerRecovered(At(14)));
--- a/libs/tier/tests/target_set_test.cc
+++ b/libs/tier/tests/target_set_test.cc
@@ -151,6 +151,7 @@
   CPPUNIT_TEST(UnusedBorrowedConnectionIsReturned);
   CPPUNIT_TEST(TargetsLostTogetherAreNotReportedAsFailing);
   CPPUNIT_TEST(TargetThatMovesCountsInItsNewRegion);
+  CPPUNIT_TEST(EntryOfAnEarlierProcessIsNotUsed);
   CPPUNIT_TEST(QueuedRequestIsNotSentToTargetThatMoved);
   CPPUNIT_TEST_SUITE_END();
 
@@ -284,6 +285,23 @@
     CPPUNIT_ASSERT(!host.set().Select(criteria, clock_.Now()));
   }
 
+  // A restored store may still have the entry of the process before (HOME).
+  void EntryOfAnEarlierProcessIsNotUsed() {
+    Host host(clock_, {"a1-1", "a1"});
+    TargetInfo earlier = TargetsIn({"a1"}).front();
+    earlier.start_time_ms = 1000;
+    earlier.sequence = 5;
+    TargetInfo later = earlier;
+    later.start_time_ms = 2000;
+    later.sequence = 1;
+    later.failure_domain = "b1";
+    host.set().SetTargets({earlier}, absl::ZeroDuration());
+    host.set().SetTargets({later}, absl::ZeroDuration());
+    CPPUNIT_ASSERT_EQUAL(RegionName("b"), host.set().RegionOf(later.id));
+    host.set().SetTargets({earlier}, absl::ZeroDuration());
+    CPPUNIT_ASSERT_EQUAL(RegionName("b"), host.set().RegionOf(later.id));
+  }
+
   // Guards against a body that waited for a connection and is written to a
   // target of a region for which it was not chosen (HOME).
   void QueuedRequestIsNotSentToTargetThatMoved() {
