--- a/libs/tier/include/tier/target_set.h
+++ b/libs/tier/include/tier/target_set.h
@@ -80,7 +80,8 @@
   /// Replaces the list of targets.
   /// @param missing_grace how long targets that are no longer listed are kept,
   /// as their entries may have expired during an outage of the configuration
-  /// service.
+  /// service. Entries of earlier processes of known targets are not used as
+  /// long.
   void SetTargets(std::vector<TargetInfo> targets,
                   absl::Duration missing_grace);
   void SetConfig(TargetConfig config);
--- a/libs/tier/src/source_outage.cc
+++ b/libs/tier/src/source_outage.cc
@@ -63,6 +63,9 @@
 }
 
 void SourceOutage::OnRestored(absl::Time now) {
+  const bool was_away =
+      now - last_failed_start_ < PublishingTimes::kContactTime;
+  if (was_away) return EndOutage(now);
   recovered_at_ = std::max(recovered_at_, now);
 }
 
--- a/libs/tier/src/target_set.cc
+++ b/libs/tier/src/target_set.cc
@@ -93,6 +93,12 @@
   std::set<TargetId> listed;
   for (TargetInfo& info : targets) {
     listed.insert(info.id);
+    // A restored service may list the process before for a while.
+    const Target* const known = Find(info.id);
+    const bool is_of_earlier_process =
+        known != nullptr && info.start_time_ms && known->info.start_time_ms &&
+        *info.start_time_ms < *known->info.start_time_ms;
+    if (is_of_earlier_process && missing_grace > absl::ZeroDuration()) continue;
     Update(std::move(info), now);
   }
   for (auto& [id, target] : targets_) {
--- a/libs/tier/tests/target_set_test.cc
+++ b/libs/tier/tests/target_set_test.cc
@@ -298,8 +298,11 @@
     host.set().SetTargets({earlier}, absl::ZeroDuration());
     host.set().SetTargets({later}, absl::ZeroDuration());
     CPPUNIT_ASSERT_EQUAL(RegionName("b"), host.set().RegionOf(later.id));
-    host.set().SetTargets({earlier}, absl::ZeroDuration());
+    host.set().SetTargets({earlier}, absl::Seconds(2));
     CPPUNIT_ASSERT_EQUAL(RegionName("b"), host.set().RegionOf(later.id));
+    // Its clock may have been set back between two starts.
+    host.set().SetTargets({earlier}, absl::ZeroDuration());
+    CPPUNIT_ASSERT_EQUAL(RegionName("a"), host.set().RegionOf(later.id));
   }
 
   // Guards against a body that waited for a connection and is written to a
