--- a/libs/tier/tests/publishing_model_test.cc
+++ b/libs/tier/tests/publishing_model_test.cc
@@ -173,13 +173,13 @@
   for (int i = 0; i < targets; ++i) {
     const std::string number = std::to_string(i);
     message.targets.items.push_back(
-        {"servers/i-" + std::to_string(StableHash(number)),
+        {"targets/i-" + std::to_string(StableHash(number)),
          R"({"service":"service-)" + std::to_string(i % 20) +
              R"(","address":"10.0.)" + std::to_string(i / 250) + "." +
-             std::to_string(i % 250) + R"(:8080","zone":"region-)" +
+             std::to_string(i % 250) + R"(:8080","unit":"region-)" +
              std::to_string(i % 6) +
-             R"(-a","state":"ready","maxConcurrency":8,"seq":)" + number +
-             R"(,"warmupLeftMs":0,"born":17967)" +
+             R"(-a","state":"ready","parallel_slots":8,"seq":)" + number +
+             R"(,"cold_time_ms":0,"born":17967)" +
              std::to_string(StableHash(number) % 100'000'000) + "}",
          i + 1, false});
   }
