--- a/review/6/case.cc
+++ b/review/6/case.cc
@@ -102,7 +102,9 @@
   bool StartAll() {
     const std::string network = OwnNetwork();
     const std::vector<std::string> zones = {"medellin-a", "bogota-a", "cali-a"};
-    store_ = std::make_unique<Store>(network + "1.1", 8229);
+    Store::Options store;
+    store.ip = network + "1.1";
+    store_ = std::make_unique<Store>(store);
     if (!store_->is_listening()) return false;
     store_->Put("op/config", Config());
     for (int shard = 0; shard < kShards; ++shard) {
--- a/review/fleet-2/fleet.cc
+++ b/review/fleet-2/fleet.cc
@@ -238,8 +238,8 @@
   for (const auto& socket : open_) socket->Shutdown();
 }
 
-Store::Store(const std::string& ip, int port) {
-  server_ = std::make_unique<Server>(ip, port,
+Store::Store(Options options) : options_(std::move(options)) {
+  server_ = std::make_unique<Server>(options_.ip, options_.port,
                                      [this](Socket& socket) { Serve(socket); });
 }
 
@@ -253,15 +253,15 @@
 }
 
 int64_t Store::Put(const std::string& key, const std::string& value) {
-  const std::lock_guard<std::mutex> lock(mutex_);
-  items_[key] = {value, ++revision_, false};
-  changed_.notify_all();
-  return revision_;
+  return Write(key, value, false);
 }
 
-int64_t Store::Remove(const std::string& key) {
+int64_t Store::Remove(const std::string& key) { return Write(key, "", true); }
+
+int64_t Store::Write(const std::string& key, const std::string& value,
+                     bool removed) {
   const std::lock_guard<std::mutex> lock(mutex_);
-  items_[key] = {"", ++revision_, true};
+  items_[key].push_back({value, ++revision_, removed, Clock::now()});
   changed_.notify_all();
   return revision_;
 }
@@ -273,35 +273,50 @@
     const std::string prefix = QueryValue(target, "prefix");
     std::string body;
     if (StartsWith(target, "/v1/kv-range")) {
-      body = Range(prefix, QueryValue(target, "after"));
+      const bool is_stale = QueryValue(target, "serializable") == "1";
+      body = Range(prefix, QueryValue(target, "after"),
+                   Clock::now() - (is_stale ? options_.stale_by : Ms(0)));
     } else if (StartsWith(target, "/v1/kv-watch")) {
       body = Watch(prefix, NumberAfter(target, "after=", 0),
                    Ms(NumberAfter(target, "waitMs=", 1000)));
     }
+    std::this_thread::sleep_for(options_.answer);
     if (!socket.Write(JsonResponse(body.empty() ? 404 : 200, body))) return;
   }
 }
 
-std::string Store::Range(const std::string& prefix, const std::string& after) {
+std::string Store::Range(const std::string& prefix, const std::string& after,
+                         Clock::time_point until) {
   const std::lock_guard<std::mutex> lock(mutex_);
   std::string list;
-  for (const auto& [key, item] : items_) {
-    if (item.removed || !StartsWith(key, prefix) || key <= after) continue;
+  int64_t as_of = 100;
+  for (const auto& [key, versions] : items_) {
+    const Item* item = nullptr;
+    for (const Item& version : versions) {
+      if (version.written_at > until) break;
+      item = &version;
+      as_of = std::max(as_of, version.revision);
+    }
+    if (item == nullptr || item->removed || !StartsWith(key, prefix) ||
+        key <= after) {
+      continue;
+    }
     list += (list.empty() ? "" : ",") + std::string("{\"key\":\"") + key +
-            "\",\"value\":\"" + Base64(item.value) +
-            "\",\"revision\":" + std::to_string(item.revision) +
-            ",\"createRevision\":" + std::to_string(item.revision) +
+            "\",\"value\":\"" + Base64(item->value) +
+            "\",\"revision\":" + std::to_string(item->revision) +
+            ",\"createRevision\":" + std::to_string(versions[0].revision) +
             ",\"lease\":0}";
   }
   return "{\"items\":[" + list +
-         "],\"truncated\":false,\"asOf\":" + std::to_string(revision_) + "}";
+         "],\"truncated\":false,\"asOf\":" + std::to_string(as_of) + "}";
 }
 
 std::string Store::Watch(const std::string& prefix, int64_t after, Ms wait) {
   std::unique_lock<std::mutex> lock(mutex_);
   changed_.wait_for(lock, wait, [&] { return stopping_ || revision_ > after; });
   std::string list;
-  for (const auto& [key, item] : items_) {
+  for (const auto& [key, versions] : items_) {
+    const Item& item = versions.back();
     if (item.revision <= after || !StartsWith(key, prefix)) continue;
     list += (list.empty() ? "" : ",") + std::string("{\"key\":\"") + key +
             "\",\"revision\":" + std::to_string(item.revision);
--- a/review/fleet-2/fleet.h
+++ b/review/fleet-2/fleet.h
@@ -103,7 +103,16 @@
 /// The platform's store (PROTOCOL.md): reading calls only.
 class Store {
  public:
-  Store(const std::string& ip, int port);
+  struct Options {
+    std::string ip;
+    int port = 8229;
+    /// Until an answer is sent: the store's own time and the way.
+    Ms answer{0};
+    /// Age of what reads with `serializable` return.
+    Ms stale_by{0};
+  };
+
+  explicit Store(Options options);
   ~Store();
   bool is_listening() const { return server_->is_listening(); }
   int64_t Put(const std::string& key, const std::string& value);
@@ -114,15 +123,20 @@
     std::string value;
     int64_t revision = 0;
     bool removed = false;
+    Clock::time_point written_at;
   };
 
+  int64_t Write(const std::string& key, const std::string& value, bool removed);
   void Serve(Socket& socket);
-  std::string Range(const std::string& prefix, const std::string& after);
+  std::string Range(const std::string& prefix, const std::string& after,
+                    Clock::time_point until);
   std::string Watch(const std::string& prefix, int64_t after, Ms wait);
 
+  const Options options_;
   std::mutex mutex_;
   std::condition_variable changed_;
-  std::map<std::string, Item> items_;
+  /// By key, oldest first.
+  std::map<std::string, std::vector<Item>> items_;
   int64_t revision_ = 100;
   bool stopping_ = false;
   std::unique_ptr<Server> server_;
