--- a/review/6/case.cc
+++ b/review/6/case.cc
@@ -68,7 +68,10 @@
       : record_(record), folder_(std::move(folder)) {}
 
   int Run() {
-    if (!StartAll()) return 2;
+    if (!StartAll()) {
+      record_.Line("not started: an address is taken or a host is not ready");
+      return 2;
+    }
     std::vector<std::thread> consumers;
     for (int consumer = 0; consumer < kConsumers; ++consumer) {
       consumers.emplace_back([this, consumer] { Consume(consumer); });
--- a/review/fleet-2/fleet.cc
+++ b/review/fleet-2/fleet.cc
@@ -466,7 +466,18 @@
 }
 
 std::string OwnNetwork() {
-  return "127." + std::to_string(60 + getpid() % 180) + ".";
+  constexpr int kNetworks = 180;
+  for (int attempt = 0; attempt < kNetworks; ++attempt) {
+    const std::string network =
+        "127." + std::to_string(60 + (getpid() + attempt) % kNetworks) + ".";
+    Socket store;
+    Socket host;
+    if (store.Listen(network + "1.1", 8229) &&
+        host.Listen(network + "0.1", Tier::kFrontPort)) {
+      return network;
+    }
+  }
+  return "127.60.";
 }
 
 bool HasTrouble() {
--- a/review/fleet-2/fleet.h
+++ b/review/fleet-2/fleet.h
@@ -219,8 +219,7 @@
   pid_t process_ = -1;
 };
 
-/// @return a network of loopback addresses, "127.N.", that depends on the
-/// process.
+/// @return a network of loopback addresses, "127.N.", whose ports are free.
 std::string OwnNetwork();
 /// @return whether the disruption is to be played: TROUBLE is not 0.
 bool HasTrouble();
