Log and count attempts that are sent after their request has ended

Nothing in the logs told an attempt that was written after its caller had the response from one written before, nor when it had been chosen: a send beside the outcome, a cancel that missed a queue, or another holder of the exchange would have looked the same.

The line names request and target, the time since the attempt was chosen and since the request ended, and the size of the body that was received and of the one that is sent; cherrydyke_sent_after_end_total counts them.

--- a/libs/tier/include/tier/request_handler.h
+++ b/libs/tier/include/tier/request_handler.h
@@ -154,6 +154,9 @@
                      absl::FunctionRef<RunActions(RequestRun&)> step);
   void Perform(const RequestPtr& request, const RunActions& actions);
   void SendAttempt(const RequestPtr& request, const AttemptSend& send);
+  /// Nothing of a request may be sent once its caller has the response.
+  void ReportSentAfterEnd(const Request& request, const TargetId& target,
+                          absl::Time selected_at);
   void OnResult(const RequestPtr& request, size_t attempt,
                 engine::ExchangeResult result);
   TargetResponse Interpret(engine::ExchangeResult result) const;
--- a/libs/tier/src/request_handler.cc
+++ b/libs/tier/src/request_handler.cc
@@ -86,6 +86,9 @@
   std::vector<Attempt> attempts;
   /// Attempts whose targets crashed while they ran.
   std::vector<size_t> crashed_attempts;
+  absl::Time ended_at = absl::InfiniteFuture();
+  /// Size of the body.
+  size_t request_bytes = 0;
   engine::TimerId timer = 0;
   absl::Time timer_due_at = absl::InfiniteFuture();
 };
@@ -194,6 +197,7 @@
   request->route = route;
   request->caller_request = *parsed;
   request->fingerprint = fingerprint;
+  request->request_bytes = request->exchange->request().body.size();
   request->is_handed_over = origin.has_value();
   request->target_head =
       protocol_.TargetRequestHead(request->exchange->request());
@@ -413,6 +417,7 @@
         !request->run->plan().regions.Allows(region)) {
       return std::nullopt;
     }
+    if (request->run->done()) ReportSentAfterEnd(*request, target, sent_at);
     change_log_.OnSent(request->caller_request.request_id, instance, sent_at,
                        loop_.Now());
     return protocol_.TargetRequest(request->target_head,
@@ -434,6 +439,27 @@
   }
 }
 
+void RequestHandler::ReportSentAfterEnd(const Request& request,
+                                        const TargetId& target,
+                                        absl::Time selected_at) {
+  metrics_.counter("cherrydyke_sent_after_end_total").Add();
+  if (!log_rate_limiter_.TryAcquire("sent after end", policy_.log_lines,
+                                    loop_.Now())) {
+    return;
+  }
+  const absl::Time now = loop_.Now();
+  // Zero for one that is sent before the response, in the step that ends the
+  // request.
+  const absl::Time ended_at = std::min(request.ended_at, now);
+  LogWarning("attempt sent after its request had ended",
+             {{"request", request.caller_request.request_id},
+              {"target", target},
+              {"selected_ms", absl::ToDoubleMilliseconds(now - selected_at)},
+              {"ended_ms", absl::ToDoubleMilliseconds(now - ended_at)},
+              {"request_bytes", request.request_bytes},
+              {"sent_bytes", request.exchange->request().body.size()}});
+}
+
 TargetResponse RequestHandler::Interpret(engine::ExchangeResult result) const {
   if (result.status == engine::ExchangeStatus::kComplete) {
     return protocol_.ParseTargetResponse(std::move(result.response));
@@ -607,6 +633,7 @@
 void RequestHandler::FinishRequest(const RequestPtr& request) {
   loop_.Cancel(request->timer);
   running_.erase(request);
+  request->ended_at = loop_.Now();
   bool counted = false;
   for (const size_t index : std::exchange(request->crashed_attempts, {})) {
     if (request->run->answered(index)) continue;
