Send nothing of a request in the step that ends it

What callers saw: nothing, or a wrong answer from a searcher that acts on bodies. Searchers ran requests with the body of the next request on the same caller's connection (UNASKED); where one of the two had no body, one caller's bytes stood in front of another caller's request, or a connection to a target hung until its requests timed out.

Cause: RequestRun::OnTimer sent hedges for overdue parts and then found that the answer was due, so that RunActions held sends beside an outcome. Its owner cancelled these attempts, sent them all the same and answered. Nobody cancelled them any more; one that had to wait for a connection was written later, with the head of the old request and the body of whatever the caller's connection carried by then. OnEnded did the same with a retry, when a part failed at a time at which the answer was due. Any stall of the process past the time to answer is enough.

Now the end is checked before hedges and retries are chosen, and it is an invariant that a run which ends sends nothing. So nothing is taken for them either: before, each drew on the fleet's budget of repeats, used a place of a cold or rate-limited target, and its end was counted twice against the target's requests in flight. That a target is overdue is still reported.

The fake target gets whole requests now, by their Content-Length, and shows bytes that belong to none.

--- a/libs/dispatch/include/dispatch/request_run.h
+++ b/libs/dispatch/include/dispatch/request_run.h
@@ -75,6 +75,7 @@
 
 /// Actions that the owner of a run has to take after an event.
 struct RunActions {
+  /// Empty beside an outcome: nothing is sent of a request that has ended.
   std::vector<AttemptSend> send;
   /// Attempts that have become overdue.
   std::vector<size_t> overdue;
@@ -172,6 +173,8 @@
   void MarkFailed(Part& part);
   RetryPriority PriorityOf(size_t part) const;
   bool MayHedge(const Part& part) const;
+  /// @return whether the request is answered without the parts that it lacks.
+  bool IsAnswerDue(absl::Time now) const;
   void CheckCompletion(absl::Time now, RunActions& actions);
   void Finish(RequestOutcome outcome, RunActions& actions);
   RequestOutcome FailureOutcome() const;
--- a/libs/dispatch/src/request_run.cc
+++ b/libs/dispatch/src/request_run.cc
@@ -172,8 +172,8 @@
       plan_.idempotent ? part.executions < plan_.max_attempts : did_not_run;
   const std::optional<RetryPriority> priority =
       part.arrivals == 0 ? std::nullopt : std::make_optional(PriorityOf(index));
-  if (may_run_again && now < plan_.deadline && part.running == 0 &&
-      Send(index, priority, now, actions)) {
+  if (may_run_again && now < plan_.deadline && !IsAnswerDue(now) &&
+      part.running == 0 && Send(index, priority, now, actions)) {
     return;
   }
   if (part.running == 0) MarkFailed(part);
@@ -196,6 +196,7 @@
            actions);
     return actions;
   }
+  std::vector<size_t> overdue_parts;
   for (size_t index = 0; index < parts_.size(); ++index) {
     Part& part = parts_[index];
     if (now < part.overdue_at) continue;
@@ -205,18 +206,27 @@
         actions.overdue.push_back(attempt);
       }
     }
-    if (MayHedge(part)) Send(index, PriorityOf(index), now, actions);
+    overdue_parts.push_back(index);
   }
+  // A late timer may find hedges and the answer due at once.
   CheckCompletion(now, actions);
+  if (done_) return actions;
+  for (const size_t index : overdue_parts) {
+    if (!MayHedge(parts_[index])) continue;
+    Send(index, PriorityOf(index), now, actions);
+  }
   return actions;
 }
 
+bool RequestRun::IsAnswerDue(absl::Time now) const {
+  return CanAnswer() && now >= plan_.answer_at;
+}
+
 void RequestRun::CheckCompletion(absl::Time now, RunActions& actions) {
   if (done_) return;
   const bool all_parts_ended =
       succeeded_parts_ + failed_parts_ == parts_.size();
-  const bool enough = CanAnswer();
-  if (enough && (all_parts_ended || now >= plan_.answer_at)) {
+  if (IsAnswerDue(now) || (CanAnswer() && all_parts_ended)) {
     return Finish(RequestOutcome::kAnswer, actions);
   }
   if (parts_.size() - failed_parts_ < plan_.min_parts) {
@@ -233,6 +243,8 @@
 }
 
 void RequestRun::Finish(RequestOutcome outcome, RunActions& actions) {
+  CHERRYDYKE_INVARIANT(actions.send.empty(),
+                       "a request is sent in the step that ends it");
   done_ = true;
   if (outcome == RequestOutcome::kRelayFailure) {
     relayed_ = *parts_.front().failure;
--- a/libs/dispatch/tests/request_run_test.cc
+++ b/libs/dispatch/tests/request_run_test.cc
@@ -74,6 +74,9 @@
   CPPUNIT_TEST(FailsImmediatelyWhenTooManyPartsHaveFailed);
   CPPUNIT_TEST(HedgesAnOverduePartAndCancelsTheLoser);
   CPPUNIT_TEST(HedgesWhileTheNextBestTargetCanAnswerInTime);
+  CPPUNIT_TEST(HedgeThatIsDueWithTheAnswerIsNotSent);
+  CPPUNIT_TEST(RetryThatIsDueWithTheAnswerIsNotSent);
+  CPPUNIT_TEST(NothingOfARefusedRequestIsSent);
   CPPUNIT_TEST(RejectedAttemptsDoNotCountAsRuns);
   CPPUNIT_TEST(AttemptThatWasNotSentIsReplacedWithoutBudget);
   CPPUNIT_TEST(NonIdempotentRequestIsNotRetriedAfterALostAnswer);
@@ -166,6 +169,54 @@
     CPPUNIT_ASSERT(run.NextTimer() == kStart + absl::Milliseconds(15));
   }
 
+  // Guards against hedges of a late timer that are sent beside the answer and
+  // written with the next request's body (UNASKED).
+  void HedgeThatIsDueWithTheAnswerIsNotSent() {
+    RequestRun run(Fanout(3, 2), target_selector_);
+    run.Start(kStart);
+    run.OnEnded(0, AttemptResult::kSuccess, kStart);
+    run.OnEnded(1, AttemptResult::kSuccess, kStart);
+    const RunActions late = run.OnTimer(kStart + absl::Milliseconds(100));
+    CPPUNIT_ASSERT(late.outcome == RequestOutcome::kAnswer);
+    CPPUNIT_ASSERT(late.send.empty());
+    // What the target's slowness tells holds all the same.
+    CPPUNIT_ASSERT(late.overdue == std::vector<size_t>{2});
+    CPPUNIT_ASSERT(late.cancel == std::vector<size_t>{2});
+    CPPUNIT_ASSERT(target_selector_.priorities_.empty());
+    CPPUNIT_ASSERT_EQUAL(size_t{3}, run.sends());
+  }
+
+  // As above, with retries of a part that fails when the answer is due.
+  void RetryThatIsDueWithTheAnswerIsNotSent() {
+    for (const AttemptResult end :
+         {AttemptResult::kNotSent, AttemptResult::kNotRun,
+          AttemptResult::kWrongTarget, AttemptResult::kFailure,
+          AttemptResult::kMisleadingFailure, AttemptResult::kUnknown}) {
+      RequestRun run(Fanout(3, 2), target_selector_);
+      run.Start(kStart);
+      run.OnEnded(0, AttemptResult::kSuccess, kStart);
+      run.OnEnded(1, AttemptResult::kSuccess, kStart);
+      const RunActions late =
+          run.OnEnded(2, end, kStart + absl::Milliseconds(100));
+      CPPUNIT_ASSERT(late.outcome == RequestOutcome::kAnswer);
+      CPPUNIT_ASSERT(late.send.empty());
+      CPPUNIT_ASSERT(late.cancel.empty());
+      CPPUNIT_ASSERT_EQUAL(size_t{3}, run.sends());
+    }
+    CPPUNIT_ASSERT(target_selector_.priorities_.empty());
+  }
+
+  // As above, with parts that were chosen before another had no target.
+  void NothingOfARefusedRequestIsSent() {
+    target_selector_.unavailable_services_ = {"s2"};
+    RequestRun run(Fanout(3, 3), target_selector_);
+    const RunActions actions = run.Start(kStart);
+    CPPUNIT_ASSERT(actions.outcome == RequestOutcome::kNotRun);
+    CPPUNIT_ASSERT(actions.send.empty());
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, actions.cancel.size());
+    CPPUNIT_ASSERT(!run.OnTimer(kStart + absl::Milliseconds(100)).outcome);
+  }
+
   void RejectedAttemptsDoNotCountAsRuns() {
     RequestRun run(Fanout(1, 1), target_selector_);
     run.Start(kStart);
@@ -365,6 +416,7 @@
           RC_ASSERT(!outcome.has_value());
           outcome = actions.outcome;
           RC_ASSERT(running.empty());
+          RC_ASSERT(actions.send.empty());
         }
       };
       apply(run.Start(now));
--- a/tests/support/raw_peers.cc
+++ b/tests/support/raw_peers.cc
@@ -104,8 +104,10 @@
 }
 
 struct RawServer::State {
-  State(engine::EventLoop& loop, OnRequest handler, const Endpoint& listen_at)
+  State(engine::EventLoop& loop, OnRequest handler, const Endpoint& listen_at,
+        Framing bytes_framing)
       : on_request(std::move(handler)),
+        framing(bytes_framing),
         acceptor(loop.context(), ParseAddress(listen_at)) {
     const tcp::endpoint address = acceptor.local_endpoint();
     endpoint =
@@ -125,18 +127,29 @@
             return Accept(state);
           }
           connection->Read([state](Connection& from) {
-            const std::string new_bytes =
-                from.received().substr(from.handled_bytes);
-            if (state->is_silent) return;
-            if (new_bytes.find("\r\n\r\n") == std::string::npos) return;
-            from.handled_bytes = from.received().size();
-            state->on_request(from, new_bytes);
+            if (!state->is_silent) OnBytes(*state, from);
           });
           Accept(state);
         });
   }
 
+  static void OnBytes(State& state, Connection& from) {
+    const std::string new_bytes = from.received().substr(from.handled_bytes);
+    if (state.framing == Framing::kHead) {
+      if (new_bytes.find("\r\n\r\n") == std::string::npos) return;
+      from.handled_bytes = from.received().size();
+      return state.on_request(from, new_bytes);
+    }
+    size_t begin = 0;
+    while (const auto size = SizeOfFirstMessage(new_bytes.substr(begin))) {
+      from.handled_bytes += *size;
+      state.on_request(from, new_bytes.substr(begin, *size));
+      begin += *size;
+    }
+  }
+
   OnRequest on_request;
+  const Framing framing;
   tcp::acceptor acceptor;
   Endpoint endpoint;
   int accepted = 0;
@@ -147,8 +160,9 @@
 };
 
 RawServer::RawServer(engine::EventLoop& loop, OnRequest on_request,
-                     const Endpoint& endpoint)
-    : state_(std::make_shared<State>(loop, std::move(on_request), endpoint)) {
+                     const Endpoint& endpoint, Framing framing)
+    : state_(std::make_shared<State>(loop, std::move(on_request), endpoint,
+                                     framing)) {
   State::Accept(state_);
 }
 
@@ -202,6 +216,18 @@
   return response.substr(response.find("\r\n\r\n") + 4);
 }
 
+std::optional<size_t> SizeOfFirstMessage(const std::string& bytes) {
+  const size_t header_end = bytes.find("\r\n\r\n");
+  if (header_end == std::string::npos) return std::nullopt;
+  const std::string header = bytes.substr(0, header_end + 2);
+  size_t length = 0;
+  if (!absl::SimpleAtoi(HeaderOf(header, "Content-Length"), &length)) {
+    length = 0;
+  }
+  const size_t size = header_end + 4 + length;
+  return bytes.size() < size ? std::nullopt : std::make_optional(size);
+}
+
 bool IsComplete(const std::string& response) {
   const size_t header_end = response.find("\r\n\r\n");
   size_t length = 0;
--- a/tests/support/raw_peers.h
+++ b/tests/support/raw_peers.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "base/ids.h"
@@ -42,14 +43,23 @@
 /// A TCP server whose responses are written by the test.
 class RawServer {
  public:
-  /// Called when the bytes received since the previous call on this connection
-  /// contain the end of a request header; gets these bytes.
+  /// When the test is called.
+  enum class Framing {
+    /// When the bytes received since the previous call on the connection
+    /// contain the end of a request header; gets these bytes.
+    kHead,
+    /// Once for each request, with its header and as many bytes as its
+    /// `Content-Length` says. Bytes that belong to no request stand in front of
+    /// the next one.
+    kWholeRequest,
+  };
   using OnRequest =
       std::function<void(RawConnection& connection, const std::string& bytes)>;
 
   /// @param endpoint address to listen on; port 0 is a free one.
   RawServer(engine::EventLoop& loop, OnRequest on_request,
-            const Endpoint& endpoint = "127.0.0.1:0");
+            const Endpoint& endpoint = "127.0.0.1:0",
+            Framing framing = Framing::kHead);
   ~RawServer();
 
   /// @return the listening address as `IP:PORT`.
@@ -78,6 +88,10 @@
 
 std::string BodyOf(const std::string& response);
 
+/// @return the size in bytes of the first message, with as much of a body as
+/// its `Content-Length` says; nothing while it is not complete.
+std::optional<size_t> SizeOfFirstMessage(const std::string& bytes);
+
 /// @return whether a response with `Content-Length` has arrived completely.
 bool IsComplete(const std::string& response);
 
