Give each request an exchange of its own

A ServerExchange was the caller's connection: request(), the time of receipt and the connection's properties were those of whatever request was read last, and Respond and OnDisconnect acted on it. Whoever kept an exchange beyond its response read, answered or watched somebody else's request.

Now an exchange belongs to one request and keeps it; its calls have no effect once the request has its response or its caller has left. The handler lets go of it when a request ends, as attempts that were cancelled keep the request for their grace, and withdraws an attempt that is to be written after the end, with a line and cherrydyke_withdrawn_after_end_total, in place of the line that reported it as sent.

Looked at on related paths, by reading: handovers (cancelled before their end in all four ways), waiting requests (removed with their caller), handed-over requests at the peer (their own copy of the request, but the age and the round trip of the outer connection, which could become those of a later handover), store, gossip and metrics (answer at once).

--- a/libs/engine/include/engine/http_server.h
+++ b/libs/engine/include/engine/http_server.h
@@ -57,6 +57,10 @@
 
 /// A received request and the means to respond to it. The handler keeps it
 /// until it responds.
+///
+/// It is that of one request: while it is held, its request, time and
+/// connection's properties stay what they were when the request was received,
+/// and its calls never concern a later request on the same connection.
 class ServerExchange {
  public:
   virtual ~ServerExchange() = default;
@@ -67,7 +71,7 @@
   /// Sends the response. Further calls have no effect.
   virtual void Respond(HttpResponse response) = 0;
   /// Sets a callback that is called once if the caller closes the connection
-  /// before the response.
+  /// before the response. Has no effect after it.
   virtual void OnDisconnect(std::function<void()> callback) = 0;
 };
 
--- a/libs/engine/src/server_connection.cc
+++ b/libs/engine/src/server_connection.cc
@@ -97,6 +97,40 @@
 
 }  // namespace
 
+/// One request of a connection, which may carry others by the time at which
+/// the handler looks at it again.
+class ServerConnection::Exchange : public ServerExchange {
+ public:
+  /// @param number of the request on its connection.
+  Exchange(std::shared_ptr<ServerConnection> connection, uint64_t number,
+           HttpRequest request)
+      : connection_(std::move(connection)),
+        number_(number),
+        request_(std::move(request)),
+        received_at_(connection_->state_->loop.Now()),
+        connection_info_(connection_->connection_info_) {}
+
+  uint64_t number() const { return number_; }
+  const HttpRequest& request() const override { return request_; }
+  absl::Time received_at() const override { return received_at_; }
+  CallerConnectionInfo connection_info() const override {
+    return connection_info_;
+  }
+  void Respond(HttpResponse response) override {
+    connection_->Respond(*this, response);
+  }
+  void OnDisconnect(std::function<void()> callback) override {
+    connection_->OnDisconnect(*this, std::move(callback));
+  }
+
+ private:
+  const std::shared_ptr<ServerConnection> connection_;
+  const uint64_t number_;
+  const HttpRequest request_;
+  const absl::Time received_at_;
+  const CallerConnectionInfo connection_info_;
+};
+
 ServerConnection::ServerConnection(std::shared_ptr<HttpServer::State> state,
                                    asio::ip::tcp::socket socket)
     : state_(std::move(state)),
@@ -142,11 +176,11 @@
       break;
     case Phase::kRunning:
       held.stage = Stage::kRunning;
-      held.bytes += kRequestCopies * (header_bytes_ + request_.body.capacity());
+      held.bytes += kRequestCopies * request_bytes_;
       break;
     case Phase::kWriting:
       held.stage = Stage::kSending;
-      held.bytes += header_bytes_ + request_.body.capacity() + response_bytes_;
+      held.bytes += request_bytes_ + response_bytes_;
       break;
   }
   return held;
@@ -248,7 +282,7 @@
     return false;
   }
   // Before trailers are parsed, which the parser adds to the fields.
-  request_.headers = CopyHeaders(fields);
+  headers_ = CopyHeaders(fields);
   deadline_ = state_->loop.Now() + limits_.header_timeout;
   return true;
 }
@@ -320,28 +354,42 @@
 void ServerConnection::Dispatch() {
   auto& message = parser_->get();
   keep_alive_ = message.keep_alive();
-  request_.method = message.method_string().to_string();
-  request_.target = message.target().to_string();
-  request_.body = std::move(message.body());
-  request_.peer = peer_;
+  HttpRequest request;
+  request.method = message.method_string().to_string();
+  request.target = message.target().to_string();
+  request.headers = std::move(headers_);
+  request.body = std::move(message.body());
+  request.peer = peer_;
   parser_.reset();
-  UseOriginForm(request_);
-  received_at_ = state_->loop.Now();
+  UseOriginForm(request);
+  request_bytes_ = header_bytes_ + request.body.capacity();
   SetPhase(Phase::kRunning);
   ReportHeld();
   responded_ = false;
   ++state_->requests_in_flight;
-  state_->handler(shared_from_this());
+  state_->handler(std::make_shared<Exchange>(
+      shared_from_this(), ++request_number_, std::move(request)));
+}
+
+bool ServerConnection::IsRunning(uint64_t request_number) const {
+  return request_number == request_number_ && phase_ == Phase::kRunning &&
+         !responded_;
+}
+
+void ServerConnection::OnDisconnect(const Exchange& exchange,
+                                    std::function<void()> callback) {
+  if (IsRunning(exchange.number())) on_disconnect_ = std::move(callback);
 }
 
-void ServerConnection::Respond(HttpResponse response) {
-  if (phase_ != Phase::kRunning || responded_) return;
+void ServerConnection::Respond(const Exchange& exchange,
+                               const HttpResponse& response) {
+  if (!IsRunning(exchange.number())) return;
   responded_ = true;
   on_disconnect_ = nullptr;
   --state_->requests_in_flight;
   const bool keep =
       keep_alive_ && !state_->close_after_response && !peer_closed_;
-  const bool is_head = request_.method == "HEAD";
+  const bool is_head = exchange.request().method == "HEAD";
   Write(std::make_shared<std::string>(Serialize(response, is_head, keep)),
         keep);
 }
@@ -400,8 +448,8 @@
   }
   SetPhase(Phase::kIdle);
   connection_info_.is_new_connection = false;
-  request_ = {};
   header_bytes_ = 0;
+  request_bytes_ = 0;
   response_bytes_ = 0;
   if (input_.size() == 0) input_.shrink_to_fit();
   deadline_ = state_->loop.Now() + state_->limits().idle_timeout;
--- a/libs/engine/src/server_connection.h
+++ b/libs/engine/src/server_connection.h
@@ -4,6 +4,8 @@
 #include <list>
 #include <memory>
 #include <optional>
+#include <string>
+#include <vector>
 
 #include "boost/asio/ip/tcp.hpp"
 #include "boost/beast/core/flat_buffer.hpp"
@@ -37,8 +39,7 @@
 /// One caller's connection. A read is pending while a request is handled, to
 /// detect that the caller disconnects; pipelined bytes are kept in a bounded
 /// buffer.
-class ServerConnection : public ServerExchange,
-                         public ServerGroup::Member,
+class ServerConnection : public ServerGroup::Member,
                          public std::enable_shared_from_this<ServerConnection> {
  public:
   ServerConnection(std::shared_ptr<HttpServer::State> state,
@@ -58,17 +59,9 @@
   /// Ends the account of what the connection holds.
   void LeaveGroup();
 
-  const HttpRequest& request() const override { return request_; }
-  absl::Time received_at() const override { return received_at_; }
-  CallerConnectionInfo connection_info() const override {
-    return connection_info_;
-  }
-  void Respond(HttpResponse response) override;
-  void OnDisconnect(std::function<void()> callback) override {
-    on_disconnect_ = std::move(callback);
-  }
-
  private:
+  class Exchange;
+
   /// Buffer size of one read, in bytes; a usual request fits.
   static constexpr size_t kReadBytes = 4096;
 
@@ -99,6 +92,11 @@
   bool IsValidRequest() const;
   void SendContinue();
   void Dispatch();
+  /// @return whether the request is the one that is being handled. Others have
+  /// their response, or their caller has left.
+  bool IsRunning(uint64_t request_number) const;
+  void Respond(const Exchange& exchange, const HttpResponse& response);
+  void OnDisconnect(const Exchange& exchange, std::function<void()> callback);
   void Write(const std::shared_ptr<std::string>& bytes, bool keep);
   void OnWritten(bool keep);
   void OnPeerClosed();
@@ -123,8 +121,12 @@
   /// Of the request being read.
   std::optional<Parser> parser_;
   FramingBudget framing_;
+  /// Of the request being read, without trailers.
+  std::vector<HttpHeader> headers_;
   /// Memory of the current request's header, at most.
   size_t header_bytes_ = 0;
+  /// As above with its body, once it is read.
+  size_t request_bytes_ = 0;
   /// Of the response that is being written.
   size_t response_bytes_ = 0;
   Phase phase_ = Phase::kIdle;
@@ -143,10 +145,10 @@
   bool responded_ = false;
   ServerLimits limits_;
   absl::Time deadline_;
-  absl::Time received_at_;
   std::string peer_;
   CallerConnectionInfo connection_info_;
-  HttpRequest request_;
+  /// Of the last request that was read completely, counted from 1.
+  uint64_t request_number_ = 0;
   std::function<void()> on_disconnect_;
 };
 
--- a/libs/engine/tests/http_server_test.cc
+++ b/libs/engine/tests/http_server_test.cc
@@ -68,6 +68,9 @@
   CPPUNIT_TEST(RequestThatWasJustReadSurvivesClosingIdleConnections);
   CPPUNIT_TEST(UnreadRequestSurvivesTheIdleTimeout);
   CPPUNIT_TEST(HandlesPipelinedFloodOneRequestAtATime);
+  CPPUNIT_TEST(ExchangeKeepsItsRequestBesideTheNextOne);
+  CPPUNIT_TEST(ExchangeDoesNotRespondToTheNextRequest);
+  CPPUNIT_TEST(ExchangeIsNotToldOfTheNextCallerLeaving);
   CPPUNIT_TEST(SurvivesRandomBytes);
   CPPUNIT_TEST(WritesNoStatusThatTheProtocolLacks);
   CPPUNIT_TEST(GroupRefusesTheRequestThatHoldsMost);
@@ -567,6 +570,48 @@
     }
   }
 
+  // Guards against a holder of an answered request who takes the next one on
+  // the connection for it (UNASKED).
+  void ExchangeKeepsItsRequestBesideTheNextOne() {
+    const auto caller = ReceiveTwo();
+    const ServerExchange& first = *exchanges_[0];
+    CPPUNIT_ASSERT_EQUAL(std::string("/first"), first.request().target);
+    CPPUNIT_ASSERT_EQUAL(std::string("one"), first.request().body);
+    CPPUNIT_ASSERT(first.received_at() < exchanges_[1]->received_at());
+    CPPUNIT_ASSERT(first.connection_info().is_new_connection);
+    CPPUNIT_ASSERT_EQUAL(std::string("/second"),
+                         exchanges_[1]->request().target);
+    CPPUNIT_ASSERT_EQUAL(std::string("two"), exchanges_[1]->request().body);
+    CPPUNIT_ASSERT(!exchanges_[1]->connection_info().is_new_connection);
+  }
+
+  // Guards against a late second response that reaches the next request's
+  // caller as its own (MIXED).
+  void ExchangeDoesNotRespondToTheNextRequest() {
+    const auto caller = ReceiveTwo();
+    Respond(0, "late");
+    RunFor(loop_, absl::Milliseconds(20));
+    CPPUNIT_ASSERT(!Contains(caller->received(), "late"));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, server_->requests_in_flight());
+    Respond(1, "second response");
+    CPPUNIT_ASSERT(WaitForResponse(*caller, "second response"));
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, server_->requests_in_flight());
+  }
+
+  // Guards against a late callback that replaces that of the next request,
+  // which then goes on for a caller who has left (GONE).
+  void ExchangeIsNotToldOfTheNextCallerLeaving() {
+    const auto caller = ReceiveTwo();
+    int first = 0;
+    int second = 0;
+    exchanges_[1]->OnDisconnect([&] { ++second; });
+    exchanges_[0]->OnDisconnect([&] { ++first; });
+    caller->Close();
+    CPPUNIT_ASSERT(RunUntil(loop_, [&] { return first + second > 0; }));
+    CPPUNIT_ASSERT_EQUAL(0, first);
+    CPPUNIT_ASSERT_EQUAL(1, second);
+  }
+
   void SurvivesRandomBytes() {
     uint64_t state = 20261204;
     for (int round = 0; round < 200; ++round) {
@@ -641,6 +686,20 @@
     return RawConnect(loop_, kEndpoint);
   }
 
+  // Returns when the first of two requests on a connection has its response
+  // and the second one is running.
+  std::shared_ptr<RawConnection> ReceiveTwo() {
+    auto caller = Connect();
+    caller->Write(PostHeader("/first", 3) + "one");
+    CPPUNIT_ASSERT(WaitForRequests(1));
+    RunFor(loop_, absl::Milliseconds(5));
+    Respond(0, "first response");
+    CPPUNIT_ASSERT(WaitForResponse(*caller, "first response"));
+    caller->Write(PostHeader("/second", 3) + "two");
+    CPPUNIT_ASSERT(WaitForRequests(2));
+    return caller;
+  }
+
   bool WaitForRequests(size_t count) {
     return RunUntil(loop_, [&] { return exchanges_.size() >= count; });
   }
--- a/libs/tier/include/tier/request_handler.h
+++ b/libs/tier/include/tier/request_handler.h
@@ -148,15 +148,15 @@
                    const UnplacedRequest& request);
   /// Hands over a request that ended without a response because targets are out
   /// of this host's reach.
-  bool HandOverUnserved(const Request& request);
+  bool HandOverUnserved(const RequestPtr& request);
   /// Runs one step of a request and counts the targets passed over in it.
   RunActions Advance(Request& request,
                      absl::FunctionRef<RunActions(RequestRun&)> step);
   void Perform(const RequestPtr& request, const RunActions& actions);
   void SendAttempt(const RequestPtr& request, const AttemptSend& send);
-  /// Nothing of a request may be sent once its caller has the response.
-  void ReportSentAfterEnd(const Request& request, const TargetId& target,
-                          absl::Time selected_at);
+  /// An attempt was to be sent though its request has ended.
+  void ReportWithdrawnAfterEnd(const Request& request, const TargetId& target,
+                               absl::Time selected_at);
   void OnResult(const RequestPtr& request, size_t attempt,
                 engine::ExchangeResult result);
   TargetResponse Interpret(engine::ExchangeResult result) const;
@@ -211,6 +211,10 @@
   /// status, 0 for none.
   static std::string UnansweredAttempts(const Request& request);
   void CountPassedOver(const ExclusionCounts& passed_over);
+  /// Logs and counts the outcome of a request whose response is given, or
+  /// which a peer has, and lets go of what was received.
+  void End(const RequestPtr& request, const std::string& outcome,
+           size_t missing);
   void LogOutcome(const Request& request, const std::string& outcome,
                   size_t missing);
   /// Adds how current the host is, which tells a request of a late host from
--- a/libs/tier/src/request_handler.cc
+++ b/libs/tier/src/request_handler.cc
@@ -68,6 +68,7 @@
     TargetResponse reply;
   };
 
+  /// Null once the request has ended.
   std::shared_ptr<engine::ServerExchange> exchange;
   std::shared_ptr<const RouteTable> routes;
   const Route* route = nullptr;
@@ -86,9 +87,6 @@
   std::vector<Attempt> attempts;
   /// Attempts whose targets crashed while they ran.
   std::vector<size_t> crashed_attempts;
-  absl::Time ended_at = absl::InfiniteFuture();
-  /// Size of the body.
-  size_t request_bytes = 0;
   engine::TimerId timer = 0;
   absl::Time timer_due_at = absl::InfiniteFuture();
 };
@@ -197,7 +195,6 @@
   request->route = route;
   request->caller_request = *parsed;
   request->fingerprint = fingerprint;
-  request->request_bytes = request->exchange->request().body.size();
   request->is_handed_over = origin.has_value();
   request->target_head =
       protocol_.TargetRequestHead(request->exchange->request());
@@ -297,17 +294,17 @@
 
 size_t RequestHandler::waiting() const { return waiting_->size(); }
 
-bool RequestHandler::HandOverUnserved(const Request& request) {
-  const RequestPlan& plan = request.run->plan();
-  if (request.is_handed_over || !IsOutOfReach(plan)) return false;
-  TriedTargets tried = request.run->Tried();
+bool RequestHandler::HandOverUnserved(const RequestPtr& request) {
+  const RequestPlan& plan = request->run->plan();
+  if (request->is_handed_over || !IsOutOfReach(plan)) return false;
+  TriedTargets tried = request->run->Tried();
   if (!MayHandOver(plan.services, tried, plan.idempotent, plan.min_parts,
                    plan.max_attempts) ||
-      !HandOver(request.exchange, request.caller_request, plan,
+      !HandOver(request->exchange, request->caller_request, plan,
                 std::move(tried))) {
     return false;
   }
-  LogOutcome(request, "handed_over", 0);
+  End(request, "handed_over", 0);
   return true;
 }
 
@@ -411,13 +408,16 @@
                         instance = attempt.instance_hash,
                         region = targets_.RegionOf(
                             send.target)]() -> std::optional<std::string> {
+    if (request->run->done()) {
+      ReportWithdrawnAfterEnd(*request, target, sent_at);
+      return std::nullopt;
+    }
     // A change may have come into force while the request waited for a
     // connection.
     if (!targets_.MayReceive(target, sent_at) ||
         !request->run->plan().regions.Allows(region)) {
       return std::nullopt;
     }
-    if (request->run->done()) ReportSentAfterEnd(*request, target, sent_at);
     change_log_.OnSent(request->caller_request.request_id, instance, sent_at,
                        loop_.Now());
     return protocol_.TargetRequest(request->target_head,
@@ -439,25 +439,19 @@
   }
 }
 
-void RequestHandler::ReportSentAfterEnd(const Request& request,
-                                        const TargetId& target,
-                                        absl::Time selected_at) {
-  metrics_.counter("cherrydyke_sent_after_end_total").Add();
-  if (!log_rate_limiter_.TryAcquire("sent after end", policy_.log_lines,
+void RequestHandler::ReportWithdrawnAfterEnd(const Request& request,
+                                             const TargetId& target,
+                                             absl::Time selected_at) {
+  metrics_.counter("cherrydyke_withdrawn_after_end_total").Add();
+  if (!log_rate_limiter_.TryAcquire("withdrawn after end", policy_.log_lines,
                                     loop_.Now())) {
     return;
   }
-  const absl::Time now = loop_.Now();
-  // Zero for one that is sent before the response, in the step that ends the
-  // request.
-  const absl::Time ended_at = std::min(request.ended_at, now);
-  LogWarning("attempt sent after its request had ended",
-             {{"request", request.caller_request.request_id},
-              {"target", target},
-              {"selected_ms", absl::ToDoubleMilliseconds(now - selected_at)},
-              {"ended_ms", absl::ToDoubleMilliseconds(now - ended_at)},
-              {"request_bytes", request.request_bytes},
-              {"sent_bytes", request.exchange->request().body.size()}});
+  LogWarning(
+      "attempt withdrawn: its request has ended",
+      {{"request", request.caller_request.request_id},
+       {"target", target},
+       {"selected_ms", absl::ToDoubleMilliseconds(loop_.Now() - selected_at)}});
 }
 
 TargetResponse RequestHandler::Interpret(engine::ExchangeResult result) const {
@@ -487,7 +481,7 @@
                      loop_.Now() - attempt.sent_at,
                      request->route->latency_objective - policy_.answer_margin);
   }
-  if (status == engine::ExchangeStatus::kWithdrawn &&
+  if (status == engine::ExchangeStatus::kWithdrawn && !request->run->done() &&
       log_rate_limiter_.TryAcquire("withdrawn", policy_.log_lines,
                                    loop_.Now())) {
     LogInfo("attempt withdrawn: target excluded meanwhile",
@@ -633,7 +627,6 @@
 void RequestHandler::FinishRequest(const RequestPtr& request) {
   loop_.Cancel(request->timer);
   running_.erase(request);
-  request->ended_at = loop_.Now();
   bool counted = false;
   for (const size_t index : std::exchange(request->crashed_attempts, {})) {
     if (request->run->answered(index)) continue;
@@ -680,7 +673,7 @@
   if (request->run->done()) return;
   metrics_.counter("cherrydyke_callers_left_total").Add();
   Abort(request);
-  LogOutcome(*request, "caller_left", 0);
+  End(request, "caller_left", 0);
 }
 
 void RequestHandler::Abort(const RequestPtr& request) {
@@ -697,7 +690,7 @@
     Abort(request);
     Refuse(*request->exchange, request->caller_request.request_id,
            RefusalReason::kQuarantined, true);
-    LogOutcome(*request, "quarantined", 0);
+    End(request, "quarantined", 0);
   }
 }
 
@@ -732,7 +725,7 @@
     Abort(request);
     Refuse(*request->exchange, request->caller_request.request_id,
            RefusalReason::kShutdown, may_have_run);
-    LogOutcome(*request, "shutdown", 0);
+    End(request, "shutdown", 0);
   }
 }
 
@@ -749,20 +742,20 @@
     case RequestOutcome::kRelayFailure:
       request->exchange->Respond(protocol_.Relay(
           std::move(request->attempts[run.relayed()].reply.response)));
-      return LogOutcome(*request, "target_failure", 0);
+      return End(request, "target_failure", 0);
     case RequestOutcome::kNotRun:
-      if (HandOverUnserved(*request)) return;
+      if (HandOverUnserved(request)) return;
       RefuseForLackOfTargets(*request);
-      return LogOutcome(*request, "not_run", 0);
+      return End(request, "not_run", 0);
     case RequestOutcome::kFailed:
-      if (HandOverUnserved(*request)) return;
+      if (HandOverUnserved(request)) return;
       Refuse(*request->exchange, request->caller_request.request_id,
              RefusalReason::kTargetsFailed, true);
-      return LogOutcome(*request, "targets_failed", 0);
+      return End(request, "targets_failed", 0);
     case RequestOutcome::kTimedOut:
       Refuse(*request->exchange, request->caller_request.request_id,
              RefusalReason::kDeadline, true);
-      return LogOutcome(*request, "deadline", 0);
+      return End(request, "deadline", 0);
   }
 }
 
@@ -780,7 +773,7 @@
   if (!request->route->IsFanout()) {
     request->exchange->Respond(protocol_.Relay(
         std::move(request->attempts[*winners.front()].reply.response)));
-    return LogOutcome(*request, kAnswered, 0);
+    return End(request, kAnswered, 0);
   }
   std::vector<std::string> signatures;
   std::vector<std::string> bodies;
@@ -794,7 +787,7 @@
   request->exchange->Respond(
       protocol_.MergedResponse(request->caller_request, signatures, missing,
                                MergeTopRecords(bodies, request->route->top_k)));
-  LogOutcome(*request, missing == 0 ? kAnswered : kAnsweredInPart, missing);
+  End(request, missing == 0 ? kAnswered : kAnsweredInPart, missing);
 }
 
 void RequestHandler::RefuseForLackOfTargets(const Request& request) {
@@ -928,6 +921,13 @@
   }
 }
 
+void RequestHandler::End(const RequestPtr& request, const std::string& outcome,
+                         size_t missing) {
+  LogOutcome(*request, outcome, missing);
+  // Cancelled attempts may keep the request for their grace.
+  request->exchange.reset();
+}
+
 void RequestHandler::LogOutcome(const Request& request,
                                 const std::string& outcome, size_t missing) {
   metrics_
