Count and free the header fields of refused requests again

So the budget of all connections took refused ones for empty: callers with many short header fields could fill the memory.

--- a/libs/engine/src/server_connection.cc
+++ b/libs/engine/src/server_connection.cc
@@ -176,11 +176,11 @@
       break;
     case Phase::kRunning:
       held.stage = Stage::kRunning;
-      held.bytes += kRequestCopies * request_bytes_;
+      held.bytes += kRequestCopies * (header_bytes_ + body_bytes_);
       break;
     case Phase::kWriting:
       held.stage = Stage::kSending;
-      held.bytes += request_bytes_ + response_bytes_;
+      held.bytes += header_bytes_ + body_bytes_ + response_bytes_;
       break;
   }
   return held;
@@ -362,7 +362,7 @@
   request.peer = peer_;
   parser_.reset();
   UseOriginForm(request);
-  request_bytes_ = header_bytes_ + request.body.capacity();
+  body_bytes_ = request.body.capacity();
   SetPhase(Phase::kRunning);
   ReportHeld();
   responded_ = false;
@@ -415,6 +415,7 @@
 
 void ServerConnection::DropInput() {
   parser_.reset();
+  headers_ = {};
   input_.consume(input_.size());
   input_.shrink_to_fit();
 }
@@ -449,7 +450,7 @@
   SetPhase(Phase::kIdle);
   connection_info_.is_new_connection = false;
   header_bytes_ = 0;
-  request_bytes_ = 0;
+  body_bytes_ = 0;
   response_bytes_ = 0;
   if (input_.size() == 0) input_.shrink_to_fit();
   deadline_ = state_->loop.Now() + state_->limits().idle_timeout;
--- a/libs/engine/src/server_connection.h
+++ b/libs/engine/src/server_connection.h
@@ -125,8 +125,8 @@
   std::vector<HttpHeader> headers_;
   /// Memory of the current request's header, at most.
   size_t header_bytes_ = 0;
-  /// As above with its body, once it is read.
-  size_t request_bytes_ = 0;
+  /// Of its body, once it is read.
+  size_t body_bytes_ = 0;
   /// Of the response that is being written.
   size_t response_bytes_ = 0;
   Phase phase_ = Phase::kIdle;
