--- a/tests/support/raw_peers.cc
+++ b/tests/support/raw_peers.cc
@@ -216,26 +216,29 @@
   return response.substr(response.find("\r\n\r\n") + 4);
 }
 
-std::optional<size_t> SizeOfFirstMessage(const std::string& bytes) {
-  const size_t header_end = bytes.find("\r\n\r\n");
-  if (header_end == std::string::npos) return std::nullopt;
-  const std::string header = bytes.substr(0, header_end + 2);
+namespace {
+
+// Of the first message, if its header states one.
+std::optional<size_t> StatedLength(const std::string& bytes) {
+  const std::string header = bytes.substr(0, bytes.find("\r\n\r\n") + 2);
   size_t length = 0;
   if (!absl::SimpleAtoi(HeaderOf(header, "Content-Length"), &length)) {
-    length = 0;
+    return std::nullopt;
   }
-  const size_t size = header_end + 4 + length;
+  return length;
+}
+
+}  // namespace
+
+std::optional<size_t> SizeOfFirstMessage(const std::string& bytes) {
+  const size_t header_end = bytes.find("\r\n\r\n");
+  if (header_end == std::string::npos) return std::nullopt;
+  const size_t size = header_end + 4 + StatedLength(bytes).value_or(0);
   return bytes.size() < size ? std::nullopt : std::make_optional(size);
 }
 
 bool IsComplete(const std::string& response) {
-  const size_t header_end = response.find("\r\n\r\n");
-  size_t length = 0;
-  if (header_end == std::string::npos ||
-      !absl::SimpleAtoi(HeaderOf(response, "Content-Length"), &length)) {
-    return false;
-  }
-  return response.size() >= header_end + 4 + length;
+  return StatedLength(response) && SizeOfFirstMessage(response);
 }
 
 std::string OkResponse(const std::string& body, const std::string& headers) {
